Add project tooling, settings, errors, logs and shared types

Ruled out: a hand-written settings checker, since pydantic reports all errors at once with their location. Conclusion: modules can be written against the contracts.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+export PYTHONPATH := src:.
+
+.PHONY: environment test lint format types features benchmarks demo soak binary capacity lock
+
+environment: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements.lock
+	touch $@
+
+test: environment features benchmarks
+
+features: environment
+	$(PYTHON) -m behave
+
+benchmarks: environment
+	$(PYTHON) -m pytest benchmarks || [ $$? -eq 5 ]
+
+format: environment
+	$(VENV)/bin/pyink src tests bench benchmarks
+	$(VENV)/bin/ruff check --fix src tests bench benchmarks
+
+lint: environment
+	$(VENV)/bin/pyink --check src tests bench benchmarks
+	$(VENV)/bin/ruff check src tests bench benchmarks
+
+types: environment
+	$(VENV)/bin/mypy
+
+demo: environment
+	$(PYTHON) -m bench demo
+
+SEED ?= 1
+DURATION ?= 60
+FAULTS ?= all
+LAYOUT ?= quetzal
+soak: environment
+	$(PYTHON) -m bench soak --seed $(SEED) --duration $(DURATION) --faults $(FAULTS) --layout $(LAYOUT)
+
+capacity: environment
+	$(PYTHON) -m bench capacity
+
+binary: environment
+	$(VENV)/bin/shiv --console-script marigoldgap --output-file dist/marigoldgap --compressed --reproducible --requirement requirements.lock .
+
+lock: environment
+	$(VENV)/bin/pip-compile --quiet --extra dev --no-emit-index-url --no-emit-find-links --strip-extras --output-file requirements.lock pyproject.toml
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,3 @@
+"""Runs the tool with `python -m bench`."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/marigoldgap/__init__.py
@@ -0,0 +1,5 @@
+"""marigoldgap, a cluster scheduler for unlike workloads."""
+
+from __future__ import annotations
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/marigoldgap/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command line with `python -m marigoldgap`."""
+
+from __future__ import annotations
+
+from marigoldgap.console import application
+
+if __name__ == "__main__":
+    application.main()
--- /dev/null
+++ b/src/marigoldgap/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The peer `caller`: HTTP API for requests and jobs."""
--- /dev/null
+++ b/src/marigoldgap/config_store/__init__.py
@@ -0,0 +1,1 @@
+"""Versions of rules and keys in the table service."""
--- /dev/null
+++ b/src/marigoldgap/config_store/model.py
@@ -0,0 +1,34 @@
+"""Keys and configuration versions."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+
+
+class KeyRecord(NamedTuple):
+    """A granted key; only the salted hash of its secret is kept."""
+
+    key_id: str
+    team: str
+    salt: str
+    secret_hash: str
+    granted_by: str
+    granted_at_ms: int
+
+
+class ConfigVersion(NamedTuple):
+    """One accepted change of the configuration.
+
+    Attributes:
+        version: Number of the change; 1 is the first.
+        kind: `rules`, `key` or `snapshot`.
+        author: Who applied the change.
+        content: The change in JSON form; its shape depends on the kind.
+    """
+
+    version: int
+    kind: str
+    author: str
+    applied_at_ms: int
+    content: Any
--- /dev/null
+++ b/src/marigoldgap/console/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/marigoldgap/console/commands/settings_check.py
@@ -0,0 +1,27 @@
+"""The command `settings check`."""
+
+from __future__ import annotations
+
+import pathlib
+
+import typer
+
+from marigoldgap.console import registry
+from marigoldgap.settings import loader
+
+
+@registry.command
+class SettingsCheckCommand:
+    """Checks a settings file."""
+
+    def register(self, application: typer.Typer) -> None:
+        """Adds the group `settings` with `check` to the application."""
+        group = typer.Typer(help="Work with settings files.")
+        group.callback()(lambda: None)
+        group.command("check")(self.run)
+        application.add_typer(group, name="settings")
+
+    def run(self, path: pathlib.Path) -> None:
+        """Report every error of a settings file, with line and field."""
+        settings = loader.load(path)
+        typer.echo(f"{path}: valid settings of {settings.instance_id}")
--- /dev/null
+++ b/src/marigoldgap/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""The coordinator of a zone: allowances, jobs, gangs and digests."""
--- /dev/null
+++ b/src/marigoldgap/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Joins queue, placement, holdings, fleet and forwarding."""
--- /dev/null
+++ b/src/marigoldgap/entries/__init__.py
@@ -0,0 +1,1 @@
+"""The peer `entry instance`: protocol, links, membership and terms."""
--- /dev/null
+++ b/src/marigoldgap/events/__init__.py
@@ -0,0 +1,1 @@
+"""Typed events, the hybrid logical clock and the time line."""
--- /dev/null
+++ b/src/marigoldgap/identifiers.py
@@ -0,0 +1,27 @@
+"""Identifiers for tasks, jobs and writes."""
+
+from __future__ import annotations
+
+import secrets
+
+_RANDOM_BYTES = 10
+
+
+def new_token() -> str:
+    """Returns a random identifier of 20 hexadecimal digits."""
+    return secrets.token_hex(_RANDOM_BYTES)
+
+
+def new_task_id(prefix: str) -> str:
+    """Returns a task id that starts with the given prefix."""
+    return f"{prefix}.{new_token()}"
+
+
+def new_job_id(zone: str) -> str:
+    """Returns a job id; it names the zone in which the job lives."""
+    return f"{zone}.{new_token()}"
+
+
+def zone_of_job(job_id: str) -> str:
+    """Returns the home zone of a job, or an empty string if it has none."""
+    return job_id.rpartition(".")[0]
--- /dev/null
+++ b/src/marigoldgap/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metric names and a client that never blocks."""
--- /dev/null
+++ b/src/marigoldgap/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The peer : table service, object store and instance list."""
--- /dev/null
+++ b/src/marigoldgap/rules/__init__.py
@@ -0,0 +1,1 @@
+"""The rules text: parser, model, differences and preview."""
--- /dev/null
+++ b/src/marigoldgap/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Builds, connects, runs and stops an entry instance."""
--- /dev/null
+++ b/src/marigoldgap/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one entry instance: model, loader and checks."""
--- /dev/null
+++ b/src/marigoldgap/workers/__init__.py
@@ -0,0 +1,1 @@
+"""The peer : HTTP client, leases and the fleet of owned workers."""
--- /dev/null
+++ b/tests/features/environment.py
@@ -0,0 +1,10 @@
+"""Hooks of behave: the hypothesis profile is fixed for equal verdicts."""
+
+from __future__ import annotations
+
+import hypothesis
+
+hypothesis.settings.register_profile(
+    "fixed", derandomize=True, deadline=None, database=None, max_examples=100
+)
+hypothesis.settings.load_profile("fixed")
