Correct the docstrings of two packages

Cause: the shell expanded backticks while the files were written. Ruled out: nothing else was affected; the other packages were checked. Change: names restored. Conclusion: docstrings are complete.

--- a/src/marigoldgap/platform/__init__.py
+++ b/src/marigoldgap/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The peer : table service, object store and instance list."""
+"""The peer platform: table service, object store and instance list."""
--- a/src/marigoldgap/workers/__init__.py
+++ b/src/marigoldgap/workers/__init__.py
@@ -1,1 +1,1 @@
-"""The peer : HTTP client, leases and the fleet of owned workers."""
+"""The peer worker: HTTP client, leases and the fleet of owned workers."""
