--- a/src/marigoldgap/errors.py
+++ b/src/marigoldgap/errors.py
@@ -160,6 +160,14 @@
     ran = Ran.NO
 
 
+class NoCandidateError(MarigoldgapError):
+    """No instance can own the key; nothing was sent."""
+
+    code = "no-candidate"
+    status = 503
+    ran = Ran.NO
+
+
 class StoreUnavailableError(MarigoldgapError):
     """The table service or the object store did not answer.
 
--- /dev/null
+++ b/src/marigoldgap/scheduling/fair_queue.py
@@ -0,0 +1,249 @@
+"""Waiting tasks, the team furthest below its share first."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import heapq
+import math
+from typing import NamedTuple
+
+from marigoldgap import errors
+from marigoldgap.scheduling import model
+from marigoldgap.scheduling import team_lanes
+
+_DEFAULT_LIMIT = 100_000
+_DEFAULT_SHARE = 1.0
+# Stale heap entries are dropped once they outnumber the live ones.
+_COMPACT_ABOVE = 64
+
+
+class _Candidate(NamedTuple):
+    """Next task of a team; compares by fairness and then by urgency.
+
+    Attributes:
+        version: Makes the entry stale once the team's state has changed.
+        position: Which lane of the team the task is in.
+    """
+
+    usage: float
+    order: team_lanes.Order
+    team: str
+    version: int
+    position: int = 0
+
+
+class _Team:
+    """Waiting tasks, usage and share of one team."""
+
+    __slots__ = ("blocked", "lanes", "share", "usage", "version")
+
+    def __init__(self) -> None:
+        self.lanes = team_lanes.TeamLanes()
+        self.usage = 0.0
+        self.share = _DEFAULT_SHARE
+        self.version = 0
+        self.blocked = False
+
+    @property
+    def normalized(self) -> float:
+        return self.usage / self.share if self.share > 0 else math.inf
+
+
+class FairQueue:
+    """Bounded queue ordered by usage per share, priority, deadline, arrival.
+
+    Within a team, urgent tasks come before all others. Tasks that need the
+    same resources of the same service wait in one lane, and a lane whose head
+    may not run is skipped as a whole, so a large task that finds no room does
+    not hold back small ones and a full queue is never scanned.
+
+    Args:
+        limit: Largest number of waiting tasks.
+        team_limit: Largest number of waiting tasks of one team; half of
+            `limit` by default, so that one team cannot fill the queue.
+
+    Attributes:
+        examined: Number of tasks offered to `may_run` since the start.
+    """
+
+    def __init__(
+        self, limit: int = _DEFAULT_LIMIT, team_limit: int | None = None
+    ) -> None:
+        self._limit = limit
+        self._team_limit = team_limit or max(1, limit // 2)
+        self._teams: dict[str, _Team] = {}
+        self._team_of: dict[str, str] = {}
+        self._ready: list[_Candidate] = []
+        self._deadlines: list[tuple[int, str, int]] = []
+        self._arrivals = 0
+        self.examined = 0
+
+    def __len__(self) -> int:
+        return len(self._team_of)
+
+    def __contains__(self, task_id: str) -> bool:
+        return task_id in self._team_of
+
+    def waiting(self, team: str) -> int:
+        """Returns the number of waiting tasks of a team."""
+        state = self._teams.get(team)
+        return len(state.lanes) if state else 0
+
+    def push(self, task: model.TaskSpec, now_ms: int) -> None:
+        """Adds a task.
+
+        Args:
+            task: The task; its id must not be waiting already.
+            now_ms: The current time; a task whose latest start has passed is
+                accepted and returned by the next call of `expired`.
+
+        Raises:
+            QueueFullError: If the queue or the team's part of it is full.
+            ConflictError: If a task with this id is waiting already.
+        """
+        del now_ms
+        if task.task_id in self._team_of:
+            raise errors.ConflictError(f"{task.task_id} is already waiting")
+        if len(self) >= self._limit:
+            raise errors.QueueFullError(f"{self._limit} tasks are waiting")
+        state = self._team(task.team)
+        if len(state.lanes) >= self._team_limit:
+            raise errors.QueueFullError(
+                f"{self._team_limit} tasks of team {task.team} are waiting"
+            )
+        self._arrivals += 1
+        self._team_of[task.task_id] = task.team
+        if task.deadline_ms is not None:
+            entry = (task.deadline_ms, task.task_id, self._arrivals)
+            heapq.heappush(self._deadlines, entry)
+        if state.lanes.push(task, self._arrivals):
+            self._announce(task.team, state)
+
+    def pop(
+        self, may_run: Callable[[model.TaskSpec], bool]
+    ) -> model.TaskSpec | None:
+        """Removes and returns the first task that may run, or None.
+
+        Args:
+            may_run: Tells whether a task can start now; it must give the same
+                answer for tasks of one team that need the same resources of
+                the same service.
+        """
+        skipped: list[_Candidate] = []
+        more: list[_Candidate] = []
+        found = None
+        while found is None:
+            candidate = self._next(skipped, more)
+            if candidate is None:
+                break
+            lanes = self._teams[candidate.team].lanes
+            task = lanes.head(candidate.position)
+            self.examined += 1
+            if may_run(task):
+                found = task
+                continue
+            following = lanes.order(candidate.position + 1)
+            if following is not None:
+                heapq.heappush(
+                    more,
+                    candidate._replace(
+                        order=following, position=candidate.position + 1
+                    ),
+                )
+        for candidate in skipped:
+            heapq.heappush(self._ready, candidate)
+        if found is not None:
+            self.remove(found.task_id)
+        return found
+
+    def remove(self, task_id: str) -> bool:
+        """Removes a waiting task; returns whether it was waiting."""
+        team = self._team_of.pop(task_id, None)
+        if team is None:
+            return False
+        state = self._teams[team]
+        if state.lanes.remove(task_id):
+            self._announce(team, state)
+        self._compact_deadlines()
+        return True
+
+    def expired(self, now_ms: int) -> list[model.TaskSpec]:
+        """Removes and returns the tasks whose latest start has passed."""
+        found = []
+        while self._deadlines and self._deadlines[0][0] < now_ms:
+            _, task_id, arrival = heapq.heappop(self._deadlines)
+            task = self._waiting_task(task_id, arrival)
+            if task is not None:
+                found.append(task)
+                self.remove(task_id)
+        return found
+
+    def set_usage(self, team: str, usage: float) -> None:
+        """Sets the team's dominant usage, a fraction of the cluster."""
+        state = self._team(team)
+        if state.usage != usage:
+            state.usage = usage
+            self._announce(team, state)
+
+    def set_share(self, team: str, share: float) -> None:
+        """Sets the team's share; a team with share zero comes last."""
+        state = self._team(team)
+        if state.share != share:
+            state.share = share
+            self._announce(team, state)
+
+    def set_blocked(self, team: str, blocked: bool) -> None:
+        """Leaves a team out of `pop`, for example while it is at its limit."""
+        state = self._team(team)
+        if state.blocked != blocked:
+            state.blocked = blocked
+            self._announce(team, state)
+
+    def _team(self, team: str) -> _Team:
+        state = self._teams.get(team)
+        if state is None:
+            state = self._teams[team] = _Team()
+        return state
+
+    def _announce(self, team: str, state: _Team) -> None:
+        """Replaces the team's entry in the heap of candidates."""
+        state.version += 1
+        order = state.lanes.order(0)
+        if order is not None and not state.blocked:
+            entry = _Candidate(state.normalized, order, team, state.version)
+            heapq.heappush(self._ready, entry)
+        if len(self._ready) > 2 * len(self._teams) + _COMPACT_ABOVE:
+            self._ready = [entry for entry in self._ready if self._live(entry)]
+            heapq.heapify(self._ready)
+
+    def _live(self, candidate: _Candidate) -> bool:
+        return self._teams[candidate.team].version == candidate.version
+
+    def _next(
+        self, skipped: list[_Candidate], more: list[_Candidate]
+    ) -> _Candidate | None:
+        """Returns the best candidate of the heap and of the further lanes."""
+        while self._ready and not self._live(self._ready[0]):
+            heapq.heappop(self._ready)
+        if self._ready and (not more or self._ready[0] < more[0]):
+            skipped.append(heapq.heappop(self._ready))
+            return skipped[-1]
+        return heapq.heappop(more) if more else None
+
+    def _waiting_task(
+        self, task_id: str, arrival: int
+    ) -> model.TaskSpec | None:
+        team = self._team_of.get(task_id)
+        if team is None:
+            return None
+        return self._teams[team].lanes.find(task_id, arrival)
+
+    def _compact_deadlines(self) -> None:
+        if len(self._deadlines) <= 2 * len(self) + _COMPACT_ABOVE:
+            return
+        self._deadlines = [
+            entry
+            for entry in self._deadlines
+            if self._waiting_task(entry[1], entry[2]) is not None
+        ]
+        heapq.heapify(self._deadlines)
--- /dev/null
+++ b/src/marigoldgap/scheduling/free_index.py
@@ -0,0 +1,259 @@
+"""Free capacity of the workers that one entry instance owns."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import zlib
+
+from marigoldgap import errors
+from marigoldgap.scheduling import model
+from marigoldgap.scheduling import partition
+from marigoldgap.scheduling import rack_spread
+from marigoldgap.scheduling import resources
+from marigoldgap.scheduling import worker_state
+from marigoldgap.scheduling.policies import registry
+
+# Team, queue and job: tasks that are spread over racks together.
+_Group = tuple[str, str, str]
+
+
+class FreeIndex:
+    """Chooses workers and accounts for what runs on them, without scans.
+
+    A choice looks at a number of workers that does not depend on how many
+    there are. `choose` only proposes; `claim` is what takes the capacity.
+    """
+
+    def __init__(self) -> None:
+        self._workers: dict[str, worker_state.WorkerState] = {}
+        self._partitions: dict[str, partition.Partition] = {}
+        self._groups: dict[_Group, rack_spread.RackSpread] = {}
+        self._free: dict[str, model.Resources] = {}
+
+    @property
+    def examined(self) -> int:
+        """Number of candidate workers looked at since the start."""
+        return sum(part.examined for part in self._partitions.values())
+
+    def __contains__(self, worker_id: str) -> bool:
+        return worker_id in self._workers
+
+    def __len__(self) -> int:
+        return len(self._workers)
+
+    def add(
+        self,
+        worker: model.WorkerInfo,
+        running: Sequence[model.RunningTask] = (),
+    ) -> None:
+        """Adds a worker with the tasks that it reports; replaces an old entry.
+
+        The tasks may exceed the capacity; the worker then gets no new work
+        until enough of them have ended.
+        """
+        self.remove(worker.worker_id)
+        state = worker_state.WorkerState(worker)
+        self._workers[worker.worker_id] = state
+        for task in {task.task_id: task for task in running}.values():
+            self._place(state, task, spread=True)
+        self._list(state)
+
+    def remove(self, worker_id: str) -> None:
+        """Forgets a worker and its tasks; does nothing if it is unknown."""
+        state = self._workers.get(worker_id)
+        if state is None:
+            return
+        self._unlist(state)
+        for task_id in tuple(state.tasks):
+            self._displace(state, task_id)
+        del self._workers[worker_id]
+
+    def set_accepting(self, worker_id: str, accepting: bool) -> None:
+        """Allows or stops new work; a leaving worker never accepts again."""
+        state = self._workers.get(worker_id)
+        if state is None:
+            return
+        self._unlist(state)
+        state.accepting = accepting
+        self._list(state)
+
+    def mark_leaving(self, worker_id: str) -> None:
+        """Stops new work for good, whatever `set_accepting` says later.
+
+        Quarantine and leaving are separate, so that the end of a quarantine
+        does not send work to a server that is being taken away.
+        """
+        state = self._workers.get(worker_id)
+        if state is None:
+            return
+        self._unlist(state)
+        state.leaving = True
+
+    def choose(
+        self, task: model.TaskSpec, avoid: frozenset[str] = frozenset()
+    ) -> str | None:
+        """Returns a worker by the policy of the task's kind, or None."""
+        return registry.policy_of(task.kind).choose(self, task, avoid)
+
+    def tightest(
+        self, task: model.TaskSpec, avoid: frozenset[str]
+    ) -> str | None:
+        """Returns a fitting worker with the fewest free slots."""
+        part = self._partitions.get(task.service)
+        return part.tightest(task.resources, avoid) if part else None
+
+    def freest(self, task: model.TaskSpec, avoid: frozenset[str]) -> str | None:
+        """Returns a fitting worker with the most free slots."""
+        part = self._partitions.get(task.service)
+        return part.freest(task.resources, avoid) if part else None
+
+    def spread(self, task: model.TaskSpec, avoid: frozenset[str]) -> str | None:
+        """Returns a fitting worker on the rack with the fewest siblings."""
+        part = self._partitions.get(task.service)
+        if part is None:
+            return None
+        key = _group_of(task)
+        group = self._groups.get(key) or _new_group(key)
+        return part.spread(task.resources, avoid, group)
+
+    def claim(self, worker_id: str, task: model.TaskSpec) -> None:
+        """Takes the capacity for the task.
+
+        Raises:
+            CapacityError: If the worker is unknown or does not accept work, if
+                the task does not fit, or if the worker already has the task.
+        """
+        state = self._workers.get(worker_id)
+        if state is None or not state.usable:
+            raise errors.CapacityError(f"{worker_id} accepts no new work")
+        if state.info.service != task.service:
+            raise errors.CapacityError(f"{worker_id} is of another service")
+        if task.task_id in state.tasks:
+            raise errors.CapacityError(f"{worker_id} has task {task.task_id}")
+        if min(task.resources) < 0 or not resources.fits_in(
+            task.resources, state.free
+        ):
+            raise errors.CapacityError(f"{task.task_id}: {worker_id} is full")
+        running = model.RunningTask(
+            task.task_id,
+            worker_id,
+            task.team,
+            task.queue,
+            task.resources,
+            task.job_id,
+            task.attempt,
+        )
+        self._unlist(state)
+        self._place(state, running, spread=task.kind == "service")
+        self._list(state)
+
+    def release(self, worker_id: str, task_id: str) -> None:
+        """Gives the capacity of a task back; repeated calls do nothing."""
+        state = self._workers.get(worker_id)
+        if state is None or task_id not in state.tasks:
+            return
+        self._unlist(state)
+        self._displace(state, task_id)
+        self._list(state)
+
+    def resize(
+        self, worker_id: str, task_id: str, size: model.Resources
+    ) -> None:
+        """Corrects the size of a running task; does nothing if it is unknown.
+
+        The corrected sizes may exceed the capacity, as with `add`.
+        """
+        state = self._workers.get(worker_id)
+        if state is None or task_id not in state.tasks:
+            return
+        self._unlist(state)
+        placed = self._displace(state, task_id)
+        task = placed.task._replace(resources=size)
+        self._place(state, task, placed.spread)
+        self._list(state)
+
+    def running(self) -> Iterable[model.RunningTask]:
+        """Yields every task on every worker of the index."""
+        for state in self._workers.values():
+            yield from state.running()
+
+    def running_on(self, worker_id: str) -> tuple[model.RunningTask, ...]:
+        """Returns the tasks on one worker; empty if it is unknown."""
+        state = self._workers.get(worker_id)
+        return tuple(state.running()) if state else ()
+
+    def free_on(self, worker_id: str) -> model.Resources:
+        """Returns what is free on a worker; negative where it is exceeded."""
+        state = self._workers.get(worker_id)
+        return state.free if state else resources.NONE
+
+    def free_total(self) -> model.Resources:
+        """Returns the sum of free resources of workers that accept work."""
+        total = resources.NONE
+        for free in self._free.values():
+            total = resources.add(total, free)
+        return total
+
+    def free_by_service(self) -> Mapping[str, model.Resources]:
+        """Returns the free resources of accepting workers by service."""
+        return dict(self._free)
+
+    def _list(self, state: worker_state.WorkerState) -> None:
+        if state.listed or not state.usable:
+            return
+        service = state.info.service
+        part = self._partitions.get(service)
+        if part is None:
+            part = partition.Partition(self.free_on)
+            self._partitions[service] = part
+        part.add(state.info, state.free)
+        self._free[service] = resources.add(
+            self._free.get(service, resources.NONE),
+            resources.clamp(state.free),
+        )
+        state.listed = True
+
+    def _unlist(self, state: worker_state.WorkerState) -> None:
+        if not state.listed:
+            return
+        service = state.info.service
+        self._partitions[service].discard(state.info, state.free)
+        self._free[service] = resources.subtract(
+            self._free[service], resources.clamp(state.free)
+        )
+        state.listed = False
+
+    def _place(
+        self,
+        state: worker_state.WorkerState,
+        task: model.RunningTask,
+        spread: bool,
+    ) -> None:
+        state.place(task, spread)
+        if not spread:
+            return
+        key = _group_of(task)
+        if key not in self._groups:
+            self._groups[key] = _new_group(key)
+        self._groups[key].change(state.info.rack, 1)
+
+    def _displace(
+        self, state: worker_state.WorkerState, task_id: str
+    ) -> worker_state.PlacedTask:
+        placed = state.displace(task_id)
+        if placed.spread:
+            key = _group_of(placed.task)
+            self._groups[key].change(state.info.rack, -1)
+            if self._groups[key].empty:
+                del self._groups[key]
+        return placed
+
+
+def _group_of(task: model.TaskSpec | model.RunningTask) -> _Group:
+    return task.team, task.queue, task.job_id
+
+
+def _new_group(key: _Group) -> rack_spread.RackSpread:
+    return rack_spread.RackSpread(zlib.crc32("/".join(key).encode()))
--- /dev/null
+++ b/src/marigoldgap/scheduling/partition.py
@@ -0,0 +1,75 @@
+"""Free capacity of the workers of one service."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from marigoldgap.scheduling import capacity_levels
+from marigoldgap.scheduling import model
+from marigoldgap.scheduling import rack_spread
+
+# A service task tries this many racks before any worker is good enough.
+_RACKS_TRIED = 32
+
+
+class Partition:
+    """Accepting workers of one service, as a whole and by rack.
+
+    Args:
+        free_of: Returns the free resources of a worker.
+    """
+
+    def __init__(self, free_of: Callable[[str], model.Resources]) -> None:
+        self._free_of = free_of
+        self._shapes = capacity_levels.ShapeTable()
+        self._workers = capacity_levels.CapacityLevels(self._shapes, free_of)
+        self._racks: dict[str, capacity_levels.CapacityLevels] = {}
+        self._rack_order: list[str] = []
+
+    @property
+    def examined(self) -> int:
+        """Number of workers looked at since the start."""
+        return self._workers.examined + sum(
+            levels.examined for levels in self._racks.values()
+        )
+
+    def add(self, worker: model.WorkerInfo, free: model.Resources) -> None:
+        """Adds a worker with its free resources."""
+        levels = self._racks.get(worker.rack)
+        if levels is None:
+            levels = capacity_levels.CapacityLevels(self._shapes, self._free_of)
+            self._racks[worker.rack] = levels
+            self._rack_order.append(worker.rack)
+        self._workers.add(worker.worker_id, free)
+        levels.add(worker.worker_id, free)
+
+    def discard(self, worker: model.WorkerInfo, free: model.Resources) -> None:
+        """Removes a worker that was added with these free resources."""
+        self._workers.discard(worker.worker_id, free)
+        self._racks[worker.rack].discard(worker.worker_id, free)
+
+    def tightest(
+        self, needed: model.Resources, avoid: frozenset[str]
+    ) -> str | None:
+        """Returns a fitting worker with the fewest free slots."""
+        return self._workers.tightest(needed, avoid)
+
+    def freest(
+        self, needed: model.Resources, avoid: frozenset[str]
+    ) -> str | None:
+        """Returns a fitting worker with the most free slots."""
+        return self._workers.freest(needed, avoid)
+
+    def spread(
+        self,
+        needed: model.Resources,
+        avoid: frozenset[str],
+        group: rack_spread.RackSpread,
+    ) -> str | None:
+        """Returns a fitting worker on the rack with the fewest of the group."""
+        for rack in group.candidates(self._rack_order, _RACKS_TRIED):
+            found = self._racks[rack].freest(needed, avoid)
+            if found is not None:
+                return found
+            group.postpone(rack)
+        return self.freest(needed, avoid)
--- /dev/null
+++ b/src/marigoldgap/scheduling/policies/quick.py
@@ -0,0 +1,24 @@
+"""Quick requests go to the least loaded worker."""
+
+from __future__ import annotations
+
+from marigoldgap.scheduling import model
+from marigoldgap.scheduling.policies import registry
+
+
+@registry.placement_policy("quick")
+class QuickPolicy:
+    """Least loaded worker first, which keeps waiting at the worker short."""
+
+    def choose(
+        self,
+        view: registry.CapacityView,
+        task: model.TaskSpec,
+        avoid: frozenset[str],
+    ) -> str | None:
+        """Returns the fitting worker with the most free slots."""
+        return view.freest(task, avoid)
+
+    def latest_start_ms(self, task: model.TaskSpec) -> int | None:
+        """Returns the deadline: a request's deadline is its latest start."""
+        return task.deadline_ms
--- /dev/null
+++ b/src/marigoldgap/scheduling/policies/registry.py
@@ -0,0 +1,70 @@
+"""Registry of placement policies by kind of work."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+from typing import TypeVar
+
+from marigoldgap import errors
+from marigoldgap.scheduling import model
+
+
+class CapacityView(Protocol):
+    """The searches that a policy can choose from; none of them is a scan."""
+
+    def tightest(
+        self, task: model.TaskSpec, avoid: frozenset[str]
+    ) -> str | None:
+        """Returns the fitting worker with the least free capacity."""
+
+    def freest(self, task: model.TaskSpec, avoid: frozenset[str]) -> str | None:
+        """Returns the fitting worker with the most free capacity."""
+
+    def spread(self, task: model.TaskSpec, avoid: frozenset[str]) -> str | None:
+        """Returns a fitting worker on the rack with the fewest siblings."""
+
+
+class PlacementPolicy(Protocol):
+    """Where a task of one kind runs and when it has to start."""
+
+    def choose(
+        self, view: CapacityView, task: model.TaskSpec, avoid: frozenset[str]
+    ) -> str | None:
+        """Returns a worker for the task, or None if none was found."""
+
+    def latest_start_ms(self, task: model.TaskSpec) -> int | None:
+        """Returns the time by which the task should start, or None."""
+
+
+_Policy = TypeVar("_Policy", bound=type)
+_policies: dict[str, PlacementPolicy] = {}
+
+
+def placement_policy(kind: str) -> Callable[[_Policy], _Policy]:
+    """Registers the decorated class as the policy for a kind of work."""
+
+    def register(policy: _Policy) -> _Policy:
+        _policies[kind] = policy()
+        return policy
+
+    return register
+
+
+def kinds() -> tuple[str, ...]:
+    """Returns the kinds of work that have a policy."""
+    return tuple(sorted(_policies))
+
+
+def policy_of(kind: str) -> PlacementPolicy:
+    """Returns the policy for a kind of work.
+
+    Raises:
+        NotFoundError: If there is no policy for the kind.
+    """
+    policy = _policies.get(kind)
+    if policy is None:
+        raise errors.NotFoundError(
+            f"no placement policy {kind!r}; known: {', '.join(kinds())}"
+        )
+    return policy
--- /dev/null
+++ b/src/marigoldgap/scheduling/rack_spread.py
@@ -0,0 +1,99 @@
+"""Remembers on which racks the tasks of a group run, to spread them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import itertools
+
+
+class RackSpread:
+    """Counts the tasks of one group per rack.
+
+    Racks without a task of the group are found by a position in the list of
+    all racks and a list of those that lost their last task, without a scan.
+
+    Args:
+        start: Selects the first rack, so that groups do not all start at the
+            same one.
+    """
+
+    def __init__(self, start: int = 0) -> None:
+        self._start = start
+        self._counts: dict[str, int] = {}
+        self._by_count: dict[int, dict[str, None]] = {}
+        self._unused: dict[str, None] = {}
+        self._next_high: int | None = None
+        self._next_low = 0
+
+    @property
+    def empty(self) -> bool:
+        """Whether no task of the group runs."""
+        return not self._counts
+
+    def count(self, rack: str) -> int:
+        """Returns the number of tasks on the rack."""
+        return self._counts.get(rack, 0)
+
+    def change(self, rack: str, difference: int) -> None:
+        """Adds to the number of tasks on the rack."""
+        before = self._counts.pop(rack, 0)
+        if before:
+            self._leave(before, rack)
+        after = before + difference
+        if after > 0:
+            self._counts[rack] = after
+            self._by_count.setdefault(after, {})[rack] = None
+            self._unused.pop(rack, None)
+        elif before:
+            self._unused[rack] = None
+
+    def candidates(self, racks: Sequence[str], limit: int) -> list[str]:
+        """Returns racks to try, those with the fewest tasks first.
+
+        Args:
+            racks: All racks, always in the same order; new ones at the end.
+            limit: Largest number of racks returned.
+        """
+        self._fill_unused(racks, limit)
+        ordered = itertools.chain(self._unused, self._used())
+        return list(itertools.islice(ordered, limit))
+
+    def postpone(self, rack: str) -> None:
+        """Tries an unused rack without free capacity later than the others."""
+        if rack in self._unused:
+            del self._unused[rack]
+            self._unused[rack] = None
+
+    def _fill_unused(self, racks: Sequence[str], limit: int) -> None:
+        while len(self._unused) < limit:
+            position = self._next_position(len(racks))
+            if position is None:
+                return
+            if racks[position] not in self._counts:
+                self._unused[racks[position]] = None
+
+    def _next_position(self, count: int) -> int | None:
+        """Goes once around the racks; racks added later come at the end."""
+        if count == 0:
+            return None
+        if self._next_high is None:
+            self._start %= count
+            self._next_high = self._start
+        if self._next_high < count:
+            self._next_high += 1
+            return self._next_high - 1
+        if self._next_low < self._start:
+            self._next_low += 1
+            return self._next_low - 1
+        return None
+
+    def _used(self) -> Iterator[str]:
+        for count in sorted(self._by_count):
+            yield from self._by_count[count]
+
+    def _leave(self, count: int, rack: str) -> None:
+        racks = self._by_count[count]
+        del racks[rack]
+        if not racks:
+            del self._by_count[count]
--- /dev/null
+++ b/src/marigoldgap/scheduling/worker_state.py
@@ -0,0 +1,60 @@
+"""What runs on one worker and what is free there."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from marigoldgap.scheduling import model
+from marigoldgap.scheduling import resources
+
+
+class PlacedTask(NamedTuple):
+    """A running task and whether it counts in the spread over racks."""
+
+    task: model.RunningTask
+    spread: bool
+
+
+class WorkerState:
+    """Tasks and free resources of one worker.
+
+    Args:
+        info: The worker as the platform describes it.
+
+    Attributes:
+        free: Capacity less the tasks; negative where tasks exceed it.
+        accepting: Cleared while the worker is in quarantine.
+        leaving: Set for good when the backend server is being taken away.
+        listed: Whether the index offers the worker for new tasks.
+    """
+
+    __slots__ = ("accepting", "free", "info", "leaving", "listed", "tasks")
+
+    def __init__(self, info: model.WorkerInfo) -> None:
+        self.info = info
+        self.free = info.capacity
+        self.tasks: dict[str, PlacedTask] = {}
+        self.accepting = True
+        self.leaving = info.leaving
+        self.listed = False
+
+    @property
+    def usable(self) -> bool:
+        """Whether the worker may get new work."""
+        return self.accepting and not self.leaving
+
+    def running(self) -> Sequence[model.RunningTask]:
+        """Returns the tasks on the worker."""
+        return tuple(placed.task for placed in self.tasks.values())
+
+    def place(self, task: model.RunningTask, spread: bool) -> None:
+        """Adds a task whose id is not on the worker yet."""
+        self.tasks[task.task_id] = PlacedTask(task, spread)
+        self.free = resources.subtract(self.free, task.resources)
+
+    def displace(self, task_id: str) -> PlacedTask:
+        """Removes a task of the worker and returns it."""
+        placed = self.tasks.pop(task_id)
+        self.free = resources.add(self.free, placed.task.resources)
+        return placed
