Add the allowance ledger and the holding account

Ruled out: grants and returns as differences, since a lost, repeated or reordered message would make the coordinator's view too low; raising an allowance after merely reading the row, since a delayed write of a former coordinator can still lower it and another zone then takes the same units.

--- /dev/null
+++ b/src/marigoldgap/scheduling/allowance_model.py
@@ -0,0 +1,102 @@
+"""Types of the escrow of team upper limits."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from marigoldgap.scheduling import model
+
+
+class AllowanceRow(NamedTuple):
+    """Content of the table row `allowance/<team>`.
+
+    Attributes:
+        limit: Upper limit of the team over all zones, in tasks.
+        zones: Allowance of each zone; the sum never exceeds `limit`.
+        limit_version: Configuration version that `limit` was taken from. A
+            zone whose configuration is older must not write its own limit.
+    """
+
+    limit: int
+    zones: Mapping[str, int]
+    limit_version: int = 0
+
+    @property
+    def total(self) -> int:
+        """Sum of the allowances of all zones."""
+        return sum(self.zones.values())
+
+
+class TeamLimit(NamedTuple):
+    """Upper limit of a team in the configuration that is in force here."""
+
+    limit: int
+    version: int = 0
+
+
+class AllowanceWrite(NamedTuple):
+    """A compare-and-set of a row.
+
+    Attributes:
+        expected_version: Version of the row that was read; 0 for no row.
+    """
+
+    team: str
+    row: AllowanceRow
+    expected_version: int
+
+
+class HoldingGrant(NamedTuple):
+    """Units that an entry instance may use.
+
+    Attributes:
+        granted_total: All units granted to the instance in this term, so that
+            lost, repeated and reordered messages do no harm.
+        units: Units that were added by this grant.
+        incarnation: Process that the grant is for; a process that was
+            restarted under the same id must not use it.
+    """
+
+    term: model.Term
+    team: str
+    instance_id: str
+    granted_total: int
+    units: int
+    incarnation: str = ""
+
+
+class HoldingReport(NamedTuple):
+    """State of one team at an entry instance.
+
+    Attributes:
+        sequence: Increases with every report of the instance for the team.
+        granted_total: Units received in this term, including those held when
+            the term began.
+        returned_total: Units given back in this term.
+        running: Tasks of the team on the instance's workers.
+        incarnation: Identifies the process of the instance.
+    """
+
+    term: model.Term
+    sequence: int
+    granted_total: int
+    returned_total: int
+    running: int
+    incarnation: str = ""
+
+
+class AllowanceNotice(NamedTuple):
+    """Announces that a zone lowers its allowance.
+
+    Attributes:
+        allowance: The lowered number.
+        sequence: Number of the notice; repeated in the acknowledgement.
+        ceilings: Units that each entry instance may keep.
+    """
+
+    term: model.Term
+    team: str
+    allowance: int
+    sequence: int
+    ceilings: Mapping[str, int]
