--- /dev/null
+++ b/tests/features/standins/worker.feature
@@ -0,0 +1,86 @@
+Feature: The worker stand-in follows the worker interface
+
+  Each scenario guards against a stand-in that lets a scheduler's fault pass,
+  which would make every test on top of it worthless.
+
+  Background:
+    Given a stand-in worker with 2 slots and a task grace of 300 ms
+
+  Scenario: A lease is held by one owner and its epoch grows
+    When stand-in owner "e1" takes the lease for 60000 ms
+    Then stand-in owner "e2" is told that "e1" holds the lease
+    And stand-in owner "e1" renews the lease with the same epoch
+    When stand-in owner "e1" releases the lease
+    And stand-in owner "e2" takes the lease for 60000 ms
+    Then the stand-in lease epoch is 2
+
+  Scenario: An owner that forgot its epoch gets a new one and the inventory
+    When stand-in owner "e1" takes the lease for 60000 ms
+    And stand-in job task "t1" is started
+    And stand-in owner "e1" takes the lease for 60000 ms
+    Then the stand-in lease epoch is 2
+    And the stand-in inventory is "t1"
+
+  Scenario Outline: A start that must not run is refused
+    When stand-in owner "e1" takes the lease for 60000 ms
+    And the stand-in start is prepared as "<case>"
+    Then the stand-in start of "t1" is refused as "<code>"
+    And the stand-in records hold no start of "t1" after that
+
+    Examples:
+      | case           | code        |
+      | old epoch      | stale-epoch |
+      | past deadline  | expired     |
+      | tombstone      | stopped     |
+      | running        | duplicate   |
+      | ended          | duplicate   |
+      | leaving        | leaving     |
+      | full           | busy        |
+
+  Scenario: A start that would overcommit is recorded as a violation
+    When stand-in owner "e1" takes the lease for 60000 ms
+    And the stand-in start is prepared as "full"
+    Then the stand-in start of "t1" is refused as "busy"
+    And the stand-in records hold the violation "overcommit" of "t1"
+
+  Scenario: A start is refused once the lease has lapsed
+    When stand-in owner "e1" takes the lease for 0 ms
+    Then the stand-in start of "t1" is refused as "expired"
+
+  Scenario: Job tasks stop by themselves after lease lapse plus task grace
+    When stand-in owner "e1" takes the lease for 2000 ms
+    And stand-in job task "t1" is started
+    Then the stand-in reports "t1" as "lapsed" to a waiting reader
+    And the stand-in ran "t1" for at least 300 ms
+
+  Scenario: A request gets the answer with its own token and size
+    When stand-in owner "e1" takes the lease for 60000 ms
+    Then the stand-in answers request "t1" with token "abc" and 5000 bytes
+
+  Scenario: A killed worker forgets its tasks and comes back changed
+    When stand-in owner "e1" takes the lease for 60000 ms
+    And stand-in job task "t1" is started
+    And the stand-in worker is killed
+    Then the stand-in worker is unreachable
+    When the stand-in worker is restarted
+    And stand-in owner "e1" takes the lease for 60000 ms
+    Then the stand-in lease epoch is 2
+    And the stand-in inventory is ""
+    And the stand-in incarnation is new
+    And the stand-in records hold the end of "t1" as "killed"
+
+  Scenario: A worker that fails everything fails requests and jobs
+    When stand-in owner "e1" takes the lease for 60000 ms
+    And the stand-in worker fails everything
+    And stand-in job task "t1" is started
+    Then the stand-in reports "t1" as "failed" to a waiting reader
+
+  Scenario: A checkpointed task frees its room
+    When stand-in owner "e1" takes the lease for 60000 ms
+    And stand-in job task "t1" is started
+    And stand-in job task "t2" is started
+    Then the stand-in answers "checkpoint" of "t1" with "checkpointed"
+    And the stand-in answers "throttle" of "t2" with "running"
+    And the stand-in answers "stop" of "t3" with "never-started"
+    When stand-in job task "t4" is started
+    Then the stand-in records hold the end of "t1" as "checkpointed"
--- a/tests/standins/__init__.py
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small separate processes that stand in for systems outside the program."""
--- /dev/null
+++ b/tests/standins/worker.py
@@ -0,0 +1,183 @@
+"""Stand-in for workers; several workers may share one process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+from typing import Annotated
+from typing import Any
+
+import typer
+
+from marigoldgap import clock
+from marigoldgap.scheduling import model
+from tests.standins import http
+from tests.standins import process
+from tests.standins import worker_routes
+from tests.standins import worker_state
+
+# Makes clocks of workers differ by far more than a lease.
+_CLOCK_STEP_MS = 7_000_000
+CAPACITY = model.Resources(
+    slots=8, connections=64, millicores=16_000, memory_mib=65_536
+)
+
+
+class Worker:
+    """A worker that can be killed and restarted.
+
+    Args:
+        state: Its state.
+    """
+
+    def __init__(self, state: worker_state.WorkerState) -> None:
+        self._server: http.Server | None = None
+        self._ticks: asyncio.Task[None] | None = None
+        self.state = state
+
+    async def start(self) -> None:
+        """Listens on the worker's address."""
+        if self._server is not None:
+            return
+        router = worker_routes.create(self.state)
+        self._server = http.Server(router, self.state.worker.address)
+        await self._server.start()
+        self._ticks = asyncio.create_task(self.state.run_ticks())
+
+    def kill(self) -> None:
+        """Breaks all connections and ends all tasks, like a crash."""
+        if self._server is None or self._ticks is None:
+            return
+        self.state.records.add("killed", clock.monotonic_ms())
+        self.state.restart()
+        self._server.abort()
+        self._server = None
+        self._ticks.cancel()
+
+
+class WorkerGroup:
+    """The workers of one process and their common control interface.
+
+    Args:
+        workers: The workers.
+        control_address: Where switches are set, even for killed workers;
+            empty for no such port.
+    """
+
+    def __init__(self, workers: list[Worker], control_address: str) -> None:
+        self._workers = {
+            worker.state.worker.worker_id: worker for worker in workers
+        }
+        self._control_address = control_address
+
+    async def start(self) -> WorkerGroup:
+        """Starts all workers and the control interface."""
+        for worker in self._workers.values():
+            await worker.start()
+        if self._control_address:
+            await http.Server(self._router(), self._control_address).start()
+        return self
+
+    def _router(self) -> http.Router:
+        """Returns the routes of the control interface."""
+        router = http.Router()
+        router.add("GET", "/control/records", self._records)
+        router.add("POST", "/control/workers/{worker_id}/kill", self._kill)
+        router.add(
+            "POST", "/control/workers/{worker_id}/restart", self._restart
+        )
+        router.add(
+            "POST", "/control/workers/{worker_id}/switches", self._switches
+        )
+        return router
+
+    async def _records(self, _: http.Request) -> http.Response:
+        """Returns the records of all workers in order of time."""
+        records = [
+            record
+            for worker in self._workers.values()
+            for record in worker.state.records.since(0)
+        ]
+        records.sort(key=lambda record: record["at_ms"])
+        return http.json_response({"records": records})
+
+    async def _kill(self, _: http.Request, worker_id: str) -> http.Response:
+        """Kills a worker."""
+        self._workers[worker_id].kill()
+        return http.json_response({})
+
+    async def _restart(self, _: http.Request, worker_id: str) -> http.Response:
+        """Kills a worker if it runs and starts it again."""
+        worker = self._workers[worker_id]
+        worker.kill()
+        await worker.start()
+        worker.state.records.add("restarted", clock.monotonic_ms())
+        return http.json_response({})
+
+    async def _switches(
+        self, request: http.Request, worker_id: str
+    ) -> http.Response:
+        """Sets the switches of one worker."""
+        state = self._workers[worker_id].state
+        path = "/control/switches"
+        return await worker_routes.create(state).handle(
+            request._replace(path=path)
+        )
+
+
+def read_worker(
+    fields: dict[str, Any], clock_offset_ms: int, task_grace_ms: int
+) -> Worker:
+    """Returns a worker from the fields of a WorkerInfo."""
+    capacity = fields.get("capacity")
+    info = model.WorkerInfo(
+        worker_id=fields["worker_id"],
+        zone=fields["zone"],
+        rack=fields.get("rack", "rack-1"),
+        address=fields["address"],
+        service=fields["service"],
+        capacity=model.Resources(**capacity) if capacity else CAPACITY,
+    )
+    state = worker_state.WorkerState(info, clock_offset_ms, task_grace_ms)
+    return Worker(state)
+
+
+def main(
+    workers_file: Annotated[
+        str, typer.Option(help="JSON array of workers, fields of WorkerInfo.")
+    ] = "",
+    worker_id: str = "worker-1",
+    zone: str = "zone-1",
+    rack: str = "rack-1",
+    service: str = "service-1",
+    address: Annotated[str, typer.Option(help="Address if no file.")] = "",
+    control: Annotated[
+        str, typer.Option(help="Address that controls all workers.")
+    ] = "",
+    task_grace_ms: int = worker_state.TASK_GRACE_MS,
+) -> None:
+    """Run workers until SIGTERM."""
+    single = {
+        "worker_id": worker_id,
+        "zone": zone,
+        "rack": rack,
+        "service": service,
+        "address": address,
+    }
+    fields = [single]
+    if workers_file:
+        fields = json.loads(pathlib.Path(workers_file).read_text())
+
+    async def start() -> WorkerGroup:
+        workers = [
+            read_worker(each, (index + 1) * _CLOCK_STEP_MS, task_grace_ms)
+            for index, each in enumerate(fields)
+        ]
+        return await WorkerGroup(workers, control).start()
+
+    process.run(start)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/tests/standins/worker_lease.py
@@ -0,0 +1,78 @@
+"""The lease that a worker grants to its owner."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Grant(NamedTuple):
+    """Outcome of a lease request.
+
+    Attributes:
+        epoch: The granted epoch, or 0 if another owner holds the lease.
+        is_new: Whether the epoch differs from the one the owner knew.
+    """
+
+    epoch: int
+    is_new: bool = False
+
+
+class Lease:
+    """Lease state; times are in the worker's own clock, in milliseconds.
+
+    A lease that expired is never renewed with its old epoch, and neither is
+    one whose holder does not know the epoch (a restarted holder), so that
+    starts sent under the old epoch are refused.
+    """
+
+    def __init__(self) -> None:
+        self._epoch = 0
+        self._owner = ""
+        self._until_ms = 0
+        self._granted = False
+
+    @property
+    def epoch(self) -> int:
+        """The last epoch granted."""
+        return self._epoch
+
+    @property
+    def owner(self) -> str:
+        """The last owner."""
+        return self._owner
+
+    def remaining_ms(self, now_ms: int) -> int:
+        """Returns how long the lease is still valid."""
+        return max(0, self._until_ms - now_ms) if self._granted else 0
+
+    def lapsed_ms(self, now_ms: int) -> int:
+        """Returns for how long there has been no valid lease."""
+        return max(0, now_ms - self._until_ms)
+
+    def request(
+        self, owner: str, ttl_ms: int, known_epoch: int, now_ms: int
+    ) -> Grant:
+        """Grants or renews the lease unless another owner holds it."""
+        held = self.remaining_ms(now_ms) > 0
+        if held and owner != self._owner:
+            return Grant(0)
+        renewed = held and known_epoch == self._epoch
+        if not renewed:
+            self._epoch += 1
+        self._owner = owner
+        self._until_ms = now_ms + ttl_ms
+        self._granted = True
+        return Grant(self._epoch, not renewed)
+
+    def release(self, owner: str, epoch: int, now_ms: int) -> bool:
+        """Ends the lease if the caller holds it."""
+        if owner != self._owner or epoch != self._epoch or not self._granted:
+            return False
+        self._granted = False
+        self._until_ms = min(self._until_ms, now_ms)
+        return True
+
+    def end(self, now_ms: int) -> None:
+        """Ends the lease because the worker restarted; the epoch stays."""
+        self._granted = False
+        self._until_ms = now_ms
--- /dev/null
+++ b/tests/standins/worker_records.py
@@ -0,0 +1,83 @@
+"""What a worker did, as evidence for the judge."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+
+from marigoldgap.scheduling import model
+
+
+class Start(NamedTuple):
+    """A request to start a task, as the worker received it.
+
+    Attributes:
+        valid_until_ms: Latest start in the worker's own clock.
+        run_ms: Run time; None runs until the task is stopped.
+    """
+
+    task: model.RunningTask
+    epoch: int
+    valid_until_ms: int
+    mode: str
+    token: str = ""
+    run_ms: int | None = 0
+    answer_bytes: int = 0
+    fail: bool = False
+
+
+class Records:
+    """An append-only list of events of one worker.
+
+    Args:
+        worker_id: Written into each event.
+        zone: Written into each event.
+    """
+
+    def __init__(self, worker_id: str, zone: str) -> None:
+        self._worker_id = worker_id
+        self._zone = zone
+        self._events: list[dict[str, Any]] = []
+
+    def add(self, event: str, at_ms: int, **fields: Any) -> None:
+        """Adds an event.
+
+        Args:
+            event: start, end, refused, violation, lease, release, leaving,
+                killed or restarted.
+            at_ms: Monotonic clock of the machine, which all stand-ins share.
+            fields: What else is known.
+        """
+        self._events.append(
+            {
+                "seq": len(self._events) + 1,
+                "event": event,
+                "at_ms": at_ms,
+                "worker": self._worker_id,
+                "zone": self._zone,
+                **fields,
+            }
+        )
+
+    def add_task(
+        self, event: str, at_ms: int, start: Start, **fields: Any
+    ) -> None:
+        """Adds an event of a task."""
+        self.add(
+            event,
+            at_ms,
+            task_id=start.task.task_id,
+            attempt=start.task.attempt,
+            team=start.task.team,
+            queue=start.task.queue,
+            job_id=start.task.job_id,
+            resources=start.task.resources._asdict(),
+            mode=start.mode,
+            token=start.token,
+            epoch=start.epoch,
+            **fields,
+        )
+
+    def since(self, seq: int) -> list[dict[str, Any]]:
+        """Returns the events after the given sequence number."""
+        return self._events[seq:]
--- /dev/null
+++ b/tests/standins/worker_state.py
@@ -0,0 +1,291 @@
+"""The state of one worker: lease, tasks, tombstones, changes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+import uuid
+
+from marigoldgap import clock
+from marigoldgap.scheduling import model
+from tests.standins import worker_lease
+from tests.standins import worker_records
+
+# Ended tasks and tombstones are kept longer than any start can be valid,
+# which the lease TTL bounds.
+_MEMORY_MS = 60_000
+_TICK_S = 0.05
+TASK_GRACE_MS = 8_000
+_LARGEST_WAIT_MS = 30_000
+
+
+class _Running(NamedTuple):
+    """A task that runs; `done` gets the state in which it ends."""
+
+    start: worker_records.Start
+    done: asyncio.Future[str]
+    timer: asyncio.TimerHandle | None
+
+
+class _Ended(NamedTuple):
+    """A task that ended, or a tombstone for one that never started."""
+
+    state: str
+    attempt: int | None
+    at_ms: int
+
+
+class WorkerState:
+    """One worker.
+
+    Args:
+        worker: What the worker tells its owner about itself.
+        clock_offset_ms: Difference of the worker's monotonic clock from the
+            machine's; owners must not rely on equal clocks.
+        task_grace_ms: How long job tasks run on without a lease.
+    """
+
+    def __init__(
+        self,
+        worker: model.WorkerInfo,
+        clock_offset_ms: int = 0,
+        task_grace_ms: int = TASK_GRACE_MS,
+    ) -> None:
+        self._worker = worker
+        self._clock_offset_ms = clock_offset_ms
+        self._task_grace_ms = task_grace_ms
+        self._running: dict[str, _Running] = {}
+        self._ended: dict[str, _Ended] = {}
+        self._changes: list[dict[str, Any]] = []
+        self._changed = asyncio.Event()
+        self.lease = worker_lease.Lease()
+        self.incarnation = uuid.uuid4().hex
+        self.leaving = False
+        self.fail_all = False
+        self.records = worker_records.Records(worker.worker_id, worker.zone)
+
+    @property
+    def worker(self) -> model.WorkerInfo:
+        """The worker with its present state."""
+        return self._worker._replace(leaving=self.leaving)
+
+    @property
+    def seq(self) -> int:
+        """Sequence number of the last change."""
+        return len(self._changes)
+
+    def now_ms(self) -> int:
+        """Returns the worker's own monotonic clock."""
+        return clock.monotonic_ms() + self._clock_offset_ms
+
+    def inventory(self) -> list[model.RunningTask]:
+        """Returns the tasks that run."""
+        return [running.start.task for running in self._running.values()]
+
+    def usage(self) -> dict[str, dict[str, int]]:
+        """Returns the measured use of each task."""
+        return {
+            task.task_id: {
+                "millicores": task.resources.millicores,
+                "memory_mib": task.resources.memory_mib,
+            }
+            for task in self.inventory()
+        }
+
+    def changes(self, since: int) -> list[dict[str, Any]]:
+        """Returns the changes after a sequence number."""
+        return self._changes[max(0, since) :]
+
+    async def wait_for_changes(self, since: int, wait_ms: int) -> None:
+        """Waits until there is a change after `since`, or for `wait_ms`."""
+        if self.seq > since:
+            return
+        wait_s = min(wait_ms, _LARGEST_WAIT_MS) / clock.MILLISECONDS_PER_SECOND
+        try:
+            await asyncio.wait_for(self._changed.wait(), wait_s)
+        except TimeoutError:
+            pass
+
+    def refusal(self, start: worker_records.Start) -> str:
+        """Returns why a start is refused, or an empty string."""
+        self.tick()
+        for code, applies in self._refusals().items():
+            if applies(start):
+                self._record_refusal(start, code)
+                return code
+        return ""
+
+    def run(self, start: worker_records.Start) -> asyncio.Future[str]:
+        """Runs a task that was not refused; the result is its final state."""
+        loop = asyncio.get_running_loop()
+        task = start.task
+        done: asyncio.Future[str] = loop.create_future()
+        run_ms = 0 if self.fail_all else start.run_ms
+        state = "failed" if self.fail_all or start.fail else "finished"
+        timer = None
+        if run_ms is not None:
+            timer = loop.call_later(
+                run_ms / clock.MILLISECONDS_PER_SECOND,
+                self._end,
+                task.task_id,
+                state,
+            )
+        self._ended.pop(task.task_id, None)
+        self._running[task.task_id] = _Running(start, done, timer)
+        self.records.add_task(
+            "start",
+            clock.monotonic_ms(),
+            start,
+            owner=self.lease.owner,
+            leaving=self.leaving,
+        )
+        return done
+
+    def stop(self, task_id: str, attempt: int | None, state: str) -> str:
+        """Stops a task or leaves a tombstone; returns the resulting state.
+
+        Args:
+            task_id: The task.
+            attempt: Limits a tombstone to attempts up to this; None refuses
+                all attempts while the tombstone is kept.
+            state: `stopped` or `checkpointed`.
+        """
+        self.tick()
+        running = self._running.get(task_id)
+        if running is not None:
+            if attempt is not None and attempt < running.start.task.attempt:
+                return "stopped"
+            self._end(task_id, state)
+            return state
+        ended = self._ended.get(task_id)
+        if ended is None:
+            self._ended[task_id] = _Ended(
+                "never-started", attempt, self.now_ms()
+            )
+            return "never-started"
+        if ended.state in ("finished", "failed"):
+            return "finished"
+        return "never-started" if ended.state == "never-started" else "stopped"
+
+    def is_running(self, task_id: str) -> bool:
+        """Returns whether the task runs."""
+        return task_id in self._running
+
+    def was_failed(self, task_id: str) -> bool:
+        """Returns whether the task ended as failed."""
+        ended = self._ended.get(task_id)
+        return ended is not None and ended.state == "failed"
+
+    def set_leaving(self, leaving: bool) -> None:
+        """Marks the backend server as leaving or not."""
+        self.leaving = leaving
+        self.records.add("leaving", clock.monotonic_ms(), leaving=leaving)
+
+    def restart(self) -> None:
+        """Ends everything as a crash of the process does."""
+        for task_id in list(self._running):
+            self._end(task_id, "killed")
+        self._ended.clear()
+        self._changes.clear()
+        self.lease.end(self.now_ms())
+        self.incarnation = uuid.uuid4().hex
+
+    def tick(self) -> None:
+        """Stops job tasks that have had no lease for the task grace."""
+        now_ms = self.now_ms()
+        if self.lease.lapsed_ms(now_ms) >= self._task_grace_ms:
+            for task_id, running in list(self._running.items()):
+                if running.start.mode == "job":
+                    self._end(task_id, "lapsed")
+        forgotten = now_ms - _MEMORY_MS
+        while self._ended:
+            oldest = next(iter(self._ended))
+            if self._ended[oldest].at_ms > forgotten:
+                break
+            del self._ended[oldest]
+
+    async def run_ticks(self) -> None:
+        """Calls `tick` until cancelled."""
+        while True:
+            self.tick()
+            await asyncio.sleep(_TICK_S)
+
+    def _refusals(
+        self,
+    ) -> dict[str, Callable[[worker_records.Start], bool]]:
+        """Returns the checks of a start, the first one that applies counts."""
+        return {
+            "duplicate": self._is_duplicate,
+            "stopped": self._is_stopped,
+            "stale-epoch": lambda start: start.epoch != self.lease.epoch,
+            "expired": self._is_expired,
+            "leaving": lambda _: self.leaving,
+            "busy": self._is_overcommitting,
+        }
+
+    def _is_duplicate(self, start: worker_records.Start) -> bool:
+        """Returns whether this attempt or a later one was started before."""
+        if start.task.task_id in self._running:
+            return True
+        ended = self._ended.get(start.task.task_id)
+        if ended is None or ended.state == "never-started":
+            return False
+        return ended.attempt is None or start.task.attempt <= ended.attempt
+
+    def _is_stopped(self, start: worker_records.Start) -> bool:
+        """Returns whether a tombstone covers the attempt."""
+        ended = self._ended.get(start.task.task_id)
+        if ended is None or ended.state != "never-started":
+            return False
+        return ended.attempt is None or start.task.attempt <= ended.attempt
+
+    def _is_expired(self, start: worker_records.Start) -> bool:
+        """Returns whether the start is too late or no lease is valid."""
+        now_ms = self.now_ms()
+        if now_ms > start.valid_until_ms:
+            return True
+        return self.lease.remaining_ms(now_ms) == 0
+
+    def _is_overcommitting(self, start: worker_records.Start) -> bool:
+        """Returns whether the task does not fit beside the running ones."""
+        used = [task.resources for task in self.inventory()]
+        used.append(start.task.resources)
+        return any(
+            sum(amounts) > total
+            for amounts, total in zip(
+                zip(*used, strict=True), self._worker.capacity, strict=True
+            )
+        )
+
+    def _record_refusal(self, start: worker_records.Start, code: str) -> None:
+        """Records a refusal; one for lack of room is also a violation."""
+        now_ms = clock.monotonic_ms()
+        self.records.add_task("refused", now_ms, start, code=code)
+        if code == "busy":
+            self.records.add_task("violation", now_ms, start, code="overcommit")
+
+    def _end(self, task_id: str, state: str) -> None:
+        """Ends a running task and reports the change of a job task."""
+        running = self._running.pop(task_id, None)
+        if running is None:
+            return
+        if running.timer is not None:
+            running.timer.cancel()
+        start = running.start
+        self._ended[task_id] = _Ended(state, start.task.attempt, self.now_ms())
+        self.records.add_task("end", clock.monotonic_ms(), start, state=state)
+        if not running.done.done():
+            running.done.set_result(state)
+        if start.mode == "job":
+            self._report(task_id, state)
+
+    def _report(self, task_id: str, state: str) -> None:
+        """Adds a change and wakes those who wait for one."""
+        exit_code = {"finished": 0, "failed": 1}.get(state)
+        self._changes.append(
+            {"task_id": task_id, "state": state, "exit_code": exit_code}
+        )
+        self._changed.set()
+        self._changed = asyncio.Event()
