--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -14,11 +14,13 @@
 from marigoldgap.scheduling import model
 from tests.standins import http
 from tests.standins import process
+from tests.standins import worker_records
 from tests.standins import worker_routes
 from tests.standins import worker_state
 
 # Makes clocks of workers differ by far more than a lease.
 _CLOCK_STEP_MS = 7_000_000
+_RECORDS_LIMIT = 1_000_000
 CAPACITY = model.Resources(
     slots=8, connections=64, millicores=16_000, memory_mib=65_536
 )
@@ -61,11 +63,18 @@
 
     Args:
         workers: The workers.
+        events: What all of them did, in order of time.
         control_address: Where switches are set, even for killed workers;
             empty for no such port.
     """
 
-    def __init__(self, workers: list[Worker], control_address: str) -> None:
+    def __init__(
+        self,
+        workers: list[Worker],
+        events: list[worker_records.Event],
+        control_address: str,
+    ) -> None:
+        self._events = events
         self._workers = {
             worker.state.worker.worker_id: worker for worker in workers
         }
@@ -92,15 +101,11 @@
         )
         return router
 
-    async def _records(self, _: http.Request) -> http.Response:
-        """Returns the records of all workers in order of time."""
-        records = [
-            record
-            for worker in self._workers.values()
-            for record in worker.state.records.since(0)
-        ]
-        records.sort(key=lambda record: record["at_ms"])
-        return http.json_response({"records": records})
+    async def _records(self, request: http.Request) -> http.Response:
+        """Returns the events after the first `since` ones, in order."""
+        first = int(request.query.get("since", 0))
+        last = first + int(request.query.get("limit", _RECORDS_LIMIT))
+        return http.json_response({"records": self._events[first:last]})
 
     async def _kill(self, _: http.Request, worker_id: str) -> http.Response:
         """Kills a worker."""
@@ -127,7 +132,10 @@
 
 
 def read_worker(
-    fields: dict[str, Any], clock_offset_ms: int, task_grace_ms: int
+    fields: dict[str, Any],
+    clock_offset_ms: int,
+    task_grace_ms: int,
+    events: list[worker_records.Event],
 ) -> Worker:
     """Returns a worker from the fields of a WorkerInfo."""
     capacity = fields.get("capacity")
@@ -139,7 +147,9 @@
         service=fields["service"],
         capacity=model.Resources(**capacity) if capacity else CAPACITY,
     )
-    state = worker_state.WorkerState(info, clock_offset_ms, task_grace_ms)
+    state = worker_state.WorkerState(
+        info, clock_offset_ms, task_grace_ms, events
+    )
     return Worker(state)
 
 
@@ -170,11 +180,14 @@
         fields = json.loads(pathlib.Path(workers_file).read_text())
 
     async def start() -> WorkerGroup:
+        events: list[worker_records.Event] = []
         workers = [
-            read_worker(each, (index + 1) * _CLOCK_STEP_MS, task_grace_ms)
+            read_worker(
+                each, (index + 1) * _CLOCK_STEP_MS, task_grace_ms, events
+            )
             for index, each in enumerate(fields)
         ]
-        return await WorkerGroup(workers, control).start()
+        return await WorkerGroup(workers, events, control).start()
 
     process.run(start)
 
--- a/tests/standins/worker_records.py
+++ b/tests/standins/worker_records.py
@@ -26,18 +26,22 @@
     fail: bool = False
 
 
+Event = dict[str, Any]
+
+
 class Records:
-    """An append-only list of events of one worker.
+    """Adds events of one worker to the list of its process.
 
     Args:
         worker_id: Written into each event.
         zone: Written into each event.
+        events: All events of the process, in order of time.
     """
 
-    def __init__(self, worker_id: str, zone: str) -> None:
+    def __init__(self, worker_id: str, zone: str, events: list[Event]) -> None:
         self._worker_id = worker_id
         self._zone = zone
-        self._events: list[dict[str, Any]] = []
+        self._events = events
 
     def add(self, event: str, at_ms: int, **fields: Any) -> None:
         """Adds an event.
@@ -50,7 +54,6 @@
         """
         self._events.append(
             {
-                "seq": len(self._events) + 1,
                 "event": event,
                 "at_ms": at_ms,
                 "worker": self._worker_id,
@@ -78,6 +81,10 @@
             **fields,
         )
 
-    def since(self, seq: int) -> list[dict[str, Any]]:
-        """Returns the events after the given sequence number."""
-        return self._events[seq:]
+    def of_worker(self) -> list[Event]:
+        """Returns the events of this worker."""
+        return [
+            event
+            for event in self._events
+            if event["worker"] == self._worker_id
+        ]
--- a/tests/standins/worker_routes.py
+++ b/tests/standins/worker_routes.py
@@ -117,10 +117,9 @@
         }
         return http.json_response(answer)
 
-    async def records(self, request: http.Request) -> http.Response:
+    async def records(self, _: http.Request) -> http.Response:
         """Returns what the worker did."""
-        since = int(request.query.get("since", 0))
-        return http.json_response({"records": self._state.records.since(since)})
+        return http.json_response({"records": self._state.records.of_worker()})
 
     async def switches(self, request: http.Request) -> http.Response:
         """Sets `leaving` and `fail_all`."""
--- a/tests/standins/worker_state.py
+++ b/tests/standins/worker_state.py
@@ -45,6 +45,7 @@
         clock_offset_ms: Difference of the worker's monotonic clock from the
             machine's; owners must not rely on equal clocks.
         task_grace_ms: How long job tasks run on without a lease.
+        events: Gets what the worker does; a new list by default.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         worker: model.WorkerInfo,
         clock_offset_ms: int = 0,
         task_grace_ms: int = TASK_GRACE_MS,
+        events: list[worker_records.Event] | None = None,
     ) -> None:
         self._worker = worker
         self._clock_offset_ms = clock_offset_ms
@@ -64,7 +66,9 @@
         self.incarnation = uuid.uuid4().hex
         self.leaving = False
         self.fail_all = False
-        self.records = worker_records.Records(worker.worker_id, worker.zone)
+        self.records = worker_records.Records(
+            worker.worker_id, worker.zone, [] if events is None else events
+        )
 
     @property
     def worker(self) -> model.WorkerInfo:
