Add the judge and the layouts of the load tool

Cause: a run must be judged by the records of the stand-ins and by what callers saw, never by what the entry instances say. Ruled out: one long function; each invariant is a registered check with its own evidence, so that a missing check is visible. Change: evidence types, spans of running tasks, checks of 11 invariants, figures, layouts, addresses and files of a deployment, processes, client.

--- /dev/null
+++ b/bench/invariants/callers.py
@@ -0,0 +1,121 @@
+"""Invariants that a caller can see."""
+
+from __future__ import annotations
+
+from bench import evidence
+from bench import spans
+from bench.invariants import registry
+
+# "A withdrawn key stops working within seconds", section 1.2.
+WITHDRAWAL_GRACE_MS = 5_000
+# Links need to be opened again after a zone was cut.
+_AFTER_CUT_MS = 10_000
+# The balancer sees the end of a connection a little after the process ended.
+_AFTER_STOP_MS = 1_000
+
+
+@registry.invariant("ran_twice")
+def ran_twice(case: registry.Case) -> list[str]:
+    """Counts non-idempotent work that was started again."""
+    requests = {
+        each.token for each in case.evidence.submissions if not each.idempotent
+    }
+    starts: dict[str, int] = {}
+    for span in case.history:
+        if span.token in requests:
+            starts[span.unit] = starts.get(span.unit, 0) + 1
+    return [f"{unit}: {count}" for unit, count in starts.items() if count > 1]
+
+
+@registry.invariant("false_not_run")
+def false_not_run(case: registry.Case) -> list[str]:
+    """Counts work that ran although every refusal said that it did not."""
+    not_run: dict[str, bool] = {}
+    for each in case.evidence.submissions:
+        refused = each.outcome == "refused" and each.ran == "no"
+        not_run[each.token] = refused and not_run.get(each.token, True)
+    starts = case.starts_by_token()
+    return [
+        token for token, all_no in not_run.items() if all_no and token in starts
+    ]
+
+
+@registry.invariant("wrong_answer")
+def wrong_answer(case: registry.Case) -> list[str]:
+    """Counts answers that are incomplete or belong to another request."""
+    return [
+        f"{each.token} ({each.use}, status {each.status})"
+        for each in case.evidence.submissions
+        if each.outcome == "answered" and not each.correct
+    ]
+
+
+@registry.invariant("work_after_withdrawal")
+def work_after_withdrawal(case: registry.Case) -> list[str]:
+    """Counts work that ran for a key withdrawn seconds before it was sent."""
+    run = case.evidence
+    withdrawn = {each.key_id: each.at_ms for each in run.withdrawals}
+    starts = case.starts_by_token()
+    found = []
+    for each in run.submissions:
+        at_ms = withdrawn.get(each.key_id)
+        if at_ms is None or each.token not in starts:
+            continue
+        late = each.sent_ms - at_ms > WITHDRAWAL_GRACE_MS
+        if late and not _was_cut(run, each.zone, at_ms, each.sent_ms):
+            found.append(f"{each.token} with {each.key_id} in {each.zone}")
+    return found
+
+
+@registry.invariant("lost_jobs")
+def lost_jobs(case: registry.Case) -> list[str]:
+    """Counts accepted jobs that neither finished nor were given up."""
+    starts = case.starts_by_token()
+    return [
+        f"{job.job_id}: reported {job.reported or 'nothing'}"
+        for job in case.evidence.jobs
+        if not _is_settled(job, starts.get(job.token, []))
+    ]
+
+
+@registry.invariant("cut_short")
+def cut_short(case: registry.Case) -> list[str]:
+    """Counts requests broken off by planned stops, and stops that failed."""
+    found = []
+    for stop in case.evidence.stops:
+        if stop.forced or stop.status != 0:
+            found.append(f"{stop.entry} ended with status {stop.status}")
+        for record in case.evidence.interruptions:
+            late_ms = record["at_ms"] - stop.ended_ms
+            if record["entry"] != stop.entry or late_ms > _AFTER_STOP_MS:
+                continue
+            if record["at_ms"] >= stop.asked_ms:
+                found.append(f"{stop.entry} broke off at {record['at_ms']}")
+    return found
+
+
+def _is_settled(job: evidence.Job, starts: list[spans.Span]) -> bool:
+    """Returns whether an accepted job came to an end that is allowed."""
+    if job.cancelled:
+        return True
+    if job.endless:
+        return any(span.end_ms is None for span in starts)
+    finished = {span.task_id for span in starts if span.state == "finished"}
+    if len(finished) >= job.tasks:
+        return True
+    if job.reported == "failed":
+        return any(span.state not in ("", "finished") for span in starts)
+    return job.reported == "impossible"
+
+
+def _was_cut(
+    run: evidence.Evidence, zone: str, from_ms: int, to_ms: int
+) -> bool:
+    """Returns whether the zone was isolated, or shortly before, in a time."""
+    return any(
+        each.kind == "cut"
+        and each.zone == zone
+        and each.from_ms <= to_ms
+        and each.to_ms + _AFTER_CUT_MS >= from_ms
+        for each in run.disturbances
+    )
--- /dev/null
+++ b/bench/invariants/configuration.py
@@ -0,0 +1,37 @@
+"""Invariant about the configuration."""
+
+from __future__ import annotations
+
+from bench.invariants import registry
+
+
+@registry.invariant("config_reverted")
+def config_reverted(case: registry.Case) -> list[str]:
+    """Counts steps back, texts that differ, and versions accepted twice."""
+    run = case.evidence
+    found = []
+    texts: dict[int, str] = {}
+    for accepted in run.versions_accepted:
+        if accepted.version in texts:
+            found.append(f"version {accepted.version} was accepted twice")
+        texts[accepted.version] = accepted.text
+    highest: dict[str, int] = {}
+    for seen in sorted(run.versions_seen, key=lambda each: each.at_ms):
+        before = highest.get(seen.entry, 0)
+        if seen.version < before:
+            found.append(f"{seen.entry}: {before} to {seen.version}")
+        highest[seen.entry] = max(before, seen.version)
+        if texts.get(seen.version, seen.text) != seen.text:
+            found.append(f"{seen.entry}: another text in {seen.version}")
+    return found + _left_behind(case, highest)
+
+
+def _left_behind(case: registry.Case, highest: dict[str, int]) -> list[str]:
+    """Returns entry instances that never showed the last accepted version."""
+    accepted = case.evidence.versions_accepted
+    last = max((each.version for each in accepted), default=0)
+    return [
+        f"{entry} is still at {version} instead of {last}"
+        for entry, version in highest.items()
+        if version < last
+    ]
--- /dev/null
+++ b/bench/judge.py
@@ -0,0 +1,68 @@
+"""Turns the evidence of a run into one verdict."""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+from typing import NamedTuple
+
+from bench import evidence
+from bench import invariants
+from bench import measures
+from bench import spans
+from bench.invariants import registry
+
+_SHOWN_VIOLATIONS = 20
+
+for _module in pkgutil.iter_modules(invariants.__path__):
+    importlib.import_module(f"{invariants.__name__}.{_module.name}")
+
+INVARIANT_FIELDS = tuple(registry.checks())
+
+
+class Verdict(NamedTuple):
+    """The judgement of a run.
+
+    Attributes:
+        fields: Counts and figures, printed as one JSON object.
+        violations: Some violations of each field that is not 0.
+    """
+
+    fields: dict[str, float | int | None]
+    violations: dict[str, list[str]]
+
+    @property
+    def passed(self) -> bool:
+        """Whether no invariant was violated."""
+        return not self.violations
+
+
+def judge(run: evidence.Evidence) -> Verdict:
+    """Checks all invariants and computes the figures of a run."""
+    case = registry.Case(run, spans.read(run.records))
+    found = {field: check(case) for field, check in registry.checks().items()}
+    fields: dict[str, float | int | None] = {**_counts(run)}
+    fields.update({field: len(lines) for field, lines in found.items()})
+    fields.update(measures.compute(case))
+    violations = {
+        field: lines[:_SHOWN_VIOLATIONS]
+        for field, lines in found.items()
+        if lines
+    }
+    return Verdict(fields, violations)
+
+
+def _counts(run: evidence.Evidence) -> dict[str, int]:
+    """Counts what callers got."""
+    outcomes = [each.outcome for each in run.submissions]
+    refused_not_run = sum(
+        each.outcome == "refused" and each.ran == "no"
+        for each in run.submissions
+    )
+    answered = outcomes.count("answered")
+    return {
+        "sent": len(outcomes),
+        "answered": answered,
+        "refused_not_run": refused_not_run,
+        "unknown": len(outcomes) - answered - refused_not_run,
+    }
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,131 @@
+"""Starts and ends processes by their ids, with bounded waits."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+from typing import NamedTuple
+
+from marigoldgap import clock
+from marigoldgap import errors
+
+_START_TIMEOUT_S = 20.0
+_KILL_TIMEOUT_S = 5.0
+
+
+class StartError(errors.MarigoldgapError):
+    """A process did not start."""
+
+    code = "start-failed"
+
+
+class Exit(NamedTuple):
+    """How a process ended.
+
+    Attributes:
+        status: Exit status; negative for a signal.
+        forced: Whether it had to be killed after the bounded wait.
+        asked_ms: When it was asked to stop, monotonic.
+        ended_ms: When it ended.
+    """
+
+    status: int
+    forced: bool
+    asked_ms: int
+    ended_ms: int
+
+
+class Process:
+    """One process that this tool started.
+
+    Args:
+        name: Name of its log file.
+        arguments: Arguments of the Python interpreter.
+        directory: Where the log goes.
+    """
+
+    def __init__(
+        self, name: str, arguments: list[str], directory: pathlib.Path
+    ) -> None:
+        self._arguments = arguments
+        self._log_path = directory / f"{name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+        self.name = name
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self, ready_line: bytes = b"") -> None:
+        """Starts the process.
+
+        Args:
+            ready_line: Line on standard output to wait for, if any.
+
+        Raises:
+            StartError: It did not print the line.
+        """
+        with self._log_path.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *self._arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.PIPE if ready_line else log,
+                stderr=log,
+                # Ctrl-C in a terminal must reach this tool only, which then
+                # stops everything in order.
+                start_new_session=True,
+            )
+        if ready_line:
+            await self._wait_ready(self._process, ready_line)
+
+    async def stop(self, timeout_s: float) -> Exit:
+        """Asks the process to stop and kills it after the timeout."""
+        asked_ms = clock.monotonic_ms()
+        if self._process is None:
+            return Exit(0, False, asked_ms, asked_ms)
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        forced = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._process.wait()
+        except TimeoutError:
+            forced = True
+            await self.kill()
+        status = self._process.returncode or 0
+        return Exit(status, forced, asked_ms, clock.monotonic_ms())
+
+    async def kill(self) -> None:
+        """Kills the process at once and waits for its end."""
+        self.send(signal.SIGKILL)
+        if self._process is None:
+            return
+        async with asyncio.timeout(_KILL_TIMEOUT_S):
+            await self._process.wait()
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the process if it still runs."""
+        if self._process is None or self._process.returncode is not None:
+            return
+        try:
+            os.kill(self._process.pid, number)
+        except ProcessLookupError:
+            pass
+
+    async def _wait_ready(
+        self, process: asyncio.subprocess.Process, ready_line: bytes
+    ) -> None:
+        """Waits for the line that tells that the process listens."""
+        assert process.stdout is not None
+        try:
+            async with asyncio.timeout(_START_TIMEOUT_S):
+                line = await process.stdout.readline()
+        except TimeoutError:
+            line = b""
+        if line != ready_line:
+            raise StartError(f"{self.name} did not start: see {self._log_path}")
--- /dev/null
+++ b/bench/spans.py
@@ -0,0 +1,87 @@
+"""Spans of time in which tasks ran, from the records of workers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import Any
+from typing import NamedTuple
+
+from bench import evidence
+
+
+class Span(NamedTuple):
+    """One start of a task and its end.
+
+    Attributes:
+        end_ms: None if the task was running when the records end.
+        state: How it ended.
+    """
+
+    worker: str
+    task_id: str
+    token: str
+    team: str
+    mode: str
+    resources: dict[str, int]
+    start_ms: int
+    end_ms: int | None = None
+    state: str = ""
+
+    @property
+    def unit(self) -> str:
+        """What must run in one place only: a request or a task of a job."""
+        return self.token if self.mode == "request" else self.task_id
+
+
+class Step(NamedTuple):
+    """A start or an end; ends sort first within a millisecond."""
+
+    at_ms: int
+    is_start: bool
+    span: Span
+
+
+def read(records: Iterable[evidence.Record]) -> list[Span]:
+    """Returns the spans in order of their starts."""
+    spans: list[Span] = []
+    running: dict[tuple[str, str], int] = {}
+    for record in records:
+        if record["event"] == "start":
+            running[(record["worker"], record["task_id"])] = len(spans)
+            spans.append(_begin(record))
+        elif record["event"] == "end":
+            key = (record["worker"], record["task_id"])
+            index = running.pop(key, None)
+            if index is None:
+                continue
+            spans[index] = spans[index]._replace(
+                end_ms=record["at_ms"], state=record["state"]
+            )
+    return spans
+
+
+def steps(spans: Iterable[Span]) -> Iterator[Step]:
+    """Returns starts and ends in order of time."""
+    found = []
+    for span in spans:
+        found.append(Step(span.start_ms, True, span))
+        if span.end_ms is not None:
+            found.append(Step(span.end_ms, False, span))
+    return iter(sorted(found, key=lambda step: (step.at_ms, step.is_start)))
+
+
+def _begin(record: evidence.Record) -> Span:
+    """Returns the span that a start opens."""
+    fields: dict[str, Any] = {
+        name: record[name]
+        for name in (
+            "worker",
+            "task_id",
+            "token",
+            "team",
+            "mode",
+            "resources",
+        )
+    }
+    return Span(**fields, start_ms=record["at_ms"])
--- /dev/null
+++ b/bench/wiring.py
@@ -0,0 +1,276 @@
+"""Addresses of everything in a deployment, and the files made from them."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import pathlib
+import secrets
+from typing import Any
+from typing import NamedTuple
+
+from bench import layouts
+from bench import ports
+from marigoldgap.settings import model as settings_model
+
+PLATFORM = "platform"
+_SECRET_BYTES = 16
+# Workers of one process; a few processes serve all workers.
+_WORKERS_PER_PROCESS = 8
+
+
+class Entry(NamedTuple):
+    """An entry instance as seen in its own zone."""
+
+    instance_id: str
+    zone: layouts.Zone
+    address: str
+    peer_address: str
+    settings_file: pathlib.Path
+
+
+class Worker(NamedTuple):
+    """A worker and the address that controls it."""
+
+    worker_id: str
+    zone: str
+    rack: str
+    address: str
+    control: str
+
+
+class Services(NamedTuple):
+    """Addresses of the platform's services and of the link's control."""
+
+    table: str
+    objects: str
+    lists: dict[str, str]
+    link_control: str
+    balancers: dict[str, str]
+    balancer_controls: dict[str, str]
+
+
+class Wiring:
+    """Assigns addresses and writes the files of a deployment.
+
+    Args:
+        layout: The deployment.
+        directory: Where files go.
+    """
+
+    def __init__(self, layout: layouts.Layout, directory: pathlib.Path) -> None:
+        self._layout = layout
+        self._directory = directory
+        self._ports = ports.Ports()
+        self._routes: list[dict[str, str]] = []
+        self._directions: dict[str, dict[str, float]] = {}
+        self._secret = secrets.token_hex(_SECRET_BYTES)
+        self.operator_key = secrets.token_hex(_SECRET_BYTES)
+        names = [zone.name for zone in layout.zones]
+        self.services = Services(
+            table=self._ports.take(),
+            objects=self._ports.take(),
+            lists=self._take_for(names),
+            link_control=self._ports.take(),
+            balancers=self._take_for(names),
+            balancer_controls=self._take_for(names),
+        )
+        self.entries = tuple(self._make_entries())
+        self.workers = tuple(self._make_workers())
+
+    def path_name(self, one: str, other: str) -> str:
+        """Returns the name by which a link cuts two places apart."""
+        return "|".join(sorted((one, other)))
+
+    def instances(self) -> list[dict[str, Any]]:
+        """Returns the instance list with routes between zones."""
+        listed = [self._listed_entry(entry) for entry in self.entries]
+        for worker in self.workers:
+            listed.append(
+                {
+                    "id": worker.worker_id,
+                    "kind": "worker",
+                    "zone": worker.zone,
+                    "region": self._region(worker.zone),
+                    "rack": worker.rack,
+                    "address": worker.address,
+                    "service": self._layout.service,
+                }
+            )
+        return listed
+
+    def write_files(self) -> None:
+        """Writes settings, workers, list and link files."""
+        for entry in self.entries:
+            self._write(entry.settings_file, self._settings(entry))
+        self._write(self.file("instances"), self.instances())
+        for control, workers in self.worker_processes().items():
+            fields = [self._worker_fields(worker) for worker in workers]
+            self._write(self.worker_file(control), fields)
+        plan = {"directions": self._directions, "routes": self._routes}
+        self._write(self.file("link"), plan)
+
+    def worker_processes(self) -> dict[str, list[Worker]]:
+        """Returns the workers of each process by its control address."""
+        groups: dict[str, list[Worker]] = {}
+        for worker in self.workers:
+            groups.setdefault(worker.control, []).append(worker)
+        return groups
+
+    def worker_file(self, control: str) -> pathlib.Path:
+        """Returns the file of one worker process."""
+        return self.file(f"workers-{control.rpartition(':')[2]}")
+
+    def file(self, name: str) -> pathlib.Path:
+        """Returns the path of a file of this deployment."""
+        return self._directory / f"{name}.json"
+
+    def _take_for(self, names: list[str]) -> dict[str, str]:
+        """Returns a new address for each name."""
+        return {name: self._ports.take() for name in names}
+
+    def _make_entries(self) -> list[Entry]:
+        """Assigns addresses to entry instances."""
+        entries = []
+        for zone in self._layout.zones:
+            for index in range(zone.entries):
+                name = f"{zone.name}-entry-{index + 1}"
+                entries.append(
+                    Entry(
+                        name,
+                        zone,
+                        self._ports.take(),
+                        self._ports.take(),
+                        self._directory / f"{name}.json",
+                    )
+                )
+        return entries
+
+    def _make_workers(self) -> list[Worker]:
+        """Assigns addresses to workers, some for each process."""
+        workers: list[Worker] = []
+        control = ""
+        for zone in self._layout.zones:
+            for index in range(zone.workers):
+                if len(workers) % _WORKERS_PER_PROCESS == 0:
+                    control = self._ports.take()
+                rack = index // layouts.WORKERS_PER_RACK + 1
+                workers.append(
+                    Worker(
+                        f"{zone.name}-worker-{index + 1}",
+                        zone.name,
+                        f"{zone.name}-rack-{rack}",
+                        self._ports.take(),
+                        control,
+                    )
+                )
+        return workers
+
+    def _listed_entry(self, entry: Entry) -> dict[str, Any]:
+        """Returns an entry instance with the routes to it."""
+        routes = {
+            zone.name: {
+                "address": self._route(
+                    zone.name, entry.zone.name, entry.address
+                ),
+                "peer_address": self._route(
+                    zone.name, entry.zone.name, entry.peer_address
+                ),
+            }
+            for zone in self._layout.zones
+            if zone.name != entry.zone.name
+        }
+        return {
+            "id": entry.instance_id,
+            "kind": "entry",
+            "zone": entry.zone.name,
+            "region": entry.zone.region,
+            "address": entry.address,
+            "peer_address": entry.peer_address,
+            "addresses_from": routes,
+        }
+
+    def _settings(self, entry: Entry) -> dict[str, Any]:
+        """Returns the settings of an entry instance."""
+        zone = entry.zone.name
+        services = self.services
+        values = {
+            "instance_id": entry.instance_id,
+            "zone": zone,
+            "region": entry.zone.region,
+            "address": entry.address,
+            "peer_address": entry.peer_address,
+            "cluster_secret": self._secret,
+            "operator_key_hash": hashlib.sha256(
+                self.operator_key.encode()
+            ).hexdigest(),
+            "platform": {
+                "table_address": self._route(zone, PLATFORM, services.table),
+                "object_address": self._route(zone, PLATFORM, services.objects),
+                "list_address": self._route(
+                    zone, PLATFORM, services.lists[zone]
+                ),
+            },
+        }
+        settings_model.Settings.model_validate(values)
+        return values
+
+    def _worker_fields(self, worker: Worker) -> dict[str, Any]:
+        """Returns the fields of a worker for its stand-in."""
+        return {
+            **worker._asdict(),
+            "service": self._layout.service,
+            "capacity": self._layout.capacity._asdict(),
+        }
+
+    def _route(self, source: str, destination: str, target: str) -> str:
+        """Returns the address at which one place reaches a target."""
+        listen = self._ports.take()
+        self._routes.append(
+            {
+                "listen": listen,
+                "target": target,
+                "path": self.path_name(source, destination),
+                "forward": self._direction(source, destination),
+                "backward": self._direction(destination, source),
+            }
+        )
+        return listen
+
+    def _direction(self, source: str, destination: str) -> str:
+        """Returns the direction that traffic takes; regions share one."""
+        regions = self._region(source), self._region(destination)
+        network = self._layout.network
+        if regions[0] != regions[1]:
+            name = f"{regions[0]}>{regions[1]}"
+            self._directions[name] = {
+                "delay_ms": network.region_delay_ms,
+                "rate_mbit": network.region_rate_mbit,
+            }
+            return name
+        name = f"{source}>{destination}"
+        self._directions[name] = {
+            "delay_ms": network.zone_delay_ms,
+            "rate_mbit": 0,
+        }
+        return name
+
+    def _region(self, place: str) -> str:
+        """Returns the region of a zone or of the platform."""
+        if place == PLATFORM:
+            return self._layout.store_region
+        return next(
+            zone.region for zone in self._layout.zones if zone.name == place
+        )
+
+    def region_directions(self) -> list[str]:
+        """Returns the directions of the link between regions."""
+        return [
+            name
+            for name, fields in self._directions.items()
+            if fields["rate_mbit"]
+        ]
+
+    def _write(self, path: pathlib.Path, value: Any) -> None:
+        """Writes a file in JSON."""
+        path.write_text(json.dumps(value, indent=1), encoding="utf-8")
--- /dev/null
+++ b/tests/features/bench/judge.feature
@@ -0,0 +1,68 @@
+Feature: The judge sees every violation
+
+  Guards against a judge that misses a violation: each scenario hands it the
+  evidence of one violation, and of the nearest allowed case.
+
+  Scenario: A clean run passes
+    Given the evidence of a clean run
+    Then the verdict passes
+    And the verdict has every promised field
+    And the verdict says that "sent" is 3
+    And the verdict says that "answered" is 1
+    And the verdict says that "refused_not_run" is 1
+    And the verdict says that "unknown" is 1
+    And the verdict says that "wait_p50_ms" is 10
+
+  Scenario Outline: A violation is counted
+    Given the evidence of a clean run
+    And the evidence also shows "<case>"
+    Then the verdict counts <count> of "<field>" and nothing else
+
+    Examples:
+      | case                                        | field                 | count |
+      | a non-idempotent request started twice      | ran_twice             | 1     |
+      | a non-idempotent job task started twice     | ran_twice             | 1     |
+      | a task running on two workers               | two_places            | 1     |
+      | a start refused for lack of room            | overcommitted         | 1     |
+      | more tasks on a worker than it has slots    | overcommitted         | 1     |
+      | more memory on a worker than it has         | overcommitted         | 1     |
+      | a team above its limit                      | over_limit            | 1     |
+      | a team above a limit lowered long ago       | over_limit            | 1     |
+      | work that ran after "not run"               | false_not_run         | 1     |
+      | an answer with the token of another         | wrong_answer          | 1     |
+      | work for a withdrawn key                    | work_after_withdrawal | 1     |
+      | a start on a worker leaving for 6 s         | work_to_leaving       | 1     |
+      | a refusal by a worker leaving for 6 s       | work_to_leaving       | 1     |
+      | a job that never finished                   | lost_jobs             | 1     |
+      | a job reported finished with a task missing | lost_jobs             | 1     |
+      | a job reported failed without a failure     | lost_jobs             | 1     |
+      | a service that no longer runs               | lost_jobs             | 1     |
+      | a request broken off by a planned stop      | cut_short             | 1     |
+      | a planned stop that had to be killed        | cut_short             | 1     |
+      | a version that goes back                    | config_reverted       | 1     |
+      | a version accepted twice                    | config_reverted       | 1     |
+      | an entry that never saw the last version    | config_reverted       | 1     |
+      | a text that differs in one version          | config_reverted       | 1     |
+
+  Scenario Outline: An allowed case is not counted
+    Given the evidence of a clean run
+    And the evidence also shows "<case>"
+    Then the verdict passes
+
+    Examples:
+      | case                                      |
+      | a request started again elsewhere         |
+      | a team above a limit lowered just now     |
+      | a limit lowered during a cut              |
+      | an unknown request that ran               |
+      | a repeat refused after the first ran      |
+      | work for a withdrawn key in a cut zone    |
+      | work sent just before a key's withdrawal  |
+      | a start on a worker leaving for 1 s       |
+      | a cancelled job that never finished       |
+      | a job reported impossible                 |
+      | a service that still runs                 |
+      | a request broken off by a crash           |
+
+  Scenario: Any random history is judged like a plain count of running tasks
+    Then the judge agrees with a plain count for random histories
