--- a/src/marigoldgap/errors.py
+++ b/src/marigoldgap/errors.py
@@ -178,6 +178,30 @@
     status = 503
 
 
+class ConnectFailedError(MarigoldgapError):
+    """No connection could be opened, so nothing was sent."""
+
+    code = "connect-failed"
+    status = 503
+    ran = Ran.NO
+
+
+class LeaseHeldError(MarigoldgapError):
+    """Another instance holds the lease on the worker.
+
+    Attributes:
+        remaining_ms: Time after which the lease may be free.
+    """
+
+    code = "lease-held"
+    status = 409
+    ran = Ran.NO
+
+    def __init__(self, holder: str, remaining_ms: int) -> None:
+        super().__init__(f"the lease is held by {holder}")
+        self.remaining_ms = remaining_ms
+
+
 class WorkerRefusedError(MarigoldgapError):
     """The worker refused the start; the task did not run.
 
--- /dev/null
+++ b/src/marigoldgap/workers/fleet.py
@@ -0,0 +1,166 @@
+"""The workers that this instance owns."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.scheduling import model
+from marigoldgap.settings import model as settings_model
+from marigoldgap.workers import link as worker_link
+from marigoldgap.workers import model as workers_model
+
+_logger = logs.PartLogger("workers")
+
+# A link that ends by an error in the program is opened again after this time.
+_REOPEN_AFTER_S = 1.0
+
+
+class WorkerFleet:
+    """Runs one task for each worker that this instance should own.
+
+    Args:
+        listener: Gets what the workers report.
+    """
+
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        listener: workers_model.FleetListener,
+    ) -> None:
+        self._settings = settings
+        self._listener = listener
+        self._candidates: dict[str, model.WorkerInfo] = {}
+        self._links: dict[str, worker_link.WorkerLink] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._generation = 0
+        self._releasing = False
+        self._changed = asyncio.Event()
+
+    @property
+    def generation(self) -> int:
+        """A number that rises whenever a worker is gained or lost."""
+        return self._generation
+
+    def owned(self) -> tuple[workers_model.OwnedWorker, ...]:
+        """Returns the workers whose lease is held and valid."""
+        owned = (link.owned for link in self._links.values())
+        return tuple(worker for worker in owned if worker is not None)
+
+    def set_candidates(self, workers: Sequence[model.WorkerInfo]) -> None:
+        """Sets the workers that this instance should own.
+
+        Owned workers that are missing here get no new work and are released
+        once their unanswered work is done, at the latest after a lease TTL.
+        """
+        if self._releasing:
+            return
+        self._candidates = {worker.worker_id: worker for worker in workers}
+        for worker_id, link in self._links.items():
+            candidate = self._candidates.get(worker_id)
+            if candidate is None or candidate.address != link.worker.address:
+                link.hand_over(self._settings.lease.ttl_ms)
+            elif candidate.leaving:
+                link.mark_leaving()
+        self._changed.set()
+
+    async def run_request(
+        self, worker_id: str, task: model.TaskSpec, payload: bytes
+    ) -> workers_model.WorkerAnswer:
+        """Runs a request on an owned worker and returns its whole answer.
+
+        Raises:
+            LeaseLostError: The worker is not owned; nothing was sent.
+            ConnectFailedError: Nothing was sent.
+            WorkerRefusedError: The worker refused; the task did not run.
+            OutcomeUnknownError: The task may have run.
+        """
+        return await self._link(worker_id).run_request(task, payload)
+
+    async def start_job_task(
+        self, worker_id: str, task: model.TaskSpec, payload: bytes
+    ) -> None:
+        """Starts a job task; errors as for `run_request`."""
+        await self._link(worker_id).start_job_task(task, payload)
+
+    async def stop_task(
+        self, worker_id: str, task_id: str, action: str = "stop"
+    ) -> str:
+        """Stops, checkpoints or throttles a task.
+
+        The action is `stop`, `checkpoint` or `throttle`.
+
+        Returns:
+            The task's state after it, e.g. `stopped` or `never-started`.
+
+        Raises:
+            LeaseLostError: The worker is not owned.
+            ConnectFailedError: The worker cannot be reached.
+            WorkerRefusedError: The worker refused the action.
+            OutcomeUnknownError: The answer was lost.
+            ProtocolError: The answer is malformed.
+        """
+        return await self._link(worker_id).act(task_id, action)
+
+    async def run(self) -> None:
+        """Opens and closes links as the candidates change; never returns."""
+        try:
+            while True:
+                await self._changed.wait()
+                self._changed.clear()
+                self._open_missing()
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def release(self) -> None:
+        """Hands over all workers; returns when every lease is released.
+
+        Work whose answer is awaited may delay this for `drain_timeout_ms`.
+        """
+        self._releasing = True
+        self._candidates = {}
+        for link in self._links.values():
+            link.hand_over(self._settings.drain_timeout_ms)
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def _link(self, worker_id: str) -> worker_link.WorkerLink:
+        link = self._links.get(worker_id)
+        if link is None:
+            raise errors.LeaseLostError(f"worker {worker_id} is not owned")
+        return link
+
+    def _open_missing(self) -> None:
+        for worker_id, worker in self._candidates.items():
+            if worker_id not in self._links:
+                self._open(worker)
+
+    def _open(self, worker: model.WorkerInfo) -> None:
+        link = worker_link.WorkerLink(
+            self._settings, worker, self._listener, self._ownership_changed
+        )
+        self._links[worker.worker_id] = link
+        if worker.leaving:
+            link.mark_leaving()
+        task = asyncio.create_task(self._run_link(worker.worker_id, link))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run_link(
+        self, worker_id: str, link: worker_link.WorkerLink
+    ) -> None:
+        try:
+            await link.run()
+        except Exception:
+            _logger.exception("the link to worker %s failed", worker_id)
+            await asyncio.sleep(_REOPEN_AFTER_S)
+        finally:
+            del self._links[worker_id]
+            self._changed.set()
+
+    def _ownership_changed(self) -> None:
+        self._generation += 1
--- /dev/null
+++ b/src/marigoldgap/workers/link.py
@@ -0,0 +1,298 @@
+"""Everything between this instance and one worker."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import functools
+
+from marigoldgap import clock
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.scheduling import model
+from marigoldgap.settings import model as settings_model
+from marigoldgap.workers import client
+from marigoldgap.workers import lease
+from marigoldgap.workers import model as workers_model
+from marigoldgap.workers import wire
+
+_logger = logs.PartLogger("workers")
+
+_UNUSABLE_ANSWERS = (
+    errors.ConnectFailedError,
+    errors.OutcomeUnknownError,
+    errors.ProtocolError,
+)
+
+
+class WorkerLink:
+    """Holds the lease on one worker and sends it work.
+
+    `run` is the only task that changes the lease; it renews it and waits for
+    changes in turn, so answers of the worker are handled in their order.
+
+    Args:
+        listener: Gets what the worker reports.
+        ownership_changed: Called when the lease is gained or lost.
+    """
+
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        worker: model.WorkerInfo,
+        listener: workers_model.FleetListener,
+        ownership_changed: Callable[[], None],
+    ) -> None:
+        self._settings = settings
+        self._worker = worker
+        self._listener = listener
+        self._ownership_changed = ownership_changed
+        self._lease = lease.WorkerLease(settings.lease.margin_ms)
+        self._client = client.WorkerClient(
+            worker,
+            settings.instance_id,
+            settings.lease.renew_ms / clock.MILLISECONDS_PER_SECOND,
+        )
+        self._incarnation = ""
+        self._seq = 0
+        self._leaving = False
+        self._unfinished = 0
+        self._hand_over_by_ms: int | None = None
+        self._wake = asyncio.Event()
+
+    @property
+    def worker(self) -> model.WorkerInfo:
+        """The worker, with the capacity that it reported."""
+        return self._worker._replace(leaving=self._leaving)
+
+    @property
+    def owned(self) -> workers_model.OwnedWorker | None:
+        """The worker and the epoch while the lease is held and valid."""
+        if not self._lease.held:
+            return None
+        if self._lease.has_lapsed(clock.monotonic_ms()):
+            return None
+        return workers_model.OwnedWorker(self.worker, self._lease.epoch)
+
+    @property
+    def is_handing_over(self) -> bool:
+        """Whether the worker is being handed to another instance."""
+        return self._hand_over_by_ms is not None
+
+    def mark_leaving(self) -> None:
+        """Stops new starts because the backend server is leaving."""
+        if self._leaving:
+            return
+        self._leaving = True
+        _logger.info("worker %s is leaving", self._worker.worker_id)
+        if self._lease.held:
+            self._listener.worker_leaving(self._worker.worker_id)
+
+    def hand_over(self, limit_ms: int) -> None:
+        """Stops new starts; `run` releases the lease and then returns.
+
+        Args:
+            limit_ms: How long unanswered work may delay the release.
+        """
+        if self.is_handing_over:
+            return
+        self._hand_over_by_ms = clock.monotonic_ms() + limit_ms
+        if self._lease.state == lease.HELD:
+            self._lease.give_up()
+            self._listener.worker_leaving(self._worker.worker_id)
+        self._wake.set()
+
+    async def run_request(
+        self, task: model.TaskSpec, payload: bytes
+    ) -> workers_model.WorkerAnswer:
+        """Runs a request; errors as for `WorkerClient.run_request`."""
+        permit = self._permit()
+        check = functools.partial(self._check, permit)
+        with self._counted():
+            return await self._client.run_request(task, payload, permit, check)
+
+    async def start_job_task(
+        self, task: model.TaskSpec, payload: bytes
+    ) -> None:
+        """Starts a job task; errors as for `WorkerClient.run_request`."""
+        permit = self._permit()
+        check = functools.partial(self._check, permit)
+        with self._counted():
+            await self._client.start_job_task(task, payload, permit, check)
+
+    async def act(self, task_id: str, action: str) -> str:
+        """Stops, checkpoints or throttles a task and returns its state.
+
+        Raises:
+            LeaseLostError: Only the owner may do this.
+        """
+        if not self._lease.held:
+            raise errors.LeaseLostError("the lease is not held")
+        return await self._client.act(task_id, action, self._lease.epoch)
+
+    async def run(self) -> None:
+        """Keeps the lease until it has been handed over."""
+        try:
+            while not await self._has_handed_over():
+                await self._hold_for_one_interval()
+        finally:
+            self._lose("the link is closed")
+            self._lease.close()
+            await self._client.close()
+
+    async def _hold_for_one_interval(self) -> None:
+        self._wake.clear()
+        until_ms = clock.monotonic_ms() + self._settings.lease.renew_ms
+        if self._lease.held or not self.is_handing_over:
+            await self._renew()
+        if self._lease.has_lapsed(clock.monotonic_ms()):
+            self._lose("the lease has lapsed")
+        while not self._wake.is_set():
+            wait_ms = until_ms - clock.monotonic_ms()
+            if wait_ms <= 0:
+                return
+            await self._watch(wait_ms)
+
+    async def _has_handed_over(self) -> bool:
+        """Releases the lease once nothing unanswered is left or time is up."""
+        if self._hand_over_by_ms is None:
+            return False
+        if not self._lease.held:
+            return True
+        timed_out = clock.monotonic_ms() >= self._hand_over_by_ms
+        if self._unfinished and not timed_out:
+            return False
+        await self._release()
+        return True
+
+    async def _release(self) -> None:
+        epoch = self._lease.epoch
+        self._lose("the lease is released")
+        try:
+            await self._client.release(epoch)
+        except _UNUSABLE_ANSWERS as error:
+            # The lease ends by itself after its TTL.
+            _logger.warning("release not confirmed: %s", error.detail)
+
+    async def _renew(self) -> None:
+        t0_ms = clock.monotonic_ms()
+        # An epoch of 0 asks for a new epoch, which comes with an inventory.
+        known_epoch = self._lease.epoch if self._lease.held else 0
+        try:
+            answer = await self._client.request_lease(
+                self._settings.lease.ttl_ms, known_epoch, self._seq
+            )
+        except errors.LeaseHeldError as error:
+            self._lose(error.detail)
+        except _UNUSABLE_ANSWERS as error:
+            _logger.debug("renewal failed: %s", error.detail)
+        else:
+            await self._take(answer, t0_ms)
+
+    async def _take(self, answer: wire.LeaseAnswer, t0_ms: int) -> None:
+        """Takes over a lease answer and passes on what it reports."""
+        is_known = self._note_incarnation(answer.incarnation)
+        if self._lease.held and answer.epoch != self._lease.epoch:
+            self._lose("the worker granted a new epoch")
+        is_new = not self._lease.held
+        if is_new and answer.inventory is None:
+            _logger.warning("lease without an inventory is not used")
+            return
+        self._lease.granted(answer, t0_ms, clock.monotonic_ms())
+        if answer.leaving:
+            self.mark_leaving()
+        if is_new:
+            await self._acquired(answer)
+        if is_known:
+            self._report(answer.seq, answer.changes)
+        for usage in answer.usage:
+            self._listener.usage_reported(usage)
+
+    async def _acquired(self, answer: wire.LeaseAnswer) -> None:
+        if answer.capacity is not None:
+            self._worker = self._worker._replace(
+                capacity=answer.capacity,
+                service=answer.service or self._worker.service,
+            )
+        await self._client.limit_connections(self._worker.capacity.connections)
+        _logger.info(
+            "worker %s acquired with epoch %d",
+            self._worker.worker_id,
+            answer.epoch,
+        )
+        self._ownership_changed()
+        self._listener.worker_acquired(self.worker, answer.inventory or ())
+
+    def _note_incarnation(self, incarnation: str) -> bool:
+        """Returns whether sequence numbers still belong to the worker."""
+        if incarnation == self._incarnation:
+            return True
+        is_first = not self._incarnation
+        self._incarnation = incarnation
+        if is_first:
+            return True
+        self._seq = 0
+        _logger.warning("worker %s has restarted", self._worker.worker_id)
+        self._listener.worker_restarted(self._worker.worker_id)
+        return False
+
+    def _report(
+        self, seq: int, changes: tuple[workers_model.TaskChange, ...]
+    ) -> None:
+        self._seq = max(self._seq, seq)
+        for change in changes:
+            self._listener.task_changed(change)
+
+    async def _watch(self, wait_ms: int) -> None:
+        """Waits for changes, or sleeps while there is no lease."""
+        if not self._lease.held:
+            await self._sleep(wait_ms)
+            return
+        try:
+            answer = await self._client.changes(self._seq, wait_ms)
+        except _UNUSABLE_ANSWERS as error:
+            _logger.debug("poll of changes failed: %s", error.detail)
+            await self._sleep(wait_ms)
+            return
+        if answer.incarnation == self._incarnation:
+            self._report(answer.seq, answer.changes)
+            return
+        # The next renewal handles the restart, with a new inventory.
+        self._wake.set()
+
+    async def _sleep(self, wait_ms: int) -> None:
+        try:
+            async with asyncio.timeout(wait_ms / clock.MILLISECONDS_PER_SECOND):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+
+    def _lose(self, reason: str) -> None:
+        if not self._lease.held:
+            return
+        worker_id = self._worker.worker_id
+        self._lease.lose()
+        _logger.info("worker %s lost: %s", worker_id, reason)
+        self._ownership_changed()
+        self._listener.worker_lost(worker_id)
+
+    def _permit(self) -> lease.StartPermit:
+        if self._leaving:
+            raise errors.WorkerRefusedError(wire.STATE_LEAVING)
+        return self._lease.permit(clock.monotonic_ms())
+
+    def _check(self, permit: lease.StartPermit) -> None:
+        self._lease.check(permit, clock.monotonic_ms())
+
+    @contextlib.contextmanager
+    def _counted(self) -> Iterator[None]:
+        """Counts work whose answer is awaited; it delays a hand-over."""
+        self._unfinished += 1
+        try:
+            yield
+        finally:
+            self._unfinished -= 1
+            if self._unfinished == 0 and self.is_handing_over:
+                self._wake.set()
