--- /dev/null
+++ b/src/marigoldgap/entries/membership.py
@@ -0,0 +1,202 @@
+"""Members of the zone, choice of the coordinator, and terms."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from marigoldgap import logs
+from marigoldgap.entries import interfaces
+from marigoldgap.entries import messages
+from marigoldgap.entries import peer as peer_module
+from marigoldgap.scheduling import model
+from marigoldgap.settings import model as settings_model
+
+_log = logs.PartLogger("entries")
+
+# A peer that was silent for this share of `dead_after_ms` is suspect.
+_SUSPECT_SHARE = 0.5
+
+
+class Membership:
+    """Knows which instances are live; has no I/O of its own.
+
+    Args:
+        settings: Settings of this instance.
+        now_ms: Monotonic time of the start.
+    """
+
+    def __init__(self, settings: settings_model.Settings, now_ms: int) -> None:
+        self._settings = settings
+        self._started_ms = now_ms
+        self._peers: dict[str, peer_module.Peer] = {}
+        self._listeners: list[interfaces.MembershipListener] = []
+        self._draining = False
+        self._own_term: model.Term | None = None
+        self.term = model.NO_TERM
+
+    @property
+    def instance_id(self) -> str:
+        """The id of this instance."""
+        return self._settings.instance_id
+
+    @property
+    def is_coordinator(self) -> bool:
+        """Whether this process holds the highest term seen.
+
+        A term of an earlier process with the same id does not count, since
+        what that process knew is gone.
+        """
+        return self._own_term == self.term
+
+    @property
+    def members(self) -> tuple[str, ...]:
+        """The live instances of the zone with this one, sorted."""
+        own_zone = self._settings.zone
+        live = [
+            p.instance_id
+            for p in self._peers.values()
+            if p.alive and p.zone == own_zone
+        ]
+        return tuple(sorted([*live, self._settings.instance_id]))
+
+    def subscribe(self, listener: interfaces.MembershipListener) -> None:
+        """Adds a listener."""
+        self._listeners.append(listener)
+
+    def peer(self, instance_id: str) -> peer_module.Peer | None:
+        """Returns what is known about another instance."""
+        return self._peers.get(instance_id)
+
+    def peers(self) -> tuple[peer_module.Peer, ...]:
+        """Returns all known instances of all zones."""
+        return tuple(self._peers.values())
+
+    def set_draining(self, draining: bool) -> None:
+        """Sets whether this instance is stopping."""
+        self._draining = draining
+
+    def expect(self, entries: Iterable[tuple[str, str]], now_ms: int) -> None:
+        """Adds instances `(id, zone)` that the platform lists."""
+        for instance_id, zone in entries:
+            if instance_id == self._settings.instance_id:
+                continue
+            if instance_id not in self._peers:
+                new = peer_module.Peer(instance_id, zone, now_ms)
+                self._peers[instance_id] = new
+
+    def forget_dead(self, listed: frozenset[str]) -> None:
+        """Drops dead instances that are not listed any more."""
+        for instance_id, known in list(self._peers.items()):
+            if known.state == peer_module.DEAD and instance_id not in listed:
+                known.forget()
+                del self._peers[instance_id]
+
+    def linked(self, hello: messages.Hello, now_ms: int) -> None:
+        """Notes a new connection whose proof was right."""
+        self.expect([(hello.instance_id, hello.zone)], now_ms)
+        known = self._peers[hello.instance_id]
+        restarted = known.incarnation not in ("", hello.incarnation)
+        if restarted and known.alive:
+            self._lose(known)
+        known.incarnation = hello.incarnation
+        known.zone = hello.zone
+        known.hear(now_ms)
+        for listener in self._listeners:
+            listener.member_linked(hello.instance_id)
+
+    def heard(self, instance_id: str, now_ms: int) -> None:
+        """Notes any message from an instance."""
+        known = self._peers.get(instance_id)
+        if known is not None:
+            known.hear(now_ms)
+
+    def apply_heartbeat(
+        self, instance_id: str, heartbeat: messages.Heartbeat
+    ) -> None:
+        """Takes over the content of a heartbeat."""
+        known = self._peers.get(instance_id)
+        if known is None:
+            return
+        known.apply(heartbeat)
+        if known.zone == self._settings.zone:
+            self.observe_term(heartbeat.term)
+
+    def check(self, now_ms: int) -> list[str]:
+        """Finds silent instances; call it several times a second.
+
+        Returns:
+            The instances that died; links to them must be closed, so that
+            they are heard again only after a new handshake.
+        """
+        lost = []
+        dead_after_ms = self._settings.peers.dead_after_ms
+        for known in list(self._peers.values()):
+            silent_ms = now_ms - known.heard_ms
+            if known.state == peer_module.DEAD:
+                continue
+            if silent_ms >= dead_after_ms:
+                lost.append(known.instance_id)
+                self._lose(known)
+            elif (
+                known.state == peer_module.LIVE
+                and silent_ms >= dead_after_ms * _SUSPECT_SHARE
+            ):
+                known.trigger("silent")
+        return lost
+
+    def proposed_coordinator(self, now_ms: int) -> str | None:
+        """Returns the instance that should coordinate the zone.
+
+        None means that an instance has not been reached yet, so the choice
+        would only cause a change of term shortly afterwards. The choice
+        needs no agreement: terms and the barrier keep a wrong one harmless.
+        """
+        if self._is_settling(now_ms):
+            return None
+        own_id = self._settings.instance_id
+        candidates = [own_id] if not self._draining else []
+        for known in self._peers.values():
+            usable = known.state in (peer_module.LIVE, peer_module.SUSPECT)
+            if usable and known.zone == self._settings.zone:
+                candidates.append(known.instance_id)
+        return min(candidates, default=min(self.members))
+
+    def next_term(self) -> model.Term:
+        """Adopts and returns a term of this instance above all seen."""
+        term = model.Term(self.term.counter + 1, self._settings.instance_id)
+        self._own_term = term
+        self.observe_term(term)
+        return term
+
+    def observe_term(self, term: model.Term) -> bool:
+        """Adopts a term unless a higher one was seen; returns if accepted."""
+        if term < self.term:
+            return False
+        if term > self.term:
+            self.term = term
+            for listener in self._listeners:
+                listener.term_changed(term)
+        return True
+
+    def _is_settling(self, now_ms: int) -> bool:
+        """Whether instances may not have been reached yet."""
+        if now_ms - self._started_ms >= self._settings.peers.dead_after_ms:
+            return False
+        return (
+            any(
+                known.state == peer_module.CONNECTING
+                and known.zone == self._settings.zone
+                for known in self._peers.values()
+            )
+            or not self._peers
+        )
+
+    def _lose(self, known: peer_module.Peer) -> None:
+        """Marks an instance as dead and tells the listeners once."""
+        was_alive = known.alive
+        known.trigger("lost")
+        if not was_alive:
+            return
+        _log.warning("Instance %s is lost.", known.instance_id)
+        for listener in self._listeners:
+            listener.member_lost(known.instance_id)
--- /dev/null
+++ b/src/marigoldgap/entries/messages.py
@@ -0,0 +1,213 @@
+"""Messages of links: handshake, heartbeat, terms, holdings and answers."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from marigoldgap.entries import registry
+from marigoldgap.scheduling import model
+
+
+class Count(NamedTuple):
+    """A number of tasks of one team or queue; 0 in a delta means gone."""
+
+    name: str
+    number: int
+
+
+class ServiceFree(NamedTuple):
+    """Free resources of the sender's workers of one service."""
+
+    service: str
+    free: model.Resources
+
+
+class OwnedReport(NamedTuple):
+    """A worker that the sender owns and the tasks on it."""
+
+    worker_id: str
+    tasks: tuple[model.RunningTask, ...]
+
+
+class HoldingEntry(NamedTuple):
+    """What one instance holds and runs for a team, in tasks."""
+
+    team: str
+    holding: int
+    running: int
+
+
+class Outcome(NamedTuple):
+    """The state of a job task as its worker reported it.
+
+    Attributes:
+        state: A state of `workers.model.TaskChange` or of a stop answer.
+    """
+
+    task_id: str
+    worker_id: str
+    state: str
+    exit_code: int | None
+
+
+@registry.message("challenge")
+class Challenge(NamedTuple):
+    """First message of the accepting side: a nonce to be proved over."""
+
+    nonce: bytes
+
+
+@registry.message("hello")
+class Hello(NamedTuple):
+    """Names the sender and proves that it knows the cluster secret.
+
+    Attributes:
+        incarnation: Random token of the sending process.
+        nonce: Nonce for the other side's proof.
+        proof: HMAC over both nonces and the sender's names.
+    """
+
+    instance_id: str
+    zone: str
+    incarnation: str
+    nonce: bytes
+    proof: bytes
+
+
+@registry.message("heartbeat")
+class Heartbeat(NamedTuple):
+    """Sign of life with what changed since the last one on this link.
+
+    Attributes:
+        generation: Number of changes to the set of owned workers.
+        full: Whether the lists hold everything instead of the changes.
+    """
+
+    draining: bool
+    term: model.Term
+    config_version: int
+    generation: int
+    full: bool
+    free: tuple[ServiceFree, ...]
+    waiting: tuple[Count, ...]
+    running: tuple[Count, ...]
+
+
+@registry.message("failure")
+class Failure(NamedTuple):
+    """Answer to a call whose handler raised an error."""
+
+    code: str
+    detail: str
+
+
+@registry.message("done")
+class Done(NamedTuple):
+    """Answer to a call that returns nothing."""
+
+
+@registry.message("termAnnounce")
+class TermAnnounce(NamedTuple):
+    """A coordinator announces its term; answered with TermReport."""
+
+    term: model.Term
+
+
+@registry.message("termReport")
+class TermReport(NamedTuple):
+    """Everything that an instance owns, runs and holds.
+
+    Attributes:
+        term: The term that the sender obeys.
+        accepted: Whether the announced term was accepted.
+        grant_sequence: Last grant that the sender applied in this term.
+        outcomes: Ended job tasks of jobs that are still open.
+    """
+
+    term: model.Term
+    accepted: bool
+    generation: int
+    grant_sequence: int
+    workers: tuple[OwnedReport, ...]
+    holdings: tuple[HoldingEntry, ...]
+    outcomes: tuple[Outcome, ...]
+
+
+@registry.message("workersChanged")
+class WorkersChanged(NamedTuple):
+    """Changes of worker ownership since the last report of the sender."""
+
+    term: model.Term
+    generation: int
+    acquired: tuple[OwnedReport, ...]
+    lost: tuple[str, ...]
+    restarted: tuple[str, ...]
+
+
+@registry.message("holdingRequest")
+class HoldingRequest(NamedTuple):
+    """Asks the coordinator for a total of `wanted` units of a team."""
+
+    term: model.Term
+    team: str
+    wanted: int
+    entry: HoldingEntry
+    grant_sequence: int
+
+
+@registry.message("holdingGrant")
+class HoldingGrant(NamedTuple):
+    """Sets a holding to a total; a lower total is a recall.
+
+    Attributes:
+        sequence: Increases with each grant to the receiver in this term.
+    """
+
+    term: model.Term
+    sequence: int
+    team: str
+    holding: int
+
+
+@registry.message("holdingReturn")
+class HoldingReturn(NamedTuple):
+    """What the sender holds now, after it lowered its own numbers."""
+
+    term: model.Term
+    grant_sequence: int
+    holdings: tuple[HoldingEntry, ...]
+
+
+@registry.message("allowanceNotice")
+class AllowanceNotice(NamedTuple):
+    """The zone lowered its allowance of a team; answered with Done."""
+
+    term: model.Term
+    team: str
+    allowance: int
+
+
+class Header(NamedTuple):
+    """An HTTP header of a forwarded request or of its answer."""
+
+    name: str
+    value: str
+
+
+@registry.message("forward", registry.Traffic.WORK)
+class Forward(NamedTuple):
+    """A request handed to another instance, which must not forward it."""
+
+    task: model.TaskSpec
+    payload: bytes
+    headers: tuple[Header, ...]
+
+
+@registry.message("forwardResult", registry.Traffic.WORK)
+class ForwardResult(NamedTuple):
+    """The complete answer to a forwarded request."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    worker_id: str
--- /dev/null
+++ b/src/marigoldgap/entries/peer.py
@@ -0,0 +1,105 @@
+"""What an instance knows about one other instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import transitions
+
+from marigoldgap.entries import messages
+from marigoldgap.scheduling import model
+
+CONNECTING = "connecting"
+LIVE = "live"
+SUSPECT = "suspect"
+DRAINING = "draining"
+DEAD = "dead"
+
+_TRANSITIONS: list[list[Any]] = [
+    ["heard", [CONNECTING, SUSPECT, DEAD, DRAINING], LIVE],
+    ["drained", [CONNECTING, LIVE, SUSPECT, DEAD], DRAINING],
+    ["silent", LIVE, SUSPECT],
+    ["lost", [CONNECTING, LIVE, SUSPECT, DRAINING], DEAD],
+]
+
+_machine = transitions.Machine(
+    model=None,
+    states=[CONNECTING, LIVE, SUSPECT, DRAINING, DEAD],
+    transitions=_TRANSITIONS,
+    initial=CONNECTING,
+    auto_transitions=False,
+    ignore_invalid_triggers=True,
+)
+
+
+class Peer:
+    """State of another entry instance.
+
+    Attributes:
+        state: One of the states named in this module.
+        incarnation: Token of the process last heard; changes on a restart.
+        heard_ms: Monotonic time of the last message.
+        term: The term that the peer obeys.
+        free: Free resources by service, as of the last heartbeat.
+        waiting: Queue lengths by queue.
+        running: Running tasks by team.
+    """
+
+    state: str
+    trigger: Callable[[str], bool]
+
+    def __init__(self, instance_id: str, zone: str, now_ms: int) -> None:
+        self.instance_id = instance_id
+        self.zone = zone
+        self.incarnation = ""
+        self.heard_ms = now_ms
+        self.term = model.NO_TERM
+        self.config_version = 0
+        self.generation = 0
+        self.free: dict[str, model.Resources] = {}
+        self.waiting: dict[str, int] = {}
+        self.running: dict[str, int] = {}
+        _machine.add_model(self)
+
+    @property
+    def alive(self) -> bool:
+        """Whether the peer takes part in the zone."""
+        return self.state in (LIVE, SUSPECT, DRAINING)
+
+    def hear(self, now_ms: int) -> None:
+        """Notes any message of the peer."""
+        self.heard_ms = now_ms
+        if self.state not in (LIVE, DRAINING):
+            self.trigger("heard")
+
+    def apply(self, heartbeat: messages.Heartbeat) -> None:
+        """Takes over the content of a heartbeat."""
+        if heartbeat.draining != (self.state == DRAINING):
+            self.trigger("drained" if heartbeat.draining else "heard")
+        self.term = heartbeat.term
+        self.config_version = heartbeat.config_version
+        self.generation = heartbeat.generation
+        if heartbeat.full:
+            self.free.clear()
+            self.waiting.clear()
+            self.running.clear()
+        for entry in heartbeat.free:
+            self.free[entry.service] = entry.free
+        _apply_counts(self.waiting, heartbeat.waiting)
+        _apply_counts(self.running, heartbeat.running)
+
+    def forget(self) -> None:
+        """Stops tracking the state; the peer is not used any more."""
+        _machine.remove_model(self)
+
+
+def _apply_counts(
+    counts: dict[str, int], changes: tuple[messages.Count, ...]
+) -> None:
+    """Applies changed numbers; 0 removes an entry."""
+    for change in changes:
+        if change.number:
+            counts[change.name] = change.number
+        else:
+            counts.pop(change.name, None)
--- a/src/marigoldgap/errors.py
+++ b/src/marigoldgap/errors.py
@@ -209,6 +209,21 @@
     status = 503
 
 
+class PeerNotLinkedError(PeerUnavailableError):
+    """There is no link to the other entry instance; nothing was sent."""
+
+    code = "peer-not-linked"
+    ran = Ran.NO
+
+
+class StaleTermError(MarigoldgapError):
+    """The sender's term is lower than the highest one seen."""
+
+    code = "stale-term"
+    status = 409
+    ran = Ran.NO
+
+
 class ProtocolError(MarigoldgapError):
     """A peer sent bytes that do not form a valid message."""
 
--- /dev/null
+++ b/tests/features/entries/codec.feature
@@ -0,0 +1,16 @@
+Feature: Peer messages survive the wire, and bad bytes do no harm
+
+  Scenario: Every message type arrives as it was sent
+    Then every peer message decodes to what was encoded
+
+  Scenario: Random bytes are refused as a protocol error
+    Then random peer bytes decode to a message or a protocol error
+
+  Scenario: Damaged messages are refused as a protocol error
+    Then a damaged peer message decodes to a message or a protocol error
+
+  Scenario: A small frame cannot expand without bound
+    Then a packed peer frame of zero runs is refused
+
+  Scenario: Frames above the size bound are refused before they are read
+    Then a peer frame longer than its limit is refused
