Add the term barrier and running totals in holding messages

A coordinator may act only when it knows everything that can run. The barrier is a pure state machine over claims of acknowledged instances, the platform's list and certain lapses. Holding messages carry the running totals of the allowance ledger, so that lost or repeated messages do no harm.

Ruled out: relying on the lapse time alone. A list that is older than the last death does not settle the barrier either.

--- /dev/null
+++ b/src/marigoldgap/coordination/barrier.py
@@ -0,0 +1,156 @@
+"""Term barrier: when a coordinator knows everything that can run.
+
+A pure state machine. A worker is settled if an instance that acknowledged
+this term owns it, if it certainly lapsed, or if the platform no longer lists
+it. The same rule tells when what a dead instance held may be released.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Iterable
+
+from marigoldgap.scheduling import model
+
+_NEVER_MS = -1
+
+
+class TermBarrier:
+    """Workers of a zone as one coordinator sees them in one term.
+
+    A claim is a statement of an acknowledged instance that it holds the
+    lease on a worker. Two instances may claim one worker for a moment, since
+    a loss is reported after it happened; the worker is without an owner only
+    when no claim is left.
+
+    Args:
+        term: The coordinator's term.
+        lapse_ms: Time without an owner after which no job task runs.
+        now_ms: Monotonic time at which the term began.
+    """
+
+    def __init__(self, term: model.Term, lapse_ms: int, now_ms: int) -> None:
+        self._term = term
+        self._lapse_ms = lapse_ms
+        self._listed: frozenset[str] = frozenset()
+        self._list_read_ms = _NEVER_MS
+        self._claims: dict[str, set[str]] = {}
+        self._unowned_since_ms: dict[str, int] = {}
+        self._acknowledged: set[str] = set()
+        self._unknown_since_ms = now_ms
+        self._passed = False
+
+    @property
+    def term(self) -> model.Term:
+        """The coordinator's term."""
+        return self._term
+
+    @property
+    def acknowledged(self) -> frozenset[str]:
+        """Instances that obey the term."""
+        return frozenset(self._acknowledged)
+
+    @property
+    def passed(self) -> bool:
+        """Whether the barrier was complete at some time in this term."""
+        return self._passed
+
+    def owner_known(self, worker_id: str) -> bool:
+        """Whether an acknowledged instance claims the worker."""
+        return bool(self._claims.get(worker_id))
+
+    def list_read(self, workers: Collection[str], read_ms: int) -> None:
+        """Takes over the platform's list of workers of the zone.
+
+        Args:
+            workers: Ids of the listed workers, live or leaving.
+            read_ms: When the list was read, or a time before that.
+        """
+        self._listed = frozenset(workers)
+        self._list_read_ms = max(self._list_read_ms, read_ms)
+
+    def acknowledge(
+        self, instance_id: str, workers: Iterable[str], now_ms: int
+    ) -> None:
+        """Records a full report; it replaces earlier claims."""
+        self._acknowledged.add(instance_id)
+        claimed = frozenset(workers)
+        for worker_id, claimants in list(self._claims.items()):
+            if instance_id in claimants and worker_id not in claimed:
+                self.lost(instance_id, worker_id, now_ms)
+        for worker_id in claimed:
+            self.acquired(instance_id, worker_id)
+
+    def acquired(self, instance_id: str, worker_id: str) -> None:
+        """Records that an acknowledged instance owns a worker."""
+        if instance_id not in self._acknowledged:
+            return
+        self._claims.setdefault(worker_id, set()).add(instance_id)
+        self._unowned_since_ms.pop(worker_id, None)
+
+    def lost(self, instance_id: str, worker_id: str, now_ms: int) -> None:
+        """Records that an instance does not own a worker any more."""
+        claimants = self._claims.get(worker_id)
+        if claimants is None or instance_id not in claimants:
+            return
+        claimants.discard(instance_id)
+        if not claimants:
+            del self._claims[worker_id]
+            self._unowned_since_ms[worker_id] = now_ms
+
+    def member_lost(self, instance_id: str, now_ms: int) -> None:
+        """Records that an instance is dead or paused.
+
+        It may have taken workers over that it has not reported and that are
+        not listed here yet, so the list must be read again.
+        """
+        for worker_id in list(self._claims):
+            self.lost(instance_id, worker_id, now_ms)
+        self._acknowledged.discard(instance_id)
+        self._unknown_since_ms = now_ms
+
+    def has_lapsed(self, worker_id: str, now_ms: int) -> bool:
+        """Whether the worker certainly runs no job task."""
+        if self.owner_known(worker_id):
+            return False
+        if self._list_is_current() and worker_id not in self._listed:
+            return True
+        since_ms = self._unowned_since_ms.get(worker_id)
+        return since_ms is not None and now_ms - since_ms >= self._lapse_ms
+
+    def unsettled(self, now_ms: int) -> frozenset[str]:
+        """Returns the workers on which unknown tasks may run."""
+        pending = set()
+        for worker_id in self._listed | self._unowned_since_ms.keys():
+            if self.owner_known(worker_id):
+                continue
+            self._unowned_since_ms.setdefault(worker_id, now_ms)
+            if not self.has_lapsed(worker_id, now_ms):
+                pending.add(worker_id)
+        return frozenset(pending)
+
+    def is_settled(self, members: Collection[str], now_ms: int) -> bool:
+        """Whether nothing can run that this coordinator does not know.
+
+        Args:
+            members: The live instances of the zone; all must have
+                acknowledged, since one that has not could still use units of
+                an earlier term on a worker that it takes over next.
+            now_ms: Monotonic time.
+        """
+        pending = self.unsettled(now_ms)
+        if pending or not self._acknowledged.issuperset(members):
+            return False
+        waited_ms = now_ms - self._unknown_since_ms
+        settled = self._list_is_current() or waited_ms >= self._lapse_ms
+        self._passed = self._passed or settled
+        return settled
+
+    def forget(self, worker_id: str) -> None:
+        """Drops a worker that is gone and has no owner."""
+        if not self.owner_known(worker_id):
+            self._unowned_since_ms.pop(worker_id, None)
+
+    def _list_is_current(self) -> bool:
+        """Whether the list was read after the last unknown change."""
+        return self._list_read_ms > self._unknown_since_ms
--- a/src/marigoldgap/entries/job_messages.py
+++ b/src/marigoldgap/entries/job_messages.py
@@ -75,7 +75,9 @@
 class PlaceResult(NamedTuple):
     """Answer to PlaceTasks and CommitGang, for each task."""
 
+    incarnation: str
     outcomes: tuple[Placed, ...]
+    holdings: tuple[messages.HoldingEntry, ...]
 
 
 @registry.message("taskChanged")
@@ -83,7 +85,9 @@
     """Job tasks ended; the coordinator answers when it has noted them."""
 
     term: model.Term
+    incarnation: str
     outcomes: tuple[messages.Outcome, ...]
+    holdings: tuple[messages.HoldingEntry, ...]
 
 
 @registry.message("stopTasks")
@@ -168,17 +172,16 @@
     job_id: str
 
 
-@registry.message("jobSubmit", registry.Traffic.WORK)
-class JobSubmit(NamedTuple):
-    """A job for the receiver's zone; `spec` is JSON."""
+@registry.message("jobCheck")
+class JobCheck(NamedTuple):
+    """Asks whether the zone could ever run a job; `spec` is JSON."""
 
     spec: str
-    payload: bytes
 
 
 @registry.message("jobReply")
 class JobReply(NamedTuple):
-    """Answer to JobQuery and JobSubmit; `status` is JSON."""
+    """Answer to JobQuery; `status` is JSON."""
 
     status: str
 
--- a/src/marigoldgap/entries/messages.py
+++ b/src/marigoldgap/entries/messages.py
@@ -23,17 +23,21 @@
 
 
 class OwnedReport(NamedTuple):
-    """A worker that the sender owns and the tasks on it."""
+    """A worker that the sender owns and the job tasks on it."""
 
     worker_id: str
+    service: str
+    capacity: model.Resources
     tasks: tuple[model.RunningTask, ...]
 
 
 class HoldingEntry(NamedTuple):
-    """What one instance holds and runs for a team, in tasks."""
+    """A team's account at one instance; see allowance_model.HoldingReport."""
 
     team: str
-    holding: int
+    sequence: int
+    granted_total: int
+    returned_total: int
     running: int
 
 
@@ -120,14 +124,13 @@
     Attributes:
         term: The term that the sender obeys.
         accepted: Whether the announced term was accepted.
-        grant_sequence: Last grant that the sender applied in this term.
+        incarnation: Process for which the holdings speak.
         outcomes: Ended job tasks of jobs that are still open.
     """
 
     term: model.Term
     accepted: bool
-    generation: int
-    grant_sequence: int
+    incarnation: str
     workers: tuple[OwnedReport, ...]
     holdings: tuple[HoldingEntry, ...]
     outcomes: tuple[Outcome, ...]
@@ -135,56 +138,85 @@
 
 @registry.message("workersChanged")
 class WorkersChanged(NamedTuple):
-    """Changes of worker ownership since the last report of the sender."""
+    """Changes of worker ownership since the last report of the sender.
+
+    Attributes:
+        restarted: Workers whose earlier tasks are all gone.
+        outcomes: Ended tasks; they apply before the changes of workers.
+    """
 
     term: model.Term
-    generation: int
+    incarnation: str
     acquired: tuple[OwnedReport, ...]
     lost: tuple[str, ...]
     restarted: tuple[str, ...]
+    outcomes: tuple[Outcome, ...]
+    holdings: tuple[HoldingEntry, ...]
+
+
+@registry.message("workersSettled")
+class WorkersSettled(NamedTuple):
+    """Workers that the receiver lost were taken over, or have lapsed."""
+
+    term: model.Term
+    worker_ids: tuple[str, ...]
 
 
 @registry.message("holdingRequest")
 class HoldingRequest(NamedTuple):
-    """Asks the coordinator for a total of `wanted` units of a team."""
+    """Asks the coordinator for `wanted` more units; answer: HoldingGrant."""
 
     term: model.Term
-    team: str
+    incarnation: str
     wanted: int
     entry: HoldingEntry
-    grant_sequence: int
 
 
 @registry.message("holdingGrant")
 class HoldingGrant(NamedTuple):
-    """Sets a holding to a total; a lower total is a recall.
-
-    Attributes:
-        sequence: Increases with each grant to the receiver in this term.
-    """
+    """Adds units to a holding; see allowance_model.HoldingGrant."""
 
     term: model.Term
-    sequence: int
+    incarnation: str
     team: str
-    holding: int
+    granted_total: int
+    units: int
 
 
 @registry.message("holdingReturn")
 class HoldingReturn(NamedTuple):
-    """What the sender holds now, after it lowered its own numbers."""
+    """Accounts of the sender after it gave units back.
+
+    Also the answer to AllowanceNotice and HoldingRecall.
+    """
 
     term: model.Term
-    grant_sequence: int
+    incarnation: str
     holdings: tuple[HoldingEntry, ...]
 
 
+@registry.message("holdingRecall")
+class HoldingRecall(NamedTuple):
+    """Asks for unused units of a team, of which `keep` may stay."""
+
+    term: model.Term
+    team: str
+    keep: int
+
+
 @registry.message("allowanceNotice")
 class AllowanceNotice(NamedTuple):
-    """The zone lowered its allowance of a team; answered with Done."""
+    """The zone lowers its allowance of a team; answer: HoldingReturn.
+
+    Attributes:
+        ceiling: Units that the receiver may keep.
+    """
 
     term: model.Term
     team: str
     allowance: int
+    sequence: int
+    ceiling: int
 
 
 class Header(NamedTuple):
--- a/src/marigoldgap/entries/peer.capnp
+++ b/src/marigoldgap/entries/peer.capnp
@@ -39,11 +39,13 @@
     configRequest @29 :ConfigRequest;
     denyKeys @30 :DenyKeys;
     jobQuery @31 :JobQuery;
-    jobSubmit @32 :JobSubmit;
+    jobCheck @32 :JobCheck;
     jobReply @33 :JobReply;
     forward @34 :Forward;
     forwardResult @35 :ForwardResult;
     jobsForgotten @36 :JobsForgotten;
+    workersSettled @37 :WorkersSettled;
+    holdingRecall @38 :HoldingRecall;
   }
 }
 
@@ -81,8 +83,19 @@
   jobId @5 :Text;
   attempt @6 :Int64;
 }
-struct OwnedReport { workerId @0 :Text; tasks @1 :List(RunningTask); }
-struct HoldingEntry { team @0 :Text; holding @1 :Int64; running @2 :Int64; }
+struct OwnedReport {
+  workerId @0 :Text;
+  service @1 :Text;
+  capacity @2 :Resources;
+  tasks @3 :List(RunningTask);
+}
+struct HoldingEntry {
+  team @0 :Text;
+  sequence @1 :Int64;
+  grantedTotal @2 :Int64;
+  returnedTotal @3 :Int64;
+  running @4 :Int64;
+}
 struct Outcome {
   taskId @0 :Text;
   workerId @1 :Text;
@@ -117,38 +130,47 @@
 struct TermReport {
   term @0 :Term;
   accepted @1 :Bool;
-  generation @2 :Int64;
-  grantSequence @3 :Int64;
-  workers @4 :List(OwnedReport);
-  holdings @5 :List(HoldingEntry);
-  outcomes @6 :List(Outcome);
+  incarnation @2 :Text;
+  workers @3 :List(OwnedReport);
+  holdings @4 :List(HoldingEntry);
+  outcomes @5 :List(Outcome);
 }
 struct WorkersChanged {
   term @0 :Term;
-  generation @1 :Int64;
+  incarnation @1 :Text;
   acquired @2 :List(OwnedReport);
   lost @3 :List(Text);
   restarted @4 :List(Text);
+  outcomes @5 :List(Outcome);
+  holdings @6 :List(HoldingEntry);
 }
+struct WorkersSettled { term @0 :Term; workerIds @1 :List(Text); }
 struct HoldingRequest {
   term @0 :Term;
-  team @1 :Text;
+  incarnation @1 :Text;
   wanted @2 :Int64;
   entry @3 :HoldingEntry;
-  grantSequence @4 :Int64;
 }
 struct HoldingGrant {
   term @0 :Term;
-  sequence @1 :Int64;
+  incarnation @1 :Text;
   team @2 :Text;
-  holding @3 :Int64;
+  grantedTotal @3 :Int64;
+  units @4 :Int64;
 }
 struct HoldingReturn {
   term @0 :Term;
-  grantSequence @1 :Int64;
+  incarnation @1 :Text;
   holdings @2 :List(HoldingEntry);
 }
-struct AllowanceNotice { term @0 :Term; team @1 :Text; allowance @2 :Int64; }
+struct HoldingRecall { term @0 :Term; team @1 :Text; keep @2 :Int64; }
+struct AllowanceNotice {
+  term @0 :Term;
+  team @1 :Text;
+  allowance @2 :Int64;
+  sequence @3 :Int64;
+  ceiling @4 :Int64;
+}
 
 struct PlaceTasks {
   term @0 :Term;
@@ -161,8 +183,17 @@
   refusal @2 :Text;
   unknown @3 :Bool;
 }
-struct PlaceResult { outcomes @0 :List(Placed); }
-struct TaskChanged { term @0 :Term; outcomes @1 :List(Outcome); }
+struct PlaceResult {
+  incarnation @0 :Text;
+  outcomes @1 :List(Placed);
+  holdings @2 :List(HoldingEntry);
+}
+struct TaskChanged {
+  term @0 :Term;
+  incarnation @1 :Text;
+  outcomes @2 :List(Outcome);
+  holdings @3 :List(HoldingEntry);
+}
 struct TaskAddress { workerId @0 :Text; taskId @1 :Text; }
 struct StopTasks {
   term @0 :Term;
@@ -191,7 +222,7 @@
 }
 struct JobsForgotten { term @0 :Term; jobIds @1 :List(Text); }
 struct JobQuery { jobId @0 :Text; }
-struct JobSubmit { spec @0 :Text; payload @1 :Data; }
+struct JobCheck { spec @0 :Text; }
 struct JobReply { status @0 :Text; }
 
 struct TeamDemand {
--- a/tests/features/steps/entries_links_steps.py
+++ b/tests/features/steps/entries_links_steps.py
@@ -16,7 +16,7 @@
 from tests.fixtures import peer_hubs
 from tests.fixtures import scenario_loop
 
-_NOTICE = messages.AllowanceNotice(model.Term(1, "e1"), "claims", 1)
+_NOTICE = messages.AllowanceNotice(model.Term(1, "e1"), "claims", 1, 1, 1)
 
 
 def _run(context, awaitable):
