Add the clients of the platform and group commit

Cause: jobs, claims, allowances and configuration need durable writes that survive outages and lost answers of the table service.

Change: TableClient, GroupCommitter, ObjectClient and InstanceList, each behind a circuit breaker that probes in the background. A write is never repeated silently: http_session marks the first sent byte and refuses a second try. Each write also checks the version of its writer row. After a lost answer that is not visible in the row, a further write of the row (fence) makes the lost write fail if it arrives late; reading the row alone would not rule that out.

Ruled out: aiosonic as it is. It sends PUT and DELETE again on a broken reused connection, and after a timeout it puts a reused connection with a pending answer back into its pool, so the next request could read that answer.

--- a/src/marigoldgap/errors.py
+++ b/src/marigoldgap/errors.py
@@ -178,6 +178,33 @@
     status = 503
 
 
+class RowConflictError(ConflictError):
+    """A checked row of the table service has another version.
+
+    Attributes:
+        keys: The rows that did not have the checked version.
+    """
+
+    def __init__(self, keys: tuple[str, ...]) -> None:
+        super().__init__("rows changed meanwhile: " + ", ".join(keys))
+        self.keys = keys
+
+
+class ConnectFailedError(MarigoldgapError):
+    """No connection could be opened; no byte of the request was sent."""
+
+    code = "connect-failed"
+    status = 503
+    ran = Ran.NO
+
+
+class AnswerLostError(MarigoldgapError):
+    """A request was sent, at least in part, and no complete answer came."""
+
+    code = "answer-lost"
+    status = 502
+
+
 class WorkerRefusedError(MarigoldgapError):
     """The worker refused the start; the task did not run.
 
--- /dev/null
+++ b/src/marigoldgap/platform/instances.py
@@ -0,0 +1,155 @@
+"""The platform's list of instances, kept through its outages."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from marigoldgap import clock
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.platform import model
+from marigoldgap.platform import service
+from marigoldgap.settings import model as settings_model
+
+PROBE_PATH = "/v1/instances"
+KIND_ENTRY = "entry"
+KIND_WORKER = "worker"
+
+_log = logs.PartLogger("platform")
+_OK = 200
+_FIELDS = ("id", "kind", "zone", "region", "rack", "address")
+_OPTIONAL_FIELDS = ("peer_address", "service", "state")
+
+
+class InstanceList:
+    """Polls the list; users always see the last good answer.
+
+    Args:
+        settings: Settings of this instance.
+        source: The service that has the list.
+    """
+
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        source: service.PlatformService,
+    ) -> None:
+        self._poll_ms = settings.platform.list_poll_ms
+        self._source = source
+        self._all: tuple[model.InstanceEntry, ...] = ()
+        self._read_at_ms: int | None = None
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the list has been read at least once."""
+        return self._read_at_ms is not None
+
+    def entries(
+        self, zone: str | None = None
+    ) -> tuple[model.InstanceEntry, ...]:
+        """Returns the entry instances, of one zone or of all zones."""
+        return self._select(KIND_ENTRY, zone)
+
+    def workers(
+        self, zone: str | None = None
+    ) -> tuple[model.InstanceEntry, ...]:
+        """Returns the workers, of one zone or of all zones."""
+        return self._select(KIND_WORKER, zone)
+
+    def find(self, instance_id: str) -> model.InstanceEntry | None:
+        """Returns the entry with an id, or None."""
+        for entry in self._all:
+            if entry.instance_id == instance_id:
+                return entry
+        return None
+
+    def age_ms(self) -> int | None:
+        """Returns the time since the last good answer; None if none came."""
+        if self._read_at_ms is None:
+            return None
+        return clock.monotonic_ms() - self._read_at_ms
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Calls the listener after each change of the list."""
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """Polls the list until it is cancelled."""
+        while True:
+            await self.refresh()
+            await asyncio.sleep(self._poll_ms / clock.MILLISECONDS_PER_SECOND)
+
+    async def refresh(self) -> bool:
+        """Reads the list once; returns whether there was a good answer."""
+        try:
+            answer = await self._source.read(PROBE_PATH)
+            if answer.status != _OK:
+                raise errors.ProtocolError(f"status {answer.status}")
+            received = _parse(answer.json())
+        except errors.MarigoldgapError as error:
+            _log.debug("The instance list is kept: %s", error)
+            return False
+        if self._is_implausible(received):
+            _log.warning("An instance list without entry instances is ignored")
+            return False
+        self._adopt(received)
+        return True
+
+    def _adopt(self, received: tuple[model.InstanceEntry, ...]) -> None:
+        self._read_at_ms = clock.monotonic_ms()
+        if received == self._all:
+            return
+        self._all = received
+        for listener in self._listeners:
+            listener()
+
+    def _select(
+        self, kind: str, zone: str | None
+    ) -> tuple[model.InstanceEntry, ...]:
+        return tuple(
+            entry
+            for entry in self._all
+            if entry.kind == kind and zone in (None, entry.zone)
+        )
+
+    def _is_implausible(
+        self, received: tuple[model.InstanceEntry, ...]
+    ) -> bool:
+        """Detects an empty list; this instance at least must be in it.
+
+        An empty list would make every worker look removed for good, and jobs
+        would be reported as impossible.
+        """
+        had_entries = bool(self.entries())
+        return had_entries and not any(
+            entry.kind == KIND_ENTRY for entry in received
+        )
+
+
+def _parse(content: Any) -> tuple[model.InstanceEntry, ...]:
+    """Returns all well-formed entries; the others are left out."""
+    if not isinstance(content, dict) or not isinstance(
+        content.get("instances"), list
+    ):
+        raise errors.ProtocolError("the instance list is malformed")
+    entries = []
+    for item in content["instances"]:
+        entry = _parse_entry(item)
+        if entry is None:
+            _log.warning("A malformed instance list entry is ignored")
+            continue
+        entries.append(entry)
+    return tuple(sorted(entries))
+
+
+def _parse_entry(item: Any) -> model.InstanceEntry | None:
+    if not isinstance(item, dict):
+        return None
+    required = [item.get(field) for field in _FIELDS]
+    optional = [item.get(field) or "" for field in _OPTIONAL_FIELDS]
+    if not all(isinstance(value, str) for value in required + optional):
+        return None
+    return model.InstanceEntry(*required, *optional)  # type: ignore[arg-type]
--- /dev/null
+++ b/src/marigoldgap/platform/service.py
@@ -0,0 +1,148 @@
+"""Calls to one service of the platform, guarded by a circuit breaker."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import random
+
+from marigoldgap import errors
+from marigoldgap import http_session
+from marigoldgap.platform import breaker
+
+_FIRST_SERVER_ERROR = 500
+_TOO_MANY_REQUESTS = 429
+
+
+class PlatformService:
+    """One HTTP service.
+
+    Args:
+        name: Name in messages, e.g. `table service`.
+        address: `ip:port`.
+        timeout_ms: Bound of one call.
+        probe_path: Path whose read tells whether the service is up.
+        session: Connections to use.
+        source: Source of the delays between probes.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        timeout_ms: int,
+        probe_path: str,
+        session: http_session.HttpSession,
+        source: random.Random,
+    ) -> None:
+        self._name = name
+        self._root = f"http://{address}"
+        self._timeout_ms = timeout_ms
+        self._probe_path = probe_path
+        self._session = session
+        self._breaker = breaker.CircuitBreaker(name, self._probe, source)
+
+    @property
+    def is_down(self) -> bool:
+        """Whether calls are refused because of an outage."""
+        return self._breaker.is_open
+
+    async def read(
+        self,
+        path: str,
+        headers: Mapping[str, str] | None = None,
+        during_outage: bool = False,
+    ) -> http_session.Answer:
+        """Sends a GET.
+
+        Args:
+            path: Quoted path with the query.
+            headers: Further headers.
+            during_outage: Whether to try even while the breaker is open.
+
+        Raises:
+            errors.StoreUnavailableError: There was no usable answer.
+        """
+        if not during_outage:
+            self._breaker.check()
+        try:
+            answer = await self._call("GET", path, b"", headers, True)
+        except errors.AnswerLostError as error:
+            raise errors.StoreUnavailableError(str(error)) from error
+        if _is_failure(answer.status):
+            raise errors.StoreUnavailableError(
+                f"the {self._name} answered {answer.status}"
+            )
+        return answer
+
+    async def write(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        during_outage: bool = False,
+        content_type: str = "application/json",
+    ) -> http_session.Answer:
+        """Sends a write exactly once.
+
+        Raises:
+            errors.StoreUnavailableError: The write did not take effect.
+            errors.StoreOutcomeUnknownError: It may have taken effect.
+        """
+        if not during_outage:
+            self._breaker.check()
+        headers = {"content-type": content_type}
+        try:
+            answer = await self._call(method, path, body, headers, False)
+        except errors.AnswerLostError as error:
+            raise errors.StoreOutcomeUnknownError(str(error)) from error
+        if answer.status == _TOO_MANY_REQUESTS:
+            raise errors.StoreUnavailableError(
+                f"the {self._name} refused the write because of load"
+            )
+        if _is_failure(answer.status):
+            raise errors.StoreOutcomeUnknownError(
+                f"the {self._name} answered {answer.status} to a write"
+            )
+        return answer
+
+    async def close(self) -> None:
+        """Ends a running probe."""
+        await self._breaker.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str] | None,
+        repeatable: bool,
+    ) -> http_session.Answer:
+        """Sends a request and tells the breaker about the result."""
+        try:
+            answer = await self._session.request(
+                method,
+                self._root + path,
+                timeout_ms=self._timeout_ms,
+                body=body,
+                headers=headers,
+                repeatable=repeatable,
+            )
+        except errors.ConnectFailedError as error:
+            self._breaker.failed()
+            raise errors.StoreUnavailableError(str(error)) from error
+        except errors.AnswerLostError:
+            self._breaker.failed()
+            raise
+        if _is_failure(answer.status):
+            self._breaker.failed()
+        else:
+            self._breaker.succeeded()
+        return answer
+
+    async def _probe(self) -> None:
+        await self.read(self._probe_path, during_outage=True)
+
+
+def _is_failure(status: int) -> bool:
+    """Tells whether a status means that the service cannot serve now."""
+    return status >= _FIRST_SERVER_ERROR or status == _TOO_MANY_REQUESTS
--- /dev/null
+++ b/src/marigoldgap/platform/services.py
@@ -0,0 +1,75 @@
+"""Creates and connects the clients of the platform."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+from marigoldgap import http_session
+from marigoldgap.platform import committer
+from marigoldgap.platform import instances
+from marigoldgap.platform import objects
+from marigoldgap.platform import service
+from marigoldgap.platform import table
+from marigoldgap.platform import writer_row
+from marigoldgap.settings import model as settings_model
+
+# Reading back a lost write takes a read and a write; each may take the whole
+# request timeout.
+_RESOLVE_CALLS = 2
+
+
+class Platform(NamedTuple):
+    """All clients of the platform."""
+
+    table: table.TableClient
+    committer: committer.GroupCommitter
+    objects: objects.ObjectClient
+    instances: instances.InstanceList
+    session: http_session.HttpSession
+    services: tuple[service.PlatformService, ...]
+
+    async def close(self) -> None:
+        """Finishes writes under way and closes all connections."""
+        await self.committer.close()
+        for each in self.services:
+            await each.close()
+        await self.session.close()
+
+
+def build(
+    settings: settings_model.Settings, source: random.Random | None = None
+) -> Platform:
+    """Returns the connected clients; nothing is sent yet.
+
+    Args:
+        settings: Settings of this instance.
+        source: Source of random delays; tests pass one with a fixed seed.
+    """
+    source = source or random.Random()
+    session = http_session.HttpSession()
+    platform = settings.platform
+    timeout_ms = platform.request_timeout_ms
+
+    def connect(name: str, address: str, probe: str) -> service.PlatformService:
+        return service.PlatformService(
+            name, address, timeout_ms, probe, session, source
+        )
+
+    rows = connect("table service", platform.table_address, table.PROBE_PATH)
+    store = connect("object store", platform.object_address, objects.PROBE_PATH)
+    listing = connect(
+        "instance list", platform.list_address, instances.PROBE_PATH
+    )
+    client = table.TableClient(rows)
+    row = writer_row.WriterRow(
+        client, settings.instance_id, timeout_ms * _RESOLVE_CALLS, source
+    )
+    return Platform(
+        client,
+        committer.GroupCommitter(row),
+        objects.ObjectClient(store),
+        instances.InstanceList(settings, listing),
+        session,
+        (rows, store, listing),
+    )
