--- /dev/null
+++ b/src/marigoldgap/rules/difference.py
@@ -0,0 +1,87 @@
+"""Differences between two texts, line by line; they can be applied again."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import difflib
+from typing import NamedTuple
+
+from marigoldgap import errors
+from marigoldgap.rules import lines
+
+
+class LineChange(NamedTuple):
+    """Replaces lines of the old text.
+
+    Attributes:
+        line: First replaced line of the old text, from 1; lines are inserted
+            before it if none is removed.
+        removed: Lines of the old text.
+        added: Lines of the new text.
+    """
+
+    line: int
+    removed: tuple[str, ...]
+    added: tuple[str, ...]
+
+
+def compare(old: str, new: str) -> tuple[LineChange, ...]:
+    """Returns the changes that turn the old text into the new one."""
+    before = lines.split(old)
+    after = lines.split(new)
+    matcher = difflib.SequenceMatcher(None, before, after, autojunk=False)
+    return tuple(
+        LineChange(first + 1, tuple(before[first:last]), tuple(after[i:j]))
+        for tag, first, last, i, j in matcher.get_opcodes()
+        if tag != "equal"
+    )
+
+
+def apply(old: str, changes: Iterable[LineChange]) -> str:
+    """Returns the new text.
+
+    Raises:
+        errors.ConflictError: The changes were made to another text.
+    """
+    text = lines.split(old)
+    for change in sorted(changes, reverse=True):
+        first = change.line - 1
+        last = first + len(change.removed)
+        if tuple(text[first:last]) != change.removed:
+            raise errors.ConflictError(
+                f"line {change.line} is not the line that was changed"
+            )
+        text[first:last] = change.added
+    return "\n".join(text)
+
+
+def first_overlap(
+    mine: Sequence[LineChange], theirs: Sequence[LineChange]
+) -> LineChange | None:
+    """Returns the first change of `theirs` that touches lines of `mine`.
+
+    Both sides change the same old text. Without a common line it is the
+    first change of `theirs`; None if there is none.
+    """
+    for change in theirs:
+        if any(_touches(change, other) for other in mine):
+            return change
+    return theirs[0] if theirs else None
+
+
+def format_changes(changes: Iterable[LineChange]) -> list[str]:
+    """Returns the changes as text, with `-` and `+` in front of lines."""
+    result = []
+    for change in changes:
+        result.append(f"line {change.line}:")
+        result += [f"- {line}" for line in change.removed]
+        result += [f"+ {line}" for line in change.added]
+    return result
+
+
+def _touches(one: LineChange, other: LineChange) -> bool:
+    """Tells whether two changes concern a common line of the old text."""
+    one_last = one.line + max(len(one.removed), 1)
+    other_last = other.line + max(len(other.removed), 1)
+    return one.line < other_last and other.line < one_last
--- /dev/null
+++ b/src/marigoldgap/rules/lines.py
@@ -0,0 +1,73 @@
+"""Splits a rules text into lines, words and comments."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import re
+from typing import NamedTuple
+
+COMMENT_MARK = "#"
+_WORD = re.compile(r"\S+")
+
+
+class Word(NamedTuple):
+    """A word and its column, from 1."""
+
+    text: str
+    column: int
+
+
+class Line(NamedTuple):
+    """A line that has at least one word before its comment.
+
+    Attributes:
+        end_column: Column after the last word; a missing word belongs there.
+        comment: Text after the comment mark, without spaces around it.
+    """
+
+    number: int
+    words: tuple[Word, ...]
+    end_column: int
+    comment: str
+
+
+class BadCharacter(NamedTuple):
+    """A character that no terminal shows as it is."""
+
+    line: int
+    column: int
+    character: str
+
+
+def rule_lines(text: str) -> Iterator[Line]:
+    """Yields the lines with words; empty lines and comments are left out."""
+    for number, raw in enumerate(split(text), start=1):
+        content, _, comment = raw.partition(COMMENT_MARK)
+        words = tuple(
+            Word(match.group(), match.start() + 1)
+            for match in _WORD.finditer(content)
+        )
+        if not words:
+            continue
+        end_column = words[-1].column + len(words[-1].text)
+        yield Line(number, words, end_column, comment.strip())
+
+
+def bad_characters(text: str) -> Iterator[BadCharacter]:
+    """Yields characters that cannot be printed; a tab is allowed.
+
+    A control character in a comment could hide a rule on a terminal.
+    """
+    for number, raw in enumerate(split(text), start=1):
+        for column, character in enumerate(raw, start=1):
+            if not character.isprintable() and character != "\t":
+                yield BadCharacter(number, column, character)
+
+
+def split(text: str) -> list[str]:
+    """Returns the lines of a text; joining them restores the text.
+
+    Only the newline ends a line; `str.splitlines` also splits at characters
+    that editors show within a line.
+    """
+    return text.split("\n")
--- /dev/null
+++ b/src/marigoldgap/rules/parser.py
@@ -0,0 +1,107 @@
+"""Reads a rules text and reports all of its errors at once."""
+
+from __future__ import annotations
+
+from marigoldgap import errors
+from marigoldgap.rules import lines
+from marigoldgap.rules import model
+from marigoldgap.rules import problems
+from marigoldgap.rules import reader
+from marigoldgap.rules import statements
+
+# About ten times the text of 420 teams with four queues each.
+_LONGEST_TEXT = 1_048_576
+_MOST_PROBLEMS = 100
+
+
+def parse(text: str) -> model.Rules:
+    """Reads a rules text.
+
+    Raises:
+        errors.RulesError: The text has errors; the message lists each one
+            with line, column and a suggestion.
+    """
+    draft, found = _read(text)
+    if found:
+        raise errors.RulesError("\n".join(each.description for each in found))
+    return model.Rules(
+        draft.teams,
+        draft.queues,
+        draft.retry,
+        draft.quarantine,
+        draft.prefer_zones,
+        text,
+    )
+
+
+def find_problems(text: str) -> list[problems.Problem]:
+    """Returns the errors of a rules text in order of their place."""
+    return _read(text)[1]
+
+
+def _read(text: str) -> tuple[statements.Draft, list[problems.Problem]]:
+    draft = statements.Draft()
+    found: list[problems.Problem] = []
+    if len(text) > _LONGEST_TEXT:
+        found.append(
+            problems.Problem(
+                1,
+                1,
+                f"the text is longer than {_LONGEST_TEXT} characters",
+                "shorten it",
+            )
+        )
+        return draft, found
+    _check_characters(text, found)
+    for line in lines.rule_lines(text):
+        _read_line(reader.LineReader(line, found), draft)
+    _check_open_teams(draft, found)
+    return draft, sorted(found)[:_MOST_PROBLEMS]
+
+
+def _read_line(line_reader: reader.LineReader, draft: statements.Draft) -> None:
+    line = line_reader.line
+    word = line.words[0]
+    read = statements.known().get(word.text)
+    if read is None:
+        line_reader.report(
+            word.column,
+            f"unknown word '{word.text}'",
+            problems.suggest_word(word.text, statements.known(), "words here"),
+        )
+        return
+    read(line_reader, draft)
+    if not line.comment:
+        line_reader.report(
+            line.end_column,
+            "the line does not say who asked for the rule",
+            "add e.g. '# asked by claims desk, 2026-12'",
+        )
+
+
+def _check_characters(text: str, found: list[problems.Problem]) -> None:
+    for line, column, character in lines.bad_characters(text):
+        found.append(
+            problems.Problem(
+                line,
+                column,
+                f"the character {character!a} cannot be printed",
+                "remove it",
+            )
+        )
+
+
+def _check_open_teams(
+    draft: statements.Draft, found: list[problems.Problem]
+) -> None:
+    for team in draft.open_teams:
+        if team.name in draft.teams:
+            continue
+        found.append(
+            problems.Problem(
+                team.line,
+                team.column,
+                f"team '{team.name}' has no 'team' line",
+                problems.suggest_word(team.name, draft.teams, "teams"),
+            )
+        )
--- /dev/null
+++ b/src/marigoldgap/rules/preview.py
@@ -0,0 +1,201 @@
+"""What a change of the rules would do, before it is applied."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from marigoldgap.rules import interfaces
+from marigoldgap.rules import model
+from marigoldgap.rules import sentences
+
+# Smaller differences of a target are rounding, not a gain or a loss.
+_LEAST_CHANGE = 0.005
+
+
+class Situation(NamedTuple):
+    """The cluster at the time of the preview, in tasks.
+
+    Attributes:
+        capacity: Slots of all workers.
+        running: Running tasks of each team.
+        waiting: Waiting tasks of each team.
+    """
+
+    capacity: float
+    running: Mapping[str, int]
+    waiting: Mapping[str, int]
+
+
+class TeamEffect(NamedTuple):
+    """What a change does for one team.
+
+    Attributes:
+        target_before: Tasks that the team may run with today's demand.
+        full_before: Tasks that the team may run when all teams ask for as
+            much as their limits allow.
+        above_limit: Running tasks above the new limit; they are not stopped,
+            but no new task starts until enough of them have ended.
+        effect: `gains`, `loses`, `same`, `new` or `removed`.
+    """
+
+    team: str
+    share_before: float | None
+    share_after: float | None
+    limit_before: int | None
+    limit_after: int | None
+    target_before: float
+    target_after: float
+    full_before: float
+    full_after: float
+    running: int
+    above_limit: int
+    effect: str
+
+
+class Preview(NamedTuple):
+    """The effect of a change in sentences and as a table."""
+
+    sentences: tuple[str, ...]
+    teams: tuple[TeamEffect, ...]
+
+
+def preview(
+    before: model.Rules,
+    after: model.Rules,
+    situation: Situation,
+    targets: interfaces.TargetFunction,
+) -> Preview:
+    """Returns what a change of the rules would do.
+
+    Args:
+        before: The rules in force.
+        after: The changed rules.
+        situation: The cluster now.
+        targets: The function that also decides about running tasks.
+    """
+    effects = _team_effects(before, after, situation, targets)
+    told = [
+        *sentences.rule_sentences(before, after),
+        *(_target_sentence(each) for each in effects if _shifts(each)),
+        *(_drain_sentence(each) for each in effects if each.above_limit),
+    ]
+    return Preview(tuple(told or ["Nothing changes."]), effects)
+
+
+def _team_effects(
+    before: model.Rules,
+    after: model.Rules,
+    situation: Situation,
+    targets: interfaces.TargetFunction,
+) -> tuple[TeamEffect, ...]:
+    now = [_targets(each, situation, targets) for each in (before, after)]
+    full = [_full(each, situation, targets) for each in (before, after)]
+    names = sorted({*before.teams, *after.teams})
+    return tuple(
+        _team_effect(
+            before.teams.get(name),
+            after.teams.get(name),
+            (now[0].get(name, 0.0), now[1].get(name, 0.0)),
+            (full[0].get(name, 0.0), full[1].get(name, 0.0)),
+            situation.running.get(name, 0),
+        )
+        for name in names
+    )
+
+
+def _team_effect(
+    old: model.TeamRule | None,
+    new: model.TeamRule | None,
+    now: tuple[float, float],
+    full: tuple[float, float],
+    running: int,
+) -> TeamEffect:
+    rule = new or old
+    assert rule is not None
+    limit = new.limit if new else 0
+    return TeamEffect(
+        rule.name,
+        old.share if old else None,
+        new.share if new else None,
+        old.limit if old else None,
+        new.limit if new else None,
+        *now,
+        *full,
+        running,
+        max(0, running - limit),
+        _effect(old, new, now, full),
+    )
+
+
+def _effect(
+    old: model.TeamRule | None,
+    new: model.TeamRule | None,
+    now: tuple[float, float],
+    full: tuple[float, float],
+) -> str:
+    """Names the effect; today's demand counts before the full cluster."""
+    if old is None:
+        return "new"
+    if new is None:
+        return "removed"
+    for earlier, later in (now, full):
+        if later - earlier > _LEAST_CHANGE:
+            return "gains"
+        if earlier - later > _LEAST_CHANGE:
+            return "loses"
+    return "same"
+
+
+def _targets(
+    rules: model.Rules,
+    situation: Situation,
+    targets: interfaces.TargetFunction,
+) -> Mapping[str, float]:
+    """Divides the cluster for today's demand within the limits."""
+    demands = {
+        name: float(
+            min(
+                rule.limit,
+                situation.running.get(name, 0) + situation.waiting.get(name, 0),
+            )
+        )
+        for name, rule in rules.teams.items()
+    }
+    return targets(situation.capacity, _shares(rules), demands)
+
+
+def _full(
+    rules: model.Rules,
+    situation: Situation,
+    targets: interfaces.TargetFunction,
+) -> Mapping[str, float]:
+    """Divides the cluster when every team asks for its whole limit."""
+    demands = {name: float(rule.limit) for name, rule in rules.teams.items()}
+    return targets(situation.capacity, _shares(rules), demands)
+
+
+def _shares(rules: model.Rules) -> dict[str, float]:
+    return {name: rule.share for name, rule in rules.teams.items()}
+
+
+def _shifts(effect: TeamEffect) -> bool:
+    return effect.effect in ("gains", "loses")
+
+
+def _target_sentence(effect: TeamEffect) -> str:
+    now = f"{effect.target_before:.1f} to {effect.target_after:.1f} tasks"
+    full = f"{effect.full_before:.1f} to {effect.full_after:.1f} tasks"
+    return (
+        f"Team {effect.team} {effect.effect}: with today's demand from {now}, "
+        f"in a full cluster from {full}."
+    )
+
+
+def _drain_sentence(effect: TeamEffect) -> str:
+    limit = effect.limit_after or 0
+    return (
+        f"Team {effect.team} runs {effect.running} tasks, "
+        f"{effect.above_limit} above its limit of {limit}. They are not "
+        f"stopped; no new task of the team starts until enough have ended."
+    )
--- /dev/null
+++ b/src/marigoldgap/rules/reader.py
@@ -0,0 +1,148 @@
+"""Reads the words of one line by a description of its fields."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+
+from marigoldgap.rules import lines
+from marigoldgap.rules import problems
+from marigoldgap.rules import values
+
+
+class Field(NamedTuple):
+    """A word that a rule may contain.
+
+    Attributes:
+        read: Reads the value after the word; None for a word without value.
+        example: How the word is written.
+        required: Whether the rule must contain it.
+        choices: Allowed values; empty if any value may be read.
+    """
+
+    read: Callable[[str], Any] | None
+    example: str
+    required: bool = False
+    choices: tuple[str, ...] = ()
+
+
+class LineReader:
+    """Reads one line and collects its problems.
+
+    Args:
+        line: The line to read.
+        found: Gets the problems.
+    """
+
+    def __init__(self, line: lines.Line, found: list[problems.Problem]) -> None:
+        self._line = line
+        self._found = found
+
+    @property
+    def line(self) -> lines.Line:
+        """The line that is read."""
+        return self._line
+
+    def report(self, column: int, message: str, suggestion: str) -> None:
+        """Adds a problem of this line."""
+        self._found.append(
+            problems.Problem(self._line.number, column, message, suggestion)
+        )
+
+    def name(self, example: str) -> str:
+        """Returns the name after the first word; empty if it is missing."""
+        if len(self._line.words) == 1:
+            self.report(
+                self._line.end_column, "the name is missing", f"write {example}"
+            )
+            return ""
+        field = Field(values.name, example)
+        return self._value(self._line.words[1], field) or ""
+
+    def fields(self, known: Mapping[str, Field], first: int) -> dict[str, Any]:
+        """Returns the values of all fields that the line contains.
+
+        Args:
+            known: Allowed words.
+            first: Index of the first word to read.
+        """
+        found: dict[str, Any] = {}
+        words = list(self._line.words[first:])
+        while words:
+            word = words.pop(0)
+            if word.text not in known:
+                self._report_unknown(word, known)
+                # A misspelt word is read as the nearest one, so that its
+                # value and the missing word are not reported as well.
+                word = word._replace(
+                    text=problems.nearest_word(word.text, known)
+                )
+            field = known.get(word.text)
+            if field is None:
+                continue
+            if word.text in found:
+                self.report(
+                    word.column, f"'{word.text}' is repeated", "remove one"
+                )
+            found[word.text] = self._read(word, field, words, known)
+        self._report_missing(found, known)
+        return found
+
+    def _read(
+        self,
+        word: lines.Word,
+        field: Field,
+        rest: list[lines.Word],
+        known: Mapping[str, Field],
+    ) -> Any:
+        """Reads the value after a word, if the word has one."""
+        if field.read is None:
+            return True
+        if not rest or rest[0].text in known:
+            column = word.column + len(word.text)
+            self.report(
+                column,
+                f"'{word.text}' has no value",
+                f"write e.g. '{field.example}'",
+            )
+            return None
+        return self._value(rest.pop(0), field)
+
+    def _value(self, word: lines.Word, field: Field) -> Any:
+        assert field.read is not None
+        if field.choices and word.text not in field.choices:
+            self.report(
+                word.column,
+                f"unknown value '{word.text}'",
+                problems.suggest_word(word.text, field.choices, "values here"),
+            )
+            return None
+        try:
+            return field.read(word.text)
+        except ValueError as error:
+            self.report(
+                word.column, str(error), f"write e.g. '{field.example}'"
+            )
+            return None
+
+    def _report_unknown(
+        self, word: lines.Word, known: Mapping[str, Field]
+    ) -> None:
+        self.report(
+            word.column,
+            f"unknown word '{word.text}'",
+            problems.suggest_word(word.text, known, "words here"),
+        )
+
+    def _report_missing(
+        self, found: Mapping[str, Any], known: Mapping[str, Field]
+    ) -> None:
+        for word, field in known.items():
+            if field.required and word not in found:
+                self.report(
+                    self._line.end_column,
+                    f"'{word}' is missing",
+                    f"add e.g. '{field.example}'",
+                )
