Add the store of configuration versions and keys

Cause: rules and keys must be in force everywhere within seconds, never go back, and a withdrawn key must stop working even while the store is down.

Change: versions with compare-and-set on config/head; the loser of a race gets the line and the author. Versions that only concern keys are no conflict for rules. Publishing is refused when the stored head is below the adopted version, since a number would otherwise get two contents.

Ruled out: a separate head row for withdrawals, which needs a second poll and a second way of tracking.

--- a/src/marigoldgap/config_store/model.py
+++ b/src/marigoldgap/config_store/model.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
 
+KIND_RULES = "rules"
+KIND_KEY = "key"
+KIND_WITHDRAWAL = "withdrawal"
+KIND_SNAPSHOT = "snapshot"
+
 
 class KeyRecord(NamedTuple):
     """A granted key; only the salted hash of its secret is kept."""
@@ -22,7 +28,7 @@
 
     Attributes:
         version: Number of the change; 1 is the first.
-        kind: `rules`, `key` or `snapshot`.
+        kind: `rules`, `key`, `withdrawal` or `snapshot`.
         author: Who applied the change.
         content: The change in JSON form; its shape depends on the kind.
     """
@@ -32,3 +38,18 @@
     author: str
     applied_at_ms: int
     content: Any
+
+
+class Image(NamedTuple):
+    """The whole configuration after one version.
+
+    Withdrawn keys are left out: an unknown key is refused, and a key id is
+    never granted again.
+    """
+
+    version: int
+    rules_text: str
+    keys: Mapping[str, KeyRecord]
+
+
+EMPTY_IMAGE = Image(0, "", {})
--- /dev/null
+++ b/src/marigoldgap/config_store/poller.py
@@ -0,0 +1,109 @@
+"""Follows the head of the configuration."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from marigoldgap import clock
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.config_store import interfaces
+from marigoldgap.config_store import reader
+from marigoldgap.config_store import state as state_module
+from marigoldgap.config_store import withdrawals
+
+_log = logs.PartLogger("config_store")
+
+_POLL_MS = 1_000
+_UNKNOWN_HEAD = reader.Head(0, 0)
+
+
+class HeadPoller:
+    """Polls the head row with conditional reads and adopts new versions.
+
+    Args:
+        config_reader: Reads the configuration rows.
+        state: Adopts the versions.
+        pending: Withdrawals that are stored once the service answers again.
+        source: Source of the jitter of the pauses.
+    """
+
+    def __init__(
+        self,
+        config_reader: reader.ConfigReader,
+        state: state_module.ConfigState,
+        pending: withdrawals.Withdrawals,
+        source: random.Random,
+    ) -> None:
+        self._reader = config_reader
+        self._state = state
+        self._pending = pending
+        self._source = source
+        self._head = _UNKNOWN_HEAD
+        self._denied_read = False
+
+    async def run(self, is_active: Callable[[], bool]) -> None:
+        """Polls once a second while this instance is the coordinator.
+
+        Withdrawals accepted here are stored by this instance in any case.
+
+        Args:
+            is_active: Whether this instance polls for its zone.
+        """
+        while True:
+            if is_active():
+                await self.poll_once()
+            elif self._pending.unpublished:
+                await self._pending.publish_pending()
+            # Spreads the polls of the zones; the mean stays one second.
+            pause_ms = self._source.uniform(0.9 * _POLL_MS, 1.1 * _POLL_MS)
+            await asyncio.sleep(pause_ms / clock.MILLISECONDS_PER_SECOND)
+
+    async def load(self, peers: interfaces.Peers) -> None:
+        """Gets the first configuration, from peers or the table service.
+
+        Returns only when there is one; the instance must not report ready
+        before.
+        """
+        while not self._state.is_known:
+            self._state.deny(await peers.fetch_denied())
+            self._state.adopt(await peers.fetch_versions(self._state.version))
+            if self._state.version == 0:
+                await self.poll_once()
+            if not self._state.is_known:
+                pause_ms = self._source.uniform(0, _POLL_MS)
+                await asyncio.sleep(pause_ms / clock.MILLISECONDS_PER_SECOND)
+
+    async def poll_once(self) -> bool:
+        """Reads what changed; returns whether the service answered."""
+        try:
+            await self._follow_head()
+            if not self._denied_read:
+                self._state.deny(await self._reader.denied())
+                self._denied_read = True
+        except errors.MarigoldgapError as error:
+            _log.debug("The configuration is kept: %s", error)
+            return False
+        await self._pending.publish_pending()
+        return True
+
+    async def _follow_head(self) -> None:
+        head = await self._reader.head_if_changed(self._head)
+        if head is None:
+            head = self._head
+        if head.version < self._state.version:
+            # The table service may have been restored from an old copy.
+            _log.warning(
+                "The stored head %d is below version %d; not reverting",
+                head.version,
+                self._state.version,
+            )
+        elif head.version > self._state.version:
+            self._state.adopt(
+                await self._reader.versions(self._state.version, head.version)
+            )
+        self._head = head
+        if self._state.version == head.version:
+            self._state.confirm()
--- /dev/null
+++ b/src/marigoldgap/config_store/publisher.py
@@ -0,0 +1,276 @@
+"""Publishes new versions with compare-and-set on the head row."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import random
+from typing import Any
+from typing import NamedTuple
+
+from marigoldgap import clock
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.config_store import conflicts
+from marigoldgap.config_store import encoding
+from marigoldgap.config_store import images
+from marigoldgap.config_store import interfaces
+from marigoldgap.config_store import keys
+from marigoldgap.config_store import model
+from marigoldgap.config_store import reader
+from marigoldgap.config_store import rows
+from marigoldgap.config_store import state as state_module
+from marigoldgap.platform import model as platform_model
+from marigoldgap.rules import parser
+
+_log = logs.PartLogger("config_store")
+
+_MAX_TRIES = 20
+_LONGEST_PAUSE_MS = 100
+
+
+class ApplyResult(NamedTuple):
+    """Result of applying rules.
+
+    Attributes:
+        changed: False if the same rules were already in force.
+    """
+
+    version: int
+    changed: bool
+
+
+class GrantResult(NamedTuple):
+    """A granted key; `key` is shown once and stored nowhere."""
+
+    key: str
+    key_id: str
+    version: int
+
+
+class _Draft(NamedTuple):
+    """A version that is about to be published."""
+
+    kind: str
+    author: str
+    content: Any
+    puts: tuple[platform_model.Put, ...] = ()
+
+
+_MakeDraft = Callable[[model.Image], _Draft | None]
+
+
+class ConfigPublisher:
+    """Applies rules, grants keys and publishes withdrawals.
+
+    Args:
+        config_reader: Reads the configuration rows.
+        committer: Writes rows.
+        state: Adopts published versions at once.
+        source: Source of the pauses between tries (full jitter).
+    """
+
+    def __init__(
+        self,
+        config_reader: reader.ConfigReader,
+        committer: interfaces.Committer,
+        state: state_module.ConfigState,
+        source: random.Random,
+    ) -> None:
+        self._reader = config_reader
+        self._committer = committer
+        self._state = state
+        self._source = source
+
+    async def apply_rules(
+        self, base_version: int, text: str, author: str
+    ) -> ApplyResult:
+        """Publishes a rules text.
+
+        Repeating a call is harmless: if the text is already in force, its
+        version is returned. Versions that only concern keys are no conflict.
+
+        Args:
+            base_version: Version whose rules the author edited.
+            text: The whole new text.
+            author: Who applies it.
+
+        Raises:
+            errors.RulesError: The text has errors.
+            errors.ConflictError: The rules changed after `base_version`; the
+                message names the line and who changed it.
+            errors.StoreUnavailableError: Nothing was published.
+            errors.StoreOutcomeUnknownError: It may have been published; the
+                call may be repeated.
+        """
+        parser.parse(text)
+
+        async def check(image: model.Image) -> None:
+            await self._check_base(base_version, text, image)
+
+        def make(image: model.Image) -> _Draft | None:
+            if image.rules_text == text:
+                return None
+            content = images.rules_content(image.rules_text, text)
+            return _Draft(model.KIND_RULES, author, content)
+
+        version, changed = await self._publish(make, check)
+        return ApplyResult(version, changed)
+
+    async def grant_key(self, team: str, author: str) -> GrantResult:
+        """Grants a new key to a team.
+
+        Raises:
+            errors.NotFoundError: The team has no rule.
+            errors.StoreUnavailableError: No key was granted.
+            errors.StoreOutcomeUnknownError: A key that nobody knows may have
+                been granted; the call may be repeated.
+        """
+        made = keys.new_key(team, author, clock.wall_ms())
+
+        def make(image: model.Image) -> _Draft:
+            if team not in parser.parse(image.rules_text).teams:
+                raise errors.NotFoundError(
+                    f"team '{team}' has no rule; add a 'team' line first"
+                )
+            content = images.key_content(made.record)
+            return _Draft(model.KIND_KEY, author, content)
+
+        version, _ = await self._publish(make)
+        _log.info("Key %s granted to team %s", made.record.key_id, team)
+        return GrantResult(made.key, made.record.key_id, version)
+
+    async def publish_withdrawal(self, key_id: str, author: str) -> int:
+        """Publishes that a key is withdrawn; returns the version.
+
+        Raises:
+            errors.StoreUnavailableError: Nothing was published.
+            errors.StoreOutcomeUnknownError: The call may be repeated.
+        """
+        value = {"author": author, "at_ms": clock.wall_ms()}
+        denied = platform_model.Put(rows.denied_key(key_id), value)
+
+        def make(image: model.Image) -> _Draft | None:
+            if key_id not in image.keys:
+                return None
+            content = images.withdrawal_content(key_id)
+            return _Draft(model.KIND_WITHDRAWAL, author, content, (denied,))
+
+        version, _ = await self._publish(make)
+        return version
+
+    async def _publish(
+        self,
+        make: _MakeDraft,
+        check: Callable[[model.Image], Any] | None = None,
+    ) -> tuple[int, bool]:
+        """Publishes the next version; returns it and whether it is new.
+
+        Args:
+            make: Makes the change for the newest configuration; None if
+                there is nothing to change.
+            check: Raises an error if the change must not be made any more.
+        """
+        for _ in range(_MAX_TRIES):
+            head = await self._head()
+            image = await self._image_at(head.version)
+            if check is not None:
+                await check(image)
+            draft = make(image)
+            if draft is None:
+                return image.version, False
+            try:
+                return await self._commit(head, image, draft), True
+            except errors.RowConflictError:
+                await self._pause()
+        raise errors.StoreUnavailableError(
+            "other changes were published each time; try again"
+        )
+
+    async def _commit(
+        self, head: reader.Head, image: model.Image, draft: _Draft
+    ) -> int:
+        change = model.ConfigVersion(
+            image.version + 1,
+            draft.kind,
+            draft.author,
+            clock.wall_ms(),
+            draft.content,
+        )
+        after = images.advance(image, change)
+        puts = [*draft.puts, *_version_puts(change, after)]
+        await self._committer.commit(
+            platform_model.Transaction(
+                (platform_model.Check(rows.HEAD, head.row_version),),
+                tuple(puts),
+            )
+        )
+        self._state.adopt([change])
+        return change.version
+
+    async def _head(self) -> reader.Head:
+        """Returns the head; refuses to publish on a reverted store.
+
+        A version published there would have a number that other instances
+        already know with another content.
+        """
+        known = self._state.version
+        head = await self._reader.head()
+        if head.version < known:
+            raise errors.ConflictError(
+                f"the table service is at version {head.version}, but version "
+                f"{known} is in force; restore its rows first"
+            )
+        return head
+
+    async def _image_at(self, version: int) -> model.Image:
+        """Returns the newest configuration, adopting what was missing."""
+        if version > self._state.version:
+            missing = await self._reader.versions(self._state.version, version)
+            self._state.adopt(missing)
+        if self._state.version == version:
+            return self._state.image
+        return await self._reader.image_at(version)
+
+    async def _check_base(
+        self, base_version: int, text: str, image: model.Image
+    ) -> None:
+        """Refuses rules that were edited from an older text."""
+        if base_version > image.version:
+            raise errors.ConflictError(
+                f"version {base_version} does not exist; the newest is "
+                f"{image.version}"
+            )
+        if base_version == image.version or image.rules_text == text:
+            return
+        base = await self._reader.image_at(base_version)
+        if base.rules_text == image.rules_text:
+            return
+        later = await self._reader.history(
+            base_version, image.version - base_version
+        )
+        raise errors.ConflictError(conflicts.describe(base, text, later))
+
+    async def _pause(self) -> None:
+        pause_ms = self._source.uniform(0, _LONGEST_PAUSE_MS)
+        await asyncio.sleep(pause_ms / clock.MILLISECONDS_PER_SECOND)
+
+
+def _version_puts(
+    change: model.ConfigVersion, after: model.Image
+) -> list[platform_model.Put]:
+    """Returns the rows of a version, with a snapshot where one is due."""
+    puts = [
+        platform_model.Put(
+            rows.version_key(change.version), encoding.to_value(change)
+        ),
+        platform_model.Put(rows.HEAD, {"version": change.version}),
+    ]
+    if rows.last_snapshot(change.version) == change.version:
+        snapshot = images.snapshot_of(after, change.applied_at_ms)
+        puts.append(
+            platform_model.Put(
+                rows.snapshot_key(change.version), encoding.to_value(snapshot)
+            )
+        )
+    return puts
--- /dev/null
+++ b/src/marigoldgap/config_store/state.py
@@ -0,0 +1,171 @@
+"""The configuration of this instance; it only moves to higher versions."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from marigoldgap import clock
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.config_store import images
+from marigoldgap.config_store import interfaces
+from marigoldgap.config_store import model
+from marigoldgap.rules import model as rules_model
+from marigoldgap.rules import parser
+
+_log = logs.PartLogger("config_store")
+
+# Peers further behind get a snapshot, which is smaller than as many deltas.
+_KEPT_VERSIONS = 64
+
+
+class ConfigState:
+    """Holds the rules, the granted keys and the deny set.
+
+    Args:
+        now_ms: Monotonic clock.
+    """
+
+    def __init__(self, now_ms: Callable[[], int] = clock.monotonic_ms) -> None:
+        self._now_ms = now_ms
+        self._image = model.EMPTY_IMAGE
+        self._rules = parser.parse("")
+        self._denied: set[str] = set()
+        self._recent: collections.deque[model.ConfigVersion] = (
+            collections.deque(maxlen=_KEPT_VERSIONS)
+        )
+        self._confirmed_at_ms: int | None = None
+        self._listeners: list[interfaces.ConfigListener] = []
+
+    @property
+    def version(self) -> int:
+        """Number of the adopted version; 0 before the first."""
+        return self._image.version
+
+    @property
+    def rules(self) -> rules_model.Rules:
+        """The rules in force."""
+        return self._rules
+
+    @property
+    def keys(self) -> Mapping[str, model.KeyRecord]:
+        """Granted keys by key id; some may be in the deny set."""
+        return self._image.keys
+
+    @property
+    def image(self) -> model.Image:
+        """The whole configuration."""
+        return self._image
+
+    @property
+    def denied(self) -> frozenset[str]:
+        """Ids of the withdrawn keys."""
+        return frozenset(self._denied)
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the configuration was read, even if it is empty."""
+        return self.version > 0 or self._confirmed_at_ms is not None
+
+    def is_denied(self, key_id: str) -> bool:
+        """Tells whether a key was withdrawn."""
+        return key_id in self._denied
+
+    def subscribe(self, listener: interfaces.ConfigListener) -> None:
+        """Tells the listener about each change."""
+        self._listeners.append(listener)
+
+    def adopt(self, versions: Iterable[model.ConfigVersion]) -> bool:
+        """Moves to higher versions; lower and known ones are ignored.
+
+        Nothing is adopted beyond a gap or a version that cannot be read.
+
+        Returns:
+            Whether the configuration changed.
+        """
+        image = self._image
+        adopted: list[model.ConfigVersion] = []
+        received = sorted(versions, key=lambda each: each.version)
+        self._deny_withdrawn(received)
+        for change in received:
+            if change.version <= image.version:
+                continue
+            try:
+                image = images.advance(image, change)
+            except errors.ProtocolError as error:
+                _log.warning(
+                    "Version %d not adopted: %s", change.version, error
+                )
+                break
+            adopted.append(change)
+        return bool(adopted) and self._move_to(image, adopted)
+
+    def deny(self, key_ids: Iterable[str]) -> tuple[str, ...]:
+        """Adds withdrawn keys and returns those that were not known."""
+        added = tuple(sorted(set(key_ids) - self._denied))
+        if not added:
+            return ()
+        self._denied.update(added)
+        for listener in self._listeners:
+            listener.keys_denied(added)
+        return added
+
+    def confirm(self, age_ms: int = 0) -> None:
+        """Records that the table service confirmed this configuration.
+
+        Args:
+            age_ms: How long ago; a peer passes on the age it knows.
+        """
+        at_ms = self._now_ms() - age_ms
+        if self._confirmed_at_ms is None or at_ms > self._confirmed_at_ms:
+            self._confirmed_at_ms = at_ms
+
+    def confirmed_age_ms(self) -> int | None:
+        """Returns the time since the last confirmation; None without one."""
+        if self._confirmed_at_ms is None:
+            return None
+        return self._now_ms() - self._confirmed_at_ms
+
+    def versions_since(self, version: int) -> tuple[model.ConfigVersion, ...]:
+        """Returns what a peer with a version needs to reach this one."""
+        if version >= self.version:
+            return ()
+        needed = [each for each in self._recent if each.version > version]
+        if needed and needed[0].version == version + 1:
+            return tuple(needed)
+        return (images.snapshot_of(self._image, clock.wall_ms()),)
+
+    def _deny_withdrawn(self, versions: Iterable[model.ConfigVersion]) -> None:
+        """Denies withdrawn keys, even of versions that cannot be adopted."""
+        self.deny(
+            str(change.content.get("key_id"))
+            for change in versions
+            if change.kind == model.KIND_WITHDRAWAL
+            and isinstance(change.content, dict)
+        )
+
+    def _move_to(
+        self, image: model.Image, adopted: Sequence[model.ConfigVersion]
+    ) -> bool:
+        if image.rules_text != self._image.rules_text:
+            try:
+                self._rules = parser.parse(image.rules_text)
+            except errors.RulesError as error:
+                # Rules written by a newer release; this instance keeps its
+                # version, which is visible as not in force.
+                _log.error(
+                    "Version %d has rules that cannot be read here: %s",
+                    image.version,
+                    error,
+                )
+                return False
+        self._image = image
+        self._recent.extend(adopted)
+        _log.info("Configuration version %d is in force here", image.version)
+        for listener in self._listeners:
+            listener.config_changed(adopted)
+        return True
--- a/src/marigoldgap/errors.py
+++ b/src/marigoldgap/errors.py
@@ -139,6 +139,12 @@
     code = "not-ready"
 
 
+class KeysUnconfirmedError(OverloadedError):
+    """The keys were confirmed longer ago than `max_key_age_s` allows."""
+
+    code = "keys-unconfirmed"
+
+
 class DuplicateRequestError(MarigoldgapError):
     """The idempotency key was used before; the first attempt may have run."""
 
--- a/src/marigoldgap/rules/difference.py
+++ b/src/marigoldgap/rules/difference.py
@@ -65,7 +65,7 @@
     first change of `theirs`; None if there is none.
     """
     for change in theirs:
-        if any(_touches(change, other) for other in mine):
+        if any(touches(change, other) for other in mine):
             return change
     return theirs[0] if theirs else None
 
@@ -80,7 +80,7 @@
     return result
 
 
-def _touches(one: LineChange, other: LineChange) -> bool:
+def touches(one: LineChange, other: LineChange) -> bool:
     """Tells whether two changes concern a common line of the old text."""
     one_last = one.line + max(len(one.removed), 1)
     other_last = other.line + max(len(other.removed), 1)
--- a/tests/features/steps/rules_parser_steps.py
+++ b/tests/features/steps/rules_parser_steps.py
@@ -13,7 +13,39 @@
 from marigoldgap.rules import parser
 from tests.fixtures import rules_texts
 
-_WORDS = ["team", "queue", "retry", "quarantine", "zones", "prefer", "share", "limit", "workspace", "kind", "quick", "service", "keyed", "open", "deadline", "priority", "attempts", "budget", "after", "probe", "a", "b", "1", "0", "40", "6h", "10%", "#", "x", "\n", "\t"]
+_WORDS = [
+    "team",
+    "queue",
+    "retry",
+    "quarantine",
+    "zones",
+    "prefer",
+    "share",
+    "limit",
+    "workspace",
+    "kind",
+    "quick",
+    "service",
+    "keyed",
+    "open",
+    "deadline",
+    "priority",
+    "attempts",
+    "budget",
+    "after",
+    "probe",
+    "a",
+    "b",
+    "1",
+    "0",
+    "40",
+    "6h",
+    "10%",
+    "#",
+    "x",
+    "\n",
+    "\t",
+]
 
 
 @given("the example rules text")
