--- /dev/null
+++ b/src/marigoldgap/metrics/builder.py
@@ -0,0 +1,11 @@
+"""Creates the metrics client of an instance."""
+
+from __future__ import annotations
+
+from marigoldgap.metrics import client
+from marigoldgap.settings import model as settings_model
+
+
+def build(settings: settings_model.Settings) -> client.MetricsClient:
+    """Returns the client; without an address it sends nothing."""
+    return client.MetricsClient(settings)
--- a/src/marigoldgap/platform/instances.py
+++ b/src/marigoldgap/platform/instances.py
@@ -39,13 +39,14 @@
         self._poll_ms = settings.platform.list_poll_ms
         self._source = source
         self._all: tuple[model.InstanceEntry, ...] = ()
-        self._read_at_ms: int | None = None
+        self._is_known = False
+        self._read_at_ms = clock.monotonic_ms()
         self._listeners: list[Callable[[], None]] = []
 
     @property
     def is_known(self) -> bool:
         """Whether the list has been read at least once."""
-        return self._read_at_ms is not None
+        return self._is_known
 
     def entries(
         self, zone: str | None = None
@@ -66,10 +67,8 @@
                 return entry
         return None
 
-    def age_ms(self) -> int | None:
-        """Returns the time since the last good answer; None if none came."""
-        if self._read_at_ms is None:
-            return None
+    def age_ms(self) -> int:
+        """Returns the time since the last good answer, or since the start."""
         return clock.monotonic_ms() - self._read_at_ms
 
     def subscribe(self, listener: Callable[[], None]) -> None:
@@ -99,6 +98,7 @@
         return True
 
     def _adopt(self, received: tuple[model.InstanceEntry, ...]) -> None:
+        self._is_known = True
         self._read_at_ms = clock.monotonic_ms()
         if received == self._all:
             return
