--- a/src/marigoldgap/errors.py
+++ b/src/marigoldgap/errors.py
@@ -139,6 +139,12 @@
     code = "not-ready"
 
 
+class KeysUnconfirmedError(OverloadedError):
+    """The keys were confirmed longer ago than `max_key_age_s` allows."""
+
+    code = "keys-unconfirmed"
+
+
 class DuplicateRequestError(MarigoldgapError):
     """The idempotency key was used before; the first attempt may have run."""
 
@@ -186,14 +192,32 @@
     status = 503
 
 
+<<<<<<< HEAD
 class ConnectFailedError(MarigoldgapError):
     """No connection could be opened, so nothing was sent."""
+=======
+class RowConflictError(ConflictError):
+    """A checked row of the table service has another version.
+
+    Attributes:
+        keys: The rows that did not have the checked version.
+    """
+
+    def __init__(self, keys: tuple[str, ...]) -> None:
+        super().__init__("rows changed meanwhile: " + ", ".join(keys))
+        self.keys = keys
+
+
+class ConnectFailedError(MarigoldgapError):
+    """No connection could be opened; no byte of the request was sent."""
+>>>>>>> config
 
     code = "connect-failed"
     status = 503
     ran = Ran.NO
 
 
+<<<<<<< HEAD
 class LeaseHeldError(MarigoldgapError):
     """Another instance holds the lease on the worker.
 
@@ -208,6 +232,13 @@
     def __init__(self, holder: str, remaining_ms: int) -> None:
         super().__init__(f"the lease is held by {holder}")
         self.remaining_ms = remaining_ms
+=======
+class AnswerLostError(MarigoldgapError):
+    """A request was sent, at least in part, and no complete answer came."""
+
+    code = "answer-lost"
+    status = 502
+>>>>>>> config
 
 
 class WorkerRefusedError(MarigoldgapError):
