--- /dev/null
+++ b/src/marigoldgap/coordination/allowance_keeper.py
@@ -0,0 +1,333 @@
+"""Keeps the zone's allowances: rows in the table and holdings in the zone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Mapping
+from typing import Any
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.coordination import allowance_policy
+from marigoldgap.coordination import allowance_rows
+from marigoldgap.coordination import holding_wire
+from marigoldgap.coordination import interfaces
+from marigoldgap.coordination import unmet_demand
+from marigoldgap.entries import messages
+from marigoldgap.scheduling import allowance_ledger
+from marigoldgap.scheduling import allowance_model
+from marigoldgap.scheduling import model
+from marigoldgap.settings import model as settings_model
+
+_log = logs.PartLogger("coordination")
+
+# A team whose row may need a change is looked at once in this time. Rows are
+# read only for teams with unmet demand or a pending change.
+_REVIEW_MS = 1_000
+_RECALL_EVERY_MS = 200
+
+ZoneDemands = Callable[[str], Mapping[str, allowance_policy.ZoneDemand]]
+
+
+class AllowanceKeeper:
+    """Grants holdings and moves units between zones during one term.
+
+    Args:
+        settings: Settings of this instance.
+        ledger: Accounts of the zone.
+        peers: Links to the instances of the zone.
+        table: Reads rows.
+        committer: Writes rows.
+        config: Limits of the teams.
+        zones: Returns the names of all zones.
+        other_demands: Returns what other zones need of a team.
+        now_ms: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        ledger: allowance_ledger.AllowanceLedger,
+        peers: interfaces.Peers,
+        table: interfaces.TableClient,
+        committer: interfaces.GroupCommitter,
+        config: interfaces.ConfigState,
+        zones: Callable[[], list[str]],
+        other_demands: ZoneDemands,
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._settings = settings
+        self._ledger = ledger
+        self._peers = peers
+        self._table = table
+        self._committer = committer
+        self._config = config
+        self._zones = zones
+        self._other_demands = other_demands
+        self._now_ms = now_ms
+        self._unmet = unmet_demand.UnmetDemand()
+        self._last_grants: dict[tuple[str, str], messages.HoldingGrant] = {}
+        self._reviewed_ms: dict[str, int] = {}
+        self._recalled_ms: dict[str, int] = {}
+        self._give_ups: dict[str, int] = {}
+        self._confirmed: set[str] = set()
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def request(
+        self, instance_id: str, request: messages.HoldingRequest
+    ) -> messages.HoldingGrant:
+        """Grants units to an instance, now or when some become free."""
+        team = request.entry.team
+        self.record(
+            instance_id, request.term, request.incarnation, (request.entry,)
+        )
+        granted = self.grant(team, instance_id, request.wanted)
+        missing = request.wanted - (granted.units if granted else 0)
+        if missing > 0:
+            until_ms = self._now_ms() + _REVIEW_MS * 2
+            self._unmet.note(team, instance_id, missing, until_ms)
+            self._recall(team, instance_id)
+        if granted is not None:
+            return granted
+        return self._repeated_grant(instance_id, request)
+
+    def grant(
+        self, team: str, instance_id: str, units: int
+    ) -> messages.HoldingGrant | None:
+        """Grants up to `units` units if some are free."""
+        grant = self._ledger.grant(team, instance_id, units)
+        if grant is None:
+            return None
+        message = holding_wire.to_grant_message(grant)
+        self._last_grants[(instance_id, team)] = message
+        return message
+
+    def free_units(self, team: str) -> int:
+        """Returns the units that can be granted now."""
+        return self._ledger.free(team)
+
+    def record(
+        self,
+        instance_id: str,
+        term: model.Term,
+        incarnation: str,
+        entries: tuple[messages.HoldingEntry, ...],
+    ) -> None:
+        """Takes over accounts that an instance reported."""
+        reports = holding_wire.to_reports(term, incarnation, entries)
+        for team, report in reports.items():
+            self._ledger.record_report(instance_id, team, report)
+            if self._unmet.waiting(team):
+                self._serve_unmet(team)
+
+    def demand(self, team: str) -> allowance_policy.ZoneDemand:
+        """Returns what this zone has and needs of a team."""
+        return allowance_policy.ZoneDemand(
+            allowance=self._ledger.allowance(team),
+            in_use=self._ledger.in_use(team),
+            waiting=self._unmet.waiting(team),
+        )
+
+    def want(self, team: str, units: int) -> None:
+        """Notes that waiting jobs of the zone need more units."""
+        own_id = ""
+        until_ms = self._now_ms() + _REVIEW_MS * 2
+        self._unmet.note(team, own_id, units, until_ms)
+        self._recall(team, own_id)
+
+    def tick(self) -> None:
+        """Reviews teams; called several times a second after the barrier."""
+        now_ms = self._now_ms()
+        self._unmet.expire(now_ms)
+        for team in self._config.rules.teams:
+            if team in self._tasks or not self._is_due(team, now_ms):
+                continue
+            self._reviewed_ms[team] = now_ms
+            self._spawn(team, self._review(team))
+
+    def stop(self) -> None:
+        """Ends all work at the end of the term."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _is_due(self, team: str, now_ms: int) -> bool:
+        """Whether the row of a team may have to change."""
+        reviewed_ms = self._reviewed_ms.get(team)
+        if reviewed_ms is not None and now_ms - reviewed_ms < _REVIEW_MS:
+            return False
+        if team not in self._confirmed or team in self._give_ups:
+            return True
+        own = self.demand(team)
+        if own.allowance > self._config.rules.teams[team].limit:
+            return True
+        if own.waiting:
+            return True
+        return self._give_up_target(team) is not None
+
+    def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        """Runs a task; the name of a team stands for work on its row."""
+        task = asyncio.create_task(work)
+        self._tasks[name] = task
+        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+
+    async def _review(self, team: str) -> None:
+        """Reads the row of a team and changes it if needed."""
+        try:
+            row = await self._table.get(allowance_rows.key_of(team))
+            content = allowance_rows.parse(row.value) if row else None
+            version = row.version if row else 0
+            self._ledger.row_read(team, content, version)
+            await self._adjust(team)
+        except errors.MarigoldgapError as error:
+            _log.debug("Allowance of %s not changed: %s", team, error.detail)
+        except Exception:
+            _log.exception("The review of team %s failed.", team)
+
+    async def _adjust(self, team: str) -> None:
+        """Lowers or raises the allowance, whichever is due."""
+        limit = self._limit(team)
+        target = self._give_ups.get(team)
+        excess = self._ledger.excess_target(team, limit)
+        if excess is not None and team in self._confirmed:
+            target = excess if target is None else min(target, excess)
+        if target is None and team in self._confirmed:
+            target = self._give_up_target(team)
+        if target is not None:
+            await self._give_up(team, target, limit)
+            return
+        even = allowance_policy.even_part(
+            limit.limit, self._settings.zone, self._zones()
+        )
+        own = self.demand(team)
+        wanted = allowance_policy.wanted_allowance(limit.limit, even, own)
+        if team in self._confirmed and wanted <= own.allowance:
+            return
+        await self._write(self._ledger.raise_write(team, wanted, limit))
+
+    async def _give_up(
+        self, team: str, target: int, limit: allowance_model.TeamLimit
+    ) -> None:
+        """Lowers the zone's own number, collects acknowledgements, writes."""
+        notice = self._ledger.begin_give_up(team, target)
+        if notice is None:
+            self._give_ups.pop(team, None)
+            return
+        self._give_ups[team] = target
+        announced = [
+            self._announce(instance_id, notice)
+            for instance_id in self._ledger.instances
+        ]
+        await asyncio.gather(*announced)
+        write = self._ledger.give_up_write(team, limit)
+        if write is not None and await self._write(write):
+            self._give_ups.pop(team, None)
+
+    async def _announce(
+        self, instance_id: str, notice: allowance_model.AllowanceNotice
+    ) -> None:
+        """Announces a lowered allowance to one instance."""
+        message = messages.AllowanceNotice(
+            term=notice.term,
+            team=notice.team,
+            allowance=notice.allowance,
+            sequence=notice.sequence,
+            ceiling=notice.ceilings.get(instance_id, 0),
+        )
+        try:
+            answer = await self._peers.call(instance_id, message)
+        except errors.MarigoldgapError:
+            # Announced again at the next review.
+            return
+        reports = holding_wire.to_reports(
+            answer.term, answer.incarnation, answer.holdings
+        )
+        if notice.team in reports:
+            self._ledger.acknowledge(
+                instance_id, notice.team, notice.sequence, reports[notice.team]
+            )
+
+    async def _write(
+        self, write: allowance_model.AllowanceWrite | None
+    ) -> bool:
+        """Commits a row; returns whether it certainly took effect."""
+        if write is None:
+            return False
+        try:
+            version = await self._committer.commit(
+                allowance_rows.transaction_of(write)
+            )
+        except BaseException:
+            # Also on cancellation the row must count as unknown.
+            self._ledger.write_failed(write)
+            raise
+        self._ledger.write_succeeded(write, version)
+        self._confirmed.add(write.team)
+        self._serve_unmet(write.team)
+        return True
+
+    def _give_up_target(self, team: str) -> int | None:
+        """Returns the allowance to give up to for other zones."""
+        return allowance_policy.give_up_target(
+            self._limit(team).limit,
+            self._settings.zone,
+            self.demand(team),
+            self._other_demands(team),
+        )
+
+    def _limit(self, team: str) -> allowance_model.TeamLimit:
+        """Returns the limit of a team; a removed team has none left."""
+        rule = self._config.rules.teams.get(team)
+        limit = rule.limit if rule else 0
+        return allowance_model.TeamLimit(limit, self._config.version)
+
+    def _repeated_grant(
+        self, instance_id: str, request: messages.HoldingRequest
+    ) -> messages.HoldingGrant:
+        """Returns the last grant again if it was lost, else one of nothing."""
+        entry = request.entry
+        last = self._last_grants.get((instance_id, entry.team))
+        if last is not None and last.incarnation == request.incarnation:
+            return last
+        return messages.HoldingGrant(
+            term=request.term,
+            incarnation=request.incarnation,
+            team=entry.team,
+            granted_total=entry.granted_total,
+            units=0,
+        )
+
+    def _serve_unmet(self, team: str) -> None:
+        """Grants free units to the instances that asked in vain."""
+        for instance_id, units in self._unmet.of(team):
+            if not instance_id:
+                continue
+            grant = self.grant(team, instance_id, units)
+            if grant is None:
+                return
+            self._unmet.served(team, instance_id, grant.units)
+            self._peers.send(instance_id, grant)
+
+    def _recall(self, team: str, except_id: str) -> None:
+        """Asks the other instances for their unused units of a team."""
+        now_ms = self._now_ms()
+        last_ms = self._recalled_ms.get(team)
+        if last_ms is not None and now_ms - last_ms < _RECALL_EVERY_MS:
+            return
+        self._recalled_ms[team] = now_ms
+        for instance_id in self._ledger.instances:
+            if instance_id != except_id:
+                work = self._recall_from(team, instance_id)
+                self._spawn(f"{team} {instance_id}", work)
+
+    async def _recall_from(self, team: str, instance_id: str) -> None:
+        """Takes unused units back from one instance."""
+        recall = messages.HoldingRecall(self._ledger.term, team, keep=0)
+        try:
+            answer = await self._peers.call(instance_id, recall)
+        except errors.MarigoldgapError:
+            return
+        self.record(
+            instance_id, answer.term, answer.incarnation, answer.holdings
+        )
--- /dev/null
+++ b/src/marigoldgap/coordination/allowance_rows.py
@@ -0,0 +1,50 @@
+"""Rows `allowance/<team>` of the table service."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from marigoldgap import errors
+from marigoldgap.platform import model as platform_model
+from marigoldgap.scheduling import allowance_model
+
+PREFIX = "allowance/"
+
+
+def key_of(team: str) -> str:
+    """Returns the key of a team's row."""
+    return f"{PREFIX}{team}"
+
+
+def parse(value: Any) -> allowance_model.AllowanceRow:
+    """Returns the content of a row.
+
+    Raises:
+        errors.ProtocolError: The row has another form; it must not be
+            overwritten, since it may hold the numbers of other zones.
+    """
+    try:
+        zones = {str(name): int(n) for name, n in value["zones"].items()}
+        return allowance_model.AllowanceRow(
+            limit=int(value["limit"]),
+            zones=zones,
+            limit_version=int(value.get("limit_version", 0)),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise errors.ProtocolError("an allowance row is malformed") from error
+
+
+def transaction_of(
+    write: allowance_model.AllowanceWrite,
+) -> platform_model.Transaction:
+    """Returns the compare-and-set of a row."""
+    key = key_of(write.team)
+    value = {
+        "limit": write.row.limit,
+        "zones": dict(write.row.zones),
+        "limit_version": write.row.limit_version,
+    }
+    return platform_model.Transaction(
+        checks=(platform_model.Check(key, write.expected_version),),
+        puts=(platform_model.Put(key, value),),
+    )
--- /dev/null
+++ b/src/marigoldgap/coordination/builder.py
@@ -0,0 +1,167 @@
+"""Creates and connects the coordination of an instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+from typing import NamedTuple
+
+from marigoldgap import clock
+from marigoldgap.coordination import allowance_keeper
+from marigoldgap.coordination import config_relay
+from marigoldgap.coordination import coordination as coordination_module
+from marigoldgap.coordination import coordinator
+from marigoldgap.coordination import entry_agent
+from marigoldgap.coordination import free_capacity
+from marigoldgap.coordination import holding_requests
+from marigoldgap.coordination import interfaces
+from marigoldgap.coordination import job_desk
+from marigoldgap.coordination import job_role
+from marigoldgap.coordination import jobs_gateway
+from marigoldgap.coordination import task_runner
+from marigoldgap.coordination import team_usage
+from marigoldgap.coordination import zone_digests
+from marigoldgap.coordination import zone_view
+from marigoldgap.scheduling import allowance_ledger
+from marigoldgap.scheduling import model
+from marigoldgap.settings import model as settings_model
+
+
+class Needs(NamedTuple):
+    """What the coordination uses of the other packages.
+
+    Attributes:
+        peers: The peer hub.
+        instances: The platform's list.
+        table: Reads rows.
+        committer: Writes rows.
+        objects: Large payloads.
+        config: The configuration here.
+        in_force: Versions that others have in force.
+        holdings: Accounts of this instance, from dispatch.
+        placer: Starts job tasks, from dispatch.
+        stopper: Stops tasks: the worker fleet.
+    """
+
+    peers: interfaces.Peers
+    instances: interfaces.InstanceList
+    table: interfaces.TableClient
+    committer: interfaces.GroupCommitter
+    objects: interfaces.ObjectClient
+    config: interfaces.ConfigState
+    in_force: interfaces.InForce
+    holdings: interfaces.Holdings
+    placer: interfaces.Placer
+    stopper: interfaces.TaskStopper
+
+
+def create_coordination(
+    settings: settings_model.Settings,
+    needs: Needs,
+    now_ms: Callable[[], int] = clock.monotonic_ms,
+    source: random.Random | None = None,
+) -> coordination_module.Coordination:
+    """Returns the coordination; the caller runs it.
+
+    The returned object's `agent` is a FleetListener and must hear everything
+    that the fleet reports, after the dispatcher.
+
+    Args:
+        settings: Settings of this instance.
+        needs: Parts of other packages.
+        now_ms: Monotonic clock.
+        source: Source of jitter; tests pass one with a fixed seed.
+    """
+    source = source or random.Random()
+    runner = task_runner.TaskRunner(needs.placer, needs.stopper, needs.objects)
+    agent = entry_agent.EntryAgent(
+        settings, needs.peers, needs.holdings, runner, now_ms
+    )
+    digests = zone_digests.ZoneDigests(settings, needs.peers, now_ms)
+
+    def create_role(term: model.Term) -> coordinator.Coordinator:
+        return _create_role(settings, needs, digests, term, now_ms, source)
+
+    created = coordination_module.Coordination(
+        peers=needs.peers,
+        agent=agent,
+        holdings=needs.holdings,
+        digests=digests,
+        relay=config_relay.ConfigRelay(
+            settings,
+            needs.peers,
+            needs.config,
+            needs.in_force,
+            digests,
+            now_ms,
+        ),
+        gateway=jobs_gateway.JobsGateway(
+            settings, needs.peers, needs.table, needs.committer, needs.objects
+        ),
+        requests=holding_requests.HoldingRequests(
+            needs.peers, needs.holdings, agent, now_ms
+        ),
+        create_role=create_role,
+        now_ms=now_ms,
+    )
+    job_desk.JobDesk(settings, needs.peers, digests, created.active)
+    return created
+
+
+def _create_role(
+    settings: settings_model.Settings,
+    needs: Needs,
+    digests: zone_digests.ZoneDigests,
+    term: model.Term,
+    now_ms: Callable[[], int],
+    source: random.Random,
+) -> coordinator.Coordinator:
+    """Returns the coordinator role of a new term."""
+    ledger = allowance_ledger.AllowanceLedger(settings.zone, term)
+    zone = zone_view.ZoneView()
+
+    def zones() -> list[str]:
+        return sorted({entry.zone for entry in needs.instances.entries()})
+
+    keeper = allowance_keeper.AllowanceKeeper(
+        settings,
+        ledger,
+        needs.peers,
+        needs.table,
+        needs.committer,
+        needs.config,
+        zones,
+        digests.demands,
+        now_ms,
+    )
+    usage = team_usage.TeamUsage(digests.usage)
+    free = free_capacity.FreeCapacity(
+        needs.peers, settings.instance_id, needs.placer, now_ms
+    )
+    jobs = job_role.JobRole(
+        settings,
+        term,
+        needs.peers,
+        needs.table,
+        needs.committer,
+        needs.config,
+        keeper,
+        zone,
+        free,
+        usage,
+        now_ms,
+        source,
+    )
+    return coordinator.Coordinator(
+        settings,
+        term,
+        needs.peers,
+        needs.instances,
+        ledger,
+        keeper,
+        jobs,
+        zone,
+        needs.config,
+        needs.in_force,
+        now_ms,
+    )
--- /dev/null
+++ b/src/marigoldgap/coordination/config_relay.py
@@ -0,0 +1,298 @@
+"""Passes configuration versions and withdrawn keys on between instances."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterable
+from collections.abc import Sequence
+import json
+from typing import Any
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.config_store import model as config_model
+from marigoldgap.coordination import interfaces
+from marigoldgap.coordination import zone_digests
+from marigoldgap.entries import job_messages
+from marigoldgap.entries import messages
+from marigoldgap.entries import registry
+from marigoldgap.settings import model as settings_model
+
+_log = logs.PartLogger("coordination")
+
+_ASK_EVERY_MS = 500
+
+
+class ConfigRelay:
+    """Spreads what this instance adopts; implements ConfigListener.
+
+    A change spreads from the instance that adopted it to its zone, and by
+    the coordinator to the coordinators of other zones. Each instance passes
+    on only what is new to it, so that nothing circulates.
+
+    Args:
+        settings: Settings of this instance.
+        peers: Links to other instances.
+        state: The configuration here.
+        in_force: Learns what others have in force.
+        digests: Links to the coordinators of other zones.
+        now_ms: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        peers: interfaces.Peers,
+        state: interfaces.ConfigState,
+        in_force: interfaces.InForce,
+        digests: zone_digests.ZoneDigests,
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._settings = settings
+        self._peers = peers
+        self._state = state
+        self._in_force = in_force
+        self._digests = digests
+        self._now_ms = now_ms
+        self._next_ask_ms = 0
+        self._told: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        state.subscribe(self)
+        peers.register(self)
+
+    def config_changed(
+        self, versions: Sequence[config_model.ConfigVersion]
+    ) -> None:
+        """Passes adopted versions on."""
+        records = tuple(_to_record(version) for version in versions)
+        delta = job_messages.ConfigDelta(records, ())
+        for instance_id in self._receivers():
+            self._peers.send(instance_id, delta)
+
+    def keys_denied(self, key_ids: Sequence[str]) -> None:
+        """Passes withdrawn keys on and collects confirmations."""
+        self._spawn(self._deny_everywhere(tuple(key_ids)))
+
+    def tick(self) -> None:
+        """Call it several times a second."""
+        for peer in self._peers.membership.peers():
+            if peer.zone == self._settings.zone and peer.alive:
+                self._in_force.report(peer.instance_id, peer.config_version)
+        if self._peers.membership.is_coordinator:
+            self._tell_zones()
+        now_ms = self._now_ms()
+        if now_ms >= self._next_ask_ms:
+            self._next_ask_ms = now_ms + _ASK_EVERY_MS
+            self._ask_if_behind()
+
+    async def fetch_versions(
+        self, since: int
+    ) -> Sequence[config_model.ConfigVersion]:
+        """Returns versions that a peer knows; empty if none answers."""
+        for peer in self._by_version():
+            delta = await self._ask(peer, since)
+            if delta is not None:
+                return [_to_version(record) for record in delta.records]
+        return []
+
+    async def fetch_denied(self) -> Iterable[str]:
+        """Returns the withdrawn keys that a peer knows."""
+        for peer in self._by_version():
+            delta = await self._ask(peer, self._state.version)
+            if delta is not None:
+                return delta.denied
+        return ()
+
+    def stop(self) -> None:
+        """Ends all calls."""
+        for task in self._tasks:
+            task.cancel()
+
+    @registry.handles(job_messages.ConfigDelta)
+    def on_delta(self, sender: str, message: job_messages.ConfigDelta) -> None:
+        """Adopts versions that are higher than the own one."""
+        del sender
+        self._state.deny(message.denied)
+        self._state.adopt([_to_version(each) for each in message.records])
+
+    @registry.handles(job_messages.ConfigRequest)
+    def on_request(
+        self, sender: str, message: job_messages.ConfigRequest
+    ) -> job_messages.ConfigDelta:
+        """Answers with the versions that the sender lacks."""
+        del sender
+        versions = self._state.versions_since(message.since_version)
+        return job_messages.ConfigDelta(
+            records=tuple(_to_record(version) for version in versions),
+            denied=tuple(sorted(self._state.denied)),
+        )
+
+    @registry.handles(job_messages.DenyKeys)
+    async def on_deny(
+        self, sender: str, message: job_messages.DenyKeys
+    ) -> job_messages.DenyResult:
+        """Refuses keys at once; a coordinator answers for its zone."""
+        known = self._state.denied.issuperset(message.key_ids)
+        self._state.deny(message.key_ids)
+        names = {self._settings.instance_id}
+        peer = self._peers.membership.peer(sender)
+        is_other_zone = peer is not None and peer.zone != self._settings.zone
+        if self._peers.membership.is_coordinator:
+            if is_other_zone and not known:
+                names |= await self._deny_in_zone(message, sender)
+            elif not is_other_zone:
+                names |= await self._deny_in_zones(message)
+        return job_messages.DenyResult(tuple(sorted(names)))
+
+    @registry.handles(job_messages.ZonesInForce)
+    def on_zones(self, sender: str, message: job_messages.ZonesInForce) -> None:
+        """Takes over what the coordinator knows of other zones."""
+        del sender
+        for zone in message.zones:
+            self._in_force.report_zone(zone.name, zone.number)
+
+    def _receivers(self) -> list[str]:
+        """Returns the instances to which this one passes changes on."""
+        own_id = self._settings.instance_id
+        zone = [m for m in self._peers.membership.members if m != own_id]
+        if self._peers.membership.is_coordinator:
+            zone.extend(self._digests.coordinators.values())
+        return zone
+
+    async def _deny_everywhere(self, key_ids: tuple[str, ...]) -> None:
+        """Tells the zone, and the other zones by the coordinator."""
+        message = job_messages.DenyKeys(key_ids)
+        names = await self._deny_in_zone(message, "")
+        if self._peers.membership.is_coordinator:
+            names |= await self._deny_in_zones(message)
+        for name in names:
+            for key_id in key_ids:
+                self._in_force.report_denied(name, key_id)
+
+    async def _deny_in_zone(
+        self, message: job_messages.DenyKeys, except_id: str
+    ) -> set[str]:
+        """Tells the members of the zone; returns who confirmed."""
+        own_id = self._settings.instance_id
+        members = set(self._peers.membership.members) - {own_id, except_id}
+        confirmed = await self._deny_at(sorted(members), message)
+        if members <= confirmed:
+            confirmed.add(self._settings.zone)
+        return confirmed
+
+    async def _deny_in_zones(self, message: job_messages.DenyKeys) -> set[str]:
+        """Tells the coordinators of other zones; returns who confirmed."""
+        coordinators = self._digests.coordinators
+        return await self._deny_at(sorted(coordinators.values()), message)
+
+    async def _deny_at(
+        self, instance_ids: Iterable[str], message: job_messages.DenyKeys
+    ) -> set[str]:
+        """Tells instances; returns all names that their answers confirm."""
+        calls = [self._deny_one(each, message) for each in instance_ids]
+        return set().union(*await asyncio.gather(*calls))
+
+    async def _deny_one(
+        self, instance_id: str, message: job_messages.DenyKeys
+    ) -> set[str]:
+        """Tells one instance."""
+        try:
+            answer = await self._peers.call(instance_id, message)
+        except errors.MarigoldgapError:
+            return set()
+        return set(answer.names)
+
+    def _tell_zones(self) -> None:
+        """Tells the zone's instances what is in force elsewhere."""
+        versions = dict(self._digests.config_versions())
+        versions[self._settings.zone] = self._in_force.zone_version()
+        for zone, version in versions.items():
+            self._in_force.report_zone(zone, version)
+        if versions == self._told:
+            return
+        self._told = versions
+        counts = [messages.Count(zone, n) for zone, n in versions.items()]
+        self._peers.broadcast_zone(job_messages.ZonesInForce(tuple(counts)))
+
+    def _ask_if_behind(self) -> None:
+        """Asks a peer that has a higher version, e.g. after a lost delta."""
+        for peer in self._by_version():
+            if peer.config_version > self._state.version:
+                self._spawn(self._catch_up(peer.instance_id))
+                return
+
+    async def _catch_up(self, instance_id: str) -> None:
+        """Adopts what a peer knows."""
+        delta = await self._ask_id(instance_id, self._state.version)
+        if delta is not None:
+            self.on_delta(instance_id, delta)
+
+    def _by_version(self) -> list[Any]:
+        """Returns linked peers, the highest configuration version first."""
+        linked = [
+            peer
+            for peer in self._peers.membership.peers()
+            if peer.alive and self._peers.is_linked(peer.instance_id)
+        ]
+        return sorted(linked, key=lambda peer: -peer.config_version)
+
+    async def _ask(
+        self, peer: Any, since: int
+    ) -> job_messages.ConfigDelta | None:
+        """Asks a peer for versions."""
+        return await self._ask_id(peer.instance_id, since)
+
+    async def _ask_id(
+        self, instance_id: str, since: int
+    ) -> job_messages.ConfigDelta | None:
+        """Asks an instance for versions; None if it does not answer."""
+        request = job_messages.ConfigRequest(since)
+        try:
+            delta: job_messages.ConfigDelta = await self._peers.call(
+                instance_id, request
+            )
+        except errors.MarigoldgapError:
+            return None
+        return delta
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine as a task."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _to_record(
+    version: config_model.ConfigVersion,
+) -> job_messages.ConfigRecord:
+    """Returns the message form of a version."""
+    return job_messages.ConfigRecord(
+        version=version.version,
+        kind=version.kind,
+        author=version.author,
+        applied_at_ms=version.applied_at_ms,
+        content=json.dumps(version.content, separators=(",", ":")),
+    )
+
+
+def _to_version(
+    record: job_messages.ConfigRecord,
+) -> config_model.ConfigVersion:
+    """Returns the version in a message.
+
+    Raises:
+        errors.ProtocolError: The content is not JSON.
+    """
+    try:
+        content = json.loads(record.content)
+    except ValueError as error:
+        raise errors.ProtocolError("a version is not JSON") from error
+    return config_model.ConfigVersion(
+        version=record.version,
+        kind=record.kind,
+        author=record.author,
+        applied_at_ms=record.applied_at_ms,
+        content=content,
+    )
--- /dev/null
+++ b/src/marigoldgap/coordination/free_capacity.py
@@ -0,0 +1,109 @@
+"""Free capacity of the zone's instances, as far as heartbeats tell."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from marigoldgap.coordination import interfaces
+from marigoldgap.scheduling import model
+from marigoldgap.scheduling import resources
+
+# Heartbeats show a started task after at most two of them.
+_RECENT_MS = 1_000
+
+
+class FreeCapacity:
+    """What is free at each instance, less what was placed lately.
+
+    Heartbeats lag, so that tasks placed since the last one must be
+    subtracted; an instance that has less room than this says so by refusing.
+
+    Args:
+        peers: Heartbeats of the other instances.
+        own_id: This instance.
+        placer: Load of this instance.
+        now_ms: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        peers: interfaces.Peers,
+        own_id: str,
+        placer: interfaces.Placer,
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._peers = peers
+        self._own_id = own_id
+        self._placer = placer
+        self._now_ms = now_ms
+        self._recent: list[tuple[int, str, str, model.Resources]] = []
+        self._free: dict[str, dict[str, model.Resources]] = {}
+
+    def refresh(self) -> None:
+        """Reads the heartbeats; call it before a round of decisions."""
+        now_ms = self._now_ms()
+        self._free = {
+            member: dict(self._load_of(member))
+            for member in self._peers.membership.members
+            if member == self._own_id or self._peers.is_linked(member)
+        }
+        self._recent = [
+            entry for entry in self._recent if now_ms - entry[0] < _RECENT_MS
+        ]
+        for _, instance_id, service, amount in self._recent:
+            self._subtract(instance_id, service, amount)
+
+    def choose(self, service: str, needed: model.Resources) -> str | None:
+        """Returns the instance with the most room, or None."""
+        best = None
+        most = 0
+        for instance_id, free in self._free.items():
+            amount = free.get(service)
+            if amount is None or not resources.fits_in(needed, amount):
+                continue
+            copies = resources.copies_in(needed, amount)
+            if copies > most:
+                best, most = instance_id, copies
+        return best
+
+    def room(self, service: str, needed: model.Resources) -> dict[str, int]:
+        """Returns how many such tasks each instance may have room for."""
+        return {
+            instance_id: resources.copies_in(needed, free[service])
+            for instance_id, free in self._free.items()
+            if service in free
+        }
+
+    def take(
+        self, instance_id: str, service: str, amount: model.Resources
+    ) -> None:
+        """Subtracts a task that is placed now."""
+        self._recent.append((self._now_ms(), instance_id, service, amount))
+        self._subtract(instance_id, service, amount)
+
+    def total_free(self) -> model.Resources:
+        """Returns what is free in the zone over all services."""
+        total = model.Resources(0, 0)
+        for free in self._free.values():
+            for amount in free.values():
+                total = resources.add(total, amount)
+        return total
+
+    def _load_of(self, member: str) -> Mapping[str, model.Resources]:
+        """Returns the free resources of a member by service."""
+        if member == self._own_id:
+            return self._placer.load().free
+        known = self._peers.membership.peer(member)
+        if known is None or known.state == "draining":
+            return {}
+        return known.free
+
+    def _subtract(
+        self, instance_id: str, service: str, amount: model.Resources
+    ) -> None:
+        """Lowers what is free, not below nothing."""
+        free = self._free.get(instance_id, {})
+        if service in free:
+            left = resources.subtract(free[service], amount)
+            free[service] = resources.clamp(left)
--- /dev/null
+++ b/src/marigoldgap/coordination/job_closing.py
@@ -0,0 +1,142 @@
+"""Writes of the coordinator to job rows: marks and moves to the closed ones."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+from marigoldgap import clock
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.coordination import interfaces
+from marigoldgap.coordination import job_rows
+from marigoldgap.coordination import job_state
+from marigoldgap.platform import model as platform_model
+from marigoldgap.settings import model as settings_model
+
+_log = logs.PartLogger("coordination")
+
+_RETRY_MS = 1_000
+# Jobs closed at once; the group committer joins them into few writes.
+_AT_ONCE = 2_000
+
+
+class JobWriter:
+    """Writes rows of open jobs; one write per job at a time.
+
+    Args:
+        settings: Settings of this instance.
+        table: Reads a row again after a conflict.
+        committer: Writes rows.
+        closed: Called when the row of a job was moved or is gone.
+        now_ms: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        table: interfaces.TableClient,
+        committer: interfaces.GroupCommitter,
+        closed: Callable[[job_state.Job], None],
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._zone = settings.zone
+        self._table = table
+        self._committer = committer
+        self._closed = closed
+        self._now_ms = now_ms
+        self._retry_at_ms: dict[str, int] = {}
+        self._busy: dict[str, asyncio.Task[None]] = {}
+
+    def is_busy(self, job_id: str) -> bool:
+        """Whether a write of this job is under way or waits to be repeated."""
+        if job_id in self._busy or len(self._busy) >= _AT_ONCE:
+            return True
+        return self._retry_at_ms.get(job_id, 0) > self._now_ms()
+
+    def close(self, job: job_state.Job) -> None:
+        """Moves the row of a complete job, unless a write is under way."""
+        if not self.is_busy(job.job_id):
+            self._spawn(job, self._close(job))
+
+    def mark_started(self, job: job_state.Job) -> None:
+        """Notes in the row that tasks may have run."""
+        if not self.is_busy(job.job_id):
+            self._spawn(job, self._mark_started(job))
+
+    async def mark_cancelled(self, job: job_state.Job) -> None:
+        """Notes in the row that the job is cancelled.
+
+        Raises:
+            errors.StoreUnavailableError: It was not noted.
+            errors.ConflictError: The row was changed meanwhile.
+        """
+        busy = self._busy.get(job.job_id)
+        if busy is not None:
+            await asyncio.wait([busy])
+        job.row_version = await self._committer.commit(
+            job_rows.mark_transaction(self._zone, job, job.started, True)
+        )
+
+    def stop(self) -> None:
+        """Ends all writes at the end of the term."""
+        for task in self._busy.values():
+            task.cancel()
+
+    def _spawn(
+        self, job: job_state.Job, work: Coroutine[Any, Any, None]
+    ) -> None:
+        """Runs the only write of a job."""
+        task = asyncio.create_task(self._guarded(job, work))
+        self._busy[job.job_id] = task
+        task.add_done_callback(lambda _: self._busy.pop(job.job_id, None))
+
+    async def _guarded(
+        self, job: job_state.Job, work: Coroutine[Any, Any, None]
+    ) -> None:
+        """Waits for a write; a failed one is repeated later."""
+        try:
+            await work
+        except errors.ConflictError:
+            await self._reread(job)
+        except errors.MarigoldgapError as error:
+            _log.debug("Job %s not written: %s", job.job_id, error.detail)
+        except Exception:
+            _log.exception("Writing job %s failed.", job.job_id)
+        else:
+            return
+        self._retry_at_ms[job.job_id] = self._now_ms() + _RETRY_MS
+
+    async def _close(self, job: job_state.Job) -> None:
+        """Moves a row in one transaction."""
+        await self._committer.commit(
+            job_rows.close_transaction(self._zone, job, clock.wall_ms())
+        )
+        self._finish(job)
+
+    async def _mark_started(self, job: job_state.Job) -> None:
+        """Writes the mark; the job may start only afterwards."""
+        transaction = job_rows.mark_transaction(
+            self._zone, job, started=True, cancelled=False
+        )
+        job.row_version = await self._committer.commit(transaction)
+        job.started = True
+
+    async def _reread(self, job: job_state.Job) -> None:
+        """Learns the row's version after a conflict, or that it is gone."""
+        key = job_rows.open_key(self._zone, job.job_id)
+        try:
+            row: platform_model.Row | None = await self._table.get(key)
+        except errors.MarigoldgapError:
+            return
+        if row is None:
+            self._finish(job)
+        else:
+            job.row_version = row.version
+
+    def _finish(self, job: job_state.Job) -> None:
+        """Reports that the row is not among the open ones any more."""
+        self._retry_at_ms.pop(job.job_id, None)
+        self._closed(job)
--- /dev/null
+++ b/src/marigoldgap/coordination/job_dispatch.py
@@ -0,0 +1,163 @@
+"""Chooses waiting tasks and asks instances to start them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import heapq
+from typing import NamedTuple
+
+from marigoldgap.coordination import allowance_keeper
+from marigoldgap.coordination import free_capacity
+from marigoldgap.coordination import interfaces
+from marigoldgap.coordination import job_queue
+from marigoldgap.coordination import job_state
+from marigoldgap.coordination import job_table
+from marigoldgap.entries import job_messages
+from marigoldgap.entries import messages
+from marigoldgap.scheduling import model
+
+# Tasks started in one round, so that a round stays short; rounds follow each
+# other several times a second.
+_ROUND_LIMIT = 1_024
+_BATCH = 256
+# A start without a result is asked for again; instances start a task once.
+_REPEAT_MS = 3_000
+
+
+class _Batch(NamedTuple):
+    """What one instance is asked to start in this round."""
+
+    tasks: list[model.TaskSpec]
+    payloads: dict[str, job_messages.Payload]
+
+
+class JobDispatch:
+    """Fair dispatch of single tasks in batches.
+
+    Args:
+        term: The coordinator's term.
+        peers: Links to the instances.
+        table: Open jobs.
+        queue: Waiting jobs in their order.
+        keeper: Grants the units that the tasks need.
+        free: Free capacity of the instances.
+        usage: Returns the usage of a team divided by its share.
+        note_started: Counts a started task in the usage.
+        may_start: Whether the row of a job allows to start its tasks.
+        now_ms: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        term: model.Term,
+        peers: interfaces.Peers,
+        table: job_table.JobTable,
+        queue: job_queue.JobQueue,
+        keeper: allowance_keeper.AllowanceKeeper,
+        free: free_capacity.FreeCapacity,
+        usage: Callable[[str], float],
+        note_started: Callable[[job_state.Job], None],
+        may_start: Callable[[job_state.Job], bool],
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._term = term
+        self._peers = peers
+        self._table = table
+        self._queue = queue
+        self._keeper = keeper
+        self._free = free
+        self._usage = usage
+        self._note_started = note_started
+        self._may_start = may_start
+        self._now_ms = now_ms
+        self._batches: dict[str, _Batch] = {}
+        self._grants: dict[tuple[str, str], messages.HoldingGrant] = {}
+
+    def round(self) -> int:
+        """Starts what fits; returns the number of tasks."""
+        teams = [(self._usage(team), team) for team in self._queue.teams]
+        heapq.heapify(teams)
+        started = 0
+        while teams and started < _ROUND_LIMIT:
+            _, team = heapq.heappop(teams)
+            if self._start_next(team):
+                started += 1
+                heapq.heappush(teams, (self._usage(team), team))
+        self._send()
+        return started
+
+    def repeat(self) -> None:
+        """Asks again where a start has no result yet."""
+        now_ms = self._now_ms()
+        for attempt in list(self._table.attempts):
+            placing = attempt.state is job_state.TaskState.PLACING
+            if not placing or now_ms - attempt.since_ms < _REPEAT_MS:
+                continue
+            self._table.touch(attempt.task_id, now_ms)
+            job = self._table.jobs[attempt.job_id]
+            task = job.task_spec(attempt.task_id, attempt.task_index)
+            self._add(attempt.place, job, task)
+        self._send()
+
+    def _start_next(self, team: str) -> bool:
+        """Starts one task of a team; returns whether there was one."""
+        now_ms = self._now_ms()
+        for job in self._queue.first(team):
+            if job.spec.gang or job.not_before_ms > now_ms:
+                continue
+            if not self._may_start(job):
+                continue
+            if self._start(job):
+                return True
+        return False
+
+    def _start(self, job: job_state.Job) -> bool:
+        """Starts the next task of a job if there is room and a unit."""
+        spec = job.spec
+        instance_id = self._free.choose(spec.service, spec.resources)
+        if instance_id is None:
+            return False
+        grant = self._keeper.grant(spec.team, instance_id, 1)
+        if grant is None:
+            self._keeper.want(spec.team, self._queue.waiting_tasks(spec.team))
+            return False
+        self._grants[(instance_id, spec.team)] = grant
+        self._free.take(instance_id, spec.service, spec.resources)
+        task = self._table.begin_attempt(job, instance_id, self._now_ms())
+        self._add(instance_id, job, task)
+        self._note_started(job)
+        return True
+
+    def _add(
+        self, instance_id: str, job: job_state.Job, task: model.TaskSpec
+    ) -> None:
+        """Adds a task to the batch of an instance."""
+        batch = self._batches.setdefault(instance_id, _Batch([], {}))
+        batch.tasks.append(task)
+        batch.payloads[job.job_id] = payload_of(job)
+
+    def _send(self) -> None:
+        """Sends grants first, so that the units are there for the tasks."""
+        grants, self._grants = self._grants, {}
+        for (instance_id, _), grant in grants.items():
+            self._peers.send(instance_id, grant)
+        batches, self._batches = self._batches, {}
+        for instance_id, batch in batches.items():
+            for start in range(0, len(batch.tasks), _BATCH):
+                self._place(instance_id, batch, start)
+
+    def _place(self, instance_id: str, batch: _Batch, start: int) -> None:
+        """Sends a part of a batch with the payloads that it needs."""
+        tasks = tuple(batch.tasks[start : start + _BATCH])
+        jobs = dict.fromkeys(task.job_id for task in tasks)
+        message = job_messages.PlaceTasks(
+            term=self._term,
+            tasks=tasks,
+            payloads=tuple(batch.payloads[job_id] for job_id in jobs),
+        )
+        self._peers.send(instance_id, message)
+
+
+def payload_of(job: job_state.Job) -> job_messages.Payload:
+    """Returns the payload of a job for a message."""
+    return job_messages.Payload(job.job_id, job.spec.payload, job.reference)
--- /dev/null
+++ b/src/marigoldgap/coordination/job_role.py
@@ -0,0 +1,438 @@
+"""The coordinator's part for jobs: loads, dispatches, stops and closes them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterable
+import random
+from typing import Any
+
+from marigoldgap import errors
+from marigoldgap import identifiers
+from marigoldgap import logs
+from marigoldgap.coordination import allowance_keeper
+from marigoldgap.coordination import free_capacity
+from marigoldgap.coordination import gang_dispatch
+from marigoldgap.coordination import interfaces
+from marigoldgap.coordination import job_closing
+from marigoldgap.coordination import job_dispatch
+from marigoldgap.coordination import job_groups
+from marigoldgap.coordination import job_queue
+from marigoldgap.coordination import job_rows
+from marigoldgap.coordination import job_state
+from marigoldgap.coordination import job_table
+from marigoldgap.coordination import model as jobs_model
+from marigoldgap.coordination import stop_requests
+from marigoldgap.coordination import task_runner
+from marigoldgap.coordination import team_usage
+from marigoldgap.coordination import zone_view
+from marigoldgap.entries import job_messages
+from marigoldgap.entries import messages
+from marigoldgap.scheduling import model
+from marigoldgap.settings import model as settings_model
+
+_log = logs.PartLogger("coordination")
+
+_RESCAN_MS = 30_000
+_RETRY_LOAD_MS = 1_000
+_PAGE = 500
+# Usage is counted anew in this time; starts are added in between.
+_USAGE_MS = 1_000
+
+# Full jitter between attempts after a failure, in milliseconds.
+_FIRST_PAUSE_MS = 500
+_LONGEST_PAUSE_MS = 30_000
+# An instance that refused had less room than its heartbeat said.
+_REFUSED_PAUSE_MS = 200
+
+
+class JobRole:
+    """Jobs of the zone during one term.
+
+    Args:
+        settings: Settings of this instance.
+        term: The coordinator's term.
+        peers: Links to the instances.
+        table_client: Reads job rows.
+        committer: Writes job rows.
+        config: Shares of the teams and bounds of retries.
+        keeper: Grants units.
+        zone: Workers of the zone.
+        free: Free capacity of the instances.
+        usage: Usage of the teams over all zones.
+        now_ms: Monotonic clock.
+        source: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        term: model.Term,
+        peers: interfaces.Peers,
+        table_client: interfaces.TableClient,
+        committer: interfaces.GroupCommitter,
+        config: interfaces.ConfigState,
+        keeper: allowance_keeper.AllowanceKeeper,
+        zone: zone_view.ZoneView,
+        free: free_capacity.FreeCapacity,
+        usage: team_usage.TeamUsage,
+        now_ms: Callable[[], int],
+        source: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._term = term
+        self._peers = peers
+        self._table_client = table_client
+        self._config = config
+        self._zone = zone
+        self._free = free
+        self._usage = usage
+        self._now_ms = now_ms
+        self._source = source
+        self._jobs = job_table.JobTable(
+            lambda: self._config.rules.retry.attempts, identifiers.new_token
+        )
+        self._groups = job_groups.JobGroups()
+        self._queue = job_queue.JobQueue(self._jobs.jobs.get)
+        self._stops = stop_requests.StopRequests(
+            term, peers, zone, self._stopped, now_ms
+        )
+        self._writer = job_closing.JobWriter(
+            settings, table_client, committer, self._closed, now_ms
+        )
+        self._dispatch = job_dispatch.JobDispatch(
+            term,
+            peers,
+            self._jobs,
+            self._queue,
+            keeper,
+            free,
+            self._usage_of,
+            self._note_started,
+            self._may_start,
+            now_ms,
+        )
+        self._gangs = gang_dispatch.GangDispatch(
+            term,
+            peers,
+            self._jobs,
+            self._queue,
+            keeper,
+            free,
+            self._may_start,
+            now_ms,
+        )
+        self._ending: set[str] = set()
+        self._forgotten: list[str] = []
+        self._loaded = False
+        self._next_scan_ms = 0
+        self._next_usage_ms = 0
+        self._scan: asyncio.Task[None] | None = None
+        self._reads: set[asyncio.Task[None]] = set()
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether all open jobs were read in this term."""
+        return self._loaded
+
+    def free_total(self) -> model.Resources:
+        """Returns what is free in the zone."""
+        return self._free.total_free()
+
+    def usage_fraction(self, team: str) -> float:
+        """Returns a team's dominant usage in parts of the zone."""
+        return self._usage.fraction(team)
+
+    def begin(self) -> None:
+        """Starts reading the jobs, when the barrier is passed."""
+        self._next_scan_ms = self._now_ms()
+
+    def tick(self) -> None:
+        """Call it several times a second after the barrier."""
+        now_ms = self._now_ms()
+        if now_ms >= self._next_scan_ms and (
+            self._scan is None or self._scan.done()
+        ):
+            self._next_scan_ms = now_ms + _RESCAN_MS
+            self._scan = asyncio.create_task(self._read_all())
+        if not self._loaded:
+            return
+        self._handle_changes()
+        self._free.refresh()
+        self._gangs.tick()
+        self._dispatch.round()
+        self._dispatch.repeat()
+        self._stops.tick()
+        self._forget()
+
+    def stop(self) -> None:
+        """Ends all work at the end of the term."""
+        self._stops.stop()
+        self._writer.stop()
+        self._gangs.stop()
+        for task in [*self._reads, *([self._scan] if self._scan else [])]:
+            task.cancel()
+
+    def accepted(self, job_ids: Iterable[str]) -> None:
+        """Reads the rows of new jobs."""
+        for job_id in job_ids:
+            if job_id not in self._jobs.jobs:
+                self._spawn(self._read_one(job_id))
+
+    def status(self, job_id: str) -> jobs_model.JobStatus | None:
+        """Returns the status of an open job."""
+        job = self._jobs.jobs.get(job_id)
+        return job.status() if job else None
+
+    async def cancel(self, request: job_messages.JobsCancelled) -> None:
+        """Cancels jobs; returns when that is certain to survive this process.
+
+        Jobs that run nothing are closed at once; others are marked in their
+        rows and closed when their tasks have stopped.
+
+        Raises:
+            errors.NotReadyError: The jobs have not been read yet.
+            errors.StoreUnavailableError: Some could not be written.
+        """
+        if not self._loaded:
+            raise errors.NotReadyError("the jobs of the zone are being read")
+        job_ids = list(request.job_ids)
+        if request.group:
+            job_ids += self._groups.of(request.team, request.group)
+        found = [self._jobs.jobs.get(job_id) for job_id in job_ids]
+        jobs = [
+            job
+            for job in found
+            if job is not None
+            and job.spec.team == request.team
+            and not job.verdict
+        ]
+        marks = [self._writer.mark_cancelled(job) for job in jobs]
+        results = await asyncio.gather(*marks, return_exceptions=True)
+        failed = None
+        for job, result in zip(jobs, results, strict=True):
+            if isinstance(result, errors.ConflictError):
+                # The job was closed meanwhile; there is nothing to cancel.
+                continue
+            if isinstance(result, BaseException):
+                failed = result
+                continue
+            job.give_verdict(jobs_model.CANCELLED, "cancelled")
+            self._jobs.changed.add(job.job_id)
+        if failed is not None:
+            raise failed
+
+    def check(self, spec: jobs_model.JobSpec) -> None:
+        """Refuses a job that this zone could never run.
+
+        Raises:
+            errors.ImpossibleJobError: A task is too large for every worker,
+                or a gang is too large for the zone.
+        """
+        reason = self._impossible(spec)
+        if reason:
+            raise errors.ImpossibleJobError(reason)
+
+    def outcomes(self, outcomes: Iterable[messages.Outcome]) -> None:
+        """Records ended tasks."""
+        for outcome in outcomes:
+            self._jobs.outcome(outcome, self._now_ms())
+        if self._stops:
+            self._stops.ended(outcome.task_id for outcome in outcomes)
+
+    def placing(
+        self, instance_id: str, tasks: Iterable[model.RunningTask]
+    ) -> None:
+        """Records starts that an instance still tries."""
+        for task in tasks:
+            self._jobs.placing(instance_id, task, self._now_ms())
+
+    def inventory(
+        self, worker_id: str, tasks: Iterable[model.RunningTask]
+    ) -> None:
+        """Records everything that a worker runs."""
+        self._stops.add(self._jobs.inventory(worker_id, tasks, self._now_ms()))
+
+    def worker_gone(self, worker_id: str) -> None:
+        """Records that a worker runs none of its earlier tasks."""
+        self._jobs.worker_gone(worker_id)
+        self._stops.worker_gone(worker_id)
+
+    def instance_lost(self, instance_id: str) -> None:
+        """Records that starts at an instance have an unknown result."""
+        self._jobs.instance_lost(instance_id)
+        self._next_scan_ms = 0
+
+    def settled(self) -> None:
+        """Everything that runs was reported."""
+        self._jobs.settled()
+
+    def placed(
+        self, sender: str, outcomes: Iterable[job_messages.Placed]
+    ) -> None:
+        """Takes over results of placing tasks."""
+        for placed in outcomes:
+            attempt = self._jobs.attempt(placed.task_id)
+            if attempt is None:
+                continue
+            if task_runner.is_refused(placed):
+                self._refused(attempt)
+            elif placed.worker_id:
+                self._started(sender, placed)
+
+    def _started(self, sender: str, placed: job_messages.Placed) -> None:
+        """Records a start on a worker, which may have a new owner by now."""
+        attempt = self._jobs.attempt(placed.task_id)
+        if attempt is None or attempt.state is job_state.TaskState.RUNNING:
+            return
+        owner = self._zone.owner(placed.worker_id)
+        if owner is not None and owner != sender:
+            # The new owner's inventory came first and did not show the task.
+            self._jobs.gone(placed.task_id, "its worker has a new owner")
+            return
+        self._jobs.placed(placed.task_id, placed.worker_id, self._now_ms())
+
+    def _refused(self, attempt: job_state.Attempt) -> None:
+        """Lets a refused task wait; the instance had no room for it."""
+        self._jobs.not_started(attempt.task_id)
+        job = self._jobs.jobs.get(attempt.job_id)
+        if job is not None:
+            pause_ms = self._source.uniform(0, _REFUSED_PAUSE_MS)
+            job.not_before_ms = self._now_ms() + int(pause_ms)
+
+    def _handle_changes(self) -> None:
+        """Looks at the jobs that changed and at those that must end."""
+        if self._now_ms() >= self._next_usage_ms:
+            self._next_usage_ms = self._now_ms() + _USAGE_MS
+            self._usage.refresh(self._jobs, self._zone.capacity())
+        self._pause_failed()
+        changed, self._jobs.changed = self._jobs.changed, set()
+        for job_id in changed | self._ending:
+            job = self._jobs.jobs.get(job_id)
+            if job is None:
+                self._ending.discard(job_id)
+            elif job.is_complete:
+                self._ending.add(job_id)
+                self._writer.close(job)
+            elif job.verdict or job.is_torn:
+                self._ending.add(job_id)
+                self._stops.add(self._jobs.stops_of(job))
+            else:
+                self._ending.discard(job_id)
+                self._queue.push(job)
+        unneeded, self._jobs.unneeded = self._jobs.unneeded, []
+        self._stops.add(unneeded)
+
+    def _pause_failed(self) -> None:
+        """Delays jobs whose tasks failed, with full jitter."""
+        failures, self._jobs.failures = self._jobs.failures, []
+        for _, job_id in failures:
+            job = self._jobs.jobs.get(job_id)
+            if job is None:
+                continue
+            count = sum(job.failures.values())
+            longest = min(_LONGEST_PAUSE_MS, _FIRST_PAUSE_MS * 2**count)
+            pause_ms = self._source.uniform(0, longest)
+            job.not_before_ms = self._now_ms() + int(pause_ms)
+
+    def _stopped(self, task_id: str) -> None:
+        """Records a confirmed stop."""
+        self._jobs.gone(task_id, "stopped")
+
+    def _closed(self, job: job_state.Job) -> None:
+        """Drops a job whose row was moved."""
+        self._groups.remove(job)
+        self._jobs.close(job.job_id)
+        self._ending.discard(job.job_id)
+        self._forgotten.append(job.job_id)
+
+    def _forget(self) -> None:
+        """Lets the instances drop what they kept for closed jobs."""
+        if not self._forgotten:
+            return
+        forgotten, self._forgotten = self._forgotten, []
+        message = job_messages.JobsForgotten(self._term, tuple(forgotten))
+        self._peers.broadcast_zone(message)
+        self._peers.send(self._settings.instance_id, message)
+
+    def _may_start(self, job: job_state.Job) -> bool:
+        """Whether a job's row allows starts; else the row is marked first."""
+        if job.verdict:
+            return False
+        if job.spec.idempotent or job.started:
+            return True
+        self._writer.mark_started(job)
+        return False
+
+    def _usage_of(self, team: str) -> float:
+        """Returns the usage of a team divided by its share."""
+        rule = self._config.rules.teams.get(team)
+        return self._usage.normalized(team, rule.share if rule else 0.0)
+
+    def _note_started(self, job: job_state.Job) -> None:
+        """Counts a started task in the usage of its team."""
+        self._usage.add(job.spec.team, job.spec.resources, 1)
+
+    def _impossible(self, spec: jobs_model.JobSpec) -> str:
+        """Returns why a job can never run, or an empty string."""
+        copies = self._zone.could_hold(spec.service, spec.resources)
+        if copies is None:
+            return ""
+        if copies == 0:
+            return "a task is larger than the largest worker of the zone"
+        if spec.gang and copies < spec.tasks:
+            return f"the zone has room for {copies} tasks of the gang at most"
+        return ""
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs a read as a task."""
+        task = asyncio.create_task(work)
+        self._reads.add(task)
+        task.add_done_callback(self._reads.discard)
+
+    async def _read_all(self) -> None:
+        """Reads all open jobs of the zone."""
+        prefix = job_rows.open_prefix(self._settings.zone)
+        after = ""
+        try:
+            while True:
+                rows = await self._table_client.scan(prefix, after, _PAGE)
+                for row in rows:
+                    self._add(row)
+                if len(rows) < _PAGE:
+                    break
+                after = rows[-1].key
+        except errors.MarigoldgapError as error:
+            _log.warning("Jobs could not be read: %s", error.detail)
+            self._next_scan_ms = self._now_ms() + _RETRY_LOAD_MS
+            return
+        except Exception:
+            _log.exception("Reading the jobs failed.")
+            return
+        if not self._loaded:
+            self._loaded = True
+            self._stops.add(self._jobs.loaded())
+
+    async def _read_one(self, job_id: str) -> None:
+        """Reads the row of one job; the next scan finds it otherwise."""
+        key = job_rows.open_key(self._settings.zone, job_id)
+        try:
+            row = await self._table_client.get(key)
+        except errors.MarigoldgapError:
+            return
+        if row is not None:
+            self._add(row)
+
+    def _add(self, row: Any) -> None:
+        """Adds a job from its row, unless it is known."""
+        if row.key.rpartition("/")[2] in self._jobs.jobs:
+            return
+        try:
+            job = job_rows.parse_job(row)
+        except errors.ProtocolError as error:
+            _log.error("%s", error.detail)
+            return
+        self._groups.add(job)
+        self._jobs.add(job, self._now_ms())
--- /dev/null
+++ b/src/marigoldgap/coordination/job_rows.py
@@ -0,0 +1,122 @@
+"""Rows of jobs: `jobs/<zone>/<job id>` and `done/<zone>/<job id>`."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any
+
+from marigoldgap import errors
+from marigoldgap.coordination import job_state
+from marigoldgap.coordination import model as jobs_model
+from marigoldgap.platform import model as platform_model
+from marigoldgap.scheduling import model
+
+
+def open_prefix(zone: str) -> str:
+    """Returns the prefix of the open jobs of a zone."""
+    return f"jobs/{zone}/"
+
+
+def open_key(zone: str, job_id: str) -> str:
+    """Returns the key of an open job."""
+    return f"jobs/{zone}/{job_id}"
+
+
+def done_key(zone: str, job_id: str) -> str:
+    """Returns the key of a closed job."""
+    return f"done/{zone}/{job_id}"
+
+
+def open_value(
+    spec: jobs_model.JobSpec,
+    reference: str = "",
+    started: bool = False,
+    cancelled: bool = False,
+) -> dict[str, Any]:
+    """Returns the value of an open job's row.
+
+    Args:
+        spec: The job; its payload is left out if `reference` is given.
+        reference: Key of the payload in the object store.
+        started: Whether tasks of a non-idempotent job may have run.
+        cancelled: Whether the job was cancelled and is being stopped.
+    """
+    payload = b"" if reference else spec.payload
+    content = spec._asdict()
+    content["resources"] = spec.resources._asdict()
+    content["payload"] = base64.b64encode(payload).decode()
+    return {
+        "spec": content,
+        "reference": reference,
+        "started": started,
+        "cancelled": cancelled,
+    }
+
+
+def parse_job(row: platform_model.Row) -> job_state.Job:
+    """Returns the job in a row.
+
+    Raises:
+        errors.ProtocolError: The row has another form.
+    """
+    try:
+        job = job_state.Job(
+            job_id=row.key.rpartition("/")[2],
+            spec=parse_spec(row.value["spec"]),
+            row_version=row.version,
+            reference=row.value["reference"],
+            started=row.value["started"],
+        )
+        if row.value["cancelled"]:
+            job.give_verdict(jobs_model.CANCELLED, "cancelled")
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.ProtocolError(f"row {row.key} is malformed") from error
+    return job
+
+
+def parse_spec(content: Any) -> jobs_model.JobSpec:
+    """Returns the specification in JSON content."""
+    fields = dict(content)
+    fields["resources"] = model.Resources(**fields["resources"])
+    fields["payload"] = base64.b64decode(fields["payload"])
+    return jobs_model.JobSpec(**fields)
+
+
+def close_transaction(
+    zone: str, job: job_state.Job, finished_at_ms: int
+) -> platform_model.Transaction:
+    """Returns the move of a job to the closed ones.
+
+    The check lets only the coordinator that knows the latest row move it.
+    """
+    key = open_key(zone, job.job_id)
+    value = {"status": job.status()._asdict(), "finished_at_ms": finished_at_ms}
+    return platform_model.Transaction(
+        checks=(platform_model.Check(key, job.row_version),),
+        puts=(platform_model.Put(done_key(zone, job.job_id), value),),
+        deletes=(key,),
+    )
+
+
+def mark_transaction(
+    zone: str, job: job_state.Job, started: bool, cancelled: bool
+) -> platform_model.Transaction:
+    """Returns the update of an open job's row."""
+    key = open_key(zone, job.job_id)
+    value = open_value(job.spec, job.reference, started, cancelled)
+    return platform_model.Transaction(
+        checks=(platform_model.Check(key, job.row_version),),
+        puts=(platform_model.Put(key, value),),
+    )
+
+
+def parse_status(value: Any) -> jobs_model.JobStatus:
+    """Returns the status in a closed job's row.
+
+    Raises:
+        errors.ProtocolError: The row has another form.
+    """
+    try:
+        return jobs_model.JobStatus(**value["status"])
+    except (KeyError, TypeError) as error:
+        raise errors.ProtocolError("the row of a job is malformed") from error
--- /dev/null
+++ b/src/marigoldgap/coordination/job_table.py
@@ -0,0 +1,360 @@
+"""Open jobs of the zone and where their tasks run; pure.
+
+A task waits again only after its attempt certainly does not run: its worker
+said so, has lapsed or restarted, or no worker reported it after everything
+that can run was reported.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from marigoldgap import logs
+from marigoldgap.coordination import job_state
+from marigoldgap.coordination import model as jobs_model
+from marigoldgap.coordination import owned_tasks
+from marigoldgap.entries import messages
+from marigoldgap.scheduling import model
+
+_log = logs.PartLogger("coordination")
+
+_FINISHED = "finished"
+_FAILED = "failed"
+
+# A job whose tasks failed on this many workers is at fault itself.
+FAILED_WORKERS_LIMIT = 3
+
+
+class StopRequest(NamedTuple):
+    """A task that must stop and the worker that runs it."""
+
+    worker_id: str
+    task_id: str
+
+
+class JobTable:
+    """Jobs, attempts by task id, and attempts by worker.
+
+    Args:
+        attempts_limit: Returns how often one task may fail.
+        new_token: Returns a unique part for attempt ids.
+    """
+
+    def __init__(
+        self,
+        attempts_limit: Callable[[], int],
+        new_token: Callable[[], str],
+    ) -> None:
+        self._attempts_limit = attempts_limit
+        self._new_token = new_token
+        self._attempts: dict[str, job_state.Attempt] = {}
+        self._on_worker: dict[str, set[str]] = {}
+        self._early: dict[str, dict[str, job_state.Attempt]] = {}
+        self._early_outcomes: dict[str, list[messages.Outcome]] = {}
+        self._loaded = False
+        self.jobs: dict[str, job_state.Job] = {}
+        # Jobs whose state changed since they were last looked at.
+        self.changed: set[str] = set()
+        # Failed tasks, as (worker id, job id), for the quarantine.
+        self.failures: list[tuple[str, str]] = []
+        # Attempts whose task was finished by another attempt.
+        self.unneeded: list[StopRequest] = []
+
+    @property
+    def attempts(self) -> Iterable[job_state.Attempt]:
+        """All attempts that may run."""
+        return self._attempts.values()
+
+    def add(self, job: job_state.Job, now_ms: int) -> None:
+        """Adds a job from its row, with what was reported about it before."""
+        if job.job_id in self.jobs:
+            return
+        self.jobs[job.job_id] = job
+        for outcome in self._early_outcomes.pop(job.job_id, ()):
+            self.outcome(outcome, now_ms)
+        for attempt in self._early.pop(job.job_id, {}).values():
+            self._activate(job, attempt)
+        if job.started and not job.spec.idempotent:
+            self._distrust_restart(job)
+        self.changed.add(job.job_id)
+
+    def loaded(self) -> list[StopRequest]:
+        """Ends the load of rows; returns tasks of jobs that have no row."""
+        self._loaded = True
+        strays = [
+            StopRequest(attempt.place, attempt.task_id)
+            for early in self._early.values()
+            for attempt in early.values()
+            if attempt.state is job_state.TaskState.RUNNING
+        ]
+        self._early.clear()
+        self._early_outcomes.clear()
+        return strays
+
+    def close(self, job_id: str) -> None:
+        """Drops a job whose row was moved."""
+        job = self.jobs.pop(job_id, None)
+        self.changed.discard(job_id)
+        if job is not None:
+            for task_id in list(job.active.values()):
+                self._drop(task_id)
+
+    def begin_attempt(
+        self, job: job_state.Job, instance_id: str, now_ms: int
+    ) -> model.TaskSpec:
+        """Takes the next waiting task, to be started by an instance."""
+        index = job.waiting[0]
+        token = self._new_token()
+        task_id = job_state.new_attempt_id(job.job_id, index, token)
+        attempt = job_state.Attempt(
+            task_id=task_id,
+            job_id=job.job_id,
+            task_index=index,
+            state=job_state.TaskState.PLACING,
+            place=instance_id,
+            since_ms=now_ms,
+        )
+        self._activate(job, attempt)
+        return job.task_spec(task_id, index)
+
+    def placed(self, task_id: str, worker_id: str, now_ms: int) -> None:
+        """Records that a worker accepted, or may have accepted, a task."""
+        attempt = self._attempts.get(task_id)
+        if attempt is None or attempt.state is job_state.TaskState.RUNNING:
+            return
+        self._set_running(attempt, worker_id, now_ms)
+
+    def not_started(self, task_id: str) -> None:
+        """Records that an attempt certainly did not start."""
+        attempt = self._drop(task_id)
+        if attempt is not None:
+            self._job_of(attempt).put_back(attempt.task_index)
+            self.changed.add(attempt.job_id)
+
+    def placing(
+        self, instance_id: str, task: model.RunningTask, now_ms: int
+    ) -> None:
+        """Records a start that an instance of an earlier term still tries."""
+        self._observe(task, job_state.TaskState.PLACING, instance_id, now_ms)
+
+    def inventory(
+        self, worker_id: str, tasks: Iterable[model.RunningTask], now_ms: int
+    ) -> list[StopRequest]:
+        """Takes over all job tasks of a worker.
+
+        Returns:
+            Tasks that must stop, because their task runs elsewhere already
+            or their job is closed.
+        """
+        stops = []
+        present = set()
+        for task in tasks:
+            present.add(task.task_id)
+            running = job_state.TaskState.RUNNING
+            if not self._observe(task, running, worker_id, now_ms):
+                stops.append(StopRequest(worker_id, task.task_id))
+        for task_id in self._on_worker.get(worker_id, set()) - present:
+            self.gone(task_id, "the worker does not run it any more")
+        return stops
+
+    def outcome(self, outcome: messages.Outcome, now_ms: int) -> None:
+        """Records how a task ended; repeated and late ones are ignored."""
+        del now_ms
+        job_id = owned_tasks.job_of(outcome.task_id)
+        if job_id not in self.jobs:
+            if not self._loaded:
+                self._early_outcomes.setdefault(job_id, []).append(outcome)
+                self._early.get(job_id, {}).pop(outcome.task_id, None)
+            return
+        index = job_state.index_of(outcome.task_id)
+        job = self.jobs[job_id]
+        if index is None or index >= job.spec.tasks or index in job.ended:
+            return
+        attempt = self._drop(outcome.task_id)
+        if outcome.state == _FINISHED and not outcome.exit_code:
+            self._finish(job, index)
+        elif outcome.state in (_FINISHED, _FAILED):
+            self._fail(job, index, outcome, known=attempt is not None)
+        elif attempt is not None:
+            self._interrupted(job, index, outcome.state)
+        self.changed.add(job_id)
+
+    def gone(self, task_id: str, reason: str) -> None:
+        """Records that an attempt certainly does not run any more."""
+        attempt = self._drop(task_id)
+        if attempt is None:
+            self._forget_early(task_id)
+            return
+        self._interrupted(self._job_of(attempt), attempt.task_index, reason)
+        self.changed.add(attempt.job_id)
+
+    def worker_gone(self, worker_id: str) -> None:
+        """Records that a worker runs none of its earlier tasks."""
+        for task_id in list(self._on_worker.get(worker_id, ())):
+            self.gone(task_id, "the worker lapsed or restarted")
+        for early in self._early.values():
+            for task_id, attempt in list(early.items()):
+                if attempt.place == worker_id:
+                    del early[task_id]
+
+    def instance_lost(self, instance_id: str) -> None:
+        """Records that starts at an instance have an unknown result."""
+        for attempt in list(self._attempts.values()):
+            placing = attempt.state is job_state.TaskState.PLACING
+            if placing and attempt.place == instance_id:
+                limbo = job_state.TaskState.LIMBO
+                self._attempts[attempt.task_id] = attempt._replace(state=limbo)
+        for early in self._early.values():
+            for task_id, attempt in list(early.items()):
+                if attempt.place == instance_id:
+                    limbo = job_state.TaskState.LIMBO
+                    early[task_id] = attempt._replace(state=limbo)
+
+    def settled(self) -> None:
+        """Everything that runs was reported: tasks in limbo do not run."""
+        for attempt in list(self._attempts.values()):
+            if attempt.state is job_state.TaskState.LIMBO:
+                self.gone(attempt.task_id, "no worker runs it")
+        for early in self._early.values():
+            for task_id, attempt in list(early.items()):
+                if attempt.state is job_state.TaskState.LIMBO:
+                    del early[task_id]
+
+    def stops_of(self, job: job_state.Job) -> list[StopRequest]:
+        """Returns the running tasks of a job that has to end."""
+        found = []
+        for task_id in job.active.values():
+            attempt = self._attempts[task_id]
+            if attempt.state is job_state.TaskState.RUNNING:
+                found.append(StopRequest(attempt.place, task_id))
+        return found
+
+    def touch(self, task_id: str, now_ms: int) -> None:
+        """Records that an instance was asked for an attempt again."""
+        attempt = self._attempts[task_id]
+        self._attempts[task_id] = attempt._replace(since_ms=now_ms)
+
+    def attempt(self, task_id: str) -> job_state.Attempt | None:
+        """Returns an attempt that may run."""
+        return self._attempts.get(task_id)
+
+    def _observe(
+        self,
+        task: model.RunningTask,
+        state: job_state.TaskState,
+        place: str,
+        now_ms: int,
+    ) -> bool:
+        """Takes over a reported attempt; returns whether it may go on."""
+        known = self._attempts.get(task.task_id)
+        if known is not None:
+            if state is job_state.TaskState.RUNNING:
+                self._set_running(known, place, now_ms)
+            return True
+        index = job_state.index_of(task.task_id)
+        if index is None:
+            return False
+        attempt = job_state.Attempt(
+            task.task_id, task.job_id, index, state, place, now_ms
+        )
+        job = self.jobs.get(task.job_id)
+        if job is None:
+            if self._loaded:
+                return False
+            early = self._early.setdefault(task.job_id, {})
+            early[task.task_id] = attempt
+            return True
+        if index in job.ended or index in job.active or job.verdict:
+            _log.warning("Task %s runs but is not needed.", task.task_id)
+            return False
+        self._activate(job, attempt)
+        return True
+
+    def _activate(self, job: job_state.Job, attempt: job_state.Attempt) -> None:
+        """Makes an attempt the only one of its task."""
+        if attempt.task_index in job.active or attempt.task_index in job.ended:
+            return
+        job.take(attempt.task_index, attempt.task_id)
+        self._attempts[attempt.task_id] = attempt
+        if attempt.state is job_state.TaskState.RUNNING:
+            self._on_worker.setdefault(attempt.place, set()).add(
+                attempt.task_id
+            )
+
+    def _set_running(
+        self, attempt: job_state.Attempt, worker_id: str, now_ms: int
+    ) -> None:
+        """Moves an attempt to a worker."""
+        if attempt.state is job_state.TaskState.RUNNING:
+            self._on_worker.get(attempt.place, set()).discard(attempt.task_id)
+        self._attempts[attempt.task_id] = attempt._replace(
+            state=job_state.TaskState.RUNNING, place=worker_id, since_ms=now_ms
+        )
+        self._on_worker.setdefault(worker_id, set()).add(attempt.task_id)
+
+    def _drop(self, task_id: str) -> job_state.Attempt | None:
+        """Removes an attempt from the indexes."""
+        attempt = self._attempts.pop(task_id, None)
+        if attempt is not None:
+            self._on_worker.get(attempt.place, set()).discard(task_id)
+        return attempt
+
+    def _forget_early(self, task_id: str) -> None:
+        """Removes an attempt of a job whose row is not read yet."""
+        self._early.get(owned_tasks.job_of(task_id), {}).pop(task_id, None)
+
+    def _job_of(self, attempt: job_state.Attempt) -> job_state.Job:
+        """Returns the job of an attempt."""
+        return self.jobs[attempt.job_id]
+
+    def _finish(self, job: job_state.Job, index: int) -> None:
+        """Records a success, also of an attempt that was given up."""
+        other = self._drop(job.active.get(index, ""))
+        if other is not None and other.state is job_state.TaskState.RUNNING:
+            self.unneeded.append(StopRequest(other.place, other.task_id))
+        try:
+            job.waiting.remove(index)
+        except ValueError:
+            pass
+        job.end(index)
+
+    def _fail(
+        self,
+        job: job_state.Job,
+        index: int,
+        outcome: messages.Outcome,
+        known: bool,
+    ) -> None:
+        """Counts a failure and decides whether the job fails."""
+        if not known and index in job.active:
+            return
+        job.failures[index] = job.failures.get(index, 0) + 1
+        job.failed_workers.add(outcome.worker_id)
+        self.failures.append((outcome.worker_id, job.job_id))
+        if len(job.failed_workers) >= FAILED_WORKERS_LIMIT:
+            detail = f"tasks failed on {FAILED_WORKERS_LIMIT} workers"
+            job.give_verdict(jobs_model.FAILED, detail)
+        elif job.failures[index] >= self._attempts_limit():
+            detail = f"a task failed {job.failures[index]} times"
+            job.give_verdict(jobs_model.FAILED, detail)
+        elif not job.spec.idempotent:
+            job.give_verdict(jobs_model.FAILED, "a task failed")
+        if index in job.active or known:
+            job.put_back(index)
+
+    def _interrupted(self, job: job_state.Job, index: int, reason: str) -> None:
+        """Lets a task wait again after its attempt ended without result."""
+        if not job.spec.idempotent:
+            detail = f"outcome unknown: {reason}"
+            job.give_verdict(jobs_model.FAILED, detail)
+        job.put_back(index)
+
+    def _distrust_restart(self, job: job_state.Job) -> None:
+        """Fails a job whose lost tasks may have run and must not again."""
+        if job.waiting:
+            job.give_verdict(
+                jobs_model.FAILED,
+                "outcome unknown: what ran before was not reported",
+            )
--- /dev/null
+++ b/src/marigoldgap/coordination/jobs_gateway.py
@@ -0,0 +1,161 @@
+"""Accepts, shows and cancels jobs on behalf of callers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import json
+
+from marigoldgap import errors
+from marigoldgap import identifiers
+from marigoldgap.coordination import interfaces
+from marigoldgap.coordination import job_rows
+from marigoldgap.coordination import model as jobs_model
+from marigoldgap.coordination import payloads
+from marigoldgap.entries import job_messages
+from marigoldgap.platform import model as platform_model
+from marigoldgap.settings import model as settings_model
+
+# Errors after which the rows of the table service are asked instead.
+_COORDINATOR_AWAY = (
+    errors.PeerUnavailableError,
+    errors.StaleTermError,
+    errors.NotReadyError,
+    errors.NotFoundError,
+)
+_CANCEL_TIMEOUT_MS = 10_000
+
+
+class JobsGateway:
+    """Runs on every instance; the home zone's coordinator does the work.
+
+    Args:
+        settings: Settings of this instance.
+        peers: Link to the coordinator.
+        table: Reads job rows.
+        committer: Writes the row of a new job.
+        objects: Holds large payloads.
+    """
+
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        peers: interfaces.Peers,
+        table: interfaces.TableClient,
+        committer: interfaces.GroupCommitter,
+        objects: interfaces.ObjectClient,
+    ) -> None:
+        self._zone = settings.zone
+        self._peers = peers
+        self._table = table
+        self._committer = committer
+        self._objects = objects
+
+    async def submit(self, spec: jobs_model.JobSpec) -> jobs_model.JobStatus:
+        """Accepts a job; it is durable when this returns.
+
+        Raises:
+            errors.ImpossibleJobError: The zone could never run the job.
+            errors.StoreUnavailableError: The job was not accepted.
+            errors.StoreOutcomeUnknownError: The job may have been accepted.
+        """
+        await self._check(spec)
+        job_id = identifiers.new_job_id(self._zone)
+        reference = await self._put_payload(job_id, spec)
+        key = job_rows.open_key(self._zone, job_id)
+        value = job_rows.open_value(spec, reference)
+        absent = platform_model.Check(key, platform_model.ABSENT_VERSION)
+        await self._committer.commit(
+            platform_model.Transaction(
+                checks=(absent,), puts=(platform_model.Put(key, value),)
+            )
+        )
+        self._peers.send(
+            self._coordinator(), job_messages.JobAccepted((job_id,))
+        )
+        return _waiting(job_id, spec)
+
+    async def status(self, job_id: str) -> jobs_model.JobStatus:
+        """Returns the status of a job of any zone.
+
+        Raises:
+            errors.NotFoundError: There is no such job.
+            errors.StoreUnavailableError: Neither the coordinator nor the
+                table service answered.
+        """
+        query = job_messages.JobQuery(job_id)
+        try:
+            reply = await self._peers.call(self._coordinator(), query)
+        except _COORDINATOR_AWAY:
+            return await self._stored_status(job_id)
+        return jobs_model.JobStatus(**json.loads(reply.status))
+
+    async def cancel(
+        self, team: str, job_ids: Sequence[str] = (), group: str = ""
+    ) -> None:
+        """Cancels jobs of a team; returns when this is durable.
+
+        Jobs that have ended and unknown ids are ignored.
+
+        Args:
+            team: Owner of the jobs; jobs of other teams are not touched.
+            job_ids: Jobs of any zones.
+            group: All jobs of this group in all zones.
+
+        Raises:
+            errors.MarigoldgapError: Some jobs may not be cancelled; the call
+                can be repeated.
+        """
+        message = job_messages.JobsCancelled(tuple(job_ids), group, team)
+        await self._peers.call(self._coordinator(), message, _CANCEL_TIMEOUT_MS)
+
+    def _coordinator(self) -> str:
+        """Returns the coordinator of the own zone."""
+        return self._peers.membership.term.instance_id
+
+    async def _check(self, spec: jobs_model.JobSpec) -> None:
+        """Refuses an impossible job, if the coordinator can tell."""
+        content = job_rows.open_value(spec._replace(payload=b""))["spec"]
+        check = job_messages.JobCheck(json.dumps(content))
+        try:
+            await self._peers.call(self._coordinator(), check)
+        except _COORDINATOR_AWAY:
+            return
+
+    async def _put_payload(self, job_id: str, spec: jobs_model.JobSpec) -> str:
+        """Stores a large payload and returns its key."""
+        if len(spec.payload) <= payloads.INLINE_LIMIT_BYTES:
+            return ""
+        key = f"payloads/{job_id}"
+        await self._objects.put(key, spec.payload)
+        return key
+
+    async def _stored_status(self, job_id: str) -> jobs_model.JobStatus:
+        """Returns what the rows say about a job."""
+        zone = identifiers.zone_of_job(job_id)
+        done = await self._table.get(job_rows.done_key(zone, job_id))
+        if done is not None:
+            return job_rows.parse_status(done.value)
+        row = await self._table.get(job_rows.open_key(zone, job_id))
+        if row is None:
+            raise errors.NotFoundError(f"there is no job {job_id}")
+        return _waiting(job_id, job_rows.parse_job(row).spec)
+
+
+def by_zone(job_ids: Iterable[str]) -> dict[str, list[str]]:
+    """Returns job ids by their home zones."""
+    zones: dict[str, list[str]] = {}
+    for job_id in job_ids:
+        zones.setdefault(identifiers.zone_of_job(job_id), []).append(job_id)
+    return zones
+
+
+def _waiting(job_id: str, spec: jobs_model.JobSpec) -> jobs_model.JobStatus:
+    """Returns the status of a job of which only the row is known."""
+    return jobs_model.JobStatus(
+        job_id=job_id,
+        team=spec.team,
+        state=jobs_model.WAITING,
+        tasks=spec.tasks,
+        waiting=spec.tasks,
+    )
--- /dev/null
+++ b/src/marigoldgap/coordination/owned_tasks.py
@@ -0,0 +1,172 @@
+"""The job tasks on the workers that this instance owns."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+from marigoldgap.entries import messages
+from marigoldgap.scheduling import model
+from marigoldgap.workers import model as workers_model
+
+# States of a task change after which the task does not run any more.
+_ENDED = frozenset({"finished", "failed", "stopped", "checkpointed", "lapsed"})
+
+
+class OwnedTasks:
+    """Follows ownership and job tasks, and keeps outcomes for reports.
+
+    Outcomes of open jobs are kept until the coordinator closes the job, so
+    that a new coordinator learns them without the table service.
+    """
+
+    def __init__(self) -> None:
+        self._workers: dict[str, model.WorkerInfo] = {}
+        self._tasks: dict[str, dict[str, model.RunningTask]] = {}
+        self._outcomes: dict[str, dict[str, messages.Outcome]] = {}
+        self._acquired: set[str] = set()
+        self._lost: set[str] = set()
+        self._restarted: set[str] = set()
+        self._new_outcomes: list[messages.Outcome] = []
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether there is something to report."""
+        return bool(self._acquired or self._lost or self._restarted) or bool(
+            self._new_outcomes
+        )
+
+    def acquired(
+        self, worker: model.WorkerInfo, running: Sequence[model.RunningTask]
+    ) -> None:
+        """Takes over a worker with its inventory."""
+        worker_id = worker.worker_id
+        self._workers[worker_id] = worker
+        self._tasks[worker_id] = {
+            task.task_id: task for task in running if task.job_id
+        }
+        self._acquired.add(worker_id)
+        self._lost.discard(worker_id)
+
+    def lost(self, worker_id: str) -> None:
+        """Drops a worker whose lease is not held any more."""
+        if self._workers.pop(worker_id, None) is None:
+            return
+        self._tasks.pop(worker_id, None)
+        self._acquired.discard(worker_id)
+        self._lost.add(worker_id)
+
+    def restarted(self, worker_id: str) -> None:
+        """Drops the tasks of a worker whose process is new."""
+        if worker_id in self._tasks:
+            self._tasks[worker_id] = {}
+        self._restarted.add(worker_id)
+
+    def placed(self, task: model.TaskSpec, worker_id: str) -> None:
+        """Records a job task that a worker accepted."""
+        if worker_id not in self._tasks or task.task_id in self._ended(task):
+            return
+        self._tasks[worker_id][task.task_id] = running_task(task, worker_id)
+
+    def changed(self, change: workers_model.TaskChange) -> bool:
+        """Records a change; returns whether a job task ended."""
+        if change.state not in _ENDED:
+            return False
+        task = self._tasks.get(change.worker_id, {}).pop(change.task_id, None)
+        job_id = task.job_id if task else job_of(change.task_id)
+        if not job_id:
+            return False
+        kept = self._outcomes.setdefault(job_id, {})
+        if change.task_id in kept:
+            return False
+        outcome = messages.Outcome(
+            task_id=change.task_id,
+            worker_id=change.worker_id,
+            state=change.state,
+            exit_code=change.exit_code,
+        )
+        kept[change.task_id] = outcome
+        self._new_outcomes.append(outcome)
+        return True
+
+    def forget_jobs(self, job_ids: Iterable[str]) -> None:
+        """Drops the outcomes of closed jobs."""
+        for job_id in job_ids:
+            self._outcomes.pop(job_id, None)
+
+    def team_of(self, worker_id: str, task_id: str) -> str | None:
+        """Returns the team of a running job task."""
+        task = self._tasks.get(worker_id, {}).get(task_id)
+        return task.team if task else None
+
+    def full_report(self) -> tuple[messages.OwnedReport, ...]:
+        """Returns all workers; pending changes are part of it."""
+        self._clear_changes()
+        return tuple(self._report(worker_id) for worker_id in self._workers)
+
+    def all_outcomes(self) -> tuple[messages.Outcome, ...]:
+        """Returns the kept outcomes of all open jobs."""
+        return tuple(
+            outcome
+            for kept in self._outcomes.values()
+            for outcome in kept.values()
+        )
+
+    def take_changes(
+        self, term: model.Term, incarnation: str
+    ) -> messages.WorkersChanged:
+        """Returns the changes since the last report and clears them."""
+        changes = messages.WorkersChanged(
+            term=term,
+            incarnation=incarnation,
+            acquired=tuple(self._report(w) for w in sorted(self._acquired)),
+            lost=tuple(sorted(self._lost)),
+            restarted=tuple(sorted(self._restarted)),
+            outcomes=tuple(self._new_outcomes),
+            holdings=(),
+        )
+        self._clear_changes()
+        return changes
+
+    def _ended(self, task: model.TaskSpec) -> dict[str, messages.Outcome]:
+        """Returns the ended tasks of the task's job."""
+        return self._outcomes.get(task.job_id, {})
+
+    def _report(self, worker_id: str) -> messages.OwnedReport:
+        """Returns the report of one worker."""
+        worker = self._workers[worker_id]
+        return messages.OwnedReport(
+            worker_id=worker_id,
+            service=worker.service,
+            capacity=worker.capacity,
+            tasks=tuple(self._tasks[worker_id].values()),
+        )
+
+    def _clear_changes(self) -> None:
+        """Forgets what was reported."""
+        self._acquired.clear()
+        self._lost.clear()
+        self._restarted.clear()
+        self._new_outcomes = []
+
+
+def running_task(task: model.TaskSpec, worker_id: str) -> model.RunningTask:
+    """Returns the running form of a task."""
+    return model.RunningTask(
+        task_id=task.task_id,
+        worker_id=worker_id,
+        team=task.team,
+        queue=task.queue,
+        resources=task.resources,
+        job_id=task.job_id,
+        attempt=task.attempt,
+    )
+
+
+def job_of(task_id: str) -> str:
+    """Returns the job of a task id, or an empty string for a request.
+
+    Job tasks are named `<job id>~<index>~<attempt token>`.
+    """
+    job_id, _, rest = task_id.partition("~")
+    return job_id if "~" in rest else ""
--- /dev/null
+++ b/src/marigoldgap/coordination/zone_view.py
@@ -0,0 +1,108 @@
+"""Workers of the zone as acknowledged instances report them; pure."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from marigoldgap.entries import messages
+from marigoldgap.scheduling import model
+from marigoldgap.scheduling import resources
+
+
+class OwnedView(NamedTuple):
+    """A worker and the instance that reported it."""
+
+    worker_id: str
+    owner: str
+    service: str
+    capacity: model.Resources
+
+
+class ZoneView:
+    """Latest reported owner and capacity of each worker."""
+
+    def __init__(self) -> None:
+        self._workers: dict[str, OwnedView] = {}
+        self._former_owners: dict[str, set[str]] = {}
+
+    @property
+    def workers(self) -> tuple[OwnedView, ...]:
+        """Workers that were reported in this term and are not removed."""
+        return tuple(self._workers.values())
+
+    def owner(self, worker_id: str) -> str | None:
+        """Returns the instance that owns a worker, if it is known."""
+        worker = self._workers.get(worker_id)
+        return worker.owner if worker and worker.owner else None
+
+    def workers_of(self, instance_id: str) -> tuple[str, ...]:
+        """Returns the workers that an instance owns."""
+        return tuple(
+            worker.worker_id
+            for worker in self._workers.values()
+            if worker.owner == instance_id
+        )
+
+    def acquired(self, instance_id: str, report: messages.OwnedReport) -> None:
+        """Records an owner; the latest report wins."""
+        before = self.owner(report.worker_id)
+        if before is not None and before != instance_id:
+            self._note_former(report.worker_id, before)
+        self._workers[report.worker_id] = OwnedView(
+            worker_id=report.worker_id,
+            owner=instance_id,
+            service=report.service,
+            capacity=report.capacity,
+        )
+
+    def lost(self, instance_id: str, worker_id: str) -> None:
+        """Records that an instance does not own a worker any more."""
+        self._note_former(worker_id, instance_id)
+        if self.owner(worker_id) == instance_id:
+            known = self._workers[worker_id]
+            self._workers[worker_id] = known._replace(owner="")
+
+    def remove(self, worker_id: str) -> None:
+        """Drops a worker that is gone from the platform."""
+        self._workers.pop(worker_id, None)
+
+    def take_former_owners(self, worker_id: str) -> frozenset[str]:
+        """Returns instances that still count tasks of a settled worker."""
+        return frozenset(self._former_owners.pop(worker_id, ()))
+
+    def forget_instance(self, instance_id: str) -> None:
+        """Drops a dead instance from the former owners."""
+        for owners in self._former_owners.values():
+            owners.discard(instance_id)
+
+    def capacity(self) -> model.Resources:
+        """Returns the capacity of all owned workers."""
+        total = model.Resources(0, 0)
+        for worker in self._workers.values():
+            if worker.owner:
+                total = resources.add(total, worker.capacity)
+        return total
+
+    def could_hold(self, service: str, needed: model.Resources) -> int | None:
+        """Returns how many such tasks fit into the empty zone.
+
+        None means that no worker of the service is known, so that nothing
+        can be said.
+        """
+        capacities = [
+            worker.capacity
+            for worker in self._workers.values()
+            if worker.service == service
+        ]
+        if not capacities:
+            return None
+        return sum(_copies(needed, capacity) for capacity in capacities)
+
+    def _note_former(self, worker_id: str, instance_id: str) -> None:
+        """Remembers an instance that lost a worker."""
+        self._former_owners.setdefault(worker_id, set()).add(instance_id)
+
+
+def _copies(needed: model.Resources, capacity: model.Resources) -> int:
+    """Returns how many copies of an amount fit into a capacity."""
+    return resources.copies_in(needed, capacity)
--- a/src/marigoldgap/entries/job_messages.py
+++ b/src/marigoldgap/entries/job_messages.py
@@ -73,20 +73,15 @@
 
 @registry.message("placeResult")
 class PlaceResult(NamedTuple):
-    """Answer to PlaceTasks and CommitGang, for each task."""
+    """Results of PlaceTasks and CommitGang; sent when they are known.
 
-    incarnation: str
-    outcomes: tuple[Placed, ...]
-    holdings: tuple[messages.HoldingEntry, ...]
-
-
-@registry.message("taskChanged")
-class TaskChanged(NamedTuple):
-    """Job tasks ended; the coordinator answers when it has noted them."""
+    It is a message of its own and no answer, so that it keeps its order
+    among the sender's other reports.
+    """
 
     term: model.Term
     incarnation: str
-    outcomes: tuple[messages.Outcome, ...]
+    outcomes: tuple[Placed, ...]
     holdings: tuple[messages.HoldingEntry, ...]
 
 
@@ -130,6 +125,7 @@
 
     term: model.Term
     reservation_id: str
+    tasks: tuple[model.TaskSpec, ...]
     payloads: tuple[Payload, ...]
 
 
@@ -205,9 +201,10 @@
 
 @registry.message("configDelta")
 class ConfigDelta(NamedTuple):
-    """Configuration versions in increasing order."""
+    """Configuration versions in increasing order, and withdrawn keys."""
 
     records: tuple[ConfigRecord, ...]
+    denied: tuple[str, ...]
 
 
 @registry.message("configRequest")
@@ -219,7 +216,20 @@
 
 @registry.message("denyKeys")
 class DenyKeys(NamedTuple):
-    """Withdrawn keys, passed on before the version is adopted."""
+    """Withdrawn keys, passed on before a version with them is adopted."""
 
     key_ids: tuple[str, ...]
-    version: int
+
+
+@registry.message("denyResult")
+class DenyResult(NamedTuple):
+    """Answer to DenyKeys: instances and zones that refuse the keys now."""
+
+    names: tuple[str, ...]
+
+
+@registry.message("zonesInForce")
+class ZonesInForce(NamedTuple):
+    """The coordinator's knowledge of the versions in force in all zones."""
+
+    zones: tuple[messages.Count, ...]
--- a/src/marigoldgap/entries/messages.py
+++ b/src/marigoldgap/entries/messages.py
@@ -112,7 +112,7 @@
 
 @registry.message("termAnnounce")
 class TermAnnounce(NamedTuple):
-    """A coordinator announces its term; answered with TermReport."""
+    """A coordinator announces its term; the receiver sends TermReport."""
 
     term: model.Term
 
@@ -125,6 +125,7 @@
         term: The term that the sender obeys.
         accepted: Whether the announced term was accepted.
         incarnation: Process for which the holdings speak.
+        placing: Job tasks whose start is under way; no worker is known yet.
         outcomes: Ended job tasks of jobs that are still open.
     """
 
@@ -132,6 +133,7 @@
     accepted: bool
     incarnation: str
     workers: tuple[OwnedReport, ...]
+    placing: tuple[model.RunningTask, ...]
     holdings: tuple[HoldingEntry, ...]
     outcomes: tuple[Outcome, ...]
 
--- a/src/marigoldgap/entries/peer.capnp
+++ b/src/marigoldgap/entries/peer.capnp
@@ -25,27 +25,28 @@
     allowanceNotice @15 :AllowanceNotice;
     placeTasks @16 :PlaceTasks;
     placeResult @17 :PlaceResult;
-    taskChanged @18 :TaskChanged;
-    stopTasks @19 :StopTasks;
-    stopResult @20 :StopResult;
-    reserveGang @21 :ReserveGang;
-    reserveResult @22 :ReserveResult;
-    commitGang @23 :CommitGang;
-    releaseGang @24 :ReleaseGang;
-    jobAccepted @25 :JobAccepted;
-    jobsCancelled @26 :JobsCancelled;
-    zoneDigest @27 :ZoneDigest;
-    configDelta @28 :ConfigDelta;
-    configRequest @29 :ConfigRequest;
-    denyKeys @30 :DenyKeys;
-    jobQuery @31 :JobQuery;
-    jobCheck @32 :JobCheck;
-    jobReply @33 :JobReply;
-    forward @34 :Forward;
-    forwardResult @35 :ForwardResult;
-    jobsForgotten @36 :JobsForgotten;
-    workersSettled @37 :WorkersSettled;
-    holdingRecall @38 :HoldingRecall;
+    stopTasks @18 :StopTasks;
+    stopResult @19 :StopResult;
+    reserveGang @20 :ReserveGang;
+    reserveResult @21 :ReserveResult;
+    commitGang @22 :CommitGang;
+    releaseGang @23 :ReleaseGang;
+    jobAccepted @24 :JobAccepted;
+    jobsCancelled @25 :JobsCancelled;
+    zoneDigest @26 :ZoneDigest;
+    configDelta @27 :ConfigDelta;
+    configRequest @28 :ConfigRequest;
+    denyKeys @29 :DenyKeys;
+    jobQuery @30 :JobQuery;
+    jobCheck @31 :JobCheck;
+    jobReply @32 :JobReply;
+    forward @33 :Forward;
+    forwardResult @34 :ForwardResult;
+    jobsForgotten @35 :JobsForgotten;
+    workersSettled @36 :WorkersSettled;
+    holdingRecall @37 :HoldingRecall;
+    denyResult @38 :DenyResult;
+    zonesInForce @39 :ZonesInForce;
   }
 }
 
@@ -132,8 +133,9 @@
   accepted @1 :Bool;
   incarnation @2 :Text;
   workers @3 :List(OwnedReport);
-  holdings @4 :List(HoldingEntry);
-  outcomes @5 :List(Outcome);
+  placing @4 :List(RunningTask);
+  holdings @5 :List(HoldingEntry);
+  outcomes @6 :List(Outcome);
 }
 struct WorkersChanged {
   term @0 :Term;
@@ -184,14 +186,9 @@
   unknown @3 :Bool;
 }
 struct PlaceResult {
-  incarnation @0 :Text;
-  outcomes @1 :List(Placed);
-  holdings @2 :List(HoldingEntry);
-}
-struct TaskChanged {
   term @0 :Term;
   incarnation @1 :Text;
-  outcomes @2 :List(Outcome);
+  outcomes @2 :List(Placed);
   holdings @3 :List(HoldingEntry);
 }
 struct TaskAddress { workerId @0 :Text; taskId @1 :Text; }
@@ -211,7 +208,8 @@
 struct CommitGang {
   term @0 :Term;
   reservationId @1 :Text;
-  payloads @2 :List(Payload);
+  tasks @2 :List(TaskSpec);
+  payloads @3 :List(Payload);
 }
 struct ReleaseGang { term @0 :Term; reservationId @1 :Text; }
 struct JobAccepted { jobIds @0 :List(Text); }
@@ -248,9 +246,11 @@
   appliedAtMs @3 :Int64;
   content @4 :Text;          # JSON
 }
-struct ConfigDelta { records @0 :List(ConfigRecord); }
+struct ConfigDelta { records @0 :List(ConfigRecord); denied @1 :List(Text); }
 struct ConfigRequest { sinceVersion @0 :Int64; }
-struct DenyKeys { keyIds @0 :List(Text); version @1 :Int64; }
+struct DenyKeys { keyIds @0 :List(Text); }
+struct DenyResult { names @0 :List(Text); }
+struct ZonesInForce { zones @0 :List(Count); }
 
 struct Forward {
   task @0 :TaskSpec;
