--- a/src/marigoldgap/scheduling/allowance_ledger.py
+++ b/src/marigoldgap/scheduling/allowance_ledger.py
@@ -21,7 +21,9 @@
 class AllowanceLedger:
     """Allowances and holdings of one zone during one term.
 
-    A new term starts with a new ledger.
+    A new term starts with a new ledger. Holders are entry instances; their
+    names must differ between processes that were started with the same
+    instance id, since a new process does not hold what the old one was granted.
 
     Args:
         zone: The zone of the coordinator.
@@ -31,7 +33,7 @@
     def __init__(self, zone: str, term: model.Term) -> None:
         self._zone = zone
         self._term = term
-        self._incarnations: dict[str, str] = {}
+        self._holders: set[str] = set()
         self._teams: dict[str, team_allowance.TeamAllowance] = {}
         self._complete = False
         self._notices = 0
@@ -47,83 +49,76 @@
         return self._complete
 
     @property
-    def instances(self) -> frozenset[str]:
+    def holders(self) -> frozenset[str]:
         """Entry instances that have acknowledged the term."""
-        return frozenset(self._incarnations)
+        return frozenset(self._holders)
 
     def record_term_report(
         self,
-        instance_id: str,
+        holder: str,
         reports: Mapping[str, allowance_model.HoldingReport],
-        incarnation: str = "",
     ) -> None:
-        """Takes over what an instance holds when it acknowledges the term.
-
-        A process that was restarted under the same id is not admitted before
-        its predecessor has been retired.
-        """
-        self._incarnations.setdefault(instance_id, incarnation)
+        """Takes over what a holder has when it acknowledges the term."""
+        self._holders.add(holder)
         for team, report in reports.items():
-            self.record_report(instance_id, team, report)
+            self.record_report(holder, team, report)
 
     def record_report(
         self,
-        instance_id: str,
+        holder: str,
         team: str,
         report: allowance_model.HoldingReport,
     ) -> None:
         """Takes over a report.
 
-        Ignored are reports of another term, of another process, of instances
-        that have not acknowledged the term, and those that arrive out of order.
+        Ignored are reports of another term, of holders that have not
+        acknowledged the term, and those that arrive out of order.
         """
-        if report.term != self._term:
-            return
-        if self._incarnations.get(instance_id) != report.incarnation:
+        if report.term != self._term or holder not in self._holders:
             return
-        self._team(team).holding(instance_id).record(report)
+        self._team(team).holding(holder).record(report)
 
     def complete_barrier(self) -> None:
         """Allows grants; to be called when the term barrier is complete.
 
-        Until the row was written in this term, the zone may use as many units
-        as the instances reported: the former coordinator counted at least
-        these, and a give-up that it may still write leaves them to the zone.
+        No worker may be claimed by the latest reports of two instances. Until
+        the row was written in this term, the zone may use as many units as the
+        instances reported: the former coordinator counted at least these, and
+        a give-up that it may still write leaves them to the zone.
         """
         self._complete = True
         for state in self._teams.values():
             if state.allowance is None:
-                state.allowance = state.in_use
+                state.allowance = state.inherited
 
-    def retire(self, instance_id: str) -> None:
-        """Drops an instance and what it held.
+    def retire(self, holder: str) -> None:
+        """Drops an instance and the units it held.
 
         To be called only when each of its workers was taken over and reported
         or has lapsed, after the reports were recorded.
         """
-        self._incarnations.pop(instance_id, None)
+        self._holders.discard(holder)
         for state in self._teams.values():
-            state.holdings.pop(instance_id, None)
+            state.holdings.pop(holder, None)
 
     def grant(
-        self, team: str, instance_id: str, wanted: int
+        self, team: str, holder: str, wanted: int
     ) -> allowance_model.HoldingGrant | None:
         """Adds up to `wanted` units to an instance; None if none is free."""
-        if not self._complete or instance_id not in self._incarnations:
+        if not self._complete or holder not in self._holders:
             return None
         state = self._team(team)
         units = min(wanted, state.free)
         if units <= 0:
             return None
-        holding = state.holding(instance_id)
+        holding = state.holding(holder)
         holding.granted += units
         return allowance_model.HoldingGrant(
             self._term,
             team,
-            instance_id,
+            holder,
             holding.granted,
             units,
-            self._incarnations[instance_id],
         )
 
     def allowance(self, team: str) -> int:
@@ -204,16 +199,16 @@
 
     def acknowledge(
         self,
-        instance_id: str,
+        holder: str,
         team: str,
         sequence: int,
         report: allowance_model.HoldingReport,
     ) -> None:
         """Records that an instance obeyed a notice, with its new state."""
-        self.record_report(instance_id, team, report)
+        self.record_report(holder, team, report)
         give_up = self._team(team).give_up
         if give_up is not None and give_up.sequence == sequence:
-            give_up.acknowledged.add(instance_id)
+            give_up.acknowledged.add(holder)
 
     def give_up_write(
         self, team: str, limit: allowance_model.TeamLimit
@@ -225,7 +220,7 @@
         give_up = state.give_up
         if give_up is None:
             return None
-        if not give_up.complete(self._incarnations, state.in_use):
+        if not give_up.complete(self._holders, state.in_use):
             return None
         return self._begin_write(team, state, give_up.target, limit)
 
--- a/src/marigoldgap/scheduling/allowance_model.py
+++ b/src/marigoldgap/scheduling/allowance_model.py
@@ -53,17 +53,15 @@
     Attributes:
         granted_total: All units granted to the instance in this term, so that
             lost, repeated and reordered messages do no harm.
+        holder: The process that the grant is for.
         units: Units that were added by this grant.
-        incarnation: Process that the grant is for; a process that was
-            restarted under the same id must not use it.
     """
 
     term: model.Term
     team: str
-    instance_id: str
+    holder: str
     granted_total: int
     units: int
-    incarnation: str = ""
 
 
 class HoldingReport(NamedTuple):
@@ -74,8 +72,8 @@
         granted_total: Units received in this term, including those held when
             the term began.
         returned_total: Units given back in this term.
-        running: Tasks of the team on the instance's workers.
-        incarnation: Identifies the process of the instance.
+        running: Tasks of the team on the instance's workers, with stray ones.
+        stray: Tasks on workers whose lease the instance has lost.
     """
 
     term: model.Term
@@ -83,7 +81,7 @@
     granted_total: int
     returned_total: int
     running: int
-    incarnation: str = ""
+    stray: int = 0
 
 
 class AllowanceNotice(NamedTuple):
@@ -92,7 +90,7 @@
     Attributes:
         allowance: The lowered number.
         sequence: Number of the notice; repeated in the acknowledgement.
-        ceilings: Units that each entry instance may keep.
+        ceilings: Units that each holder may keep.
     """
 
     term: model.Term
--- a/src/marigoldgap/scheduling/holding_account.py
+++ b/src/marigoldgap/scheduling/holding_account.py
@@ -15,16 +15,14 @@
     lower than the holding, whatever happens to messages.
 
     Args:
+        holder: Name of this process; a process that was restarted under the
+            same instance id has another one.
         term: The term that the instance obeys.
-        incarnation: Identifies this process among those with the same
-            instance id.
     """
 
-    def __init__(
-        self, term: model.Term = model.NO_TERM, incarnation: str = ""
-    ) -> None:
+    def __init__(self, holder: str, term: model.Term = model.NO_TERM) -> None:
+        self._holder = holder
         self._term = term
-        self._incarnation = incarnation
         self._granted = 0
         self._returned = 0
         self._running = 0
@@ -108,7 +106,7 @@
         Returns:
             False for a grant of another term or for another process.
         """
-        if grant.term != self._term or grant.incarnation != self._incarnation:
+        if grant.term != self._term or grant.holder != self._holder:
             return False
         if grant.granted_total > self._granted:
             self._granted = grant.granted_total
@@ -126,13 +124,11 @@
         self._ceiling = ceiling
         self.give_back(self.holding - ceiling)
 
-    def accept_notice(
-        self, instance_id: str, notice: allowance_model.AllowanceNotice
-    ) -> bool:
+    def accept_notice(self, notice: allowance_model.AllowanceNotice) -> bool:
         """Obeys a notice; returns False for a notice of another term."""
         if notice.term != self._term:
             return False
-        self.lower_to(notice.ceilings.get(instance_id, 0))
+        self.lower_to(notice.ceilings.get(self._holder, 0))
         return True
 
     def begin_term(self, term: model.Term) -> bool:
@@ -158,5 +154,5 @@
             self._granted,
             self._returned,
             self._running,
-            self._incarnation,
+            self._stray,
         )
--- a/src/marigoldgap/scheduling/team_allowance.py
+++ b/src/marigoldgap/scheduling/team_allowance.py
@@ -15,12 +15,13 @@
     counted when they are sent and returns when they are reported.
     """
 
-    __slots__ = ("granted", "returned", "running", "sequence")
+    __slots__ = ("granted", "returned", "running", "sequence", "stray")
 
     def __init__(self) -> None:
         self.granted = 0
         self.returned = 0
         self.running = 0
+        self.stray = 0
         self.sequence = 0
 
     @property
@@ -41,6 +42,7 @@
         self.granted = max(self.granted, report.granted_total)
         self.returned = min(report.returned_total, self.granted)
         self.running = report.running
+        self.stray = report.stray
 
 
 class TeamAllowance:
@@ -66,14 +68,22 @@
         """Sum of the bounds of all entry instances."""
         return sum(holding.bound for holding in self.holdings.values())
 
+    @property
+    def inherited(self) -> int:
+        """Units in use, with stray tasks counted at their new owner only."""
+        return sum(
+            max(0, holding.bound - holding.stray)
+            for holding in self.holdings.values()
+        )
+
     @property
     def free(self) -> int:
         """Units that can be granted now."""
         return max(0, (self.allowance or 0) - self.in_use)
 
-    def holding(self, instance_id: str) -> Holding:
+    def holding(self, holder: str) -> Holding:
         """Returns the account of an entry instance."""
-        return self.holdings.setdefault(instance_id, Holding())
+        return self.holdings.setdefault(holder, Holding())
 
     def ceilings(self, allowance: int) -> dict[str, int]:
         """Splits an allowance in proportion to what the instances hold."""
@@ -97,9 +107,9 @@
         self.sequence = sequence
         self.acknowledged: set[str] = set()
 
-    def complete(self, instances: Collection[str], in_use: int) -> bool:
+    def complete(self, holders: Collection[str], in_use: int) -> bool:
         """Whether all instances have acknowledged and use few enough units."""
-        return self.acknowledged.issuperset(instances) and in_use <= self.target
+        return self.acknowledged.issuperset(holders) and in_use <= self.target
 
 
 def row_after(
--- /dev/null
+++ b/tests/features/scheduling/allowance_ledger.feature
@@ -0,0 +1,21 @@
+Feature: A team's upper limit is kept as escrow
+
+  Scenario: No order of faults lets a team start more than its limit
+    Then the possible starts never exceed the limit under any faults
+
+  Scenario: A delayed give-up of a former coordinator cannot be spent twice
+    Given a former coordinator whose give-up of 6 of 10 units is still under way
+    When its successor reads the row before the write arrives
+    Then the successor can hand out only what its instances reported
+    And after the successor's own write the delayed write fails
+
+  Scenario: A zone gives up units only after all instances have lowered
+    Given a zone with 10 units of which an instance uses 6 and holds 8
+    When the zone gives up all but 3 units
+    Then no write is possible before the acknowledgement
+    And no write is possible until the running tasks have drained
+    And the write lowers the zone's number to 3 and then the limit
+
+  Scenario: Granted units can all be used and are granted again when returned
+    Given a zone with 10 units and two entry instances
+    Then all 10 units can run at either instance in turn
