--- /dev/null
+++ b/src/marigoldgap/scheduling/gang_planner.py
@@ -0,0 +1,218 @@
+"""All-or-none reservations for gangs over the entry instances of a zone.
+
+Digests give the free capacity of an entry instance as a sum over its workers,
+so an instance may be able to reserve less than planned. The planner then plans
+the missing tasks on the other instances, and releases everything when they have
+no room either. Only one gang reserves at a time for a service; two gangs that
+each hold a part of what the other needs would wait for each other.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from marigoldgap import errors
+from marigoldgap.scheduling import gang_model
+from marigoldgap.scheduling import gang_reservation
+from marigoldgap.scheduling import model
+from marigoldgap.scheduling import resources
+
+
+class GangPlanner:
+    """Plans one gang at a time for each service.
+
+    Args:
+        reservation_ms: How long instances keep a reservation.
+    """
+
+    def __init__(self, reservation_ms: int) -> None:
+        self._reservation_ms = reservation_ms
+        self._by_service: dict[str, gang_reservation.GangReservation] = {}
+        self._by_job: dict[str, gang_reservation.GangReservation] = {}
+        self._holds: dict[str, tuple[str, int]] = {}
+
+    def state(self, job_id: str) -> gang_model.GangState | None:
+        """Returns the state of a gang that has not been forgotten."""
+        found = self._by_job.get(job_id)
+        return found.state if found else None
+
+    def holders(self, job_id: str) -> frozenset[str]:
+        """Returns the instances to send the commit or the release to."""
+        found = self._by_job.get(job_id)
+        return found.holders if found else frozenset()
+
+    def begin(
+        self,
+        gang: gang_model.Gang,
+        free: Mapping[str, model.Resources],
+        now_ms: int,
+    ) -> gang_model.GangPlan | None:
+        """Plans a gang.
+
+        Args:
+            gang: The gang.
+            free: Free resources of each entry instance for the service.
+            now_ms: The current time.
+
+        Returns:
+            What to reserve, or None if another gang of the service reserves or
+            if the whole gang does not fit into the free capacity.
+
+        Raises:
+            ConflictError: If the gang is being planned already.
+        """
+        if gang.job_id in self._by_job:
+            raise errors.ConflictError(f"gang {gang.job_id} is planned already")
+        if gang.service in self._by_service:
+            return None
+        held = self._holds.get(gang.service)
+        if held is not None and held[0] != gang.job_id and now_ms < held[1]:
+            return None
+        reservation = gang_reservation.GangReservation(
+            gang, now_ms + self._reservation_ms
+        )
+        plan = reservation.plan(free)
+        if plan is None:
+            return None
+        self._holds.pop(gang.service, None)
+        self._by_service[gang.service] = reservation
+        self._by_job[gang.job_id] = reservation
+        return plan
+
+    def hold(self, gang: gang_model.Gang, now_ms: int) -> bool:
+        """Keeps freed capacity for a gang that does not fit yet.
+
+        Without it, small tasks would take each free slot and a large gang would
+        wait for ever. Returns False if another gang holds or reserves, or if
+        this gang's last hold ended less than a reservation time ago.
+        """
+        if gang.service in self._by_service:
+            return False
+        held = self._holds.get(gang.service)
+        if held is not None:
+            job_id, until = held
+            if now_ms < until:
+                return job_id == gang.job_id
+            if job_id == gang.job_id and now_ms < until + self._reservation_ms:
+                return False
+        until = now_ms + self._reservation_ms
+        self._holds[gang.service] = (gang.job_id, until)
+        return True
+
+    def record_reserved(
+        self,
+        job_id: str,
+        instance_id: str,
+        count: int,
+        free: Mapping[str, model.Resources],
+        now_ms: int,
+    ) -> gang_model.GangPlan | None:
+        """Records how many tasks an instance reserved.
+
+        Returns:
+            A further plan for tasks that the instance had no room for. If there
+            is none, the state tells what to do: READY means commit on all
+            holders, RELEASED and EXPIRED mean release on all holders.
+        """
+        found = self._by_job.get(job_id)
+        if found is None or instance_id not in found.asked:
+            return None
+        if found.state is not gang_model.GangState.RESERVING:
+            return None
+        found.record(instance_id, count)
+        if now_ms >= found.expires_ms:
+            self._end(found, gang_model.GangState.EXPIRED)
+            return None
+        if found.missing > 0:
+            plan = found.plan(free)
+            if plan is None:
+                self._end(found, gang_model.GangState.RELEASED)
+            return plan
+        if not found.asked:
+            found.state = gang_model.GangState.READY
+        return None
+
+    def commit(self, job_id: str, now_ms: int) -> bool:
+        """Commits a ready gang; returns False if it must be released instead.
+
+        The commit must reach all holders before the reservation expires there,
+        so it is refused once a tenth of the reservation time or less is left.
+        """
+        found = self._by_job.get(job_id)
+        if found is None or found.state is not gang_model.GangState.READY:
+            return False
+        if now_ms >= found.expires_ms - self._reservation_ms // 10:
+            self._end(found, gang_model.GangState.EXPIRED)
+            return False
+        self._end(found, gang_model.GangState.COMMITTED)
+        return True
+
+    def release(self, job_id: str) -> None:
+        """Gives a gang up, for example because an instance disappeared."""
+        found = self._by_job.get(job_id)
+        if found is not None and self._active(found):
+            self._end(found, gang_model.GangState.RELEASED)
+
+    def expire(self, now_ms: int) -> list[str]:
+        """Ends reservations whose time is over; returns their jobs."""
+        expired = [
+            found
+            for found in self._by_service.values()
+            if now_ms >= found.expires_ms
+        ]
+        for found in expired:
+            self._end(found, gang_model.GangState.EXPIRED)
+        return [found.gang.job_id for found in expired]
+
+    def forget(self, job_id: str) -> None:
+        """Drops a gang that has been committed or released everywhere."""
+        found = self._by_job.get(job_id)
+        if found is not None and not self._active(found):
+            del self._by_job[job_id]
+
+    def may_backfill(self, task: model.TaskSpec, now_ms: int) -> bool:
+        """Returns whether a task gives its capacity back in time.
+
+        Only a task whose declared run time ends before the reservation or hold
+        of a gang expires may use capacity that the gang waits for.
+        """
+        until = self._kept_until(task.service)
+        if until is None or now_ms >= until:
+            return True
+        if task.expected_run_ms is None:
+            return False
+        return now_ms + task.expected_run_ms < until
+
+    def _kept_until(self, service: str) -> int | None:
+        found = self._by_service.get(service)
+        if found is not None:
+            return found.expires_ms
+        held = self._holds.get(service)
+        return held[1] if held else None
+
+    def _active(self, found: gang_reservation.GangReservation) -> bool:
+        return self._by_service.get(found.gang.service) is found
+
+    def _end(
+        self,
+        found: gang_reservation.GangReservation,
+        state: gang_model.GangState,
+    ) -> None:
+        found.state = state
+        del self._by_service[found.gang.service]
+
+
+def is_impossible(
+    gang: gang_model.Gang, workers: Mapping[str, model.Resources]
+) -> bool:
+    """Returns whether the gang does not fit into the zone even when empty.
+
+    Args:
+        gang: The gang.
+        workers: Capacity of each worker of the service in the zone.
+    """
+    room = sum(
+        resources.copies_in(gang.resources, capacity)
+        for capacity in workers.values()
+    )
+    return room < gang.tasks
--- /dev/null
+++ b/src/marigoldgap/scheduling/retry_budget.py
@@ -0,0 +1,74 @@
+"""Bounds retries per task and per team and spreads them in time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from marigoldgap.rules import model as rules_model
+
+# A team may always retry this many tasks, so that small teams can retry at all.
+_RESERVE = 10.0
+# Bounds the retries that a team can save up while nothing fails.
+_LARGEST_BALANCE = 1_000.0
+_PERCENT = 100.0
+
+
+class RetryBudget:
+    """Retries as a fraction of the first attempts of each team.
+
+    Each first attempt adds `budget_percent` of a retry to the team's balance
+    and each retry takes one away. During an outage the load therefore grows by
+    no more than that fraction, instead of by a factor.
+
+    Args:
+        rule: Attempts of one task and the budget of a team.
+        base_ms: Longest delay before the first retry.
+        cap_ms: Longest delay before any retry.
+    """
+
+    def __init__(
+        self,
+        rule: rules_model.RetryRule,
+        base_ms: int = 100,
+        cap_ms: int = 10_000,
+    ) -> None:
+        self._rule = rule
+        self._base_ms = base_ms
+        self._cap_ms = cap_ms
+        self._balances: dict[str, float] = {}
+
+    def set_rule(self, rule: rules_model.RetryRule) -> None:
+        """Adopts a changed rule; the balances are kept."""
+        self._rule = rule
+
+    def first_attempt(self, team: str) -> None:
+        """Records the first attempt of a task."""
+        earned = self._rule.budget_percent / _PERCENT
+        balance = self._balances.get(team, _RESERVE) + earned
+        self._balances[team] = min(balance, _LARGEST_BALANCE)
+
+    def take(self, team: str, attempt: int) -> bool:
+        """Takes one retry from the budget; returns False if there is none.
+
+        Args:
+            team: The team of the task.
+            attempt: Attempts made so far, at least 1.
+        """
+        if attempt >= self._rule.attempts:
+            return False
+        balance = self._balances.get(team, _RESERVE)
+        if balance < 1.0:
+            return False
+        self._balances[team] = balance - 1.0
+        return True
+
+    def delay_ms(self, attempt: int, draw: Callable[[], float]) -> int:
+        """Returns the delay before the next attempt, with full jitter.
+
+        Args:
+            attempt: Attempts made so far, at least 1.
+            draw: Returns a random number from 0 up to 1.
+        """
+        doublings = min(max(attempt - 1, 0), 30)
+        longest = min(self._cap_ms, self._base_ms << doublings)
+        return int(draw() * longest)
--- a/tests/features/scheduling/allowance_ledger.feature
+++ b/tests/features/scheduling/allowance_ledger.feature
@@ -2,6 +2,7 @@
 
   Scenario: No order of faults lets a team start more than its limit
     Then the possible starts never exceed the limit under any faults
+    And the possible starts never exceed the limit on long random walks
 
   Scenario: A delayed give-up of a former coordinator cannot be spent twice
     Given a former coordinator whose give-up of 6 of 10 units is still under way
