--- /dev/null
+++ b/benchmarks/naive_placement.py
@@ -0,0 +1,67 @@
+"""Baselines to compare the placement policies with."""
+
+from __future__ import annotations
+
+from marigoldgap.scheduling import model
+from marigoldgap.scheduling import resources
+
+
+class FirstFit:
+    """Takes the first worker with room, in the order of their addition.
+
+    Attributes:
+        examined: Number of workers looked at.
+    """
+
+    def __init__(self) -> None:
+        self._names: list[str] = []
+        self._position: dict[str, int] = {}
+        self._free: dict[str, model.Resources] = {}
+        self._tasks: dict[str, dict[str, model.Resources]] = {}
+        self.examined = 0
+
+    def add(self, worker: model.WorkerInfo) -> None:
+        """Adds an empty worker."""
+        self._position[worker.worker_id] = len(self._names)
+        self._names.append(worker.worker_id)
+        self._free[worker.worker_id] = worker.capacity
+        self._tasks[worker.worker_id] = {}
+
+    def choose(self, task: model.TaskSpec) -> str | None:
+        """Returns a worker with room, or None."""
+        return self._search(task, 0)
+
+    def claim(self, worker_id: str, task: model.TaskSpec) -> None:
+        """Takes the capacity for the task."""
+        free = resources.subtract(self._free[worker_id], task.resources)
+        self._free[worker_id] = free
+        self._tasks[worker_id][task.task_id] = task.resources
+
+    def release(self, worker_id: str, task_id: str) -> None:
+        """Gives the capacity of a task back."""
+        size = self._tasks[worker_id].pop(task_id)
+        self._free[worker_id] = resources.add(self._free[worker_id], size)
+
+    def _search(self, task: model.TaskSpec, start: int) -> str | None:
+        count = len(self._names)
+        for step in range(count):
+            worker_id = self._names[(start + step) % count]
+            self.examined += 1
+            if resources.fits_in(task.resources, self._free[worker_id]):
+                return worker_id
+        return None
+
+
+class RoundRobin(FirstFit):
+    """Continues after the worker that was taken last."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._next = 0
+
+    def choose(self, task: model.TaskSpec) -> str | None:
+        """Returns the next worker with room, or None."""
+        worker_id = self._search(task, self._next)
+        if worker_id is not None:
+            self._next = self._position[worker_id] + 1
+        return worker_id
--- a/src/marigoldgap/scheduling/allowance_ledger.py
+++ b/src/marigoldgap/scheduling/allowance_ledger.py
@@ -4,7 +4,8 @@
 its limit. It rests on three rules. A zone uses a higher number only after its
 own write of that number has succeeded; reading a row is not enough, because a
 delayed write of a former coordinator may still lower it, and only a write of
-our own makes that one fail. A zone lowers the row only after its instances can
+our own makes that one fail. The write carries the term, so that a former
+coordinator that reads the row afterwards stops as well. A zone lowers the row only after its instances can
 no longer use the units. Grants count from the moment they are decided, returns
 from the moment they are reported.
 """
@@ -36,6 +37,7 @@
         self._holders: set[str] = set()
         self._teams: dict[str, team_allowance.TeamAllowance] = {}
         self._complete = False
+        self._superseded = False
         self._notices = 0
 
     @property
@@ -45,8 +47,16 @@
 
     @property
     def complete(self) -> bool:
-        """Whether the barrier is complete, so that units can be granted."""
-        return self._complete
+        """Whether units can be granted and given up.
+
+        The barrier must be complete and no higher term may have been seen.
+        """
+        return self._complete and not self._superseded
+
+    @property
+    def superseded(self) -> bool:
+        """Whether a row was read that a higher term of the zone has written."""
+        return self._superseded
 
     @property
     def holders(self) -> frozenset[str]:
@@ -105,7 +115,7 @@
         self, team: str, holder: str, wanted: int
     ) -> allowance_model.HoldingGrant | None:
         """Adds up to `wanted` units to an instance; None if none is free."""
-        if not self._complete or holder not in self._holders:
+        if not self.complete or holder not in self._holders:
             return None
         state = self._team(team)
         units = min(wanted, state.free)
@@ -127,7 +137,7 @@
 
     def free(self, team: str) -> int:
         """Returns the units that can be granted."""
-        return self._team(team).free if self._complete else 0
+        return self._team(team).free if self.complete else 0
 
     def in_use(self, team: str) -> int:
         """Returns the sum of the bounds of the instances."""
@@ -142,6 +152,9 @@
             return
         state.row = row or allowance_model.AllowanceRow(0, {})
         state.row_version = version
+        writer = state.row.terms.get(self._zone, model.NO_TERM)
+        if writer > self._term:
+            self._superseded = True
 
     def excess_target(
         self, team: str, limit: allowance_model.TeamLimit
@@ -185,7 +198,7 @@
         is under way, or if the allowance is not above the target.
         """
         state = self._team(team)
-        if not self._complete or state.write is not None:
+        if not self.complete or state.write is not None:
             return None
         repeated = state.give_up is not None and target == state.give_up.target
         if not repeated and target >= (state.allowance or 0):
@@ -263,9 +276,11 @@
         limit: allowance_model.TeamLimit,
     ) -> allowance_model.AllowanceWrite | None:
         row = state.row
-        if row is None:
+        if row is None or self._superseded:
             return None
-        after = team_allowance.row_after(row, self._zone, number, limit)
+        after = team_allowance.row_after(
+            row, self._zone, number, limit, self._term
+        )
         state.write = allowance_model.AllowanceWrite(
             team, after, state.row_version
         )
--- a/src/marigoldgap/scheduling/allowance_model.py
+++ b/src/marigoldgap/scheduling/allowance_model.py
@@ -16,11 +16,14 @@
         zones: Allowance of each zone; the sum never exceeds `limit`.
         limit_version: Configuration version that `limit` was taken from. A
             zone whose configuration is older must not write its own limit.
+        terms: Term of the coordinator that last wrote each zone's number. A
+            coordinator with a lower term must not write any more.
     """
 
     limit: int
     zones: Mapping[str, int]
     limit_version: int = 0
+    terms: Mapping[str, model.Term] = {}
 
     @property
     def total(self) -> int:
--- /dev/null
+++ b/src/marigoldgap/scheduling/preemption.py
@@ -0,0 +1,143 @@
+"""Chooses running tasks to checkpoint so that an urgent task can start."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from marigoldgap.scheduling import model
+from marigoldgap.scheduling import resources
+
+# Work lost by preempting a task that was never checkpointed cannot be known
+# exactly, so such a task costs at least this much.
+_MIN_COST_MS = 1
+
+
+class Victim(NamedTuple):
+    """A running task that could be preempted.
+
+    Attributes:
+        checkpointable: Whether the task can continue after a checkpoint; others
+            are never chosen.
+        lost_ms: Work since the last checkpoint plus the time to restore it.
+    """
+
+    task: model.RunningTask
+    checkpointable: bool
+    lost_ms: int
+    urgent: bool = False
+
+
+class Preemption(NamedTuple):
+    """Tasks to checkpoint on one worker.
+
+    Attributes:
+        cost_ms: Slot-milliseconds of work that are lost.
+    """
+
+    worker_id: str
+    task_ids: tuple[str, ...]
+    cost_ms: int
+
+
+def choose_victims(
+    urgent: model.TaskSpec,
+    free: Mapping[str, model.Resources],
+    victims: Mapping[str, Collection[Victim]],
+    excess: Mapping[str, float],
+) -> Preemption | None:
+    """Returns the cheapest set of tasks on one worker, or None.
+
+    Teams above their share come first: a task of a team within its share is
+    chosen only where no worker offers enough of the others. Urgent tasks and
+    those that cannot be checkpointed are never chosen.
+
+    Args:
+        urgent: The task that has to start.
+        free: Free resources of the candidate workers.
+        victims: Running tasks of the candidate workers. The caller passes a
+            bounded number of workers, not the whole fleet.
+        excess: Usage less share of each team; above 0 is above the share.
+    """
+    above = _best(urgent, free, victims, excess, only_above=True)
+    return above or _best(urgent, free, victims, excess, only_above=False)
+
+
+def _best(
+    urgent: model.TaskSpec,
+    free: Mapping[str, model.Resources],
+    victims: Mapping[str, Collection[Victim]],
+    excess: Mapping[str, float],
+    only_above: bool,
+) -> Preemption | None:
+    found = []
+    for worker_id, room in free.items():
+        allowed = [
+            victim
+            for victim in victims.get(worker_id, ())
+            if victim.checkpointable
+            and not victim.urgent
+            and (not only_above or excess.get(victim.task.team, 0.0) > 0)
+        ]
+        plan = _on_worker(worker_id, urgent.resources, room, allowed, excess)
+        if plan is not None:
+            found.append(plan)
+    return min(
+        found,
+        key=lambda plan: (plan.cost_ms, len(plan.task_ids), plan.worker_id),
+        default=None,
+    )
+
+
+def _on_worker(
+    worker_id: str,
+    needed: model.Resources,
+    room: model.Resources,
+    allowed: Iterable[Victim],
+    excess: Mapping[str, float],
+) -> Preemption | None:
+    """Takes the cheapest victims until the task fits, then drops spare ones."""
+    ordered = sorted(allowed, key=lambda victim: _rank(victim, excess))
+    taken: list[Victim] = []
+    for victim in ordered:
+        if resources.fits_in(needed, room):
+            break
+        if not _helps(victim.task.resources, needed, room):
+            continue
+        taken.append(victim)
+        room = resources.add(room, victim.task.resources)
+    if not resources.fits_in(needed, room):
+        return None
+    for victim in sorted(taken, key=_cost, reverse=True):
+        without = resources.subtract(room, victim.task.resources)
+        if resources.fits_in(needed, without):
+            taken.remove(victim)
+            room = without
+    return Preemption(
+        worker_id,
+        tuple(victim.task.task_id for victim in taken),
+        sum(_cost(victim) for victim in taken),
+    )
+
+
+def _helps(
+    gained: model.Resources, needed: model.Resources, room: model.Resources
+) -> bool:
+    return any(
+        gain > 0 and need > have
+        for gain, need, have in zip(gained, needed, room, strict=True)
+    )
+
+
+def _cost(victim: Victim) -> int:
+    lost = max(_MIN_COST_MS, victim.lost_ms)
+    return lost * max(1, victim.task.resources.slots)
+
+
+def _rank(
+    victim: Victim, excess: Mapping[str, float]
+) -> tuple[bool, int, float, str]:
+    over = excess.get(victim.task.team, 0.0)
+    return over <= 0, _cost(victim), -over, victim.task.task_id
--- a/src/marigoldgap/scheduling/team_allowance.py
+++ b/src/marigoldgap/scheduling/team_allowance.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 from marigoldgap.scheduling import allowance_model
+from marigoldgap.scheduling import model
 
 
 class Holding:
@@ -117,8 +118,9 @@
     zone: str,
     number: int,
     limit: allowance_model.TeamLimit,
+    term: model.Term,
 ) -> allowance_model.AllowanceRow:
-    """Returns the row with the zone's number replaced.
+    """Returns the row with the zone's number and term replaced.
 
     The limit follows the configuration, but never falls below the sum of the
     zones: a lowered limit takes full effect when the last zone has given up
@@ -127,7 +129,10 @@
     zones: Mapping[str, int] = {**row.zones, zone: number}
     known = newer_limit(row, limit)
     return allowance_model.AllowanceRow(
-        max(known.limit, sum(zones.values())), zones, known.version
+        max(known.limit, sum(zones.values())),
+        zones,
+        known.version,
+        {**row.terms, zone: term},
     )
 
 
