--- a/bench/invariants/places.py
+++ b/bench/invariants/places.py
@@ -25,7 +25,7 @@
         if not step.is_start:
             running[unit] -= 1
             continue
-        if running[unit]:
+        if running[unit] > 0:
             found.append(f"{unit} on {step.span.worker} at {step.at_ms}")
         running[unit] += 1
     return found
@@ -101,7 +101,7 @@
         for change in sorted(run.limits, key=lambda change: change.at_ms):
             self._limits[change.team].append((change.at_ms, change.limit))
 
-    def highest(self, team: str, at_ms: int) -> int:
+    def highest(self, team: str, at_ms: float) -> int:
         """Returns the highest limit that may still be in force."""
         highest = 0
         known = self._limits.get(team, [])
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -46,7 +46,7 @@
         if span.mode == mode:
             first.setdefault(span.unit, span)
     return sorted(
-        span.start_ms - sent[span.token]
+        round(span.start_ms - sent[span.token])
         for span in first.values()
         if span.token in sent
     )
--- a/bench/spans.py
+++ b/bench/spans.py
@@ -24,8 +24,8 @@
     team: str
     mode: str
     resources: dict[str, int]
-    start_ms: int
-    end_ms: int | None = None
+    start_ms: float
+    end_ms: float | None = None
     state: str = ""
 
     @property
@@ -35,9 +35,9 @@
 
 
 class Step(NamedTuple):
-    """A start or an end; ends sort first within a millisecond."""
+    """A start or an end; ends sort first at the same time."""
 
-    at_ms: int
+    at_ms: float
     is_start: bool
     span: Span
 
--- a/tests/features/steps/bench_judge_steps.py
+++ b/tests/features/steps/bench_judge_steps.py
@@ -12,7 +12,26 @@
 from tests.fixtures import evidences
 
 _NOW = evidences.NOW_MS
-_PROMISED = ["sent", "answered", "refused_not_run", "unknown", "lost_jobs", "ran_twice", "two_places", "overcommitted", "over_limit", "false_not_run", "wrong_answer", "work_after_withdrawal", "work_to_leaving", "cut_short", "config_reverted", "wait_p50_ms", "wait_p99_ms", "link_bytes"]
+_PROMISED = [
+    "sent",
+    "answered",
+    "refused_not_run",
+    "unknown",
+    "lost_jobs",
+    "ran_twice",
+    "two_places",
+    "overcommitted",
+    "over_limit",
+    "false_not_run",
+    "wrong_answer",
+    "work_after_withdrawal",
+    "work_to_leaving",
+    "cut_short",
+    "config_reverted",
+    "wait_p50_ms",
+    "wait_p99_ms",
+    "link_bytes",
+]
 _cases = {}
 
 
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -10,7 +10,6 @@
 
 import typer
 
-from marigoldgap import clock
 from marigoldgap.scheduling import model
 from tests.standins import http
 from tests.standins import process
@@ -51,7 +50,7 @@
         """Breaks all connections and ends all tasks, like a crash."""
         if self._server is None or self._ticks is None:
             return
-        self.state.records.add("killed", clock.monotonic_ms())
+        self.state.records.add("killed", worker_records.now_ms())
         self.state.restart()
         self._server.abort()
         self._server = None
@@ -117,7 +116,7 @@
         worker = self._workers[worker_id]
         worker.kill()
         await worker.start()
-        worker.state.records.add("restarted", clock.monotonic_ms())
+        worker.state.records.add("restarted", worker_records.now_ms())
         return http.json_response({})
 
     async def _switches(
--- a/tests/standins/worker_records.py
+++ b/tests/standins/worker_records.py
@@ -2,11 +2,22 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 from typing import NamedTuple
 
 from marigoldgap.scheduling import model
 
+_NANOSECONDS_PER_MILLISECOND = 1_000_000
+
+
+def now_ms() -> float:
+    """Returns the machine's monotonic clock with fractions of milliseconds.
+
+    Whole milliseconds would leave the order of a start and an end open.
+    """
+    return time.monotonic_ns() / _NANOSECONDS_PER_MILLISECOND
+
 
 class Start(NamedTuple):
     """A request to start a task, as the worker received it.
@@ -43,7 +54,7 @@
         self._zone = zone
         self._events = events
 
-    def add(self, event: str, at_ms: int, **fields: Any) -> None:
+    def add(self, event: str, at_ms: float, **fields: Any) -> None:
         """Adds an event.
 
         Args:
@@ -63,7 +74,7 @@
         )
 
     def add_task(
-        self, event: str, at_ms: int, start: Start, **fields: Any
+        self, event: str, at_ms: float, start: Start, **fields: Any
     ) -> None:
         """Adds an event of a task."""
         self.add(
--- a/tests/standins/worker_routes.py
+++ b/tests/standins/worker_routes.py
@@ -5,7 +5,6 @@
 import json
 from typing import Any
 
-from marigoldgap import clock
 from marigoldgap.scheduling import model
 from tests.standins import http
 from tests.standins import worker_records
@@ -51,7 +50,7 @@
             return http.json_response(refusal, 409)
         if grant.is_new:
             state.records.add(
-                "lease", clock.monotonic_ms(), owner=owner, epoch=grant.epoch
+                "lease", worker_records.now_ms(), owner=owner, epoch=grant.epoch
             )
         since_seq = int(values.get("since_seq") or 0)
         return http.json_response(
@@ -67,7 +66,7 @@
         if not state.lease.release(owner, epoch, state.now_ms()):
             return http.json_response({"code": "stale-epoch"}, 409)
         state.records.add(
-            "release", clock.monotonic_ms(), owner=owner, epoch=epoch
+            "release", worker_records.now_ms(), owner=owner, epoch=epoch
         )
         return http.json_response({})
 
--- a/tests/standins/worker_state.py
+++ b/tests/standins/worker_state.py
@@ -140,7 +140,7 @@
         self._running[task.task_id] = _Running(start, done, timer)
         self.records.add_task(
             "start",
-            clock.monotonic_ms(),
+            worker_records.now_ms(),
             start,
             owner=self.lease.owner,
             leaving=self.leaving,
@@ -185,7 +185,7 @@
     def set_leaving(self, leaving: bool) -> None:
         """Marks the backend server as leaving or not."""
         self.leaving = leaving
-        self.records.add("leaving", clock.monotonic_ms(), leaving=leaving)
+        self.records.add("leaving", worker_records.now_ms(), leaving=leaving)
 
     def restart(self) -> None:
         """Ends everything as a crash of the process does."""
@@ -265,7 +265,7 @@
 
     def _record_refusal(self, start: worker_records.Start, code: str) -> None:
         """Records a refusal; one for lack of room is also a violation."""
-        now_ms = clock.monotonic_ms()
+        now_ms = worker_records.now_ms()
         self.records.add_task("refused", now_ms, start, code=code)
         if code == "busy":
             self.records.add_task("violation", now_ms, start, code="overcommit")
@@ -279,7 +279,9 @@
             running.timer.cancel()
         start = running.start
         self._ended[task_id] = _Ended(state, start.task.attempt, self.now_ms())
-        self.records.add_task("end", clock.monotonic_ms(), start, state=state)
+        self.records.add_task(
+            "end", worker_records.now_ms(), start, state=state
+        )
         if not running.done.done():
             running.done.set_result(state)
         if start.mode == "job":
