--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,192 @@
+"""Starts a deployment on this machine and stops all of it."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import signal
+
+from bench import controls
+from bench import evidence
+from bench import exchange
+from bench import layouts
+from bench import operators
+from bench import processes
+from bench import wiring
+from marigoldgap import errors
+
+_READY_LINE = b"ready\n"
+_READY_TIMEOUT_S = 60.0
+_READY_POLL_S = 0.2
+_STANDIN_STOP_S = 5.0
+# Longer than the default drain_timeout_ms of the settings would be too long
+# for a run; requests of the load take a few seconds at most.
+ENTRY_STOP_S = 40.0
+_GRANT_TIMEOUT_S = 30.0
+_OK = 200
+
+
+class ReadyError(errors.MarigoldgapError):
+    """An entry instance did not become ready."""
+
+    code = "not-ready-in-time"
+
+
+class Cluster:
+    """A deployment of stand-ins and entry instances.
+
+    Args:
+        layout: What to build.
+        directory: Where files and logs go.
+    """
+
+    def __init__(self, layout: layouts.Layout, directory: pathlib.Path) -> None:
+        self._directory = directory
+        self._standins: list[processes.Process] = []
+        self._entries: dict[str, processes.Process] = {}
+        self.layout = layout
+        self.wired = wiring.Wiring(layout, directory)
+        self.client = exchange.Client()
+        self.controls = controls.Controls(self.client, self.wired)
+        self.operator = operators.Operator(self.client, self.wired)
+        self.keys: dict[str, operators.Key] = {}
+        self.stops: list[evidence.PlannedStop] = []
+
+    async def start(self) -> None:
+        """Starts everything, applies the rules and grants keys.
+
+        Raises:
+            MarigoldgapError: Something did not start or was not accepted.
+        """
+        self.wired.write_files()
+        await self.start_standins()
+        for entry in self.wired.entries:
+            await self.start_entry(entry)
+        await self.operator.apply_first_rules(
+            layouts.rules_text(self.layout), _READY_TIMEOUT_S
+        )
+        for entry in self.wired.entries:
+            await self.wait_ready(entry)
+        for team in self.layout.keyed_teams:
+            key = await self.operator.grant(team.name, _GRANT_TIMEOUT_S)
+            self.keys[team.name] = key
+
+    async def start_standins(self) -> None:
+        """Starts the platform, the links, the workers and the balancers."""
+        services = self.wired.services
+        await self._start_standin("table", services.table)
+        await self._start_standin("objects", services.objects)
+        await self._start_standin(
+            "instance_list",
+            f"--instances-file={self.wired.file('instances')}",
+            *(f"--listen={zone}={at}" for zone, at in services.lists.items()),
+        )
+        await self._start_standin(
+            "link", str(self.wired.file("link")), services.link_control
+        )
+        for control in self.wired.worker_processes():
+            await self._start_standin(
+                "worker",
+                f"--workers-file={self.wired.worker_file(control)}",
+                f"--control={control}",
+            )
+        for zone, address in services.balancers.items():
+            await self._start_standin(
+                "balancer",
+                address,
+                services.lists[zone],
+                zone,
+                services.balancer_controls[zone],
+                f"--delay-ms={self.layout.network.client_delay_ms}",
+            )
+
+    async def start_entry(self, entry: wiring.Entry) -> None:
+        """Starts the process of an entry instance."""
+        arguments = ["-m", "marigoldgap", "serve", str(entry.settings_file)]
+        process = processes.Process(
+            entry.instance_id, arguments, self._directory
+        )
+        self._entries[entry.instance_id] = process
+        await process.start()
+
+    async def wait_ready(self, entry: wiring.Entry) -> None:
+        """Waits until an entry instance reports ready.
+
+        Raises:
+            ReadyError: It did not in time, or its process ended.
+        """
+        process = self._entries[entry.instance_id]
+        loop = asyncio.get_running_loop()
+        give_up_s = loop.time() + _READY_TIMEOUT_S
+        while loop.time() < give_up_s and process.is_running:
+            try:
+                reply = await self.client.send(
+                    "GET", entry.address, "/readyz", timeout_s=2
+                )
+            except exchange.NoReplyError:
+                reply = None
+            if reply is not None and reply.status == _OK:
+                return
+            await asyncio.sleep(_READY_POLL_S)
+        raise ReadyError(f"{entry.instance_id} did not become ready")
+
+    def is_running(self, entry: wiring.Entry) -> bool:
+        """Returns whether the process of an entry instance runs."""
+        return self._entries[entry.instance_id].is_running
+
+    def signal_entry(self, entry: wiring.Entry, number: signal.Signals) -> None:
+        """Sends a signal to an entry instance."""
+        self._entries[entry.instance_id].send(number)
+
+    async def kill_entry(self, entry: wiring.Entry) -> None:
+        """Kills an entry instance as a crash does."""
+        await self._entries[entry.instance_id].kill()
+
+    async def stop_entry(self, entry: wiring.Entry) -> None:
+        """Stops an entry instance gracefully and records how it ended."""
+        process = self._entries[entry.instance_id]
+        if not process.is_running:
+            return
+        ended = await process.stop(ENTRY_STOP_S)
+        self.stops.append(
+            evidence.PlannedStop(
+                entry.instance_id,
+                ended.asked_ms,
+                ended.ended_ms,
+                ended.status,
+                ended.forced,
+            )
+        )
+
+    async def stop_entries(self) -> None:
+        """Stops all entry instances gracefully, at the same time."""
+        async with asyncio.TaskGroup() as group:
+            for entry in self.wired.entries:
+                if entry.instance_id in self._entries:
+                    group.create_task(self.stop_entry(entry))
+
+    async def close(self) -> None:
+        """Ends everything that still runs, with bounded waits."""
+        try:
+            await self.stop_entries()
+            async with asyncio.TaskGroup() as group:
+                for standin in self._standins:
+                    group.create_task(standin.stop(_STANDIN_STOP_S))
+            await self.client.close()
+        finally:
+            self.kill_all()
+
+    def kill_all(self) -> None:
+        """Kills what is left, without waiting."""
+        for process in (*self._entries.values(), *self._standins):
+            process.send(signal.SIGKILL)
+
+    async def _start_standin(self, name: str, *options: str) -> None:
+        """Starts a stand-in and waits until it listens."""
+        process = processes.Process(
+            f"{name}-{len(self._standins)}",
+            ["-m", f"tests.standins.{name}", *options],
+            self._directory,
+        )
+        self._standins.append(process)
+        await process.start(_READY_LINE)
--- /dev/null
+++ b/bench/controls.py
@@ -0,0 +1,104 @@
+"""Sets the switches of stand-ins."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from bench import exchange
+from bench import wiring
+
+
+class Controls:
+    """Control interfaces of all stand-ins of a deployment.
+
+    Args:
+        client: Sends the requests.
+        wired: Addresses.
+    """
+
+    def __init__(self, client: exchange.Client, wired: wiring.Wiring) -> None:
+        self._client = client
+        self._wired = wired
+
+    async def worker(
+        self, worker: wiring.Worker, action: str, value: Any = None
+    ) -> None:
+        """Kills, restarts or switches a worker."""
+        path = f"/control/workers/{worker.worker_id}/{action}"
+        await self._post(worker.control, path, value)
+
+    async def table(self, **switches: Any) -> None:
+        """Sets switches of the table service."""
+        await self._post(self._wired.services.table, "/control", switches)
+
+    async def objects(self, **switches: Any) -> None:
+        """Sets switches of the object store."""
+        await self._post(self._wired.services.objects, "/control", switches)
+
+    async def list_instance(self, name: str, **fields: Any) -> None:
+        """Changes an instance in the list, which shows it later."""
+        path = f"/control/instances/{name}"
+        await self._post(self._any_list(), path, fields)
+
+    async def unlist_instance(self, name: str) -> None:
+        """Removes an instance from the list, which shows it later."""
+        path = f"/control/instances/{name}"
+        await self._client.send("DELETE", self._any_list(), path)
+
+    async def cut(self, paths: list[str]) -> None:
+        """Makes packets vanish on paths."""
+        address = self._wired.services.link_control
+        await self._post(address, "/control", {"cut": paths})
+
+    async def heal(self, paths: list[str]) -> None:
+        """Lets packets pass again."""
+        address = self._wired.services.link_control
+        await self._post(address, "/control", {"heal": paths})
+
+    async def link_bytes(self) -> dict[str, int]:
+        """Returns the bytes sent in each direction between regions."""
+        address = self._wired.services.link_control
+        shown = await self._get(address, "/control")
+        directions = self._wired.region_directions()
+        return {name: int(shown["bytes"][name]) for name in directions}
+
+    async def table_counters(self) -> dict[str, int]:
+        """Returns what the table service counted."""
+        shown = await self._get(self._wired.services.table, "/control")
+        return dict(shown["counters"])
+
+    async def worker_records(self, control: str, since: int) -> list[Any]:
+        """Returns the records of one worker process after the first ones."""
+        shown = await self._get(control, f"/control/records?since={since}")
+        return list(shown["records"])
+
+    async def interruptions(self) -> list[Any]:
+        """Returns the interruptions that all balancers recorded."""
+        found: list[Any] = []
+        for control in self._wired.services.balancer_controls.values():
+            shown = await self._get(control, "/control/records")
+            found.extend(shown["records"])
+        return found
+
+    async def ready_entries(self) -> set[str]:
+        """Returns the entry instances that balancers use now."""
+        ready: set[str] = set()
+        for control in self._wired.services.balancer_controls.values():
+            shown = await self._get(control, "/control/records")
+            ready.update(shown["ready"])
+        return ready
+
+    def _any_list(self) -> str:
+        """Returns an address of the instance list."""
+        return next(iter(self._wired.services.lists.values()))
+
+    async def _post(self, address: str, path: str, value: Any) -> None:
+        """Sends a switch."""
+        reply = await self._client.send("POST", address, path, value or {})
+        reply.check()
+
+    async def _get(self, address: str, path: str) -> Any:
+        """Reads what a stand-in shows."""
+        reply = await self._client.send("GET", address, path, timeout_s=30)
+        reply.check()
+        return reply.json()
--- a/bench/exchange.py
+++ b/bench/exchange.py
@@ -14,8 +14,11 @@
 from aiosonic import pools
 from aiosonic import timeout as aiosonic_timeout
 
+from marigoldgap import errors
+
 _CONNECTIONS = 20_000
 _CONNECT_TIMEOUT_S = 5.0
+_SUCCESSES = range(200, 300)
 
 
 class SingleUseConnection(aiosonic_connection.Connection):
@@ -44,10 +47,21 @@
         except ValueError:
             return None
 
+    def check(self) -> None:
+        """Raises an error unless the status is a success.
+
+        Raises:
+            NoReplyError: The status is not a success.
+        """
+        if self.status not in _SUCCESSES:
+            raise NoReplyError(f"status {self.status}: {self.body!r}")
+
 
-class NoReplyError(Exception):
+class NoReplyError(errors.MarigoldgapError):
     """There was no complete answer; the request may have arrived."""
 
+    code = "no-reply"
+
 
 class Client:
     """Sends requests; safe for many tasks of one event loop."""
