--- /dev/null
+++ b/bench/collector.py
@@ -0,0 +1,97 @@
+"""Reads the stand-ins' records during a run and keeps samples of it."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import json
+import pathlib
+from typing import Any
+
+from bench import cluster
+from bench import evidence
+from bench import exchange
+from marigoldgap import clock
+
+_INTERVAL_S = 0.5
+
+
+class Collector:
+    """Polls worker records, link counters and configuration versions.
+
+    Args:
+        target: The deployment.
+        path: File for samples, one JSON object per line.
+    """
+
+    def __init__(self, target: cluster.Cluster, path: pathlib.Path) -> None:
+        self._target = target
+        self._path = path
+        self._cursors: dict[str, int] = {}
+        self._finished: dict[str, set[str]] = collections.defaultdict(set)
+        self.records: list[evidence.Record] = []
+        self.running: collections.Counter[str] = collections.Counter()
+        self.link_bytes: dict[str, int] = {}
+        self.versions_seen: list[evidence.VersionSeen] = []
+
+    def finished_tasks(self, token: str) -> int:
+        """Returns how many tasks with a token finished."""
+        return len(self._finished.get(token, ()))
+
+    async def run(self) -> None:
+        """Polls until cancelled."""
+        while True:
+            try:
+                await self.poll()
+            except exchange.NoReplyError:
+                # A busy machine may delay a stand-in; nothing is lost, the
+                # next poll reads on from the same record.
+                pass
+            await asyncio.sleep(_INTERVAL_S)
+
+    async def poll(self) -> None:
+        """Reads what is new and writes one sample."""
+        for control in self._target.wired.worker_processes():
+            since = self._cursors.get(control, 0)
+            found = await self._target.controls.worker_records(control, since)
+            self._cursors[control] = since + len(found)
+            for record in found:
+                self._add(record)
+        self.link_bytes = await self._target.controls.link_bytes()
+        counters = await self._target.controls.table_counters()
+        self._write({"table": counters})
+        await self._read_versions()
+
+    def sorted_records(self) -> list[evidence.Record]:
+        """Returns all records in order of time."""
+        return sorted(self.records, key=lambda record: record["at_ms"])
+
+    def _add(self, record: evidence.Record) -> None:
+        """Adds one record and follows which tasks run and finished."""
+        self.records.append(record)
+        if record["event"] == "start":
+            self.running[record["team"]] += 1
+        elif record["event"] == "end":
+            self.running[record["team"]] -= 1
+            if record["state"] == "finished":
+                self._finished[record["token"]].add(record["task_id"])
+
+    async def _read_versions(self) -> None:
+        """Asks every entry instance for its configuration version."""
+        operator = self._target.operator
+        entries = self._target.wired.entries
+        seen = await asyncio.gather(
+            *(operator.read_rules(entry) for entry in entries)
+        )
+        self.versions_seen.extend(each for each in seen if each is not None)
+
+    def _write(self, fields: dict[str, Any]) -> None:
+        """Writes one sample."""
+        sample = {
+            "at_ms": clock.monotonic_ms(),
+            "running": dict(self.running),
+            "link_bytes": self.link_bytes,
+            **fields,
+        }
+        with self._path.open("a", encoding="utf-8") as file:
+            file.write(json.dumps(sample) + "\n")
--- /dev/null
+++ b/bench/jobs.py
@@ -0,0 +1,133 @@
+"""Follows the accepted jobs of a run to their end."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+from bench import caller
+from bench import collector
+from bench import evidence
+from bench import plans
+from marigoldgap import clock
+
+_RETRY_S = 1.0
+_CANCEL_ATTEMPTS = 60
+_ACKNOWLEDGED = (200, 202, 204)
+_ENDS = ("failed", "impossible", "cancelled", "finished")
+
+
+class Jobs:
+    """Submits jobs, cancels some, and asks for the state of the others.
+
+    Args:
+        sender: Sends for the callers.
+        collected: Knows which tasks finished, from worker records.
+    """
+
+    def __init__(
+        self, sender: caller.Caller, collected: collector.Collector
+    ) -> None:
+        self._sender = sender
+        self._collected = collected
+        self._jobs: dict[str, evidence.Job] = {}
+        self._zones: dict[str, str] = {}
+
+    @property
+    def accepted(self) -> list[evidence.Job]:
+        """All accepted jobs."""
+        return list(self._jobs.values())
+
+    async def run(self, plan: plans.JobPlan, zone: str) -> None:
+        """Submits a job, and cancels it if the plan says so."""
+        token = caller.new_token()
+        job = await self.submit(plan, token, zone)
+        if job is not None and plan.cancel_after_s is not None:
+            await asyncio.sleep(plan.cancel_after_s)
+            await self.cancel(token)
+
+    async def submit(
+        self, plan: plans.JobPlan, token: str, zone: str
+    ) -> evidence.Job | None:
+        """Submits a job; returns it if it was accepted."""
+        done, job_id = await self._sender.submit(plan, token, zone)
+        if done.outcome != "answered" or not job_id:
+            return None
+        job = evidence.Job(
+            token=token,
+            job_id=job_id,
+            team=plan.team,
+            tasks=plan.tasks,
+            idempotent=plan.idempotent,
+            accepted_ms=clock.monotonic_ms(),
+            endless=plan.run_ms is None,
+        )
+        self._jobs[token] = job
+        self._zones[token] = zone
+        return job
+
+    async def cancel(self, token: str) -> bool:
+        """Cancels a job until it is acknowledged, for a bounded time."""
+        job = self._jobs[token]
+        for _ in range(_CANCEL_ATTEMPTS):
+            reply = await self._sender.send(
+                "DELETE",
+                self._zones[token],
+                f"/v1/jobs/{job.job_id}",
+                job.team,
+            )
+            if reply is not None and reply.status in _ACKNOWLEDGED:
+                self._jobs[token] = job._replace(cancelled=True)
+                return True
+            await asyncio.sleep(_RETRY_S)
+        return False
+
+    async def cancel_group(
+        self, team: str, zone: str, group: str, tokens: Iterable[str]
+    ) -> bool:
+        """Cancels a group of jobs at once, for a bounded time."""
+        for _ in range(_CANCEL_ATTEMPTS):
+            reply = await self._sender.send(
+                "POST", zone, "/v1/jobs/cancel", team, {"group": group}
+            )
+            if reply is not None and reply.status in _ACKNOWLEDGED:
+                for token in tokens:
+                    job = self._jobs[token]
+                    self._jobs[token] = job._replace(cancelled=True)
+                return True
+            await asyncio.sleep(_RETRY_S)
+        return False
+
+    async def settle(self, timeout_s: float) -> None:
+        """Cancels services and waits until every job came to an end."""
+        endless = [
+            job.token
+            for job in self._jobs.values()
+            if job.endless and not job.cancelled
+        ]
+        await asyncio.gather(*(self.cancel(token) for token in endless))
+        loop = asyncio.get_running_loop()
+        give_up_s = loop.time() + timeout_s
+        while loop.time() < give_up_s and self.open_jobs():
+            await asyncio.gather(*(self._ask(job) for job in self.open_jobs()))
+            await asyncio.sleep(_RETRY_S)
+
+    def open_jobs(self) -> list[evidence.Job]:
+        """Returns jobs that have not come to an end, as far as is known."""
+        return [
+            job
+            for job in self._jobs.values()
+            if not job.cancelled
+            and job.reported not in _ENDS
+            and self._collected.finished_tasks(job.token) < job.tasks
+        ]
+
+    async def _ask(self, job: evidence.Job) -> None:
+        """Asks for the state of a job."""
+        reply = await self._sender.send(
+            "GET", self._zones[job.token], f"/v1/jobs/{job.job_id}", job.team
+        )
+        value = reply.json() if reply is not None else None
+        if isinstance(value, dict):
+            state = str(value.get("state") or value.get("status") or "")
+            self._jobs[job.token] = job._replace(reported=state)
