Add the dispatcher: placement, waiting, attempts, claims and forwarding

Ruled out: stopping a non-idempotent request whose answer was lost, which could interrupt a booking half way; its worker is asked for an inventory instead, and the task stays counted until then. Change: holdings, placement, waiting room, request runs, claim store, forwarder, job tasks with preemption, drain. WorkerFleet can ask a worker for a new inventory.

--- /dev/null
+++ b/src/marigoldgap/dispatch/builder.py
@@ -0,0 +1,108 @@
+"""Builds the dispatcher and its fleet for an entry instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from marigoldgap import clock
+from marigoldgap.dispatch import acceptance
+from marigoldgap.dispatch import dispatcher as dispatch_dispatcher
+from marigoldgap.dispatch import fleet_events
+from marigoldgap.dispatch import forwarding
+from marigoldgap.dispatch import holdings as dispatch_holdings
+from marigoldgap.dispatch import interfaces
+from marigoldgap.dispatch import job_tasks
+from marigoldgap.dispatch import placement as dispatch_placement
+from marigoldgap.dispatch import preemption
+from marigoldgap.dispatch import request_run
+from marigoldgap.dispatch import retries
+from marigoldgap.dispatch import usage as dispatch_usage
+from marigoldgap.dispatch import waiting_room
+from marigoldgap.scheduling import fair_queue
+from marigoldgap.scheduling import free_index
+from marigoldgap.settings import model as settings_model
+from marigoldgap.workers import builder as workers_builder
+from marigoldgap.workers import fleet as workers_fleet
+
+
+class DataPlane(NamedTuple):
+    """The dispatcher and the fleet; the `run` of both must be started."""
+
+    dispatcher: dispatch_dispatcher.Dispatcher
+    fleet: workers_fleet.WorkerFleet
+
+
+class Connections(NamedTuple):
+    """What connects the data plane with other packages.
+
+    Attributes:
+        request_holding: Asks the coordinator for additional units.
+        claims: Remembers idempotency keys.
+        holding_returned: Is told of teams whose units were given back.
+        forwarder: Sends requests to peers.
+        budget: Bounds retries.
+        quarantine: Learns how job tasks end.
+        choose_victim: Chooses the task to checkpoint for urgent work.
+    """
+
+    request_holding: interfaces.RequestHolding
+    claims: interfaces.ClaimStore
+    holding_returned: interfaces.HoldingReturned = lambda _: None
+    forwarder: interfaces.Forwarder = forwarding.NoForwarder()
+    budget: interfaces.RetryBudget | None = None
+    quarantine: interfaces.Quarantine = acceptance.NoQuarantine()
+    choose_victim: interfaces.ChooseVictim = preemption.choose_largest_job_task
+
+
+def build_data_plane(
+    settings: settings_model.Settings,
+    connections: Connections,
+    now_ms: Callable[[], int] = clock.monotonic_ms,
+) -> DataPlane:
+    """Returns a data plane without workers and without units.
+
+    Args:
+        settings: The settings.
+        connections: What connects it with other packages.
+        now_ms: Monotonic clock of the deadlines of tasks.
+    """
+    index = free_index.FreeIndex()
+    queue = fair_queue.FairQueue(settings.queue.capacity)
+    holdings = dispatch_holdings.HoldingsTable(
+        connections.request_holding, now_ms
+    )
+    placement = dispatch_placement.Placement(index, holdings)
+    usage = dispatch_usage.TeamUsage(queue, holdings.running)
+    room = waiting_room.WaitingRoom(queue, placement, usage.of, now_ms)
+    placement.on_freed(room.freed)
+    holdings.on_granted(room.pump)
+    gate = acceptance.AcceptanceGate(index)
+    events = fleet_events.FleetEvents(
+        settings, holdings, placement, room, gate, connections.quarantine
+    )
+    fleet = workers_builder.build_fleet(settings, events)
+    events.set_fleet(fleet)
+    parts = request_run.RunnerParts(
+        fleet,
+        placement,
+        room,
+        gate,
+        connections.forwarder,
+        connections.budget or retries.RatioBudget(),
+        events.settle,
+        now_ms,
+    )
+    starter = job_tasks.JobTaskStarter(
+        fleet, placement, gate, events.settle, connections.choose_victim
+    )
+    dispatcher = dispatch_dispatcher.Dispatcher(
+        parts,
+        events,
+        holdings,
+        usage,
+        starter,
+        connections.claims,
+        connections.holding_returned,
+    )
+    return DataPlane(dispatcher, fleet)
--- /dev/null
+++ b/src/marigoldgap/dispatch/dispatcher.py
@@ -0,0 +1,223 @@
+"""Takes requests and job tasks to workers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from collections.abc import Iterator
+import contextlib
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.dispatch import acceptance
+from marigoldgap.dispatch import fleet_events
+from marigoldgap.dispatch import holdings as dispatch_holdings
+from marigoldgap.dispatch import interfaces
+from marigoldgap.dispatch import job_tasks
+from marigoldgap.dispatch import model as dispatch_model
+from marigoldgap.dispatch import request_run
+from marigoldgap.dispatch import usage as dispatch_usage
+from marigoldgap.scheduling import model
+from marigoldgap.workers import model as workers_model
+
+_logger = logs.PartLogger("dispatch")
+
+_RETURN_UNUSED_EVERY_S = 5.0
+
+
+class Dispatcher:
+    """Entry to the data plane; built by `builder.build_dispatcher`.
+
+    Args:
+        parts: What running a request needs.
+        events: Receives the reports of the fleet.
+        holdings: Units of the teams.
+        usage: Usage of the teams for the order of waiting requests.
+        starter: Starts job tasks.
+        claims: Remembers idempotency keys.
+        holding_returned: Is told of teams whose units were given back.
+    """
+
+    def __init__(
+        self,
+        parts: request_run.RunnerParts,
+        events: fleet_events.FleetEvents,
+        holdings: dispatch_holdings.HoldingsTable,
+        usage: dispatch_usage.TeamUsage,
+        starter: job_tasks.JobTaskStarter,
+        claims: interfaces.ClaimStore,
+        holding_returned: interfaces.HoldingReturned,
+    ) -> None:
+        self._parts = parts
+        self._events = events
+        self._holdings = holdings
+        self._usage = usage
+        self._starter = starter
+        self._claims = claims
+        self._holding_returned = holding_returned
+        self._draining = False
+        self._stopped = False
+        self._accepted = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._recordings: set[asyncio.Task[None]] = set()
+
+    @property
+    def events(self) -> fleet_events.FleetEvents:
+        """The fleet's listener; observers are added here."""
+        return self._events
+
+    @property
+    def holdings(self) -> dispatch_holdings.HoldingsTable:
+        """Units of the teams."""
+        return self._holdings
+
+    @property
+    def usage(self) -> dispatch_usage.TeamUsage:
+        """Usage and shares of the teams."""
+        return self._usage
+
+    @property
+    def gate(self) -> acceptance.AcceptanceGate:
+        """Where workers are put into quarantine."""
+        return self._parts.gate
+
+    @property
+    def draining(self) -> bool:
+        """Whether this instance is stopping."""
+        return self._draining
+
+    def load(self) -> dispatch_model.EntryLoad:
+        """Returns free resources by service, waiting by queue, running."""
+        return dispatch_model.EntryLoad(
+            self._parts.placement.index.free_by_service(),
+            self._parts.room.by_queue,
+            self._holdings.running_by_team(),
+        )
+
+    def running(self) -> tuple[model.RunningTask, ...]:
+        """Returns the tasks counted on owned workers."""
+        return tuple(self._parts.placement.index.running())
+
+    async def submit(
+        self,
+        task: model.TaskSpec,
+        payload: bytes,
+        forwarded: bool = False,
+        idempotency_key: str = "",
+    ) -> workers_model.WorkerAnswer:
+        """Runs a request and returns its whole answer.
+
+        Args:
+            task: The request; its id must be new.
+            payload: Its body.
+            forwarded: Whether another entry instance sent it.
+            idempotency_key: Key of a non-idempotent request, or empty.
+
+        Raises:
+            DuplicateRequestError: The key was used before.
+            OutcomeUnknownError: The work may have run.
+            MarigoldgapError: With `ran` NO; the work did not run.
+        """
+        if self._stopped:
+            raise errors.StoppingError("this instance has stopped")
+        with self._counted():
+            if idempotency_key and not task.idempotent:
+                return await self._submit_once(task, payload, idempotency_key)
+            return await self._run(task, payload, forwarded)
+
+    async def place_job_task(
+        self, task: model.TaskSpec, payload: bytes
+    ) -> dispatch_model.PlaceOutcome:
+        """Starts a job task; the outcome says whether it runs."""
+        if self._draining:
+            code = errors.StoppingError.code
+            return dispatch_model.PlaceOutcome(task.task_id, refusal=code)
+        if not self._holdings.may_start(task.team):
+            code = errors.LimitReachedError.code
+            return dispatch_model.PlaceOutcome(task.task_id, refusal=code)
+        with self._counted():
+            return await self._starter.place(task, payload)
+
+    async def stop_task(
+        self, worker_id: str, task_id: str, action: str = "stop"
+    ) -> str:
+        """Stops, checkpoints or throttles a job task; returns its state.
+
+        Raises:
+            MarigoldgapError: The state is not known; see
+                `WorkerFleet.stop_task`.
+        """
+        return await self._starter.act(worker_id, task_id, action)
+
+    async def run(self) -> None:
+        """Expires waiting requests and returns unused units; never ends."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._parts.room.run())
+            group.create_task(self._return_unused())
+
+    def begin_drain(self) -> None:
+        """Starts no job task any more and prefers peers for requests."""
+        if self._draining:
+            return
+        self._draining = True
+        _logger.info("draining; %d requests are under way", self._accepted)
+        self._parts.room.hand_over_all()
+
+    async def drain(self) -> None:
+        """Waits until every accepted request has its answer.
+
+        Requests that arrive meanwhile are still served; call this after the
+        server takes no new connections.
+        """
+        self.begin_drain()
+        await self._idle.wait()
+        self._stopped = True
+        if self._recordings:
+            await asyncio.wait(self._recordings)
+
+    async def _run(
+        self, task: model.TaskSpec, payload: bytes, forwarded: bool
+    ) -> workers_model.WorkerAnswer:
+        run = request_run.RequestRun(
+            self._parts, task, payload, forwarded, self._draining
+        )
+        return await run.finish()
+
+    async def _submit_once(
+        self, task: model.TaskSpec, payload: bytes, key: str
+    ) -> workers_model.WorkerAnswer:
+        """Runs a request whose key is claimed before anything is sent."""
+        claim = await self._claims.claim(task, key, payload)
+        if isinstance(claim, workers_model.WorkerAnswer):
+            return claim
+        try:
+            answer = await self._run(task, payload, forwarded=False)
+        except errors.MarigoldgapError as error:
+            if error.ran is errors.Ran.NO:
+                self._in_background(self._claims.abandon(claim))
+            raise
+        self._in_background(self._claims.record(claim, answer))
+        return answer
+
+    def _in_background(self, work: Coroutine[None, None, None]) -> None:
+        recording = asyncio.create_task(work)
+        self._recordings.add(recording)
+        recording.add_done_callback(self._recordings.discard)
+
+    @contextlib.contextmanager
+    def _counted(self) -> Iterator[None]:
+        self._accepted += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._accepted -= 1
+            if not self._accepted:
+                self._idle.set()
+
+    async def _return_unused(self) -> None:
+        while True:
+            await asyncio.sleep(_RETURN_UNUSED_EVERY_S)
+            for team in self._holdings.return_unused():
+                self._holding_returned(team)
--- /dev/null
+++ b/src/marigoldgap/dispatch/fleet_events.py
@@ -0,0 +1,147 @@
+"""What the workers report, applied to the dispatcher's accounts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from marigoldgap import clock
+from marigoldgap.dispatch import acceptance
+from marigoldgap.dispatch import holdings as dispatch_holdings
+from marigoldgap.dispatch import interfaces
+from marigoldgap.dispatch import placement as dispatch_placement
+from marigoldgap.dispatch import waiting_room
+from marigoldgap.scheduling import model
+from marigoldgap.settings import model as settings_model
+from marigoldgap.workers import fleet as workers_fleet
+from marigoldgap.workers import model as workers_model
+
+_FAILED = "failed"
+_FINISHED = "finished"
+# A throttled task reports a change without having ended.
+_STILL_RUNNING = frozenset({"running", "throttled"})
+
+
+class FleetEvents:
+    """Implements `FleetListener` and passes events on to observers.
+
+    Observers are called after the accounts are up to date.
+
+    Args:
+        quarantine: Learns how job tasks end.
+    """
+
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        holdings: dispatch_holdings.HoldingsTable,
+        placement: dispatch_placement.Placement,
+        room: waiting_room.WaitingRoom,
+        gate: acceptance.AcceptanceGate,
+        quarantine: interfaces.Quarantine,
+    ) -> None:
+        self._holdings = holdings
+        self._placement = placement
+        self._room = room
+        self._gate = gate
+        self._quarantine = quarantine
+        self._observers: list[workers_model.FleetListener] = []
+        self._fleet: workers_fleet.WorkerFleet | None = None
+        self._stray_timers: dict[str, asyncio.TimerHandle] = {}
+        # By then the worker has another owner, whose report has arrived, or
+        # it has stopped its job tasks.
+        self._stray_s = (
+            settings.lease.certain_lapse_ms + settings.peers.dead_after_ms
+        ) / clock.MILLISECONDS_PER_SECOND
+
+    def add_observer(self, observer: workers_model.FleetListener) -> None:
+        """Adds a listener that gets every event."""
+        self._observers.append(observer)
+
+    def set_fleet(self, fleet: workers_fleet.WorkerFleet) -> None:
+        """Sets the fleet whose inventories are asked for."""
+        self._fleet = fleet
+
+    def settle(self, task_id: str) -> None:
+        """Leaves a task of unknown end to the inventory of its worker."""
+        worker_id = self._placement.worker_of(task_id)
+        if worker_id is None:
+            return
+        if self._placement.settle(task_id) is None:
+            self._drop_strays_later(worker_id)
+            return
+        self._ask_inventory(worker_id)
+
+    def worker_acquired(
+        self, worker: model.WorkerInfo, running: Sequence[model.RunningTask]
+    ) -> None:
+        """Takes over a worker or a newer inventory of it."""
+        worker_id = worker.worker_id
+        self._cancel_stray_timer(worker_id)
+        self._placement.acquired(worker, running)
+        self._gate.acquired(worker_id)
+        if self._placement.has_foreign_requests(worker_id):
+            self._ask_inventory(worker_id)
+        for observer in self._observers:
+            observer.worker_acquired(worker, running)
+        self._room.pump()
+
+    def worker_lost(self, worker_id: str) -> None:
+        """Stops placing on a worker; its tasks stay counted for a while."""
+        self._placement.lost(worker_id)
+        self._drop_strays_later(worker_id)
+        for observer in self._observers:
+            observer.worker_lost(worker_id)
+
+    def worker_leaving(self, worker_id: str) -> None:
+        """Stops placing on a worker."""
+        self._placement.index.mark_leaving(worker_id)
+        for observer in self._observers:
+            observer.worker_leaving(worker_id)
+
+    def worker_restarted(self, worker_id: str) -> None:
+        """Gives back the tasks that ended with the worker's process."""
+        self._placement.restarted(worker_id)
+        for observer in self._observers:
+            observer.worker_restarted(worker_id)
+
+    def task_changed(self, change: workers_model.TaskChange) -> None:
+        """Gives back what an ended job task used."""
+        if change.state not in _STILL_RUNNING:
+            self._note_end(change)
+            self._placement.finish(change.task_id)
+        for observer in self._observers:
+            observer.task_changed(change)
+
+    def usage_reported(self, usage: workers_model.TaskUsage) -> None:
+        """Passes measured usage on."""
+        for observer in self._observers:
+            observer.usage_reported(usage)
+
+    def _note_end(self, change: workers_model.TaskChange) -> None:
+        if change.state not in (_FAILED, _FINISHED):
+            return
+        job_id = self._placement.job_of(change.task_id)
+        if job_id:
+            failed = change.state == _FAILED
+            self._quarantine.task_ended(change.worker_id, job_id, failed)
+
+    def _ask_inventory(self, worker_id: str) -> None:
+        if self._fleet is not None:
+            self._fleet.request_inventory(worker_id)
+
+    def _drop_strays_later(self, worker_id: str) -> None:
+        self._cancel_stray_timer(worker_id)
+        loop = asyncio.get_running_loop()
+        self._stray_timers[worker_id] = loop.call_later(
+            self._stray_s, self._drop_strays, worker_id
+        )
+
+    def _drop_strays(self, worker_id: str) -> None:
+        self._stray_timers.pop(worker_id, None)
+        self._holdings.settle(worker_id)
+
+    def _cancel_stray_timer(self, worker_id: str) -> None:
+        timer = self._stray_timers.pop(worker_id, None)
+        if timer is not None:
+            timer.cancel()
--- /dev/null
+++ b/src/marigoldgap/dispatch/holdings.py
@@ -0,0 +1,191 @@
+"""Units of the teams' limits that this instance holds and uses."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from marigoldgap import identifiers
+from marigoldgap.dispatch import interfaces
+from marigoldgap.scheduling import allowance_model
+from marigoldgap.scheduling import holding_account
+from marigoldgap.scheduling import model
+
+# A request for units is repeated after this time, as its answer may be lost.
+ASK_AGAIN_MS = 250
+# Ask for more once fewer than this part of the holding is unused, so that
+# requests seldom wait for a grant.
+_HEADROOM_PART = 4
+
+
+class HoldingsTable:
+    """One account for each team; a task starts only if its team has a unit.
+
+    Args:
+        request_holding: Asks for additional units of a team.
+        now_ms: Monotonic clock.
+        incarnation: Identifies this process to the coordinator.
+    """
+
+    def __init__(
+        self,
+        request_holding: interfaces.RequestHolding,
+        now_ms: Callable[[], int],
+        incarnation: str = "",
+    ) -> None:
+        self._request_holding = request_holding
+        self._now_ms = now_ms
+        self._incarnation = incarnation or identifiers.new_token()
+        self._term = model.NO_TERM
+        self._accounts: dict[str, holding_account.HoldingAccount] = {}
+        self._asked_at: dict[str, int] = {}
+        self._peaks: Counter[str] = Counter()
+        self._stray: dict[str, Counter[str]] = {}
+        self._granted: Callable[[], None] = lambda: None
+
+    @property
+    def incarnation(self) -> str:
+        """Identifies this process among those with its instance id."""
+        return self._incarnation
+
+    def on_granted(self, callback: Callable[[], None]) -> None:
+        """Sets what is called after units were added."""
+        self._granted = callback
+
+    def holding(self, team: str) -> int:
+        """Returns the units held for a team."""
+        return self._account(team).holding
+
+    def running(self, team: str) -> int:
+        """Returns the tasks counted for a team, stray ones included."""
+        return self._account(team).running
+
+    def running_by_team(self) -> Mapping[str, int]:
+        """Returns the counted tasks of each team that has any."""
+        return {
+            team: account.running
+            for team, account in self._accounts.items()
+            if account.running
+        }
+
+    def may_start(self, team: str) -> bool:
+        """Returns whether a task may start; asks for units if it may not."""
+        account = self._account(team)
+        if account.may_start:
+            return True
+        self._ask(team, account)
+        return False
+
+    def start(self, team: str) -> None:
+        """Counts a task that is about to start.
+
+        Raises:
+            LimitReachedError: If no unit is left; nothing is counted.
+        """
+        account = self._account(team)
+        account.start()
+        self._peaks[team] = max(self._peaks[team], account.running)
+        unused = account.holding - account.running
+        if unused * _HEADROOM_PART < account.holding:
+            self._ask(team, account)
+
+    def finish(self, team: str) -> None:
+        """Counts the end of a task."""
+        self._account(team).finish()
+
+    def adopt(self, team: str) -> None:
+        """Counts a task that was found on a worker."""
+        self._account(team).adopt(1)
+
+    def lose(self, worker_id: str, teams: Counter[str]) -> None:
+        """Marks the tasks on a worker whose lease was lost as stray."""
+        self._stray.setdefault(worker_id, Counter()).update(teams)
+        for team, tasks in teams.items():
+            self._account(team).lose(tasks)
+
+    def reclaim(self, worker_id: str, teams: Counter[str]) -> None:
+        """Replaces stray tasks by those a worker taken back still runs."""
+        lost = self._stray.pop(worker_id, Counter())
+        for team in lost.keys() | teams.keys():
+            self._account(team).reclaim(lost[team], teams[team])
+
+    def settle(self, worker_id: str) -> None:
+        """Drops stray tasks with their units.
+
+        To be called once another owner counts them or they certainly ended.
+        """
+        for team, tasks in self._stray.pop(worker_id, Counter()).items():
+            self._account(team).settle(tasks)
+
+    def accept_grant(self, grant: allowance_model.HoldingGrant) -> bool:
+        """Adds granted units; returns False for a grant of another term."""
+        self._asked_at.pop(grant.team, None)
+        accepted = self._account(grant.team).accept_grant(grant)
+        if accepted:
+            self._granted()
+        return accepted
+
+    def accept_notice(
+        self, instance_id: str, notice: allowance_model.AllowanceNotice
+    ) -> bool:
+        """Obeys a notice; returns False for a notice of another term."""
+        return self._account(notice.team).accept_notice(instance_id, notice)
+
+    def begin_term(self, term: model.Term) -> bool:
+        """Obeys a new term; returns False if a higher term is known."""
+        if term < self._term:
+            return False
+        if term > self._term:
+            self._term = term
+            self._stray.clear()
+            self._asked_at.clear()
+        return all(
+            account.begin_term(term) for account in self._accounts.values()
+        )
+
+    def drop_units(self) -> None:
+        """Gives all units up; see `HoldingAccount.drop_units`."""
+        for account in self._accounts.values():
+            account.drop_units()
+
+    def reports(self) -> dict[str, allowance_model.HoldingReport]:
+        """Returns the state of every team for the coordinator."""
+        return {team: self.report(team) for team in self._accounts}
+
+    def report(self, team: str) -> allowance_model.HoldingReport:
+        """Returns the state of one team for the coordinator."""
+        return self._account(team).report()
+
+    def return_unused(self) -> list[str]:
+        """Gives back what was not used since the last call.
+
+        Keeps the peak of the time since then and a quarter of it as reserve.
+
+        Returns:
+            The teams of which units were given back.
+        """
+        returned = []
+        for team, account in self._accounts.items():
+            peak = max(self._peaks.pop(team, 0), account.running)
+            kept = peak + -(-peak // _HEADROOM_PART)
+            if account.give_back(account.holding - kept) > 0:
+                returned.append(team)
+        return returned
+
+    def _account(self, team: str) -> holding_account.HoldingAccount:
+        account = self._accounts.get(team)
+        if account is None:
+            account = holding_account.HoldingAccount(
+                self._term, self._incarnation
+            )
+            self._accounts[team] = account
+        return account
+
+    def _ask(self, team: str, account: holding_account.HoldingAccount) -> None:
+        now_ms = self._now_ms()
+        asked_at = self._asked_at.get(team)
+        if asked_at is not None and now_ms - asked_at < ASK_AGAIN_MS:
+            return
+        self._asked_at[team] = now_ms
+        self._request_holding(team, max(1, account.running // _HEADROOM_PART))
--- /dev/null
+++ b/src/marigoldgap/dispatch/job_tasks.py
@@ -0,0 +1,124 @@
+"""Job tasks that the coordinator asks this instance to place."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.dispatch import acceptance
+from marigoldgap.dispatch import interfaces
+from marigoldgap.dispatch import model as dispatch_model
+from marigoldgap.dispatch import placement as dispatch_placement
+from marigoldgap.scheduling import model
+from marigoldgap.workers import fleet as workers_fleet
+
+_logger = logs.PartLogger("dispatch")
+
+_MOST_REFUSALS = 4
+_DUPLICATE = "duplicate"
+# States after an action in which the task does not run any more.
+ENDED_STATES = frozenset(
+    {"stopped", "finished", "never-started", "checkpointed"}
+)
+# Bounds the search for a task to checkpoint.
+_MOST_VICTIMS_EXAMINED = 256
+
+
+class JobTaskStarter:
+    """Starts and stops job tasks on the owned workers.
+
+    Args:
+        settle: Called with the id of a task whose end is not known.
+        choose_victim: Chooses the task to checkpoint for urgent work.
+    """
+
+    def __init__(
+        self,
+        fleet: workers_fleet.WorkerFleet,
+        placement: dispatch_placement.Placement,
+        gate: acceptance.AcceptanceGate,
+        settle: Callable[[str], None],
+        choose_victim: interfaces.ChooseVictim,
+    ) -> None:
+        self._fleet = fleet
+        self._placement = placement
+        self._gate = gate
+        self._settle = settle
+        self._choose_victim = choose_victim
+
+    async def place(
+        self, task: model.TaskSpec, payload: bytes
+    ) -> dispatch_model.PlaceOutcome:
+        """Starts a task on the best worker; tries a few if they refuse."""
+        avoid: frozenset[str] = frozenset()
+        code = errors.CapacityError.code
+        for _ in range(_MOST_REFUSALS):
+            worker_id = self._placement.try_place(task, avoid)
+            if worker_id is None and task.urgent:
+                worker_id = await self._place_by_preemption(task)
+            if worker_id is None:
+                break
+            outcome = await self._start(worker_id, task, payload)
+            if not outcome.refusal:
+                return outcome
+            code = outcome.refusal
+            avoid |= {worker_id}
+        return dispatch_model.PlaceOutcome(task.task_id, refusal=code)
+
+    async def act(self, worker_id: str, task_id: str, action: str) -> str:
+        """Stops, checkpoints or throttles a task; returns its state.
+
+        Raises:
+            MarigoldgapError: The state is not known; see
+                `WorkerFleet.stop_task`.
+        """
+        state = await self._fleet.stop_task(worker_id, task_id, action)
+        if state in ENDED_STATES:
+            self._placement.finish(task_id)
+        return state
+
+    async def _start(
+        self, worker_id: str, task: model.TaskSpec, payload: bytes
+    ) -> dispatch_model.PlaceOutcome:
+        task_id = task.task_id
+        try:
+            await self._fleet.start_job_task(worker_id, task, payload)
+        except errors.OutcomeUnknownError:
+            self._settle(task_id)
+            return dispatch_model.PlaceOutcome(task_id, worker_id, unknown=True)
+        except errors.WorkerRefusedError as error:
+            if error.reason == _DUPLICATE:
+                self._settle(task_id)
+                return dispatch_model.PlaceOutcome(
+                    task_id, worker_id, unknown=True
+                )
+            return self._refused(worker_id, task_id, error)
+        except (errors.ConnectFailedError, errors.LeaseLostError) as error:
+            return self._refused(worker_id, task_id, error)
+        except BaseException:
+            self._settle(task_id)
+            raise
+        self._placement.settle(task_id)
+        return dispatch_model.PlaceOutcome(task_id, worker_id)
+
+    def _refused(
+        self, worker_id: str, task_id: str, error: errors.MarigoldgapError
+    ) -> dispatch_model.PlaceOutcome:
+        self._placement.finish(task_id)
+        self._gate.note_refusal(worker_id, error)
+        return dispatch_model.PlaceOutcome(task_id, refusal=error.code)
+
+    async def _place_by_preemption(self, task: model.TaskSpec) -> str | None:
+        """Checkpoints one running task and takes its place."""
+        running = self._placement.examine_running(_MOST_VICTIMS_EXAMINED)
+        victim = self._choose_victim(task, running)
+        if victim is None:
+            return None
+        _logger.info("checkpointing %s for %s", victim.task_id, task.task_id)
+        try:
+            await self.act(victim.worker_id, victim.task_id, "checkpoint")
+        except errors.MarigoldgapError as error:
+            _logger.warning("checkpoint failed: %s", error.detail)
+            return None
+        return self._placement.try_place(task)
--- /dev/null
+++ b/src/marigoldgap/dispatch/placement.py
@@ -0,0 +1,194 @@
+"""Which task is counted on which worker."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Sequence
+import itertools
+
+from marigoldgap.dispatch import holdings as dispatch_holdings
+from marigoldgap.scheduling import free_index
+from marigoldgap.scheduling import model
+
+
+class Placement:
+    """Takes capacity and a team's unit together, and gives both back.
+
+    A task is *pending* while this instance awaits the worker's answer to its
+    start. Tasks that are not pending are known from the worker: its inventory
+    decides whether they still run.
+
+    Args:
+        index: Free capacity of the owned workers.
+        holdings: Units of the teams.
+    """
+
+    def __init__(
+        self,
+        index: free_index.FreeIndex,
+        holdings: dispatch_holdings.HoldingsTable,
+    ) -> None:
+        self._index = index
+        self._holdings = holdings
+        self._pending: dict[str, model.RunningTask] = {}
+        self._settled: dict[str, dict[str, model.RunningTask]] = {}
+        self._located: dict[str, str] = {}
+        self._freed: Callable[[str], None] = lambda _: None
+
+    @property
+    def index(self) -> free_index.FreeIndex:
+        """Free capacity of the owned workers."""
+        return self._index
+
+    @property
+    def pending(self) -> int:
+        """Number of tasks whose start is not answered yet."""
+        return len(self._pending)
+
+    def on_freed(self, callback: Callable[[str], None]) -> None:
+        """Sets what is called with the team after capacity was given back."""
+        self._freed = callback
+
+    def can_place(self, task: model.TaskSpec) -> bool:
+        """Returns whether there is a unit and a worker for the task."""
+        if not self._holdings.may_start(task.team):
+            return False
+        return self._index.choose(task) is not None
+
+    def has_room(self, task: model.TaskSpec) -> bool:
+        """Returns whether a worker has room, whatever the team's units."""
+        return self._index.choose(task) is not None
+
+    def try_place(
+        self, task: model.TaskSpec, avoid: frozenset[str] = frozenset()
+    ) -> str | None:
+        """Takes a unit and capacity; returns the worker, or None."""
+        if not self._holdings.may_start(task.team):
+            return None
+        worker_id = self._index.choose(task, avoid)
+        if worker_id is None:
+            return None
+        self._index.claim(worker_id, task)
+        self._holdings.start(task.team)
+        self._pending[task.task_id] = model.RunningTask(
+            task.task_id,
+            worker_id,
+            task.team,
+            task.queue,
+            task.resources,
+            task.job_id,
+            task.attempt,
+        )
+        return worker_id
+
+    def finish(self, task_id: str) -> None:
+        """Gives back what a task used; repeated calls do nothing."""
+        task = self._pending.pop(task_id, None) or self._pop_settled(task_id)
+        if task is None:
+            return
+        self._index.release(task.worker_id, task_id)
+        self._holdings.finish(task.team)
+        self._freed(task.team)
+
+    def settle(self, task_id: str) -> str | None:
+        """Leaves a task to the reports of its worker.
+
+        Returns:
+            The worker, or None if it is not owned any more; the task is then
+            counted as stray.
+        """
+        task = self._pending.pop(task_id, None)
+        if task is None:
+            return None
+        if task.worker_id not in self._index:
+            self._holdings.lose(task.worker_id, Counter([task.team]))
+            return None
+        self._settled[task.worker_id][task_id] = task
+        self._located[task_id] = task.worker_id
+        return task.worker_id
+
+    def worker_of(self, task_id: str) -> str | None:
+        """Returns the worker of a counted task, or None."""
+        pending = self._pending.get(task_id)
+        return pending.worker_id if pending else self._located.get(task_id)
+
+    def acquired(
+        self, worker: model.WorkerInfo, inventory: Sequence[model.RunningTask]
+    ) -> None:
+        """Takes over the inventory of a worker in place of what was known."""
+        worker_id = worker.worker_id
+        reported = {
+            task.task_id: task
+            for task in inventory
+            if task.task_id not in self._pending
+        }
+        pending = [
+            task
+            for task in self._pending.values()
+            if task.worker_id == worker_id
+        ]
+        self._replace(worker_id, reported)
+        self._index.add(worker, [*reported.values(), *pending])
+        if worker.leaving:
+            self._index.mark_leaving(worker_id)
+
+    def lost(self, worker_id: str) -> None:
+        """Counts the settled tasks of a lost worker as stray."""
+        settled = self._settled.pop(worker_id, {})
+        self._index.remove(worker_id)
+        for task_id in settled:
+            self._located.pop(task_id, None)
+        self._holdings.lose(
+            worker_id, Counter(task.team for task in settled.values())
+        )
+
+    def restarted(self, worker_id: str) -> None:
+        """Gives back the tasks that ended with the worker's process."""
+        for task_id in tuple(self._settled.get(worker_id, ())):
+            self.finish(task_id)
+
+    def has_foreign_requests(self, worker_id: str) -> bool:
+        """Returns whether the worker runs requests of unknown progress.
+
+        Workers report the end of job tasks only; the end of these requests
+        can be seen in an inventory alone.
+        """
+        settled = self._settled.get(worker_id, {})
+        return any(not task.job_id for task in settled.values())
+
+    def job_of(self, task_id: str) -> str:
+        """Returns the job of a counted task, or an empty string."""
+        task = self._pending.get(task_id)
+        if task is None:
+            worker_id = self._located.get(task_id, "")
+            task = self._settled.get(worker_id, {}).get(task_id)
+        return task.job_id if task else ""
+
+    def examine_running(self, most: int) -> list[model.RunningTask]:
+        """Returns up to `most` tasks that run on owned workers."""
+        return list(itertools.islice(self._index.running(), most))
+
+    def _replace(
+        self, worker_id: str, reported: dict[str, model.RunningTask]
+    ) -> None:
+        """Replaces the settled tasks of a worker and recounts their teams."""
+        before = self._settled.get(worker_id)
+        for task_id in before or ():
+            self._located.pop(task_id, None)
+        self._settled[worker_id] = reported
+        self._located.update(dict.fromkeys(reported, worker_id))
+        teams = Counter(task.team for task in reported.values())
+        if before is None:
+            self._holdings.reclaim(worker_id, teams)
+            return
+        for task in before.values():
+            self._holdings.finish(task.team)
+        for team in teams.elements():
+            self._holdings.adopt(team)
+
+    def _pop_settled(self, task_id: str) -> model.RunningTask | None:
+        worker_id = self._located.pop(task_id, None)
+        if worker_id is None:
+            return None
+        return self._settled[worker_id].pop(task_id, None)
--- /dev/null
+++ b/src/marigoldgap/dispatch/request_run.py
@@ -0,0 +1,226 @@
+"""One request on its way: placement, attempts, recovery of lost answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.dispatch import acceptance
+from marigoldgap.dispatch import interfaces
+from marigoldgap.dispatch import placement as dispatch_placement
+from marigoldgap.dispatch import waiting_room
+from marigoldgap.scheduling import model
+from marigoldgap.workers import fleet as workers_fleet
+from marigoldgap.workers import model as workers_model
+
+_logger = logs.PartLogger("dispatch")
+
+# A request that so many workers refused meets a fault, not bad luck.
+_MOST_REFUSALS = 8
+_DUPLICATE = "duplicate"
+# States after a stop in which the attempt cannot run any more.
+_ENDED = frozenset({"stopped", "finished", "never-started"})
+_NEVER_STARTED = "never-started"
+
+_NOTHING_RAN = (
+    errors.ConnectFailedError,
+    errors.LeaseLostError,
+    errors.WorkerRefusedError,
+)
+_STOP_NOT_CONFIRMED = (
+    errors.ConnectFailedError,
+    errors.LeaseLostError,
+    errors.WorkerRefusedError,
+    errors.OutcomeUnknownError,
+    errors.ProtocolError,
+)
+
+
+class RunnerParts(NamedTuple):
+    """What running a request needs.
+
+    Attributes:
+        settle: Called with the id of a task whose end is not known.
+        now_ms: Monotonic clock.
+    """
+
+    fleet: workers_fleet.WorkerFleet
+    placement: dispatch_placement.Placement
+    room: waiting_room.WaitingRoom
+    gate: acceptance.AcceptanceGate
+    forwarder: interfaces.Forwarder
+    budget: interfaces.RetryBudget
+    settle: Callable[[str], None]
+    now_ms: Callable[[], int]
+
+
+class RequestRun:
+    """Takes one request to its answer, through several attempts if need be.
+
+    Args:
+        parts: The parts of the dispatcher.
+        task: The request.
+        payload: Its body.
+        forwarded: Whether a peer sent it; it is then not sent on.
+        prefer_peers: Whether to try a peer first, as while draining.
+    """
+
+    def __init__(
+        self,
+        parts: RunnerParts,
+        task: model.TaskSpec,
+        payload: bytes,
+        forwarded: bool,
+        prefer_peers: bool = False,
+    ) -> None:
+        self._parts = parts
+        self._first = task
+        self._task = task
+        self._payload = payload
+        self._may_forward = not forwarded
+        self._prefer_peers = prefer_peers
+        self._refusals = 0
+        self._avoid: frozenset[str] = frozenset()
+        self._may_have_run = False
+
+    async def finish(self) -> workers_model.WorkerAnswer:
+        """Returns the answer.
+
+        Raises:
+            OutcomeUnknownError: The work may have run.
+            MarigoldgapError: With `ran` NO; the work did not run.
+        """
+        self._parts.budget.note_request(self._task.team)
+        try:
+            while True:
+                answer = await self._advance()
+                if answer is not None:
+                    return answer
+        except errors.MarigoldgapError as error:
+            # An earlier attempt may have run, whatever refused this one.
+            if self._may_have_run and error.ran is errors.Ran.NO:
+                raise errors.OutcomeUnknownError(error.detail) from error
+            raise
+
+    async def _advance(self) -> workers_model.WorkerAnswer | None:
+        """Makes one step; returns None if another one is needed."""
+        worker_id = None
+        if not self._prefer_peers and self._parts.room.is_empty:
+            worker_id = self._parts.placement.try_place(self._task, self._avoid)
+        if worker_id is None:
+            answer = await self._try_peer()
+            if answer is not None:
+                return answer
+            worker_id = await self._parts.room.wait(self._task)
+        self._prefer_peers = worker_id == waiting_room.HANDED_OVER
+        if self._prefer_peers:
+            return None
+        return await self._attempt(worker_id)
+
+    async def _try_peer(self) -> workers_model.WorkerAnswer | None:
+        """Forwards the request once if a peer is better suited."""
+        prefer_peers, self._prefer_peers = self._prefer_peers, False
+        if not self._may_forward:
+            return None
+        if not prefer_peers and self._parts.placement.has_room(self._task):
+            # Only a unit of the team is missing; a grant is on its way.
+            return None
+        expected_ms = self._parts.room.expected_wait_ms(self._task) or 0.0
+        if prefer_peers:
+            expected_ms = float("inf")
+        instance_id = self._parts.forwarder.choose(
+            self._task, len(self._payload), expected_ms
+        )
+        if instance_id is None:
+            return None
+        self._may_forward = False
+        try:
+            return await self._parts.forwarder.forward(
+                instance_id, self._task, self._payload
+            )
+        except errors.MarigoldgapError as error:
+            if error.ran is not errors.Ran.NO:
+                raise
+            _logger.debug("peer %s refused: %s", instance_id, error.detail)
+            return None
+
+    async def _attempt(
+        self, worker_id: str
+    ) -> workers_model.WorkerAnswer | None:
+        task_id = self._task.task_id
+        try:
+            answer = await self._parts.fleet.run_request(
+                worker_id, self._task, self._payload
+            )
+        except _NOTHING_RAN as error:
+            await self._after_refusal(worker_id, error)
+            return None
+        except errors.OutcomeUnknownError as error:
+            await self._recover(worker_id, error)
+            return None
+        except BaseException:
+            self._parts.settle(task_id)
+            raise
+        self._parts.placement.finish(task_id)
+        return answer
+
+    async def _after_refusal(
+        self, worker_id: str, error: errors.MarigoldgapError
+    ) -> None:
+        if getattr(error, "reason", "") == _DUPLICATE:
+            # An earlier start with this id reached the worker and may run.
+            unknown = errors.OutcomeUnknownError(error.detail)
+            await self._recover(worker_id, unknown)
+            return
+        self._parts.placement.finish(self._task.task_id)
+        self._parts.gate.note_refusal(worker_id, error)
+        self._avoid |= {worker_id}
+        self._refusals += 1
+        if self._refusals >= _MOST_REFUSALS:
+            raise errors.OverloadedError(
+                f"{self._refusals} workers refused; last: {error.detail}"
+            )
+
+    async def _recover(
+        self, worker_id: str, error: errors.OutcomeUnknownError
+    ) -> None:
+        """Prepares another attempt, or raises the error.
+
+        Only idempotent work is tried again, and only after its worker has
+        confirmed that the lost attempt cannot run any more.
+        """
+        if not self._task.idempotent:
+            self._parts.settle(self._task.task_id)
+            raise error
+        state = await self._stop(worker_id)
+        if state not in _ENDED:
+            self._parts.settle(self._task.task_id)
+            raise error
+        self._parts.placement.finish(self._task.task_id)
+        self._may_have_run |= state != _NEVER_STARTED
+        if not self._may_retry():
+            raise error
+        attempt = self._task.attempt + 1
+        self._task = self._task._replace(
+            task_id=f"{self._first.task_id}.{attempt}", attempt=attempt
+        )
+        self._avoid |= {worker_id}
+
+    def _may_retry(self) -> bool:
+        deadline_ms = self._task.deadline_ms
+        if deadline_ms is not None and self._parts.now_ms() >= deadline_ms:
+            return False
+        return self._parts.budget.try_retry(
+            self._task.team, self._task.attempt + 1
+        )
+
+    async def _stop(self, worker_id: str) -> str:
+        try:
+            return await self._parts.fleet.stop_task(
+                worker_id, self._task.task_id
+            )
+        except _STOP_NOT_CONFIRMED as error:
+            _logger.info("stop not confirmed: %s", error.detail)
+            return ""
--- /dev/null
+++ b/src/marigoldgap/dispatch/waiting_room.py
@@ -0,0 +1,195 @@
+"""Requests that wait for capacity or for a unit of their team."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from marigoldgap import errors
+from marigoldgap.dispatch import placement as dispatch_placement
+from marigoldgap.dispatch import wait_estimate
+from marigoldgap.scheduling import fair_queue
+from marigoldgap.scheduling import model
+
+# Upper bound of the delay with which an expired request is refused.
+TICK_S = 0.02
+# Result of a wait that ends because this instance stops.
+HANDED_OVER = ""
+
+
+class WaitingRoom:
+    """A bounded fair queue whose requests leave it placed, or refused.
+
+    Args:
+        queue: Orders the waiting requests.
+        placement: Places the next one when something was freed.
+        usage: Returns the usage of a team, for the order of the queue.
+        now_ms: Monotonic clock, the same as for the deadlines of tasks.
+    """
+
+    def __init__(
+        self,
+        queue: fair_queue.FairQueue,
+        placement: dispatch_placement.Placement,
+        usage: Callable[[str], float],
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._queue = queue
+        self._placement = placement
+        self._usage = usage
+        self._now_ms = now_ms
+        self._waiters: dict[str, asyncio.Future[str]] = {}
+        self._by_queue: Counter[str] = Counter()
+        self._by_team: Counter[str] = Counter()
+        self._estimate = wait_estimate.WaitEstimate()
+        self._occupied = asyncio.Event()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing waits, so that a new request overtakes nobody."""
+        return not self._queue
+
+    @property
+    def by_queue(self) -> Mapping[str, int]:
+        """Number of waiting requests of each caller's queue."""
+        return {name: count for name, count in self._by_queue.items() if count}
+
+    def expected_wait_ms(self, task: model.TaskSpec) -> float | None:
+        """Returns how long a new request would wait, or None if unknown.
+
+        Teams take turns, so a team that has few waiting requests is not
+        charged for the many of another team.
+        """
+        waiting = self._by_team[task.team]
+        teams = len(self._by_team) + (waiting == 0)
+        turns = (waiting + 1) * teams
+        ahead = min(len(self._queue) + 1, turns)
+        return self._estimate.wait_ms(task.service, ahead)
+
+    async def wait(self, task: model.TaskSpec) -> str:
+        """Waits until the task is placed and returns its worker.
+
+        Returns:
+            The worker, or `HANDED_OVER` if the task should go to a peer.
+
+        Raises:
+            QueueFullError: The queue is full.
+            OverloadedError: The request would wait beyond its deadline.
+            DeadlineExceededError: The deadline passed.
+        """
+        self._shed_early(task)
+        self._queue.set_usage(task.team, self._usage(task.team))
+        self._queue.push(task, self._now_ms())
+        future = asyncio.get_running_loop().create_future()
+        self._waiters[task.task_id] = future
+        self._by_queue[task.queue] += 1
+        self._by_team[task.team] += 1
+        self._occupied.set()
+        self.pump()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._undo(task, future)
+            raise
+
+    def freed(self, team: str) -> None:
+        """Places waiting requests after a task of the team ended."""
+        if self._queue:
+            self._queue.set_usage(team, self._usage(team))
+            self.pump()
+
+    def pump(self) -> None:
+        """Places waiting requests until none of them fits."""
+        while self._queue:
+            task = self._queue.pop(self._placement.can_place)
+            if task is None:
+                return
+            self._start(task)
+
+    def expire(self) -> None:
+        """Refuses the requests whose deadline has passed."""
+        for task in self._queue.expired(self._now_ms()):
+            future = self._leave(task)
+            if future is not None and not future.done():
+                future.set_exception(
+                    errors.DeadlineExceededError(
+                        "the deadline passed while the request was waiting"
+                    )
+                )
+
+    def hand_over_all(self) -> None:
+        """Ends every wait so that the requests can go to peers."""
+        while True:
+            task = self._queue.pop(lambda _: True)
+            if task is None:
+                return
+            self._resolve(task, HANDED_OVER)
+
+    async def run(self) -> None:
+        """Expires requests and retries placement while any wait."""
+        while True:
+            await self._occupied.wait()
+            self.expire()
+            self.pump()
+            if self.is_empty:
+                self._occupied.clear()
+                continue
+            await asyncio.sleep(TICK_S)
+
+    def _start(self, task: model.TaskSpec) -> None:
+        worker_id = self._placement.try_place(task)
+        if worker_id is None:
+            # `can_place` has just agreed, so this is an error in the program;
+            # the request is refused truthfully and the instance goes on.
+            self._refuse(task, errors.OverloadedError("no worker had room"))
+            return
+        self._queue.set_usage(task.team, self._usage(task.team))
+        self._estimate.note_start(task.service, self._now_ms())
+        if self.is_empty:
+            self._estimate.note_idle(task.service)
+        self._resolve(task, worker_id)
+
+    def _shed_early(self, task: model.TaskSpec) -> None:
+        if task.deadline_ms is None:
+            return
+        remaining_ms = task.deadline_ms - self._now_ms()
+        if remaining_ms <= 0:
+            raise errors.DeadlineExceededError("the deadline has passed")
+        expected_ms = self.expected_wait_ms(task)
+        if expected_ms is not None and expected_ms > remaining_ms:
+            raise errors.OverloadedError(
+                f"the expected wait of {expected_ms:.0f} ms exceeds the "
+                f"deadline in {remaining_ms} ms"
+            )
+
+    def _leave(self, task: model.TaskSpec) -> asyncio.Future[str] | None:
+        future = self._waiters.pop(task.task_id, None)
+        if future is not None:
+            self._by_queue[task.queue] -= 1
+            self._by_team[task.team] -= 1
+            if not self._by_team[task.team]:
+                del self._by_team[task.team]
+        return future
+
+    def _resolve(self, task: model.TaskSpec, worker_id: str) -> None:
+        future = self._leave(task)
+        if future is not None and not future.done():
+            future.set_result(worker_id)
+        elif worker_id:
+            self._placement.finish(task.task_id)
+
+    def _refuse(
+        self, task: model.TaskSpec, error: errors.MarigoldgapError
+    ) -> None:
+        future = self._leave(task)
+        if future is not None and not future.done():
+            future.set_exception(error)
+
+    def _undo(self, task: model.TaskSpec, future: asyncio.Future[str]) -> None:
+        """Forgets a request whose caller has gone away."""
+        self._queue.remove(task.task_id)
+        self._leave(task)
+        if future.done() and not future.cancelled() and not future.exception():
+            self._placement.finish(task.task_id)
--- a/src/marigoldgap/workers/fleet.py
+++ b/src/marigoldgap/workers/fleet.py
@@ -104,6 +104,15 @@
         """
         return await self._link(worker_id).act(task_id, action)
 
+    def request_inventory(self, worker_id: str) -> None:
+        """Asks an owned worker for its running tasks.
+
+        The listener then hears `worker_acquired` once more.
+        """
+        link = self._links.get(worker_id)
+        if link is not None:
+            link.request_inventory()
+
     async def run(self) -> None:
         """Opens and closes links as the candidates change; never returns."""
         try:
--- a/src/marigoldgap/workers/link.py
+++ b/src/marigoldgap/workers/link.py
@@ -20,6 +20,10 @@
 
 _logger = logs.PartLogger("workers")
 
+# A new epoch makes the worker refuse starts that are on their way, so
+# inventories are not asked for more often.
+_INVENTORY_INTERVAL_MS = 5_000
+
 _UNUSABLE_ANSWERS = (
     errors.ConnectFailedError,
     errors.OutcomeUnknownError,
@@ -58,6 +62,8 @@
         self._incarnation = ""
         self._seq = 0
         self._leaving = False
+        self._wants_inventory = False
+        self._inventory_at_ms = 0
         self._unfinished = 0
         self._hand_over_by_ms: int | None = None
         self._wake = asyncio.Event()
@@ -90,6 +96,13 @@
         if self._lease.held:
             self._listener.worker_leaving(self._worker.worker_id)
 
+    def request_inventory(self) -> None:
+        """Asks for a new inventory with one of the next renewals.
+
+        The listener then hears `worker_acquired` once more.
+        """
+        self._wants_inventory = True
+
     def hand_over(self, limit_ms: int) -> None:
         """Stops new starts; `run` releases the lease and then returns.
 
@@ -178,8 +191,7 @@
 
     async def _renew(self) -> None:
         t0_ms = clock.monotonic_ms()
-        # An epoch of 0 asks for a new epoch, which comes with an inventory.
-        known_epoch = self._lease.epoch if self._lease.held else 0
+        known_epoch = self._known_epoch(t0_ms)
         try:
             answer = await self._client.request_lease(
                 self._settings.lease.ttl_ms, known_epoch, self._seq
@@ -191,12 +203,19 @@
         else:
             await self._take(answer, t0_ms)
 
+    def _known_epoch(self, now_ms: int) -> int:
+        """Returns the known epoch, or 0 to get a new one with an inventory."""
+        if not self._lease.held:
+            return 0
+        is_due = now_ms >= self._inventory_at_ms + _INVENTORY_INTERVAL_MS
+        if self._wants_inventory and is_due and not self.is_handing_over:
+            return 0
+        return self._lease.epoch
+
     async def _take(self, answer: wire.LeaseAnswer, t0_ms: int) -> None:
         """Takes over a lease answer and passes on what it reports."""
         is_known = self._note_incarnation(answer.incarnation)
-        if self._lease.held and answer.epoch != self._lease.epoch:
-            self._lose("the worker granted a new epoch")
-        is_new = not self._lease.held
+        is_new = not self._lease.held or answer.epoch != self._lease.epoch
         if is_new and answer.inventory is None:
             _logger.warning("lease without an inventory is not used")
             return
@@ -222,6 +241,8 @@
             self._worker.worker_id,
             answer.epoch,
         )
+        self._wants_inventory = False
+        self._inventory_at_ms = clock.monotonic_ms()
         self._ownership_changed()
         self._listener.worker_acquired(self.worker, answer.inventory or ())
 
--- a/src/marigoldgap/workers/model.py
+++ b/src/marigoldgap/workers/model.py
@@ -55,7 +55,10 @@
     def worker_acquired(
         self, worker: model.WorkerInfo, running: Sequence[model.RunningTask]
     ) -> None:
-        """A lease was granted; `running` is the worker's inventory."""
+        """A lease was granted; `running` is the worker's inventory.
+
+        Called again, without `worker_lost` before, for a newer inventory.
+        """
 
     def worker_lost(self, worker_id: str) -> None:
         """The lease was released or has lapsed; its tasks may still run."""
