--- a/src/marigoldgap/dispatch/builder.py
+++ b/src/marigoldgap/dispatch/builder.py
@@ -70,7 +70,7 @@
     index = free_index.FreeIndex()
     queue = fair_queue.FairQueue(settings.queue.capacity)
     holdings = dispatch_holdings.HoldingsTable(
-        connections.request_holding, now_ms
+        settings.instance_id, connections.request_holding, now_ms
     )
     placement = dispatch_placement.Placement(index, holdings)
     usage = dispatch_usage.TeamUsage(queue, holdings.running)
--- a/src/marigoldgap/dispatch/dispatcher.py
+++ b/src/marigoldgap/dispatch/dispatcher.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Coroutine
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 
 from marigoldgap import errors
@@ -139,6 +140,27 @@
         with self._counted():
             return await self._starter.place(task, payload)
 
+    def reserve(
+        self, reservation_id: str, tasks: Sequence[model.TaskSpec]
+    ) -> tuple[str, ...]:
+        """Keeps room and units; returns the ids of tasks that got both."""
+        if self._draining:
+            return ()
+        return self._starter.reserve(reservation_id, tasks)
+
+    def release(self, reservation_id: str) -> None:
+        """Gives reserved room back; unknown reservations are ignored."""
+        self._starter.release(reservation_id)
+
+    async def place_reserved(
+        self, reservation_id: str, task: model.TaskSpec, payload: bytes
+    ) -> dispatch_model.PlaceOutcome:
+        """Starts a job task in its reserved room."""
+        with self._counted():
+            return await self._starter.place_reserved(
+                reservation_id, task, payload
+            )
+
     async def stop_task(
         self, worker_id: str, task_id: str, action: str = "stop"
     ) -> str:
--- a/src/marigoldgap/dispatch/fleet_events.py
+++ b/src/marigoldgap/dispatch/fleet_events.py
@@ -48,8 +48,7 @@
         self._observers: list[workers_model.FleetListener] = []
         self._fleet: workers_fleet.WorkerFleet | None = None
         self._stray_timers: dict[str, asyncio.TimerHandle] = {}
-        # By then the worker has another owner, whose report has arrived, or
-        # it has stopped its job tasks.
+        # By then the next owner of the worker has reported its inventory.
         self._stray_s = (
             settings.lease.certain_lapse_ms + settings.peers.dead_after_ms
         ) / clock.MILLISECONDS_PER_SECOND
@@ -68,7 +67,7 @@
         if worker_id is None:
             return
         if self._placement.settle(task_id) is None:
-            self._drop_strays_later(worker_id)
+            self._drop_late_stray(worker_id)
             return
         self._ask_inventory(worker_id)
 
@@ -78,6 +77,10 @@
         """Takes over a worker or a newer inventory of it."""
         worker_id = worker.worker_id
         self._cancel_stray_timer(worker_id)
+        if not self._placement.index:
+            # Without a lease this instance may have been dropped, with its
+            # units, by a coordinator that it did not hear.
+            self._holdings.drop_units()
         self._placement.acquired(worker, running)
         self._gate.acquired(worker_id)
         if self._placement.has_foreign_requests(worker_id):
@@ -87,9 +90,11 @@
         self._room.pump()
 
     def worker_lost(self, worker_id: str) -> None:
-        """Stops placing on a worker; its tasks stay counted for a while."""
+        """Stops placing on a worker.
+
+        Its tasks stay counted until the coordinator settles them.
+        """
         self._placement.lost(worker_id)
-        self._drop_strays_later(worker_id)
         for observer in self._observers:
             observer.worker_lost(worker_id)
 
@@ -130,7 +135,12 @@
         if self._fleet is not None:
             self._fleet.request_inventory(worker_id)
 
-    def _drop_strays_later(self, worker_id: str) -> None:
+    def _drop_late_stray(self, worker_id: str) -> None:
+        """Bounds how long a request counts whose worker was lost earlier.
+
+        The coordinator may have settled the worker before, and no report of
+        this instance will name the request.
+        """
         self._cancel_stray_timer(worker_id)
         loop = asyncio.get_running_loop()
         self._stray_timers[worker_id] = loop.call_later(
@@ -139,7 +149,7 @@
 
     def _drop_strays(self, worker_id: str) -> None:
         self._stray_timers.pop(worker_id, None)
-        self._holdings.settle(worker_id)
+        self._holdings.settle([worker_id])
 
     def _cancel_stray_timer(self, worker_id: str) -> None:
         timer = self._stray_timers.pop(worker_id, None)
--- a/src/marigoldgap/dispatch/holdings.py
+++ b/src/marigoldgap/dispatch/holdings.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 from marigoldgap import identifiers
 from marigoldgap.dispatch import interfaces
@@ -23,6 +24,7 @@
     """One account for each team; a task starts only if its team has a unit.
 
     Args:
+        instance_id: Id of this instance.
         request_holding: Asks for additional units of a team.
         now_ms: Monotonic clock.
         incarnation: Identifies this process to the coordinator.
@@ -30,10 +32,12 @@
 
     def __init__(
         self,
+        instance_id: str,
         request_holding: interfaces.RequestHolding,
         now_ms: Callable[[], int],
         incarnation: str = "",
     ) -> None:
+        self._instance_id = instance_id
         self._request_holding = request_holding
         self._now_ms = now_ms
         self._incarnation = incarnation or identifiers.new_token()
@@ -110,13 +114,15 @@
         for team in lost.keys() | teams.keys():
             self._account(team).reclaim(lost[team], teams[team])
 
-    def settle(self, worker_id: str) -> None:
+    def settle(self, worker_ids: Sequence[str]) -> None:
         """Drops stray tasks with their units.
 
-        To be called once another owner counts them or they certainly ended.
+        To be called once the coordinator knows that another owner counts the
+        tasks on these workers, or that they certainly ended.
         """
-        for team, tasks in self._stray.pop(worker_id, Counter()).items():
-            self._account(team).settle(tasks)
+        for worker_id in worker_ids:
+            for team, tasks in self._stray.pop(worker_id, Counter()).items():
+                self._account(team).settle(tasks)
 
     def accept_grant(self, grant: allowance_model.HoldingGrant) -> bool:
         """Adds granted units; returns False for a grant of another term."""
@@ -126,11 +132,19 @@
             self._granted()
         return accepted
 
-    def accept_notice(
-        self, instance_id: str, notice: allowance_model.AllowanceNotice
-    ) -> bool:
+    def accept_notice(self, notice: allowance_model.AllowanceNotice) -> bool:
         """Obeys a notice; returns False for a notice of another term."""
-        return self._account(notice.team).accept_notice(instance_id, notice)
+        account = self._account(notice.team)
+        return account.accept_notice(self._instance_id, notice)
+
+    def give_back(self, team: str, units: int) -> int:
+        """Returns up to `units` unused units; returns how many."""
+        return self._account(team).give_back(units)
+
+    def unused(self, team: str) -> int:
+        """Returns the units without a running task."""
+        account = self._account(team)
+        return max(0, account.holding - account.running)
 
     def begin_term(self, term: model.Term) -> bool:
         """Obeys a new term; returns False if a higher term is known."""
--- a/src/marigoldgap/dispatch/job_tasks.py
+++ b/src/marigoldgap/dispatch/job_tasks.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from marigoldgap import errors
 from marigoldgap import logs
@@ -21,6 +23,8 @@
 ENDED_STATES = frozenset(
     {"stopped", "finished", "never-started", "checkpointed"}
 )
+# Longer than a coordinator takes to collect all reservations of a gang.
+RESERVATION_S = 30.0
 # Bounds the search for a task to checkpoint.
 _MOST_VICTIMS_EXAMINED = 256
 
@@ -46,6 +50,7 @@
         self._gate = gate
         self._settle = settle
         self._choose_victim = choose_victim
+        self._reservations: dict[str, dict[str, str]] = {}
 
     async def place(
         self, task: model.TaskSpec, payload: bytes
@@ -66,6 +71,42 @@
             avoid |= {worker_id}
         return dispatch_model.PlaceOutcome(task.task_id, refusal=code)
 
+    def reserve(
+        self, reservation_id: str, tasks: Sequence[model.TaskSpec]
+    ) -> tuple[str, ...]:
+        """Keeps room and units; returns the ids of the tasks that got both.
+
+        The room is given back after `RESERVATION_S` if nothing else happens,
+        since the coordinator that asked for it may be gone.
+        """
+        self.release(reservation_id)
+        placed = {
+            task.task_id: worker_id
+            for task in tasks
+            if (worker_id := self._placement.try_place(task)) is not None
+        }
+        self._reservations[reservation_id] = placed
+        asyncio.get_running_loop().call_later(
+            RESERVATION_S, self._expire, reservation_id, placed
+        )
+        return tuple(placed)
+
+    def release(self, reservation_id: str) -> None:
+        """Gives reserved room back; unknown reservations are ignored."""
+        for task_id in self._reservations.pop(reservation_id, {}):
+            self._placement.finish(task_id)
+
+    async def place_reserved(
+        self, reservation_id: str, task: model.TaskSpec, payload: bytes
+    ) -> dispatch_model.PlaceOutcome:
+        """Starts a job task in its reserved room."""
+        reserved = self._reservations.get(reservation_id, {})
+        worker_id = reserved.pop(task.task_id, None)
+        if worker_id is None:
+            code = errors.CapacityError.code
+            return dispatch_model.PlaceOutcome(task.task_id, refusal=code)
+        return await self._start(worker_id, task, payload)
+
     async def act(self, worker_id: str, task_id: str, action: str) -> str:
         """Stops, checkpoints or throttles a task; returns its state.
 
@@ -78,6 +119,10 @@
             self._placement.finish(task_id)
         return state
 
+    def _expire(self, reservation_id: str, placed: dict[str, str]) -> None:
+        if self._reservations.get(reservation_id) is placed:
+            self.release(reservation_id)
+
     async def _start(
         self, worker_id: str, task: model.TaskSpec, payload: bytes
     ) -> dispatch_model.PlaceOutcome:
