Test the dispatcher under lost answers, refusals and claims

Ruled out: mocks of the fleet; the dispatcher runs with the real fleet against scripted workers, so that the ways an answer can be lost are real ones. Change: features for requests and claims; inventories are asked for with at most one of five renewals instead of a fixed time.

--- a/src/marigoldgap/workers/link.py
+++ b/src/marigoldgap/workers/link.py
@@ -21,8 +21,8 @@
 _logger = logs.PartLogger("workers")
 
 # A new epoch makes the worker refuse starts that are on their way, so
-# inventories are not asked for more often.
-_INVENTORY_INTERVAL_MS = 5_000
+# inventories are asked for with at most one of so many renewals.
+_RENEWALS_PER_INVENTORY = 5
 
 _UNUSABLE_ANSWERS = (
     errors.ConnectFailedError,
@@ -207,7 +207,8 @@
         """Returns the known epoch, or 0 to get a new one with an inventory."""
         if not self._lease.held:
             return 0
-        is_due = now_ms >= self._inventory_at_ms + _INVENTORY_INTERVAL_MS
+        interval_ms = _RENEWALS_PER_INVENTORY * self._settings.lease.renew_ms
+        is_due = now_ms >= self._inventory_at_ms + interval_ms
         if self._wants_inventory and is_due and not self.is_handing_over:
             return 0
         return self._lease.epoch
--- /dev/null
+++ b/tests/features/dispatch/requests.feature
@@ -0,0 +1,85 @@
+Feature: A request runs at most once and is refused truthfully
+  Guards against duplicate runs, false "not run" answers and lost capacity.
+
+  Scenario: A lost answer of non-idempotent work is reported as unknown
+    Given a data plane with 2 scripted workers of 1 slot
+    When a non-idempotent dispatch meets the fault "close before the answer"
+    Then the dispatch fails with "outcome-unknown" and ran "unknown"
+    And 1 start arrived at the scripted workers
+    And no stop was sent to the scripted workers
+
+  Scenario: Work of unknown outcome stays counted until an inventory
+    Given a data plane with 1 scripted worker of 1 slot
+    When a non-idempotent dispatch meets the fault "cut the body"
+    Then 1 task of team claims is counted
+    And after an inventory without the task no task of team claims is counted
+
+  Scenario: Idempotent work is retried after a confirmed stop
+    Given a data plane with 2 scripted workers of 1 slot
+    When an idempotent dispatch meets the fault "close before the answer"
+    Then the dispatch gets the answer of the second attempt
+    And the stop was confirmed before the second start
+
+  Scenario: Idempotent work is not retried without a confirmed stop
+    Given a data plane with 2 scripted workers of 1 slot
+    And the scripted workers answer a stop with "running"
+    When an idempotent dispatch meets the fault "close before the answer"
+    Then the dispatch fails with "outcome-unknown" and ran "unknown"
+    And 1 start arrived at the scripted workers
+
+  Scenario: A retry that is refused is not reported as not run
+    Given a data plane with 1 scripted worker of 1 slot
+    When an idempotent dispatch is lost once and then refused by all workers
+    Then the dispatch fails with "outcome-unknown" and ran "unknown"
+
+  Scenario Outline: A refusal of a worker leads to another worker
+    Given a data plane with 2 scripted workers of 1 slot
+    When a non-idempotent dispatch meets the fault "refuse <code>"
+    Then the dispatch gets its own answer
+    And 2 starts arrived at the scripted workers
+    And 1 task ran on the scripted workers
+
+    Examples:
+      | code        |
+      | stale-epoch |
+      | expired     |
+      | busy        |
+      | leaving     |
+
+  Scenario: A start that the worker calls a duplicate may have run
+    Given a data plane with 2 scripted workers of 1 slot
+    When a non-idempotent dispatch meets the fault "refuse duplicate"
+    Then the dispatch fails with "outcome-unknown" and ran "unknown"
+    And 1 start arrived at the scripted workers
+
+  Scenario: A request whose deadline passes in the queue never runs
+    Given a data plane with 1 scripted worker of 1 slot
+    And a dispatch occupies the only slot
+    When a dispatch with a deadline of 100 ms waits
+    Then the dispatch fails with "deadline-exceeded" and ran "no"
+    And after the slot is free the expired dispatch has not run
+
+  Scenario: A full queue sheds at once
+    Given a data plane with 1 scripted worker of 1 slot and a queue of 2
+    And a dispatch occupies the only slot
+    When 4 dispatches are made
+    Then 3 of them fail with "queue-full" and ran "no"
+
+  Scenario: A request that would wait beyond its deadline is shed early
+    Then a wait estimate above the deadline sheds the request
+
+  Scenario: A caller that gives up while waiting frees its place
+    Given a data plane with 1 scripted worker of 1 slot
+    And a dispatch occupies the only slot
+    When a waiting dispatch is cancelled and the slot is freed
+    Then the next dispatch gets its own answer
+
+  Scenario: Neither slots nor a team's limit are exceeded
+    Then random arrivals exceed neither 3 slots nor a limit of 2
+
+  Scenario: A worker that goes away leaves its tasks counted
+    Given a data plane with 1 scripted worker of 2 slots
+    And a job task runs on the scripted worker
+    When the scripted worker is granted to another instance
+    Then 1 task of team claims is counted
+    And no task is counted after the coordinator settles the worker
