--- a/src/marigoldgap/config_store/images.py
+++ b/src/marigoldgap/config_store/images.py
@@ -9,7 +9,7 @@
 from marigoldgap.config_store import model
 from marigoldgap.rules import difference
 
-_Step = Callable[[model.Image, Any], model.Image]
+_Step = Callable[[model.Image, model.ConfigVersion], model.Image]
 _steps: dict[str, _Step] = {}
 
 
@@ -36,7 +36,7 @@
     if step is None:
         raise errors.ProtocolError(f"unknown kind of version: {change.kind}")
     try:
-        advanced = step(image, change.content)
+        advanced = step(image, change)
     except (KeyError, TypeError, ValueError, errors.ConflictError) as error:
         raise errors.ProtocolError(
             f"version {change.version} is malformed: {error}"
@@ -49,6 +49,8 @@
     content = {
         "rules_text": image.rules_text,
         "keys": [list(record) for record in image.keys.values()],
+        "rules_version": image.rules_version,
+        "rules_author": image.rules_author,
     }
     return model.ConfigVersion(
         image.version, model.KIND_SNAPSHOT, "", at_ms, content
@@ -89,26 +91,41 @@
 
 
 @_step(model.KIND_RULES)
-def _change_rules(image: model.Image, content: Any) -> model.Image:
-    text = difference.apply(image.rules_text, line_changes(content))
-    return image._replace(rules_text=text)
+def _change_rules(
+    image: model.Image, change: model.ConfigVersion
+) -> model.Image:
+    changes = line_changes(change.content)
+    return image._replace(
+        rules_text=difference.apply(image.rules_text, changes),
+        rules_version=change.version,
+        rules_author=change.author,
+    )
 
 
 @_step(model.KIND_KEY)
-def _grant_key(image: model.Image, content: Any) -> model.Image:
-    record = model.KeyRecord(*content["record"])
+def _grant_key(image: model.Image, change: model.ConfigVersion) -> model.Image:
+    record = model.KeyRecord(*change.content["record"])
     return image._replace(keys={**image.keys, record.key_id: record})
 
 
 @_step(model.KIND_WITHDRAWAL)
-def _withdraw_key(image: model.Image, content: Any) -> model.Image:
+def _withdraw_key(
+    image: model.Image, change: model.ConfigVersion
+) -> model.Image:
     keys = dict(image.keys)
-    keys.pop(content["key_id"], None)
+    keys.pop(change.content["key_id"], None)
     return image._replace(keys=keys)
 
 
 @_step(model.KIND_SNAPSHOT)
-def _load_snapshot(image: model.Image, content: Any) -> model.Image:
+def _load_snapshot(
+    image: model.Image, change: model.ConfigVersion
+) -> model.Image:
+    content = change.content
     records = [model.KeyRecord(*each) for each in content["keys"]]
-    keys = {record.key_id: record for record in records}
-    return image._replace(rules_text=str(content["rules_text"]), keys=keys)
+    return image._replace(
+        rules_text=str(content["rules_text"]),
+        keys={record.key_id: record for record in records},
+        rules_version=int(content["rules_version"]),
+        rules_author=str(content["rules_author"]),
+    )
--- a/src/marigoldgap/config_store/model.py
+++ b/src/marigoldgap/config_store/model.py
@@ -45,11 +45,17 @@
 
     Withdrawn keys are left out: an unknown key is refused, and a key id is
     never granted again.
+
+    Attributes:
+        rules_version: Version that changed the rules last.
+        rules_author: Who applied that version.
     """
 
     version: int
     rules_text: str
     keys: Mapping[str, KeyRecord]
+    rules_version: int = 0
+    rules_author: str = ""
 
 
 EMPTY_IMAGE = Image(0, "", {})
