--- a/src/marigoldgap/errors.py
+++ b/src/marigoldgap/errors.py
@@ -166,6 +166,14 @@
     ran = Ran.NO
 
 
+class NoCandidateError(MarigoldgapError):
+    """No instance can own the key; nothing was sent."""
+
+    code = "no-candidate"
+    status = 503
+    ran = Ran.NO
+
+
 class StoreUnavailableError(MarigoldgapError):
     """The table service or the object store did not answer.
 
@@ -184,6 +192,10 @@
     status = 503
 
 
+<<<<<<< HEAD
+class ConnectFailedError(MarigoldgapError):
+    """No connection could be opened, so nothing was sent."""
+=======
 class RowConflictError(ConflictError):
     """A checked row of the table service has another version.
 
@@ -198,17 +210,35 @@
 
 class ConnectFailedError(MarigoldgapError):
     """No connection could be opened; no byte of the request was sent."""
+>>>>>>> config
 
     code = "connect-failed"
     status = 503
     ran = Ran.NO
 
 
+<<<<<<< HEAD
+class LeaseHeldError(MarigoldgapError):
+    """Another instance holds the lease on the worker.
+
+    Attributes:
+        remaining_ms: Time after which the lease may be free.
+    """
+
+    code = "lease-held"
+    status = 409
+    ran = Ran.NO
+
+    def __init__(self, holder: str, remaining_ms: int) -> None:
+        super().__init__(f"the lease is held by {holder}")
+        self.remaining_ms = remaining_ms
+=======
 class AnswerLostError(MarigoldgapError):
     """A request was sent, at least in part, and no complete answer came."""
 
     code = "answer-lost"
     status = 502
+>>>>>>> config
 
 
 class WorkerRefusedError(MarigoldgapError):
@@ -242,6 +272,21 @@
     status = 503
 
 
+class PeerNotLinkedError(PeerUnavailableError):
+    """There is no link to the other entry instance; nothing was sent."""
+
+    code = "peer-not-linked"
+    ran = Ran.NO
+
+
+class StaleTermError(MarigoldgapError):
+    """The sender's term is lower than the highest one seen."""
+
+    code = "stale-term"
+    status = 409
+    ran = Ran.NO
+
+
 class ProtocolError(MarigoldgapError):
     """A peer sent bytes that do not form a valid message."""
 
