--- a/src/marigoldgap/errors.py
+++ b/src/marigoldgap/errors.py
@@ -192,10 +192,6 @@
     status = 503
 
 
-<<<<<<< HEAD
-class ConnectFailedError(MarigoldgapError):
-    """No connection could be opened, so nothing was sent."""
-=======
 class RowConflictError(ConflictError):
     """A checked row of the table service has another version.
 
@@ -209,15 +205,13 @@
 
 
 class ConnectFailedError(MarigoldgapError):
-    """No connection could be opened; no byte of the request was sent."""
->>>>>>> config
+    """No connection could be opened, so nothing was sent."""
 
     code = "connect-failed"
     status = 503
     ran = Ran.NO
 
 
-<<<<<<< HEAD
 class LeaseHeldError(MarigoldgapError):
     """Another instance holds the lease on the worker.
 
@@ -232,13 +226,6 @@
     def __init__(self, holder: str, remaining_ms: int) -> None:
         super().__init__(f"the lease is held by {holder}")
         self.remaining_ms = remaining_ms
-=======
-class AnswerLostError(MarigoldgapError):
-    """A request was sent, at least in part, and no complete answer came."""
-
-    code = "answer-lost"
-    status = 502
->>>>>>> config
 
 
 class WorkerRefusedError(MarigoldgapError):
--- a/src/marigoldgap/platform/builder.py
+++ b/src/marigoldgap/platform/builder.py
@@ -5,7 +5,7 @@
 import random
 from typing import NamedTuple
 
-from marigoldgap import http_session
+from marigoldgap import http_client
 from marigoldgap.platform import committer
 from marigoldgap.platform import instances
 from marigoldgap.platform import objects
@@ -17,6 +17,8 @@
 # Reading back a lost write takes a read and a write; each may take the whole
 # request timeout.
 _RESOLVE_CALLS = 2
+# Writes need one connection, since they are serial; the others are for reads.
+_CONNECTIONS = 64
 
 
 class Platform(NamedTuple):
@@ -26,7 +28,7 @@
     committer: committer.GroupCommitter
     objects: objects.ObjectClient
     instances: instances.InstanceList
-    session: http_session.HttpSession
+    client: http_client.HttpClient
     services: tuple[service.PlatformService, ...]
 
     async def close(self) -> None:
@@ -34,7 +36,7 @@
         await self.committer.close()
         for each in self.services:
             await each.close()
-        await self.session.close()
+        await self.client.close()
 
 
 def build(
@@ -47,13 +49,13 @@
         source: Source of random delays; tests pass one with a fixed seed.
     """
     source = source or random.Random()
-    session = http_session.HttpSession()
+    connections = http_client.HttpClient(_CONNECTIONS)
     platform = settings.platform
     timeout_ms = platform.request_timeout_ms
 
     def connect(name: str, address: str, probe: str) -> service.PlatformService:
         return service.PlatformService(
-            name, address, timeout_ms, probe, session, source
+            name, address, timeout_ms, probe, connections, source
         )
 
     rows = connect("table service", platform.table_address, table.PROBE_PATH)
@@ -70,6 +72,6 @@
         committer.GroupCommitter(row),
         objects.ObjectClient(store),
         instances.InstanceList(settings, listing),
-        session,
+        connections,
         (rows, store, listing),
     )
--- a/src/marigoldgap/platform/instances.py
+++ b/src/marigoldgap/platform/instances.py
@@ -87,7 +87,7 @@
             answer = await self._source.read(PROBE_PATH)
             if answer.status != _OK:
                 raise errors.ProtocolError(f"status {answer.status}")
-            received = _parse(answer.json())
+            received = _parse(service.decode(answer))
         except errors.MarigoldgapError as error:
             _log.debug("The instance list is kept: %s", error)
             return False
--- a/src/marigoldgap/platform/service.py
+++ b/src/marigoldgap/platform/service.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import json
 import random
+from typing import Any
 
+from marigoldgap import clock
 from marigoldgap import errors
-from marigoldgap import http_session
+from marigoldgap import http_client
 from marigoldgap.platform import breaker
 
 _FIRST_SERVER_ERROR = 500
@@ -21,7 +24,7 @@
         address: `ip:port`.
         timeout_ms: Bound of one call.
         probe_path: Path whose read tells whether the service is up.
-        session: Connections to use.
+        client: Connections to use.
         source: Source of the delays between probes.
     """
 
@@ -31,14 +34,14 @@
         address: str,
         timeout_ms: int,
         probe_path: str,
-        session: http_session.HttpSession,
+        client: http_client.HttpClient,
         source: random.Random,
     ) -> None:
         self._name = name
-        self._root = f"http://{address}"
-        self._timeout_ms = timeout_ms
+        self._address = address
+        self._timeout_s = timeout_ms / clock.MILLISECONDS_PER_SECOND
         self._probe_path = probe_path
-        self._session = session
+        self._client = client
         self._breaker = breaker.CircuitBreaker(name, self._probe, source)
 
     @property
@@ -51,7 +54,7 @@
         path: str,
         headers: Mapping[str, str] | None = None,
         during_outage: bool = False,
-    ) -> http_session.Answer:
+    ) -> http_client.HttpAnswer:
         """Sends a GET.
 
         Args:
@@ -65,8 +68,8 @@
         if not during_outage:
             self._breaker.check()
         try:
-            answer = await self._call("GET", path, b"", headers, True)
-        except errors.AnswerLostError as error:
+            answer = await self._call("GET", path, b"", headers)
+        except errors.OutcomeUnknownError as error:
             raise errors.StoreUnavailableError(str(error)) from error
         if _is_failure(answer.status):
             raise errors.StoreUnavailableError(
@@ -81,7 +84,7 @@
         body: bytes,
         during_outage: bool = False,
         content_type: str = "application/json",
-    ) -> http_session.Answer:
+    ) -> http_client.HttpAnswer:
         """Sends a write exactly once.
 
         Raises:
@@ -92,8 +95,8 @@
             self._breaker.check()
         headers = {"content-type": content_type}
         try:
-            answer = await self._call(method, path, body, headers, False)
-        except errors.AnswerLostError as error:
+            answer = await self._call(method, path, body, headers)
+        except errors.OutcomeUnknownError as error:
             raise errors.StoreOutcomeUnknownError(str(error)) from error
         if answer.status == _TOO_MANY_REQUESTS:
             raise errors.StoreUnavailableError(
@@ -115,22 +118,16 @@
         path: str,
         body: bytes,
         headers: Mapping[str, str] | None,
-        repeatable: bool,
-    ) -> http_session.Answer:
+    ) -> http_client.HttpAnswer:
         """Sends a request and tells the breaker about the result."""
         try:
-            answer = await self._session.request(
-                method,
-                self._root + path,
-                timeout_ms=self._timeout_ms,
-                body=body,
-                headers=headers,
-                repeatable=repeatable,
+            answer = await self._client.exchange(
+                method, self._address, path, headers, body, self._timeout_s
             )
         except errors.ConnectFailedError as error:
             self._breaker.failed()
             raise errors.StoreUnavailableError(str(error)) from error
-        except errors.AnswerLostError:
+        except errors.OutcomeUnknownError:
             self._breaker.failed()
             raise
         if _is_failure(answer.status):
@@ -146,3 +143,15 @@
 def _is_failure(status: int) -> bool:
     """Tells whether a status means that the service cannot serve now."""
     return status >= _FIRST_SERVER_ERROR or status == _TOO_MANY_REQUESTS
+
+
+def decode(answer: http_client.HttpAnswer) -> Any:
+    """Returns the JSON value of an answer.
+
+    Raises:
+        errors.ProtocolError: The body is not JSON.
+    """
+    try:
+        return json.loads(answer.body)
+    except (ValueError, RecursionError) as error:
+        raise errors.ProtocolError(f"not JSON: {error}") from error
--- a/src/marigoldgap/platform/table.py
+++ b/src/marigoldgap/platform/table.py
@@ -66,7 +66,7 @@
         if answer.status == _NOT_FOUND:
             return None
         _expect_ok(answer.status)
-        return _row(key, answer.json())
+        return _row(key, service.decode(answer))
 
     async def get_if_changed(
         self, key: str, known_version: int
@@ -83,7 +83,7 @@
         if answer.status == _NOT_FOUND:
             return ConditionalRow(known_version != model.ABSENT_VERSION, None)
         _expect_ok(answer.status)
-        return ConditionalRow(True, _row(key, answer.json()))
+        return ConditionalRow(True, _row(key, service.decode(answer)))
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 500
@@ -104,7 +104,9 @@
         answer = await self._table.read(f"/v1/rows?{query}")
         _expect_ok(answer.status)
         try:
-            return [_row(row["key"], row) for row in answer.json()["rows"]]
+            return [
+                _row(row["key"], row) for row in service.decode(answer)["rows"]
+            ]
         except (KeyError, TypeError) as error:
             raise errors.ProtocolError(f"bad rows: {error}") from error
 
@@ -123,14 +125,14 @@
             "POST", "/v1/transactions", body, during_outage
         )
         if answer.status == _CONFLICT:
-            failed = answer.json().get("failed", [])
+            failed = service.decode(answer).get("failed", [])
             raise errors.RowConflictError(tuple(str(key) for key in failed))
         if answer.status != _OK:
             raise errors.ProtocolError(
                 f"the table service answered {answer.status}"
             )
         try:
-            return int(answer.json()["version"])
+            return int(service.decode(answer)["version"])
         except (errors.ProtocolError, KeyError, TypeError) as error:
             raise errors.StoreOutcomeUnknownError(
                 f"the table service sent a bad answer: {error}"
