Add the commands for rules, keys, jobs, status and timeline

Cause: operators work from the command line.

Change: one class for each command, shared groups, options and exit codes. A rules file names the version it was made from in its first line, so that applying an old file is a conflict instead of undoing the changes of others. Keys come from the environment or a file, never from the command line.

Ruled out: taking the newest version as the base at the time of applying, which would make the compare-and-set pointless.

--- a/src/marigoldgap/console/application.py
+++ b/src/marigoldgap/console/application.py
@@ -10,10 +10,10 @@
 
 from marigoldgap import errors
 from marigoldgap.console import commands
+from marigoldgap.console import exit_codes
+from marigoldgap.console import output
 from marigoldgap.console import registry
 
-EXIT_FAILURE = 1
-
 
 def build() -> typer.Typer:
     """Returns the application with all commands."""
@@ -34,5 +34,5 @@
     try:
         build()()
     except errors.MarigoldgapError as error:
-        typer.echo(f"error {error.code}: {error.detail}", err=True)
-        sys.exit(EXIT_FAILURE)
+        output.report(error)
+        sys.exit(exit_codes.of(error))
--- /dev/null
+++ b/src/marigoldgap/console/commands/jobs_explain.py
@@ -0,0 +1,32 @@
+"""The command `jobs explain`."""
+
+from __future__ import annotations
+
+import asyncio
+
+import typer
+
+from marigoldgap.console import explaining
+from marigoldgap.console import groups
+from marigoldgap.console import options
+from marigoldgap.console import registry
+
+
+@registry.command
+class JobsExplainCommand:
+    """Explains a job."""
+
+    def register(self, application: typer.Typer) -> None:
+        """Adds `jobs explain` to the application."""
+        groups.group(application, "jobs").command("explain")(self.run)
+
+    def run(
+        self,
+        job_id: str,
+        instances: options.Instances = [],  # noqa: B006
+        key_file: options.KeyFile = None,
+        as_json: options.AsJson = False,
+    ) -> None:
+        """Explain why a job waits or what became of it (operators only)."""
+        operators = options.operators_client(instances, key_file)
+        asyncio.run(explaining.show(operators, "job", job_id, as_json))
--- /dev/null
+++ b/src/marigoldgap/console/commands/rules_apply.py
@@ -0,0 +1,96 @@
+"""The command `rules apply`."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+from typing import Annotated
+
+import typer
+
+from marigoldgap import errors
+from marigoldgap.console import groups
+from marigoldgap.console import in_force
+from marigoldgap.console import options
+from marigoldgap.console import output
+from marigoldgap.console import registry
+from marigoldgap.console import rules_files
+from marigoldgap.operators import client
+from marigoldgap.operators import messages
+
+
+@registry.command
+class RulesApplyCommand:
+    """Applies a rules file."""
+
+    def register(self, application: typer.Typer) -> None:
+        """Adds `rules apply` to the application."""
+        groups.group(application, "rules").command("apply")(self.run)
+
+    def run(
+        self,
+        path: pathlib.Path,
+        instances: options.Instances = [],  # noqa: B006
+        key_file: options.KeyFile = None,
+        base: Annotated[
+            int | None,
+            typer.Option(
+                min=0,
+                help="Version that the file was made from; by default from "
+                "the file's first line, which 'rules show' writes.",
+            ),
+        ] = None,
+        author: options.Author = None,
+        wait_s: options.WaitSeconds = options.DEFAULT_WAIT_S,
+        as_json: options.AsJson = False,
+    ) -> None:
+        """Apply a rules file and report in which zones it is in force."""
+        file = rules_files.read(path)
+        base_version = file.base_version if base is None else base
+        if base_version is None:
+            raise typer.BadParameter(
+                f"{path} does not say which version it was made from; get the "
+                f"rules with 'rules show --output FILE', or give --base"
+            )
+        operators = options.operators_client(instances, key_file)
+        name = options.author_name(author)
+        zones = asyncio.run(
+            self._apply(operators, file, base_version, name, wait_s, as_json)
+        )
+        in_force.finish(zones)
+
+    async def _apply(
+        self,
+        operators: client.OperatorsClient,
+        file: rules_files.RulesFile,
+        base_version: int,
+        author: str,
+        wait_s: float,
+        as_json: bool,
+    ) -> messages.Zones:
+        result = await operators.apply_rules(base_version, file.text, author)
+        version = result["version"]
+        _update_base(file, version)
+
+        async def fetch() -> messages.Zones:
+            return await operators.version_in_force(version)
+
+        zones = await in_force.wait(result["zones"], fetch, wait_s)
+        await operators.close()
+        if as_json:
+            output.values({**result, "zones": zones})
+            return zones
+        word = "applied as" if result["changed"] else "already in force in"
+        output.lines([f"{file.path}: {word} version {version}"])
+        in_force.report(zones)
+        return zones
+
+
+def _update_base(file: rules_files.RulesFile, version: int) -> None:
+    """Lets the next change of the file start from the applied version."""
+    if file.base_version is None:
+        return
+    try:
+        rules_files.write(file.path, version, file.text)
+    except errors.InvalidRequestError as error:
+        output.note(f"{error.detail}; use --base {version} next time")
--- /dev/null
+++ b/src/marigoldgap/console/commands/rules_explain.py
@@ -0,0 +1,41 @@
+"""The command `rules explain`."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+
+import typer
+
+from marigoldgap.console import explaining
+from marigoldgap.console import groups
+from marigoldgap.console import options
+from marigoldgap.console import registry
+
+
+class Subject(enum.Enum):
+    """What can be explained from the rules."""
+
+    TEAM = "team"
+    QUEUE = "queue"
+
+
+@registry.command
+class RulesExplainCommand:
+    """Explains a team or a queue."""
+
+    def register(self, application: typer.Typer) -> None:
+        """Adds `rules explain` to the application."""
+        groups.group(application, "rules").command("explain")(self.run)
+
+    def run(
+        self,
+        kind: Subject,
+        name: str,
+        instances: options.Instances = [],  # noqa: B006
+        key_file: options.KeyFile = None,
+        as_json: options.AsJson = False,
+    ) -> None:
+        """Explain in plain sentences what the rules mean for a name."""
+        operators = options.operators_client(instances, key_file)
+        asyncio.run(explaining.show(operators, kind.value, name, as_json))
--- /dev/null
+++ b/src/marigoldgap/console/commands/rules_preview.py
@@ -0,0 +1,89 @@
+"""The command `rules preview`."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+from typing import Any
+
+import typer
+
+from marigoldgap.console import groups
+from marigoldgap.console import options
+from marigoldgap.console import output
+from marigoldgap.console import registry
+from marigoldgap.console import rules_files
+from marigoldgap.operators import client
+from marigoldgap.operators import messages
+
+
+@registry.command
+class RulesPreviewCommand:
+    """Shows what a rules file would do."""
+
+    def register(self, application: typer.Typer) -> None:
+        """Adds `rules preview` to the application."""
+        groups.group(application, "rules").command("preview")(self.run)
+
+    def run(
+        self,
+        path: pathlib.Path,
+        instances: options.Instances = [],  # noqa: B006
+        key_file: options.KeyFile = None,
+        as_json: options.AsJson = False,
+    ) -> None:
+        """Say in plain sentences what a file would change, and for whom."""
+        file = rules_files.read(path)
+        operators = options.operators_client(instances, key_file)
+        asyncio.run(self._preview(operators, file, as_json))
+
+    async def _preview(
+        self,
+        operators: client.OperatorsClient,
+        file: rules_files.RulesFile,
+        as_json: bool,
+    ) -> None:
+        result = await operators.preview_rules(file.text)
+        await operators.close()
+        if as_json:
+            output.values(result)
+            return
+        output.lines([*result["changes"], "", *result["sentences"], ""])
+        self._print_teams(result)
+        output.lines(["Nothing was changed; 'rules apply' does it."])
+
+    def _print_teams(self, result: messages.PreviewAnswer) -> None:
+        output.table(
+            (
+                "team",
+                "effect",
+                "share",
+                "limit",
+                "may run now",
+                "may run in a full cluster",
+                "running",
+                "above limit",
+            ),
+            [
+                (
+                    team["team"],
+                    team["effect"],
+                    _change(team, "share"),
+                    _change(team, "limit"),
+                    _change(team, "target"),
+                    _change(team, "full"),
+                    team["running"],
+                    team["above_limit"],
+                )
+                for team in result["teams"]
+            ],
+        )
+
+
+def _change(team: dict[str, Any], name: str) -> str:
+    """Returns one value, or both if it changes."""
+    before, after = (
+        "-" if team[key] is None else f"{round(team[key], 1):g}"
+        for key in (f"{name}_before", f"{name}_after")
+    )
+    return after if before == after else f"{before} -> {after}"
--- a/src/marigoldgap/console/commands/settings_check.py
+++ b/src/marigoldgap/console/commands/settings_check.py
@@ -6,6 +6,7 @@
 
 import typer
 
+from marigoldgap.console import groups
 from marigoldgap.console import registry
 from marigoldgap.settings import loader
 
@@ -16,10 +17,7 @@
 
     def register(self, application: typer.Typer) -> None:
         """Adds the group `settings` with `check` to the application."""
-        group = typer.Typer(help="Work with settings files.")
-        group.callback()(lambda: None)
-        group.command("check")(self.run)
-        application.add_typer(group, name="settings")
+        groups.group(application, "settings").command("check")(self.run)
 
     def run(self, path: pathlib.Path) -> None:
         """Report every error of a settings file, with line and field."""
--- /dev/null
+++ b/src/marigoldgap/console/commands/status.py
@@ -0,0 +1,97 @@
+"""The command `status`."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Annotated
+
+import rich.live
+import rich.table
+import typer
+
+from marigoldgap.console import exit_codes
+from marigoldgap.console import options
+from marigoldgap.console import output
+from marigoldgap.console import registry
+from marigoldgap.operators import client
+
+
+@registry.command
+class StatusCommand:
+    """Shows the state of instances."""
+
+    def register(self, application: typer.Typer) -> None:
+        """Adds `status` to the application."""
+        application.command("status")(self.run)
+
+    def run(
+        self,
+        instances: options.Instances = [],  # noqa: B006
+        key_file: options.KeyFile = None,
+        watch: Annotated[
+            bool, typer.Option(help="Show it again until interrupted.")
+        ] = False,
+        interval_s: Annotated[
+            float, typer.Option("--interval", min=0.2, help="In seconds.")
+        ] = 1.0,
+        as_json: options.AsJson = False,
+    ) -> None:
+        """Show the state of every given instance."""
+        operators = options.operators_client(instances, key_file)
+        if watch:
+            asyncio.run(self._watch(operators, interval_s, as_json))
+            return
+        reached = asyncio.run(self._once(operators))
+        _show(reached, as_json)
+        if any(each.error for each in reached):
+            raise typer.Exit(exit_codes.FAILURE)
+
+    async def _once(
+        self, operators: client.OperatorsClient
+    ) -> Sequence[client.Reached]:
+        with output.progress("asking the instances"):
+            reached = await operators.status_of_all()
+        await operators.close()
+        return reached
+
+    async def _watch(
+        self,
+        operators: client.OperatorsClient,
+        interval_s: float,
+        as_json: bool,
+    ) -> None:
+        if as_json:
+            while True:
+                _show(await operators.status_of_all(), as_json)
+                await asyncio.sleep(interval_s)
+        with rich.live.Live(
+            console=output.console(), auto_refresh=False
+        ) as view:
+            while True:
+                made = _table(await operators.status_of_all())
+                view.update(made, refresh=True)
+                await asyncio.sleep(interval_s)
+
+
+def _show(reached: Sequence[client.Reached], as_json: bool) -> None:
+    if as_json:
+        output.values({"instances": [each._asdict() for each in reached]})
+        return
+    output.console().print(_table(reached))
+
+
+def _table(reached: Sequence[client.Reached]) -> rich.table.Table:
+    """Returns a row for each instance, with what it reports."""
+    names: dict[str, None] = {}
+    for each in reached:
+        names.update(dict.fromkeys(each.answer or {}))
+    rows = [
+        (
+            each.address,
+            *((each.answer or {}).get(name) for name in names),
+            each.error or "reached",
+        )
+        for each in reached
+    ]
+    return output.make_table(("address", *names, "result"), rows)
--- /dev/null
+++ b/src/marigoldgap/console/commands/timeline.py
@@ -0,0 +1,107 @@
+"""The command `timeline`."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import enum
+from typing import Annotated
+
+import typer
+
+from marigoldgap import clock
+from marigoldgap.console import exit_codes
+from marigoldgap.console import options
+from marigoldgap.console import output
+from marigoldgap.console import registry
+from marigoldgap.events import export
+from marigoldgap.events import hybrid_clock
+from marigoldgap.events import model
+from marigoldgap.events import timeline
+from marigoldgap.operators import client
+from marigoldgap.rules import values
+
+
+class Format(enum.Enum):
+    """Formats of the output; `trace` is read by trace viewers."""
+
+    TEXT = "text"
+    JSONL = "jsonl"
+    TRACE = "trace"
+
+
+@registry.command
+class TimelineCommand:
+    """Shows the events of instances."""
+
+    def register(self, application: typer.Typer) -> None:
+        """Adds `timeline` to the application."""
+        application.command("timeline")(self.run)
+
+    def run(
+        self,
+        subject: Annotated[
+            str,
+            typer.Argument(help="Id of a job, task, worker or instance."),
+        ] = "",
+        instances: options.Instances = [],  # noqa: B006
+        key_file: options.KeyFile = None,
+        since: Annotated[
+            str | None, typer.Option(help="Only the last time, e.g. 10m.")
+        ] = None,
+        name: Annotated[
+            Format, typer.Option("--format", help="How to print events.")
+        ] = Format.TEXT,
+        as_json: options.AsJson = False,
+    ) -> None:
+        """Collect the events of all given instances in causal order."""
+        operators = options.operators_client(instances, key_file)
+        first = _first_time(since)
+        reached = asyncio.run(self._collect(operators, subject, first))
+        merged = timeline.merge(
+            [
+                [model.from_value(event) for event in each.answer["events"]]
+                for each in reached
+                if not each.error
+            ]
+        )
+        chosen = Format.JSONL if as_json else name
+        typer.echo(export.export(merged, chosen.value), nl=False)
+        _note_gaps(reached)
+        if any(each.error for each in reached):
+            raise typer.Exit(exit_codes.FAILURE)
+
+    async def _collect(
+        self, operators: client.OperatorsClient, subject: str, since: int
+    ) -> Sequence[client.Reached]:
+        with output.progress("collecting events"):
+            reached = await operators.timeline_of_all(subject, since)
+        await operators.close()
+        return reached
+
+
+def _first_time(since: str | None) -> int:
+    """Returns the time of the hybrid logical clock to start from."""
+    if since is None:
+        return 0
+    try:
+        seconds = values.duration_s(since)
+    except ValueError as error:
+        raise typer.BadParameter(str(error)) from error
+    return hybrid_clock.from_ms(
+        clock.wall_ms() - seconds * clock.MILLISECONDS_PER_SECOND
+    )
+
+
+def _note_gaps(reached: Sequence[client.Reached]) -> None:
+    """Names what the timeline lacks."""
+    for each in reached:
+        if each.error:
+            output.note(f"not reached: {each.address} ({each.error})")
+        elif each.answer["truncated"]:
+            output.note(f"only the latest events of {each.address} are shown")
+        elif each.answer["dropped"]:
+            output.note(
+                f"{each.address} no longer has its oldest "
+                f"{each.answer['dropped']} events"
+            )
--- /dev/null
+++ b/src/marigoldgap/console/exit_codes.py
@@ -0,0 +1,17 @@
+"""Exit codes of all commands."""
+
+from __future__ import annotations
+
+from marigoldgap import errors
+
+OK = 0
+FAILURE = 1
+# The codes of click for wrong options and arguments.
+USAGE = 2
+CONFLICT = 3
+NOT_IN_FORCE = 4
+
+
+def of(error: errors.MarigoldgapError) -> int:
+    """Returns the exit code for an error."""
+    return CONFLICT if isinstance(error, errors.ConflictError) else FAILURE
--- /dev/null
+++ b/src/marigoldgap/console/in_force.py
@@ -0,0 +1,61 @@
+"""Waits until a change is in force in all zones and reports where it is."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import typer
+
+from marigoldgap import clock
+from marigoldgap import errors
+from marigoldgap.console import exit_codes
+from marigoldgap.console import output
+from marigoldgap.operators import messages
+
+_POLL_MS = 500
+
+
+async def wait(
+    zones: messages.Zones,
+    fetch: Callable[[], Awaitable[messages.Zones]],
+    wait_s: float,
+) -> messages.Zones:
+    """Asks again until all zones confirm or the time is over.
+
+    Args:
+        zones: What is known so far.
+        fetch: Asks an instance.
+        wait_s: Longest time in seconds.
+    """
+    deadline_ms = clock.monotonic_ms() + int(
+        wait_s * clock.MILLISECONDS_PER_SECOND
+    )
+    with output.progress("waiting until the change is in force everywhere"):
+        while not all(zones.values()) and clock.monotonic_ms() < deadline_ms:
+            await asyncio.sleep(_POLL_MS / clock.MILLISECONDS_PER_SECOND)
+            try:
+                zones = await fetch()
+            except errors.MarigoldgapError as error:
+                output.note(f"asking again: {error.detail}")
+    return zones
+
+
+def report(zones: messages.Zones) -> None:
+    """Prints in which zones a change is in force."""
+    for zone, confirmed in sorted(zones.items()):
+        state = "in force" if confirmed else "not confirmed yet"
+        typer.echo(f"zone {zone}: {state}")
+
+
+def finish(zones: messages.Zones) -> None:
+    """Ends the command with the exit code for unconfirmed zones."""
+    missing = sorted(zone for zone, confirmed in zones.items() if not confirmed)
+    if not missing:
+        return
+    output.note(
+        f"not in force everywhere yet: {', '.join(missing)}; the change is "
+        f"stored and reaches each zone when it can be reached again"
+    )
+    raise typer.Exit(exit_codes.NOT_IN_FORCE)
--- /dev/null
+++ b/src/marigoldgap/console/output.py
@@ -0,0 +1,82 @@
+"""Prints results to standard output and notes to standard error."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import contextlib
+import json
+import sys
+from typing import Any
+
+import rich.console
+import rich.table
+import typer
+
+from marigoldgap import errors
+from marigoldgap.console import next_steps
+
+# Wide enough that no column of a table is cut when output goes to a file.
+_FILE_WIDTH = 160
+_JSON_OPTION = "--json"
+
+
+def lines(text: Iterable[str]) -> None:
+    """Prints lines of text."""
+    for line in text:
+        typer.echo(line)
+
+
+def values(content: Any) -> None:
+    """Prints JSON."""
+    typer.echo(json.dumps(content, indent=2))
+
+
+def note(text: str) -> None:
+    """Prints a note that is no part of the result."""
+    typer.echo(text, err=True)
+
+
+def make_table(
+    columns: Sequence[str], rows: Iterable[Sequence[object]]
+) -> rich.table.Table:
+    """Returns a table; None is shown as a dash."""
+    made = rich.table.Table(*columns)
+    for row in rows:
+        made.add_row(*("-" if each is None else str(each) for each in row))
+    return made
+
+
+def table(columns: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
+    """Prints a table."""
+    console().print(make_table(columns, rows))
+
+
+def console(to_errors: bool = False) -> rich.console.Console:
+    """Returns a console that shows text as it is, without markup."""
+    stream = sys.stderr if to_errors else sys.stdout
+    width = None if stream.isatty() else _FILE_WIDTH
+    return rich.console.Console(
+        file=stream, width=width, markup=False, highlight=False
+    )
+
+
+def progress(text: str) -> contextlib.AbstractContextManager[Any]:
+    """Shows that the command works, on a terminal only."""
+    return console(to_errors=True).status(text)
+
+
+def report(error: errors.MarigoldgapError) -> None:
+    """Prints an error with its code and the next step."""
+    step = next_steps.after(error.code)
+    if _JSON_OPTION in sys.argv[1:]:
+        content = {
+            "code": error.code,
+            "detail": error.detail,
+            "ran": error.ran.value,
+            "next_step": step,
+        }
+        note(json.dumps({"error": content}))
+        return
+    note(f"error {error.code}: {error.detail}")
+    note(f"next step: {step}")
--- /dev/null
+++ b/src/marigoldgap/operators/client.py
@@ -0,0 +1,146 @@
+"""The operators API as the commands use it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+from typing import NamedTuple
+import urllib.parse
+
+from marigoldgap import errors
+from marigoldgap import http_client
+from marigoldgap.operators import messages
+from marigoldgap.operators import remote
+
+
+class Reached(NamedTuple):
+    """The answer of one instance, or why there is none."""
+
+    address: str
+    answer: Any
+    error: str
+
+
+class OperatorsClient:
+    """Calls the operators API.
+
+    Args:
+        caller: Sends the requests with the operators' key.
+    """
+
+    def __init__(self, caller: remote.RemoteCaller) -> None:
+        self._caller = caller
+
+    async def rules(self) -> messages.RulesAnswer:
+        """Returns the rules in force."""
+        answer: messages.RulesAnswer = await self._get("/rules")
+        return answer
+
+    async def apply_rules(
+        self, base_version: int, text: str, author: str
+    ) -> messages.AppliedAnswer:
+        """Publishes a rules text; repeating the call does no harm."""
+        body = {"base_version": base_version, "text": text, "author": author}
+        answer: messages.AppliedAnswer = await self._post("/rules", body)
+        return answer
+
+    async def preview_rules(self, text: str) -> messages.PreviewAnswer:
+        """Returns what a text would do."""
+        answer: messages.PreviewAnswer = await self._post(
+            "/rules/preview", {"text": text}
+        )
+        return answer
+
+    async def history(self, limit: int) -> messages.HistoryAnswer:
+        """Returns the newest versions."""
+        answer: messages.HistoryAnswer = await self._get(
+            f"/rules/history?limit={limit}"
+        )
+        return answer
+
+    async def grant_key(self, team: str, author: str) -> messages.GrantedAnswer:
+        """Grants a key; a lost answer is not repeated."""
+        answer: messages.GrantedAnswer = await self._caller.call(
+            "POST",
+            messages.ROOT + "/keys",
+            {"team": team, "author": author},
+            repeatable=False,
+        )
+        return answer
+
+    async def withdraw_key(
+        self, key_id: str, author: str
+    ) -> messages.WithdrawnAnswer:
+        """Withdraws a key; repeating the call does no harm."""
+        path = f"/keys/{http_client.quote(key_id)}/withdraw"
+        answer: messages.WithdrawnAnswer = await self._post(
+            path, {"author": author}
+        )
+        return answer
+
+    async def keys(self) -> messages.KeysAnswer:
+        """Returns the granted keys without secrets."""
+        answer: messages.KeysAnswer = await self._get("/keys")
+        return answer
+
+    async def version_in_force(self, version: int) -> messages.Zones:
+        """Returns for each zone whether a version is in force."""
+        answer: messages.InForceAnswer = await self._get(
+            f"/in-force?version={version}"
+        )
+        return answer["zones"]
+
+    async def withdrawal_in_force(
+        self, key_id: str, version: int | None
+    ) -> messages.Zones:
+        """Returns for each zone whether a withdrawn key is refused."""
+        query = {"key_id": key_id}
+        if version is not None:
+            query["version"] = str(version)
+        answer: messages.InForceAnswer = await self._get(
+            f"/in-force?{urllib.parse.urlencode(query)}"
+        )
+        return answer["zones"]
+
+    async def explain(self, kind: str, name: str) -> messages.ExplainAnswer:
+        """Explains a team, a queue or a job."""
+        answer: messages.ExplainAnswer = await self._get(
+            f"/explain/{http_client.quote(kind)}/{http_client.quote(name)}"
+        )
+        return answer
+
+    async def status_of_all(self) -> Sequence[Reached]:
+        """Returns the state of every given instance."""
+        return await self._of_all("/status")
+
+    async def timeline_of_all(
+        self, subject: str, since: int
+    ) -> Sequence[Reached]:
+        """Returns the events of every given instance."""
+        query = urllib.parse.urlencode({"id": subject, "since": since})
+        return await self._of_all(f"/timeline?{query}")
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._caller.close()
+
+    async def _of_all(self, path: str) -> Sequence[Reached]:
+        return await asyncio.gather(
+            *(self._reach(each, path) for each in self._caller.addresses)
+        )
+
+    async def _reach(self, address: str, path: str) -> Reached:
+        try:
+            answer = await self._caller.call_at(
+                address, "GET", messages.ROOT + path
+            )
+        except errors.MarigoldgapError as error:
+            return Reached(address, None, f"{error.code}: {error.detail}")
+        return Reached(address, answer, "")
+
+    async def _get(self, path: str) -> Any:
+        return await self._caller.call("GET", messages.ROOT + path)
+
+    async def _post(self, path: str, body: dict[str, Any]) -> Any:
+        return await self._caller.call("POST", messages.ROOT + path, body)
--- /dev/null
+++ b/src/marigoldgap/operators/jobs_client.py
@@ -0,0 +1,61 @@
+"""The callers' API for jobs as the commands use it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+from typing import NotRequired
+from typing import TypedDict
+
+from marigoldgap import http_client
+from marigoldgap.operators import remote
+
+
+class JobRequest(TypedDict):
+    """A job to submit; times in milliseconds."""
+
+    queue: str
+    tasks: int
+    gang: bool
+    resources: dict[str, int]
+    urgent: bool
+    idempotent: bool
+    group: str
+    payload: str
+    expected_run_ms: NotRequired[int]
+    deadline_ms: NotRequired[int]
+
+
+class JobsClient:
+    """Submits, shows and cancels jobs.
+
+    Args:
+        caller: Sends the requests with the key of a team.
+    """
+
+    def __init__(self, caller: remote.RemoteCaller) -> None:
+        self._caller = caller
+
+    async def submit(self, job: JobRequest) -> dict[str, Any]:
+        """Submits a job once; a lost answer is not repeated."""
+        status: dict[str, Any] = await self._caller.call(
+            "POST", "/v1/jobs", job, repeatable=False
+        )
+        return status
+
+    async def status(self, job_id: str) -> dict[str, Any]:
+        """Returns the status of a job."""
+        status: dict[str, Any] = await self._caller.call(
+            "GET", f"/v1/jobs/{http_client.quote(job_id)}"
+        )
+        return status
+
+    async def cancel(self, job_ids: Sequence[str], group: str) -> list[str]:
+        """Cancels jobs by ids or by group; returns the cancelled ids."""
+        body = {"group": group} if group else {"ids": list(job_ids)}
+        answer = await self._caller.call("POST", "/v1/jobs/cancel", body)
+        return [str(each) for each in answer["cancelled"]]
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._caller.close()
