--- a/src/marigoldgap/console/commands/jobs_cancel.py
+++ b/src/marigoldgap/console/commands/jobs_cancel.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Annotated
 
 import typer
@@ -12,6 +11,7 @@
 from marigoldgap.console import options
 from marigoldgap.console import output
 from marigoldgap.console import registry
+from marigoldgap.console import running
 from marigoldgap.operators import jobs_client
 
 
@@ -37,7 +37,7 @@
         if bool(job_ids) == bool(group):
             raise typer.BadParameter("give either job ids or --group")
         jobs = options.jobs(instances, key_file)
-        cancelled = asyncio.run(self._cancel(jobs, job_ids or [], group))
+        cancelled = running.run(jobs, self._cancel(jobs, job_ids or [], group))
         missed = sorted(set(job_ids or []) - set(cancelled))
         if as_json:
             output.values({"cancelled": cancelled, "not_cancelled": missed})
@@ -54,6 +54,4 @@
         self, jobs: jobs_client.JobsClient, job_ids: list[str], group: str
     ) -> list[str]:
         with output.progress("cancelling"):
-            cancelled = await jobs.cancel(job_ids, group)
-        await jobs.close()
-        return cancelled
+            return await jobs.cancel(job_ids, group)
--- a/src/marigoldgap/console/commands/jobs_explain.py
+++ b/src/marigoldgap/console/commands/jobs_explain.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import typer
 
 from marigoldgap.console import explaining
 from marigoldgap.console import groups
 from marigoldgap.console import options
 from marigoldgap.console import registry
+from marigoldgap.console import running
 
 
 @registry.command
@@ -29,4 +28,6 @@
     ) -> None:
         """Explain why a job waits or what became of it (operators only)."""
         operators = options.operators_client(instances, key_file)
-        asyncio.run(explaining.show(operators, "job", job_id, as_json))
+        running.run(
+            operators, explaining.show(operators, "job", job_id, as_json)
+        )
--- a/src/marigoldgap/console/commands/jobs_status.py
+++ b/src/marigoldgap/console/commands/jobs_status.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import typer
 
 from marigoldgap.console import groups
 from marigoldgap.console import jobs_output
 from marigoldgap.console import options
 from marigoldgap.console import registry
+from marigoldgap.console import running
 from marigoldgap.operators import jobs_client
 
 
@@ -30,11 +29,10 @@
     ) -> None:
         """Show the state of a job and of its tasks."""
         jobs = options.jobs(instances, key_file)
-        asyncio.run(self._show(jobs, job_id, as_json))
+        running.run(jobs, self._show(jobs, job_id, as_json))
 
     async def _show(
         self, jobs: jobs_client.JobsClient, job_id: str, as_json: bool
     ) -> None:
         status = await jobs.status(job_id)
-        await jobs.close()
         jobs_output.show(status, as_json)
--- a/src/marigoldgap/console/commands/jobs_submit.py
+++ b/src/marigoldgap/console/commands/jobs_submit.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import pathlib
 from typing import Annotated
 
@@ -14,6 +13,7 @@
 from marigoldgap.console import jobs_output
 from marigoldgap.console import options
 from marigoldgap.console import registry
+from marigoldgap.console import running
 from marigoldgap.operators import jobs_client
 from marigoldgap.rules import values
 
@@ -79,7 +79,7 @@
         if deadline is not None:
             job["deadline_ms"] = _milliseconds(deadline)
         jobs = options.jobs(instances, key_file)
-        asyncio.run(self._submit(jobs, job, as_json))
+        running.run(jobs, self._submit(jobs, job, as_json))
 
     async def _submit(
         self,
@@ -88,7 +88,6 @@
         as_json: bool,
     ) -> None:
         status = await jobs.submit(job)
-        await jobs.close()
         jobs_output.show(status, as_json)
 
 
--- a/src/marigoldgap/console/commands/keys_grant.py
+++ b/src/marigoldgap/console/commands/keys_grant.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import typer
 
 from marigoldgap.console import groups
 from marigoldgap.console import options
 from marigoldgap.console import output
 from marigoldgap.console import registry
+from marigoldgap.console import running
 from marigoldgap.operators import client
 
 
@@ -32,7 +31,7 @@
         """Grant a new key to a team; it is shown only this once."""
         operators = options.operators_client(instances, key_file)
         name = options.author_name(author)
-        asyncio.run(self._grant(operators, team, name, as_json))
+        running.run(operators, self._grant(operators, team, name, as_json))
 
     async def _grant(
         self,
@@ -42,7 +41,6 @@
         as_json: bool,
     ) -> None:
         granted = await operators.grant_key(team, author)
-        await operators.close()
         if as_json:
             output.values(granted)
             return
--- a/src/marigoldgap/console/commands/keys_list.py
+++ b/src/marigoldgap/console/commands/keys_list.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import typer
 
 from marigoldgap.console import groups
 from marigoldgap.console import options
 from marigoldgap.console import output
 from marigoldgap.console import registry
+from marigoldgap.console import running
 from marigoldgap.operators import client
 
 
@@ -29,13 +28,12 @@
     ) -> None:
         """List the ids of all granted keys with their teams."""
         operators = options.operators_client(instances, key_file)
-        asyncio.run(self._list(operators, as_json))
+        running.run(operators, self._list(operators, as_json))
 
     async def _list(
         self, operators: client.OperatorsClient, as_json: bool
     ) -> None:
         answer = await operators.keys()
-        await operators.close()
         if as_json:
             output.values(answer)
             return
--- a/src/marigoldgap/console/commands/keys_withdraw.py
+++ b/src/marigoldgap/console/commands/keys_withdraw.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import typer
 
 from marigoldgap.console import groups
@@ -11,6 +9,7 @@
 from marigoldgap.console import options
 from marigoldgap.console import output
 from marigoldgap.console import registry
+from marigoldgap.console import running
 from marigoldgap.operators import client
 from marigoldgap.operators import messages
 
@@ -35,8 +34,8 @@
         """Withdraw a key for ever and report which zones refuse it."""
         operators = options.operators_client(instances, key_file)
         name = options.author_name(author)
-        zones = asyncio.run(
-            self._withdraw(operators, key_id, name, wait_s, as_json)
+        zones = running.run(
+            operators, self._withdraw(operators, key_id, name, wait_s, as_json)
         )
         in_force.finish(zones)
 
@@ -56,7 +55,6 @@
             )
 
         zones = await in_force.wait(result["zones"], fetch, wait_s)
-        await operators.close()
         if as_json:
             output.values({**result, "zones": zones})
             return zones
--- a/src/marigoldgap/console/commands/rules_apply.py
+++ b/src/marigoldgap/console/commands/rules_apply.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import pathlib
 from typing import Annotated
 
@@ -15,6 +14,7 @@
 from marigoldgap.console import output
 from marigoldgap.console import registry
 from marigoldgap.console import rules_files
+from marigoldgap.console import running
 from marigoldgap.operators import client
 from marigoldgap.operators import messages
 
@@ -37,7 +37,7 @@
             typer.Option(
                 min=0,
                 help="Version that the file was made from; by default from "
-                "the file's first line, which 'rules show' writes.",
+                "the file's last line, which 'rules show' writes.",
             ),
         ] = None,
         author: options.Author = None,
@@ -54,8 +54,9 @@
             )
         operators = options.operators_client(instances, key_file)
         name = options.author_name(author)
-        zones = asyncio.run(
-            self._apply(operators, file, base_version, name, wait_s, as_json)
+        zones = running.run(
+            operators,
+            self._apply(operators, file, base_version, name, wait_s, as_json),
         )
         in_force.finish(zones)
 
@@ -76,7 +77,6 @@
             return await operators.version_in_force(version)
 
         zones = await in_force.wait(result["zones"], fetch, wait_s)
-        await operators.close()
         if as_json:
             output.values({**result, "zones": zones})
             return zones
@@ -91,6 +91,11 @@
     if file.base_version is None:
         return
     try:
+        if rules_files.read(file.path) != file:
+            output.note(
+                f"{file.path} was edited meanwhile and is left as it is"
+            )
+            return
         rules_files.write(file.path, version, file.text)
     except errors.InvalidRequestError as error:
         output.note(f"{error.detail}; use --base {version} next time")
--- a/src/marigoldgap/console/commands/rules_check.py
+++ b/src/marigoldgap/console/commands/rules_check.py
@@ -27,7 +27,7 @@
         """Report every error of a rules file with a suggestion."""
         file = rules_files.read(path)
         found = [
-            problem._replace(line=problem.line + file.skipped_lines)
+            problem._replace(line=file.line_in_file(problem.line))
             for problem in parser.find_problems(file.text)
         ]
         if as_json:
--- a/src/marigoldgap/console/commands/rules_diff.py
+++ b/src/marigoldgap/console/commands/rules_diff.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import pathlib
 
 import typer
@@ -12,6 +11,7 @@
 from marigoldgap.console import output
 from marigoldgap.console import registry
 from marigoldgap.console import rules_files
+from marigoldgap.console import running
 from marigoldgap.operators import client
 from marigoldgap.rules import difference
 
@@ -34,7 +34,7 @@
         """Show the lines in which a file differs from the rules in force."""
         file = rules_files.read(path)
         operators = options.operators_client(instances, key_file)
-        asyncio.run(self._compare(operators, file, as_json))
+        running.run(operators, self._compare(operators, file, as_json))
 
     async def _compare(
         self,
@@ -43,7 +43,6 @@
         as_json: bool,
     ) -> None:
         rules = await operators.rules()
-        await operators.close()
         changes = difference.compare(rules["text"], file.text)
         if as_json:
             listed = [change._asdict() for change in changes]
--- a/src/marigoldgap/console/commands/rules_explain.py
+++ b/src/marigoldgap/console/commands/rules_explain.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import enum
 
 import typer
@@ -11,6 +10,7 @@
 from marigoldgap.console import groups
 from marigoldgap.console import options
 from marigoldgap.console import registry
+from marigoldgap.console import running
 
 
 class Subject(enum.Enum):
@@ -38,4 +38,6 @@
     ) -> None:
         """Explain in plain sentences what the rules mean for a name."""
         operators = options.operators_client(instances, key_file)
-        asyncio.run(explaining.show(operators, kind.value, name, as_json))
+        running.run(
+            operators, explaining.show(operators, kind.value, name, as_json)
+        )
--- a/src/marigoldgap/console/commands/rules_history.py
+++ b/src/marigoldgap/console/commands/rules_history.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import datetime
 from typing import Annotated
 
@@ -13,6 +12,7 @@
 from marigoldgap.console import options
 from marigoldgap.console import output
 from marigoldgap.console import registry
+from marigoldgap.console import running
 from marigoldgap.operators import client
 
 
@@ -35,13 +35,12 @@
     ) -> None:
         """Show who changed which lines and keys, the newest first."""
         operators = options.operators_client(instances, key_file)
-        asyncio.run(self._show(operators, limit, as_json))
+        running.run(operators, self._show(operators, limit, as_json))
 
     async def _show(
         self, operators: client.OperatorsClient, limit: int, as_json: bool
     ) -> None:
         history = await operators.history(limit)
-        await operators.close()
         if as_json:
             output.values(history)
             return
--- a/src/marigoldgap/console/commands/rules_preview.py
+++ b/src/marigoldgap/console/commands/rules_preview.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import pathlib
 from typing import Any
 
@@ -13,6 +12,7 @@
 from marigoldgap.console import output
 from marigoldgap.console import registry
 from marigoldgap.console import rules_files
+from marigoldgap.console import running
 from marigoldgap.operators import client
 from marigoldgap.operators import messages
 
@@ -35,7 +35,7 @@
         """Say in plain sentences what a file would change, and for whom."""
         file = rules_files.read(path)
         operators = options.operators_client(instances, key_file)
-        asyncio.run(self._preview(operators, file, as_json))
+        running.run(operators, self._preview(operators, file, as_json))
 
     async def _preview(
         self,
@@ -44,7 +44,6 @@
         as_json: bool,
     ) -> None:
         result = await operators.preview_rules(file.text)
-        await operators.close()
         if as_json:
             output.values(result)
             return
--- a/src/marigoldgap/console/commands/rules_show.py
+++ b/src/marigoldgap/console/commands/rules_show.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import pathlib
 from typing import Annotated
 
@@ -13,6 +12,7 @@
 from marigoldgap.console import output
 from marigoldgap.console import registry
 from marigoldgap.console import rules_files
+from marigoldgap.console import running
 from marigoldgap.operators import client
 
 
@@ -36,7 +36,7 @@
     ) -> None:
         """Print the rules in force, ready to be edited and applied."""
         operators = options.operators_client(instances, key_file)
-        asyncio.run(self._show(operators, path, as_json))
+        running.run(operators, self._show(operators, path, as_json))
 
     async def _show(
         self,
@@ -45,7 +45,6 @@
         as_json: bool,
     ) -> None:
         rules = await operators.rules()
-        await operators.close()
         if path is not None:
             rules_files.write(path, rules["version"], rules["text"])
             output.note(f"{path}: rules of version {rules['version']}")
--- a/src/marigoldgap/console/commands/status.py
+++ b/src/marigoldgap/console/commands/status.py
@@ -14,6 +14,7 @@
 from marigoldgap.console import options
 from marigoldgap.console import output
 from marigoldgap.console import registry
+from marigoldgap.console import running
 from marigoldgap.operators import client
 
 
@@ -40,9 +41,9 @@
         """Show the state of every given instance."""
         operators = options.operators_client(instances, key_file)
         if watch:
-            asyncio.run(self._watch(operators, interval_s, as_json))
+            running.run(operators, self._watch(operators, interval_s, as_json))
             return
-        reached = asyncio.run(self._once(operators))
+        reached = running.run(operators, self._once(operators))
         _show(reached, as_json)
         if any(each.error for each in reached):
             raise typer.Exit(exit_codes.FAILURE)
@@ -51,9 +52,7 @@
         self, operators: client.OperatorsClient
     ) -> Sequence[client.Reached]:
         with output.progress("asking the instances"):
-            reached = await operators.status_of_all()
-        await operators.close()
-        return reached
+            return await operators.status_of_all()
 
     async def _watch(
         self,
@@ -82,10 +81,14 @@
 
 
 def _table(reached: Sequence[client.Reached]) -> rich.table.Table:
-    """Returns a row for each instance, with what it reports."""
+    """Returns a row for each instance; lists are in the JSON form only."""
     names: dict[str, None] = {}
     for each in reached:
-        names.update(dict.fromkeys(each.answer or {}))
+        names.update(
+            (name, None)
+            for name, value in (each.answer or {}).items()
+            if not isinstance(value, dict | list)
+        )
     rows = [
         (
             each.address,
--- a/src/marigoldgap/console/commands/timeline.py
+++ b/src/marigoldgap/console/commands/timeline.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Sequence
 import enum
 from typing import Annotated
@@ -14,6 +13,7 @@
 from marigoldgap.console import options
 from marigoldgap.console import output
 from marigoldgap.console import registry
+from marigoldgap.console import running
 from marigoldgap.events import export
 from marigoldgap.events import hybrid_clock
 from marigoldgap.events import model
@@ -57,7 +57,9 @@
         """Collect the events of all given instances in causal order."""
         operators = options.operators_client(instances, key_file)
         first = _first_time(since)
-        reached = asyncio.run(self._collect(operators, subject, first))
+        reached = running.run(
+            operators, self._collect(operators, subject, first)
+        )
         merged = timeline.merge(
             [
                 [model.from_value(event) for event in each.answer["events"]]
@@ -75,9 +77,7 @@
         self, operators: client.OperatorsClient, subject: str, since: int
     ) -> Sequence[client.Reached]:
         with output.progress("collecting events"):
-            reached = await operators.timeline_of_all(subject, since)
-        await operators.close()
-        return reached
+            return await operators.timeline_of_all(subject, since)
 
 
 def _first_time(since: str | None) -> int:
--- a/src/marigoldgap/console/explaining.py
+++ b/src/marigoldgap/console/explaining.py
@@ -11,7 +11,6 @@
 ) -> None:
     """Prints the explanation that an instance gives."""
     explanation = await operators.explain(kind, name)
-    await operators.close()
     if as_json:
         output.values(explanation)
     else:
--- a/src/marigoldgap/operators/observe_routes.py
+++ b/src/marigoldgap/operators/observe_routes.py
@@ -32,7 +32,7 @@
         "region": parts.settings.region,
         "config_version": state.version,
         "config_confirmed_age_ms": state.confirmed_age_ms(),
-        "withdrawals_not_stored": list(parts.config.withdrawals.unpublished),
+        "withdrawals_not_stored": len(parts.config.withdrawals.unpublished),
         "events_dropped": parts.events.dropped,
         **parts.status.status(),
     }
