--- a/src/marigoldgap/platform/builder.py
+++ b/src/marigoldgap/platform/builder.py
@@ -14,9 +14,6 @@
 from marigoldgap.platform import writer_row
 from marigoldgap.settings import model as settings_model
 
-# Reading back a lost write takes a read and a write; each may take the whole
-# request timeout.
-_RESOLVE_CALLS = 2
 # Writes need one connection, since they are serial; the others are for reads.
 _CONNECTIONS = 64
 
@@ -51,11 +48,10 @@
     source = source or random.Random()
     connections = http_client.HttpClient(_CONNECTIONS)
     platform = settings.platform
-    timeout_ms = platform.request_timeout_ms
 
     def connect(name: str, address: str, probe: str) -> service.PlatformService:
         return service.PlatformService(
-            name, address, timeout_ms, probe, connections, source
+            settings, name, address, probe, connections, source
         )
 
     rows = connect("table service", platform.table_address, table.PROBE_PATH)
@@ -64,12 +60,10 @@
         "instance list", platform.list_address, instances.PROBE_PATH
     )
     client = table.TableClient(rows)
-    row = writer_row.WriterRow(
-        client, settings.instance_id, timeout_ms * _RESOLVE_CALLS, source
-    )
+    row = writer_row.WriterRow(settings, client, source)
     return Platform(
         client,
-        committer.GroupCommitter(row),
+        committer.GroupCommitter(settings, client, row),
         objects.ObjectClient(store),
         instances.InstanceList(settings, listing),
         connections,
--- a/src/marigoldgap/platform/committer.py
+++ b/src/marigoldgap/platform/committer.py
@@ -5,12 +5,14 @@
 import asyncio
 from collections.abc import Sequence
 
+from marigoldgap import clock
 from marigoldgap import errors
 from marigoldgap import logs
 from marigoldgap.platform import batches
 from marigoldgap.platform import model
 from marigoldgap.platform import table
 from marigoldgap.platform import writer_row
+from marigoldgap.settings import model as settings_model
 
 _log = logs.PartLogger("platform")
 
@@ -27,10 +29,21 @@
     """Writes joined transactions one write at a time.
 
     Args:
+        settings: Settings of this instance.
+        client: Tells whether the table service is down.
         row: The writer row of this process.
     """
 
-    def __init__(self, row: writer_row.WriterRow) -> None:
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        client: table.TableClient,
+        row: writer_row.WriterRow,
+    ) -> None:
+        self._longest_wait_s = (
+            settings.platform.request_timeout_ms / clock.MILLISECONDS_PER_SECOND
+        )
+        self._client = client
         self._row = row
         self._waiting: list[batches.Member] = []
         self._drain: asyncio.Task[None] | None = None
@@ -45,6 +58,9 @@
     async def commit(self, transaction: model.Transaction) -> int:
         """Commits a transaction, joined with concurrent ones.
 
+        A transaction that is not sent within the request timeout, because
+        the write before it is not settled, is taken back.
+
         Returns:
             The version of the write.
 
@@ -60,10 +76,14 @@
             )
         if len(self._waiting) >= _MAX_WAITING:
             raise errors.OverloadedError("too many writes wait for the store")
+        self._client.check()
         result: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        self._waiting.append(batches.Member(transaction, result))
+        member = batches.Member(transaction, result)
+        self._waiting.append(member)
         if self._drain is None:
             self._drain = asyncio.create_task(self._write_all())
+        await asyncio.wait([result], timeout=self._longest_wait_s)
+        self._take_back(member)
         return await result
 
     async def close(self) -> None:
@@ -71,6 +91,21 @@
         if self._drain is not None:
             await self._drain
 
+    def _take_back(self, member: batches.Member) -> None:
+        """Fails a transaction that is still waiting; it was never sent."""
+        if member.result.done():
+            return
+        rest = [each for each in self._waiting if each is not member]
+        if len(rest) == len(self._waiting):
+            return
+        self._waiting = rest
+        _fail(
+            [member],
+            errors.StoreUnavailableError(
+                "the table service is too slow; nothing was written"
+            ),
+        )
+
     async def _write_all(self) -> None:
         """Writes until nothing waits."""
         # Lets transactions that start in the same cycle join the first write.
--- a/src/marigoldgap/platform/service.py
+++ b/src/marigoldgap/platform/service.py
@@ -11,18 +11,22 @@
 from marigoldgap import errors
 from marigoldgap import http_client
 from marigoldgap.platform import breaker
+from marigoldgap.settings import model as settings_model
 
 _FIRST_SERVER_ERROR = 500
 _TOO_MANY_REQUESTS = 429
+_UNAVAILABLE = 503
+# Codes with which the service says that it did not take a write.
+_REFUSALS = frozenset({"unavailable", "throttled"})
 
 
 class PlatformService:
     """One HTTP service.
 
     Args:
+        settings: Settings of this instance.
         name: Name in messages, e.g. `table service`.
         address: `ip:port`.
-        timeout_ms: Bound of one call.
         probe_path: Path whose read tells whether the service is up.
         client: Connections to use.
         source: Source of the delays between probes.
@@ -30,16 +34,18 @@
 
     def __init__(
         self,
+        settings: settings_model.Settings,
         name: str,
         address: str,
-        timeout_ms: int,
         probe_path: str,
         client: http_client.HttpClient,
         source: random.Random,
     ) -> None:
         self._name = name
         self._address = address
-        self._timeout_s = timeout_ms / clock.MILLISECONDS_PER_SECOND
+        self._timeout_s = (
+            settings.platform.request_timeout_ms / clock.MILLISECONDS_PER_SECOND
+        )
         self._probe_path = probe_path
         self._client = client
         self._breaker = breaker.CircuitBreaker(name, self._probe, source)
@@ -49,6 +55,14 @@
         """Whether calls are refused because of an outage."""
         return self._breaker.is_open
 
+    def check(self) -> None:
+        """Refuses a call during an outage and starts a probe when one is due.
+
+        Raises:
+            errors.StoreUnavailableError: The service is known to be down.
+        """
+        self._breaker.check()
+
     async def read(
         self,
         path: str,
@@ -66,7 +80,7 @@
             errors.StoreUnavailableError: There was no usable answer.
         """
         if not during_outage:
-            self._breaker.check()
+            self.check()
         try:
             answer = await self._call("GET", path, b"", headers)
         except errors.OutcomeUnknownError as error:
@@ -92,15 +106,15 @@
             errors.StoreOutcomeUnknownError: It may have taken effect.
         """
         if not during_outage:
-            self._breaker.check()
+            self.check()
         headers = {"content-type": content_type}
         try:
             answer = await self._call(method, path, body, headers)
         except errors.OutcomeUnknownError as error:
             raise errors.StoreOutcomeUnknownError(str(error)) from error
-        if answer.status == _TOO_MANY_REQUESTS:
+        if _is_refusal(answer):
             raise errors.StoreUnavailableError(
-                f"the {self._name} refused the write because of load"
+                f"the {self._name} refused the write"
             )
         if _is_failure(answer.status):
             raise errors.StoreOutcomeUnknownError(
@@ -140,6 +154,22 @@
         await self.read(self._probe_path, during_outage=True)
 
 
+def _is_refusal(answer: http_client.HttpAnswer) -> bool:
+    """Tells whether the service itself refused a write.
+
+    A status of 503 alone may come from a proxy that has passed the write on.
+    """
+    if answer.status == _TOO_MANY_REQUESTS:
+        return True
+    if answer.status != _UNAVAILABLE:
+        return False
+    try:
+        problem = json.loads(answer.body)
+    except (ValueError, RecursionError):
+        return False
+    return isinstance(problem, dict) and problem.get("code") in _REFUSALS
+
+
 def _is_failure(status: int) -> bool:
     """Tells whether a status means that the service cannot serve now."""
     return status >= _FIRST_SERVER_ERROR or status == _TOO_MANY_REQUESTS
--- a/src/marigoldgap/platform/table.py
+++ b/src/marigoldgap/platform/table.py
@@ -48,6 +48,15 @@
         """Whether the table service is known to be down."""
         return self._table.is_down
 
+    def check(self) -> None:
+        """Refuses a call during an outage.
+
+        Raises:
+            errors.StoreUnavailableError: The table service is known to be
+                down.
+        """
+        self._table.check()
+
     async def get(
         self, key: str, during_outage: bool = False
     ) -> model.Row | None:
--- a/src/marigoldgap/platform/writer_row.py
+++ b/src/marigoldgap/platform/writer_row.py
@@ -18,32 +18,36 @@
 from marigoldgap import logs
 from marigoldgap.platform import model
 from marigoldgap.platform import table
+from marigoldgap.settings import model as settings_model
 
 _log = logs.PartLogger("platform")
 _LONGEST_PAUSE_MS = 200
+# Finding out the outcome takes a read and a write; each may take the whole
+# request timeout.
+_RESOLVE_CALLS = 2
 
 
 class WriterRow:
     """Owns the row `writers/<instance_id>`.
 
     Args:
+        settings: Settings of this instance.
         client: Client of the table service.
-        instance_id: Name of this process.
-        resolve_timeout_ms: Longest time to find out the outcome of a write.
         source: Source of the pauses between tries (full jitter).
     """
 
     def __init__(
         self,
+        settings: settings_model.Settings,
         client: table.TableClient,
-        instance_id: str,
-        resolve_timeout_ms: int,
         source: random.Random,
         now_ms: Callable[[], int] = clock.monotonic_ms,
     ) -> None:
         self._client = client
-        self._key = f"writers/{instance_id}"
-        self._resolve_timeout_ms = resolve_timeout_ms
+        self._key = f"writers/{settings.instance_id}"
+        self._resolve_timeout_ms = (
+            settings.platform.request_timeout_ms * _RESOLVE_CALLS
+        )
         self._source = source
         self._now_ms = now_ms
         self._version: int | None = None
--- a/tests/features/platform/group_commit.feature
+++ b/tests/features/platform/group_commit.feature
@@ -28,6 +28,20 @@
       | fault       | outcome           | times |
       | drop after  | committed         | 1     |
       | drop before | store-unavailable | 0     |
+      | fail        | store-unavailable | 0     |
+      | refuse      | store-unavailable | 0     |
+
+  Scenario: A refusal by the service itself is not followed by further calls
+    Given a platform with a table service in memory
+    And the table service will "refuse" on the next write
+    When the row "job" is committed with a check that it is absent
+    Then exactly 1 "POST" request arrived
+
+  Scenario: A transaction that waits behind an unsettled write is taken back
+    Given a platform with a table service in memory and timeouts of 500 ms
+    And the table service stops for good after it received a write
+    When the row "late" is committed while the write of "early" is unsettled
+    Then the commit of "late" fails with "store-unavailable" and is never sent
 
   Scenario: A write that arrives after it was reported as lost has no effect
     Given a platform with a table service in memory and timeouts of 200 ms
--- a/tests/features/steps/platform_commit_steps.py
+++ b/tests/features/steps/platform_commit_steps.py
@@ -158,3 +158,24 @@
 @then('the row "{key}" was written {times:d} times')
 def row_written_times(context, key, times):
     assert context.table_double.applied[key] == times
+
+
+@when('the row "{late}" is committed while the write of "{early}" is unsettled')
+def commit_behind(context, late, early):
+    async def commit():
+        committer = context.platform.committer
+        first = asyncio.create_task(committer.commit(_put(early)))
+        while not _writes(context):
+            await asyncio.sleep(0)
+        second = await scenario_loop.outcome(committer.commit(_put(late)))
+        await scenario_loop.outcome(first)
+        return second
+
+    context.late_commit = scenario_loop.run(context, commit())
+
+
+@then('the commit of "{key}" fails with "{code}" and is never sent')
+def taken_back(context, key, code):
+    assert context.late_commit.code == code
+    puts = [put for write in _writes(context) for put in write["puts"]]
+    assert key not in [put["key"] for put in puts]
