--- a/src/marigoldgap/metrics/client.py
+++ b/src/marigoldgap/metrics/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import random
 import re
 from typing import Any
@@ -60,6 +61,11 @@
         self._counts: dict[str, int] = {}
         self._gauges: dict[str, float] = {}
         self._timings: dict[str, _Samples] = {}
+        self._samplers: list[Callable[[], None]] = []
+
+    def add_sampler(self, sample: Callable[[], None]) -> None:
+        """Calls a function before each flush, which sets gauges."""
+        self._samplers.append(sample)
 
     def count(
         self, metric: names.Metric, amount: int = 1, suffix: str = ""
@@ -105,9 +111,21 @@
     async def run(self) -> None:
         """Sends the metrics once a second until it is cancelled."""
         while True:
+            start_ms = clock.monotonic_ms()
             await asyncio.sleep(_FLUSH_MS / clock.MILLISECONDS_PER_SECOND)
+            late_ms = clock.monotonic_ms() - start_ms - _FLUSH_MS
+            self.timing(names.LOOP_DELAY, max(0, late_ms))
+            self.sample()
             self.flush()
 
+    def sample(self) -> None:
+        """Calls the samplers; a fault of one does not stop the others."""
+        for sample in self._samplers:
+            try:
+                sample()
+            except Exception as error:
+                _log.warning("A metrics sampler failed: %s", error)
+
     def flush(self) -> None:
         """Sends what was added up since the last flush."""
         counts, self._counts = self._counts, {}
--- /dev/null
+++ b/src/marigoldgap/platform/observer.py
@@ -0,0 +1,52 @@
+"""Records what the clients of the platform see."""
+
+from __future__ import annotations
+
+from marigoldgap.events import ring
+from marigoldgap.events import types
+from marigoldgap.metrics import client
+from marigoldgap.metrics import names
+from marigoldgap.platform import builder
+
+
+class PlatformObserver:
+    """Sets gauges and records when a service goes down or comes back.
+
+    Args:
+        platform: The clients.
+        events: Gets the events.
+        metrics: Gets the gauges; calls `sample` before each flush.
+    """
+
+    def __init__(
+        self,
+        platform: builder.Platform,
+        events: ring.EventRing,
+        metrics: client.MetricsClient,
+    ) -> None:
+        self._platform = platform
+        self._events = events
+        self._metrics = metrics
+        self._down: set[str] = set()
+        self._writes = 0
+        metrics.add_sampler(self.sample)
+
+    def sample(self) -> None:
+        """Reads the clients."""
+        for service in self._platform.services:
+            self._note(service.name, service.is_down)
+        table_up = 0 if self._platform.table.is_down else 1
+        self._metrics.gauge(names.STORE_UP, table_up)
+        self._metrics.gauge(names.LIST_AGE, self._platform.instances.age_ms())
+        writes = self._platform.committer.write_count
+        self._metrics.count(names.STORE_WRITES, writes - self._writes)
+        self._writes = writes
+
+    def _note(self, name: str, is_down: bool) -> None:
+        """Records an event if the state of a service changed."""
+        if is_down and name not in self._down:
+            self._down.add(name)
+            self._events.record(types.ServiceDown(name))
+        elif not is_down and name in self._down:
+            self._down.discard(name)
+            self._events.record(types.ServiceUp(name))
--- a/src/marigoldgap/platform/service.py
+++ b/src/marigoldgap/platform/service.py
@@ -50,6 +50,11 @@
         self._client = client
         self._breaker = breaker.CircuitBreaker(name, self._probe, source)
 
+    @property
+    def name(self) -> str:
+        """Name in messages."""
+        return self._name
+
     @property
     def is_down(self) -> bool:
         """Whether calls are refused because of an outage."""
--- a/tests/features/platform/outage.feature
+++ b/tests/features/platform/outage.feature
@@ -9,10 +9,13 @@
 
   Scenario: The table service is used again after it recovers
     Given a platform with a table service in memory
+    And an observer of the platform
     And the table service is stopped
     When 50 rows are read one after another
+    And the observer samples the platform
     And the table service starts again
     Then reads succeed again after background probes
+    And the outage and the recovery of the table service are recorded
 
   Scenario Outline: A write that may have left is never sent twice
     Given a platform with a table service in memory
--- a/tests/features/steps/platform_outage_steps.py
+++ b/tests/features/steps/platform_outage_steps.py
@@ -9,8 +9,12 @@
 from behave import when
 
 from marigoldgap import errors
+from marigoldgap.events import builder as events_builder
+from marigoldgap.metrics import builder as metrics_builder
+from marigoldgap.platform import observer
 from tests.fixtures import http_double
 from tests.fixtures import scenario_loop
+from tests.fixtures import table_double
 
 _MAX_PROBES = 100
 
@@ -61,6 +65,31 @@
     _run(context, context.table_double.http.start())
 
 
+@given("an observer of the platform")
+def observe_platform(context):
+    settings = table_double.settings_for("127.0.0.1:9")
+    context.event_log = events_builder.build(settings).ring
+    context.sampled = metrics_builder.build(settings)
+    observer.PlatformObserver(
+        context.platform, context.event_log, context.sampled
+    )
+
+
+@when("the observer samples the platform")
+def sample_platform(context):
+    context.sampled.sample()
+
+
+@then("the outage and the recovery of the table service are recorded")
+def outage_recorded(context):
+    context.sampled.sample()
+    recorded = [(e.name, e.fields) for e in context.event_log.events()]
+    assert recorded == [
+        ("service-down", {"service": "table service"}),
+        ("service-up", {"service": "table service"}),
+    ], recorded
+
+
 @when('an object is written with "{method}"')
 def write_object(context, method):
     objects = context.platform.objects
