--- a/src/marigoldgap/errors.py
+++ b/src/marigoldgap/errors.py
@@ -205,7 +205,7 @@
 
 
 class ConnectFailedError(MarigoldgapError):
-    """No connection could be opened; no byte of the request was sent."""
+    """No connection could be opened, so nothing was sent."""
 
     code = "connect-failed"
     status = 503
@@ -228,13 +228,6 @@
         self.remaining_ms = remaining_ms
 
 
-class AnswerLostError(MarigoldgapError):
-    """A request was sent, at least in part, and no complete answer came."""
-
-    code = "answer-lost"
-    status = 502
-
-
 class WorkerRefusedError(MarigoldgapError):
     """The worker refused the start; the task did not run.
 
