Follow the allowance ledger: holders, stray tasks and terms in rows

The ledger counts each process of an instance as a holder of its own and puts the writer's term into the allowance row. The coordinator now retires dead processes by holder, so that the accounts of restarted processes need no special case, and gives its role up when a row shows a higher term; it then takes a term above that one. Also adds the callbacks that dispatch asked for: ask_holding, which does not block, and holding_returned.

--- a/src/marigoldgap/coordination/allowance_keeper.py
+++ b/src/marigoldgap/coordination/allowance_keeper.py
@@ -67,6 +67,7 @@
         self._zones = zones
         self._other_demands = other_demands
         self._now_ms = now_ms
+        self._holders: dict[str, str] = {}
         self._unmet = unmet_demand.UnmetDemand()
         self._last_grants: dict[tuple[str, str], messages.HoldingGrant] = {}
         self._reviewed_ms: dict[str, int] = {}
@@ -80,9 +81,7 @@
     ) -> messages.HoldingGrant:
         """Grants units to an instance, now or when some become free."""
         team = request.entry.team
-        self.record(
-            instance_id, request.term, request.incarnation, (request.entry,)
-        )
+        self.record(request.term, request.incarnation, (request.entry,))
         granted = self.grant(team, instance_id, request.wanted)
         missing = request.wanted - (granted.units if granted else 0)
         if missing > 0:
@@ -97,7 +96,10 @@
         self, team: str, instance_id: str, units: int
     ) -> messages.HoldingGrant | None:
         """Grants up to `units` units if some are free."""
-        grant = self._ledger.grant(team, instance_id, units)
+        holder = self._holders.get(instance_id)
+        if holder is None:
+            return None
+        grant = self._ledger.grant(team, holder, units)
         if grant is None:
             return None
         message = holding_wire.to_grant_message(grant)
@@ -108,17 +110,25 @@
         """Returns the units that can be granted now."""
         return self._ledger.free(team)
 
+    def admit(self, instance_id: str, holder: str) -> None:
+        """Takes grants for the process that an instance runs as."""
+        self._holders[instance_id] = holder
+        self._ledger.record_term_report(holder, {})
+
+    def dismiss(self, instance_id: str) -> str | None:
+        """Ends grants to a dead instance; returns what it ran as."""
+        return self._holders.pop(instance_id, None)
+
     def record(
         self,
-        instance_id: str,
         term: model.Term,
-        incarnation: str,
+        holder: str,
         entries: tuple[messages.HoldingEntry, ...],
     ) -> None:
-        """Takes over accounts that an instance reported."""
-        reports = holding_wire.to_reports(term, incarnation, entries)
+        """Takes over accounts that a process reported."""
+        reports = holding_wire.to_reports(term, entries)
         for team, report in reports.items():
-            self._ledger.record_report(instance_id, team, report)
+            self._ledger.record_report(holder, team, report)
             if self._unmet.waiting(team):
                 self._serve_unmet(team)
 
@@ -179,12 +189,20 @@
             content = allowance_rows.parse(row.value) if row else None
             version = row.version if row else 0
             self._ledger.row_read(team, content, version)
+            if self._ledger.superseded and content is not None:
+                self._observe(content)
+                return
             await self._adjust(team)
         except errors.MarigoldgapError as error:
             _log.debug("Allowance of %s not changed: %s", team, error.detail)
         except Exception:
             _log.exception("The review of team %s failed.", team)
 
+    def _observe(self, row: allowance_model.AllowanceRow) -> None:
+        """Learns of a higher term of the zone, which ends this one."""
+        term = row.terms.get(self._settings.zone, model.NO_TERM)
+        self._peers.membership.observe_term(term)
+
     async def _adjust(self, team: str) -> None:
         """Lowers or raises the allowance, whichever is due."""
         limit = self._limit(team)
@@ -216,8 +234,8 @@
             return
         self._give_ups[team] = target
         announced = [
-            self._announce(instance_id, notice)
-            for instance_id in self._ledger.instances
+            self._announce(instance_id, holder, notice)
+            for instance_id, holder in self._holders.items()
         ]
         await asyncio.gather(*announced)
         write = self._ledger.give_up_write(team, limit)
@@ -225,7 +243,10 @@
             self._give_ups.pop(team, None)
 
     async def _announce(
-        self, instance_id: str, notice: allowance_model.AllowanceNotice
+        self,
+        instance_id: str,
+        holder: str,
+        notice: allowance_model.AllowanceNotice,
     ) -> None:
         """Announces a lowered allowance to one instance."""
         message = messages.AllowanceNotice(
@@ -233,19 +254,20 @@
             team=notice.team,
             allowance=notice.allowance,
             sequence=notice.sequence,
-            ceiling=notice.ceilings.get(instance_id, 0),
+            ceiling=notice.ceilings.get(holder, 0),
         )
         try:
             answer = await self._peers.call(instance_id, message)
         except errors.MarigoldgapError:
             # Announced again at the next review.
             return
-        reports = holding_wire.to_reports(
-            answer.term, answer.incarnation, answer.holdings
-        )
+        reports = holding_wire.to_reports(answer.term, answer.holdings)
         if notice.team in reports:
             self._ledger.acknowledge(
-                instance_id, notice.team, notice.sequence, reports[notice.team]
+                answer.incarnation,
+                notice.team,
+                notice.sequence,
+                reports[notice.team],
             )
 
     async def _write(
@@ -316,7 +338,7 @@
         if last_ms is not None and now_ms - last_ms < _RECALL_EVERY_MS:
             return
         self._recalled_ms[team] = now_ms
-        for instance_id in self._ledger.instances:
+        for instance_id in self._holders:
             if instance_id != except_id:
                 work = self._recall_from(team, instance_id)
                 self._spawn(f"{team} {instance_id}", work)
@@ -328,6 +350,4 @@
             answer = await self._peers.call(instance_id, recall)
         except errors.MarigoldgapError:
             return
-        self.record(
-            instance_id, answer.term, answer.incarnation, answer.holdings
-        )
+        self.record(answer.term, answer.incarnation, answer.holdings)
--- a/src/marigoldgap/coordination/allowance_rows.py
+++ b/src/marigoldgap/coordination/allowance_rows.py
@@ -7,6 +7,7 @@
 from marigoldgap import errors
 from marigoldgap.platform import model as platform_model
 from marigoldgap.scheduling import allowance_model
+from marigoldgap.scheduling import model
 
 PREFIX = "allowance/"
 
@@ -25,10 +26,15 @@
     """
     try:
         zones = {str(name): int(n) for name, n in value["zones"].items()}
+        terms = {
+            str(name): model.Term(int(counter), str(instance_id))
+            for name, (counter, instance_id) in value["terms"].items()
+        }
         return allowance_model.AllowanceRow(
             limit=int(value["limit"]),
             zones=zones,
-            limit_version=int(value.get("limit_version", 0)),
+            limit_version=int(value["limit_version"]),
+            terms=terms,
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise errors.ProtocolError("an allowance row is malformed") from error
@@ -43,6 +49,7 @@
         "limit": write.row.limit,
         "zones": dict(write.row.zones),
         "limit_version": write.row.limit_version,
+        "terms": {zone: list(term) for zone, term in write.row.terms.items()},
     }
     return platform_model.Transaction(
         checks=(platform_model.Check(key, write.expected_version),),
--- a/src/marigoldgap/coordination/coordination.py
+++ b/src/marigoldgap/coordination/coordination.py
@@ -64,6 +64,7 @@
         self._role: coordinator_module.Coordinator | None = None
         self._confirming: asyncio.Task[None] | None = None
         self._next_confirm_ms = 0
+        self._asking: set[asyncio.Task[int]] = set()
         self.agent = agent
         self.relay = relay
         self.gateway = gateway
@@ -79,6 +80,12 @@
         """Asks the coordinator for units; returns how many were granted."""
         return await self._requests.request(team, wanted)
 
+    def ask_holding(self, team: str, wanted: int) -> None:
+        """Asks for units without waiting; the grant wakes the requests."""
+        task = asyncio.create_task(self._requests.request(team, wanted))
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
+
     async def run(self) -> None:
         """Ticks until the task is cancelled."""
         try:
@@ -150,14 +157,14 @@
         role = self._active(message.term)
         if not role.knows(sender, message.incarnation):
             raise errors.StaleTermError("a full report is needed first")
-        role.record(sender, message.term, message.incarnation, message.holdings)
+        role.keeper.record(message.term, message.incarnation, message.holdings)
 
     @registry.handles(job_messages.PlaceResult)
     def on_placed(self, sender: str, message: job_messages.PlaceResult) -> None:
         """Takes over results of placing tasks."""
         role = self._active(message.term)
         role.jobs.placed(sender, message.outcomes)
-        role.record(sender, message.term, message.incarnation, message.holdings)
+        role.keeper.record(message.term, message.incarnation, message.holdings)
 
     @registry.handles(job_messages.ZoneDigest)
     def on_digest(self, sender: str, message: job_messages.ZoneDigest) -> None:
--- a/src/marigoldgap/coordination/coordinator.py
+++ b/src/marigoldgap/coordination/coordinator.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from collections.abc import Sequence
-from typing import NamedTuple
 
 from marigoldgap import logs
 from marigoldgap.coordination import allowance_keeper
@@ -25,13 +23,6 @@
 _PERMILLE = 1_000
 
 
-class _WaitingAccounts(NamedTuple):
-    """Accounts of a process whose predecessor is not retired yet."""
-
-    incarnation: str
-    entries: dict[str, messages.HoldingEntry]
-
-
 class Coordinator:
     """Learns the zone's state behind the barrier, then grants and places.
 
@@ -77,8 +68,7 @@
         )
         self._announced_ms: dict[str, int] = {}
         self._incarnations: dict[str, str] = {}
-        self._waiting_accounts: dict[str, _WaitingAccounts] = {}
-        # Dead instances whose holdings and tasks stay counted.
+        # Dead processes whose holdings and tasks stay counted.
         self._unretired: set[str] = set()
         self.keeper = keeper
         self.jobs = jobs
@@ -144,8 +134,9 @@
             self._zone.lost(instance_id, worker_id)
         self._zone.forget_instance(instance_id)
         self._announced_ms.pop(instance_id, None)
-        self._waiting_accounts.pop(instance_id, None)
-        self._unretired.add(instance_id)
+        holder = self.keeper.dismiss(instance_id)
+        if holder is not None:
+            self._unretired.add(holder)
         self.jobs.instance_lost(instance_id)
 
     def report(self, sender: str, report: messages.TermReport) -> None:
@@ -156,8 +147,10 @@
             self._lost(sender, worker_id)
         owned = [worker.worker_id for worker in report.workers]
         self._barrier.acknowledge(sender, owned, self._now_ms())
-        self._admit(sender, report.incarnation)
-        self.record(sender, report.term, report.incarnation, report.holdings)
+        self._incarnations[sender] = report.incarnation
+        self._unretired.discard(report.incarnation)
+        self.keeper.admit(sender, report.incarnation)
+        self.keeper.record(report.term, report.incarnation, report.holdings)
         self.jobs.outcomes(report.outcomes)
         self.jobs.placing(sender, report.placing)
         for worker in report.workers:
@@ -178,30 +171,7 @@
         for worker in changes.acquired:
             self._barrier.acquired(sender, worker.worker_id)
             self._acquired(sender, worker)
-        self.record(sender, changes.term, changes.incarnation, changes.holdings)
-
-    def record(
-        self,
-        sender: str,
-        term: model.Term,
-        incarnation: str,
-        entries: Sequence[messages.HoldingEntry],
-    ) -> None:
-        """Takes over accounts that an instance reported.
-
-        Those of a restarted process wait until its predecessor is retired;
-        it holds no units before, but it may run tasks that it took over.
-        """
-        if term != self._term or sender not in self._incarnations:
-            return
-        if self._incarnations[sender] == incarnation:
-            self.keeper.record(sender, term, incarnation, tuple(entries))
-            return
-        waiting = self._waiting_accounts.get(sender)
-        if waiting is None or waiting.incarnation != incarnation:
-            waiting = _WaitingAccounts(incarnation, {})
-            self._waiting_accounts[sender] = waiting
-        waiting.entries.update({entry.team: entry for entry in entries})
+        self.keeper.record(changes.term, changes.incarnation, changes.holdings)
 
     def _demand(self, team: str) -> job_messages.TeamDemand:
         """Returns what the zone has, uses and needs of a team."""
@@ -257,33 +227,11 @@
             self._ledger.complete_barrier()
             self.jobs.begin()
 
-    def _admit(self, sender: str, incarnation: str) -> None:
-        """Admits a process, unless its predecessor is not retired yet."""
-        known = self._incarnations.setdefault(sender, incarnation)
-        if known == incarnation:
-            self._unretired.discard(sender)
-            self._ledger.record_term_report(sender, {}, incarnation)
-
     def _retire(self) -> None:
-        """Releases what dead instances held; everything was reported.
-
-        The accounts of restarted processes take effect in the same moment,
-        since the tasks that they took over count there from now on.
-        """
-        for instance_id in self._unretired:
-            self._ledger.retire(instance_id)
-            self._incarnations.pop(instance_id, None)
+        """Releases what dead processes held; everything was reported."""
+        for holder in self._unretired:
+            self._ledger.retire(holder)
         self._unretired.clear()
-        waiting, self._waiting_accounts = self._waiting_accounts, {}
-        for instance_id, accounts in waiting.items():
-            if instance_id in self._barrier.acknowledged:
-                self._admit(instance_id, accounts.incarnation)
-                self.record(
-                    instance_id,
-                    self._term,
-                    accounts.incarnation,
-                    tuple(accounts.entries.values()),
-                )
 
     def _lost_since(
         self, sender: str, report: messages.TermReport
--- a/src/marigoldgap/coordination/entry_agent.py
+++ b/src/marigoldgap/coordination/entry_agent.py
@@ -144,13 +144,12 @@
         """Gives up units above the new ceiling."""
         del sender
         self._check_term(message.term)
-        own_id = self._settings.instance_id
         notice = allowance_model.AllowanceNotice(
             term=message.term,
             team=message.team,
             allowance=message.allowance,
             sequence=message.sequence,
-            ceilings={own_id: message.ceiling},
+            ceilings={self._holdings.incarnation: message.ceiling},
         )
         self._holdings.accept_notice(notice)
         return self._account_of(message.team)
@@ -226,8 +225,13 @@
 
     def accept_grant(self, message: messages.HoldingGrant) -> bool:
         """Adds granted units; returns whether they are for this process."""
-        grant = holding_wire.to_grant(message, self._settings.instance_id)
-        return self._holdings.accept_grant(grant)
+        return self._holdings.accept_grant(holding_wire.to_grant(message))
+
+    def holding_returned(self, team: str) -> None:
+        """Tells the coordinator that unused units were given back."""
+        self._peers.send(
+            self._reported_term.instance_id, self._account_of(team)
+        )
 
     def _obeys(self, term: model.Term) -> bool:
         """Whether work may be started for a coordinator."""
--- a/src/marigoldgap/coordination/holding_wire.py
+++ b/src/marigoldgap/coordination/holding_wire.py
@@ -20,6 +20,7 @@
         granted_total=report.granted_total,
         returned_total=report.returned_total,
         running=report.running,
+        stray=report.stray,
     )
 
 
@@ -32,7 +33,6 @@
 
 def to_reports(
     term: model.Term,
-    incarnation: str,
     entries: Iterable[messages.HoldingEntry],
 ) -> dict[str, allowance_model.HoldingReport]:
     """Returns the ledger's form of the accounts in a message."""
@@ -43,7 +43,7 @@
             granted_total=entry.granted_total,
             returned_total=entry.returned_total,
             running=entry.running,
-            incarnation=incarnation,
+            stray=entry.stray,
         )
         for entry in entries
     }
@@ -55,22 +55,19 @@
     """Returns the message form of a grant."""
     return messages.HoldingGrant(
         term=grant.term,
-        incarnation=grant.incarnation,
+        incarnation=grant.holder,
         team=grant.team,
         granted_total=grant.granted_total,
         units=grant.units,
     )
 
 
-def to_grant(
-    message: messages.HoldingGrant, instance_id: str
-) -> allowance_model.HoldingGrant:
+def to_grant(message: messages.HoldingGrant) -> allowance_model.HoldingGrant:
     """Returns the ledger's form of a grant message."""
     return allowance_model.HoldingGrant(
         term=message.term,
         team=message.team,
-        instance_id=instance_id,
+        holder=message.incarnation,
         granted_total=message.granted_total,
         units=message.units,
-        incarnation=message.incarnation,
     )
--- a/src/marigoldgap/entries/messages.py
+++ b/src/marigoldgap/entries/messages.py
@@ -39,6 +39,7 @@
     granted_total: int
     returned_total: int
     running: int
+    stray: int
 
 
 class Outcome(NamedTuple):
