--- a/src/marigoldgap/coordination/coordination.py
+++ b/src/marigoldgap/coordination/coordination.py
@@ -116,12 +116,12 @@
     def member_linked(self, instance_id: str) -> None:
         """See MembershipListener."""
         self._digests.linked(instance_id)
-        if self._role is not None:
+        if self._role is not None and self._is_of_zone(instance_id):
             self._role.linked(instance_id)
 
     def member_lost(self, instance_id: str) -> None:
         """See MembershipListener."""
-        if self._role is not None:
+        if self._role is not None and self._is_of_zone(instance_id):
             self._role.member_lost(instance_id)
 
     def term_changed(self, term: model.Term) -> None:
@@ -189,6 +189,12 @@
             raise errors.StaleTermError("another term is in force here")
         return role
 
+    def _is_of_zone(self, instance_id: str) -> bool:
+        """Whether another instance belongs to this zone."""
+        membership = self._peers.membership
+        peer = membership.peer(instance_id)
+        return peer is not None and peer.zone == membership.zone
+
     def _take_role(self) -> None:
         """Takes the role if this instance should have it."""
         membership = self._peers.membership
--- a/src/marigoldgap/coordination/coordinator.py
+++ b/src/marigoldgap/coordination/coordinator.py
@@ -116,7 +116,7 @@
         self._settle()
         if self.barrier_passed:
             self.keeper.tick()
-            self.jobs.tick()
+            self.jobs.tick(self._zone.knows(self._listed()))
 
     def stop(self) -> None:
         """Ends the role."""
--- a/src/marigoldgap/coordination/free_capacity.py
+++ b/src/marigoldgap/coordination/free_capacity.py
@@ -67,10 +67,10 @@
                 best, most = instance_id, copies
         return best
 
-    def room(self, service: str, needed: model.Resources) -> dict[str, int]:
-        """Returns how many such tasks each instance may have room for."""
+    def of_service(self, service: str) -> dict[str, model.Resources]:
+        """Returns what each instance has free for a service."""
         return {
-            instance_id: resources.copies_in(needed, free[service])
+            instance_id: free[service]
             for instance_id, free in self._free.items()
             if service in free
         }
--- a/src/marigoldgap/coordination/gang_dispatch.py
+++ b/src/marigoldgap/coordination/gang_dispatch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from marigoldgap import errors
@@ -17,21 +18,25 @@
 from marigoldgap.coordination import job_state
 from marigoldgap.coordination import job_table
 from marigoldgap.entries import job_messages
+from marigoldgap.scheduling import gang_model
+from marigoldgap.scheduling import gang_planner
 from marigoldgap.scheduling import model
 
 _log = logs.PartLogger("coordination")
 
-# Long enough for a round of calls in a busy zone. A reservation whose owner
-# or coordinator dies ends by itself after this time.
-RESERVATION_MS = 5_000
+# Long enough for several rounds of calls in a busy zone. A reservation whose
+# owner or coordinator dies ends by itself after this time. Capacity that a
+# gang waits for is kept for the same time, and then released for as long.
+RESERVATION_MS = 20_000
 _CALL_MS = 2_000
 _RETRY_MS = 1_000
 
 
 class _Share(NamedTuple):
-    """The tasks of a gang that one instance is asked to keep room for."""
+    """Tasks of a gang for which one instance keeps room."""
 
     instance_id: str
+    reservation_id: str
     tasks: tuple[model.TaskSpec, ...]
 
 
@@ -46,6 +51,8 @@
         keeper: Grants the units that the tasks need.
         free: Free capacity of the instances.
         may_start: Whether the row of a job allows to start its tasks.
+        fits_when_empty: Whether a gang fits into the empty zone and into the
+            limit of its team, so that waiting for capacity makes sense.
         now_ms: Monotonic clock.
     """
 
@@ -58,6 +65,7 @@
         keeper: allowance_keeper.AllowanceKeeper,
         free: free_capacity.FreeCapacity,
         may_start: Callable[[job_state.Job], bool],
+        fits_when_empty: Callable[[job_state.Job], bool],
         now_ms: Callable[[], int],
     ) -> None:
         self._term = term
@@ -67,18 +75,32 @@
         self._keeper = keeper
         self._free = free
         self._may_start = may_start
+        self._fits_when_empty = fits_when_empty
         self._now_ms = now_ms
+        self._planner = gang_planner.GangPlanner(RESERVATION_MS)
+        # Holds units of a team's limit in the way in which the other one
+        # holds capacity of a service; its keys are teams.
+        self._unit_holds = gang_planner.GangPlanner(RESERVATION_MS)
         self._task: asyncio.Task[None] | None = None
 
     def tick(self) -> None:
         """Starts the next gang that fits, unless one is being started."""
         if self._task is not None and not self._task.done():
             return
+        self._planner.expire(self._now_ms())
         for team in self._queue.teams:
             for job in self._queue.first(team):
                 if self._is_ready(job) and self._try(job):
                     return
 
+    def may_backfill(self, task: model.TaskSpec) -> bool:
+        """Whether a task may use capacity or units a gang waits for."""
+        now_ms = self._now_ms()
+        by_team = task._replace(service=task.team)
+        return self._planner.may_backfill(
+            task, now_ms
+        ) and self._unit_holds.may_backfill(by_team, now_ms)
+
     def stop(self) -> None:
         """Ends the start under way; reservations expire by themselves."""
         if self._task is not None:
@@ -94,78 +116,88 @@
 
     def _try(self, job: job_state.Job) -> bool:
         """Plans a gang and starts the calls if it seems to fit."""
+        job.not_before_ms = self._now_ms() + _RETRY_MS
         job.restart_gang()
-        counts = self._plan(job)
-        if counts is None:
+        team = job.spec.team
+        if self._keeper.free_units(team) < job.spec.tasks:
+            self._keeper.want(team, job.spec.tasks)
+            if self._fits_when_empty(job):
+                by_team = _gang_of(job)._replace(service=team)
+                self._unit_holds.hold(by_team, self._now_ms())
             return False
-        job.not_before_ms = self._now_ms() + _RETRY_MS
-        self._task = asyncio.create_task(self._start(job, counts))
+        gang = _gang_of(job)
+        free = self._free.of_service(job.spec.service)
+        plan = self._planner.begin(gang, free, self._now_ms())
+        if plan is None:
+            if self._fits_when_empty(job):
+                self._planner.hold(gang, self._now_ms())
+            return False
+        self._task = asyncio.create_task(self._start(job, plan))
         return True
 
-    def _plan(self, job: job_state.Job) -> dict[str, int] | None:
-        """Returns how many tasks each instance gets, the roomiest first."""
-        room = self._free.room(job.spec.service, job.spec.resources)
-        missing = len(job.waiting)
-        counts: dict[str, int] = {}
-        by_room = sorted(room.items(), key=lambda item: (-item[1], item[0]))
-        for instance_id, copies in by_room:
-            if missing and copies:
-                counts[instance_id] = min(copies, missing)
-                missing -= counts[instance_id]
-        return None if missing else counts
-
-    async def _start(self, job: job_state.Job, counts: dict[str, int]) -> None:
-        """Reserves, and commits only if every task found room and a unit."""
-        reservation_id = identifiers.new_task_id(job.job_id)
-        shares = self._begin(job, counts)
-        complete = False
+    async def _start(
+        self, job: job_state.Job, plan: gang_model.GangPlan
+    ) -> None:
+        """Reserves, and commits only if every task found room."""
+        shares: list[_Share] = []
+        ready = False
         try:
-            if self._grant_units(job, counts):
-                complete = await self._reserve_all(reservation_id, shares)
-            if complete and not job.verdict:
-                self._commit(job, reservation_id, shares)
-                return
+            await self._reserve_all(job, plan, shares)
+            ready = not job.verdict and self._planner.commit(
+                job.job_id, self._now_ms()
+            )
         except Exception:
             _log.exception("Starting gang %s failed.", job.job_id)
-        self._give_up(reservation_id, shares)
+        finally:
+            self._planner.release(job.job_id)
+            self._planner.forget(job.job_id)
+        if ready:
+            self._commit(job, shares)
+        else:
+            self._give_up(shares)
 
-    def _begin(
-        self, job: job_state.Job, counts: dict[str, int]
-    ) -> list[_Share]:
-        """Takes the waiting tasks; nothing runs before the commit."""
-        shares = []
-        for instance_id, count in counts.items():
-            tasks = [
-                self._table.begin_attempt(job, instance_id, self._now_ms())
-                for _ in range(count)
+    async def _reserve_all(
+        self,
+        job: job_state.Job,
+        plan: gang_model.GangPlan,
+        shares: list[_Share],
+    ) -> None:
+        """Reserves in rounds until all tasks have room or none is left."""
+        plans = [plan]
+        while plans:
+            asked = [
+                self._begin(job, instance_id, count)
+                for each in plans
+                for instance_id, count in each.counts.items()
             ]
-            shares.append(_Share(instance_id, tuple(tasks)))
-        return shares
+            shares.extend(asked)
+            kept = await asyncio.gather(*[self._reserve(s) for s in asked])
+            plans = []
+            free = self._free.of_service(job.spec.service)
+            for share, kept_ids in zip(asked, kept, strict=True):
+                further = self._record(job, share, kept_ids, free)
+                if further is not None:
+                    plans.append(further)
 
-    def _grant_units(self, job: job_state.Job, counts: dict[str, int]) -> bool:
-        """Grants the units of the whole gang, or reports the demand."""
-        team = job.spec.team
-        if self._keeper.free_units(team) < job.spec.tasks:
-            self._keeper.want(team, job.spec.tasks)
-            return False
-        for instance_id, count in counts.items():
-            grant = self._keeper.grant(team, instance_id, count)
-            if grant is not None:
-                self._peers.send(instance_id, grant)
-        return True
+    def _begin(
+        self, job: job_state.Job, instance_id: str, count: int
+    ) -> _Share:
+        """Takes waiting tasks and grants their units before the call."""
+        tasks = [
+            self._table.begin_attempt(job, instance_id, self._now_ms())
+            for _ in range(count)
+        ]
+        grant = self._keeper.grant(job.spec.team, instance_id, count)
+        if grant is not None:
+            self._peers.send(instance_id, grant)
+        reservation_id = identifiers.new_task_id(job.job_id)
+        return _Share(instance_id, reservation_id, tuple(tasks))
 
-    async def _reserve_all(
-        self, reservation_id: str, shares: list[_Share]
-    ) -> bool:
-        """Reserves on all instances; returns whether every task has room."""
-        calls = [self._reserve(reservation_id, share) for share in shares]
-        return all(await asyncio.gather(*calls))
-
-    async def _reserve(self, reservation_id: str, share: _Share) -> bool:
-        """Reserves on one instance."""
+    async def _reserve(self, share: _Share) -> frozenset[str]:
+        """Reserves on one instance; returns the tasks that found room."""
         message = job_messages.ReserveGang(
             term=self._term,
-            reservation_id=reservation_id,
+            reservation_id=share.reservation_id,
             expires_in_ms=RESERVATION_MS,
             tasks=share.tasks,
         )
@@ -174,29 +206,51 @@
                 share.instance_id, message, _CALL_MS
             )
         except errors.MarigoldgapError:
-            return False
-        return len(answer.task_ids) == len(share.tasks)
+            return frozenset()
+        return frozenset(answer.task_ids)
 
-    def _commit(
-        self, job: job_state.Job, reservation_id: str, shares: list[_Share]
-    ) -> None:
-        """Lets all instances start their tasks."""
+    def _record(
+        self,
+        job: job_state.Job,
+        share: _Share,
+        kept_ids: frozenset[str],
+        free: Mapping[str, model.Resources],
+    ) -> gang_model.GangPlan | None:
+        """Takes an answer over; tasks without room wait for another plan."""
+        for task in share.tasks:
+            if task.task_id not in kept_ids:
+                self._table.not_started(task.task_id)
+        return self._planner.record_reserved(
+            job.job_id, share.instance_id, len(kept_ids), free, self._now_ms()
+        )
+
+    def _commit(self, job: job_state.Job, shares: list[_Share]) -> None:
+        """Lets all instances start the tasks that have room."""
         for share in shares:
+            tasks = tuple(
+                task
+                for task in share.tasks
+                if self._table.attempt(task.task_id) is not None
+            )
             message = job_messages.CommitGang(
                 term=self._term,
-                reservation_id=reservation_id,
-                tasks=share.tasks,
+                reservation_id=share.reservation_id,
+                tasks=tasks,
                 payloads=(job_dispatch.payload_of(job),),
             )
-            if not self._peers.send(share.instance_id, message):
-                _log.warning(
-                    "Gang %s: no link to %s.", job.job_id, share.instance_id
-                )
+            if tasks:
+                self._peers.send(share.instance_id, message)
 
-    def _give_up(self, reservation_id: str, shares: list[_Share]) -> None:
+    def _give_up(self, shares: list[_Share]) -> None:
         """Releases all reservations; the tasks wait again."""
-        release = job_messages.ReleaseGang(self._term, reservation_id)
         for share in shares:
+            release = job_messages.ReleaseGang(self._term, share.reservation_id)
             self._peers.send(share.instance_id, release)
             for task in share.tasks:
                 self._table.not_started(task.task_id)
+
+
+def _gang_of(job: job_state.Job) -> gang_model.Gang:
+    """Returns the planner's form of a gang."""
+    spec = job.spec
+    return gang_model.Gang(job.job_id, spec.service, spec.tasks, spec.resources)
--- /dev/null
+++ b/src/marigoldgap/coordination/impossible_jobs.py
@@ -0,0 +1,62 @@
+"""Finds jobs that the zone can never run."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from marigoldgap.coordination import job_state
+from marigoldgap.coordination import model as jobs_model
+from marigoldgap.coordination import zone_view
+
+# A worker that is replaced may be missing from the list for a while.
+_CERTAIN_AFTER_MS = 60_000
+_LOOK_EVERY_MS = 5_000
+
+
+class ImpossibleJobs:
+    """Compares waiting jobs with the capacities of the zone's workers.
+
+    Args:
+        zone: Workers that are or were listed in this term.
+    """
+
+    def __init__(self, zone: zone_view.ZoneView) -> None:
+        self._zone = zone
+        self._since_ms: dict[str, int] = {}
+        self._next_ms = 0
+
+    def reason(self, spec: jobs_model.JobSpec) -> str:
+        """Returns why a job can never run, or an empty string."""
+        copies = self._zone.could_hold(spec.service, spec.resources)
+        if copies is None:
+            return ""
+        if copies == 0:
+            return "a task is larger than the largest worker of the zone"
+        if spec.gang and copies < spec.tasks:
+            return f"the zone has room for {copies} tasks of the gang at most"
+        return ""
+
+    def find(
+        self, jobs: Iterable[job_state.Job], now_ms: int
+    ) -> list[tuple[job_state.Job, str]]:
+        """Returns jobs that have been impossible for long enough.
+
+        Args:
+            jobs: All open jobs.
+            now_ms: Monotonic time.
+        """
+        if now_ms < self._next_ms:
+            return []
+        self._next_ms = now_ms + _LOOK_EVERY_MS
+        found = []
+        suspects: dict[str, int] = {}
+        for job in jobs:
+            reason = self.reason(job.spec) if job.waiting else ""
+            if not reason:
+                continue
+            since_ms = self._since_ms.get(job.job_id, now_ms)
+            suspects[job.job_id] = since_ms
+            if now_ms - since_ms >= _CERTAIN_AFTER_MS:
+                found.append((job, reason))
+        self._since_ms = suspects
+        return found
--- a/src/marigoldgap/coordination/job_dispatch.py
+++ b/src/marigoldgap/coordination/job_dispatch.py
@@ -22,6 +22,7 @@
 _BATCH = 256
 # A start without a result is asked for again; instances start a task once.
 _REPEAT_MS = 3_000
+_LOOK_FOR_REPEATS_MS = 1_000
 
 
 class _Batch(NamedTuple):
@@ -44,6 +45,7 @@
         usage: Returns the usage of a team divided by its share.
         note_started: Counts a started task in the usage.
         may_start: Whether the row of a job allows to start its tasks.
+        may_backfill: Whether a task may use capacity kept for a gang.
         now_ms: Monotonic clock.
     """
 
@@ -58,6 +60,7 @@
         usage: Callable[[str], float],
         note_started: Callable[[job_state.Job], None],
         may_start: Callable[[job_state.Job], bool],
+        may_backfill: Callable[[model.TaskSpec], bool],
         now_ms: Callable[[], int],
     ) -> None:
         self._term = term
@@ -69,7 +72,9 @@
         self._usage = usage
         self._note_started = note_started
         self._may_start = may_start
+        self._may_backfill = may_backfill
         self._now_ms = now_ms
+        self._next_repeat_ms = 0
         self._batches: dict[str, _Batch] = {}
         self._grants: dict[tuple[str, str], messages.HoldingGrant] = {}
 
@@ -89,6 +94,9 @@
     def repeat(self) -> None:
         """Asks again where a start has no result yet."""
         now_ms = self._now_ms()
+        if now_ms < self._next_repeat_ms:
+            return
+        self._next_repeat_ms = now_ms + _LOOK_FOR_REPEATS_MS
         for attempt in list(self._table.attempts):
             placing = attempt.state is job_state.TaskState.PLACING
             if not placing or now_ms - attempt.since_ms < _REPEAT_MS:
@@ -107,6 +115,8 @@
                 continue
             if not self._may_start(job):
                 continue
+            if not self._may_backfill(job.task_spec("", job.waiting[0])):
+                continue
             if self._start(job):
                 return True
         return False
--- a/src/marigoldgap/coordination/job_role.py
+++ b/src/marigoldgap/coordination/job_role.py
@@ -15,6 +15,7 @@
 from marigoldgap.coordination import allowance_keeper
 from marigoldgap.coordination import free_capacity
 from marigoldgap.coordination import gang_dispatch
+from marigoldgap.coordination import impossible_jobs
 from marigoldgap.coordination import interfaces
 from marigoldgap.coordination import job_closing
 from marigoldgap.coordination import job_dispatch
@@ -31,6 +32,7 @@
 from marigoldgap.entries import job_messages
 from marigoldgap.entries import messages
 from marigoldgap.scheduling import model
+from marigoldgap.scheduling import retry_budget
 from marigoldgap.settings import model as settings_model
 
 _log = logs.PartLogger("coordination")
@@ -41,7 +43,7 @@
 # Usage is counted anew in this time; starts are added in between.
 _USAGE_MS = 1_000
 
-# Full jitter between attempts after a failure, in milliseconds.
+# Bounds of the delay before a retry; without budget the longest one counts.
 _FIRST_PAUSE_MS = 500
 _LONGEST_PAUSE_MS = 30_000
 # An instance that refused had less room than its heartbeat said.
@@ -112,6 +114,7 @@
             self._usage_of,
             self._note_started,
             self._may_start,
+            self._may_backfill,
             now_ms,
         )
         self._gangs = gang_dispatch.GangDispatch(
@@ -122,8 +125,13 @@
             keeper,
             free,
             self._may_start,
+            self._fits_when_empty,
             now_ms,
         )
+        self._budget = retry_budget.RetryBudget(
+            config.rules.retry, _FIRST_PAUSE_MS, _LONGEST_PAUSE_MS
+        )
+        self._impossible = impossible_jobs.ImpossibleJobs(zone)
         self._ending: set[str] = set()
         self._forgotten: list[str] = []
         self._loaded = False
@@ -149,8 +157,13 @@
         """Starts reading the jobs, when the barrier is passed."""
         self._next_scan_ms = self._now_ms()
 
-    def tick(self) -> None:
-        """Call it several times a second after the barrier."""
+    def tick(self, zone_known: bool) -> None:
+        """Call it several times a second after the barrier.
+
+        Args:
+            zone_known: Whether the capacities of all listed workers were
+                reported, so that a job can be found impossible.
+        """
         now_ms = self._now_ms()
         if now_ms >= self._next_scan_ms and (
             self._scan is None or self._scan.done()
@@ -159,6 +172,8 @@
             self._scan = asyncio.create_task(self._read_all())
         if not self._loaded:
             return
+        if zone_known:
+            self._end_impossible()
         self._handle_changes()
         self._free.refresh()
         self._gangs.tick()
@@ -231,7 +246,7 @@
             errors.ImpossibleJobError: A task is too large for every worker,
                 or a gang is too large for the zone.
         """
-        reason = self._impossible(spec)
+        reason = self._impossible.reason(spec)
         if reason:
             raise errors.ImpossibleJobError(reason)
 
@@ -326,16 +341,18 @@
         self._stops.add(unneeded)
 
     def _pause_failed(self) -> None:
-        """Delays jobs whose tasks failed, with full jitter."""
+        """Delays jobs whose tasks failed; the team's budget bounds retries."""
+        self._budget.set_rule(self._config.rules.retry)
         failures, self._jobs.failures = self._jobs.failures, []
         for _, job_id in failures:
             job = self._jobs.jobs.get(job_id)
             if job is None:
                 continue
-            count = sum(job.failures.values())
-            longest = min(_LONGEST_PAUSE_MS, _FIRST_PAUSE_MS * 2**count)
-            pause_ms = self._source.uniform(0, longest)
-            job.not_before_ms = self._now_ms() + int(pause_ms)
+            attempts = max(job.failures.values(), default=1)
+            pause_ms = _LONGEST_PAUSE_MS
+            if self._budget.take(job.spec.team, attempts):
+                pause_ms = self._budget.delay_ms(attempts, self._source.random)
+            job.not_before_ms = self._now_ms() + pause_ms
 
     def _stopped(self, task_id: str) -> None:
         """Records a confirmed stop."""
@@ -374,17 +391,27 @@
     def _note_started(self, job: job_state.Job) -> None:
         """Counts a started task in the usage of its team."""
         self._usage.add(job.spec.team, job.spec.resources, 1)
+        if not job.failures:
+            self._budget.first_attempt(job.spec.team)
 
-    def _impossible(self, spec: jobs_model.JobSpec) -> str:
-        """Returns why a job can never run, or an empty string."""
-        copies = self._zone.could_hold(spec.service, spec.resources)
-        if copies is None:
-            return ""
-        if copies == 0:
-            return "a task is larger than the largest worker of the zone"
-        if spec.gang and copies < spec.tasks:
-            return f"the zone has room for {copies} tasks of the gang at most"
-        return ""
+    def _end_impossible(self) -> None:
+        """Reports jobs for which the workers were removed for good."""
+        for job, reason in self._impossible.find(
+            self._jobs.jobs.values(), self._now_ms()
+        ):
+            job.give_verdict(jobs_model.IMPOSSIBLE, reason)
+            self._jobs.changed.add(job.job_id)
+
+    def _may_backfill(self, task: model.TaskSpec) -> bool:
+        """Whether a task may use capacity that a gang waits for."""
+        return self._gangs.may_backfill(task)
+
+    def _fits_when_empty(self, job: job_state.Job) -> bool:
+        """Whether keeping capacity for a gang can ever let it start."""
+        rule = self._config.rules.teams.get(job.spec.team)
+        if rule is None or rule.limit < job.spec.tasks:
+            return False
+        return not self._impossible.reason(job.spec)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Runs a read as a task."""
@@ -405,7 +432,7 @@
                     break
                 after = rows[-1].key
         except errors.MarigoldgapError as error:
-            _log.warning("Jobs could not be read: %s", error.detail)
+            _log.debug("Jobs could not be read: %s", error.detail)
             self._next_scan_ms = self._now_ms() + _RETRY_LOAD_MS
             return
         except Exception:
--- a/src/marigoldgap/coordination/job_table.py
+++ b/src/marigoldgap/coordination/job_table.py
@@ -22,6 +22,7 @@
 
 _FINISHED = "finished"
 _FAILED = "failed"
+_CHECKPOINTED = "checkpointed"
 
 # A job whose tasks failed on this many workers is at fault itself.
 FAILED_WORKERS_LIMIT = 3
@@ -177,6 +178,9 @@
             self._finish(job, index)
         elif outcome.state in (_FINISHED, _FAILED):
             self._fail(job, index, outcome, known=attempt is not None)
+        elif attempt is not None and outcome.state == _CHECKPOINTED:
+            # The task goes on from its checkpoint, so this is no repetition.
+            job.put_back(index)
         elif attempt is not None:
             self._interrupted(job, index, outcome.state)
         self.changed.add(job_id)
--- a/src/marigoldgap/coordination/zone_view.py
+++ b/src/marigoldgap/coordination/zone_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 from marigoldgap.entries import messages
@@ -83,6 +84,10 @@
                 total = resources.add(total, worker.capacity)
         return total
 
+    def knows(self, worker_ids: Collection[str]) -> bool:
+        """Whether the capacities of all these workers were reported."""
+        return self._workers.keys() >= set(worker_ids)
+
     def could_hold(self, service: str, needed: model.Resources) -> int | None:
         """Returns how many such tasks fit into the empty zone.
 
--- a/src/marigoldgap/entries/membership.py
+++ b/src/marigoldgap/entries/membership.py
@@ -27,7 +27,8 @@
 
     def __init__(self, settings: settings_model.Settings, now_ms: int) -> None:
         self._settings = settings
-        self._started_ms = now_ms
+        self._settling_since_ms = now_ms
+        self._checked_ms = now_ms
         self._peers: dict[str, peer_module.Peer] = {}
         self._listeners: list[interfaces.MembershipListener] = []
         self._draining = False
@@ -39,6 +40,11 @@
         """The id of this instance."""
         return self._settings.instance_id
 
+    @property
+    def zone(self) -> str:
+        """The zone of this instance."""
+        return self._settings.zone
+
     @property
     def is_coordinator(self) -> bool:
         """Whether this process holds the highest term seen.
@@ -130,6 +136,10 @@
         """
         lost = []
         dead_after_ms = self._settings.peers.dead_after_ms
+        if now_ms - self._checked_ms >= dead_after_ms:
+            # This process was paused: the others are not dead but unheard.
+            self._settling_since_ms = now_ms
+        self._checked_ms = now_ms
         for known in list(self._peers.values()):
             silent_ms = now_ms - known.heard_ms
             if known.state == peer_module.DEAD:
@@ -180,12 +190,14 @@
 
     def _is_settling(self, now_ms: int) -> bool:
         """Whether instances may not have been reached yet."""
-        if now_ms - self._started_ms >= self._settings.peers.dead_after_ms:
+        if (
+            now_ms - self._settling_since_ms
+            >= self._settings.peers.dead_after_ms
+        ):
             return False
         return (
             any(
-                known.state == peer_module.CONNECTING
-                and known.zone == self._settings.zone
+                not known.alive and known.zone == self._settings.zone
                 for known in self._peers.values()
             )
             or not self._peers
--- a/tests/features/coordination/jobs.feature
+++ b/tests/features/coordination/jobs.feature
@@ -67,6 +67,18 @@
     Then a job whose tasks need 9 slots is refused with "job-impossible"
     And a gang of 17 tasks is refused with "job-impossible"
 
+  Scenario: A job becomes impossible when its workers are removed for good
+    Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 12
+    And a worker of 9 slots is added and a job of 9-slot tasks runs there
+    When that worker is removed from the platform
+    Then the job is "impossible" within 90 s
+
+  Scenario: A gang gets room although small tasks keep arriving
+    Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 16
+    And a job of 400 tasks runs that ends some task in every second
+    When a gang of 12 tasks is submitted to "e2"
+    Then within 90 s all 12 tasks of the gang run at once
+
   Scenario: A gang runs as a whole
     Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 12
     When a gang of 10 tasks is submitted to "e2"
--- a/tests/features/entries/membership.feature
+++ b/tests/features/entries/membership.feature
@@ -12,6 +12,10 @@
     When "e1" says that it is draining
     Then "e1" is "draining" and the proposed coordinator is "e2"
 
+  Scenario: A resumed instance does not propose itself at once
+    Given a membership of "e2" with live instances "e1, e3"
+    Then after a pause of 5 s it proposes nobody before it heard the others
+
   Scenario: A fast restart under the same id counts as a loss
     Given a membership of "e2" with live instances "e1, e3"
     When "e1" connects with a new incarnation
--- a/tests/features/steps/coordination_jobs_steps.py
+++ b/tests/features/steps/coordination_jobs_steps.py
@@ -78,6 +78,54 @@
     context.world.instances[name].refuse_reservations = True
 
 
+@given(
+    "a worker of {slots:d} slots is added and a job of {same:d}-slot tasks"
+    " runs there"
+)
+def large_worker(context, slots, same):
+    context.world.add_worker("large", "centro-a", slots)
+    zone_steps.advance(context, 3_000)
+    needed = model.Resources(same, same, 1_000, 0, 0)
+    context.job_id = _submit(context, resources=needed)
+    zone_steps.advance_until(
+        context, lambda: len(context.world.running()) == 1, 5_000
+    )
+
+
+@when("that worker is removed from the platform")
+def remove_worker(context):
+    worker = context.world.workers["large"]
+    worker.dead = True
+    worker.listed = False
+
+
+@given("a job of {count:d} tasks runs that ends some task in every second")
+def busy_job(context, count):
+    context.small_job_id = _submit(context, tasks=count)
+    zone_steps.advance(context, 3_000)
+
+
+@then("within {seconds:d} s all {count:d} tasks of the gang run at once")
+def gang_among_small_tasks(context, seconds, count):
+    def gang_tasks():
+        tasks = [task for _, task in context.world.running()]
+        return [task for task in tasks if task.job_id == context.job_id]
+
+    for _ in range(seconds):
+        if len(gang_tasks()) == count:
+            break
+        small = [
+            task
+            for _, task in context.world.running()
+            if task.job_id == context.small_job_id
+        ]
+        for task in small[:2]:
+            context.world.end(task.task_id)
+        zone_steps.advance(context, 1_000)
+    assert len(gang_tasks()) == count, context.world.violations
+    zone_steps.no_violation(context)
+
+
 @when("{seconds:d} s pass and every running task finishes")
 def pass_and_finish(context, seconds):
     zone_steps.advance(context, seconds * 1_000)
--- a/tests/features/steps/entries_membership_steps.py
+++ b/tests/features/steps/entries_membership_steps.py
@@ -49,6 +49,7 @@
     context.members.subscribe(context.listener)
     for name in names.split(", "):
         context.members.linked(_hello(name), _START_MS)
+    context.members.check(_START_MS)
     context.listener.calls.clear()
 
 
@@ -74,6 +75,17 @@
     assert proposed == coordinator, proposed
 
 
+@then("after a pause of 5 s it proposes nobody before it heard the others")
+def settles_after_pause(context):
+    resumed_ms = _START_MS + 5_000
+    assert context.members.check(resumed_ms) == ["e1", "e3"]
+    assert context.members.proposed_coordinator(resumed_ms) is None
+    for name in ("e1", "e3"):
+        context.members.linked(_hello(name), resumed_ms + 100)
+    proposed = context.members.proposed_coordinator(resumed_ms + 100)
+    assert proposed == "e1", proposed
+
+
 @when('"{name}" connects with a new incarnation')
 def connect_again(context, name):
     context.members.linked(_hello(name, "2"), _START_MS)
