--- a/src/marigoldgap/dispatch/holdings.py
+++ b/src/marigoldgap/dispatch/holdings.py
@@ -135,7 +135,7 @@
     def accept_notice(self, notice: allowance_model.AllowanceNotice) -> bool:
         """Obeys a notice; returns False for a notice of another term."""
         account = self._account(notice.team)
-        return account.accept_notice(self._instance_id, notice)
+        return account.accept_notice(notice)
 
     def give_back(self, team: str, units: int) -> int:
         """Returns up to `units` unused units; returns how many."""
@@ -191,7 +191,7 @@
         account = self._accounts.get(team)
         if account is None:
             account = holding_account.HoldingAccount(
-                self._term, self._incarnation
+                self._incarnation, self._term
             )
             self._accounts[team] = account
         return account
