--- a/tests/features/steps/scheduling_allowance_steps.py
+++ b/tests/features/steps/scheduling_allowance_steps.py
@@ -4,12 +4,16 @@
 
 import random
 
+from behave import given
 from behave import then
+from behave import when
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
+from marigoldgap.scheduling import allowance_ledger
 from marigoldgap.scheduling import allowance_model
+from marigoldgap.scheduling import holding_account
 from marigoldgap.scheduling import model
 from tests.fixtures import scheduling_escrow
 from tests.fixtures import scheduling_escrow_actions
@@ -68,3 +72,114 @@
             trace.append(step)
             scheduling_escrow_actions.act(world, *step)
             scheduling_escrow_actions.check(world, trace)
+
+
+def running_zone(holders):
+    """Returns a ledger with 10 confirmed units and accounts of its holders."""
+    ledger = allowance_ledger.AllowanceLedger("a", TERM)
+    accounts = [holding_account.HoldingAccount(name) for name in holders]
+    for name, account in zip(holders, accounts, strict=True):
+        account.begin_term(TERM)
+        ledger.record_term_report(name, {TEAM: account.report()})
+    ledger.complete_barrier()
+    ledger.row_read(TEAM, None, 0)
+    ledger.write_succeeded(ledger.raise_write(TEAM, 10, LIMIT), 1)
+    return ledger, accounts
+
+
+@given("a former coordinator whose give-up of 6 of 10 units is still under way")
+def pending_give_up(context):
+    ledger, [account] = running_zone(["e1"])
+    context.row = ledger.raise_write(TEAM, 10, LIMIT).row
+    ledger.write_failed(allowance_model.AllowanceWrite(TEAM, context.row, 1))
+    ledger.row_read(TEAM, context.row, 2)
+    account.accept_grant(ledger.grant(TEAM, "e1", 3))
+    notice = ledger.begin_give_up(TEAM, 4)
+    account.accept_notice(notice)
+    ledger.acknowledge("e1", TEAM, notice.sequence, account.report())
+    context.delayed = ledger.give_up_write(TEAM, LIMIT)
+    context.account = account
+
+
+@when("its successor reads the row before the write arrives")
+def successor_reads(context):
+    term = model.Term(2, "b")
+    context.account.begin_term(term)
+    context.ledger = allowance_ledger.AllowanceLedger("a", term)
+    context.ledger.record_term_report("e1", {TEAM: context.account.report()})
+    context.ledger.complete_barrier()
+    context.ledger.row_read(TEAM, context.row, 2)
+
+
+@then("the successor can hand out only what its instances reported")
+def successor_limited(context):
+    assert context.ledger.allowance(TEAM) == 3
+    assert context.ledger.grant(TEAM, "e1", 1) is None
+
+
+@then("after the successor's own write the delayed write fails")
+def delayed_write_fails(context):
+    write = context.ledger.raise_write(TEAM, 10, LIMIT)
+    assert write.expected_version == context.delayed.expected_version
+    context.ledger.write_succeeded(write, 3)
+    assert context.ledger.free(TEAM) == 7
+
+
+@given("a zone with 10 units of which an instance uses 6 and holds 8")
+def zone_in_use(context):
+    context.ledger, [context.account] = running_zone(["e1"])
+    context.account.accept_grant(context.ledger.grant(TEAM, "e1", 8))
+    for _ in range(6):
+        context.account.start()
+
+
+@when("the zone gives up all but 3 units")
+def give_up(context):
+    context.notice = context.ledger.begin_give_up(TEAM, 3)
+    assert context.ledger.grant(TEAM, "e1", 1) is None
+
+
+@then("no write is possible before the acknowledgement")
+def too_early(context):
+    assert context.ledger.give_up_write(TEAM, LIMIT) is None
+    context.account.accept_notice(context.notice)
+    assert not context.account.may_start
+
+
+@then("no write is possible until the running tasks have drained")
+def drains(context):
+    report = context.account.report()
+    sequence = context.notice.sequence
+    context.ledger.acknowledge("e1", TEAM, sequence, report)
+    for left in (5, 4, 3):
+        assert context.ledger.give_up_write(TEAM, LIMIT) is None
+        context.account.finish()
+        assert context.account.holding == left
+        context.ledger.record_report("e1", TEAM, context.account.report())
+
+
+@then("the write lowers the zone's number to 3 and then the limit")
+def limit_lowered(context):
+    lowered = allowance_model.TeamLimit(3, 2)
+    write = context.ledger.give_up_write(TEAM, lowered)
+    assert (write.row.zones, write.row.limit) == ({"a": 3}, 3)
+    context.ledger.write_succeeded(write, 2)
+    assert context.ledger.allowance(TEAM) == 3
+
+
+@given("a zone with 10 units and two entry instances")
+def two_instances(context):
+    context.ledger, context.accounts = running_zone(["e1", "e2"])
+
+
+@then("all 10 units can run at either instance in turn")
+def all_units_in_turn(context):
+    for holder, account in [*zip(["e1", "e2"], context.accounts, strict=True)]:
+        assert account.accept_grant(context.ledger.grant(TEAM, holder, 20))
+        for _ in range(10):
+            account.start()
+        assert not account.may_start
+        for _ in range(10):
+            account.finish()
+        account.give_back(10)
+        context.ledger.record_report(holder, TEAM, account.report())
