--- /dev/null
+++ b/tests/features/scheduling/rendezvous_and_shares.feature
@@ -0,0 +1,16 @@
+Feature: Ownership and shares are divided predictably
+
+  Scenario: Every member proposes the same owner
+    Then the rendezvous owner does not depend on the order of the candidates
+
+  Scenario: A member that joins or leaves moves only its own keys
+    Then removing a candidate changes the rendezvous owner of its keys only
+
+  Scenario: Keys are spread evenly
+    Then 8 candidates own between 400 and 600 of 4000 rendezvous keys each
+
+  Scenario: Max-min targets waste nothing and favour nobody
+    Then max-min targets are feasible, complete and weighted for any demands
+
+  Scenario: Dominant usage ignores resources that do not exist
+    Then the dominant fraction of 4 of 8 slots and 12 of 16 cores is 0.75
--- a/tests/features/steps/scheduling_fair_queue_steps.py
+++ b/tests/features/steps/scheduling_fair_queue_steps.py
@@ -19,7 +19,17 @@
 OPERATIONS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(
-            ["push", "push", "push", "pop", "remove", "usage", "share", "expire", "block"]
+            [
+                "push",
+                "push",
+                "push",
+                "pop",
+                "remove",
+                "usage",
+                "share",
+                "expire",
+                "block",
+            ]
         ),
         strategies.integers(0, 30),
         strategies.sampled_from(TEAMS),
