Hold a worker for a large task that finds no room

Change: one worker for each service is kept free for the first large task that finds no room, for a bounded time. Batch p99 is still above first fit in arrival order, which lets all later work wait behind the large task.

--- a/bench/compare_policies.py
+++ b/bench/compare_policies.py
@@ -110,7 +110,7 @@
 
     def _start_all(self, now_ms: int) -> None:
         while True:
-            started = self._scheduler.start_next()
+            started = self._scheduler.start_next(now_ms)
             if started is None:
                 return
             task, worker_id = started
--- a/bench/policy_schedulers.py
+++ b/bench/policy_schedulers.py
@@ -11,9 +11,13 @@
 from benchmarks import naive_placement
 from marigoldgap.scheduling import fair_queue
 from marigoldgap.scheduling import free_index
+from marigoldgap.scheduling import large_task_hold
 from marigoldgap.scheduling import model
 from marigoldgap.scheduling import resources
 
+# Twice the longest mean run time of a batch task in the loads.
+_HOLD_MS = 50_000
+
 
 class Scheduler(Protocol):
     """Decides which waiting task starts next, and where."""
@@ -21,7 +25,7 @@
     def submit(self, task: model.TaskSpec, now_ms: int) -> None:
         """Adds a waiting task."""
 
-    def start_next(self) -> tuple[model.TaskSpec, str] | None:
+    def start_next(self, now_ms: int) -> tuple[model.TaskSpec, str] | None:
         """Starts a waiting task and returns it with its worker, or None."""
 
     def finish(self, task: model.TaskSpec, worker_id: str) -> None:
@@ -59,8 +63,9 @@
         del now_ms
         self._waiting.append(task)
 
-    def start_next(self) -> tuple[model.TaskSpec, str] | None:
+    def start_next(self, now_ms: int) -> tuple[model.TaskSpec, str] | None:
         """Starts the oldest task if it fits anywhere."""
+        del now_ms
         if not self._waiting:
             return None
         worker_id = self._placement.choose(self._waiting[0])
@@ -104,6 +109,7 @@
         self._requests = fair_queue.FairQueue()
         self._jobs = fair_queue.FairQueue()
         self._index = free_index.FreeIndex()
+        self._hold = large_task_hold.LargeTaskHold(self._index, _HOLD_MS)
         self._used: dict[str, model.Resources] = {}
         self._total = resources.NONE
         for team in layout.teams:
@@ -119,12 +125,12 @@
         queue = self._requests if task.kind == "quick" else self._jobs
         queue.push(task, now_ms)
 
-    def start_next(self) -> tuple[model.TaskSpec, str] | None:
+    def start_next(self, now_ms: int) -> tuple[model.TaskSpec, str] | None:
         """Starts the first task by fairness for which there is room."""
         chosen: list[str] = []
 
         def may_run(task: model.TaskSpec) -> bool:
-            worker_id = self._index.choose(task)
+            worker_id = self._hold.choose(task, now_ms)
             if worker_id is not None:
                 chosen.append(worker_id)
             return worker_id is not None
@@ -133,6 +139,7 @@
         if task is None:
             return None
         self._index.claim(chosen[0], task)
+        self._hold.release(task)
         self._change_usage(task.team, task.resources)
         return task, chosen[0]
 
--- a/src/marigoldgap/scheduling/free_index.py
+++ b/src/marigoldgap/scheduling/free_index.py
@@ -189,6 +189,11 @@
         state = self._workers.get(worker_id)
         return state.free if state else resources.NONE
 
+    def capacity_of(self, worker_id: str) -> model.Resources:
+        """Returns the capacity of a worker; nothing if it is unknown."""
+        state = self._workers.get(worker_id)
+        return state.info.capacity if state else resources.NONE
+
     def free_total(self) -> model.Resources:
         """Returns the sum of free resources of workers that accept work."""
         total = resources.NONE
--- /dev/null
+++ b/src/marigoldgap/scheduling/large_task_hold.py
@@ -0,0 +1,92 @@
+"""Keeps a worker for a large task, so that small ones do not starve it.
+
+Small tasks fit into every slot that becomes free, so a task that needs a large
+part of a worker would wait until the load falls. One worker at a time is kept
+free for the first large task that finds no room; others avoid this worker.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from marigoldgap.scheduling import free_index
+from marigoldgap.scheduling import model
+from marigoldgap.scheduling import resources
+
+# A task is large if it needs more than this part of a worker; smaller ones
+# find room soon, whatever the others do.
+_LARGE_PART = 0.25
+
+
+class _Hold(NamedTuple):
+    """The worker that is kept, for which task and until when."""
+
+    task_id: str
+    worker_id: str
+    until_ms: int
+
+
+class LargeTaskHold:
+    """One held worker for each service.
+
+    Args:
+        index: Free capacity of the workers that may be held.
+        hold_ms: Longest time for which a worker is kept for one task; must be
+            longer than most tasks run, or the hold ends before there is room.
+    """
+
+    def __init__(self, index: free_index.FreeIndex, hold_ms: int) -> None:
+        self._index = index
+        self._hold_ms = hold_ms
+        self._holds: dict[str, _Hold] = {}
+
+    def choose(
+        self,
+        task: model.TaskSpec,
+        now_ms: int,
+        avoid: frozenset[str] = frozenset(),
+    ) -> str | None:
+        """Returns a worker for the task as the index does.
+
+        A large task that finds no room gets a worker held for it, if none is
+        held for the service. Other tasks avoid the held worker.
+        """
+        held = self._current(task.service, now_ms)
+        if held is not None and held.task_id != task.task_id:
+            avoid |= {held.worker_id}
+        found = self._index.choose(task, avoid)
+        if found is None and held is None:
+            self._hold(task, now_ms, avoid)
+        return found
+
+    def release(self, task: model.TaskSpec) -> None:
+        """Ends the hold of a task that was started, cancelled or expired."""
+        held = self._holds.get(task.service)
+        if held is not None and held.task_id == task.task_id:
+            del self._holds[task.service]
+
+    def _current(self, service: str, now_ms: int) -> _Hold | None:
+        held = self._holds.get(service)
+        if held is None:
+            return None
+        if now_ms >= held.until_ms or held.worker_id not in self._index:
+            del self._holds[service]
+            return None
+        return held
+
+    def _hold(
+        self, task: model.TaskSpec, now_ms: int, avoid: frozenset[str]
+    ) -> None:
+        """Takes the worker with the most free slots; it drains the soonest."""
+        any_size = task._replace(resources=resources.NONE)
+        worker_id = self._index.freest(any_size, avoid)
+        if worker_id is None:
+            return
+        capacity = self._index.capacity_of(worker_id)
+        if not resources.fits_in(task.resources, capacity):
+            return
+        part = resources.dominant_fraction(task.resources, capacity)
+        if part > _LARGE_PART:
+            self._holds[task.service] = _Hold(
+                task.task_id, worker_id, now_ms + self._hold_ms
+            )
