--- a/src/marigoldgap/scheduling/capacity_levels.py
+++ b/src/marigoldgap/scheduling/capacity_levels.py
@@ -13,9 +13,7 @@
 
 from marigoldgap.scheduling import model
 from marigoldgap.scheduling import resources
-
-# Size class of connections, millicores, memory and accelerators.
-Shape = tuple[int, int, int, int]
+from marigoldgap.scheduling import size_classes
 
 # Looks at this many workers whose class may fit; a repeated search continues
 # where the last one stopped, so a fitting worker is found eventually.
@@ -23,50 +21,6 @@
 _PROBES_PER_BUCKET = 4
 # Compares this many fitting classes of one level to find the best of them.
 _SHAPES_COMPARED = 8
-_MASK_CACHE_LIMIT = 4_096
-
-
-def size_class(amount: int) -> int:
-    """Returns the class of an amount; classes are half powers of two wide."""
-    if amount < 2:
-        return max(amount, 0)
-    bits = amount.bit_length()
-    return 2 * bits - 2 + ((amount >> (bits - 2)) & 1)
-
-
-def class_floor(level: int) -> int:
-    """Returns the smallest amount of a class."""
-    if level < 2:
-        return level
-    return (2 | (level & 1)) << ((level + 2) // 2 - 2)
-
-
-def _sure_class(amount: int) -> int:
-    level = size_class(amount)
-    return level if class_floor(level) >= amount else level + 1
-
-
-def _shape(free: model.Resources) -> Shape:
-    return (
-        size_class(free[1]),
-        size_class(free[2]),
-        size_class(free[3]),
-        size_class(free[4]),
-    )
-
-
-def _sure_shape(needed: model.Resources) -> Shape:
-    return (
-        _sure_class(needed[1]),
-        _sure_class(needed[2]),
-        _sure_class(needed[3]),
-        _sure_class(needed[4]),
-    )
-
-
-def _headroom(shape: Shape) -> tuple[int, int]:
-    """Orders shapes; those with accelerators are the last to be used up."""
-    return shape[3], shape[0] + shape[1] + shape[2]
 
 
 def _bits(mask: int) -> Iterator[int]:
@@ -76,40 +30,6 @@
         mask ^= lowest
 
 
-class ShapeTable:
-    """Numbers the shapes that occur and knows which of them cover a need."""
-
-    def __init__(self) -> None:
-        self._numbers: dict[Shape, int] = {}
-        self._masks: dict[Shape, tuple[int, int]] = {}
-        self.shapes: list[Shape] = []
-
-    def number(self, shape: Shape) -> int:
-        """Returns the number of the shape, a new one for a new shape."""
-        known = self._numbers.get(shape)
-        if known is not None:
-            return known
-        self._numbers[shape] = len(self.shapes)
-        self.shapes.append(shape)
-        return len(self.shapes) - 1
-
-    def covering(self, needed: Shape) -> int:
-        """Returns the bit set of the shapes that are at least `needed`."""
-        mask, seen = self._masks.get(needed, (0, 0))
-        if seen == len(self.shapes):
-            return mask
-        for number in range(seen, len(self.shapes)):
-            if all(
-                have >= need
-                for have, need in zip(self.shapes[number], needed, strict=True)
-            ):
-                mask |= 1 << number
-        if len(self._masks) >= _MASK_CACHE_LIMIT:
-            self._masks.clear()
-        self._masks[needed] = (mask, len(self.shapes))
-        return mask
-
-
 class _Level:
     """The workers with the same number of free slots, by shape."""
 
@@ -141,7 +61,9 @@
     """
 
     def __init__(
-        self, shapes: ShapeTable, free_of: Callable[[str], model.Resources]
+        self,
+        shapes: size_classes.ShapeTable,
+        free_of: Callable[[str], model.Resources],
     ) -> None:
         self._shapes = shapes
         self._free_of = free_of
@@ -154,14 +76,16 @@
         """Adds a worker; it is chosen after equal workers added before."""
         slots = max(free.slots, 0)
         level = self._levels.setdefault(slots, _Level())
-        level.add(self._shapes.number(_shape(free)), worker_id)
+        level.add(self._shapes.number(size_classes.shape_of(free)), worker_id)
         self._occupied |= 1 << slots
 
     def discard(self, worker_id: str, free: model.Resources) -> None:
         """Removes a worker that was added with these free resources."""
         slots = max(free.slots, 0)
         level = self._levels[slots]
-        level.discard(self._shapes.number(_shape(free)), worker_id)
+        level.discard(
+            self._shapes.number(size_classes.shape_of(free)), worker_id
+        )
         if not level.occupied:
             del self._levels[slots]
             self._occupied ^= 1 << slots
@@ -181,7 +105,7 @@
     def _find(
         self, needed: model.Resources, avoid: frozenset[str], tight: bool
     ) -> str | None:
-        covering = self._shapes.covering(_sure_shape(needed))
+        covering = self._shapes.covering(size_classes.covering_shape(needed))
         slots = self._slot_levels(needed.slots, tight)
         for count in slots:
             level = self._levels[count]
@@ -214,7 +138,9 @@
             return iter(numbers)
         head, rest = numbers[:_SHAPES_COMPARED], numbers[_SHAPES_COMPARED:]
         head.sort(
-            key=lambda number: _headroom(self._shapes.shapes[number]),
+            key=lambda number: size_classes.headroom(
+                self._shapes.shapes[number]
+            ),
             reverse=not tight,
         )
         return iter(head + rest)
@@ -227,7 +153,9 @@
         slots: list[int],
     ) -> str | None:
         """Tries workers of the classes in which some workers fit."""
-        possible = self._shapes.covering(_shape(needed)) & ~covering
+        possible = (
+            self._shapes.covering(size_classes.shape_of(needed)) & ~covering
+        )
         buckets = [
             self._levels[count].buckets[number]
             for count in slots
--- a/src/marigoldgap/scheduling/partition.py
+++ b/src/marigoldgap/scheduling/partition.py
@@ -7,6 +7,7 @@
 from marigoldgap.scheduling import capacity_levels
 from marigoldgap.scheduling import model
 from marigoldgap.scheduling import rack_spread
+from marigoldgap.scheduling import size_classes
 
 # A service task tries this many racks before any worker is good enough.
 _RACKS_TRIED = 32
@@ -21,7 +22,7 @@
 
     def __init__(self, free_of: Callable[[str], model.Resources]) -> None:
         self._free_of = free_of
-        self._shapes = capacity_levels.ShapeTable()
+        self._shapes = size_classes.ShapeTable()
         self._workers = capacity_levels.CapacityLevels(self._shapes, free_of)
         self._racks: dict[str, capacity_levels.CapacityLevels] = {}
         self._rack_order: list[str] = []
