--- a/src/marigoldgap/errors.py
+++ b/src/marigoldgap/errors.py
@@ -139,6 +139,12 @@
     code = "not-ready"
 
 
+class KeysUnconfirmedError(OverloadedError):
+    """The keys were confirmed longer ago than `max_key_age_s` allows."""
+
+    code = "keys-unconfirmed"
+
+
 class DuplicateRequestError(MarigoldgapError):
     """The idempotency key was used before; the first attempt may have run."""
 
@@ -186,6 +192,42 @@
     status = 503
 
 
+class RowConflictError(ConflictError):
+    """A checked row of the table service has another version.
+
+    Attributes:
+        keys: The rows that did not have the checked version.
+    """
+
+    def __init__(self, keys: tuple[str, ...]) -> None:
+        super().__init__("rows changed meanwhile: " + ", ".join(keys))
+        self.keys = keys
+
+
+class ConnectFailedError(MarigoldgapError):
+    """No connection could be opened, so nothing was sent."""
+
+    code = "connect-failed"
+    status = 503
+    ran = Ran.NO
+
+
+class LeaseHeldError(MarigoldgapError):
+    """Another instance holds the lease on the worker.
+
+    Attributes:
+        remaining_ms: Time after which the lease may be free.
+    """
+
+    code = "lease-held"
+    status = 409
+    ran = Ran.NO
+
+    def __init__(self, holder: str, remaining_ms: int) -> None:
+        super().__init__(f"the lease is held by {holder}")
+        self.remaining_ms = remaining_ms
+
+
 class WorkerRefusedError(MarigoldgapError):
     """The worker refused the start; the task did not run.
 
@@ -217,6 +259,21 @@
     status = 503
 
 
+class PeerNotLinkedError(PeerUnavailableError):
+    """There is no link to the other entry instance; nothing was sent."""
+
+    code = "peer-not-linked"
+    ran = Ran.NO
+
+
+class StaleTermError(MarigoldgapError):
+    """The sender's term is lower than the highest one seen."""
+
+    code = "stale-term"
+    status = 409
+    ran = Ran.NO
+
+
 class ProtocolError(MarigoldgapError):
     """A peer sent bytes that do not form a valid message."""
 
