--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
 import pathlib
 import signal
 
@@ -13,10 +14,12 @@
 from bench import operators
 from bench import processes
 from bench import wiring
+from marigoldgap import clock
 from marigoldgap import errors
 
+PROGRAM = ("-m", "marigoldgap", "serve")
 _READY_LINE = b"ready\n"
-_READY_TIMEOUT_S = 60.0
+READY_TIMEOUT_S = 60.0
 _READY_POLL_S = 0.2
 _STANDIN_STOP_S = 5.0
 # Longer than the default drain_timeout_ms of the settings would be too long
@@ -38,12 +41,21 @@
     Args:
         layout: What to build.
         directory: Where files and logs go.
+        program: Arguments of the interpreter that start an entry instance,
+            before its settings file.
     """
 
-    def __init__(self, layout: layouts.Layout, directory: pathlib.Path) -> None:
+    def __init__(
+        self,
+        layout: layouts.Layout,
+        directory: pathlib.Path,
+        program: tuple[str, ...] = PROGRAM,
+    ) -> None:
         self._directory = directory
+        self._program = program
         self._standins: list[processes.Process] = []
         self._entries: dict[str, processes.Process] = {}
+        self._ended_by_tool: set[str] = set()
         self.layout = layout
         self.wired = wiring.Wiring(layout, directory)
         self.client = exchange.Client()
@@ -63,50 +75,29 @@
         for entry in self.wired.entries:
             await self.start_entry(entry)
         await self.operator.apply_first_rules(
-            layouts.rules_text(self.layout), _READY_TIMEOUT_S
+            layouts.rules_text(self.layout), READY_TIMEOUT_S
         )
         for entry in self.wired.entries:
             await self.wait_ready(entry)
         for team in self.layout.keyed_teams:
             key = await self.operator.grant(team.name, _GRANT_TIMEOUT_S)
             self.keys[team.name] = key
+        await self._wait_balanced()
 
     async def start_standins(self) -> None:
         """Starts the platform, the links, the workers and the balancers."""
-        services = self.wired.services
-        await self._start_standin("table", services.table)
-        await self._start_standin("objects", services.objects)
-        await self._start_standin(
-            "instance_list",
-            f"--instances-file={self.wired.file('instances')}",
-            *(f"--listen={zone}={at}" for zone, at in services.lists.items()),
-        )
-        await self._start_standin(
-            "link", str(self.wired.file("link")), services.link_control
-        )
-        for control in self.wired.worker_processes():
-            await self._start_standin(
-                "worker",
-                f"--workers-file={self.wired.worker_file(control)}",
-                f"--control={control}",
-            )
-        for zone, address in services.balancers.items():
-            await self._start_standin(
-                "balancer",
-                address,
-                services.lists[zone],
-                zone,
-                services.balancer_controls[zone],
-                f"--delay-ms={self.layout.network.client_delay_ms}",
-            )
+        async with asyncio.TaskGroup() as group:
+            for name, options in self._standin_options():
+                group.create_task(self._start_standin(name, *options))
 
     async def start_entry(self, entry: wiring.Entry) -> None:
         """Starts the process of an entry instance."""
-        arguments = ["-m", "marigoldgap", "serve", str(entry.settings_file)]
+        arguments = [*self._program, str(entry.settings_file)]
         process = processes.Process(
             entry.instance_id, arguments, self._directory
         )
         self._entries[entry.instance_id] = process
+        self._ended_by_tool.discard(entry.instance_id)
         await process.start()
 
     async def wait_ready(self, entry: wiring.Entry) -> None:
@@ -117,7 +108,7 @@
         """
         process = self._entries[entry.instance_id]
         loop = asyncio.get_running_loop()
-        give_up_s = loop.time() + _READY_TIMEOUT_S
+        give_up_s = loop.time() + READY_TIMEOUT_S
         while loop.time() < give_up_s and process.is_running:
             try:
                 reply = await self.client.send(
@@ -140,12 +131,17 @@
 
     async def kill_entry(self, entry: wiring.Entry) -> None:
         """Kills an entry instance as a crash does."""
+        self._ended_by_tool.add(entry.instance_id)
         await self._entries[entry.instance_id].kill()
 
     async def stop_entry(self, entry: wiring.Entry) -> None:
         """Stops an entry instance gracefully and records how it ended."""
         process = self._entries[entry.instance_id]
+        if entry.instance_id in self._ended_by_tool:
+            return
+        self._ended_by_tool.add(entry.instance_id)
         if not process.is_running:
+            self._note_crash(entry, process)
             return
         ended = await process.stop(ENTRY_STOP_S)
         self.stops.append(
@@ -181,6 +177,66 @@
         for process in (*self._entries.values(), *self._standins):
             process.send(signal.SIGKILL)
 
+    def _note_crash(
+        self, entry: wiring.Entry, process: processes.Process
+    ) -> None:
+        """Records that a process had ended by itself before its stop."""
+        now_ms = clock.monotonic_ms()
+        self.stops.append(
+            evidence.PlannedStop(
+                entry.instance_id, now_ms, now_ms, process.status, True
+            )
+        )
+
+    async def _wait_balanced(self) -> None:
+        """Waits until the balancers use every entry instance.
+
+        Raises:
+            ReadyError: They did not in time.
+        """
+        wanted = {entry.instance_id for entry in self.wired.entries}
+        loop = asyncio.get_running_loop()
+        give_up_s = loop.time() + READY_TIMEOUT_S
+        while loop.time() < give_up_s:
+            if await self.controls.ready_entries() >= wanted:
+                return
+            await asyncio.sleep(_READY_POLL_S)
+        raise ReadyError("the balancers do not use every entry instance")
+
+    def _standin_options(self) -> Iterator[tuple[str, tuple[str, ...]]]:
+        """Yields the command line of each stand-in."""
+        services = self.wired.services
+        yield "table", (services.table,)
+        yield "objects", (services.objects,)
+        yield (
+            "instance_list",
+            (
+                f"--instances-file={self.wired.file('instances')}",
+                *(
+                    f"--listen={zone}={address}"
+                    for zone, address in services.lists.items()
+                ),
+            ),
+        )
+        yield "link", (str(self.wired.file("link")), services.link_control)
+        for control in self.wired.worker_processes():
+            file = self.wired.worker_file(control)
+            yield (
+                "worker",
+                (f"--workers-file={file}", f"--control={control}"),
+            )
+        for zone, address in services.balancers.items():
+            yield (
+                "balancer",
+                (
+                    address,
+                    services.lists[zone],
+                    zone,
+                    services.balancer_controls[zone],
+                    f"--delay-ms={self.layout.network.client_delay_ms}",
+                ),
+            )
+
     async def _start_standin(self, name: str, *options: str) -> None:
         """Starts a stand-in and waits until it listens."""
         process = processes.Process(
--- /dev/null
+++ b/bench/display.py
@@ -0,0 +1,62 @@
+"""Shows a run on the terminal."""
+
+from __future__ import annotations
+
+import collections
+
+import rich.console
+import rich.table
+
+from bench import experiment
+from bench import judge
+
+# Progress lines, not a live table: they are readable in a log file as well.
+_EVERY = 4
+
+
+class Display:
+    """Prints phases, progress and the result of a run."""
+
+    def __init__(self) -> None:
+        self._console = rich.console.Console(stderr=True)
+        self._shown = 0
+        self._noted = 0
+
+    def say(self, line: str) -> None:
+        """Prints one line."""
+        self._console.print(f"[bold]{line}[/bold]", highlight=False)
+
+    def show(self, progress: experiment.Progress) -> None:
+        """Prints new faults, and every two seconds one line of progress."""
+        history = progress.context.history
+        for _, message in history[self._noted :]:
+            self._console.print(f"  fault: {message}", highlight=False)
+        self._noted = len(history)
+        self._shown += 1
+        if self._shown % _EVERY:
+            return
+        outcomes = collections.Counter(
+            each.outcome for each in progress.load.caller.submissions
+        )
+        running = sum(progress.collected.running.values())
+        self._console.print(
+            f"  answered {outcomes['answered']},"
+            f" refused {outcomes['refused']},"
+            f" unknown {outcomes['unknown']},"
+            f" running {running} of {progress.plan.layout.slots} slots,"
+            f" link {sum(progress.collected.link_bytes.values())} bytes",
+            highlight=False,
+        )
+
+    def finish(self, result: experiment.Result) -> None:
+        """Prints the figures and the violations."""
+        table = rich.table.Table("field", "value")
+        for name, value in result.verdict.fields.items():
+            is_violation = name in result.verdict.violations
+            style = "bold red" if is_violation else ""
+            table.add_row(name, str(value), style=style)
+        self._console.print(table)
+        for field in judge.INVARIANT_FIELDS:
+            for line in result.verdict.violations.get(field, []):
+                self._console.print(f"  {field}: {line}", highlight=False)
+        self._console.print(f"files: {result.directory}", highlight=False)
--- /dev/null
+++ b/bench/fault_kinds/cancelling.py
@@ -0,0 +1,39 @@
+"""Bursts of cancellations."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bench import caller
+from bench import faults
+from bench import plans
+
+_LEAST_JOBS = 50
+_MOST_JOBS = 300
+_RUN_MS = 2_000
+
+
+@faults.fault("cancel-wave")
+async def cancel_wave(context: faults.Context) -> None:
+    """Submits a group of jobs and cancels all of them at once."""
+    target = context.target
+    team = context.random.choice(target.layout.keyed_teams).name
+    zone = context.random.choice(target.layout.zones).name
+    count = context.random.randrange(_LEAST_JOBS, _MOST_JOBS)
+    plan = plans.JobPlan(
+        "wave",
+        team,
+        target.layout.queues.batch,
+        tasks=2,
+        run_ms=_RUN_MS,
+        expected_run_ms=_RUN_MS,
+        group=f"wave-{caller.new_token()}",
+    )
+    tokens = [caller.new_token() for _ in range(count)]
+    accepted = await asyncio.gather(
+        *(context.jobs.submit(plan, token, zone) for token in tokens)
+    )
+    found = [job.token for job in accepted if job is not None]
+    await context.hold(0, 2)
+    done = await context.jobs.cancel_group(team, zone, plan.group, found)
+    context.note(f"cancel-wave of {len(found)} of {count} jobs: {done}")
--- /dev/null
+++ b/bench/fault_kinds/network.py
@@ -0,0 +1,54 @@
+"""Partitions between zones and from the platform."""
+
+from __future__ import annotations
+
+from bench import faults
+from bench import wiring
+from marigoldgap import clock
+
+
+@faults.fault("zone-cut")
+async def zone_cut(context: faults.Context) -> None:
+    """Isolates a zone from the other zones and from the platform."""
+    zone = _claim_zone(context)
+    if not zone:
+        return
+    others = [
+        other.name
+        for other in context.target.layout.zones
+        if other.name != zone
+    ]
+    await _cut(context, zone, [*others, wiring.PLATFORM])
+
+
+@faults.fault("platform-cut")
+async def platform_cut(context: faults.Context) -> None:
+    """Isolates a zone from the platform only."""
+    zone = _claim_zone(context)
+    if zone:
+        await _cut(context, zone, [wiring.PLATFORM])
+
+
+def _claim_zone(context: faults.Context) -> str:
+    """Returns a zone that no fault cuts, or an empty string.
+
+    One zone at a time: a cut path must not be healed by another fault.
+    """
+    if not context.claim("network"):
+        return ""
+    return context.random.choice(context.target.layout.zones).name
+
+
+async def _cut(context: faults.Context, zone: str, others: list[str]) -> None:
+    """Cuts a zone from other places for a while."""
+    context.note(f"cut {zone} from {', '.join(others)}")
+    controls = context.target.controls
+    paths = [context.target.wired.path_name(zone, other) for other in others]
+    from_ms = clock.monotonic_ms()
+    try:
+        await controls.cut(paths)
+        await context.hold(3, 25)
+    finally:
+        await controls.heal(paths)
+        context.disturb("cut", zone, from_ms)
+        context.release("network")
--- /dev/null
+++ b/bench/fault_kinds/operating.py
@@ -0,0 +1,152 @@
+"""Operators that act at the same time, and keys that are withdrawn."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+
+from bench import caller
+from bench import evidence
+from bench import faults
+from bench import operators
+from bench import plans
+from marigoldgap import clock
+
+_READ_AGAIN_S = 1.0
+_READINGS = 15
+_PROBE_INTERVAL_S = 0.5
+_PROBES = 40
+_PROBE_MS = 5
+
+
+@faults.fault("operator-race")
+async def operator_race(context: faults.Context) -> None:
+    """Two operators change a team's limit at the same time."""
+    if not context.claim("rules"):
+        return
+    try:
+        await _race(context)
+    finally:
+        context.release("rules")
+
+
+@faults.fault("key-withdraw")
+async def key_withdraw(context: faults.Context) -> None:
+    """Replaces the key of a team, withdraws the old one, and keeps using it."""
+    target = context.target
+    team = context.random.choice(target.layout.keyed_teams).name
+    if not context.claim(f"key {team}"):
+        return
+    try:
+        old = target.keys[team]
+        target.keys[team] = await target.operator.grant(team, 5)
+        entry = context.random.choice(target.wired.entries)
+        withdrawal = await target.operator.withdraw(old.key_id, entry)
+        context.note(f"key-withdraw {old.key_id}: {withdrawal is not None}")
+        if withdrawal is None:
+            return
+        context.withdrawals.append(withdrawal)
+        await _keep_using(context, old)
+    except operators.OperationError as error:
+        context.note(f"key-withdraw: {error.detail}")
+    finally:
+        context.release(f"key {team}")
+
+
+async def _race(context: faults.Context) -> None:
+    """Applies two changes on the same version at two entry instances."""
+    target = context.target
+    before = await target.operator.read_rules(
+        context.random.choice(target.wired.entries)
+    )
+    if before is None:
+        return
+    team = context.random.choice(target.layout.teams)
+    limits = [
+        max(1, round(team.limit * context.random.uniform(0.5, 1.2)))
+        for _ in range(2)
+    ]
+    sent_ms = clock.monotonic_ms()
+    texts = {
+        _with_limit(before.text, team.name, limit): limit for limit in limits
+    }
+    versions = await asyncio.gather(
+        *(
+            target.operator.apply_rules(
+                before.version,
+                text,
+                f"operator-{index}",
+                context.random.choice(target.wired.entries),
+            )
+            for index, text in enumerate(texts)
+        )
+    )
+    context.note(f"operator-race on {before.version}: {versions}")
+    for text, version in zip(texts, versions, strict=True):
+        if version is not None:
+            _note_limit(context, before, team.name, texts[text], sent_ms)
+            return
+    await _find_out(context, before, team.name, texts, sent_ms)
+
+
+async def _find_out(
+    context: faults.Context,
+    before: evidence.VersionSeen,
+    team: str,
+    texts: dict[str, int],
+    sent_ms: int,
+) -> None:
+    """Learns whether a change took effect although no answer came."""
+    for _ in range(_READINGS):
+        for entry in context.target.wired.entries:
+            seen = await context.target.operator.read_rules(entry)
+            if seen is not None and seen.text in texts:
+                limit = texts[seen.text]
+                _note_limit(context, before, team, limit, sent_ms)
+                return
+        await asyncio.sleep(_READ_AGAIN_S)
+
+
+def _note_limit(
+    context: faults.Context,
+    before: evidence.VersionSeen,
+    team: str,
+    limit: int,
+    sent_ms: int,
+) -> None:
+    """Notes a changed limit.
+
+    A higher limit may be used from the moment it was sent, a lower one counts
+    from the moment its acceptance was seen.
+    """
+    found = re.search(rf"^team {team} .*limit (\d+)", before.text, re.MULTILINE)
+    raised = found is not None and limit > int(found.group(1))
+    at_ms = sent_ms if raised else clock.monotonic_ms()
+    context.limits.append(evidence.LimitChange(team, limit, at_ms))
+
+
+def _with_limit(text: str, team: str, limit: int) -> str:
+    """Returns the rules with another limit of one team."""
+    return re.sub(
+        rf"^(team {team} .*limit )\d+",
+        rf"\g<1>{limit}",
+        text,
+        flags=re.MULTILINE,
+    )
+
+
+async def _keep_using(context: faults.Context, old: operators.Key) -> None:
+    """Sends requests with a withdrawn key."""
+    sender = context.jobs.sender
+    plan = plans.RequestPlan(
+        "withdrawn",
+        old.team,
+        context.target.layout.queues.lookup,
+        _PROBE_MS,
+    )
+    for _ in range(_PROBES):
+        if context.is_ending:
+            return
+        zone = sender.any_zone()
+        await sender.request(plan, caller.new_token(), zone, old.key)
+        await asyncio.sleep(_PROBE_INTERVAL_S)
--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -28,7 +28,7 @@
     def __init__(
         self, sender: caller.Caller, collected: collector.Collector
     ) -> None:
-        self._sender = sender
+        self.sender = sender
         self._collected = collected
         self._jobs: dict[str, evidence.Job] = {}
         self._zones: dict[str, str] = {}
@@ -50,7 +50,7 @@
         self, plan: plans.JobPlan, token: str, zone: str
     ) -> evidence.Job | None:
         """Submits a job; returns it if it was accepted."""
-        done, job_id = await self._sender.submit(plan, token, zone)
+        done, job_id = await self.sender.submit(plan, token, zone)
         if done.outcome != "answered" or not job_id:
             return None
         job = evidence.Job(
@@ -70,7 +70,7 @@
         """Cancels a job until it is acknowledged, for a bounded time."""
         job = self._jobs[token]
         for _ in range(_CANCEL_ATTEMPTS):
-            reply = await self._sender.send(
+            reply = await self.sender.send(
                 "DELETE",
                 self._zones[token],
                 f"/v1/jobs/{job.job_id}",
@@ -87,7 +87,7 @@
     ) -> bool:
         """Cancels a group of jobs at once, for a bounded time."""
         for _ in range(_CANCEL_ATTEMPTS):
-            reply = await self._sender.send(
+            reply = await self.sender.send(
                 "POST", zone, "/v1/jobs/cancel", team, {"group": group}
             )
             if reply is not None and reply.status in _ACKNOWLEDGED:
@@ -124,7 +124,7 @@
 
     async def _ask(self, job: evidence.Job) -> None:
         """Asks for the state of a job."""
-        reply = await self._sender.send(
+        reply = await self.sender.send(
             "GET", self._zones[job.token], f"/v1/jobs/{job.job_id}", job.team
         )
         value = reply.json() if reply is not None else None
--- a/bench/layouts.py
+++ b/bench/layouts.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from marigoldgap import errors
+
 WORKERS_PER_RACK = 8
 _CORES = 16_000
 _MEMORY_MIB = 65_536
@@ -160,6 +162,24 @@
 LAYOUTS = {layout.name: layout for layout in (QUETZAL, CORDERO, SMALL, SINGLE)}
 
 
+class UnknownLayoutError(errors.MarigoldgapError):
+    """There is no layout of this name."""
+
+    code = "unknown-layout"
+
+
+def find(name: str) -> Layout:
+    """Returns a layout by name.
+
+    Raises:
+        UnknownLayoutError: There is none of this name.
+    """
+    if name not in LAYOUTS:
+        known = ", ".join(LAYOUTS)
+        raise UnknownLayoutError(f"{name!r}; known layouts: {known}")
+    return LAYOUTS[name]
+
+
 def rules_text(layout: Layout) -> str:
     """Returns the rules that a layout starts with."""
     asked = "# asked by the load tool"
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -60,6 +60,11 @@
         """Whether the process was started and has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def status(self) -> int:
+        """Exit status; 0 while the process runs."""
+        return (self._process.returncode if self._process else 0) or 0
+
     async def start(self, ready_line: bytes = b"") -> None:
         """Starts the process.
 
@@ -97,8 +102,7 @@
         except TimeoutError:
             forced = True
             await self.kill()
-        status = self._process.returncode or 0
-        return Exit(status, forced, asked_ms, clock.monotonic_ms())
+        return Exit(self.status, forced, asked_ms, clock.monotonic_ms())
 
     async def kill(self) -> None:
         """Kills the process at once and waits for its end."""
--- a/bench/wiring.py
+++ b/bench/wiring.py
@@ -77,33 +77,21 @@
         )
         self.entries = tuple(self._make_entries())
         self.workers = tuple(self._make_workers())
+        self._listed = {each["id"]: each for each in self._make_listed()}
 
     def path_name(self, one: str, other: str) -> str:
         """Returns the name by which a link cuts two places apart."""
         return "|".join(sorted((one, other)))
 
-    def instances(self) -> list[dict[str, Any]]:
-        """Returns the instance list with routes between zones."""
-        listed = [self._listed_entry(entry) for entry in self.entries]
-        for worker in self.workers:
-            listed.append(
-                {
-                    "id": worker.worker_id,
-                    "kind": "worker",
-                    "zone": worker.zone,
-                    "region": self._region(worker.zone),
-                    "rack": worker.rack,
-                    "address": worker.address,
-                    "service": self._layout.service,
-                }
-            )
-        return listed
+    def listed(self, name: str) -> dict[str, Any]:
+        """Returns an instance as the list first shows it."""
+        return self._listed[name]
 
     def write_files(self) -> None:
         """Writes settings, workers, list and link files."""
         for entry in self.entries:
             self._write(entry.settings_file, self._settings(entry))
-        self._write(self.file("instances"), self.instances())
+        self._write(self.file("instances"), list(self._listed.values()))
         for control, workers in self.worker_processes().items():
             fields = [self._worker_fields(worker) for worker in workers]
             self._write(self.worker_file(control), fields)
@@ -125,6 +113,14 @@
         """Returns the path of a file of this deployment."""
         return self._directory / f"{name}.json"
 
+    def region_directions(self) -> list[str]:
+        """Returns the directions of the link between regions."""
+        return [
+            name
+            for name, fields in self._directions.items()
+            if fields["rate_mbit"]
+        ]
+
     def _take_for(self, names: list[str]) -> dict[str, str]:
         """Returns a new address for each name."""
         return {name: self._ports.take() for name in names}
@@ -166,6 +162,23 @@
                 )
         return workers
 
+    def _make_listed(self) -> list[dict[str, Any]]:
+        """Returns the instance list with routes between zones."""
+        listed = [self._listed_entry(entry) for entry in self.entries]
+        for worker in self.workers:
+            listed.append(
+                {
+                    "id": worker.worker_id,
+                    "kind": "worker",
+                    "zone": worker.zone,
+                    "region": self._region(worker.zone),
+                    "rack": worker.rack,
+                    "address": worker.address,
+                    "service": self._layout.service,
+                }
+            )
+        return listed
+
     def _listed_entry(self, entry: Entry) -> dict[str, Any]:
         """Returns an entry instance with the routes to it."""
         routes = {
@@ -263,14 +276,6 @@
             zone.region for zone in self._layout.zones if zone.name == place
         )
 
-    def region_directions(self) -> list[str]:
-        """Returns the directions of the link between regions."""
-        return [
-            name
-            for name, fields in self._directions.items()
-            if fields["rate_mbit"]
-        ]
-
     def _write(self, path: pathlib.Path, value: Any) -> None:
         """Writes a file in JSON."""
         path.write_text(json.dumps(value, indent=1), encoding="utf-8")
