--- a/bench/controls.py
+++ b/bench/controls.py
@@ -59,7 +59,7 @@
         """Returns the bytes sent in each direction between regions."""
         address = self._wired.services.link_control
         shown = await self._get(address, "/control")
-        directions = self._wired.region_directions()
+        directions = self._wired.routes.region_directions()
         return {name: int(shown["bytes"][name]) for name in directions}
 
     async def table_counters(self) -> dict[str, int]:
--- a/bench/fault_kinds/network.py
+++ b/bench/fault_kinds/network.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bench import faults
-from bench import wiring
+from bench import routes
 from marigoldgap import clock
 
 
@@ -18,7 +18,7 @@
         for other in context.target.layout.zones
         if other.name != zone
     ]
-    await _cut(context, zone, [*others, wiring.PLATFORM])
+    await _cut(context, zone, [*others, routes.PLATFORM])
 
 
 @faults.fault("platform-cut")
@@ -26,7 +26,7 @@
     """Isolates a zone from the platform only."""
     zone = _claim_zone(context)
     if zone:
-        await _cut(context, zone, [wiring.PLATFORM])
+        await _cut(context, zone, [routes.PLATFORM])
 
 
 def _claim_zone(context: faults.Context) -> str:
@@ -43,7 +43,9 @@
     """Cuts a zone from other places for a while."""
     context.note(f"cut {zone} from {', '.join(others)}")
     controls = context.target.controls
-    paths = [context.target.wired.path_name(zone, other) for other in others]
+    paths = [
+        context.target.wired.routes.path_name(zone, other) for other in others
+    ]
     from_ms = clock.monotonic_ms()
     try:
         await controls.cut(paths)
--- a/bench/wiring.py
+++ b/bench/wiring.py
@@ -11,9 +11,9 @@
 
 from bench import layouts
 from bench import ports
+from bench import routes
 from marigoldgap.settings import model as settings_model
 
-PLATFORM = "platform"
 _SECRET_BYTES = 16
 # Workers of one process; a few processes serve all workers.
 _WORKERS_PER_PROCESS = 8
@@ -62,8 +62,7 @@
         self._layout = layout
         self._directory = directory
         self._ports = ports.Ports()
-        self._routes: list[dict[str, str]] = []
-        self._directions: dict[str, dict[str, float]] = {}
+        self.routes = routes.Routes(layout, self._ports)
         self._secret = secrets.token_hex(_SECRET_BYTES)
         self.operator_key = secrets.token_hex(_SECRET_BYTES)
         names = [zone.name for zone in layout.zones]
@@ -79,10 +78,6 @@
         self.workers = tuple(self._make_workers())
         self._listed = {each["id"]: each for each in self._make_listed()}
 
-    def path_name(self, one: str, other: str) -> str:
-        """Returns the name by which a link cuts two places apart."""
-        return "|".join(sorted((one, other)))
-
     def listed(self, name: str) -> dict[str, Any]:
         """Returns an instance as the list first shows it."""
         return self._listed[name]
@@ -95,8 +90,7 @@
         for control, workers in self.worker_processes().items():
             fields = [self._worker_fields(worker) for worker in workers]
             self._write(self.worker_file(control), fields)
-        plan = {"directions": self._directions, "routes": self._routes}
-        self._write(self.file("link"), plan)
+        self._write(self.file("link"), self.routes.plan())
 
     def worker_processes(self) -> dict[str, list[Worker]]:
         """Returns the workers of each process by its control address."""
@@ -113,14 +107,6 @@
         """Returns the path of a file of this deployment."""
         return self._directory / f"{name}.json"
 
-    def region_directions(self) -> list[str]:
-        """Returns the directions of the link between regions."""
-        return [
-            name
-            for name, fields in self._directions.items()
-            if fields["rate_mbit"]
-        ]
-
     def _take_for(self, names: list[str]) -> dict[str, str]:
         """Returns a new address for each name."""
         return {name: self._ports.take() for name in names}
@@ -171,7 +157,7 @@
                     "id": worker.worker_id,
                     "kind": "worker",
                     "zone": worker.zone,
-                    "region": self._region(worker.zone),
+                    "region": self.routes.region(worker.zone),
                     "rack": worker.rack,
                     "address": worker.address,
                     "service": self._layout.service,
@@ -181,12 +167,12 @@
 
     def _listed_entry(self, entry: Entry) -> dict[str, Any]:
         """Returns an entry instance with the routes to it."""
-        routes = {
+        reached = {
             zone.name: {
-                "address": self._route(
+                "address": self.routes.add(
                     zone.name, entry.zone.name, entry.address
                 ),
-                "peer_address": self._route(
+                "peer_address": self.routes.add(
                     zone.name, entry.zone.name, entry.peer_address
                 ),
             }
@@ -200,7 +186,7 @@
             "region": entry.zone.region,
             "address": entry.address,
             "peer_address": entry.peer_address,
-            "addresses_from": routes,
+            "addresses_from": reached,
         }
 
     def _settings(self, entry: Entry) -> dict[str, Any]:
@@ -218,10 +204,14 @@
                 self.operator_key.encode()
             ).hexdigest(),
             "platform": {
-                "table_address": self._route(zone, PLATFORM, services.table),
-                "object_address": self._route(zone, PLATFORM, services.objects),
-                "list_address": self._route(
-                    zone, PLATFORM, services.lists[zone]
+                "table_address": self.routes.add(
+                    zone, routes.PLATFORM, services.table
+                ),
+                "object_address": self.routes.add(
+                    zone, routes.PLATFORM, services.objects
+                ),
+                "list_address": self.routes.add(
+                    zone, routes.PLATFORM, services.lists[zone]
                 ),
             },
         }
@@ -236,46 +226,6 @@
             "capacity": self._layout.capacity._asdict(),
         }
 
-    def _route(self, source: str, destination: str, target: str) -> str:
-        """Returns the address at which one place reaches a target."""
-        listen = self._ports.take()
-        self._routes.append(
-            {
-                "listen": listen,
-                "target": target,
-                "path": self.path_name(source, destination),
-                "forward": self._direction(source, destination),
-                "backward": self._direction(destination, source),
-            }
-        )
-        return listen
-
-    def _direction(self, source: str, destination: str) -> str:
-        """Returns the direction that traffic takes; regions share one."""
-        regions = self._region(source), self._region(destination)
-        network = self._layout.network
-        if regions[0] != regions[1]:
-            name = f"{regions[0]}>{regions[1]}"
-            self._directions[name] = {
-                "delay_ms": network.region_delay_ms,
-                "rate_mbit": network.region_rate_mbit,
-            }
-            return name
-        name = f"{source}>{destination}"
-        self._directions[name] = {
-            "delay_ms": network.zone_delay_ms,
-            "rate_mbit": 0,
-        }
-        return name
-
-    def _region(self, place: str) -> str:
-        """Returns the region of a zone or of the platform."""
-        if place == PLATFORM:
-            return self._layout.store_region
-        return next(
-            zone.region for zone in self._layout.zones if zone.name == place
-        )
-
     def _write(self, path: pathlib.Path, value: Any) -> None:
         """Writes a file in JSON."""
         path.write_text(json.dumps(value, indent=1), encoding="utf-8")
--- /dev/null
+++ b/tests/standins/worker_memory.py
@@ -0,0 +1,82 @@
+"""What a worker remembers of ended tasks, and its tombstones."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from tests.standins import worker_records
+
+NEVER_STARTED = "never-started"
+# Ended tasks and tombstones are kept longer than any start can be valid,
+# which the lease TTL bounds.
+_MEMORY_MS = 60_000
+
+
+class _Ended(NamedTuple):
+    """A task that ended, or a tombstone for one that never started."""
+
+    state: str
+    attempt: int | None
+    at_ms: int
+
+
+class Memory:
+    """Ended tasks and tombstones by task id, oldest first."""
+
+    def __init__(self) -> None:
+        self._ended: dict[str, _Ended] = {}
+
+    def state_of(self, task_id: str) -> str:
+        """Returns the state in which a task ended, or an empty string."""
+        ended = self._ended.get(task_id)
+        return ended.state if ended else ""
+
+    def add(
+        self, task_id: str, state: str, attempt: int | None, now_ms: int
+    ) -> None:
+        """Remembers an ended task, or a tombstone.
+
+        Args:
+            task_id: The task.
+            state: How it ended; NEVER_STARTED for a tombstone.
+            attempt: Later attempts may be started; None covers all.
+            now_ms: The worker's clock.
+        """
+        self._ended.pop(task_id, None)
+        self._ended[task_id] = _Ended(state, attempt, now_ms)
+
+    def remove(self, task_id: str) -> None:
+        """Forgets a task that is started again."""
+        self._ended.pop(task_id, None)
+
+    def clear(self) -> None:
+        """Forgets everything."""
+        self._ended.clear()
+
+    def expire(self, now_ms: int) -> None:
+        """Forgets what is too old to matter."""
+        forgotten_ms = now_ms - _MEMORY_MS
+        while self._ended:
+            oldest = next(iter(self._ended))
+            if self._ended[oldest].at_ms > forgotten_ms:
+                break
+            del self._ended[oldest]
+
+    def is_duplicate(self, start: worker_records.Start) -> bool:
+        """Returns whether this attempt or a later one was started before."""
+        ended = self._ended.get(start.task.task_id)
+        if ended is None or ended.state == NEVER_STARTED:
+            return False
+        return _covers(ended, start)
+
+    def is_stopped(self, start: worker_records.Start) -> bool:
+        """Returns whether a tombstone covers the attempt."""
+        ended = self._ended.get(start.task.task_id)
+        if ended is None or ended.state != NEVER_STARTED:
+            return False
+        return _covers(ended, start)
+
+
+def _covers(ended: _Ended, start: worker_records.Start) -> bool:
+    """Returns whether what ended is the attempt or a later one."""
+    return ended.attempt is None or start.task.attempt <= ended.attempt
--- a/tests/standins/worker_state.py
+++ b/tests/standins/worker_state.py
@@ -11,11 +11,9 @@
 from marigoldgap import clock
 from marigoldgap.scheduling import model
 from tests.standins import worker_lease
+from tests.standins import worker_memory
 from tests.standins import worker_records
 
-# Ended tasks and tombstones are kept longer than any start can be valid,
-# which the lease TTL bounds.
-_MEMORY_MS = 60_000
 _TICK_S = 0.05
 TASK_GRACE_MS = 8_000
 _LARGEST_WAIT_MS = 30_000
@@ -29,14 +27,6 @@
     timer: asyncio.TimerHandle | None
 
 
-class _Ended(NamedTuple):
-    """A task that ended, or a tombstone for one that never started."""
-
-    state: str
-    attempt: int | None
-    at_ms: int
-
-
 class WorkerState:
     """One worker.
 
@@ -59,7 +49,7 @@
         self._clock_offset_ms = clock_offset_ms
         self._task_grace_ms = task_grace_ms
         self._running: dict[str, _Running] = {}
-        self._ended: dict[str, _Ended] = {}
+        self._memory = worker_memory.Memory()
         self._changes: list[dict[str, Any]] = []
         self._changed = asyncio.Event()
         self.lease = worker_lease.Lease()
@@ -136,7 +126,7 @@
                 task.task_id,
                 state,
             )
-        self._ended.pop(task.task_id, None)
+        self._memory.remove(task.task_id)
         self._running[task.task_id] = _Running(start, done, timer)
         self.records.add_task(
             "start",
@@ -163,25 +153,22 @@
                 return "stopped"
             self._end(task_id, state)
             return state
-        ended = self._ended.get(task_id)
-        if ended is None:
-            self._ended[task_id] = _Ended(
-                "never-started", attempt, self.now_ms()
+        ended = self._memory.state_of(task_id)
+        if not ended:
+            self._memory.add(
+                task_id, worker_memory.NEVER_STARTED, attempt, self.now_ms()
             )
-            return "never-started"
-        if ended.state in ("finished", "failed"):
+            return worker_memory.NEVER_STARTED
+        if ended in ("finished", "failed"):
             return "finished"
-        return "never-started" if ended.state == "never-started" else "stopped"
+        if ended == worker_memory.NEVER_STARTED:
+            return ended
+        return "stopped"
 
     def is_running(self, task_id: str) -> bool:
         """Returns whether the task runs."""
         return task_id in self._running
 
-    def was_failed(self, task_id: str) -> bool:
-        """Returns whether the task ended as failed."""
-        ended = self._ended.get(task_id)
-        return ended is not None and ended.state == "failed"
-
     def set_leaving(self, leaving: bool) -> None:
         """Marks the backend server as leaving or not."""
         self.leaving = leaving
@@ -191,7 +178,7 @@
         """Ends everything as a crash of the process does."""
         for task_id in list(self._running):
             self._end(task_id, "killed")
-        self._ended.clear()
+        self._memory.clear()
         self._changes.clear()
         self.lease.end(self.now_ms())
         self.incarnation = uuid.uuid4().hex
@@ -203,12 +190,7 @@
             for task_id, running in list(self._running.items()):
                 if running.start.mode == "job":
                     self._end(task_id, "lapsed")
-        forgotten = now_ms - _MEMORY_MS
-        while self._ended:
-            oldest = next(iter(self._ended))
-            if self._ended[oldest].at_ms > forgotten:
-                break
-            del self._ended[oldest]
+        self._memory.expire(now_ms)
 
     async def run_ticks(self) -> None:
         """Calls `tick` until cancelled."""
@@ -222,7 +204,7 @@
         """Returns the checks of a start, the first one that applies counts."""
         return {
             "duplicate": self._is_duplicate,
-            "stopped": self._is_stopped,
+            "stopped": self._memory.is_stopped,
             "stale-epoch": lambda start: start.epoch != self.lease.epoch,
             "expired": self._is_expired,
             "leaving": lambda _: self.leaving,
@@ -230,20 +212,9 @@
         }
 
     def _is_duplicate(self, start: worker_records.Start) -> bool:
-        """Returns whether this attempt or a later one was started before."""
-        if start.task.task_id in self._running:
-            return True
-        ended = self._ended.get(start.task.task_id)
-        if ended is None or ended.state == "never-started":
-            return False
-        return ended.attempt is None or start.task.attempt <= ended.attempt
-
-    def _is_stopped(self, start: worker_records.Start) -> bool:
-        """Returns whether a tombstone covers the attempt."""
-        ended = self._ended.get(start.task.task_id)
-        if ended is None or ended.state != "never-started":
-            return False
-        return ended.attempt is None or start.task.attempt <= ended.attempt
+        """Returns whether the task runs or this attempt ran before."""
+        running = start.task.task_id in self._running
+        return running or self._memory.is_duplicate(start)
 
     def _is_expired(self, start: worker_records.Start) -> bool:
         """Returns whether the start is too late or no lease is valid."""
@@ -278,7 +249,7 @@
         if running.timer is not None:
             running.timer.cancel()
         start = running.start
-        self._ended[task_id] = _Ended(state, start.task.attempt, self.now_ms())
+        self._memory.add(task_id, state, start.task.attempt, self.now_ms())
         self.records.add_task(
             "end", worker_records.now_ms(), start, state=state
         )
