--- a/bench/fault_kinds/cancelling.py
+++ b/bench/fault_kinds/cancelling.py
@@ -33,7 +33,7 @@
     accepted = await asyncio.gather(
         *(context.jobs.submit(plan, token, zone) for token in tokens)
     )
-    found = [job.token for job in accepted if job is not None]
+    found = sum(job is not None for job in accepted)
     await context.hold(0, 2)
-    done = await context.jobs.cancel_group(team, zone, plan.group, found)
-    context.note(f"cancel-wave of {len(found)} of {count} jobs: {done}")
+    done = await context.jobs.cancel_group(team, zone, plan.group)
+    context.note(f"cancel-wave: {done} of {found} jobs cancelled")
--- a/bench/invariants/callers.py
+++ b/bench/invariants/callers.py
@@ -98,16 +98,27 @@
     """Returns whether an accepted job came to an end that is allowed."""
     if job.cancelled:
         return True
-    if job.endless:
-        return any(span.end_ms is None for span in starts)
+    if job.endless and any(span.end_ms is None for span in starts):
+        return True
     finished = {span.task_id for span in starts if span.state == "finished"}
     if len(finished) >= job.tasks:
         return True
     if job.reported == "failed":
-        return any(span.state not in ("", "finished") for span in starts)
+        return _may_have_failed(job, starts)
     return job.reported == "impossible"
 
 
+def _may_have_failed(job: evidence.Job, starts: list[spans.Span]) -> bool:
+    """Returns whether the records explain why a job is reported as failed.
+
+    Only a failed task does, unless the tasks must not be started again.
+    """
+    if any(span.state == "failed" for span in starts):
+        return True
+    broken = any(span.state not in ("", "finished") for span in starts)
+    return broken and not job.idempotent
+
+
 def _was_cut(
     run: evidence.Evidence, zone: str, from_ms: int, to_ms: int
 ) -> bool:
--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from typing import Any
 
 from bench import caller
 from bench import collector
@@ -13,7 +14,7 @@
 
 _RETRY_S = 1.0
 _CANCEL_ATTEMPTS = 60
-_ACKNOWLEDGED = (200, 202, 204)
+_ACKNOWLEDGED = (200, 202)
 _ENDS = ("failed", "impossible", "cancelled", "finished")
 
 
@@ -66,37 +67,44 @@
         self._zones[token] = zone
         return job
 
-    async def cancel(self, token: str) -> bool:
-        """Cancels a job until it is acknowledged, for a bounded time."""
+    async def cancel(self, token: str) -> None:
+        """Cancels a job until there is an answer, for a bounded time."""
         job = self._jobs[token]
-        for _ in range(_CANCEL_ATTEMPTS):
-            reply = await self.sender.send(
-                "DELETE",
-                self._zones[token],
-                f"/v1/jobs/{job.job_id}",
-                job.team,
-            )
-            if reply is not None and reply.status in _ACKNOWLEDGED:
-                self._jobs[token] = job._replace(cancelled=True)
-                return True
-            await asyncio.sleep(_RETRY_S)
-        return False
+        path = f"/v1/jobs/{job.job_id}"
+        await self._cancel("DELETE", self._zones[token], path, job.team, None)
+
+    async def cancel_group(self, team: str, zone: str, group: str) -> int:
+        """Cancels a group of jobs at once, for a bounded time.
 
-    async def cancel_group(
-        self, team: str, zone: str, group: str, tokens: Iterable[str]
-    ) -> bool:
-        """Cancels a group of jobs at once, for a bounded time."""
+        Returns:
+            The number of jobs that are cancelled.
+        """
+        return await self._cancel(
+            "POST", zone, "/v1/jobs/cancel", team, {"group": group}
+        )
+
+    async def _cancel(
+        self, method: str, zone: str, path: str, team: str, value: Any
+    ) -> int:
+        """Sends a cancellation and notes the jobs that it names.
+
+        A job that the answer does not name had come to an end before.
+        """
         for _ in range(_CANCEL_ATTEMPTS):
-            reply = await self.sender.send(
-                "POST", zone, "/v1/jobs/cancel", team, {"group": group}
-            )
+            reply = await self.sender.send(method, zone, path, team, value)
             if reply is not None and reply.status in _ACKNOWLEDGED:
-                for token in tokens:
-                    job = self._jobs[token]
-                    self._jobs[token] = job._replace(cancelled=True)
-                return True
+                answer = reply.json()
+                return self._note_cancelled(answer["cancelled"])
             await asyncio.sleep(_RETRY_S)
-        return False
+        return 0
+
+    def _note_cancelled(self, job_ids: Iterable[str]) -> int:
+        """Notes cancelled jobs and returns how many there are."""
+        found = set(job_ids)
+        for token, job in self._jobs.items():
+            if job.job_id in found:
+                self._jobs[token] = job._replace(cancelled=True)
+        return len(found)
 
     async def settle(self, timeout_s: float) -> None:
         """Cancels services and waits until every job came to an end."""
--- a/bench/operators.py
+++ b/bench/operators.py
@@ -97,7 +97,11 @@
     async def read_rules(
         self, entry: wiring.Entry
     ) -> evidence.VersionSeen | None:
-        """Returns the version that an entry instance has, if it answers."""
+        """Returns the version that an entry instance has, if it answers.
+
+        An instance that has just started and has no configuration yet shows
+        version 0 and is not ready; that is no step back.
+        """
         try:
             reply = await self.send("GET", "/v1/operators/rules", None, entry)
         except exchange.NoReplyError:
@@ -105,6 +109,8 @@
         value = reply.json()
         if reply.status != _CREATED[0] or not isinstance(value, dict):
             return None
+        if not value["version"]:
+            return None
         return evidence.VersionSeen(
             entry.instance_id,
             int(value["version"]),
@@ -161,7 +167,7 @@
         """Withdraws a key at one entry instance; None if not accepted."""
         path = f"/v1/operators/keys/{key_id}/withdraw"
         try:
-            reply = await self.send("POST", path, {}, entry)
+            reply = await self.send("POST", path, {"author": "bench"}, entry)
         except exchange.NoReplyError:
             return None
         if reply.status not in _CREATED:
--- a/tests/features/bench/judge.feature
+++ b/tests/features/bench/judge.feature
@@ -36,6 +36,7 @@
       | a job that never finished                   | lost_jobs             | 1     |
       | a job reported finished with a task missing | lost_jobs             | 1     |
       | a job reported failed without a failure     | lost_jobs             | 1     |
+      | a job reported failed as its worker died    | lost_jobs             | 1     |
       | a service that no longer runs               | lost_jobs             | 1     |
       | a request broken off by a planned stop      | cut_short             | 1     |
       | a planned stop that had to be killed        | cut_short             | 1     |
@@ -61,6 +62,8 @@
       | a start on a worker leaving for 1 s       |
       | a cancelled job that never finished       |
       | a job reported impossible                 |
+      | a job reported failed after a failure     |
+      | a single run failed as its worker died    |
       | a service that still runs                 |
       | a request broken off by a crash           |
 
--- a/tests/features/steps/bench_judge_steps.py
+++ b/tests/features/steps/bench_judge_steps.py
@@ -236,6 +236,27 @@
     return _with_job(run, reported="failed")
 
 
+def _with_failed_job(run, state, idempotent):
+    fields = {"token": "token-j", "mode": "job", "state": state}
+    run = _with_runs(run, evidences.run("j1", _NOW, _NOW + 9, **fields))
+    return _with_job(run, reported="failed", idempotent=idempotent)
+
+
+@_case("a job reported failed as its worker died")
+def _failed_by_kill(run):
+    return _with_failed_job(run, "killed", idempotent=True)
+
+
+@_case("a single run failed as its worker died")
+def _single_run_killed(run):
+    return _with_failed_job(run, "killed", idempotent=False)
+
+
+@_case("a job reported failed after a failure")
+def _failed(run):
+    return _with_failed_job(run, "failed", idempotent=True)
+
+
 @_case("a cancelled job that never finished")
 def _cancelled(run):
     return _with_job(run, cancelled=True)
--- a/tests/standins/simple_entry.py
+++ b/tests/standins/simple_entry.py
@@ -169,7 +169,7 @@
         return http.json_response({"state": self._jobs[job_id]})
 
     async def _cancel(self, _: http.Request, job_id: str) -> http.Response:
-        return http.json_response({"state": self._jobs[job_id]})
+        return http.json_response({"cancelled": [job_id]})
 
 
 def main(settings_file: str, flaw: str = "") -> None:
