--- a/src/marigoldgap/rules/reader.py
+++ b/src/marigoldgap/rules/reader.py
@@ -100,7 +100,7 @@
         """Reads the value after a word, if the word has one."""
         if field.read is None:
             return True
-        if not rest or rest[0].text in known:
+        if not rest or _is_next_field(field, rest, known):
             column = word.column + len(word.text)
             self.report(
                 column,
@@ -146,3 +146,18 @@
                     f"'{word}' is missing",
                     f"add e.g. '{field.example}'",
                 )
+
+
+def _is_next_field(
+    field: Field, rest: list[lines.Word], known: Mapping[str, Field]
+) -> bool:
+    """Returns whether the next word begins a field and is not a value.
+
+    `service` is both a field and a kind: as a value, it is followed by the
+    next field or by the end of the line.
+    """
+    if rest[0].text not in known:
+        return False
+    is_choice = rest[0].text in (field.choices)
+    is_followed = len(rest) == 1 or rest[1].text in known
+    return not (is_choice and is_followed)
--- a/tests/features/rules/parser.feature
+++ b/tests/features/rules/parser.feature
@@ -8,6 +8,18 @@
     And queue "bundles" has a deadline of 21600 s and priority 5
     And the preferred zones are "centro-a centro-b"
 
+  Scenario Outline: The kind service is told from the field service
+    # Guards against a parser that cannot name the kind of services.
+    Given the example rules text with the line "<line>"
+    When the rules text is parsed
+    Then queue "monitors" has kind "service"
+
+    Examples:
+      | line                                                         |
+      | queue monitors kind service service claims-engine keyed # x  |
+      | queue monitors service claims-engine kind service keyed # x  |
+      | queue monitors service claims-engine keyed kind service # x  |
+
   Scenario Outline: Each error is reported with its place and a correction
     Given the example rules text with the line "<line>"
     When the rules text is parsed
@@ -28,6 +40,7 @@
       | queue q kind quick service s open team publik # x      | 40     | did you mean 'public'?    |
       | queue q kind quick service s open # x                  | 34     | add 'team NAME'           |
       | queue q kind quick service s # x                       | 29     | either keyed or open      |
+      | queue q kind service s keyed # x                       | 13     | 'kind' has no value       |
       | queue q kind quick service s keyed deadline 6x # x     | 45     | not a duration            |
       | retry attempts 2 budget 5% # x                         | 1      | already set on line 6     |
 
--- a/tests/features/steps/rules_parser_steps.py
+++ b/tests/features/steps/rules_parser_steps.py
@@ -83,6 +83,11 @@
     assert (team.share, team.limit, team.workspace) == (share, limit, workspace)
 
 
+@then('queue "{name}" has kind "{kind}"')
+def queue_kind(context, name, kind):
+    assert context.rules.queues[name].kind == kind
+
+
 @then('queue "{name}" is open for team "{team}"')
 def queue_is_open(context, name, team):
     queue = context.rules.queues[name]
