--- a/tests/standins/http.py
+++ b/tests/standins/http.py
@@ -146,6 +146,8 @@
             asyncio.LimitOverrunError,
             CloseConnectionError,
             ValueError,
+            # At the end of the process; streams would log it as a failure.
+            asyncio.CancelledError,
         ):
             writer.transport.abort()
         finally:
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -212,5 +212,17 @@
 
 async def listen(address: str, serve: Serve) -> asyncio.Server:
     """Accepts connections on an address."""
+
+    async def serve_until_end(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await serve(reader, writer)
+        except asyncio.CancelledError:
+            # At the end of the process; streams would log it as a failure.
+            writer.transport.abort()
+
     host, _, port = address.rpartition(":")
-    return await asyncio.start_server(serve, host, int(port), backlog=512)
+    return await asyncio.start_server(
+        serve_until_end, host, int(port), backlog=512
+    )
