Test forwards without a certain answer and second forwards

Cause: leaving out the check of a peer's answer, or the limit of one forward, made no scenario fail. Change: a peer that reports an unknown outcome or answers without a task id, and a second instance that sees a third one with room. Leaving out either check now fails scenarios.

--- a/tests/features/dispatch/forwarding.feature
+++ b/tests/features/dispatch/forwarding.feature
@@ -7,21 +7,28 @@
     When a request is sent to the full one
     Then the answer comes from a worker of the other one
 
-  Scenario: The outcome of a lost forward is unknown
+  Scenario Outline: Without a certain answer of the peer the outcome is unknown
     Given two data planes that know each other, the first one full
-    And the other one loses the connection after it got a request
+    And the other one <fault> after it got a request
     When a request is sent to the full one
     Then the caller gets status 502 with code "outcome-unknown" and ran "unknown"
     And nothing of the lost request ran on the first one
 
+    Examples:
+      | fault                           |
+      | loses the connection            |
+      | says that the work may have run |
+      | answers without a task id       |
+
   Scenario: A peer that refuses leaves the request here
     Given two data planes that know each other, the first one full
-    And the other one refuses requests as not run
+    And the other one says that the work did not run after it got a request
     When a request is sent to the full one whose slot is freed later
     Then the answer comes from a worker of the full one
 
   Scenario: A forwarded request is not forwarded again
     Given two data planes that know each other, both full
+    And the second one sees a third peer with room
     When a request with a deadline of 150 ms is sent to the first one
     Then the caller gets status 504 with code "deadline-exceeded" and ran "no"
     And no request was forwarded by the second one
--- a/tests/features/steps/dispatch_forwarding_steps.py
+++ b/tests/features/steps/dispatch_forwarding_steps.py
@@ -46,21 +46,25 @@
     context.occupying_second = loops.run(context, _occupy(context.second))
 
 
-async def _replace_peer(context, refuses):
-    context.faulty = peering.FaultyPeer(refuses)
-    address = await context.faulty.start()
-    context.first.directory.entries.clear()
-    context.first.directory.add_fixed("entry-2", address, "centro", 1)
-
+@given("the other one {fault} after it got a request")
+def faulty_peer(context, fault):
+    async def replace():
+        context.faulty = peering.FaultyPeer(fault)
+        address = await context.faulty.start()
+        context.first.directory.entries.clear()
+        context.first.directory.add_fixed("entry-2", address, "centro", 1)
 
-@given("the other one loses the connection after it got a request")
-def other_loses(context):
-    loops.run(context, _replace_peer(context, refuses=False))
+    loops.run(context, replace())
 
 
-@given("the other one refuses requests as not run")
-def other_refuses(context):
-    loops.run(context, _replace_peer(context, refuses=True))
+@given("the second one sees a third peer with room")
+def third_peer(context):
+    context.second.directory.add_fixed("entry-3", "127.0.0.1:1", "centro", 9)
+    # What the first one knows of its peer is older than the last request.
+    context.first.directory.entries.clear()
+    context.first.directory.add_fixed(
+        "entry-2", context.second.address, "centro", 1
+    )
 
 
 @when("a request is sent to the full one")
@@ -110,6 +114,7 @@
 
 @then("no request was forwarded by the second one")
 def not_forwarded_again(context):
+    assert context.first.forwarder.forwarded == 1
     assert context.second.forwarder.forwarded == 0
 
 
