Follow the holding account and use the retry budget of scheduling

Cause: the account takes the name of its process (holder) first, and scheduling has a budget with jitter, so the one here was a second copy. Change: HoldingsTable asks for as many units as requests wait; reservations ask for the units that are missing; retries wait with full jitter.

--- a/src/marigoldgap/dispatch/builder.py
+++ b/src/marigoldgap/dispatch/builder.py
@@ -16,11 +16,12 @@
 from marigoldgap.dispatch import placement as dispatch_placement
 from marigoldgap.dispatch import preemption
 from marigoldgap.dispatch import request_run
-from marigoldgap.dispatch import retries
 from marigoldgap.dispatch import usage as dispatch_usage
 from marigoldgap.dispatch import waiting_room
+from marigoldgap.rules import model as rules_model
 from marigoldgap.scheduling import fair_queue
 from marigoldgap.scheduling import free_index
+from marigoldgap.scheduling import retry_budget
 from marigoldgap.settings import model as settings_model
 from marigoldgap.workers import builder as workers_builder
 from marigoldgap.workers import fleet as workers_fleet
@@ -70,13 +71,14 @@
     index = free_index.FreeIndex()
     queue = fair_queue.FairQueue(settings.queue.capacity)
     holdings = dispatch_holdings.HoldingsTable(
-        settings.instance_id, connections.request_holding, now_ms
+        connections.request_holding, now_ms
     )
     placement = dispatch_placement.Placement(index, holdings)
     usage = dispatch_usage.TeamUsage(queue, holdings.running)
     room = waiting_room.WaitingRoom(queue, placement, usage.of, now_ms)
     placement.on_freed(room.freed)
     holdings.on_granted(room.pump)
+    holdings.on_demand(room.waiting_of)
     gate = acceptance.AcceptanceGate(index)
     events = fleet_events.FleetEvents(
         settings, holdings, placement, room, gate, connections.quarantine
@@ -89,12 +91,17 @@
         room,
         gate,
         connections.forwarder,
-        connections.budget or retries.RatioBudget(),
+        connections.budget or retry_budget.RetryBudget(rules_model.RetryRule()),
         events.settle,
         now_ms,
     )
     starter = job_tasks.JobTaskStarter(
-        fleet, placement, gate, events.settle, connections.choose_victim
+        fleet,
+        placement,
+        holdings,
+        gate,
+        events.settle,
+        connections.choose_victim,
     )
     dispatcher = dispatch_dispatcher.Dispatcher(
         parts,
--- a/src/marigoldgap/dispatch/holdings.py
+++ b/src/marigoldgap/dispatch/holdings.py
@@ -24,7 +24,6 @@
     """One account for each team; a task starts only if its team has a unit.
 
     Args:
-        instance_id: Id of this instance.
         request_holding: Asks for additional units of a team.
         now_ms: Monotonic clock.
         incarnation: Identifies this process to the coordinator.
@@ -32,12 +31,10 @@
 
     def __init__(
         self,
-        instance_id: str,
         request_holding: interfaces.RequestHolding,
         now_ms: Callable[[], int],
         incarnation: str = "",
     ) -> None:
-        self._instance_id = instance_id
         self._request_holding = request_holding
         self._now_ms = now_ms
         self._incarnation = incarnation or identifiers.new_token()
@@ -47,6 +44,7 @@
         self._peaks: Counter[str] = Counter()
         self._stray: dict[str, Counter[str]] = {}
         self._granted: Callable[[], None] = lambda: None
+        self._waiting: Callable[[str], int] = lambda _: 0
 
     @property
     def incarnation(self) -> str:
@@ -57,6 +55,10 @@
         """Sets what is called after units were added."""
         self._granted = callback
 
+    def on_demand(self, waiting: Callable[[str], int]) -> None:
+        """Sets what returns the number of a team's waiting requests."""
+        self._waiting = waiting
+
     def holding(self, team: str) -> int:
         """Returns the units held for a team."""
         return self._account(team).holding
@@ -81,6 +83,11 @@
         self._ask(team, account)
         return False
 
+    def want(self, team: str, units: int) -> None:
+        """Asks for units that tasks of a known number need."""
+        self._asked_at[team] = self._now_ms()
+        self._request_holding(team, units)
+
     def start(self, team: str) -> None:
         """Counts a task that is about to start.
 
@@ -134,8 +141,7 @@
 
     def accept_notice(self, notice: allowance_model.AllowanceNotice) -> bool:
         """Obeys a notice; returns False for a notice of another term."""
-        account = self._account(notice.team)
-        return account.accept_notice(self._instance_id, notice)
+        return self._account(notice.team).accept_notice(notice)
 
     def give_back(self, team: str, units: int) -> int:
         """Returns up to `units` unused units; returns how many."""
@@ -191,7 +197,7 @@
         account = self._accounts.get(team)
         if account is None:
             account = holding_account.HoldingAccount(
-                self._term, self._incarnation
+                self._incarnation, self._term
             )
             self._accounts[team] = account
         return account
@@ -201,5 +207,5 @@
         asked_at = self._asked_at.get(team)
         if asked_at is not None and now_ms - asked_at < ASK_AGAIN_MS:
             return
-        self._asked_at[team] = now_ms
-        self._request_holding(team, max(1, account.running // _HEADROOM_PART))
+        headroom = max(1, account.running // _HEADROOM_PART)
+        self.want(team, headroom + self._waiting(team))
--- a/src/marigoldgap/dispatch/interfaces.py
+++ b/src/marigoldgap/dispatch/interfaces.py
@@ -119,17 +119,20 @@
 class RetryBudget(Protocol):
     """Bounds retries of a team in proportion to its requests."""
 
-    def note_request(self, team: str) -> None:
+    def first_attempt(self, team: str) -> None:
         """Counts a first attempt."""
 
-    def try_retry(self, team: str, attempt: int) -> bool:
+    def take(self, team: str, attempt: int) -> bool:
         """Takes one retry from the budget; returns False if there is none.
 
         Args:
             team: The team.
-            attempt: Number of the retry, from 1.
+            attempt: Attempts made so far.
         """
 
+    def delay_ms(self, attempt: int, draw: Callable[[], float]) -> int:
+        """Returns the delay before the next attempt, with full jitter."""
+
 
 class Quarantine(Protocol):
     """Learns how job tasks end and decides which workers get no work."""
--- a/src/marigoldgap/dispatch/job_tasks.py
+++ b/src/marigoldgap/dispatch/job_tasks.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from collections.abc import Sequence
 
 from marigoldgap import errors
 from marigoldgap import logs
 from marigoldgap.dispatch import acceptance
+from marigoldgap.dispatch import holdings as dispatch_holdings
 from marigoldgap.dispatch import interfaces
 from marigoldgap.dispatch import model as dispatch_model
 from marigoldgap.dispatch import placement as dispatch_placement
@@ -41,12 +43,14 @@
         self,
         fleet: workers_fleet.WorkerFleet,
         placement: dispatch_placement.Placement,
+        holdings: dispatch_holdings.HoldingsTable,
         gate: acceptance.AcceptanceGate,
         settle: Callable[[str], None],
         choose_victim: interfaces.ChooseVictim,
     ) -> None:
         self._fleet = fleet
         self._placement = placement
+        self._holdings = holdings
         self._gate = gate
         self._settle = settle
         self._choose_victim = choose_victim
@@ -86,11 +90,23 @@
             if (worker_id := self._placement.try_place(task)) is not None
         }
         self._reservations[reservation_id] = placed
+        self._ask_for_missing(tasks, placed)
         asyncio.get_running_loop().call_later(
             RESERVATION_S, self._expire, reservation_id, placed
         )
         return tuple(placed)
 
+    def _ask_for_missing(
+        self, tasks: Sequence[model.TaskSpec], placed: dict[str, str]
+    ) -> None:
+        """Asks for the units of the tasks that found no place."""
+        missing = Counter(
+            task.team for task in tasks if task.task_id not in placed
+        )
+        for team, units in missing.items():
+            if not self._holdings.may_start(team):
+                self._holdings.want(team, units)
+
     def release(self, reservation_id: str) -> None:
         """Gives reserved room back; unknown reservations are ignored."""
         for task_id in self._reservations.pop(reservation_id, {}):
--- a/src/marigoldgap/dispatch/request_run.py
+++ b/src/marigoldgap/dispatch/request_run.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+import random
 from typing import NamedTuple
 
+from marigoldgap import clock
 from marigoldgap import errors
 from marigoldgap import logs
 from marigoldgap.dispatch import acceptance
@@ -92,7 +95,7 @@
             OutcomeUnknownError: The work may have run.
             MarigoldgapError: With `ran` NO; the work did not run.
         """
-        self._parts.budget.note_request(self._task.team)
+        self._parts.budget.first_attempt(self._task.team)
         try:
             while True:
                 answer = await self._advance()
@@ -207,14 +210,17 @@
             task_id=f"{self._first.task_id}.{attempt}", attempt=attempt
         )
         self._avoid |= {worker_id}
+        await self._back_off(attempt)
+
+    async def _back_off(self, attempt: int) -> None:
+        delay_ms = self._parts.budget.delay_ms(attempt, random.random)
+        await asyncio.sleep(delay_ms / clock.MILLISECONDS_PER_SECOND)
 
     def _may_retry(self) -> bool:
         deadline_ms = self._task.deadline_ms
         if deadline_ms is not None and self._parts.now_ms() >= deadline_ms:
             return False
-        return self._parts.budget.try_retry(
-            self._task.team, self._task.attempt + 1
-        )
+        return self._parts.budget.take(self._task.team, self._task.attempt + 1)
 
     async def _stop(self, worker_id: str) -> str:
         try:
--- a/src/marigoldgap/dispatch/waiting_room.py
+++ b/src/marigoldgap/dispatch/waiting_room.py
@@ -56,6 +56,10 @@
         """Number of waiting requests of each caller's queue."""
         return {name: count for name, count in self._by_queue.items() if count}
 
+    def waiting_of(self, team: str) -> int:
+        """Returns the number of waiting requests of a team."""
+        return self._by_team[team]
+
     def expected_wait_ms(self, task: model.TaskSpec) -> float | None:
         """Returns how long a new request would wait, or None if unknown.
 
