Set failing workers aside and probe them with one task at a time

Ruled out: counting each failed request as a job of its own, with which one caller of bad requests could set a fleet aside; requests of one team and queue count as one job. Change: WorkerQuarantine between tracker, acceptance gate and placement.

--- a/src/marigoldgap/dispatch/acceptance.py
+++ b/src/marigoldgap/dispatch/acceptance.py
@@ -68,10 +68,3 @@
     def _apply(self, worker_id: str) -> None:
         blocked = worker_id in self._suspects or worker_id in self._quarantined
         self._index.set_accepting(worker_id, not blocked)
-
-
-class NoQuarantine:
-    """Never sets a worker aside."""
-
-    def task_ended(self, worker_id: str, job_id: str, failed: bool) -> None:
-        """Does nothing."""
--- a/src/marigoldgap/dispatch/builder.py
+++ b/src/marigoldgap/dispatch/builder.py
@@ -15,6 +15,7 @@
 from marigoldgap.dispatch import job_tasks
 from marigoldgap.dispatch import placement as dispatch_placement
 from marigoldgap.dispatch import preemption
+from marigoldgap.dispatch import quarantine as dispatch_quarantine
 from marigoldgap.dispatch import request_run
 from marigoldgap.dispatch import usage as dispatch_usage
 from marigoldgap.dispatch import waiting_room
@@ -43,7 +44,6 @@
         holding_returned: Is told of teams whose units were given back.
         forwarder: Sends requests to peers.
         budget: Bounds retries.
-        quarantine: Learns how job tasks end.
         choose_victim: Chooses the task to checkpoint for urgent work.
     """
 
@@ -52,7 +52,6 @@
     holding_returned: interfaces.HoldingReturned = lambda _: None
     forwarder: interfaces.Forwarder = forwarding.NoForwarder()
     budget: interfaces.RetryBudget | None = None
-    quarantine: interfaces.Quarantine = acceptance.NoQuarantine()
     choose_victim: interfaces.ChooseVictim = preemption.choose_largest_job_task
 
 
@@ -80,8 +79,10 @@
     holdings.on_granted(room.pump)
     holdings.on_demand(room.waiting_of)
     gate = acceptance.AcceptanceGate(index)
+    quarantine = dispatch_quarantine.WorkerQuarantine(gate, now_ms)
+    placement.on_tasks(quarantine.task_placed, quarantine.task_released)
     events = fleet_events.FleetEvents(
-        settings, holdings, placement, room, gate, connections.quarantine
+        settings, holdings, placement, room, gate, quarantine
     )
     fleet = workers_builder.build_fleet(settings, events)
     events.set_fleet(fleet)
@@ -92,6 +93,7 @@
         gate,
         connections.forwarder,
         connections.budget or retry_budget.RetryBudget(rules_model.RetryRule()),
+        quarantine,
         events.settle,
         now_ms,
     )
--- a/src/marigoldgap/dispatch/dispatcher.py
+++ b/src/marigoldgap/dispatch/dispatcher.py
@@ -10,12 +10,12 @@
 
 from marigoldgap import errors
 from marigoldgap import logs
-from marigoldgap.dispatch import acceptance
 from marigoldgap.dispatch import fleet_events
 from marigoldgap.dispatch import holdings as dispatch_holdings
 from marigoldgap.dispatch import interfaces
 from marigoldgap.dispatch import job_tasks
 from marigoldgap.dispatch import model as dispatch_model
+from marigoldgap.dispatch import quarantine as dispatch_quarantine
 from marigoldgap.dispatch import request_run
 from marigoldgap.dispatch import usage as dispatch_usage
 from marigoldgap.scheduling import model
@@ -79,9 +79,9 @@
         return self._usage
 
     @property
-    def gate(self) -> acceptance.AcceptanceGate:
-        """Where workers are put into quarantine."""
-        return self._parts.gate
+    def quarantine(self) -> dispatch_quarantine.WorkerQuarantine:
+        """The workers that are set aside."""
+        return self._parts.quarantine
 
     @property
     def draining(self) -> bool:
@@ -177,6 +177,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._parts.room.run())
             group.create_task(self._return_unused())
+            group.create_task(self._parts.quarantine.run())
 
     def begin_drain(self) -> None:
         """Starts no job task any more and prefers peers for requests."""
--- a/src/marigoldgap/dispatch/fleet_events.py
+++ b/src/marigoldgap/dispatch/fleet_events.py
@@ -8,8 +8,8 @@
 from marigoldgap import clock
 from marigoldgap.dispatch import acceptance
 from marigoldgap.dispatch import holdings as dispatch_holdings
-from marigoldgap.dispatch import interfaces
 from marigoldgap.dispatch import placement as dispatch_placement
+from marigoldgap.dispatch import quarantine as dispatch_quarantine
 from marigoldgap.dispatch import waiting_room
 from marigoldgap.scheduling import model
 from marigoldgap.settings import model as settings_model
@@ -38,7 +38,7 @@
         placement: dispatch_placement.Placement,
         room: waiting_room.WaitingRoom,
         gate: acceptance.AcceptanceGate,
-        quarantine: interfaces.Quarantine,
+        quarantine: dispatch_quarantine.WorkerQuarantine,
     ) -> None:
         self._holdings = holdings
         self._placement = placement
@@ -107,6 +107,7 @@
     def worker_restarted(self, worker_id: str) -> None:
         """Gives back the tasks that ended with the worker's process."""
         self._placement.restarted(worker_id)
+        self._quarantine.worker_restarted(worker_id)
         for observer in self._observers:
             observer.worker_restarted(worker_id)
 
--- a/src/marigoldgap/dispatch/interfaces.py
+++ b/src/marigoldgap/dispatch/interfaces.py
@@ -134,13 +134,6 @@
         """Returns the delay before the next attempt, with full jitter."""
 
 
-class Quarantine(Protocol):
-    """Learns how job tasks end and decides which workers get no work."""
-
-    def task_ended(self, worker_id: str, job_id: str, failed: bool) -> None:
-        """Notes the end of a job task."""
-
-
 class ChooseVictim(Protocol):
     """Chooses a running task that makes room for urgent work."""
 
--- a/src/marigoldgap/dispatch/placement.py
+++ b/src/marigoldgap/dispatch/placement.py
@@ -11,6 +11,12 @@
 from marigoldgap.scheduling import free_index
 from marigoldgap.scheduling import model
 
+TaskCallback = Callable[[str, str], None]
+
+
+def _ignore_task(worker_id: str, task_id: str) -> None:
+    """Does nothing."""
+
 
 class Placement:
     """Takes capacity and a team's unit together, and gives both back.
@@ -35,6 +41,8 @@
         self._settled: dict[str, dict[str, model.RunningTask]] = {}
         self._located: dict[str, str] = {}
         self._freed: Callable[[str], None] = lambda _: None
+        self._placed: TaskCallback = _ignore_task
+        self._released: TaskCallback = _ignore_task
 
     @property
     def index(self) -> free_index.FreeIndex:
@@ -50,6 +58,11 @@
         """Sets what is called with the team after capacity was given back."""
         self._freed = callback
 
+    def on_tasks(self, placed: TaskCallback, released: TaskCallback) -> None:
+        """Sets what is called with the worker and the id of each task."""
+        self._placed = placed
+        self._released = released
+
     def can_place(self, task: model.TaskSpec) -> bool:
         """Returns whether there is a unit and a worker for the task."""
         if not self._holdings.may_start(task.team):
@@ -80,6 +93,7 @@
             task.job_id,
             task.attempt,
         )
+        self._placed(worker_id, task.task_id)
         return worker_id
 
     def finish(self, task_id: str) -> None:
@@ -89,6 +103,7 @@
             return
         self._index.release(task.worker_id, task_id)
         self._holdings.finish(task.team)
+        self._released(task.worker_id, task_id)
         self._freed(task.team)
 
     def settle(self, task_id: str) -> str | None:
--- a/src/marigoldgap/dispatch/request_run.py
+++ b/src/marigoldgap/dispatch/request_run.py
@@ -13,6 +13,7 @@
 from marigoldgap.dispatch import acceptance
 from marigoldgap.dispatch import interfaces
 from marigoldgap.dispatch import placement as dispatch_placement
+from marigoldgap.dispatch import quarantine as dispatch_quarantine
 from marigoldgap.dispatch import waiting_room
 from marigoldgap.scheduling import model
 from marigoldgap.workers import fleet as workers_fleet
@@ -22,6 +23,8 @@
 
 # A request that so many workers refused meets a fault, not bad luck.
 _MOST_REFUSALS = 8
+# A worker that answers so has failed the task.
+_FIRST_SERVER_ERROR = 500
 _DUPLICATE = "duplicate"
 # States after a stop in which the attempt cannot run any more.
 _ENDED = frozenset({"stopped", "finished", "never-started"})
@@ -55,6 +58,7 @@
     gate: acceptance.AcceptanceGate
     forwarder: interfaces.Forwarder
     budget: interfaces.RetryBudget
+    quarantine: dispatch_quarantine.WorkerQuarantine
     settle: Callable[[str], None]
     now_ms: Callable[[], int]
 
@@ -85,6 +89,7 @@
         self._may_forward = not forwarded
         self._prefer_peers = prefer_peers
         self._refusals = 0
+        self._group = f"{task.team}/{task.queue}"
         self._avoid: frozenset[str] = frozenset()
         self._may_have_run = False
 
@@ -166,6 +171,8 @@
         except BaseException:
             self._parts.settle(task_id)
             raise
+        failed = answer.status >= _FIRST_SERVER_ERROR
+        self._parts.quarantine.task_ended(worker_id, self._group, failed)
         self._parts.placement.finish(task_id)
         return answer
 
--- a/src/marigoldgap/workers/wire.py
+++ b/src/marigoldgap/workers/wire.py
@@ -27,6 +27,10 @@
 )
 
 
+# `json.dumps` with separators builds an encoder on each call.
+_encode = json.JSONEncoder(separators=(",", ":")).encode
+
+
 class LeaseAnswer(NamedTuple):
     """A granted lease.
 
@@ -104,7 +108,7 @@
 
 def task_header(task: model.TaskSpec) -> str:
     """Returns the header value that describes a task to a worker."""
-    return json.dumps(
+    return _encode(
         {
             "task_id": task.task_id,
             "team": task.team,
@@ -113,8 +117,7 @@
             "job_id": task.job_id,
             "attempt": task.attempt,
             "expected_run_ms": task.expected_run_ms,
-        },
-        separators=(",", ":"),
+        }
     )
 
 
--- a/tests/features/dispatch/job_tasks.feature
+++ b/tests/features/dispatch/job_tasks.feature
@@ -26,7 +26,13 @@
     Given a data plane with 1 scripted worker of 2 slots
     Then reserved room is used once and released room is free again
 
-  Scenario: A failed job task is reported to the quarantine
-    Given a data plane with 1 scripted worker of 1 slot and a quarantine
-    When a job task fails on the scripted worker
-    Then the quarantine learnt of the failure
+  Scenario: A worker on which five jobs failed is set aside
+    Given a data plane with 2 scripted workers of 1 slot
+    When the tasks of 5 jobs fail on the scripted worker "w1"
+    Then "w1" gets no work until a probe, and one task as the probe
+    And a probe that succeeds ends the quarantine
+
+  Scenario: A bad job does not set workers aside
+    Given a data plane with 2 scripted workers of 1 slot
+    When the tasks of 1 jobs fail on the scripted worker "w1"
+    Then no worker is set aside
--- a/tests/features/steps/dispatch_claims_steps.py
+++ b/tests/features/steps/dispatch_claims_steps.py
@@ -74,13 +74,13 @@
     async def dispatch():
         late = requests_steps.make_task("t0", deadline_ms=0)
         dispatcher = context.plane.dispatcher
-        dispatcher.gate.set_quarantined("w1", True)
+        dispatcher._parts.gate.set_quarantined("w1", True)
         refused = await asyncio.gather(
             dispatcher.submit(late, b"t1", False, _KEY),
             return_exceptions=True,
         )
         assert refused[0].ran.value == "no", refused
-        dispatcher.gate.set_quarantined("w1", False)
+        dispatcher._parts.gate.set_quarantined("w1", False)
         await _recorded(context)
         return await requests_steps.submit(context, "t1", _KEY)
 
--- a/tests/features/steps/dispatch_job_tasks_steps.py
+++ b/tests/features/steps/dispatch_job_tasks_steps.py
@@ -4,12 +4,10 @@
 
 import asyncio
 
-from behave import given
 from behave import then
 from behave import when
 
 from tests.features.steps import dispatch_requests_steps as requests_steps
-from tests.fixtures import data_plane
 from tests.fixtures import loops
 
 
@@ -131,40 +129,74 @@
     loops.run(context, reserve())
 
 
-class _Quarantine:
-
-    def __init__(self):
-        self.ends = []
-
-    def task_ended(self, worker_id, job_id, failed):
-        self.ends.append((worker_id, job_id, failed))
-
+@when('the tasks of {jobs:d} jobs fail on the scripted worker "{worker_id}"')
+def tasks_fail(context, jobs, worker_id):
+    async def fail():
+        worker = next(
+            worker
+            for worker in context.plane.workers
+            if worker.worker_id == worker_id
+        )
+        dispatcher = context.plane.dispatcher
+        other = next(
+            each.worker_id
+            for each in context.plane.workers
+            if each.worker_id != worker_id
+        )
+        running = dispatcher.holdings.running
+        index = dispatcher._parts.placement.index
+        index.set_accepting(other, False)
+        for number in range(jobs * 6 if jobs == 1 else jobs):
+            task_id = f"f{number}"
+            await get_units(context)
+            job_id = "job" if jobs == 1 else f"job-{task_id}"
+            task = requests_steps.make_task(
+                task_id, kind="batch", job_id=job_id, deadline_ms=None
+            )
+            outcome = await dispatcher.place_job_task(task, b"")
+            assert outcome.worker_id == worker_id, outcome
+            worker.changes.append(
+                {"task_id": task_id, "state": "failed", "exit_code": 1}
+            )
+            await loops.until(lambda: not running("claims"))
+        index.set_accepting(other, True)
 
-@given(
-    "a data plane with {workers:d} scripted worker of {slots:d} slot "
-    "and a quarantine"
-)
-def plane_with_quarantine(context, workers, slots):
-    context.quarantine = _Quarantine()
-    context.plane = data_plane.Plane(
-        workers, slots, quarantine=context.quarantine
-    )
-    loops.run(context, context.plane.start())
+    loops.run(context, fail())
 
 
-@when("a job task fails on the scripted worker")
-def job_task_fails(context):
-    async def fail():
-        await place(context, "j1")
+@then('"{worker_id}" gets no work until a probe, and one task as the probe')
+def only_probes(context, worker_id):
+    async def fill():
+        quarantine = context.plane.dispatcher.quarantine
+        assert quarantine.workers == {worker_id}
+        context.plane.granting.request_holding("claims", 9)
+        await asyncio.sleep(0.01)
+        assert (await place(context, "p1")).worker_id != worker_id
+        assert (await place(context, "p2")).refusal == "capacity-exceeded"
+        now_ms = quarantine._now_ms
+        quarantine._now_ms = lambda: now_ms() + 60_000
+        quarantine.open_due_probes()
+        assert (await place(context, "p3")).worker_id == worker_id
+        quarantine.open_due_probes()
+        free = context.plane.dispatcher.load().free["claims-engine"]
+        assert free.slots == 0
+
+    loops.run(context, fill())
+
+
+@then("a probe that succeeds ends the quarantine")
+def probe_succeeds(context):
+    async def succeed():
         context.plane.workers[0].changes.append(
-            {"task_id": "j1", "state": "failed", "exit_code": 1}
+            {"task_id": "p3", "state": "finished", "exit_code": 0}
         )
-        await loops.until(lambda: context.quarantine.ends)
+        quarantine = context.plane.dispatcher.quarantine
+        await loops.until(lambda: not quarantine.workers)
+        assert (await place(context, "p4")).worker_id == "w1"
 
-    loops.run(context, fail())
+    loops.run(context, succeed())
 
 
-@then("the quarantine learnt of the failure")
-def quarantine_learnt(context):
-    assert context.quarantine.ends == [("w1", "job-j1", True)]
-    assert context.plane.dispatcher.holdings.running("claims") == 0
+@then("no worker is set aside")
+def none_set_aside(context):
+    assert not context.plane.dispatcher.quarantine.workers
