Start no job task twice, and see the end of foreign requests sooner

Cause: a repeated PlaceTasks for a task that runs here was refused at the limit or while draining, and the coordinator would start it elsewhere. After a takeover, requests of the former owner stayed counted for five renewals. Inventories are asked for after 1, 2, 4, then 8 renewals. A lease that comes without an inventory is given back.

--- a/src/marigoldgap/dispatch/dispatcher.py
+++ b/src/marigoldgap/dispatch/dispatcher.py
@@ -130,13 +130,16 @@
     async def place_job_task(
         self, task: model.TaskSpec, payload: bytes
     ) -> dispatch_model.PlaceOutcome:
-        """Starts a job task; the outcome says whether it runs."""
+        """Starts a job task; the outcome says whether it runs.
+
+        A task that is counted here already is not started again.
+        """
+        known = self._starter.known(task.task_id)
+        if known is not None:
+            return known
         if self._draining:
             code = errors.StoppingError.code
             return dispatch_model.PlaceOutcome(task.task_id, refusal=code)
-        if not self._holdings.may_start(task.team):
-            code = errors.LimitReachedError.code
-            return dispatch_model.PlaceOutcome(task.task_id, refusal=code)
         with self._counted():
             return await self._starter.place(task, payload)
 
--- a/src/marigoldgap/dispatch/job_tasks.py
+++ b/src/marigoldgap/dispatch/job_tasks.py
@@ -56,10 +56,28 @@
         self._choose_victim = choose_victim
         self._reservations: dict[str, dict[str, str]] = {}
 
+    def known(self, task_id: str) -> dispatch_model.PlaceOutcome | None:
+        """Returns where a task is that is counted here already, or None.
+
+        A refusal would be wrong for it, since the task would then be started
+        elsewhere too.
+        """
+        worker_id = self._placement.worker_of(task_id)
+        if worker_id is None:
+            return None
+        pending = self._placement.is_pending(task_id)
+        return dispatch_model.PlaceOutcome(task_id, worker_id, unknown=pending)
+
     async def place(
         self, task: model.TaskSpec, payload: bytes
     ) -> dispatch_model.PlaceOutcome:
-        """Starts a task on the best worker; tries a few if they refuse."""
+        """Starts a task on the best worker; tries a few if they refuse.
+
+        The task must not be known here.
+        """
+        if not self._holdings.may_start(task.team):
+            code = errors.LimitReachedError.code
+            return dispatch_model.PlaceOutcome(task.task_id, refusal=code)
         avoid: frozenset[str] = frozenset()
         code = errors.CapacityError.code
         for _ in range(_MOST_REFUSALS):
@@ -87,7 +105,8 @@
         placed = {
             task.task_id: worker_id
             for task in tasks
-            if (worker_id := self._placement.try_place(task)) is not None
+            if self.known(task.task_id) is None
+            and (worker_id := self._placement.try_place(task)) is not None
         }
         self._reservations[reservation_id] = placed
         self._ask_for_missing(tasks, placed)
@@ -118,6 +137,9 @@
         """Starts a job task in its reserved room."""
         reserved = self._reservations.get(reservation_id, {})
         worker_id = reserved.pop(task.task_id, None)
+        known = self.known(task.task_id)
+        if worker_id is None and known is not None:
+            return known
         if worker_id is None:
             code = errors.CapacityError.code
             return dispatch_model.PlaceOutcome(task.task_id, refusal=code)
--- a/src/marigoldgap/dispatch/placement.py
+++ b/src/marigoldgap/dispatch/placement.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 import itertools
 
+from marigoldgap import errors
 from marigoldgap.dispatch import holdings as dispatch_holdings
 from marigoldgap.scheduling import free_index
 from marigoldgap.scheduling import model
@@ -76,7 +77,13 @@
     def try_place(
         self, task: model.TaskSpec, avoid: frozenset[str] = frozenset()
     ) -> str | None:
-        """Takes a unit and capacity; returns the worker, or None."""
+        """Takes a unit and capacity; returns the worker, or None.
+
+        Raises:
+            CapacityError: The task is counted already.
+        """
+        if self.worker_of(task.task_id) is not None:
+            raise errors.CapacityError(f"{task.task_id} is placed already")
         if not self._holdings.may_start(task.team):
             return None
         worker_id = self._index.choose(task, avoid)
@@ -123,6 +130,10 @@
         self._located[task_id] = task.worker_id
         return task.worker_id
 
+    def is_pending(self, task_id: str) -> bool:
+        """Returns whether the start of a task is not answered yet."""
+        return task_id in self._pending
+
     def worker_of(self, task_id: str) -> str | None:
         """Returns the worker of a counted task, or None."""
         pending = self._pending.get(task_id)
--- a/src/marigoldgap/dispatch/waiting_room.py
+++ b/src/marigoldgap/dispatch/waiting_room.py
@@ -143,10 +143,14 @@
             await asyncio.sleep(TICK_S)
 
     def _start(self, task: model.TaskSpec) -> None:
-        worker_id = self._placement.try_place(task)
+        # `can_place` has just agreed, so a failure is an error in the program;
+        # the request is refused truthfully and the instance goes on.
+        try:
+            worker_id = self._placement.try_place(task)
+        except errors.MarigoldgapError as error:
+            self._refuse(task, error)
+            return
         if worker_id is None:
-            # `can_place` has just agreed, so this is an error in the program;
-            # the request is refused truthfully and the instance goes on.
             self._refuse(task, errors.OverloadedError("no worker had room"))
             return
         self._queue.set_usage(task.team, self._usage(task.team))
--- a/src/marigoldgap/workers/link.py
+++ b/src/marigoldgap/workers/link.py
@@ -20,9 +20,9 @@
 
 _logger = logs.PartLogger("workers")
 
-# A new epoch makes the worker refuse starts that are on their way, so
-# inventories are asked for with at most one of so many renewals.
-_RENEWALS_PER_INVENTORY = 5
+# A new epoch makes the worker refuse starts that are on their way, so while
+# inventories stay wanted, one is asked for after 1, 2, 4, then 8 renewals.
+_MOST_RENEWALS_PER_INVENTORY = 8
 
 _UNUSABLE_ANSWERS = (
     errors.ConnectFailedError,
@@ -64,6 +64,7 @@
         self._leaving = False
         self._wants_inventory = False
         self._inventory_at_ms = 0
+        self._inventory_round = 0
         self._unfinished = 0
         self._hand_over_by_ms: int | None = None
         self._wake = asyncio.Event()
@@ -183,6 +184,9 @@
     async def _release(self) -> None:
         epoch = self._lease.epoch
         self._lose("the lease is released")
+        await self._give_back(epoch)
+
+    async def _give_back(self, epoch: int) -> None:
         try:
             await self._client.release(epoch)
         except _UNUSABLE_ANSWERS as error:
@@ -207,18 +211,25 @@
         """Returns the known epoch, or 0 to get a new one with an inventory."""
         if not self._lease.held:
             return 0
-        interval_ms = _RENEWALS_PER_INVENTORY * self._settings.lease.renew_ms
-        is_due = now_ms >= self._inventory_at_ms + interval_ms
-        if self._wants_inventory and is_due and not self.is_handing_over:
-            return 0
-        return self._lease.epoch
+        if not self._wants_inventory or self.is_handing_over:
+            self._inventory_round = 0
+            return self._lease.epoch
+        renewals = min(2**self._inventory_round, _MOST_RENEWALS_PER_INVENTORY)
+        interval_ms = renewals * self._settings.lease.renew_ms
+        if now_ms < self._inventory_at_ms + interval_ms:
+            return self._lease.epoch
+        self._inventory_round += 1
+        return 0
 
     async def _take(self, answer: wire.LeaseAnswer, t0_ms: int) -> None:
         """Takes over a lease answer and passes on what it reports."""
         is_known = self._note_incarnation(answer.incarnation)
         is_new = not self._lease.held or answer.epoch != self._lease.epoch
         if is_new and answer.inventory is None:
-            _logger.warning("lease without an inventory is not used")
+            # Without the tasks that run there nothing can be placed safely; a
+            # lease after a release has a new epoch and an inventory.
+            _logger.warning("lease without an inventory is given back")
+            await self._give_back(answer.epoch)
             return
         self._lease.granted(answer, t0_ms, clock.monotonic_ms())
         if answer.leaving:
--- a/tests/features/dispatch/job_tasks.feature
+++ b/tests/features/dispatch/job_tasks.feature
@@ -12,6 +12,11 @@
     Then the place outcome is unknown on worker "w1"
     And 1 task of team claims is counted
 
+  Scenario: A job task that is counted here is not started again
+    Given a data plane with 2 scripted workers of 1 slot
+    When a job task is placed twice, and once more while draining
+    Then each outcome names the same worker and one start arrived
+
   Scenario: A refused job start tries another worker
     Given a data plane with 2 scripted workers of 1 slot
     When a job start meets the fault "refuse busy"
