--- a/src/marigoldgap/scheduling/allowance_model.py
+++ b/src/marigoldgap/scheduling/allowance_model.py
@@ -16,11 +16,14 @@
         zones: Allowance of each zone; the sum never exceeds `limit`.
         limit_version: Configuration version that `limit` was taken from. A
             zone whose configuration is older must not write its own limit.
+        terms: Term of the coordinator that last wrote each zone's number. A
+            coordinator with a lower term must not write any more.
     """
 
     limit: int
     zones: Mapping[str, int]
     limit_version: int = 0
+    terms: Mapping[str, model.Term] = {}
 
     @property
     def total(self) -> int:
@@ -53,17 +56,15 @@
     Attributes:
         granted_total: All units granted to the instance in this term, so that
             lost, repeated and reordered messages do no harm.
+        holder: The process that the grant is for.
         units: Units that were added by this grant.
-        incarnation: Process that the grant is for; a process that was
-            restarted under the same id must not use it.
     """
 
     term: model.Term
     team: str
-    instance_id: str
+    holder: str
     granted_total: int
     units: int
-    incarnation: str = ""
 
 
 class HoldingReport(NamedTuple):
@@ -74,8 +75,8 @@
         granted_total: Units received in this term, including those held when
             the term began.
         returned_total: Units given back in this term.
-        running: Tasks of the team on the instance's workers.
-        incarnation: Identifies the process of the instance.
+        running: Tasks of the team on the instance's workers, with stray ones.
+        stray: Tasks on workers whose lease the instance has lost.
     """
 
     term: model.Term
@@ -83,7 +84,7 @@
     granted_total: int
     returned_total: int
     running: int
-    incarnation: str = ""
+    stray: int = 0
 
 
 class AllowanceNotice(NamedTuple):
@@ -92,7 +93,7 @@
     Attributes:
         allowance: The lowered number.
         sequence: Number of the notice; repeated in the acknowledgement.
-        ceilings: Units that each entry instance may keep.
+        ceilings: Units that each holder may keep.
     """
 
     term: model.Term
