--- a/tests/features/steps/console_pages_steps.py
+++ b/tests/features/steps/console_pages_steps.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import importlib
 import pathlib
+import pkgutil
 import re
 
 from behave import then
 
+import marigoldgap
 from marigoldgap import errors
 from marigoldgap.console import exit_codes
 from marigoldgap.metrics import names
@@ -39,6 +42,10 @@
 
 @then("the operations page has every error code with its promise")
 def errors_listed(context):
+    # Packages may define further errors; all of them are looked at.
+    for module in pkgutil.walk_packages(marigoldgap.__path__, "marigoldgap."):
+        if not module.name.endswith("__main__"):
+            importlib.import_module(module.name)
     rows = [line.split("|") for line in _page("operations.md").split("\n")]
     promises = {
         code: row[2].strip()
