Bound the comparison of rules texts and confirm keys at every instance

Cause: comparing texts with many equal lines blocks an instance for minutes; with max_key_age_s only coordinators confirmed their keys, so other instances would have refused all keyed work.

Change: common lines at both ends are skipped and costly comparisons become one change; texts have at most 20,000 lines. Each instance with a limit of the key age confirms its keys itself after a quarter of it. A missing object is NotFoundError, as coordination expects.

--- a/src/marigoldgap/config_store/builder.py
+++ b/src/marigoldgap/config_store/builder.py
@@ -59,6 +59,6 @@
         config_reader,
         config_publisher,
         pending,
-        poller.HeadPoller(config_reader, own_state, pending, source),
+        poller.HeadPoller(settings, config_reader, own_state, pending, source),
         in_force.InForceTracker(settings, own_state, instances),
     )
--- a/src/marigoldgap/config_store/poller.py
+++ b/src/marigoldgap/config_store/poller.py
@@ -13,10 +13,13 @@
 from marigoldgap.config_store import reader
 from marigoldgap.config_store import state as state_module
 from marigoldgap.config_store import withdrawals
+from marigoldgap.settings import model as settings_model
 
 _log = logs.PartLogger("config_store")
 
 _POLL_MS = 1_000
+# Leaves time for several tries before keys are refused for their age.
+_CONFIRM_AT = 0.25
 _UNKNOWN_HEAD = reader.Head(0, 0)
 
 
@@ -24,6 +27,7 @@
     """Polls the head row with conditional reads and adopts new versions.
 
     Args:
+        settings: Settings of this instance.
         config_reader: Reads the configuration rows.
         state: Adopts the versions.
         pending: Withdrawals that are stored once the service answers again.
@@ -32,11 +36,13 @@
 
     def __init__(
         self,
+        settings: settings_model.Settings,
         config_reader: reader.ConfigReader,
         state: state_module.ConfigState,
         pending: withdrawals.Withdrawals,
         source: random.Random,
     ) -> None:
+        self._max_key_age_s = settings.max_key_age_s
         self._reader = config_reader
         self._state = state
         self._pending = pending
@@ -47,13 +53,14 @@
     async def run(self, is_active: Callable[[], bool]) -> None:
         """Polls once a second while this instance is the coordinator.
 
-        Withdrawals accepted here are stored by this instance in any case.
+        Any instance stores the withdrawals that it accepted, and confirms
+        its keys in time if the settings limit their age.
 
         Args:
             is_active: Whether this instance polls for its zone.
         """
         while True:
-            if is_active():
+            if is_active() or self._needs_confirmation():
                 await self.poll_once()
             elif self._pending.unpublished:
                 await self._pending.publish_pending()
@@ -89,6 +96,16 @@
         await self._pending.publish_pending()
         return True
 
+    def _needs_confirmation(self) -> bool:
+        """Tells whether the keys reach their highest age soon."""
+        if self._max_key_age_s is None:
+            return False
+        age_ms = self._state.confirmed_age_ms()
+        if age_ms is None:
+            return True
+        limit_ms = self._max_key_age_s * clock.MILLISECONDS_PER_SECOND
+        return age_ms > limit_ms * _CONFIRM_AT
+
     async def _follow_head(self) -> None:
         head = await self._reader.head_if_changed(self._head)
         if head is None:
--- a/src/marigoldgap/console/commands/settings_check.py
+++ b/src/marigoldgap/console/commands/settings_check.py
@@ -7,6 +7,8 @@
 import typer
 
 from marigoldgap.console import groups
+from marigoldgap.console import options
+from marigoldgap.console import output
 from marigoldgap.console import registry
 from marigoldgap.settings import loader
 
@@ -19,7 +21,10 @@
         """Adds the group `settings` with `check` to the application."""
         groups.group(application, "settings").command("check")(self.run)
 
-    def run(self, path: pathlib.Path) -> None:
+    def run(self, path: pathlib.Path, as_json: options.AsJson = False) -> None:
         """Report every error of a settings file, with line and field."""
         settings = loader.load(path)
-        typer.echo(f"{path}: valid settings of {settings.instance_id}")
+        if as_json:
+            output.values({"valid": True, "instance_id": settings.instance_id})
+        else:
+            output.lines([f"{path}: valid settings of {settings.instance_id}"])
--- a/src/marigoldgap/console/commands/version.py
+++ b/src/marigoldgap/console/commands/version.py
@@ -5,6 +5,8 @@
 import typer
 
 import marigoldgap
+from marigoldgap.console import options
+from marigoldgap.console import output
 from marigoldgap.console import registry
 
 
@@ -16,6 +18,9 @@
         """Adds `version` to the application."""
         application.command("version")(self.run)
 
-    def run(self) -> None:
+    def run(self, as_json: options.AsJson = False) -> None:
         """Print the version of this program."""
-        typer.echo(marigoldgap.__version__)
+        if as_json:
+            output.values({"version": marigoldgap.__version__})
+        else:
+            output.lines([marigoldgap.__version__])
--- a/src/marigoldgap/platform/objects.py
+++ b/src/marigoldgap/platform/objects.py
@@ -36,15 +36,16 @@
         )
         _expect_success(answer.status)
 
-    async def get(self, key: str) -> bytes | None:
-        """Returns an object, or None if there is none.
+    async def get(self, key: str) -> bytes:
+        """Returns an object.
 
         Raises:
+            errors.NotFoundError: There is no such object.
             errors.StoreUnavailableError: The object store did not answer.
         """
         answer = await self._store.read(_path(key))
         if answer.status == _NOT_FOUND:
-            return None
+            raise errors.NotFoundError(f"there is no object {key}")
         _expect_success(answer.status)
         return answer.body
 
--- a/src/marigoldgap/rules/difference.py
+++ b/src/marigoldgap/rules/difference.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Sequence
 import difflib
@@ -10,6 +11,10 @@
 from marigoldgap import errors
 from marigoldgap.rules import lines
 
+# Texts with many equal lines would take minutes to compare; they are shown as
+# one change instead.
+_MOST_COMPARISONS = 1_000_000
+
 
 class LineChange(NamedTuple):
     """Replaces lines of the old text.
@@ -30,11 +35,17 @@
     """Returns the changes that turn the old text into the new one."""
     before = lines.split(old)
     after = lines.split(new)
-    matcher = difflib.SequenceMatcher(None, before, after, autojunk=False)
+    start = _common_length(before, after)
+    end = _common_length(before[start:][::-1], after[start:][::-1])
+    old_lines = before[start : len(before) - end]
+    new_lines = after[start : len(after) - end]
     return tuple(
-        LineChange(first + 1, tuple(before[first:last]), tuple(after[i:j]))
-        for tag, first, last, i, j in matcher.get_opcodes()
-        if tag != "equal"
+        LineChange(
+            start + first + 1,
+            tuple(old_lines[first:last]),
+            tuple(new_lines[i:j]),
+        )
+        for first, last, i, j in _changed_ranges(old_lines, new_lines)
     )
 
 
@@ -80,6 +91,33 @@
     return result
 
 
+def _common_length(one: Sequence[str], other: Sequence[str]) -> int:
+    """Returns how many lines at the beginning are equal."""
+    length = 0
+    for left, right in zip(one, other, strict=False):
+        if left != right:
+            break
+        length += 1
+    return length
+
+
+def _changed_ranges(
+    old: Sequence[str], new: Sequence[str]
+) -> list[tuple[int, int, int, int]]:
+    """Returns the ranges of old and new lines that differ."""
+    if not old and not new:
+        return []
+    counts = collections.Counter(new)
+    if sum(counts[line] for line in old) > _MOST_COMPARISONS:
+        return [(0, len(old), 0, len(new))]
+    matcher = difflib.SequenceMatcher(None, old, new, autojunk=False)
+    return [
+        (first, last, i, j)
+        for tag, first, last, i, j in matcher.get_opcodes()
+        if tag != "equal"
+    ]
+
+
 def touches(one: LineChange, other: LineChange) -> bool:
     """Tells whether two changes concern a common line of the old text."""
     one_last = one.line + max(len(one.removed), 1)
--- a/src/marigoldgap/rules/parser.py
+++ b/src/marigoldgap/rules/parser.py
@@ -11,6 +11,7 @@
 
 # About ten times the text of 420 teams with four queues each.
 _LONGEST_TEXT = 1_048_576
+_MOST_LINES = 20_000
 _MOST_PROBLEMS = 100
 
 
@@ -42,12 +43,13 @@
 def _read(text: str) -> tuple[statements.Draft, list[problems.Problem]]:
     draft = statements.Draft()
     found: list[problems.Problem] = []
-    if len(text) > _LONGEST_TEXT:
+    if len(text) > _LONGEST_TEXT or text.count("\n") > _MOST_LINES:
         found.append(
             problems.Problem(
                 1,
                 1,
-                f"the text is longer than {_LONGEST_TEXT} characters",
+                f"the text has more than {_LONGEST_TEXT} characters or "
+                f"{_MOST_LINES} lines",
                 "shorten it",
             )
         )
--- a/tests/features/config_store/keys.feature
+++ b/tests/features/config_store/keys.feature
@@ -38,3 +38,8 @@
     Then that instance refuses keyed work with "keys-unconfirmed"
     And it accepts work for the open queue "walk-in"
     And it accepts the key again after a confirmation
+
+  Scenario: An instance that is not the coordinator confirms its keys itself
+    Given two instances with published rules and a key of team "claims"
+    When an instance with a limit of the key age runs without being coordinator
+    Then that instance accepts the key
--- a/tests/features/console/keys_status_timeline.feature
+++ b/tests/features/console/keys_status_timeline.feature
@@ -45,6 +45,10 @@
     Then "status" succeeds with "entry-2"
     And "status --json" lists 2 instances with configuration version 1
 
+  Scenario: Every command can print JSON
+    Then every registered command has the option "--json"
+    And "version --json" succeeds with "version"
+
   Scenario: A gone instance does not stop a command
     Given the first address belongs to no instance
     Then "rules explain queue bundles" succeeds with "must start within 21600 s"
--- a/tests/features/rules/parser.feature
+++ b/tests/features/rules/parser.feature
@@ -48,3 +48,6 @@
   Scenario: Line differences turn the old text into the new one
     Then applying the differences of any two texts restores the new text
     And differences made to another text are refused
+
+  Scenario: Texts with many equal lines are not compared line by line
+    Then the differences of 20000 and 19000 repeated lines are one change
--- a/tests/features/steps/config_store_keys_steps.py
+++ b/tests/features/steps/config_store_keys_steps.py
@@ -15,6 +15,7 @@
 from marigoldgap.config_store import keys
 from marigoldgap.config_store import state as state_module
 from tests.fixtures import config_world
+from tests.fixtures import loops
 from tests.fixtures import table_double
 
 _MAX_TRIES = 100
@@ -191,3 +192,24 @@
     context.aged.confirm()
     header = f"Bearer {context.granted.key}"
     assert context.aged_verifier.verify(header, "status") == "claims"
+
+
+@when("an instance with a limit of the key age runs without being coordinator")
+def run_not_coordinator(context):
+    world = context.world
+    fresh = world.store(world.platforms[1], max_key_age_s=60)
+    fresh.state.adopt(world.stores[0].state.versions_since(0))
+
+    async def run_until_confirmed():
+        polling = asyncio.create_task(fresh.poller.run(lambda: False))
+        await loops.until(lambda: fresh.state.confirmed_age_ms() is not None)
+        polling.cancel()
+
+    world.run(run_until_confirmed())
+    context.aged_verifier = fresh.verifier
+
+
+@then("that instance accepts the key")
+def accepts_key(context):
+    header = f"Bearer {context.granted.key}"
+    assert context.aged_verifier.verify(header, "status") == "claims"
--- a/tests/features/steps/console_commands_steps.py
+++ b/tests/features/steps/console_commands_steps.py
@@ -12,8 +12,10 @@
 from behave import step
 from behave import then
 from behave import when
+import typer
 
 from marigoldgap import errors
+from marigoldgap.console import application
 from marigoldgap.events import types
 from tests.fixtures import operator_fleet
 from tests.fixtures import rules_texts
@@ -255,3 +257,19 @@
     instances = _run(context, "status --json").json()["instances"]
     versions = [each["answer"]["config_version"] for each in instances]
     assert versions == [1, 1], instances
+
+
+@then('every registered command has the option "{option}"')
+def every_command_has(context, option):
+    root = typer.main.get_command(application.build())
+    groups = [root]
+    commands = []
+    while groups:
+        for command in groups.pop().commands.values():
+            target = groups if hasattr(command, "commands") else commands
+            target.append(command)
+    assert len(commands) >= 18, commands
+    for command in commands:
+        names = {name for each in command.params for name in each.opts}
+        # `serve` runs until it is stopped and prints no result.
+        assert option in names or command.name == "serve", command.name
--- a/tests/features/steps/rules_parser_steps.py
+++ b/tests/features/steps/rules_parser_steps.py
@@ -160,3 +160,12 @@
     except errors.ConflictError:
         return
     raise AssertionError("the differences were applied to another text")
+
+
+@then("the differences of {old:d} and {new:d} repeated lines are one change")
+def repeated_lines(context, old, new):
+    before = "x\n" + "a\nb\n" * (old // 2) + "y"
+    after = "z\n" + "a\nb\n" * (new // 2) + "w"
+    changes = difference.compare(before, after)
+    assert len(changes) == 1
+    assert difference.apply(before, changes) == after
