Open the circuit breaker after two calls without any answer

Cause: when the table service hangs, each of three callers lost a whole timeout before calls were refused at once.

Change: a timeout counts twice.

--- a/src/marigoldgap/platform/breaker.py
+++ b/src/marigoldgap/platform/breaker.py
@@ -13,8 +13,11 @@
 
 _log = logs.PartLogger("platform")
 
-# Three failures in a row separate an outage from a single lost packet.
-_FAILURES_TO_OPEN = 3
+# Three quick failures in a row, or two calls without any answer, separate an
+# outage from a single lost packet.
+_WEIGHT_TO_OPEN = 3
+_WEIGHT_OF_FAILURE = 1
+_WEIGHT_OF_TIMEOUT = 2
 _FIRST_DELAY_MS = 200
 # Bounds the extra time until a service that came back is used again.
 _LONGEST_DELAY_MS = 2_000
@@ -44,7 +47,7 @@
         self._probe = probe
         self._source = source
         self._now_ms = now_ms
-        self._failures = 0
+        self._weight = 0
         self._delay_ms = _FIRST_DELAY_MS
         self._probe_at_ms: int | None = None
         self._probing: asyncio.Task[None] | None = None
@@ -72,14 +75,19 @@
         """Records an answer of the service."""
         if self.is_open:
             _log.info("The %s answers again", self._name)
-        self._failures = 0
+        self._weight = 0
         self._delay_ms = _FIRST_DELAY_MS
         self._probe_at_ms = None
 
-    def failed(self) -> None:
-        """Records that the service did not answer."""
-        self._failures += 1
-        if self._failures < _FAILURES_TO_OPEN:
+    def failed(self, timed_out: bool = False) -> None:
+        """Records that the service did not answer.
+
+        Args:
+            timed_out: Whether it cost its caller the whole timeout.
+        """
+        weight = _WEIGHT_OF_TIMEOUT if timed_out else _WEIGHT_OF_FAILURE
+        self._weight += weight
+        if self._weight < _WEIGHT_TO_OPEN:
             return
         if not self.is_open:
             _log.warning("The %s does not answer", self._name)
--- a/src/marigoldgap/platform/service.py
+++ b/src/marigoldgap/platform/service.py
@@ -7,6 +7,8 @@
 import random
 from typing import Any
 
+from aiosonic import exceptions
+
 from marigoldgap import clock
 from marigoldgap import errors
 from marigoldgap import http_client
@@ -144,10 +146,10 @@
                 method, self._address, path, headers, body, self._timeout_s
             )
         except errors.ConnectFailedError as error:
-            self._breaker.failed()
+            self._breaker.failed(_is_timeout(error))
             raise errors.StoreUnavailableError(str(error)) from error
-        except errors.OutcomeUnknownError:
-            self._breaker.failed()
+        except errors.OutcomeUnknownError as error:
+            self._breaker.failed(_is_timeout(error))
             raise
         if _is_failure(answer.status):
             self._breaker.failed()
@@ -159,6 +161,11 @@
         await self.read(self._probe_path, during_outage=True)
 
 
+def _is_timeout(error: errors.MarigoldgapError) -> bool:
+    """Tells whether a call failed because there was no answer in time."""
+    return isinstance(error.__cause__, TimeoutError | exceptions.BaseTimeout)
+
+
 def _is_refusal(answer: http_client.HttpAnswer) -> bool:
     """Tells whether the service itself refused a write.
 
--- a/tests/features/platform/outage.feature
+++ b/tests/features/platform/outage.feature
@@ -7,6 +7,13 @@
     Then every read fails with "store-unavailable"
     And the table service is known to be down
 
+  Scenario: Only two calls wait when the table service does not answer at all
+    Given a platform with a table service in memory and timeouts of 200 ms
+    And the table service never answers
+    When 50 rows are read one after another
+    Then every read fails with "store-unavailable"
+    And at most 2 reads and 1 probe arrived
+
   Scenario: The table service is used again after it recovers
     Given a platform with a table service in memory
     And an observer of the platform
--- a/tests/features/steps/platform_outage_steps.py
+++ b/tests/features/steps/platform_outage_steps.py
@@ -23,6 +23,19 @@
     loops.outcome(context, context.table_double.stop())
 
 
+@given("the table service never answers")
+def never_answers(context):
+    context.table_double.is_faulty = lambda request: True
+    context.table_double.faults = [table_double.SLOW] * 1_000
+
+
+@then("at most {reads:d} reads and {probes:d} probe arrived")
+def few_arrived(context, reads, probes):
+    paths = [each.path for each in context.table_double.requests]
+    assert sum(path.startswith("/v1/rows/") for path in paths) <= reads, paths
+    assert paths.count("/v1/rows") <= probes, paths
+
+
 @given('the connection was used before and breaks on "{method}" requests')
 def break_reused(context, method):
     loops.outcome(context, context.platform.objects.get("warm-up"))
