--- a/src/marigoldgap/dispatch/job_tasks.py
+++ b/src/marigoldgap/dispatch/job_tasks.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from collections.abc import Sequence
 
 from marigoldgap import errors
 from marigoldgap import logs
 from marigoldgap.dispatch import acceptance
+from marigoldgap.dispatch import holdings as dispatch_holdings
 from marigoldgap.dispatch import interfaces
 from marigoldgap.dispatch import model as dispatch_model
 from marigoldgap.dispatch import placement as dispatch_placement
@@ -41,21 +43,41 @@
         self,
         fleet: workers_fleet.WorkerFleet,
         placement: dispatch_placement.Placement,
+        holdings: dispatch_holdings.HoldingsTable,
         gate: acceptance.AcceptanceGate,
         settle: Callable[[str], None],
         choose_victim: interfaces.ChooseVictim,
     ) -> None:
         self._fleet = fleet
         self._placement = placement
+        self._holdings = holdings
         self._gate = gate
         self._settle = settle
         self._choose_victim = choose_victim
         self._reservations: dict[str, dict[str, str]] = {}
 
+    def known(self, task_id: str) -> dispatch_model.PlaceOutcome | None:
+        """Returns where a task is that is counted here already, or None.
+
+        A refusal would be wrong for it, since the task would then be started
+        elsewhere too.
+        """
+        worker_id = self._placement.worker_of(task_id)
+        if worker_id is None:
+            return None
+        pending = self._placement.is_pending(task_id)
+        return dispatch_model.PlaceOutcome(task_id, worker_id, unknown=pending)
+
     async def place(
         self, task: model.TaskSpec, payload: bytes
     ) -> dispatch_model.PlaceOutcome:
-        """Starts a task on the best worker; tries a few if they refuse."""
+        """Starts a task on the best worker; tries a few if they refuse.
+
+        The task must not be known here.
+        """
+        if not self._holdings.may_start(task.team):
+            code = errors.LimitReachedError.code
+            return dispatch_model.PlaceOutcome(task.task_id, refusal=code)
         avoid: frozenset[str] = frozenset()
         code = errors.CapacityError.code
         for _ in range(_MOST_REFUSALS):
@@ -83,14 +105,27 @@
         placed = {
             task.task_id: worker_id
             for task in tasks
-            if (worker_id := self._placement.try_place(task)) is not None
+            if self.known(task.task_id) is None
+            and (worker_id := self._placement.try_place(task)) is not None
         }
         self._reservations[reservation_id] = placed
+        self._ask_for_missing(tasks, placed)
         asyncio.get_running_loop().call_later(
             RESERVATION_S, self._expire, reservation_id, placed
         )
         return tuple(placed)
 
+    def _ask_for_missing(
+        self, tasks: Sequence[model.TaskSpec], placed: dict[str, str]
+    ) -> None:
+        """Asks for the units of the tasks that found no place."""
+        missing = Counter(
+            task.team for task in tasks if task.task_id not in placed
+        )
+        for team, units in missing.items():
+            if not self._holdings.may_start(team):
+                self._holdings.want(team, units)
+
     def release(self, reservation_id: str) -> None:
         """Gives reserved room back; unknown reservations are ignored."""
         for task_id in self._reservations.pop(reservation_id, {}):
@@ -102,6 +137,9 @@
         """Starts a job task in its reserved room."""
         reserved = self._reservations.get(reservation_id, {})
         worker_id = reserved.pop(task.task_id, None)
+        known = self.known(task.task_id)
+        if worker_id is None and known is not None:
+            return known
         if worker_id is None:
             code = errors.CapacityError.code
             return dispatch_model.PlaceOutcome(task.task_id, refusal=code)
--- a/src/marigoldgap/dispatch/request_run.py
+++ b/src/marigoldgap/dispatch/request_run.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+import random
 from typing import NamedTuple
 
+from marigoldgap import clock
 from marigoldgap import errors
 from marigoldgap import logs
 from marigoldgap.dispatch import acceptance
 from marigoldgap.dispatch import interfaces
 from marigoldgap.dispatch import placement as dispatch_placement
+from marigoldgap.dispatch import quarantine as dispatch_quarantine
 from marigoldgap.dispatch import waiting_room
 from marigoldgap.scheduling import model
 from marigoldgap.workers import fleet as workers_fleet
@@ -19,6 +23,8 @@
 
 # A request that so many workers refused meets a fault, not bad luck.
 _MOST_REFUSALS = 8
+# A worker that answers so has failed the task.
+_FIRST_SERVER_ERROR = 500
 _DUPLICATE = "duplicate"
 # States after a stop in which the attempt cannot run any more.
 _ENDED = frozenset({"stopped", "finished", "never-started"})
@@ -52,6 +58,7 @@
     gate: acceptance.AcceptanceGate
     forwarder: interfaces.Forwarder
     budget: interfaces.RetryBudget
+    quarantine: dispatch_quarantine.WorkerQuarantine
     settle: Callable[[str], None]
     now_ms: Callable[[], int]
 
@@ -82,6 +89,7 @@
         self._may_forward = not forwarded
         self._prefer_peers = prefer_peers
         self._refusals = 0
+        self._group = f"{task.team}/{task.queue}"
         self._avoid: frozenset[str] = frozenset()
         self._may_have_run = False
 
@@ -92,7 +100,7 @@
             OutcomeUnknownError: The work may have run.
             MarigoldgapError: With `ran` NO; the work did not run.
         """
-        self._parts.budget.note_request(self._task.team)
+        self._parts.budget.first_attempt(self._task.team)
         try:
             while True:
                 answer = await self._advance()
@@ -163,6 +171,8 @@
         except BaseException:
             self._parts.settle(task_id)
             raise
+        failed = answer.status >= _FIRST_SERVER_ERROR
+        self._parts.quarantine.task_ended(worker_id, self._group, failed)
         self._parts.placement.finish(task_id)
         return answer
 
@@ -207,14 +217,17 @@
             task_id=f"{self._first.task_id}.{attempt}", attempt=attempt
         )
         self._avoid |= {worker_id}
+        await self._back_off(attempt)
+
+    async def _back_off(self, attempt: int) -> None:
+        delay_ms = self._parts.budget.delay_ms(attempt, random.random)
+        await asyncio.sleep(delay_ms / clock.MILLISECONDS_PER_SECOND)
 
     def _may_retry(self) -> bool:
         deadline_ms = self._task.deadline_ms
         if deadline_ms is not None and self._parts.now_ms() >= deadline_ms:
             return False
-        return self._parts.budget.try_retry(
-            self._task.team, self._task.attempt + 1
-        )
+        return self._parts.budget.take(self._task.team, self._task.attempt + 1)
 
     async def _stop(self, worker_id: str) -> str:
         try:
