Return cancelled jobs, and pass configuration on without circulation

Callers need the ids of the jobs that a cancellation reached. The relay sent each withdrawal from every instance to every other one; now only its origin and the coordinators pass it on. Coordinators exchange withdrawn keys on a new link, so that a zone that was cut off learns of them also while the store is down. Messages for forwarded requests are gone, since dispatch forwards them over HTTP.

--- a/src/marigoldgap/coordination/config_relay.py
+++ b/src/marigoldgap/coordination/config_relay.py
@@ -28,9 +28,10 @@
 class ConfigRelay:
     """Spreads what this instance adopts; implements ConfigListener.
 
-    A change spreads from the instance that adopted it to its zone, and by
-    the coordinator to the coordinators of other zones. Each instance passes
-    on only what is new to it, so that nothing circulates.
+    A change spreads from the instance that made or read it to its zone, and
+    by the coordinator to the coordinators of other zones, which pass it on
+    in theirs. What is lost on the way is asked for by version on the next
+    heartbeat, and exchanged when two coordinators get a new link.
 
     Args:
         settings: Settings of this instance.
@@ -58,6 +59,9 @@
         self._now_ms = now_ms
         self._next_ask_ms = 0
         self._told: dict[str, int] = {}
+        # Zone of the sender while its message is taken over.
+        self._source_zone = ""
+        self._answers_denial = False
         self._tasks: set[asyncio.Task[None]] = set()
         state.subscribe(self)
         peers.register(self)
@@ -73,7 +77,10 @@
 
     def keys_denied(self, key_ids: Sequence[str]) -> None:
         """Passes withdrawn keys on and collects confirmations."""
-        self._spawn(self._deny_everywhere(tuple(key_ids)))
+        if self._answers_denial or self._source_zone == self._settings.zone:
+            return
+        is_origin = not self._source_zone
+        self._spawn(self._deny_everywhere(tuple(key_ids), is_origin))
 
     def tick(self) -> None:
         """Call it several times a second."""
@@ -87,6 +94,11 @@
             self._next_ask_ms = now_ms + _ASK_EVERY_MS
             self._ask_if_behind()
 
+    def linked(self, instance_id: str) -> None:
+        """Exchanges withdrawn keys on a new link between coordinators."""
+        if self._peers.membership.is_coordinator:
+            self._spawn(self._catch_up(instance_id))
+
     async def fetch_versions(
         self, since: int
     ) -> Sequence[config_model.ConfigVersion]:
@@ -113,9 +125,13 @@
     @registry.handles(job_messages.ConfigDelta)
     def on_delta(self, sender: str, message: job_messages.ConfigDelta) -> None:
         """Adopts versions that are higher than the own one."""
-        del sender
-        self._state.deny(message.denied)
-        self._state.adopt([_to_version(each) for each in message.records])
+        versions = [_to_version(each) for each in message.records]
+        self._source_zone = self._zone_of(sender)
+        try:
+            self._state.deny(message.denied)
+            self._state.adopt(versions)
+        finally:
+            self._source_zone = ""
 
     @registry.handles(job_messages.ConfigRequest)
     def on_request(
@@ -134,16 +150,18 @@
         self, sender: str, message: job_messages.DenyKeys
     ) -> job_messages.DenyResult:
         """Refuses keys at once; a coordinator answers for its zone."""
-        known = self._state.denied.issuperset(message.key_ids)
-        self._state.deny(message.key_ids)
+        zone = self._zone_of(sender)
+        self._answers_denial = True
+        try:
+            self._state.deny(message.key_ids)
+        finally:
+            self._answers_denial = False
         names = {self._settings.instance_id}
-        peer = self._peers.membership.peer(sender)
-        is_other_zone = peer is not None and peer.zone != self._settings.zone
         if self._peers.membership.is_coordinator:
-            if is_other_zone and not known:
-                names |= await self._deny_in_zone(message, sender)
-            elif not is_other_zone:
+            if zone == self._settings.zone:
                 names |= await self._deny_in_zones(message)
+            else:
+                names |= await self._deny_in_zone(message, sender)
         return job_messages.DenyResult(tuple(sorted(names)))
 
     @registry.handles(job_messages.ZonesInForce)
@@ -156,16 +174,28 @@
     def _receivers(self) -> list[str]:
         """Returns the instances to which this one passes changes on."""
         own_id = self._settings.instance_id
-        zone = [m for m in self._peers.membership.members if m != own_id]
-        if self._peers.membership.is_coordinator:
-            zone.extend(self._digests.coordinators.values())
-        return zone
+        own_zone = self._settings.zone
+        found: list[str] = []
+        if self._source_zone != own_zone:
+            members = self._peers.membership.members
+            found.extend(member for member in members if member != own_id)
+        is_coordinator = self._peers.membership.is_coordinator
+        if is_coordinator and self._source_zone in ("", own_zone):
+            found.extend(self._digests.coordinators.values())
+        return found
+
+    def _zone_of(self, sender: str) -> str:
+        """Returns the zone of an instance that sent a message."""
+        peer = self._peers.membership.peer(sender)
+        return peer.zone if peer else self._settings.zone
 
-    async def _deny_everywhere(self, key_ids: tuple[str, ...]) -> None:
+    async def _deny_everywhere(
+        self, key_ids: tuple[str, ...], is_origin: bool
+    ) -> None:
         """Tells the zone, and the other zones by the coordinator."""
         message = job_messages.DenyKeys(key_ids)
         names = await self._deny_in_zone(message, "")
-        if self._peers.membership.is_coordinator:
+        if is_origin and self._peers.membership.is_coordinator:
             names |= await self._deny_in_zones(message)
         for name in names:
             for key_id in key_ids:
--- a/src/marigoldgap/coordination/coordination.py
+++ b/src/marigoldgap/coordination/coordination.py
@@ -118,6 +118,7 @@
         self._digests.linked(instance_id)
         if self._role is not None and self._is_of_zone(instance_id):
             self._role.linked(instance_id)
+        self.relay.linked(instance_id)
 
     def member_lost(self, instance_id: str) -> None:
         """See MembershipListener."""
--- a/src/marigoldgap/coordination/job_role.py
+++ b/src/marigoldgap/coordination/job_role.py
@@ -201,11 +201,16 @@
         job = self._jobs.jobs.get(job_id)
         return job.status() if job else None
 
-    async def cancel(self, request: job_messages.JobsCancelled) -> None:
+    async def cancel(
+        self, request: job_messages.JobsCancelled
+    ) -> tuple[str, ...]:
         """Cancels jobs; returns when that is certain to survive this process.
 
-        Jobs that run nothing are closed at once; others are marked in their
-        rows and closed when their tasks have stopped.
+        The rows are marked first; a job is closed when its tasks have
+        stopped. Jobs of other teams and unknown ones are ignored.
+
+        Returns:
+            The jobs that are cancelled.
 
         Raises:
             errors.NotReadyError: The jobs have not been read yet.
@@ -217,27 +222,25 @@
         if request.group:
             job_ids += self._groups.of(request.team, request.group)
         found = [self._jobs.jobs.get(job_id) for job_id in job_ids]
-        jobs = [
-            job
-            for job in found
-            if job is not None
-            and job.spec.team == request.team
-            and not job.verdict
-        ]
-        marks = [self._writer.mark_cancelled(job) for job in jobs]
+        jobs = [job for job in found if job and job.spec.team == request.team]
+        marks = [self._cancel_one(job) for job in jobs if not job.verdict]
         results = await asyncio.gather(*marks, return_exceptions=True)
-        failed = None
-        for job, result in zip(jobs, results, strict=True):
-            if isinstance(result, errors.ConflictError):
-                # The job was closed meanwhile; there is nothing to cancel.
-                continue
+        for result in results:
             if isinstance(result, BaseException):
-                failed = result
-                continue
-            job.give_verdict(jobs_model.CANCELLED, "cancelled")
-            self._jobs.changed.add(job.job_id)
-        if failed is not None:
-            raise failed
+                raise result
+        return tuple(
+            job.job_id for job in jobs if job.verdict == jobs_model.CANCELLED
+        )
+
+    async def _cancel_one(self, job: job_state.Job) -> None:
+        """Marks the row of a job, and lets the job end."""
+        try:
+            await self._writer.mark_cancelled(job)
+        except errors.ConflictError:
+            # The job was closed meanwhile; there is nothing to cancel.
+            return
+        job.give_verdict(jobs_model.CANCELLED, "cancelled")
+        self._jobs.changed.add(job.job_id)
 
     def check(self, spec: jobs_model.JobSpec) -> None:
         """Refuses a job that this zone could never run.
--- a/src/marigoldgap/coordination/jobs_gateway.py
+++ b/src/marigoldgap/coordination/jobs_gateway.py
@@ -92,22 +92,27 @@
 
     async def cancel(
         self, team: str, job_ids: Sequence[str] = (), group: str = ""
-    ) -> None:
+    ) -> tuple[str, ...]:
         """Cancels jobs of a team; returns when this is durable.
 
-        Jobs that have ended and unknown ids are ignored.
-
         Args:
             team: Owner of the jobs; jobs of other teams are not touched.
             job_ids: Jobs of any zones.
             group: All jobs of this group in all zones.
 
+        Returns:
+            Ids of the jobs that are cancelled; others are unknown, belong to
+            another team or have ended.
+
         Raises:
             errors.MarigoldgapError: Some jobs may not be cancelled; the call
                 can be repeated.
         """
         message = job_messages.JobsCancelled(tuple(job_ids), group, team)
-        await self._peers.call(self._coordinator(), message, _CANCEL_TIMEOUT_MS)
+        result: job_messages.CancelResult = await self._peers.call(
+            self._coordinator(), message, _CANCEL_TIMEOUT_MS
+        )
+        return result.job_ids
 
     def _coordinator(self) -> str:
         """Returns the coordinator of the own zone."""
--- a/src/marigoldgap/entries/job_messages.py
+++ b/src/marigoldgap/entries/job_messages.py
@@ -153,6 +153,13 @@
     team: str
 
 
+@registry.message("cancelResult")
+class CancelResult(NamedTuple):
+    """Answer to JobsCancelled: the jobs that are cancelled."""
+
+    job_ids: tuple[str, ...]
+
+
 @registry.message("jobsForgotten")
 class JobsForgotten(NamedTuple):
     """These jobs are closed; kept outcomes of their tasks may go."""
--- a/src/marigoldgap/entries/messages.py
+++ b/src/marigoldgap/entries/messages.py
@@ -220,29 +220,3 @@
     allowance: int
     sequence: int
     ceiling: int
-
-
-class Header(NamedTuple):
-    """An HTTP header of a forwarded request or of its answer."""
-
-    name: str
-    value: str
-
-
-@registry.message("forward", registry.Traffic.WORK)
-class Forward(NamedTuple):
-    """A request handed to another instance, which must not forward it."""
-
-    task: model.TaskSpec
-    payload: bytes
-    headers: tuple[Header, ...]
-
-
-@registry.message("forwardResult", registry.Traffic.WORK)
-class ForwardResult(NamedTuple):
-    """The complete answer to a forwarded request."""
-
-    status: int
-    headers: tuple[Header, ...]
-    body: bytes
-    worker_id: str
--- a/src/marigoldgap/entries/peer.capnp
+++ b/src/marigoldgap/entries/peer.capnp
@@ -40,13 +40,12 @@
     jobQuery @30 :JobQuery;
     jobCheck @31 :JobCheck;
     jobReply @32 :JobReply;
-    forward @33 :Forward;
-    forwardResult @34 :ForwardResult;
-    jobsForgotten @35 :JobsForgotten;
-    workersSettled @36 :WorkersSettled;
-    holdingRecall @37 :HoldingRecall;
-    denyResult @38 :DenyResult;
-    zonesInForce @39 :ZonesInForce;
+    jobsForgotten @33 :JobsForgotten;
+    workersSettled @34 :WorkersSettled;
+    holdingRecall @35 :HoldingRecall;
+    denyResult @36 :DenyResult;
+    zonesInForce @37 :ZonesInForce;
+    cancelResult @38 :CancelResult;
   }
 }
 
@@ -105,7 +104,6 @@
   exitCode @3 :Int64;
 }
 struct Payload { jobId @0 :Text; data @1 :Data; reference @2 :Text; }
-struct Header { name @0 :Text; value @1 :Text; }
 
 struct Challenge { nonce @0 :Data; }
 struct Hello {
@@ -219,6 +217,7 @@
   group @1 :Text;
   team @2 :Text;
 }
+struct CancelResult { jobIds @0 :List(Text); }
 struct JobsForgotten { term @0 :Term; jobIds @1 :List(Text); }
 struct JobQuery { jobId @0 :Text; }
 struct JobCheck { spec @0 :Text; }
@@ -252,15 +251,3 @@
 struct DenyKeys { keyIds @0 :List(Text); }
 struct DenyResult { names @0 :List(Text); }
 struct ZonesInForce { zones @0 :List(Count); }
-
-struct Forward {
-  task @0 :TaskSpec;
-  payload @1 :Data;
-  headers @2 :List(Header);
-}
-struct ForwardResult {
-  status @0 :Int64;
-  headers @1 :List(Header);
-  body @2 :Data;
-  workerId @3 :Text;
-}
--- a/tests/features/steps/coordination_jobs_steps.py
+++ b/tests/features/steps/coordination_jobs_steps.py
@@ -162,7 +162,9 @@
 @when('the group "{group}" is cancelled at "{name}"')
 def cancel_group(context, group, name):
     gateway = context.world.coordinations[name].gateway
-    zone_steps.run(context, gateway.cancel("claims", group=group))
+    cancel = gateway.cancel("claims", group=group)
+    cancelled = zone_steps.run(context, cancel)
+    assert set(cancelled) == set(context.job_ids)
     context.starts_before = len(context.world.starts)
 
 
