Serve: connect all parts of an entry instance

Cause: the packages existed, but no program joined them. Ruled out: starting the role only after the store answers; a cut-off zone must serve. uvicorn's own signal handling, since a stop has to announce itself before the server closes.

--- a/src/marigoldgap/coordination/job_desk.py
+++ b/src/marigoldgap/coordination/job_desk.py
@@ -81,12 +81,16 @@
     @registry.handles(job_messages.JobsCancelled)
     async def on_cancelled(
         self, sender: str, message: job_messages.JobsCancelled
-    ) -> None:
-        """Cancels jobs here and in the zones where they live."""
+    ) -> job_messages.JobsCancelled:
+        """Cancels jobs here and in the zones where they live.
+
+        Returns:
+            The ids of the jobs that are cancelled now.
+        """
         role = self._active()
         zones = jobs_gateway.by_zone(message.job_ids)
         own = message._replace(job_ids=tuple(zones.pop(self._zone, ())))
-        work = [role.jobs.cancel(own)]
+        work = [self._cancel_here(role, own)]
         if self._is_of_zone(sender):
             if message.group:
                 for zone in self._digests.coordinators:
@@ -95,9 +99,20 @@
                 part = message._replace(job_ids=tuple(job_ids))
                 work.append(self._relay(zone, part))
         results = await asyncio.gather(*work, return_exceptions=True)
+        cancelled: list[str] = []
         for result in results:
             if isinstance(result, BaseException):
                 raise result
+            cancelled += result.job_ids
+        return message._replace(job_ids=tuple(sorted(cancelled)))
+
+    async def _cancel_here(
+        self,
+        role: coordinator_module.Coordinator,
+        message: job_messages.JobsCancelled,
+    ) -> job_messages.JobsCancelled:
+        """Cancels jobs of this zone."""
+        return message._replace(job_ids=await role.jobs.cancel(message))
 
     def _is_of_zone(self, sender: str) -> bool:
         """Whether a message comes from this zone, so that it may go on."""
--- a/src/marigoldgap/coordination/job_role.py
+++ b/src/marigoldgap/coordination/job_role.py
@@ -186,12 +186,18 @@
         job = self._jobs.jobs.get(job_id)
         return job.status() if job else None
 
-    async def cancel(self, request: job_messages.JobsCancelled) -> None:
+    async def cancel(
+        self, request: job_messages.JobsCancelled
+    ) -> tuple[str, ...]:
         """Cancels jobs; returns when that is certain to survive this process.
 
         Jobs that run nothing are closed at once; others are marked in their
         rows and closed when their tasks have stopped.
 
+        Returns:
+            The ids of the cancelled jobs; jobs that have ended and jobs of
+            other teams are not among them.
+
         Raises:
             errors.NotReadyError: The jobs have not been read yet.
             errors.StoreUnavailableError: Some could not be written.
@@ -212,6 +218,7 @@
         marks = [self._writer.mark_cancelled(job) for job in jobs]
         results = await asyncio.gather(*marks, return_exceptions=True)
         failed = None
+        cancelled = []
         for job, result in zip(jobs, results, strict=True):
             if isinstance(result, errors.ConflictError):
                 # The job was closed meanwhile; there is nothing to cancel.
@@ -219,10 +226,12 @@
             if isinstance(result, BaseException):
                 failed = result
                 continue
+            cancelled.append(job.job_id)
             job.give_verdict(jobs_model.CANCELLED, "cancelled")
             self._jobs.changed.add(job.job_id)
         if failed is not None:
             raise failed
+        return tuple(cancelled)
 
     def check(self, spec: jobs_model.JobSpec) -> None:
         """Refuses a job that this zone could never run.
--- a/src/marigoldgap/coordination/jobs_gateway.py
+++ b/src/marigoldgap/coordination/jobs_gateway.py
@@ -92,7 +92,7 @@
 
     async def cancel(
         self, team: str, job_ids: Sequence[str] = (), group: str = ""
-    ) -> None:
+    ) -> tuple[str, ...]:
         """Cancels jobs of a team; returns when this is durable.
 
         Jobs that have ended and unknown ids are ignored.
@@ -102,12 +102,18 @@
             job_ids: Jobs of any zones.
             group: All jobs of this group in all zones.
 
+        Returns:
+            The ids of the jobs that are cancelled now.
+
         Raises:
             errors.MarigoldgapError: Some jobs may not be cancelled; the call
                 can be repeated.
         """
         message = job_messages.JobsCancelled(tuple(job_ids), group, team)
-        await self._peers.call(self._coordinator(), message, _CANCEL_TIMEOUT_MS)
+        answer: job_messages.JobsCancelled = await self._peers.call(
+            self._coordinator(), message, _CANCEL_TIMEOUT_MS
+        )
+        return answer.job_ids
 
     def _coordinator(self) -> str:
         """Returns the coordinator of the own zone."""
--- /dev/null
+++ b/src/marigoldgap/serving/http_server.py
@@ -0,0 +1,90 @@
+"""The HTTP server for callers and operators."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import MutableMapping
+import contextlib
+from typing import Any
+
+from starlette import applications
+from starlette import routing
+import uvicorn
+
+from marigoldgap.callers import builder as callers_builder
+from marigoldgap.settings import model as settings_model
+
+_BACKLOG = 2_048
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the instance."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Installs no signal handlers."""
+        yield
+
+
+class _CloseWhileDraining:
+    """Asks callers to reconnect while this instance is stopping.
+
+    A connection that a caller keeps open would otherwise be closed by the
+    stop, possibly while the next request is on its way.
+    """
+
+    def __init__(self, application: Any, is_draining: Callable[[], bool]):
+        self._application = application
+        self._is_draining = is_draining
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Adds `Connection: close` to answers while draining."""
+
+        async def send_with_close(message: MutableMapping[str, Any]) -> None:
+            if message["type"] == "http.response.start" and self._is_draining():
+                headers = list(message.get("headers", []))
+                headers.append((b"connection", b"close"))
+                message["headers"] = headers
+            await send(message)
+
+        await self._application(scope, receive, send_with_close)
+
+
+class HttpServer:
+    """Serves routes on the address of the settings.
+
+    Args:
+        settings: Settings of this instance.
+        routes: Routes for callers and operators.
+        is_draining: Whether the instance is stopping.
+    """
+
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        routes: list[routing.Route],
+        is_draining: Callable[[], bool],
+    ) -> None:
+        application = applications.Starlette(
+            routes=routes, exception_handlers=callers_builder.EXCEPTION_HANDLERS
+        )
+        host, _, port = settings.address.partition(":")
+        config = uvicorn.Config(
+            _CloseWhileDraining(application, is_draining),
+            host=host,
+            port=int(port),
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            backlog=_BACKLOG,
+        )
+        self._server = _Server(config)
+
+    async def run(self) -> None:
+        """Serves until `stop`; returns when every answer was sent."""
+        await self._server.serve()
+
+    def stop(self) -> None:
+        """Takes no new connection; answers under way are completed."""
+        self._server.should_exit = True
--- /dev/null
+++ b/src/marigoldgap/serving/parts.py
@@ -0,0 +1,154 @@
+"""Creates and connects the parts of an entry instance."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from marigoldgap import clock
+from marigoldgap.callers import builder as callers_builder
+from marigoldgap.config_store import builder as config_builder
+from marigoldgap.coordination import builder as coordination_builder
+from marigoldgap.coordination import coordination as coordination_module
+from marigoldgap.dispatch import builder as dispatch_builder
+from marigoldgap.dispatch import claims
+from marigoldgap.dispatch import forwarding
+from marigoldgap.entries import builder as entries_builder
+from marigoldgap.entries import hub as entries_hub
+from marigoldgap.events import builder as events_builder
+from marigoldgap.metrics import client as metrics_client
+from marigoldgap.operators import builder as operators_builder
+from marigoldgap.operators import services as operators_services
+from marigoldgap.platform import builder as platform_builder
+from marigoldgap.rules import model as rules_model
+from marigoldgap.scheduling import retry_budget
+from marigoldgap.scheduling import shares
+from marigoldgap.serving import change_observer
+from marigoldgap.serving import fleet_observer
+from marigoldgap.serving import http_server
+from marigoldgap.serving import job_explainer
+from marigoldgap.serving import local_state
+from marigoldgap.serving import observed_dispatcher
+from marigoldgap.serving import ownership
+from marigoldgap.serving import peer_directory
+from marigoldgap.serving import readiness as readiness_module
+from marigoldgap.serving import rules_follower
+from marigoldgap.serving import status
+from marigoldgap.settings import model as settings_model
+
+
+class Parts(NamedTuple):
+    """The parts that the instance runs."""
+
+    hub: entries_hub.PeerHub
+    data: dispatch_builder.DataPlane
+    coordination: coordination_module.Coordination
+    ownership: ownership.OwnershipTask
+    server: http_server.HttpServer
+
+
+def build(
+    settings: settings_model.Settings,
+    platform: platform_builder.Platform,
+    config: config_builder.ConfigStore,
+    events: events_builder.Events,
+    metrics: metrics_client.MetricsClient,
+) -> Parts:
+    """Returns the connected parts; nothing runs yet."""
+    hub = entries_builder.create_hub(settings, platform.instances, events.clock)
+    budget = retry_budget.RetryBudget(rules_model.RetryRule())
+    # The two halves need each other; the coordination is set below before
+    # anything runs.
+    late: list[coordination_module.Coordination] = []
+
+    def ask_holding(team: str, wanted: int) -> None:
+        late[0].ask_holding(team, wanted)
+
+    data = dispatch_builder.build_data_plane(
+        settings,
+        dispatch_builder.Connections(
+            request_holding=ask_holding,
+            claims=claims.TableClaimStore(platform.committer, platform.table),
+            forwarder=forwarding.HttpForwarder(
+                settings,
+                peer_directory.PeerDirectory(
+                    hub.membership, platform.instances
+                ),
+                clock.monotonic_ms,
+            ),
+            budget=budget,
+        ),
+    )
+    coordination = coordination_builder.create_coordination(
+        settings,
+        coordination_builder.Needs(
+            peers=hub,
+            instances=platform.instances,
+            table=platform.table,
+            committer=platform.committer,
+            objects=platform.objects,
+            config=config.state,
+            in_force=config.in_force,
+            holdings=data.dispatcher.holdings,
+            placer=data.dispatcher,
+            stopper=data.dispatcher,
+        ),
+    )
+    late.append(coordination)
+    hub.set_local_state(
+        local_state.InstanceState(data.dispatcher, data.fleet, config.state)
+    )
+    _observe(data, hub, coordination, config, events, metrics, budget)
+    readiness = readiness_module.Readiness(
+        config.state, platform.instances, data.dispatcher
+    )
+    routes = [
+        *callers_builder.create_routes(
+            settings,
+            config.verifier,
+            config.state,
+            observed_dispatcher.ObservedDispatcher(
+                data.dispatcher, events.ring, metrics
+            ),
+            coordination.gateway,
+            readiness,
+        ),
+        *operators_builder.create_routes(
+            operators_services.OperatorServices(
+                settings,
+                config,
+                events.ring,
+                status.InstanceStatus(readiness, data, hub, coordination),
+                job_explainer.JobExplainer(coordination.gateway),
+                shares.max_min_targets,
+            )
+        ),
+    ]
+    server = http_server.HttpServer(
+        settings, routes, lambda: data.dispatcher.draining
+    )
+    owner = ownership.OwnershipTask(
+        settings, hub.membership, platform.instances, data.fleet
+    )
+    return Parts(hub, data, coordination, owner, server)
+
+
+def _observe(
+    data: dispatch_builder.DataPlane,
+    hub: entries_hub.PeerHub,
+    coordination: coordination_module.Coordination,
+    config: config_builder.ConfigStore,
+    events: events_builder.Events,
+    metrics: metrics_client.MetricsClient,
+    budget: retry_budget.RetryBudget,
+) -> None:
+    """Connects listeners; the coordination hears the fleet first."""
+    data.dispatcher.events.add_observer(coordination.agent)
+    data.dispatcher.events.add_observer(
+        fleet_observer.FleetObserver(data.fleet, events.ring, metrics)
+    )
+    changes = change_observer.ChangeObserver(events.ring)
+    hub.membership.subscribe(changes)
+    config.state.subscribe(changes)
+    config.state.subscribe(
+        rules_follower.RulesFollower(config.state, data.dispatcher, budget)
+    )
--- /dev/null
+++ b/src/marigoldgap/serving/peer_directory.py
@@ -0,0 +1,50 @@
+"""The entry instances to which a request can be forwarded."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from marigoldgap.dispatch import interfaces
+from marigoldgap.dispatch import model as dispatch_model
+from marigoldgap.entries import membership as membership_module
+from marigoldgap.entries import peer as peer_module
+from marigoldgap.platform import instances as platform_instances
+
+
+class PeerDirectory:
+    """Implements `dispatch.interfaces.PeerDirectory`.
+
+    Args:
+        membership: Live instances with the load of their last heartbeat.
+        instances: The platform's list, which has the addresses.
+    """
+
+    def __init__(
+        self,
+        membership: membership_module.Membership,
+        instances: platform_instances.InstanceList,
+    ) -> None:
+        self._membership = membership
+        self._instances = instances
+
+    def peers(self) -> Sequence[interfaces.PeerLoad]:
+        """Returns the live instances without this one."""
+        found = (self._describe(peer) for peer in self._membership.peers())
+        return [peer for peer in found if peer is not None]
+
+    def _describe(self, peer: peer_module.Peer) -> interfaces.PeerLoad | None:
+        if not peer.alive:
+            return None
+        listed = self._instances.find(peer.instance_id)
+        if listed is None:
+            return None
+        return interfaces.PeerLoad(
+            instance_id=peer.instance_id,
+            address=listed.address,
+            zone=peer.zone,
+            region=listed.region,
+            draining=peer.state == peer_module.DRAINING,
+            load=dispatch_model.EntryLoad(
+                peer.free, peer.waiting, peer.running
+            ),
+        )
--- /dev/null
+++ b/src/marigoldgap/serving/readiness.py
@@ -0,0 +1,37 @@
+"""Whether this instance can take work."""
+
+from __future__ import annotations
+
+from marigoldgap.config_store import state as config_state
+from marigoldgap.dispatch import dispatcher as dispatch_dispatcher
+from marigoldgap.platform import instances as platform_instances
+
+
+class Readiness:
+    """Implements `callers.interfaces.Readiness`.
+
+    Args:
+        config: Must be known before keys can be checked.
+        instances: Must be known before workers can be found.
+        dispatcher: Knows whether the instance is stopping.
+    """
+
+    def __init__(
+        self,
+        config: config_state.ConfigState,
+        instances: platform_instances.InstanceList,
+        dispatcher: dispatch_dispatcher.Dispatcher,
+    ) -> None:
+        self._config = config
+        self._instances = instances
+        self._dispatcher = dispatcher
+
+    def not_ready_reason(self) -> str:
+        """Returns why no work should be sent here, or an empty string."""
+        if self._dispatcher.draining:
+            return "this instance is stopping"
+        if not self._config.is_known:
+            return "the configuration has not been read yet"
+        if not self._instances.is_known:
+            return "the instance list has not been read yet"
+        return ""
--- /dev/null
+++ b/src/marigoldgap/serving/status.py
@@ -0,0 +1,79 @@
+"""What operators see of this instance."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any
+
+from marigoldgap.coordination import coordination as coordination_module
+from marigoldgap.dispatch import builder as dispatch_builder
+from marigoldgap.entries import hub as entries_hub
+from marigoldgap.rules import preview
+from marigoldgap.serving import readiness as readiness_module
+
+
+class InstanceStatus:
+    """Implements `operators.interfaces.StatusSource`.
+
+    Args:
+        readiness: Whether the instance takes work.
+        data: Dispatcher and fleet.
+        hub: Links to the other instances.
+        coordination: Term and coordinator role.
+    """
+
+    def __init__(
+        self,
+        readiness: readiness_module.Readiness,
+        data: dispatch_builder.DataPlane,
+        hub: entries_hub.PeerHub,
+        coordination: coordination_module.Coordination,
+    ) -> None:
+        self._readiness = readiness
+        self._data = data
+        self._hub = hub
+        self._coordination = coordination
+
+    def status(self) -> Mapping[str, Any]:
+        """Returns JSON values by name."""
+        load = self._data.dispatcher.load()
+        membership = self._hub.membership
+        role = self._coordination.role
+        return {
+            "ready": not self._readiness.not_ready_reason(),
+            "not_ready_reason": self._readiness.not_ready_reason(),
+            "draining": self._data.dispatcher.draining,
+            "members": list(membership.members),
+            "coordinator": membership.term.instance_id,
+            "term": membership.term.counter,
+            "is_coordinator": role is not None,
+            "barrier_passed": role is not None and role.barrier_passed,
+            "workers_owned": len(self._data.fleet.owned()),
+            "workers_quarantined": sorted(
+                self._data.dispatcher.quarantine.workers
+            ),
+            "free": {name: free._asdict() for name, free in load.free.items()},
+            "waiting": dict(load.waiting),
+            "running": dict(load.running),
+            "peer_bytes_sent": {
+                instance_id: sum(traffic.sent.values())
+                for instance_id, traffic in self._hub.link_traffic().items()
+            },
+        }
+
+    def situation(self) -> preview.Situation:
+        """Returns the load that this instance knows of, in tasks.
+
+        Instances of other zones count as far as this one is linked to them.
+        """
+        running: Counter[str] = Counter()
+        own = self._data.dispatcher.load()
+        running.update(own.running)
+        slots = sum(free.slots for free in own.free.values())
+        for peer in self._hub.membership.peers():
+            if peer.alive:
+                running.update(peer.running)
+                slots += sum(free.slots for free in peer.free.values())
+        capacity = float(slots + running.total())
+        return preview.Situation(capacity, dict(running), {})
