Keep non-idempotent jobs alive when their coordinator changes

The row now holds the index below which tasks may have run. A new coordinator fails the job only if such a task was not reported; all others start as usual. Refused tasks wait at the front.

Ruled out: trusting the workers' records alone. A worker that restarted while nobody owned it has forgotten its tasks, and its next owner cannot tell.

--- a/src/marigoldgap/coordination/job_closing.py
+++ b/src/marigoldgap/coordination/job_closing.py
@@ -61,10 +61,10 @@
         if not self.is_busy(job.job_id):
             self._spawn(job, self._close(job))
 
-    def mark_started(self, job: job_state.Job) -> None:
-        """Notes in the row that tasks may have run."""
+    def mark_started(self, job: job_state.Job, below: int) -> None:
+        """Notes in the row that tasks below an index may have run."""
         if not self.is_busy(job.job_id):
-            self._spawn(job, self._mark_started(job))
+            self._spawn(job, self._mark_started(job, below))
 
     async def mark_cancelled(self, job: job_state.Job) -> None:
         """Notes in the row that the job is cancelled.
@@ -116,13 +116,13 @@
         )
         self._finish(job)
 
-    async def _mark_started(self, job: job_state.Job) -> None:
-        """Writes the mark; the job may start only afterwards."""
+    async def _mark_started(self, job: job_state.Job, below: int) -> None:
+        """Writes the mark; the tasks may start only afterwards."""
         transaction = job_rows.mark_transaction(
-            self._zone, job, started=True, cancelled=False
+            self._zone, job, started=below, cancelled=False
         )
         job.row_version = await self._committer.commit(transaction)
-        job.started = True
+        job.started = below
 
     async def _reread(self, job: job_state.Job) -> None:
         """Learns the row's version after a conflict, or that it is gone."""
--- a/src/marigoldgap/coordination/job_role.py
+++ b/src/marigoldgap/coordination/job_role.py
@@ -32,6 +32,7 @@
 from marigoldgap.entries import job_messages
 from marigoldgap.entries import messages
 from marigoldgap.scheduling import model
+from marigoldgap.scheduling import resources
 from marigoldgap.scheduling import retry_budget
 from marigoldgap.settings import model as settings_model
 
@@ -88,6 +89,7 @@
         self._peers = peers
         self._table_client = table_client
         self._config = config
+        self._keeper = keeper
         self._zone = zone
         self._free = free
         self._usage = usage
@@ -378,14 +380,35 @@
         self._peers.send(self._settings.instance_id, message)
 
     def _may_start(self, job: job_state.Job) -> bool:
-        """Whether a job's row allows starts; else the row is marked first."""
+        """Whether a job's row allows to start its next task.
+
+        Otherwise the row is marked first, for as many tasks as seem to find
+        room now: a new coordinator cannot tell whether marked tasks ran.
+        """
         if job.verdict:
             return False
-        if job.spec.idempotent or job.started:
+        next_start = job.spec.tasks - 1 if job.spec.gang else job.waiting[0]
+        if job.spec.idempotent or next_start < job.started:
             return True
-        self._writer.mark_started(job)
+        below = job.spec.tasks if job.spec.gang else self._startable(job)
+        if below > job.started:
+            self._writer.mark_started(job, below)
         return False
 
+    def _startable(self, job: job_state.Job) -> int:
+        """Returns the index below which tasks could start now."""
+        spec = job.spec
+        free = self._free.of_service(spec.service)
+        room = sum(
+            resources.copies_in(spec.resources, amount)
+            for amount in free.values()
+        )
+        count = min(len(job.waiting), room, self._keeper.free_units(spec.team))
+        if not count:
+            self._keeper.want(spec.team, len(job.waiting))
+            return 0
+        return sorted(job.waiting)[count - 1] + 1
+
     def _usage_of(self, team: str) -> float:
         """Returns the usage of a team divided by its share."""
         rule = self._config.rules.teams.get(team)
--- a/src/marigoldgap/coordination/job_rows.py
+++ b/src/marigoldgap/coordination/job_rows.py
@@ -30,7 +30,7 @@
 def open_value(
     spec: jobs_model.JobSpec,
     reference: str = "",
-    started: bool = False,
+    started: int = 0,
     cancelled: bool = False,
 ) -> dict[str, Any]:
     """Returns the value of an open job's row.
@@ -38,7 +38,7 @@
     Args:
         spec: The job; its payload is left out if `reference` is given.
         reference: Key of the payload in the object store.
-        started: Whether tasks of a non-idempotent job may have run.
+        started: Tasks of a non-idempotent job below this index may have run.
         cancelled: Whether the job was cancelled and is being stopped.
     """
     payload = b"" if reference else spec.payload
@@ -65,7 +65,7 @@
             spec=parse_spec(row.value["spec"]),
             row_version=row.version,
             reference=row.value["reference"],
-            started=row.value["started"],
+            started=int(row.value["started"]),
         )
         if row.value["cancelled"]:
             job.give_verdict(jobs_model.CANCELLED, "cancelled")
@@ -99,7 +99,7 @@
 
 
 def mark_transaction(
-    zone: str, job: job_state.Job, started: bool, cancelled: bool
+    zone: str, job: job_state.Job, started: int, cancelled: bool
 ) -> platform_model.Transaction:
     """Returns the update of an open job's row."""
     key = open_key(zone, job.job_id)
--- a/src/marigoldgap/coordination/job_state.py
+++ b/src/marigoldgap/coordination/job_state.py
@@ -46,8 +46,8 @@
         row_version: Version of the job's row in the table service.
         reference: Key of the payload in the object store, if it is there.
         verdict: Final state that the job will get once nothing runs.
-        started: Whether the row says that tasks may have run; only kept for
-            jobs that are not idempotent.
+        started: Tasks below this index may have run, as the row says; only
+            kept for jobs that are not idempotent.
         not_before_ms: Start of the next attempt after failures.
     """
 
@@ -57,7 +57,7 @@
         spec: jobs_model.JobSpec,
         row_version: int,
         reference: str = "",
-        started: bool = False,
+        started: int = 0,
     ) -> None:
         self.job_id = job_id
         self.spec = spec
@@ -117,6 +117,12 @@
             pass
         self.active[index] = task_id
 
+    def put_first(self, index: int) -> None:
+        """Makes a task wait that was not started, ahead of the others."""
+        self.active.pop(index, None)
+        if not self.verdict and index not in self.ended:
+            self.waiting.appendleft(index)
+
     def put_back(self, index: int) -> None:
         """Makes a task wait again, unless the job ends anyway.
 
--- a/src/marigoldgap/coordination/job_table.py
+++ b/src/marigoldgap/coordination/job_table.py
@@ -77,7 +77,7 @@
             self.outcome(outcome, now_ms)
         for attempt in self._early.pop(job.job_id, {}).values():
             self._activate(job, attempt)
-        if job.started and not job.spec.idempotent:
+        if not job.spec.idempotent:
             self._distrust_restart(job)
         self.changed.add(job.job_id)
 
@@ -131,7 +131,7 @@
         """Records that an attempt certainly did not start."""
         attempt = self._drop(task_id)
         if attempt is not None:
-            self._job_of(attempt).put_back(attempt.task_index)
+            self._job_of(attempt).put_first(attempt.task_index)
             self.changed.add(attempt.job_id)
 
     def placing(
@@ -357,7 +357,7 @@
 
     def _distrust_restart(self, job: job_state.Job) -> None:
         """Fails a job whose lost tasks may have run and must not again."""
-        if job.waiting:
+        if any(index < job.started for index in job.waiting):
             job.give_verdict(
                 jobs_model.FAILED,
                 "outcome unknown: what ran before was not reported",
--- a/tests/features/coordination/jobs.feature
+++ b/tests/features/coordination/jobs.feature
@@ -36,6 +36,14 @@
     When a worker that runs tasks dies
     Then within 30 s the job is "failed" and each of its 2 tasks started once
 
+  Scenario: A non-idempotent job goes on after its coordinator died
+    Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 12
+    And a non-idempotent job of 20 tasks of which 12 run
+    When "e1" dies
+    And 20 s pass and every running task finishes
+    And 20 s pass and every running task finishes
+    Then the job is "finished" and each of its 20 tasks started once
+
   Scenario: The store is down
     Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 12
     And a job of 4 tasks runs
--- a/tests/features/steps/coordination_jobs_steps.py
+++ b/tests/features/steps/coordination_jobs_steps.py
@@ -60,6 +60,14 @@
     )
 
 
+@given("a non-idempotent job of {count:d} tasks of which {running:d} run")
+def non_idempotent_partly(context, count, running):
+    context.job_id = _submit(context, tasks=count, idempotent=False)
+    zone_steps.advance_until(
+        context, lambda: len(context.world.running()) == running, 5_000
+    )
+
+
 @given('{count:d} jobs of group "{group}" are submitted and some run')
 def many_jobs(context, count, group):
     async def submit_all():
