--- a/src/marigoldgap/coordination/job_closing.py
+++ b/src/marigoldgap/coordination/job_closing.py
@@ -66,6 +66,16 @@
         if not self.is_busy(job.job_id):
             self._spawn(job, self._mark_started(job, below))
 
+    def unmark(self, job: job_state.Job, below: int) -> None:
+        """Notes in the row that the tasks from an index on did not run.
+
+        The lower number counts here at once, so that none of them starts
+        while the write is under way or if its outcome is unknown.
+        """
+        if not self.is_busy(job.job_id):
+            job.started = below
+            self._spawn(job, self._mark_started(job, below))
+
     async def mark_cancelled(self, job: job_state.Job) -> None:
         """Notes in the row that the job is cancelled.
 
--- a/src/marigoldgap/coordination/job_role.py
+++ b/src/marigoldgap/coordination/job_role.py
@@ -49,6 +49,8 @@
 _LONGEST_PAUSE_MS = 30_000
 # An instance that refused had less room than its heartbeat said.
 _REFUSED_PAUSE_MS = 200
+# A refused task often starts elsewhere at once, which spares two writes.
+_UNMARK_AFTER_MS = 1_000
 
 
 class JobRole:
@@ -134,6 +136,8 @@
             config.rules.retry, _FIRST_PAUSE_MS, _LONGEST_PAUSE_MS
         )
         self._impossible = impossible_jobs.ImpossibleJobs(zone)
+        # Non-idempotent jobs with refused tasks, and when to unmark these.
+        self._refused_at_ms: dict[str, int] = {}
         self._ending: set[str] = set()
         self._forgotten: list[str] = []
         self._loaded = False
@@ -177,6 +181,7 @@
         if zone_known:
             self._end_impossible()
         self._handle_changes()
+        self._unmark_refused()
         self._free.refresh()
         self._gangs.tick()
         self._dispatch.round()
@@ -321,6 +326,22 @@
         if job is not None:
             pause_ms = self._source.uniform(0, _REFUSED_PAUSE_MS)
             job.not_before_ms = self._now_ms() + int(pause_ms)
+            if not job.spec.idempotent:
+                self._refused_at_ms.setdefault(job.job_id, self._now_ms())
+
+    def _unmark_refused(self) -> None:
+        """Lowers the marks of jobs that wait again after refusals.
+
+        A new coordinator could not tell whether marked tasks have run.
+        """
+        due_ms = self._now_ms() - _UNMARK_AFTER_MS
+        for job_id, refused_ms in list(self._refused_at_ms.items()):
+            job = self._jobs.jobs.get(job_id)
+            if job is not None and refused_ms > due_ms:
+                continue
+            del self._refused_at_ms[job_id]
+            if job is not None and job.unstarted_from() < job.started:
+                self._writer.unmark(job, job.unstarted_from())
 
     def _handle_changes(self) -> None:
         """Looks at the jobs that changed and at those that must end."""
--- a/src/marigoldgap/coordination/job_state.py
+++ b/src/marigoldgap/coordination/job_state.py
@@ -117,6 +117,10 @@
             pass
         self.active[index] = task_id
 
+    def unstarted_from(self) -> int:
+        """Returns the index from which on no task runs or has ended."""
+        return max([-1, *self.active, *self.ended]) + 1
+
     def put_first(self, index: int) -> None:
         """Makes a task wait that was not started, ahead of the others."""
         self.active.pop(index, None)
