Ask for room once for each need, not once for each team

Cause: the last search of a pump in a full cluster asks every team with waiting tasks. Ruled out: a limit on the number of teams tried, which could hide the only task that fits. Change: pop takes an optional has_room, which is asked once for each different need; a search that finds no room ends before it goes through any team. Conclusion: dispatch and coordination should pass has_room and block teams that are at their limit with set_blocked.

--- a/src/marigoldgap/scheduling/capacity_levels.py
+++ b/src/marigoldgap/scheduling/capacity_levels.py
@@ -103,8 +103,10 @@
     def _find(
         self, needed: model.Resources, avoid: frozenset[str], tight: bool
     ) -> str | None:
-        covering = self._shapes.covering(size_classes.covering_shape(needed))
         slots = self._slot_levels(needed.slots, tight)
+        if not slots:
+            return None
+        covering = self._shapes.covering(size_classes.covering_shape(needed))
         for count in slots:
             level = self._levels[count]
             sure = level.occupied & covering
--- a/src/marigoldgap/scheduling/fair_queue.py
+++ b/src/marigoldgap/scheduling/fair_queue.py
@@ -4,51 +4,17 @@
 
 from collections.abc import Callable
 import heapq
-import math
-from typing import NamedTuple
 
 from marigoldgap import errors
 from marigoldgap.scheduling import model
-from marigoldgap.scheduling import team_lanes
+from marigoldgap.scheduling import team_order
+from marigoldgap.scheduling import waiting_needs
 
 _DEFAULT_LIMIT = 100_000
-_DEFAULT_SHARE = 1.0
 # Stale heap entries are dropped once they outnumber the live ones.
 _COMPACT_ABOVE = 64
 
 
-class _Candidate(NamedTuple):
-    """Next task of a team; compares by fairness and then by urgency.
-
-    Attributes:
-        version: Makes the entry stale once the team's state has changed.
-        position: Which lane of the team the task is in.
-    """
-
-    usage: float
-    order: team_lanes.Order
-    team: str
-    version: int
-    position: int = 0
-
-
-class _Team:
-    """Waiting tasks, usage and share of one team."""
-
-    __slots__ = ("blocked", "lanes", "share", "usage", "version")
-
-    def __init__(self) -> None:
-        self.lanes = team_lanes.TeamLanes()
-        self.usage = 0.0
-        self.share = _DEFAULT_SHARE
-        self.version = 0
-        self.blocked = False
-
-    @property
-    def normalized(self) -> float:
-        return self.usage / self.share if self.share > 0 else math.inf
-
-
 class FairQueue:
     """Bounded queue ordered by usage per share, priority, deadline, arrival.
 
@@ -71,9 +37,9 @@
     ) -> None:
         self._limit = limit
         self._team_limit = team_limit or max(1, limit // 2)
-        self._teams: dict[str, _Team] = {}
+        self._order = team_order.TeamOrder()
+        self._needs = waiting_needs.WaitingNeeds()
         self._team_of: dict[str, str] = {}
-        self._ready: list[_Candidate] = []
         self._deadlines: list[tuple[int, str, int]] = []
         self._arrivals = 0
         self.examined = 0
@@ -86,8 +52,7 @@
 
     def waiting(self, team: str) -> int:
         """Returns the number of waiting tasks of a team."""
-        state = self._teams.get(team)
-        return len(state.lanes) if state else 0
+        return len(self._order.team(team).lanes)
 
     def push(self, task: model.TaskSpec, now_ms: int) -> None:
         """Adds a task.
@@ -106,7 +71,7 @@
             raise errors.ConflictError(f"{task.task_id} is already waiting")
         if len(self) >= self._limit:
             raise errors.QueueFullError(f"{self._limit} tasks are waiting")
-        state = self._team(task.team)
+        state = self._order.team(task.team)
         if len(state.lanes) >= self._team_limit:
             raise errors.QueueFullError(
                 f"{self._team_limit} tasks of team {task.team} are waiting"
@@ -116,11 +81,14 @@
         if task.deadline_ms is not None:
             entry = (task.deadline_ms, task.task_id, self._arrivals)
             heapq.heappush(self._deadlines, entry)
+        self._needs.add(task)
         if state.lanes.push(task, self._arrivals):
-            self._announce(task.team, state)
+            self._order.announce(task.team)
 
     def pop(
-        self, may_run: Callable[[model.TaskSpec], bool]
+        self,
+        may_run: Callable[[model.TaskSpec], bool],
+        has_room: Callable[[model.TaskSpec], bool] | None = None,
     ) -> model.TaskSpec | None:
         """Removes and returns the first task that may run, or None.
 
@@ -128,30 +96,23 @@
             may_run: Tells whether a task can start now; it must give the same
                 answer for tasks of one team that need the same resources of
                 the same service.
+            has_room: Tells whether a task finds room, whatever its team. It is
+                asked once for each different need, so a search in a full
+                cluster does not go through all teams.
         """
-        skipped: list[_Candidate] = []
-        more: list[_Candidate] = []
+        room = waiting_needs.RoomSearch(self._needs, has_room)
+        search = self._order.search()
         found = None
-        while found is None:
-            candidate = self._next(skipped, more)
+        while found is None and not room.hopeless:
+            candidate = search.next()
             if candidate is None:
                 break
-            lanes = self._teams[candidate.team].lanes
+            lanes = self._order.team(candidate.team).lanes
             task = lanes.head(candidate.position)
             self.examined += 1
-            if may_run(task):
+            if room.has_room(task) and may_run(task):
                 found = task
-                continue
-            following = lanes.order(candidate.position + 1)
-            if following is not None:
-                heapq.heappush(
-                    more,
-                    candidate._replace(
-                        order=following, position=candidate.position + 1
-                    ),
-                )
-        for candidate in skipped:
-            heapq.heappush(self._ready, candidate)
+        search.close()
         if found is not None:
             self.remove(found.task_id)
         return found
@@ -161,9 +122,11 @@
         team = self._team_of.pop(task_id, None)
         if team is None:
             return False
-        state = self._teams[team]
-        if state.lanes.remove(task_id):
-            self._announce(team, state)
+        lanes = self._order.team(team).lanes
+        task = lanes.task(task_id)
+        self._needs.remove(task)
+        if lanes.remove(task_id):
+            self._order.announce(team)
         self._compact_deadlines()
         return True
 
@@ -180,55 +143,24 @@
 
     def set_usage(self, team: str, usage: float) -> None:
         """Sets the team's dominant usage, a fraction of the cluster."""
-        state = self._team(team)
+        state = self._order.team(team)
         if state.usage != usage:
             state.usage = usage
-            self._announce(team, state)
+            self._order.announce(team)
 
     def set_share(self, team: str, share: float) -> None:
         """Sets the team's share; a team with share zero comes last."""
-        state = self._team(team)
+        state = self._order.team(team)
         if state.share != share:
             state.share = share
-            self._announce(team, state)
+            self._order.announce(team)
 
     def set_blocked(self, team: str, blocked: bool) -> None:
         """Leaves a team out of `pop`, for example while it is at its limit."""
-        state = self._team(team)
+        state = self._order.team(team)
         if state.blocked != blocked:
             state.blocked = blocked
-            self._announce(team, state)
-
-    def _team(self, team: str) -> _Team:
-        state = self._teams.get(team)
-        if state is None:
-            state = self._teams[team] = _Team()
-        return state
-
-    def _announce(self, team: str, state: _Team) -> None:
-        """Replaces the team's entry in the heap of candidates."""
-        state.version += 1
-        order = state.lanes.order(0)
-        if order is not None and not state.blocked:
-            entry = _Candidate(state.normalized, order, team, state.version)
-            heapq.heappush(self._ready, entry)
-        if len(self._ready) > 2 * len(self._teams) + _COMPACT_ABOVE:
-            self._ready = [entry for entry in self._ready if self._live(entry)]
-            heapq.heapify(self._ready)
-
-    def _live(self, candidate: _Candidate) -> bool:
-        return self._teams[candidate.team].version == candidate.version
-
-    def _next(
-        self, skipped: list[_Candidate], more: list[_Candidate]
-    ) -> _Candidate | None:
-        """Returns the best candidate of the heap and of the further lanes."""
-        while self._ready and not self._live(self._ready[0]):
-            heapq.heappop(self._ready)
-        if self._ready and (not more or self._ready[0] < more[0]):
-            skipped.append(heapq.heappop(self._ready))
-            return skipped[-1]
-        return heapq.heappop(more) if more else None
+            self._order.announce(team)
 
     def _waiting_task(
         self, task_id: str, arrival: int
@@ -236,7 +168,7 @@
         team = self._team_of.get(task_id)
         if team is None:
             return None
-        return self._teams[team].lanes.find(task_id, arrival)
+        return self._order.team(team).lanes.find(task_id, arrival)
 
     def _compact_deadlines(self) -> None:
         if len(self._deadlines) <= 2 * len(self) + _COMPACT_ABOVE:
--- a/src/marigoldgap/scheduling/team_lanes.py
+++ b/src/marigoldgap/scheduling/team_lanes.py
@@ -8,12 +8,11 @@
 from typing import NamedTuple
 
 from marigoldgap.scheduling import model
+from marigoldgap.scheduling import waiting_needs
 from marigoldgap.scheduling.policies import registry
 
 # Not urgent, negated priority, latest start, arrival: lower goes first.
 Order = tuple[bool, int, float, int]
-# Kind, service, resources: tasks that can run on the same workers.
-_Key = tuple[str, str, model.Resources]
 _COMPACT_ABOVE = 16
 
 
@@ -29,7 +28,7 @@
 
     __slots__ = ("heap", "key", "live")
 
-    def __init__(self, key: _Key) -> None:
+    def __init__(self, key: waiting_needs.Needs) -> None:
         self.key = key
         self.heap: list[tuple[Order, str]] = []
         self.live = 0
@@ -50,8 +49,8 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, _Entry] = {}
-        self._lanes: dict[_Key, _Lane] = {}
-        self._sorted: list[tuple[Order, _Key]] = []
+        self._lanes: dict[waiting_needs.Needs, _Lane] = {}
+        self._sorted: list[tuple[Order, waiting_needs.Needs]] = []
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -67,6 +66,10 @@
         lane = self._lanes[self._sorted[position][1]]
         return self._entries[lane.heap[0][1]].task
 
+    def task(self, task_id: str) -> model.TaskSpec:
+        """Returns a waiting task."""
+        return self._entries[task_id].task
+
     def find(self, task_id: str, arrival: int) -> model.TaskSpec | None:
         """Returns the waiting task if it arrived with this number."""
         entry = self._entries.get(task_id)
@@ -78,7 +81,7 @@
         """Adds a task; returns whether it is now the first of the team."""
         order = _order(task, arrival)
         self._entries[task.task_id] = _Entry(order, task)
-        key = (task.kind, task.service, task.resources)
+        key = waiting_needs.needs_of(task)
         lane = self._lanes.get(key)
         if lane is None:
             lane = self._lanes[key] = _Lane(key)
@@ -93,7 +96,7 @@
         """Removes a task; returns whether it was the first of the team."""
         entry = self._entries.pop(task_id)
         task = entry.task
-        lane = self._lanes[(task.kind, task.service, task.resources)]
+        lane = self._lanes[waiting_needs.needs_of(task)]
         lane.live -= 1
         was_first = self._sorted[0][0] == entry.order
         if lane.heap[0][1] == task_id:
--- a/tests/features/scheduling/allowance_ledger.feature
+++ b/tests/features/scheduling/allowance_ledger.feature
@@ -39,3 +39,8 @@
     Given a zone with 10 units and two entry instances
     When one of two instances acknowledges that 4 units are given up
     Then the write for the 4 units is possible only after the other one did
+
+  Scenario: A former coordinator that reads the row again stops
+    Given two coordinators of a zone of which the second has written the row
+    When the first coordinator reads the row again
+    Then the first coordinator neither grants nor writes nor gives up
--- a/tests/features/scheduling/fair_queue.feature
+++ b/tests/features/scheduling/fair_queue.feature
@@ -19,3 +19,7 @@
   Scenario: A batch task is ordered by its latest start
     Given two batch tasks of which the longer has the later deadline
     Then the longer batch task is popped first
+
+  Scenario: A full cluster is noticed without going through all teams
+    Given 50000 waiting tasks of 420 teams with 3 different needs
+    Then a search that finds no room asks 3 times and goes through no team
--- a/tests/features/scheduling/free_index.feature
+++ b/tests/features/scheduling/free_index.feature
@@ -23,3 +23,9 @@
 
   Scenario: Quick and batch tasks examine far fewer workers than first fit
     Then filling 2000 workers examines less than a hundredth of what first fit does
+
+  Scenario: Small tasks do not starve a large one
+    Given 4 workers full of tasks of one slot and a task of 6 slots
+    When the small tasks end one by one and others take their place
+    Then the large task starts before 100 small tasks have ended
+    And after its hold ended the worker serves small tasks again
--- a/tests/features/steps/scheduling_allowance_steps.py
+++ b/tests/features/steps/scheduling_allowance_steps.py
@@ -278,3 +278,29 @@
     assert context.ledger.give_up_write(TEAM, LIMIT) is None
     acknowledge(context, "e2", context.accounts[1])
     assert context.ledger.give_up_write(TEAM, LIMIT).row.zones == {"a": 6}
+
+
+@given("two coordinators of a zone of which the second has written the row")
+def two_coordinators(context):
+    context.world, zone, _ = world_of_zone()
+    context.world.new_term(zone)
+    context.first, second = zone.coordinators
+    assert context.first.ledger.free(TEAM) == 6
+    context.world.fence(zone, second, 6)
+    assert context.world.row.terms["a"] == second.ledger.term
+
+
+@when("the first coordinator reads the row again")
+def reads_again(context):
+    world = context.world
+    context.first.ledger.row_read(TEAM, world.row, world.version)
+
+
+@then("the first coordinator neither grants nor writes nor gives up")
+def first_stops(context):
+    ledger = context.first.ledger
+    holder = next(iter(ledger.holders))
+    assert ledger.superseded
+    assert ledger.grant(TEAM, holder, 1) is None
+    assert ledger.raise_write(TEAM, 10, LIMIT) is None
+    assert ledger.begin_give_up(TEAM, 2) is None
--- a/tests/features/steps/scheduling_fair_queue_steps.py
+++ b/tests/features/steps/scheduling_fair_queue_steps.py
@@ -72,8 +72,11 @@
             self.push(number, team, level, deadline, flag)
         elif operation == "pop":
             limit = 4 if flag else level
-            chosen = self.queue.pop(lambda t: t.resources.slots <= limit)
-            assert chosen == self.pop(lambda t: t.resources.slots <= limit)
+            room = (
+                (lambda t: t.resources.slots <= limit) if number % 2 else None
+            )
+            may_run = room or (lambda t: t.resources.slots <= limit)
+            assert self.queue.pop(may_run, room) == self.pop(may_run)
         elif operation == "remove":
             found = self.waiting.pop(f"t{number}", None)
             assert self.queue.remove(f"t{number}") == (found is not None)
@@ -229,3 +232,21 @@
 @then("the longer batch task is popped first")
 def longer_first(context):
     assert context.queue.pop(lambda task: True).task_id == "t2"
+
+
+@given("50000 waiting tasks of 420 teams with 3 different needs")
+def many_teams(context):
+    context.queue = fair_queue.FairQueue()
+    for number in range(50_000):
+        size = model.Resources(1 + number % 3)
+        task = scheduling.task(number, resources=size, team=f"t{number % 420}")
+        context.queue.push(task, 0)
+
+
+@then("a search that finds no room asks 3 times and goes through no team")
+def hopeless_search(context):
+    asked = []
+    found = context.queue.pop(lambda task: True, asked.append)
+    assert found is None
+    assert len(asked) == 3
+    assert context.queue.examined == 0
--- a/tests/features/steps/scheduling_free_index_steps.py
+++ b/tests/features/steps/scheduling_free_index_steps.py
@@ -13,6 +13,7 @@
 from benchmarks import naive_placement
 from marigoldgap import errors
 from marigoldgap.scheduling import free_index
+from marigoldgap.scheduling import large_task_hold
 from marigoldgap.scheduling import model
 from marigoldgap.scheduling import resources
 from tests.fixtures import scheduling
@@ -272,3 +273,46 @@
             for placement in (index, naive):
                 placement.claim(placement.choose(task), task)
         assert index.examined * 100 < naive.examined
+
+
+@given("4 workers full of tasks of one slot and a task of 6 slots")
+def full_workers(context):
+    context.index = filled_index(4)
+    context.hold = large_task_hold.LargeTaskHold(context.index, 10_000)
+    context.places = [
+        start_small(context, number, 0) for number in range(4 * 8)
+    ]
+
+
+def start_small(context, number, now_ms):
+    task = scheduling.task(number, "batch")
+    worker_id = context.hold.choose(task, now_ms)
+    if worker_id is not None:
+        context.index.claim(worker_id, task)
+    return worker_id, task.task_id
+
+
+@when("the small tasks end one by one and others take their place")
+def small_tasks_go_on(context):
+    large = scheduling.task(999, "batch", model.Resources(6))
+    source = random.Random(2)
+    for ended in range(100):
+        context.chosen = context.hold.choose(large, ended)
+        if context.chosen is not None:
+            break
+        running = [place for place in context.places if place[0]]
+        place = source.choice(running)
+        context.places.remove(place)
+        context.index.release(*place)
+        context.places.append(start_small(context, 100 + ended, ended))
+
+
+@then("the large task starts before 100 small tasks have ended")
+def large_starts(context):
+    assert context.chosen is not None
+
+
+@then("after its hold ended the worker serves small tasks again")
+def hold_is_over(context):
+    served = [start_small(context, 500 + n, 20_000)[0] for n in range(6)]
+    assert served == [context.chosen] * 6
