--- a/src/marigoldgap/dispatch/placement.py
+++ b/src/marigoldgap/dispatch/placement.py
@@ -7,10 +7,17 @@
 from collections.abc import Sequence
 import itertools
 
+from marigoldgap import errors
 from marigoldgap.dispatch import holdings as dispatch_holdings
 from marigoldgap.scheduling import free_index
 from marigoldgap.scheduling import model
 
+TaskCallback = Callable[[str, str], None]
+
+
+def _ignore_task(worker_id: str, task_id: str) -> None:
+    """Does nothing."""
+
 
 class Placement:
     """Takes capacity and a team's unit together, and gives both back.
@@ -35,6 +42,8 @@
         self._settled: dict[str, dict[str, model.RunningTask]] = {}
         self._located: dict[str, str] = {}
         self._freed: Callable[[str], None] = lambda _: None
+        self._placed: TaskCallback = _ignore_task
+        self._released: TaskCallback = _ignore_task
 
     @property
     def index(self) -> free_index.FreeIndex:
@@ -50,6 +59,11 @@
         """Sets what is called with the team after capacity was given back."""
         self._freed = callback
 
+    def on_tasks(self, placed: TaskCallback, released: TaskCallback) -> None:
+        """Sets what is called with the worker and the id of each task."""
+        self._placed = placed
+        self._released = released
+
     def can_place(self, task: model.TaskSpec) -> bool:
         """Returns whether there is a unit and a worker for the task."""
         if not self._holdings.may_start(task.team):
@@ -63,7 +77,13 @@
     def try_place(
         self, task: model.TaskSpec, avoid: frozenset[str] = frozenset()
     ) -> str | None:
-        """Takes a unit and capacity; returns the worker, or None."""
+        """Takes a unit and capacity; returns the worker, or None.
+
+        Raises:
+            CapacityError: The task is counted already.
+        """
+        if self.worker_of(task.task_id) is not None:
+            raise errors.CapacityError(f"{task.task_id} is placed already")
         if not self._holdings.may_start(task.team):
             return None
         worker_id = self._index.choose(task, avoid)
@@ -80,6 +100,7 @@
             task.job_id,
             task.attempt,
         )
+        self._placed(worker_id, task.task_id)
         return worker_id
 
     def finish(self, task_id: str) -> None:
@@ -89,6 +110,7 @@
             return
         self._index.release(task.worker_id, task_id)
         self._holdings.finish(task.team)
+        self._released(task.worker_id, task_id)
         self._freed(task.team)
 
     def settle(self, task_id: str) -> str | None:
@@ -108,6 +130,10 @@
         self._located[task_id] = task.worker_id
         return task.worker_id
 
+    def is_pending(self, task_id: str) -> bool:
+        """Returns whether the start of a task is not answered yet."""
+        return task_id in self._pending
+
     def worker_of(self, task_id: str) -> str | None:
         """Returns the worker of a counted task, or None."""
         pending = self._pending.get(task_id)
--- a/tests/features/steps/rules_parser_steps.py
+++ b/tests/features/steps/rules_parser_steps.py
@@ -83,6 +83,11 @@
     assert (team.share, team.limit, team.workspace) == (share, limit, workspace)
 
 
+@then('queue "{name}" has kind "{kind}"')
+def queue_kind(context, name, kind):
+    assert context.rules.queues[name].kind == kind
+
+
 @then('queue "{name}" is open for team "{team}"')
 def queue_is_open(context, name, team):
     queue = context.rules.queues[name]
@@ -160,3 +165,12 @@
     except errors.ConflictError:
         return
     raise AssertionError("the differences were applied to another text")
+
+
+@then("the differences of {old:d} and {new:d} repeated lines are one change")
+def repeated_lines(context, old, new):
+    before = "x\n" + "a\nb\n" * (old // 2) + "y"
+    after = "z\n" + "a\nb\n" * (new // 2) + "w"
+    changes = difference.compare(before, after)
+    assert len(changes) == 1
+    assert difference.apply(before, changes) == after
