--- a/src/marigoldgap/scheduling/allowance_ledger.py
+++ b/src/marigoldgap/scheduling/allowance_ledger.py
@@ -164,12 +164,9 @@
         Each zone lowers its number in proportion; None if nothing is to do.
         """
         row = self._team(team).row
-        if row is None or not row.zones.get(self._zone):
+        if row is None:
             return None
-        known = team_allowance.newer_limit(row, limit).limit
-        if row.total <= known:
-            return None
-        return row.zones[self._zone] * known // row.total
+        return team_allowance.excess_target(row, self._zone, limit)
 
     def raise_write(
         self, team: str, wanted: int, limit: allowance_model.TeamLimit
--- a/src/marigoldgap/scheduling/team_allowance.py
+++ b/src/marigoldgap/scheduling/team_allowance.py
@@ -154,3 +154,16 @@
     """Returns the largest number that the zone may write."""
     own = row.zones.get(zone, 0)
     return max(own, newer_limit(row, limit).limit - (row.total - own))
+
+
+def excess_target(
+    row: allowance_model.AllowanceRow,
+    zone: str,
+    limit: allowance_model.TeamLimit,
+) -> int | None:
+    """Returns the zone's part of a limit that the zones exceed, or None."""
+    known = newer_limit(row, limit).limit
+    own = row.zones.get(zone, 0)
+    if own == 0 or row.total <= known:
+        return None
+    return own * known // row.total
