--- a/src/marigoldgap/scheduling/free_index.py
+++ b/src/marigoldgap/scheduling/free_index.py
@@ -145,18 +145,18 @@
             task.job_id,
             task.attempt,
         )
-        self._unlist(state)
+        before = state.free
         self._place(state, running, spread=task.kind == "service")
-        self._list(state)
+        self._relist(state, before)
 
     def release(self, worker_id: str, task_id: str) -> None:
         """Gives the capacity of a task back; repeated calls do nothing."""
         state = self._workers.get(worker_id)
         if state is None or task_id not in state.tasks:
             return
-        self._unlist(state)
+        before = state.free
         self._displace(state, task_id)
-        self._list(state)
+        self._relist(state, before)
 
     def resize(
         self, worker_id: str, task_id: str, size: model.Resources
@@ -168,11 +168,11 @@
         state = self._workers.get(worker_id)
         if state is None or task_id not in state.tasks:
             return
-        self._unlist(state)
+        before = state.free
         placed = self._displace(state, task_id)
         task = placed.task._replace(resources=size)
         self._place(state, task, placed.spread)
-        self._list(state)
+        self._relist(state, before)
 
     def running(self) -> Iterable[model.RunningTask]:
         """Yields every task on every worker of the index."""
@@ -230,6 +230,21 @@
         )
         state.listed = False
 
+    def _relist(
+        self, state: worker_state.WorkerState, before: model.Resources
+    ) -> None:
+        """Takes over changed free resources of a worker."""
+        if not state.listed:
+            return
+        service = state.info.service
+        part = self._partitions[service]
+        part.discard(state.info)
+        part.add(state.info, state.free)
+        change = resources.subtract(
+            resources.clamp(state.free), resources.clamp(before)
+        )
+        self._free[service] = resources.add(self._free[service], change)
+
     def _place(
         self,
         state: worker_state.WorkerState,
--- a/src/marigoldgap/scheduling/team_order.py
+++ b/src/marigoldgap/scheduling/team_order.py
@@ -107,17 +107,19 @@
         self._order = order
         self._taken: list[Candidate] = []
         self._further: list[Candidate] = []
+        self._last: Candidate | None = None
 
     def next(self) -> Candidate | None:
         """Returns the next candidate, or None after the last one."""
+        if self._last is not None:
+            self._add_next_lane(self._last)
         first = self._further[0] if self._further else None
         candidate = self._order.take(first)
         if candidate is not None:
             self._taken.append(candidate)
         elif first is not None:
             candidate = heapq.heappop(self._further)
-        if candidate is not None:
-            self._add_next_lane(candidate)
+        self._last = candidate
         return candidate
 
     def close(self) -> None:
