--- a/src/marigoldgap/dispatch/waiting_room.py
+++ b/src/marigoldgap/dispatch/waiting_room.py
@@ -56,6 +56,10 @@
         """Number of waiting requests of each caller's queue."""
         return {name: count for name, count in self._by_queue.items() if count}
 
+    def waiting_of(self, team: str) -> int:
+        """Returns the number of waiting requests of a team."""
+        return self._by_team[team]
+
     def expected_wait_ms(self, task: model.TaskSpec) -> float | None:
         """Returns how long a new request would wait, or None if unknown.
 
@@ -139,10 +143,14 @@
             await asyncio.sleep(TICK_S)
 
     def _start(self, task: model.TaskSpec) -> None:
-        worker_id = self._placement.try_place(task)
+        # `can_place` has just agreed, so a failure is an error in the program;
+        # the request is refused truthfully and the instance goes on.
+        try:
+            worker_id = self._placement.try_place(task)
+        except errors.MarigoldgapError as error:
+            self._refuse(task, error)
+            return
         if worker_id is None:
-            # `can_place` has just agreed, so this is an error in the program;
-            # the request is refused truthfully and the instance goes on.
             self._refuse(task, errors.OverloadedError("no worker had room"))
             return
         self._queue.set_usage(task.team, self._usage(task.team))
