Judge attempts of one task as one piece of work

Change: attempts share a name, and the running tasks and starts of a job are also counted against its size; the tool waits until the version is in force.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -13,14 +13,13 @@
 from bench import layouts
 from bench import operators
 from bench import processes
+from bench import waiting
 from bench import wiring
 from marigoldgap import clock
-from marigoldgap import errors
 
 PROGRAM = ("-m", "marigoldgap", "serve")
 _READY_LINE = b"ready\n"
 READY_TIMEOUT_S = 60.0
-_READY_POLL_S = 0.2
 _STANDIN_STOP_S = 5.0
 # Longer than the default drain_timeout_ms of the settings would be too long
 # for a run; requests of the load take a few seconds at most.
@@ -29,12 +28,6 @@
 _OK = 200
 
 
-class ReadyError(errors.MarigoldgapError):
-    """An entry instance did not become ready."""
-
-    code = "not-ready-in-time"
-
-
 class Cluster:
     """A deployment of stand-ins and entry instances.
 
@@ -82,6 +75,7 @@
         for team in self.layout.keyed_teams:
             key = await self.operator.grant(team.name, _GRANT_TIMEOUT_S)
             self.keys[team.name] = key
+        await self._wait_in_force()
         await self._wait_balanced()
 
     async def start_standins(self) -> None:
@@ -107,19 +101,22 @@
             ReadyError: It did not in time, or its process ended.
         """
         process = self._entries[entry.instance_id]
-        loop = asyncio.get_running_loop()
-        give_up_s = loop.time() + READY_TIMEOUT_S
-        while loop.time() < give_up_s and process.is_running:
+        name = entry.instance_id
+
+        async def is_ready() -> bool:
+            if not process.is_running:
+                raise waiting.ReadyError(f"the process of {name} ended")
             try:
                 reply = await self.client.send(
                     "GET", entry.address, "/readyz", timeout_s=2
                 )
             except exchange.NoReplyError:
-                reply = None
-            if reply is not None and reply.status == _OK:
-                return
-            await asyncio.sleep(_READY_POLL_S)
-        raise ReadyError(f"{entry.instance_id} did not become ready")
+                return False
+            return reply.status == _OK
+
+        await waiting.until(
+            is_ready, READY_TIMEOUT_S, f"{name} did not become ready"
+        )
 
     def is_running(self, entry: wiring.Entry) -> bool:
         """Returns whether the process of an entry instance runs."""
@@ -188,6 +185,26 @@
             )
         )
 
+    async def _wait_in_force(self) -> None:
+        """Waits until every entry instance knows the rules and all keys.
+
+        Raises:
+            ReadyError: One did not in time.
+        """
+        version = max(key.version for key in self.keys.values())
+
+        async def is_in_force() -> bool:
+            seen = await asyncio.gather(
+                *(map(self.operator.read_rules, self.wired.entries))
+            )
+            return all(each and each.version >= version for each in seen)
+
+        await waiting.until(
+            is_in_force,
+            READY_TIMEOUT_S,
+            f"version {version} is not in force everywhere",
+        )
+
     async def _wait_balanced(self) -> None:
         """Waits until the balancers use every entry instance.
 
@@ -195,13 +212,15 @@
             ReadyError: They did not in time.
         """
         wanted = {entry.instance_id for entry in self.wired.entries}
-        loop = asyncio.get_running_loop()
-        give_up_s = loop.time() + READY_TIMEOUT_S
-        while loop.time() < give_up_s:
-            if await self.controls.ready_entries() >= wanted:
-                return
-            await asyncio.sleep(_READY_POLL_S)
-        raise ReadyError("the balancers do not use every entry instance")
+
+        async def is_balanced() -> bool:
+            return await self.controls.ready_entries() >= wanted
+
+        await waiting.until(
+            is_balanced,
+            READY_TIMEOUT_S,
+            "the balancers do not use every entry instance",
+        )
 
     def _standin_options(self) -> Iterator[tuple[str, tuple[str, ...]]]:
         """Yields the command line of each stand-in."""
--- a/bench/collector.py
+++ b/bench/collector.py
@@ -11,6 +11,7 @@
 from bench import cluster
 from bench import evidence
 from bench import exchange
+from bench import spans
 from marigoldgap import clock
 
 _INTERVAL_S = 0.5
@@ -74,7 +75,9 @@
         elif record["event"] == "end":
             self.running[record["team"]] -= 1
             if record["state"] == "finished":
-                self._finished[record["token"]].add(record["task_id"])
+                token = record["token"]
+                unit = spans.unit_of(record["job_id"], token, record["task_id"])
+                self._finished[token].add(unit)
 
     async def _read_versions(self) -> None:
         """Asks every entry instance for its configuration version."""
--- a/bench/display.py
+++ b/bench/display.py
@@ -24,13 +24,17 @@
 
     def say(self, line: str) -> None:
         """Prints one line."""
-        self._console.print(f"[bold]{line}[/bold]", highlight=False)
+        self._console.print(
+            f"[bold]{line}[/bold]", highlight=False, soft_wrap=True
+        )
 
     def show(self, progress: experiment.Progress) -> None:
         """Prints new faults, and every two seconds one line of progress."""
         history = progress.context.history
         for _, message in history[self._noted :]:
-            self._console.print(f"  fault: {message}", highlight=False)
+            self._console.print(
+                f"  fault: {message}", highlight=False, soft_wrap=True
+            )
         self._noted = len(history)
         self._shown += 1
         if self._shown % _EVERY:
@@ -46,6 +50,7 @@
             f" running {running} of {progress.plan.layout.slots} slots,"
             f" link {sum(progress.collected.link_bytes.values())} bytes",
             highlight=False,
+            soft_wrap=True,
         )
 
     def finish(self, result: experiment.Result) -> None:
@@ -58,5 +63,9 @@
         self._console.print(table)
         for field in judge.INVARIANT_FIELDS:
             for line in result.verdict.violations.get(field, []):
-                self._console.print(f"  {field}: {line}", highlight=False)
-        self._console.print(f"files: {result.directory}", highlight=False)
+                self._console.print(
+                    f"  {field}: {line}", highlight=False, soft_wrap=True
+                )
+        self._console.print(
+            f"files: {result.directory}", highlight=False, soft_wrap=True
+        )
--- a/bench/invariants/callers.py
+++ b/bench/invariants/callers.py
@@ -17,14 +17,23 @@
 @registry.invariant("ran_twice")
 def ran_twice(case: registry.Case) -> list[str]:
     """Counts non-idempotent work that was started again."""
-    requests = {
+    once = {
         each.token for each in case.evidence.submissions if not each.idempotent
     }
     starts: dict[str, int] = {}
+    by_token: dict[str, int] = {}
     for span in case.history:
-        if span.token in requests:
+        if span.token in once:
             starts[span.unit] = starts.get(span.unit, 0) + 1
-    return [f"{unit}: {count}" for unit, count in starts.items() if count > 1]
+            by_token[span.token] = by_token.get(span.token, 0) + 1
+    found = [f"{unit}: {count}" for unit, count in starts.items() if count > 1]
+    if found:
+        return found
+    return [
+        f"{job.job_id}: {by_token[job.token]} starts of {job.tasks} tasks"
+        for job in case.evidence.jobs
+        if by_token.get(job.token, 0) > job.tasks
+    ]
 
 
 @registry.invariant("false_not_run")
@@ -100,7 +109,7 @@
         return True
     if job.endless and any(span.end_ms is None for span in starts):
         return True
-    finished = {span.task_id for span in starts if span.state == "finished"}
+    finished = {span.unit for span in starts if span.state == "finished"}
     if len(finished) >= job.tasks:
         return True
     if job.reported == "failed":
--- a/bench/invariants/places.py
+++ b/bench/invariants/places.py
@@ -19,15 +19,21 @@
 def two_places(case: registry.Case) -> list[str]:
     """Counts starts of a task while it ran in another place."""
     running: dict[str, int] = collections.Counter()
+    most = {job.token: job.tasks for job in case.evidence.jobs}
     found = []
     for step in spans.steps(case.history):
-        unit = step.span.unit
-        if not step.is_start:
-            running[unit] -= 1
-            continue
-        if running[unit] > 0:
-            found.append(f"{unit} on {step.span.worker} at {step.at_ms}")
-        running[unit] += 1
+        span = step.span
+        change = 1 if step.is_start else -1
+        names = {span.unit: 1}
+        if span.mode == "job" and span.token in most:
+            names[f"all tasks of {span.token}"] = most[span.token]
+        for name in names:
+            running[name] += change
+        exceeded = [
+            name for name, allowed in names.items() if running[name] > allowed
+        ]
+        if step.is_start and exceeded:
+            found.append(f"{exceeded[0]} on {span.worker} at {step.at_ms}")
     return found
 
 
--- a/bench/operators.py
+++ b/bench/operators.py
@@ -30,6 +30,7 @@
     team: str
     key: str
     key_id: str
+    version: int
 
 
 class Operator:
@@ -159,7 +160,12 @@
         value = {"team": team, "author": "bench"}
         path = "/v1/operators/keys"
         answer = await self.send_until("POST", path, value, timeout_s)
-        return Key(team, str(answer["key"]), str(answer["key_id"]))
+        return Key(
+            team,
+            str(answer["key"]),
+            str(answer["key_id"]),
+            int(answer["version"]),
+        )
 
     async def withdraw(
         self, key_id: str, entry: wiring.Entry
--- a/bench/spans.py
+++ b/bench/spans.py
@@ -9,6 +9,8 @@
 
 from bench import evidence
 
+_ATTEMPT_SEPARATOR = "~"
+
 
 class Span(NamedTuple):
     """One start of a task and its end.
@@ -23,6 +25,7 @@
     token: str
     team: str
     mode: str
+    job_id: str
     resources: dict[str, int]
     start_ms: float
     end_ms: float | None = None
@@ -31,7 +34,7 @@
     @property
     def unit(self) -> str:
         """What must run in one place only: a request or a task of a job."""
-        return self.token if self.mode == "request" else self.task_id
+        return unit_of(self.job_id, self.token, self.task_id)
 
 
 class Step(NamedTuple):
@@ -42,6 +45,18 @@
     span: Span
 
 
+def unit_of(job_id: str, token: str, task_id: str) -> str:
+    """Returns a name that all attempts of a piece of work share.
+
+    The id of an attempt of a job's task is `job~index~random`; the random part
+    differs for each attempt. Checks that use this also count the tasks of a
+    job, so that other ids do not blind them.
+    """
+    if not job_id:
+        return token
+    return _ATTEMPT_SEPARATOR.join(task_id.split(_ATTEMPT_SEPARATOR)[:2])
+
+
 def read(records: Iterable[evidence.Record]) -> list[Span]:
     """Returns the spans in order of their starts."""
     spans: list[Span] = []
@@ -81,6 +96,7 @@
             "token",
             "team",
             "mode",
+            "job_id",
             "resources",
         )
     }
--- a/tests/features/bench/judge.feature
+++ b/tests/features/bench/judge.feature
@@ -23,6 +23,11 @@
       | a non-idempotent request started twice      | ran_twice             | 1     |
       | a non-idempotent job task started twice     | ran_twice             | 1     |
       | a task running on two workers               | two_places            | 1     |
+      | a task running twice under two attempt ids  | two_places            | 1     |
+      | more tasks of a job at once than it has     | two_places            | 1     |
+      | a single run started again by another id    | ran_twice             | 1     |
+      | a single run with too many starts           | ran_twice             | 1     |
+      | a task finished twice and its sibling never | lost_jobs             | 1     |
       | a start refused for lack of room            | overcommitted         | 1     |
       | more tasks on a worker than it has slots    | overcommitted         | 1     |
       | more memory on a worker than it has         | overcommitted         | 1     |
--- a/tests/features/steps/bench_judge_steps.py
+++ b/tests/features/steps/bench_judge_steps.py
@@ -89,6 +89,51 @@
     )
 
 
+def _with_attempts(run, ids, gap_ms, state="finished"):
+    fields = {"token": "token-j", "mode": "job", "state": state}
+    parts = [
+        evidences.run(
+            task_id,
+            _NOW + index * gap_ms,
+            _NOW + index * gap_ms + 50,
+            f"w{index}",
+            **fields,
+        )
+        for index, task_id in enumerate(ids)
+    ]
+    return _with_runs(run, *parts)
+
+
+@_case("a task running twice under two attempt ids")
+def _two_attempts(run):
+    return _with_attempts(run, ["j~0~a", "j~0~b"], 10)
+
+
+@_case("more tasks of a job at once than it has")
+def _too_many_tasks(run):
+    run = _with_attempts(run, ["x", "y", "z"], 10)
+    return _with_job(run, reported="finished")
+
+
+@_case("a single run started again by another id")
+def _single_run_again(run):
+    run = _with_submission(run, "token-j", idempotent=False)
+    return _with_attempts(run, ["j~0~a", "j~0~b"], 60)
+
+
+@_case("a single run with too many starts")
+def _single_run_too_often(run):
+    run = _with_submission(run, "token-j", idempotent=False)
+    run = _with_attempts(run, ["x", "y", "z"], 60)
+    return _with_job(run, idempotent=False)
+
+
+@_case("a task finished twice and its sibling never")
+def _sibling_missing(run):
+    run = _with_attempts(run, ["j~0~a", "j~0~b"], 60)
+    return _with_job(run, reported="finished")
+
+
 @_case("a start refused for lack of room")
 def _refused_start(run):
     record = {**evidences.start("t", _NOW), "event": "violation"}
--- a/tests/standins/simple_entry.py
+++ b/tests/standins/simple_entry.py
@@ -76,7 +76,8 @@
     async def _grant(self, request: http.Request) -> http.Response:
         key_id = uuid.uuid4().hex
         self._teams[key_id] = request.json()["team"]
-        return http.json_response({"key": f"{key_id}.x", "key_id": key_id})
+        key = {"key": f"{key_id}.x", "key_id": key_id}
+        return http.json_response({**key, "version": 1})
 
     def _team(self, request: http.Request) -> str:
         """Returns the team of a key; an open queue runs for public."""
@@ -112,6 +113,7 @@
             "team": team,
             "queue": queue,
             "resources": resources,
+            "job_id": task_id.partition("~")[0] if "~" in task_id else "",
         }
         headers = {
             "Marigoldgap-Epoch": str(grant["epoch"]),
@@ -154,7 +156,7 @@
         await asyncio.gather(
             *(
                 self._run(
-                    f"{job_id}.{index}",
+                    f"{job_id}~{index}",
                     "request",
                     team,
                     values["queue"],
