--- a/src/marigoldgap/entries/messages.py
+++ b/src/marigoldgap/entries/messages.py
@@ -39,6 +39,7 @@
     granted_total: int
     returned_total: int
     running: int
+    stray: int
 
 
 class Outcome(NamedTuple):
@@ -112,7 +113,7 @@
 
 @registry.message("termAnnounce")
 class TermAnnounce(NamedTuple):
-    """A coordinator announces its term; answered with TermReport."""
+    """A coordinator announces its term; the receiver sends TermReport."""
 
     term: model.Term
 
@@ -125,6 +126,7 @@
         term: The term that the sender obeys.
         accepted: Whether the announced term was accepted.
         incarnation: Process for which the holdings speak.
+        placing: Job tasks whose start is under way; no worker is known yet.
         outcomes: Ended job tasks of jobs that are still open.
     """
 
@@ -132,6 +134,7 @@
     accepted: bool
     incarnation: str
     workers: tuple[OwnedReport, ...]
+    placing: tuple[model.RunningTask, ...]
     holdings: tuple[HoldingEntry, ...]
     outcomes: tuple[Outcome, ...]
 
