--- a/src/marigoldgap/coordination/job_desk.py
+++ b/src/marigoldgap/coordination/job_desk.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 import json
 from typing import Any
 
@@ -81,16 +82,12 @@
     @registry.handles(job_messages.JobsCancelled)
     async def on_cancelled(
         self, sender: str, message: job_messages.JobsCancelled
-    ) -> job_messages.JobsCancelled:
-        """Cancels jobs here and in the zones where they live.
-
-        Returns:
-            The ids of the jobs that are cancelled now.
-        """
+    ) -> job_messages.CancelResult:
+        """Cancels jobs here and in the zones where they live."""
         role = self._active()
         zones = jobs_gateway.by_zone(message.job_ids)
         own = message._replace(job_ids=tuple(zones.pop(self._zone, ())))
-        work = [self._cancel_here(role, own)]
+        work: list[Coroutine[Any, Any, Any]] = [self._cancel_here(role, own)]
         if self._is_of_zone(sender):
             if message.group:
                 for zone in self._digests.coordinators:
@@ -103,16 +100,16 @@
         for result in results:
             if isinstance(result, BaseException):
                 raise result
-            cancelled += result.job_ids
-        return message._replace(job_ids=tuple(sorted(cancelled)))
+            cancelled.extend(result.job_ids)
+        return job_messages.CancelResult(tuple(cancelled))
 
     async def _cancel_here(
         self,
         role: coordinator_module.Coordinator,
         message: job_messages.JobsCancelled,
-    ) -> job_messages.JobsCancelled:
+    ) -> job_messages.CancelResult:
         """Cancels jobs of this zone."""
-        return message._replace(job_ids=await role.jobs.cancel(message))
+        return job_messages.CancelResult(await role.jobs.cancel(message))
 
     def _is_of_zone(self, sender: str) -> bool:
         """Whether a message comes from this zone, so that it may go on."""
