Log without library noise

Cause: the demo's logs showed each state machine callback, the line of the wrapper, and a warning about unparsed flags. Ruled out: a higher verbosity, which would hide our own messages. Change: absl flags are marked as parsed, wrapper frames are skipped, the state machine library logs warnings only. Conclusion: logs show short sentences of our parts.

--- a/src/marigoldgap/logs.py
+++ b/src/marigoldgap/logs.py
@@ -7,6 +7,7 @@
 import sys
 from typing import Any
 
+from absl import flags
 from absl import logging
 
 from marigoldgap import clock
@@ -71,9 +72,15 @@
         level: `debug`, `info`, `warning` or `error`.
         json_lines: Whether to write one JSON object per line.
     """
+    # Arguments are parsed by typer; absl must not wait for its own flags.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(level)
     handler = logging.get_absl_handler()
     handler.python_handler.stream = sys.stderr
+    # This library reports each callback of a state machine at INFO.
+    standard_logging.getLogger("transitions").setLevel(standard_logging.WARNING)
+    for method in ("debug", "info", "warning", "error", "exception"):
+        logging.ABSLLogger.register_frame_to_skip(__file__, method)
     if json_lines:
         handler.setFormatter(_JsonLinesFormatter(instance_id))
