--- a/bench/collector.py
+++ b/bench/collector.py
@@ -59,8 +59,9 @@
             for record in found:
                 self._add(record)
         self.link_bytes = await self._target.controls.link_bytes()
+        purposes = await self._target.controls.link_purposes()
         counters = await self._target.controls.table_counters()
-        self._write({"table": counters})
+        self._write({"table": counters, "link_purposes": purposes})
         await self._read_versions()
 
     def sorted_records(self) -> list[evidence.Record]:
--- a/bench/controls.py
+++ b/bench/controls.py
@@ -62,6 +62,13 @@
         directions = self._wired.routes.region_directions()
         return {name: int(shown["bytes"][name]) for name in directions}
 
+    async def link_purposes(self) -> dict[str, dict[str, int]]:
+        """Returns the bytes between regions by direction and purpose."""
+        address = self._wired.services.link_control
+        shown = await self._get(address, "/control")
+        directions = self._wired.routes.region_directions()
+        return {name: dict(shown["by_purpose"][name]) for name in directions}
+
     async def table_counters(self) -> dict[str, int]:
         """Returns what the table service counted."""
         shown = await self._get(self._wired.services.table, "/control")
--- a/bench/routes.py
+++ b/bench/routes.py
@@ -24,13 +24,23 @@
         self._routes: list[dict[str, str]] = []
         self._directions: dict[str, dict[str, float]] = {}
 
-    def add(self, source: str, destination: str, target: str) -> str:
-        """Returns the address at which one place reaches a target."""
+    def add(
+        self, source: str, destination: str, target: str, purpose: str
+    ) -> str:
+        """Returns the address at which one place reaches a target.
+
+        Args:
+            source: Zone of the sender.
+            destination: Zone of the target, or `PLATFORM`.
+            target: Address of the target.
+            purpose: Under which name the link counts the bytes.
+        """
         listen = self._ports.take()
         self._routes.append(
             {
                 "listen": listen,
                 "target": target,
+                "purpose": purpose,
                 "path": self.path_name(source, destination),
                 "forward": self._direction(source, destination),
                 "backward": self._direction(destination, source),
--- a/bench/wiring.py
+++ b/bench/wiring.py
@@ -170,10 +170,10 @@
         reached = {
             zone.name: {
                 "address": self.routes.add(
-                    zone.name, entry.zone.name, entry.address
+                    zone.name, entry.zone.name, entry.address, "forwards"
                 ),
                 "peer_address": self.routes.add(
-                    zone.name, entry.zone.name, entry.peer_address
+                    zone.name, entry.zone.name, entry.peer_address, "peers"
                 ),
             }
             for zone in self._layout.zones
@@ -205,13 +205,13 @@
             ).hexdigest(),
             "platform": {
                 "table_address": self.routes.add(
-                    zone, routes.PLATFORM, services.table
+                    zone, routes.PLATFORM, services.table, "table"
                 ),
                 "object_address": self.routes.add(
-                    zone, routes.PLATFORM, services.objects
+                    zone, routes.PLATFORM, services.objects, "objects"
                 ),
                 "list_address": self.routes.add(
-                    zone, routes.PLATFORM, services.lists[zone]
+                    zone, routes.PLATFORM, services.lists[zone], "list"
                 ),
             },
         }
--- a/tests/features/standins/network.feature
+++ b/tests/features/standins/network.feature
@@ -8,6 +8,7 @@
     When a row of 20000 bytes is written and read over the link
     Then the exchange over the link took at least 400 ms
     And the link counted at least 20000 bytes in each direction
+    And the link counted the same bytes under the purpose of the route
 
   Scenario: A cut link carries nothing and later closes connections
     Given a stand-in table behind a link of 1 ms and 100 Mbit/s
--- a/tests/features/steps/standins_network_steps.py
+++ b/tests/features/steps/standins_network_steps.py
@@ -32,6 +32,7 @@
         "forward": "a>b",
         "backward": "b>a",
         "path": "a|b",
+        "purpose": "test",
     }
     plan = {
         "directions": {"a>b": direction, "b>a": direction},
@@ -67,6 +68,13 @@
     assert min(shown["bytes"].values()) >= size, shown
 
 
+@then("the link counted the same bytes under the purpose of the route")
+def link_counted_purpose(context):
+    shown = standin_http.call(context.link_control, "GET", "/control").value
+    for direction, size in shown["bytes"].items():
+        assert shown["by_purpose"][direction] == {"test": size}, shown
+
+
 @when("the link is cut")
 def cut_link(context):
     value = {"cut": ["a|b"]}
--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import json
 import pathlib
 from typing import Any
@@ -40,6 +41,9 @@
         self._paths = {
             route["path"]: relay.Path(close_after_ms) for route in self._routes
         }
+        self._by_purpose: dict[str, collections.Counter[str]] = {
+            name: collections.Counter() for name in self._directions
+        }
         self._servers: list[asyncio.Server] = []
 
     async def start(self, control_address: str) -> Links:
@@ -79,10 +83,23 @@
                 return
             finally:
                 legs.path.discard(writer.transport)
-            await relay.relay((reader, writer), server, legs)
+            watches = (
+                self._counter(route["forward"], route["purpose"]),
+                self._counter(route["backward"], route["purpose"]),
+            )
+            await relay.relay((reader, writer), server, legs, watches)
 
         return serve
 
+    def _counter(self, direction: str, purpose: str) -> relay.Watch:
+        """Returns what counts the bytes of one purpose."""
+        counts = self._by_purpose[direction]
+
+        def count(data: bytes) -> None:
+            counts[purpose] += len(data)
+
+        return count
+
     async def _show(self, _: http.Request) -> http.Response:
         """Returns the bytes sent in each direction and the cut paths."""
         answer = {
@@ -91,6 +108,7 @@
                 name: direction.sent_bytes
                 for name, direction in self._directions.items()
             },
+            "by_purpose": self._by_purpose,
             "cut": [name for name, path in self._paths.items() if path.is_cut],
         }
         return http.json_response(answer)
