Read the instance list conditionally

Ruled out: polling less often, which would delay the notice of leaving workers. Change: entity tags on the list; a service without them sends the list as before. The table stand-in counts written rows by kind. Conclusion: an unchanged list costs a 304.

--- a/src/marigoldgap/platform/instances.py
+++ b/src/marigoldgap/platform/instances.py
@@ -19,6 +19,7 @@
 
 _log = logs.PartLogger("platform")
 _OK = 200
+_NOT_MODIFIED = 304
 _FIELDS = ("id", "kind", "zone", "region", "rack", "address")
 _OPTIONAL_FIELDS = ("peer_address", "service", "state")
 
@@ -40,6 +41,7 @@
         self._source = source
         self._all: tuple[model.InstanceEntry, ...] = ()
         self._is_known = False
+        self._tag = ""
         self._read_at_ms = clock.monotonic_ms()
         self._listeners: list[Callable[[], None]] = []
 
@@ -82,9 +84,17 @@
             await asyncio.sleep(self._poll_ms / clock.MILLISECONDS_PER_SECOND)
 
     async def refresh(self) -> bool:
-        """Reads the list once; returns whether there was a good answer."""
+        """Reads the list once; returns whether there was a good answer.
+
+        The entity tag of the last answer saves the transfer of an unchanged
+        list; a service without entity tags sends the whole list each time.
+        """
+        headers = {"if-none-match": self._tag} if self._tag else {}
         try:
-            answer = await self._source.read(PROBE_PATH)
+            answer = await self._source.read(PROBE_PATH, headers)
+            if answer.status == _NOT_MODIFIED and self._tag:
+                self._read_at_ms = clock.monotonic_ms()
+                return True
             if answer.status != _OK:
                 raise errors.ProtocolError(f"status {answer.status}")
             received = _parse(service.decode(answer))
@@ -94,6 +104,7 @@
         if self._is_implausible(received):
             _log.warning("An instance list without entry instances is ignored")
             return False
+        self._tag = answer.headers.get("etag", "")
         self._adopt(received)
         return True
 
--- a/tests/features/platform/outage.feature
+++ b/tests/features/platform/outage.feature
@@ -42,6 +42,14 @@
     And the late answer arrives before "row/b" is read
     Then the read of "row/b" returns the value of "row/b"
 
+  Scenario: An unchanged instance list is not sent again
+    Guards against paying for the whole list on the link once a second.
+    Given a platform with a table service in memory
+    And an instance list with an entry instance and a worker was read
+    When the unchanged instance list is read 3 more times
+    Then the whole instance list was sent once
+    And the list still has the entry instance and the worker
+
   Scenario Outline: The last instance list is kept
     Given a platform with a table service in memory
     And an instance list with an entry instance and a worker was read
--- a/tests/features/steps/platform_outage_steps.py
+++ b/tests/features/steps/platform_outage_steps.py
@@ -184,3 +184,17 @@
     assert [each.instance_id for each in instances.workers("centro-a")] == [
         "w1"
     ]
+
+
+@when("the unchanged instance list is read {count:d} more times")
+def read_unchanged_list(context, count):
+    for _ in range(count):
+        refresh = context.platform.instances.refresh()
+        assert loops.outcome(context, refresh) is True
+    context.list_reads = count + 1
+
+
+@then("the whole instance list was sent once")
+def whole_list_sent_once(context):
+    unchanged = context.table_double.applied["unchanged list"]
+    assert context.list_reads - unchanged == 1
--- a/tests/standins/instance_list.py
+++ b/tests/standins/instance_list.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import hashlib
 import json
 import pathlib
 from typing import Annotated
@@ -20,6 +21,7 @@
 from tests.standins import store_limits
 
 _LAG_MS = 2_000
+_TAG_DIGITS = 16
 _FIELDS = (
     "id",
     "kind",
@@ -57,11 +59,16 @@
     def router(self, zone: str) -> http.Router:
         """Returns the routes for callers in one zone."""
 
-        async def show(_: http.Request) -> http.Response:
+        async def show(request: http.Request) -> http.Response:
             refusal = await self._faults.before()
-            return refusal or http.json_response(
-                {"instances": self._seen_from(zone)}
-            )
+            if refusal:
+                return refusal
+            shown = {"instances": self._seen_from(zone)}
+            tag = _tag_of(shown)
+            headers = {"etag": tag}
+            if request.headers.get("if-none-match") == tag:
+                return http.Response(304, headers=headers)
+            return http.json_response(shown, headers=headers)
 
         router = http.Router()
         router.add("GET", "/v1/instances", show)
@@ -102,6 +109,12 @@
         return [_view(instance, zone) for instance in self._shown.values()]
 
 
+def _tag_of(shown: dict[str, Any]) -> str:
+    """Returns the entity tag of an answer."""
+    digest = hashlib.sha256(json.dumps(shown).encode()).hexdigest()
+    return f'"{digest[:_TAG_DIGITS]}"'
+
+
 def _view(instance: Instance, zone: str) -> dict[str, str]:
     """Returns the fields of one instance with the addresses for a zone."""
     addresses = instance.get("addresses_from", {}).get(zone, {})
--- a/tests/standins/table.py
+++ b/tests/standins/table.py
@@ -86,6 +86,9 @@
             self._counters["conflicts"] += 1
             return http.json_response({"failed": result.failed}, 409)
         self._counters["rows_written"] += len(values.get("puts", []))
+        for put in values.get("puts", []):
+            kind = str(put["key"]).partition("/")[0]
+            self._counters[f"rows_written.{kind}"] += 1
         self._faults.after_write()
         return http.json_response({"version": result})
 
