Report only workers whose lease is valid after a pause

The coordinator took the old inventory for the current one; tasks that the new owner had started since then looked gone and could start a second time. The world of the fault tests now lets the fleet of a resumed instance act late: seed 51 then ran a task in two places.

The report now names only workers whose lease is valid at that moment, which the fleet knows.

--- a/bench/control_traffic.py
+++ b/bench/control_traffic.py
@@ -130,6 +130,7 @@
             holdings=instance.holdings,
             placer=instance,
             stopper=instance,
+            fleet=instance,
         )
         coordination = builder.create_coordination(settings, needs)
         instance.agent = coordination.agent
--- a/src/marigoldgap/coordination/builder.py
+++ b/src/marigoldgap/coordination/builder.py
@@ -40,7 +40,8 @@
         in_force: Versions that others have in force.
         holdings: Accounts of this instance, from dispatch.
         placer: Starts job tasks, from dispatch.
-        stopper: Stops tasks: the worker fleet.
+        stopper: Stops tasks, from dispatch.
+        fleet: Knows which leases are valid.
     """
 
     peers: interfaces.Peers
@@ -53,6 +54,7 @@
     holdings: interfaces.Holdings
     placer: interfaces.Placer
     stopper: interfaces.TaskStopper
+    fleet: interfaces.OwnedFleet
 
 
 def create_coordination(
@@ -75,7 +77,7 @@
     source = source or random.Random()
     runner = task_runner.TaskRunner(needs.placer, needs.stopper, needs.objects)
     agent = entry_agent.EntryAgent(
-        settings, needs.peers, needs.holdings, runner, now_ms
+        settings, needs.peers, needs.holdings, runner, needs.fleet, now_ms
     )
     digests = zone_digests.ZoneDigests(settings, needs.peers, now_ms)
 
--- a/src/marigoldgap/coordination/entry_agent.py
+++ b/src/marigoldgap/coordination/entry_agent.py
@@ -38,6 +38,7 @@
         peers: Links to the other instances.
         holdings: Accounts of this instance.
         runner: Starts and stops tasks.
+        fleet: Tells which leases are valid.
         now_ms: Monotonic clock.
     """
 
@@ -47,12 +48,14 @@
         peers: interfaces.Peers,
         holdings: interfaces.Holdings,
         runner: task_runner.TaskRunner,
+        fleet: interfaces.OwnedFleet,
         now_ms: Callable[[], int] = clock.monotonic_ms,
     ) -> None:
         self._settings = settings
         self._peers = peers
         self._holdings = holdings
         self._runner = runner
+        self._fleet = fleet
         self._now_ms = now_ms
         self._fence = fence_module.PauseFence(settings, now_ms())
         self._reported_term = model.NO_TERM
@@ -250,11 +253,12 @@
 
     def _full_report(self, accepted: bool) -> messages.TermReport:
         """Returns everything that the coordinator must know."""
+        valid = {owned.worker.worker_id for owned in self._fleet.owned()}
         return messages.TermReport(
             term=self._peers.membership.term,
             accepted=accepted,
             incarnation=self._holdings.incarnation,
-            workers=self.tasks.full_report() if accepted else (),
+            workers=self.tasks.full_report(valid) if accepted else (),
             placing=self._runner.placing() if accepted else (),
             holdings=holding_wire.to_entries(self._holdings.reports()),
             outcomes=self.tasks.all_outcomes() if accepted else (),
--- a/src/marigoldgap/coordination/interfaces.py
+++ b/src/marigoldgap/coordination/interfaces.py
@@ -15,6 +15,7 @@
 from marigoldgap.rules import model as rules_model
 from marigoldgap.scheduling import allowance_model
 from marigoldgap.scheduling import model
+from marigoldgap.workers import model as workers_model
 
 
 class Peers(Protocol):
@@ -215,6 +216,13 @@
         """Starts a job task in its reserved room."""
 
 
+class OwnedFleet(Protocol):
+    """The part of the fleet that knows which leases are valid now."""
+
+    def owned(self) -> Sequence[workers_model.OwnedWorker]:
+        """Returns the workers whose lease is held and has not lapsed."""
+
+
 class TaskStopper(Protocol):
     """The part of the fleet that acts on running tasks."""
 
--- a/src/marigoldgap/coordination/owned_tasks.py
+++ b/src/marigoldgap/coordination/owned_tasks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 
@@ -99,10 +100,22 @@
         task = self._tasks.get(worker_id, {}).get(task_id)
         return task.team if task else None
 
-    def full_report(self) -> tuple[messages.OwnedReport, ...]:
-        """Returns all workers; pending changes are part of it."""
+    def full_report(
+        self, valid: Collection[str]
+    ) -> tuple[messages.OwnedReport, ...]:
+        """Returns all workers; pending changes are part of it.
+
+        Args:
+            valid: Workers whose lease is valid now. After a pause others may
+                own the rest already, and their inventory here is old; their
+                loss is reported when the fleet notices it.
+        """
         self._clear_changes()
-        return tuple(self._report(worker_id) for worker_id in self._workers)
+        return tuple(
+            self._report(worker_id)
+            for worker_id in self._workers
+            if worker_id in valid
+        )
 
     def all_outcomes(self) -> tuple[messages.Outcome, ...]:
         """Returns the kept outcomes of all open jobs."""
--- a/src/marigoldgap/serving/parts.py
+++ b/src/marigoldgap/serving/parts.py
@@ -91,6 +91,7 @@
             holdings=data.dispatcher.holdings,
             placer=data.dispatcher,
             stopper=data.dispatcher,
+            fleet=data.fleet,
         ),
     )
     late.append(coordination)
--- a/tests/features/steps/coordination_jobs_steps.py
+++ b/tests/features/steps/coordination_jobs_steps.py
@@ -425,7 +425,7 @@
     elif fault == "pause" and name not in world.net.dead:
         world.net.paused.add(name)
     elif fault == "resume" and name in world.net.paused:
-        world.net.resume(name)
+        world.resume(name)
     elif fault == "restart":
         world.net.paused.discard(name)
         world.add_instance(name, "centro-a")
@@ -444,7 +444,7 @@
     world.store.down = False
     for name in names:
         if name in world.net.paused:
-            world.net.resume(name)
+            world.resume(name)
         if name in world.net.dead:
             world.add_instance(name, "centro-a")
     for worker in world.workers.values():
@@ -458,7 +458,12 @@
 
 @then("no sequence of faults loses a job or breaks an invariant")
 def generated_faults(context):
-    @hypothesis.settings(max_examples=15)
+    # The examples broke an invariant before: a process restarted under its
+    # id, tasks it had taken over, and an old inventory after a pause.
+    @hypothesis.settings(max_examples=12)
+    @hypothesis.example(57)
+    @hypothesis.example(35)
+    @hypothesis.example(51)
     @hypothesis.given(strategies.integers(0, 10_000))
     def check(seed):
         tokens = map("{:020x}".format, itertools.count())
--- a/tests/features/steps/coordination_zone_steps.py
+++ b/tests/features/steps/coordination_zone_steps.py
@@ -66,7 +66,7 @@
     net = context.world.net
     net.paused.add(name)
     advance(context, seconds * 1_000)
-    net.resume(name)
+    context.world.resume(name)
     advance(context, 5_000)
 
 
