Do not recall the units of tasks that are about to start

A round of dispatch that found too few units recalled unused units from all instances, among them those that the same round had just granted: the tasks were refused with limit-reached.

Refused jobs now wait longer with each refusal in a row, and the mark of a non-idempotent job is lowered while its tasks wait, whether they were refused or found no room after the mark was written.

--- a/src/marigoldgap/coordination/entry_agent.py
+++ b/src/marigoldgap/coordination/entry_agent.py
@@ -161,10 +161,11 @@
     def on_recall(
         self, sender: str, message: messages.HoldingRecall
     ) -> messages.HoldingReturn:
-        """Gives unused units back."""
+        """Gives unused units back, but not those of tasks about to start."""
         del sender
         self._check_term(message.term)
-        surplus = self._holdings.unused(message.team) - message.keep
+        kept = max(message.keep, self._runner.placing_of(message.team))
+        surplus = self._holdings.unused(message.team) - kept
         if surplus > 0:
             self._holdings.give_back(message.team, surplus)
         return self._account_of(message.team)
--- a/src/marigoldgap/coordination/job_role.py
+++ b/src/marigoldgap/coordination/job_role.py
@@ -49,7 +49,9 @@
 _LONGEST_PAUSE_MS = 30_000
 # An instance that refused had less room than its heartbeat said.
 _REFUSED_PAUSE_MS = 200
-# A refused task often starts elsewhere at once, which spares two writes.
+_LONGEST_REFUSED_PAUSE_MS = 5_000
+_MOST_DOUBLINGS = 6
+# A marked task mostly starts at once; this spares two writes if it does not.
 _UNMARK_AFTER_MS = 1_000
 
 
@@ -136,8 +138,8 @@
             config.rules.retry, _FIRST_PAUSE_MS, _LONGEST_PAUSE_MS
         )
         self._impossible = impossible_jobs.ImpossibleJobs(zone)
-        # Non-idempotent jobs with refused tasks, and when to unmark these.
-        self._refused_at_ms: dict[str, int] = {}
+        # Non-idempotent jobs whose marked tasks may still wait.
+        self._marked_at_ms: dict[str, int] = {}
         self._ending: set[str] = set()
         self._forgotten: list[str] = []
         self._loaded = False
@@ -181,7 +183,7 @@
         if zone_known:
             self._end_impossible()
         self._handle_changes()
-        self._unmark_refused()
+        self._unmark_waiting()
         self._free.refresh()
         self._gangs.tick()
         self._dispatch.round()
@@ -317,30 +319,46 @@
             # The new owner's inventory came first and did not show the task.
             self._jobs.gone(placed.task_id, "its worker has a new owner")
             return
+        self._jobs.jobs[attempt.job_id].refusals = 0
         self._jobs.placed(placed.task_id, placed.worker_id, self._now_ms())
 
     def _refused(self, attempt: job_state.Attempt) -> None:
         """Lets a refused task wait; the instance had no room for it."""
         self._jobs.not_started(attempt.task_id)
         job = self._jobs.jobs.get(attempt.job_id)
-        if job is not None:
-            pause_ms = self._source.uniform(0, _REFUSED_PAUSE_MS)
-            job.not_before_ms = self._now_ms() + int(pause_ms)
-            if not job.spec.idempotent:
-                self._refused_at_ms.setdefault(job.job_id, self._now_ms())
+        # The refusals of one round count once.
+        if job is not None and job.not_before_ms <= self._now_ms():
+            job.refusals += 1
+            job.not_before_ms = self._now_ms() + self._refused_pause_ms(job)
 
-    def _unmark_refused(self) -> None:
-        """Lowers the marks of jobs that wait again after refusals.
+    def _refused_pause_ms(self, job: job_state.Job) -> int:
+        """Returns a pause that grows with each refusal in a row.
+
+        Each attempt of a non-idempotent job costs two writes, so that these
+        wait longer.
+        """
+        longest = _LONGEST_REFUSED_PAUSE_MS
+        if job.spec.idempotent:
+            longest = _RETRY_LOAD_MS
+        doubled = _REFUSED_PAUSE_MS << min(job.refusals - 1, _MOST_DOUBLINGS)
+        return int(self._source.uniform(0.5, 1) * min(doubled, longest))
+
+    def _unmark_waiting(self) -> None:
+        """Lowers the marks of jobs whose marked tasks still wait.
 
         A new coordinator could not tell whether marked tasks have run.
         """
         due_ms = self._now_ms() - _UNMARK_AFTER_MS
-        for job_id, refused_ms in list(self._refused_at_ms.items()):
+        for job_id, marked_ms in list(self._marked_at_ms.items()):
             job = self._jobs.jobs.get(job_id)
-            if job is not None and refused_ms > due_ms:
+            is_paused = job is not None and (
+                job.not_before_ms - self._now_ms() > _REFUSED_PAUSE_MS
+            )
+            if marked_ms > due_ms and not is_paused:
                 continue
-            del self._refused_at_ms[job_id]
-            if job is not None and job.unstarted_from() < job.started:
+            if job is None or job.verdict or job.is_marked_exactly:
+                del self._marked_at_ms[job_id]
+            elif not self._writer.is_busy(job_id):
                 self._writer.unmark(job, job.unstarted_from())
 
     def _handle_changes(self) -> None:
@@ -413,6 +431,7 @@
             return True
         below = job.spec.tasks if job.spec.gang else self._startable(job)
         if below > job.started:
+            self._marked_at_ms[job.job_id] = self._now_ms()
             self._writer.mark_started(job, below)
         return False
 
--- a/src/marigoldgap/coordination/job_state.py
+++ b/src/marigoldgap/coordination/job_state.py
@@ -49,6 +49,7 @@
         started: Tasks below this index may have run, as the row says; only
             kept for jobs that are not idempotent.
         not_before_ms: Start of the next attempt after failures.
+        refusals: Refused attempts since one was accepted.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         self.failures: dict[int, int] = {}
         self.failed_workers: set[str] = set()
         self.not_before_ms = 0
+        self.refusals = 0
         self.verdict = ""
         self.detail = ""
 
@@ -117,6 +119,11 @@
             pass
         self.active[index] = task_id
 
+    @property
+    def is_marked_exactly(self) -> bool:
+        """Whether the row marks no more tasks than may have run."""
+        return self.started <= self.unstarted_from()
+
     def unstarted_from(self) -> int:
         """Returns the index from which on no task runs or has ended."""
         return max([-1, *self.active, *self.ended]) + 1
--- a/src/marigoldgap/coordination/task_runner.py
+++ b/src/marigoldgap/coordination/task_runner.py
@@ -73,6 +73,10 @@
             for task in self._placing.values()
         )
 
+    def placing_of(self, team: str) -> int:
+        """Returns how many starts of a team are under way."""
+        return sum(task.team == team for task in self._placing.values())
+
     def place(
         self,
         tasks: Sequence[model.TaskSpec],
--- a/tests/features/coordination/jobs.feature
+++ b/tests/features/coordination/jobs.feature
@@ -44,6 +44,14 @@
     And 20 s pass and every running task finishes
     Then the job is "finished" and each of its 20 tasks started once
 
+  Scenario: A non-idempotent job that found no room survives its coordinator
+    Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 12
+    And all instances refuse job tasks
+    When a non-idempotent job of 4 tasks is submitted and "e1" dies 4 s later
+    And the instances accept job tasks again after 15 s
+    And 5 s pass and every running task finishes
+    Then the job is "finished" and each of its 4 tasks started once
+
   Scenario: The store is down
     Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 12
     And a job of 4 tasks runs
--- a/tests/features/steps/coordination_jobs_steps.py
+++ b/tests/features/steps/coordination_jobs_steps.py
@@ -100,6 +100,29 @@
     )
 
 
+@given("all instances refuse job tasks")
+def refuse_all(context):
+    for instance in context.world.instances.values():
+        instance.refuse_starts = True
+
+
+@when(
+    "a non-idempotent job of {count:d} tasks is submitted and"
+    ' "{name}" dies {seconds:d} s later'
+)
+def submit_and_die(context, count, name, seconds):
+    context.job_id = _submit(context, "e2", tasks=count, idempotent=False)
+    zone_steps.advance(context, seconds * 1_000)
+    context.world.net.dead.add(name)
+
+
+@when("the instances accept job tasks again after {seconds:d} s")
+def accept_again(context, seconds):
+    zone_steps.advance(context, seconds * 1_000)
+    for instance in context.world.instances.values():
+        instance.refuse_starts = False
+
+
 @when("that worker is removed from the platform")
 def remove_worker(context):
     worker = context.world.workers["large"]
