Log why a job task starts again

Ruled out: the inventory race, since an inventory comes with a new epoch. Change: one line with task and reason. Conclusion: the cause is open; the next occurrence will name it.

--- a/src/marigoldgap/coordination/job_table.py
+++ b/src/marigoldgap/coordination/job_table.py
@@ -191,6 +191,7 @@
         if attempt is None:
             self._forget_early(task_id)
             return
+        _log.info("Task %s does not run: %s.", task_id, reason)
         self._interrupted(self._job_of(attempt), attempt.task_index, reason)
         self.changed.add(attempt.job_id)
 
