Read configuration versions beside the records

Cause: with a paused entry instance, each reading of the versions took 10 s, and samples of running tasks and link bytes stood still in that time.

--- a/bench/collector.py
+++ b/bench/collector.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
 import json
 import pathlib
 from typing import Any
@@ -40,18 +42,38 @@
         return len(self._finished.get(token, ()))
 
     async def run(self) -> None:
-        """Polls until cancelled."""
+        """Polls until cancelled.
+
+        Versions are read beside the records: an entry instance that is paused
+        does not answer, which must not delay the samples.
+        """
+        await asyncio.gather(
+            self._keep_polling(self._poll_standins),
+            self._keep_polling(self._read_versions),
+        )
+
+    async def poll(self) -> None:
+        """Reads what is new once."""
+        await self._poll_standins()
+        await self._read_versions()
+
+    def sorted_records(self) -> list[evidence.Record]:
+        """Returns all records in order of time."""
+        return sorted(self.records, key=lambda record: record["at_ms"])
+
+    async def _keep_polling(self, read: Callable[[], Awaitable[None]]) -> None:
+        """Reads again and again."""
         while True:
             try:
-                await self.poll()
+                await read()
             except exchange.NoReplyError:
                 # A busy machine may delay a stand-in; nothing is lost, the
                 # next poll reads on from the same record.
                 pass
             await asyncio.sleep(_INTERVAL_S)
 
-    async def poll(self) -> None:
-        """Reads what is new and writes one sample."""
+    async def _poll_standins(self) -> None:
+        """Reads new records and counters and writes one sample."""
         for control in self._target.wired.worker_processes():
             since = self._cursors.get(control, 0)
             found = await self._target.controls.worker_records(control, since)
@@ -61,11 +83,6 @@
         self.link_bytes = await self._target.controls.link_bytes()
         counters = await self._target.controls.table_counters()
         self._write({"table": counters})
-        await self._read_versions()
-
-    def sorted_records(self) -> list[evidence.Record]:
-        """Returns all records in order of time."""
-        return sorted(self.records, key=lambda record: record["at_ms"])
 
     def _add(self, record: evidence.Record) -> None:
         """Adds one record and follows which tasks run and finished."""
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -147,6 +147,8 @@
             task.cancel()
         await asyncio.gather(*background, return_exceptions=True)
     await collected.poll()
+    history = [{"at_ms": at, "fault": line} for at, line in context.history]
+    _write(directory / "faults.jsonl", history)
     return _evidence(plan, target, progress)
 
 
--- a/bench/operators.py
+++ b/bench/operators.py
@@ -14,6 +14,7 @@
 
 _RETRY_S = 0.5
 _TIMEOUT_S = 10.0
+_READ_TIMEOUT_S = 2.0
 _CREATED = (200, 201)
 _CONFLICT = 409
 
@@ -53,6 +54,7 @@
         path: str,
         value: Any = None,
         entry: wiring.Entry | None = None,
+        timeout_s: float = _TIMEOUT_S,
     ) -> exchange.Reply:
         """Sends one request to one entry instance.
 
@@ -66,7 +68,7 @@
             path,
             value,
             self._headers,
-            _TIMEOUT_S,
+            timeout_s,
         )
 
     async def send_until(
@@ -104,7 +106,9 @@
         version 0 and is not ready; that is no step back.
         """
         try:
-            reply = await self.send("GET", "/v1/operators/rules", None, entry)
+            reply = await self.send(
+                "GET", "/v1/operators/rules", None, entry, _READ_TIMEOUT_S
+            )
         except exchange.NoReplyError:
             return None
         value = reply.json()
