Let zones far from the table service raise their allowances

Near zones wrote the row of each waiting team every second, even when the number did not change, and the far zone lost each compare-and-set. Ruled out: full slots (at most 58 of 64 in use) and reached limits. Change: a confirmed zone writes only if the row has room; a conflict is tried again at once with a random pause.

--- a/src/marigoldgap/coordination/allowance_keeper.py
+++ b/src/marigoldgap/coordination/allowance_keeper.py
@@ -6,8 +6,10 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Mapping
+import random
 from typing import Any
 
+from marigoldgap import clock
 from marigoldgap import errors
 from marigoldgap import logs
 from marigoldgap.coordination import allowance_policy
@@ -27,6 +29,9 @@
 # read only for teams with unmet demand or a pending change.
 _REVIEW_MS = 1_000
 _RECALL_EVERY_MS = 200
+_CONFLICT_ATTEMPTS = 6
+# About the time of a read and a write over the link between regions.
+_CONFLICT_PAUSE_MS = 50
 
 ZoneDemands = Callable[[str], Mapping[str, allowance_policy.ZoneDemand]]
 
@@ -183,21 +188,37 @@
         task.add_done_callback(lambda _: self._tasks.pop(name, None))
 
     async def _review(self, team: str) -> None:
-        """Reads the row of a team and changes it if needed."""
+        """Reads the row of a team and changes it if needed.
+
+        A conflict is tried again at once: a zone far from the table service
+        would otherwise lose to near zones again and again.
+        """
         try:
-            row = await self._table.get(allowance_rows.key_of(team))
-            content = allowance_rows.parse(row.value) if row else None
-            version = row.version if row else 0
-            self._ledger.row_read(team, content, version)
-            if self._ledger.superseded and content is not None:
-                self._observe(content)
-                return
-            await self._adjust(team)
+            for attempt in range(1, _CONFLICT_ATTEMPTS + 1):
+                try:
+                    await self._read_and_adjust(team)
+                    return
+                except errors.ConflictError:
+                    pause_ms = random.uniform(0, _CONFLICT_PAUSE_MS * attempt)
+                    await asyncio.sleep(
+                        pause_ms / clock.MILLISECONDS_PER_SECOND
+                    )
         except errors.MarigoldgapError as error:
             _log.debug("Allowance of %s not changed: %s", team, error.detail)
         except Exception:
             _log.exception("The review of team %s failed.", team)
 
+    async def _read_and_adjust(self, team: str) -> None:
+        """Reads the row of a team and writes it once if needed."""
+        row = await self._table.get(allowance_rows.key_of(team))
+        content = allowance_rows.parse(row.value) if row else None
+        version = row.version if row else 0
+        self._ledger.row_read(team, content, version)
+        if self._ledger.superseded and content is not None:
+            self._observe(content)
+            return
+        await self._adjust(team)
+
     def _observe(self, row: allowance_model.AllowanceRow) -> None:
         """Learns of a higher term of the zone, which ends this one."""
         term = row.terms.get(self._settings.zone, model.NO_TERM)
@@ -220,7 +241,10 @@
         )
         own = self.demand(team)
         wanted = allowance_policy.wanted_allowance(limit.limit, even, own)
-        if team in self._confirmed and wanted <= own.allowance:
+        is_needed = team not in self._confirmed or self._ledger.has_room(
+            team, wanted, limit
+        )
+        if not is_needed:
             return
         await self._write(self._ledger.raise_write(team, wanted, limit))
 
--- a/src/marigoldgap/scheduling/allowance_ledger.py
+++ b/src/marigoldgap/scheduling/allowance_ledger.py
@@ -185,6 +185,17 @@
         number = max(own, min(wanted, room))
         return self._begin_write(team, state, number, limit)
 
+    def has_room(
+        self, team: str, wanted: int, limit: allowance_model.TeamLimit
+    ) -> bool:
+        """Whether `raise_write` would raise the number in the row."""
+        row = self._team(team).row
+        if row is None:
+            return False
+        own = row.zones.get(self._zone, 0)
+        room = team_allowance.room_for(row, self._zone, limit)
+        return min(wanted, room) > own
+
     def begin_give_up(
         self, team: str, target: int
     ) -> allowance_model.AllowanceNotice | None:
