--- a/bench/collector.py
+++ b/bench/collector.py
@@ -80,9 +80,10 @@
             self._cursors[control] = since + len(found)
             for record in found:
                 self._add(record)
-        self.link_bytes = await self._target.controls.link_bytes()
+        link = await self._target.controls.link_bytes()
+        self.link_bytes = link.directions
         counters = await self._target.controls.table_counters()
-        self._write({"table": counters})
+        self._write({"table": counters, "path_bytes": link.paths})
 
     def _add(self, record: evidence.Record) -> None:
         """Adds one record and follows which tasks run and finished."""
--- a/bench/controls.py
+++ b/bench/controls.py
@@ -3,11 +3,24 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import NamedTuple
 
 from bench import exchange
 from bench import wiring
 
 
+class LinkBytes(NamedTuple):
+    """Bytes sent since the start.
+
+    Attributes:
+        directions: By direction between regions, which is what is paid for.
+        paths: By pair of zones, or a zone and the platform; all paths.
+    """
+
+    directions: dict[str, int]
+    paths: dict[str, int]
+
+
 class Controls:
     """Control interfaces of all stand-ins of a deployment.
 
@@ -55,12 +68,15 @@
         address = self._wired.services.link_control
         await self._post(address, "/control", {"heal": paths})
 
-    async def link_bytes(self) -> dict[str, int]:
-        """Returns the bytes sent in each direction between regions."""
+    async def link_bytes(self) -> LinkBytes:
+        """Returns the bytes sent over the link between regions."""
         address = self._wired.services.link_control
         shown = await self._get(address, "/control")
         directions = self._wired.routes.region_directions()
-        return {name: int(shown["bytes"][name]) for name in directions}
+        return LinkBytes(
+            {name: int(shown["bytes"][name]) for name in directions},
+            dict(shown["path_bytes"]),
+        )
 
     async def table_counters(self) -> dict[str, int]:
         """Returns what the table service counted."""
--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -91,6 +91,9 @@
                 name: direction.sent_bytes
                 for name, direction in self._directions.items()
             },
+            "path_bytes": {
+                name: path.sent_bytes for name, path in self._paths.items()
+            },
             "cut": [name for name, path in self._paths.items() if path.is_cut],
         }
         return http.json_response(answer)
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -61,6 +61,7 @@
         self._open.set()
         self._closing: asyncio.TimerHandle | None = None
         self._transports: set[asyncio.WriteTransport] = set()
+        self.sent_bytes = 0
 
     @property
     def is_cut(self) -> bool:
@@ -137,6 +138,7 @@
     sender = asyncio.create_task(_send(chunks, writer, path, watch))
     try:
         while data := await reader.read(_CHUNK_BYTES):
+            path.sent_bytes += len(data)
             await chunks.put((direction.send(len(data)), data))
         await chunks.put((time.monotonic() + direction.delay_s, b""))
         await sender
