--- a/src/marigoldgap/coordination/job_table.py
+++ b/src/marigoldgap/coordination/job_table.py
@@ -22,6 +22,7 @@
 
 _FINISHED = "finished"
 _FAILED = "failed"
+_CHECKPOINTED = "checkpointed"
 
 # A job whose tasks failed on this many workers is at fault itself.
 FAILED_WORKERS_LIMIT = 3
@@ -76,7 +77,7 @@
             self.outcome(outcome, now_ms)
         for attempt in self._early.pop(job.job_id, {}).values():
             self._activate(job, attempt)
-        if job.started and not job.spec.idempotent:
+        if not job.spec.idempotent:
             self._distrust_restart(job)
         self.changed.add(job.job_id)
 
@@ -130,7 +131,7 @@
         """Records that an attempt certainly did not start."""
         attempt = self._drop(task_id)
         if attempt is not None:
-            self._job_of(attempt).put_back(attempt.task_index)
+            self._job_of(attempt).put_first(attempt.task_index)
             self.changed.add(attempt.job_id)
 
     def placing(
@@ -177,6 +178,9 @@
             self._finish(job, index)
         elif outcome.state in (_FINISHED, _FAILED):
             self._fail(job, index, outcome, known=attempt is not None)
+        elif attempt is not None and outcome.state == _CHECKPOINTED:
+            # The task goes on from its checkpoint, so this is no repetition.
+            job.put_back(index)
         elif attempt is not None:
             self._interrupted(job, index, outcome.state)
         self.changed.add(job_id)
@@ -187,6 +191,7 @@
         if attempt is None:
             self._forget_early(task_id)
             return
+        _log.info("Task %s does not run: %s.", task_id, reason)
         self._interrupted(self._job_of(attempt), attempt.task_index, reason)
         self.changed.add(attempt.job_id)
 
@@ -353,7 +358,7 @@
 
     def _distrust_restart(self, job: job_state.Job) -> None:
         """Fails a job whose lost tasks may have run and must not again."""
-        if job.waiting:
+        if any(index < job.started for index in job.waiting):
             job.give_verdict(
                 jobs_model.FAILED,
                 "outcome unknown: what ran before was not reported",
--- a/tests/features/coordination/jobs.feature
+++ b/tests/features/coordination/jobs.feature
@@ -36,6 +36,14 @@
     When a worker that runs tasks dies
     Then within 30 s the job is "failed" and each of its 2 tasks started once
 
+  Scenario: A non-idempotent job goes on after its coordinator died
+    Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 12
+    And a non-idempotent job of 20 tasks of which 12 run
+    When "e1" dies
+    And 20 s pass and every running task finishes
+    And 20 s pass and every running task finishes
+    Then the job is "finished" and each of its 20 tasks started once
+
   Scenario: The store is down
     Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 12
     And a job of 4 tasks runs
@@ -67,6 +75,18 @@
     Then a job whose tasks need 9 slots is refused with "job-impossible"
     And a gang of 17 tasks is refused with "job-impossible"
 
+  Scenario: A job becomes impossible when its workers are removed for good
+    Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 12
+    And a worker of 9 slots is added and a job of 9-slot tasks runs there
+    When that worker is removed from the platform
+    Then the job is "impossible" within 90 s
+
+  Scenario: A gang gets room although small tasks keep arriving
+    Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 16
+    And a job of 400 tasks runs that ends some task in every second
+    When a gang of 12 tasks is submitted to "e2"
+    Then within 90 s all 12 tasks of the gang run at once
+
   Scenario: A gang runs as a whole
     Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 12
     When a gang of 10 tasks is submitted to "e2"
