--- a/bench/report.py
+++ b/bench/report.py
@@ -108,7 +108,7 @@
     axes.set_xlabel("seconds")
     axes.set_title(title)
     if axes.get_legend_handles_labels()[0]:
-        axes.legend(loc="upper left")
+        axes.legend(loc="center left", bbox_to_anchor=(1, 0.5))
     figure.tight_layout()
     figure.savefig(path)
     pyplot.close(figure)
