--- a/src/marigoldgap/http_client.py
+++ b/src/marigoldgap/http_client.py
@@ -1,46 +1,28 @@
 """HTTP exchange that reports whether a failed request may have been sent.
 
-Built on aiosonic. The connection class here closes these gaps of the library,
-each of which could hand a caller the wrong or a partial answer:
-
-- A connection whose exchange failed goes back to the pool open if an earlier
-  exchange on it succeeded; the late answer would then be read as the answer
-  to the next request.
-- A connection that the server closed while it was idle is still reused, since
-  the transport stays half open after the end of the stream.
-- An answer without a length is returned with an empty body.
-- A request of an idempotent method is sent again when a reused connection
-  breaks; here each request is sent at most once.
+Built on aiosonic, with the connections of `http_connection`.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Mapping
-import contextvars
-import socket
 from typing import Any
 from typing import NamedTuple
 from urllib import parse
 
 import aiosonic
-from aiosonic import connection as aiosonic_connection
 from aiosonic import connectors
 from aiosonic import pools
 from aiosonic import timeout as aiosonic_timeout
 
 from marigoldgap import errors
+from marigoldgap import http_connection
 
 CONNECT_TIMEOUT_S = 1.0
 # Servers commonly close idle connections after 5 s; closing earlier on this
 # side avoids the race between the server's close and the next request.
 IDLE_LIMIT_MS = 2_000
-# Detects a dead host in 5 + 3 * 2 = 11 s, below the certain lapse of 12.5 s.
-_KEEPALIVE_IDLE_S = 5
-_KEEPALIVE_INTERVAL_S = 2
-_KEEPALIVE_PROBES = 3
-_UNACKNOWLEDGED_LIMIT_MS = 11_000
 _FIRST_FINAL_STATUS = 200
 _BODILESS_STATUSES = frozenset({204, 304})
 _DECODED_BY_LIBRARY = frozenset({"gzip", "deflate"})
@@ -48,7 +30,7 @@
     {"connection", "keep-alive", "transfer-encoding", "content-length"}
 )
 
-BeforeSend = Callable[[], None]
+BeforeSend = http_connection.BeforeSend
 
 
 class HttpAnswer(NamedTuple):
@@ -59,119 +41,6 @@
     body: bytes
 
 
-class _Attempt:
-    """Follows one exchange: whether it was sent, and on which connection."""
-
-    def __init__(self, before_send: BeforeSend | None) -> None:
-        self._before_send = before_send
-        self._connection: GuardedConnection | None = None
-        self._writer: Any = None
-
-    @property
-    def sent(self) -> bool:
-        """Whether a byte of the request may have left."""
-        return self._connection is not None
-
-    def begin_send(self, connection: GuardedConnection) -> None:
-        """Runs the check of the caller before the first byte.
-
-        Raises:
-            OutcomeUnknownError: The library sends the request again, on
-                another stream, after the first one was lost.
-        """
-        if self.sent:
-            if connection.writer is not self._writer:
-                raise errors.OutcomeUnknownError("the connection was lost")
-            return
-        if self._before_send is not None:
-            self._before_send()
-        self._connection = connection
-        self._writer = connection.writer
-
-    def discard_connection(self) -> None:
-        """Closes the connection so that no later exchange can use it."""
-        if self._connection is not None:
-            self._connection.close()
-
-
-_attempt: contextvars.ContextVar[_Attempt | None] = contextvars.ContextVar(
-    "attempt", default=None
-)
-
-
-class GuardedConnection(aiosonic_connection.Connection):
-    """Connection that is reused only if it is clean and still open.
-
-    What is written is sent when the answer is first read: head and body in one
-    system call and one packet, which wakes the server once.
-    """
-
-    def __init__(self, pool: pools.BasePool) -> None:
-        super().__init__(pool)
-        self._unsent: list[bytes] = []
-
-    def reuse(self, urlparsed: Any, verify: bool) -> bool:
-        """Returns whether the open connection can carry another exchange."""
-        if self.reader is not None and self._is_stale():
-            self.close()
-        return bool(super().reuse(urlparsed, verify))
-
-    def _is_stale(self) -> bool:
-        # Bytes that arrive between exchanges belong to no request.
-        unread = getattr(self.reader, "_buffer", b"")
-        return bool(unread) or self.reader.at_eof()
-
-    async def connect(self, *arguments: Any, **options: Any) -> None:
-        """Opens the connection and turns on detection of dead hosts."""
-        await super().connect(*arguments, **options)
-        if not self.reused and self.writer is not None:
-            _detect_dead_host(self.writer.get_extra_info("socket"))
-
-    def write(self, data: bytes) -> None:
-        """Keeps the bytes until the answer is read."""
-        self._unsent.append(data)
-
-    async def readuntil(self, separator: bytes = b"\n") -> Any:
-        """Sends what was written, then reads the start of the answer."""
-        self._send_unsent()
-        return await super().readuntil(separator)
-
-    def close(self) -> None:
-        """Closes the connection and drops what was not sent."""
-        self._unsent.clear()
-        super().close()
-
-    def _send_unsent(self) -> None:
-        """Sends after the check of the current exchange has passed."""
-        if not self._unsent:
-            return
-        attempt = _attempt.get()
-        if attempt is not None:
-            attempt.begin_send(self)
-        data = b"".join(self._unsent)
-        self._unsent.clear()
-        super().write(data)
-
-    async def __aexit__(
-        self, exception_type: Any, exception: Any, traceback: Any
-    ) -> None:
-        """Closes the connection after any failure, then releases it."""
-        if exception_type is not None:
-            self.keep = False
-            self.close()
-        await super().__aexit__(exception_type, exception, traceback)
-
-
-def _detect_dead_host(connected: socket.socket) -> None:
-    """Makes the kernel fail the connection when the other host is gone."""
-    tcp = socket.IPPROTO_TCP
-    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    connected.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-    connected.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-    connected.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-    connected.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_LIMIT_MS)
-
-
 class HttpClient:
     """Sends each request at most once and returns whole answers only.
 
@@ -186,7 +55,7 @@
             max_conn_idle_ms=IDLE_LIMIT_MS,
         )
         # Without the library's own timeouts an exchange stays in the task of
-        # its caller, which the context variable above relies on.
+        # its caller, which `http_connection.current_attempt` relies on.
         timeouts = aiosonic_timeout.Timeouts(
             sock_connect=CONNECT_TIMEOUT_S,
             sock_read=None,
@@ -196,7 +65,7 @@
         connector = connectors.TCPConnector(
             pool_configs={":default": pool},
             timeouts=timeouts,
-            connection_cls=GuardedConnection,
+            connection_cls=http_connection.GuardedConnection,
         )
         self._client = aiosonic.HTTPClient(connector=connector)
 
@@ -228,8 +97,8 @@
                 no complete answer.
             MarigoldgapError: Raised by `before_send`.
         """
-        attempt = _Attempt(before_send)
-        token = _attempt.set(attempt)
+        attempt = http_connection.Attempt(before_send)
+        token = http_connection.current_attempt.set(attempt)
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._send(method, address, path, headers, body)
@@ -239,7 +108,7 @@
         except Exception as error:
             raise _failure(attempt, address, error) from error
         finally:
-            _attempt.reset(token)
+            http_connection.current_attempt.reset(token)
 
     async def close(self) -> None:
         """Closes idle connections; those in use close when they are done."""
@@ -272,7 +141,7 @@
 
 
 def _failure(
-    attempt: _Attempt, address: str, error: Exception
+    attempt: http_connection.Attempt, address: str, error: Exception
 ) -> errors.MarigoldgapError:
     """Returns the typed error for a failed exchange."""
     cause = str(error) or type(error).__name__
--- a/src/marigoldgap/workers/link.py
+++ b/src/marigoldgap/workers/link.py
@@ -14,16 +14,14 @@
 from marigoldgap.scheduling import model
 from marigoldgap.settings import model as settings_model
 from marigoldgap.workers import client
+from marigoldgap.workers import inventory_schedule
 from marigoldgap.workers import lease
 from marigoldgap.workers import model as workers_model
+from marigoldgap.workers import report_relay
 from marigoldgap.workers import wire
 
 _logger = logs.PartLogger("workers")
 
-# A new epoch makes the worker refuse starts that are on their way, so while
-# inventories stay wanted, one is asked for after 1, 2, 4, then 8 renewals.
-_MOST_RENEWALS_PER_INVENTORY = 8
-
 _UNUSABLE_ANSWERS = (
     errors.ConnectFailedError,
     errors.OutcomeUnknownError,
@@ -59,12 +57,11 @@
             settings.instance_id,
             settings.lease.renew_ms / clock.MILLISECONDS_PER_SECOND,
         )
-        self._incarnation = ""
-        self._seq = 0
+        self._relay = report_relay.ReportRelay(worker.worker_id, listener)
+        self._inventories = inventory_schedule.InventorySchedule(
+            settings.lease.renew_ms
+        )
         self._leaving = False
-        self._wants_inventory = False
-        self._inventory_at_ms = 0
-        self._inventory_round = 0
         self._unfinished = 0
         self._hand_over_by_ms: int | None = None
         self._wake = asyncio.Event()
@@ -102,7 +99,7 @@
 
         The listener then hears `worker_acquired` once more.
         """
-        self._wants_inventory = True
+        self._inventories.want()
 
     def hand_over(self, limit_ms: int) -> None:
         """Stops new starts; `run` releases the lease and then returns.
@@ -198,7 +195,7 @@
         known_epoch = self._known_epoch(t0_ms)
         try:
             answer = await self._client.request_lease(
-                self._settings.lease.ttl_ms, known_epoch, self._seq
+                self._settings.lease.ttl_ms, known_epoch, self._relay.seq
             )
         except errors.LeaseHeldError as error:
             self._lose(error.detail)
@@ -211,24 +208,18 @@
         """Returns the known epoch, or 0 to get a new one with an inventory."""
         if not self._lease.held:
             return 0
-        if not self._wants_inventory or self.is_handing_over:
-            self._inventory_round = 0
+        if self.is_handing_over or not self._inventories.take_due(now_ms):
             return self._lease.epoch
-        renewals = min(2**self._inventory_round, _MOST_RENEWALS_PER_INVENTORY)
-        interval_ms = renewals * self._settings.lease.renew_ms
-        if now_ms < self._inventory_at_ms + interval_ms:
-            return self._lease.epoch
-        self._inventory_round += 1
         return 0
 
     async def _take(self, answer: wire.LeaseAnswer, t0_ms: int) -> None:
         """Takes over a lease answer and passes on what it reports."""
-        is_known = self._note_incarnation(answer.incarnation)
+        is_known = self._relay.note_incarnation(answer.incarnation)
         is_new = not self._lease.held or answer.epoch != self._lease.epoch
         if is_new and answer.inventory is None:
             # Without the tasks that run there nothing can be placed safely; a
             # lease after a release has a new epoch and an inventory.
-            _logger.warning("lease without an inventory is given back")
+            self._lose("the worker gave no inventory")
             await self._give_back(answer.epoch)
             return
         self._lease.granted(answer, t0_ms, clock.monotonic_ms())
@@ -237,9 +228,8 @@
         if is_new:
             await self._acquired(answer)
         if is_known:
-            self._report(answer.seq, answer.changes)
-        for usage in answer.usage:
-            self._listener.usage_reported(usage)
+            self._relay.changes(answer.seq, answer.changes)
+        self._relay.usage(answer.usage)
 
     async def _acquired(self, answer: wire.LeaseAnswer) -> None:
         if answer.capacity is not None:
@@ -253,44 +243,23 @@
             self._worker.worker_id,
             answer.epoch,
         )
-        self._wants_inventory = False
-        self._inventory_at_ms = clock.monotonic_ms()
+        self._inventories.received(clock.monotonic_ms())
         self._ownership_changed()
         self._listener.worker_acquired(self.worker, answer.inventory or ())
 
-    def _note_incarnation(self, incarnation: str) -> bool:
-        """Returns whether sequence numbers still belong to the worker."""
-        if incarnation == self._incarnation:
-            return True
-        is_first = not self._incarnation
-        self._incarnation = incarnation
-        if is_first:
-            return True
-        self._seq = 0
-        _logger.warning("worker %s has restarted", self._worker.worker_id)
-        self._listener.worker_restarted(self._worker.worker_id)
-        return False
-
-    def _report(
-        self, seq: int, changes: tuple[workers_model.TaskChange, ...]
-    ) -> None:
-        self._seq = max(self._seq, seq)
-        for change in changes:
-            self._listener.task_changed(change)
-
     async def _watch(self, wait_ms: int) -> None:
         """Waits for changes, or sleeps while there is no lease."""
         if not self._lease.held:
             await self._sleep(wait_ms)
             return
         try:
-            answer = await self._client.changes(self._seq, wait_ms)
+            answer = await self._client.changes(self._relay.seq, wait_ms)
         except _UNUSABLE_ANSWERS as error:
             _logger.debug("poll of changes failed: %s", error.detail)
             await self._sleep(wait_ms)
             return
-        if answer.incarnation == self._incarnation:
-            self._report(answer.seq, answer.changes)
+        if self._relay.is_current(answer.incarnation):
+            self._relay.changes(answer.seq, answer.changes)
             return
         # The next renewal handles the restart, with a new inventory.
         self._wake.set()
--- /dev/null
+++ b/src/marigoldgap/workers/report_relay.py
@@ -0,0 +1,63 @@
+"""Passes the reports of one worker on, each change once."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from marigoldgap import logs
+from marigoldgap.workers import model
+
+_logger = logs.PartLogger("workers")
+
+
+class ReportRelay:
+    """Knows the process of a worker and the last change seen of it.
+
+    Args:
+        worker_id: The worker.
+        listener: Gets the reports.
+    """
+
+    def __init__(self, worker_id: str, listener: model.FleetListener) -> None:
+        self._worker_id = worker_id
+        self._listener = listener
+        self._incarnation = ""
+        self._seq = 0
+
+    @property
+    def seq(self) -> int:
+        """Sequence number of the last change that was passed on."""
+        return self._seq
+
+    def is_current(self, incarnation: str) -> bool:
+        """Returns whether an answer comes from the known process."""
+        return incarnation == self._incarnation
+
+    def note_incarnation(self, incarnation: str) -> bool:
+        """Notes the process that answered.
+
+        Returns:
+            Whether changes that were asked for with `seq` belong to it; after
+            a restart the numbers start anew.
+        """
+        if self.is_current(incarnation):
+            return True
+        is_first = not self._incarnation
+        self._incarnation = incarnation
+        if is_first:
+            return True
+        self._seq = 0
+        _logger.warning("worker %s has restarted", self._worker_id)
+        self._listener.worker_restarted(self._worker_id)
+        return False
+
+    def changes(self, seq: int, changes: Sequence[model.TaskChange]) -> None:
+        """Passes changes on up to a sequence number."""
+        self._seq = max(self._seq, seq)
+        for change in changes:
+            self._listener.task_changed(change)
+
+    def usage(self, usage: Sequence[model.TaskUsage]) -> None:
+        """Passes measured usage on."""
+        for measured in usage:
+            self._listener.usage_reported(measured)
--- a/tests/features/steps/workers_leases_steps.py
+++ b/tests/features/steps/workers_leases_steps.py
@@ -133,6 +133,25 @@
     ]
 
 
+@given("a scripted worker that gives no inventory to its first lease")
+def worker_without_inventory(context):
+    loops.run(context, workers_fleet_steps.start_worker(context))
+    context.worker.without_inventory = (1,)
+
+
+@when("a fleet acquires the scripted worker after a release")
+def acquired_after_release(context):
+    start = workers_fleet_steps.start_fleet(context, {"renew_ms": 100})
+    loops.run(context, start)
+
+
+@then('the first lease was released before the listener heard "{name}"')
+def released_first(context, name):
+    assert [release["epoch"] for release in context.worker.releases] == [1]
+    assert context.listener.names() == [name]
+    assert context.fleet.owned()[0].epoch == 2
+
+
 @when("a fleet acquires the scripted worker")
 def fleet_acquires(context):
     start = workers_fleet_steps.start_fleet(context, {"renew_ms": 100})
--- a/tests/features/workers/leases.feature
+++ b/tests/features/workers/leases.feature
@@ -25,6 +25,11 @@
     Then the listener heard "acquired, lost, acquired"
     And the new epoch is higher than the old one
 
+  Scenario: A lease without an inventory is not used
+    Given a scripted worker that gives no inventory to its first lease
+    When a fleet acquires the scripted worker after a release
+    Then the first lease was released before the listener heard "acquired"
+
   Scenario: A worker that another instance holds is not owned
     Given a fleet that owns one scripted worker
     When the worker grants its lease to another instance
