Pass repeated headers of an answer through

Cause: of a header that a worker sends twice only the last line reached the caller, so the answer was not complete. Change: lines are joined with commas; those of Set-Cookie stay separate.

--- a/src/marigoldgap/callers/request_api.py
+++ b/src/marigoldgap/callers/request_api.py
@@ -7,6 +7,7 @@
 
 from marigoldgap import clock
 from marigoldgap import errors
+from marigoldgap import http_client
 from marigoldgap import identifiers
 from marigoldgap.callers import bodies
 from marigoldgap.callers import interfaces
@@ -139,8 +140,9 @@
 def _response(answer: workers_model.WorkerAnswer) -> responses.Response:
     response = responses.Response(answer.body, answer.status)
     response.raw_headers.extend(
-        (name.encode(), text.encode())
+        (name.encode(), line.encode())
         for name, text in answer.headers.items()
         if name not in _OWN_HEADERS
+        for line in text.split(http_client.COOKIE_SEPARATOR)
     )
     return response
--- a/src/marigoldgap/http_client.py
+++ b/src/marigoldgap/http_client.py
@@ -30,6 +30,11 @@
     {"connection", "keep-alive", "transfer-encoding", "content-length"}
 )
 
+# Lines of this header cannot be joined with commas (RFC 9110, section 5.3); a
+# line break cannot be part of any line.
+SET_COOKIE = "set-cookie"
+COOKIE_SEPARATOR = "\n"
+
 BeforeSend = http_connection.BeforeSend
 
 
@@ -168,9 +173,20 @@
         raise errors.OutcomeUnknownError("the answer has no length")
 
 
+def _separator(name: str) -> str:
+    """Returns what joins the lines of a repeated header."""
+    return COOKIE_SEPARATOR if name == SET_COOKIE else ", "
+
+
 def _end_to_end_headers(response: Any) -> dict[str, str]:
     """Returns the headers that describe the content, not the connection."""
-    headers = {name.lower(): text for name, text in response.raw_headers}
+    headers: dict[str, str] = {}
+    for written, text in response.raw_headers:
+        name = written.lower()
+        if name in headers:
+            headers[name] += _separator(name) + text
+        else:
+            headers[name] = text
     for name in _HOP_BY_HOP:
         headers.pop(name, None)
     if headers.get("content-encoding", "") in _DECODED_BY_LIBRARY:
--- a/tests/features/callers/requests.feature
+++ b/tests/features/callers/requests.feature
@@ -6,6 +6,11 @@
     When a caller sends a request of 300000 bytes
     Then the caller gets status 200 and its own whole answer
 
+  Scenario: Repeated headers are passed through
+    Given a callers API over 1 scripted worker
+    When a caller's request meets the worker fault "repeat headers"
+    Then the caller gets both values of each repeated header
+
   Scenario Outline: A cut worker answer never reaches the caller
     Given a callers API over 1 scripted worker
     When a caller's request meets the worker fault "<fault>"
--- a/tests/features/steps/callers_requests_steps.py
+++ b/tests/features/steps/callers_requests_steps.py
@@ -120,6 +120,14 @@
     assert problem["detail"]
 
 
+@then("the caller gets both values of each repeated header")
+def repeated_headers(context):
+    assert context.result.status == 200, context.result
+    assert context.result.headers["vary"] == "a, b"
+    cookies = context.result.headers["set-cookie"].split("\n")
+    assert cookies == ["a=1", "b=2, c"]
+
+
 @then("the caller gets status 200 and its own whole answer")
 def whole_answer(context):
     assert context.result.status == 200, context.result
