Refuse placement decisions from before a new inventory

Ruled out: the free-capacity index, which takes 7 tasks and one more start in a direct trial; other resources than slots. Change: a decision remembers the inventory it was made under and is checked immediately before the start.

--- a/src/marigoldgap/dispatch/job_tasks.py
+++ b/src/marigoldgap/dispatch/job_tasks.py
@@ -166,6 +166,7 @@
     ) -> dispatch_model.PlaceOutcome:
         task_id = task.task_id
         try:
+            self._placement.check_current(task_id)
             await self._fleet.start_job_task(worker_id, task, payload)
         except errors.OutcomeUnknownError:
             self._settle(task_id)
--- a/src/marigoldgap/dispatch/placement.py
+++ b/src/marigoldgap/dispatch/placement.py
@@ -41,6 +41,8 @@
         self._pending: dict[str, model.RunningTask] = {}
         self._settled: dict[str, dict[str, model.RunningTask]] = {}
         self._located: dict[str, str] = {}
+        self._inventories: Counter[str] = Counter()
+        self._placed_under: dict[str, int] = {}
         self._freed: Callable[[str], None] = lambda _: None
         self._placed: TaskCallback = _ignore_task
         self._released: TaskCallback = _ignore_task
@@ -100,11 +102,30 @@
             task.job_id,
             task.attempt,
         )
+        self._placed_under[task.task_id] = self._inventories[worker_id]
         self._placed(worker_id, task.task_id)
         return worker_id
 
+    def check_current(self, task_id: str) -> None:
+        """Checks a pending task immediately before its start.
+
+        A decision from before the last inventory of the worker may have been
+        made for room that other tasks have taken since, e.g. during a pause
+        of this process.
+
+        Raises:
+            LeaseLostError: The worker was acquired anew since the decision.
+        """
+        task = self._pending.get(task_id)
+        if task is None:
+            return
+        decided_under = self._placed_under.get(task_id)
+        if decided_under != self._inventories[task.worker_id]:
+            raise errors.LeaseLostError("the worker was acquired anew")
+
     def finish(self, task_id: str) -> None:
         """Gives back what a task used; repeated calls do nothing."""
+        self._placed_under.pop(task_id, None)
         task = self._pending.pop(task_id, None) or self._pop_settled(task_id)
         if task is None:
             return
@@ -120,6 +141,7 @@
             The worker, or None if it is not owned any more; the task is then
             counted as stray.
         """
+        self._placed_under.pop(task_id, None)
         task = self._pending.pop(task_id, None)
         if task is None:
             return None
@@ -144,6 +166,7 @@
     ) -> None:
         """Takes over the inventory of a worker in place of what was known."""
         worker_id = worker.worker_id
+        self._inventories[worker_id] += 1
         reported = {
             task.task_id: task
             for task in inventory
--- a/src/marigoldgap/dispatch/request_run.py
+++ b/src/marigoldgap/dispatch/request_run.py
@@ -158,6 +158,7 @@
     ) -> workers_model.WorkerAnswer | None:
         task_id = self._task.task_id
         try:
+            self._parts.placement.check_current(task_id)
             answer = await self._parts.fleet.run_request(
                 worker_id, self._task, self._payload
             )
--- a/tests/features/dispatch/requests.feature
+++ b/tests/features/dispatch/requests.feature
@@ -89,3 +89,9 @@
     When the scripted worker is granted to another instance
     Then 1 task of team claims is counted
     And no task is counted after the coordinator settles the worker
+
+  Scenario: A decision from before a new inventory is not carried out
+    Guards against starts on room that others took while this process paused.
+    Given a dispatch decision for a worker of 1 slot
+    When the worker is acquired anew with another task on it
+    Then the dispatch decision is refused with "lease-lost"
--- a/tests/features/steps/dispatch_requests_steps.py
+++ b/tests/features/steps/dispatch_requests_steps.py
@@ -12,7 +12,9 @@
 
 from marigoldgap import clock
 from marigoldgap import errors
+from marigoldgap.dispatch import placement
 from marigoldgap.dispatch import wait_estimate
+from marigoldgap.scheduling import free_index
 from marigoldgap.scheduling import model
 from tests.fixtures import data_plane
 from tests.fixtures import loops
@@ -321,3 +323,53 @@
     holdings.settle(["w1"])
     assert holdings.running("claims") == 0
     assert holdings.holding("claims") == held - 1
+
+
+class _UnlimitedHoldings:
+    """Grants a unit to every task."""
+
+    def may_start(self, team):
+        return True
+
+    def start(self, team):
+        pass
+
+    def reclaim(self, worker_id, teams):
+        pass
+
+    def finish(self, team):
+        pass
+
+    def adopt(self, team):
+        pass
+
+
+@given("a dispatch decision for a worker of 1 slot")
+def decide_placement(context):
+    context.worker_info = model.WorkerInfo(
+        "w1", "centro-a", "r1", "127.0.0.1:1", "svc", model.Resources(1, 8)
+    )
+    index = free_index.FreeIndex()
+    context.placement = placement.Placement(index, _UnlimitedHoldings())
+    context.placement.acquired(context.worker_info, [])
+    task = model.TaskSpec(
+        "t1", "claims", "q", "quick", model.Resources(), "svc"
+    )
+    assert context.placement.try_place(task) == "w1"
+    context.placement.check_current("t1")
+
+
+@when("the worker is acquired anew with another task on it")
+def acquire_anew(context):
+    other = model.RunningTask("t2", "w1", "desk", "q", model.Resources())
+    context.placement.acquired(context.worker_info, [other])
+
+
+@then('the dispatch decision is refused with "{code}"')
+def decision_refused(context, code):
+    try:
+        context.placement.check_current("t1")
+    except errors.MarigoldgapError as error:
+        assert (error.code, error.ran) == (code, errors.Ran.NO)
+    else:
+        raise AssertionError("the stale decision was accepted")
