Do not open a closed job again from an old answer of the store

A read of all jobs that was answered slowly could contain a job that had been closed meanwhile; the job was opened again and its tasks ran a second time. Reading rows and marking starts are modules of their own now.

--- a/src/marigoldgap/coordination/job_role.py
+++ b/src/marigoldgap/coordination/job_role.py
@@ -4,10 +4,8 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Coroutine
 from collections.abc import Iterable
 import random
-from typing import Any
 
 from marigoldgap import errors
 from marigoldgap import identifiers
@@ -21,10 +19,11 @@
 from marigoldgap.coordination import job_dispatch
 from marigoldgap.coordination import job_groups
 from marigoldgap.coordination import job_queue
-from marigoldgap.coordination import job_rows
+from marigoldgap.coordination import job_reader
 from marigoldgap.coordination import job_state
 from marigoldgap.coordination import job_table
 from marigoldgap.coordination import model as jobs_model
+from marigoldgap.coordination import start_marks
 from marigoldgap.coordination import stop_requests
 from marigoldgap.coordination import task_runner
 from marigoldgap.coordination import team_usage
@@ -32,15 +31,13 @@
 from marigoldgap.entries import job_messages
 from marigoldgap.entries import messages
 from marigoldgap.scheduling import model
-from marigoldgap.scheduling import resources
 from marigoldgap.scheduling import retry_budget
 from marigoldgap.settings import model as settings_model
 
 _log = logs.PartLogger("coordination")
 
-_RESCAN_MS = 30_000
-_RETRY_LOAD_MS = 1_000
-_PAGE = 500
+# Longest pause of an idempotent job after a refusal.
+_IDEMPOTENT_REFUSED_PAUSE_MS = 1_000
 # Usage is counted anew in this time; starts are added in between.
 _USAGE_MS = 1_000
 
@@ -51,8 +48,6 @@
 _REFUSED_PAUSE_MS = 200
 _LONGEST_REFUSED_PAUSE_MS = 5_000
 _MOST_DOUBLINGS = 6
-# A marked task mostly starts at once; this spares two writes if it does not.
-_UNMARK_AFTER_MS = 1_000
 
 
 class JobRole:
@@ -110,6 +105,12 @@
         self._writer = job_closing.JobWriter(
             settings, table_client, committer, self._closed, now_ms
         )
+        self._marks = start_marks.StartMarks(
+            self._jobs.jobs.get, self._writer, keeper, free, now_ms
+        )
+        self._reader = job_reader.JobReader(
+            settings.zone, table_client, self._add, self._load, now_ms
+        )
         self._dispatch = job_dispatch.JobDispatch(
             term,
             peers,
@@ -119,7 +120,7 @@
             free,
             self._usage_of,
             self._note_started,
-            self._may_start,
+            self._marks.may_start,
             self._may_backfill,
             now_ms,
         )
@@ -130,7 +131,7 @@
             self._queue,
             keeper,
             free,
-            self._may_start,
+            self._marks.may_start,
             self._fits_when_empty,
             now_ms,
         )
@@ -138,15 +139,10 @@
             config.rules.retry, _FIRST_PAUSE_MS, _LONGEST_PAUSE_MS
         )
         self._impossible = impossible_jobs.ImpossibleJobs(zone)
-        # Non-idempotent jobs whose marked tasks may still wait.
-        self._marked_at_ms: dict[str, int] = {}
         self._ending: set[str] = set()
         self._forgotten: list[str] = []
         self._loaded = False
-        self._next_scan_ms = 0
         self._next_usage_ms = 0
-        self._scan: asyncio.Task[None] | None = None
-        self._reads: set[asyncio.Task[None]] = set()
 
     @property
     def is_loaded(self) -> bool:
@@ -163,7 +159,7 @@
 
     def begin(self) -> None:
         """Starts reading the jobs, when the barrier is passed."""
-        self._next_scan_ms = self._now_ms()
+        self._reader.read_soon()
 
     def tick(self, zone_known: bool) -> None:
         """Call it several times a second after the barrier.
@@ -172,18 +168,13 @@
             zone_known: Whether the capacities of all listed workers were
                 reported, so that a job can be found impossible.
         """
-        now_ms = self._now_ms()
-        if now_ms >= self._next_scan_ms and (
-            self._scan is None or self._scan.done()
-        ):
-            self._next_scan_ms = now_ms + _RESCAN_MS
-            self._scan = asyncio.create_task(self._read_all())
+        self._reader.tick()
         if not self._loaded:
             return
         if zone_known:
             self._end_impossible()
         self._handle_changes()
-        self._unmark_waiting()
+        self._marks.lower()
         self._free.refresh()
         self._gangs.tick()
         self._dispatch.round()
@@ -196,14 +187,13 @@
         self._stops.stop()
         self._writer.stop()
         self._gangs.stop()
-        for task in [*self._reads, *([self._scan] if self._scan else [])]:
-            task.cancel()
+        self._reader.stop()
 
     def accepted(self, job_ids: Iterable[str]) -> None:
         """Reads the rows of new jobs."""
-        for job_id in job_ids:
-            if job_id not in self._jobs.jobs:
-                self._spawn(self._read_one(job_id))
+        self._reader.read(
+            job_id for job_id in job_ids if job_id not in self._jobs.jobs
+        )
 
     def status(self, job_id: str) -> jobs_model.JobStatus | None:
         """Returns the status of an open job."""
@@ -290,7 +280,7 @@
     def instance_lost(self, instance_id: str) -> None:
         """Records that starts at an instance have an unknown result."""
         self._jobs.instance_lost(instance_id)
-        self._next_scan_ms = 0
+        self._reader.read_soon()
 
     def settled(self) -> None:
         """Everything that runs was reported."""
@@ -339,28 +329,10 @@
         """
         longest = _LONGEST_REFUSED_PAUSE_MS
         if job.spec.idempotent:
-            longest = _RETRY_LOAD_MS
+            longest = _IDEMPOTENT_REFUSED_PAUSE_MS
         doubled = _REFUSED_PAUSE_MS << min(job.refusals - 1, _MOST_DOUBLINGS)
         return int(self._source.uniform(0.5, 1) * min(doubled, longest))
 
-    def _unmark_waiting(self) -> None:
-        """Lowers the marks of jobs whose marked tasks still wait.
-
-        A new coordinator could not tell whether marked tasks have run.
-        """
-        due_ms = self._now_ms() - _UNMARK_AFTER_MS
-        for job_id, marked_ms in list(self._marked_at_ms.items()):
-            job = self._jobs.jobs.get(job_id)
-            is_paused = job is not None and (
-                job.not_before_ms - self._now_ms() > _REFUSED_PAUSE_MS
-            )
-            if marked_ms > due_ms and not is_paused:
-                continue
-            if job is None or job.verdict or job.is_marked_exactly:
-                del self._marked_at_ms[job_id]
-            elif not self._writer.is_busy(job_id):
-                self._writer.unmark(job, job.unstarted_from())
-
     def _handle_changes(self) -> None:
         """Looks at the jobs that changed and at those that must end."""
         if self._now_ms() >= self._next_usage_ms:
@@ -404,6 +376,7 @@
 
     def _closed(self, job: job_state.Job) -> None:
         """Drops a job whose row was moved."""
+        self._reader.closed(job.job_id)
         self._groups.remove(job)
         self._jobs.close(job.job_id)
         self._ending.discard(job.job_id)
@@ -418,37 +391,6 @@
         self._peers.broadcast_zone(message)
         self._peers.send(self._settings.instance_id, message)
 
-    def _may_start(self, job: job_state.Job) -> bool:
-        """Whether a job's row allows to start its next task.
-
-        Otherwise the row is marked first, for as many tasks as seem to find
-        room now: a new coordinator cannot tell whether marked tasks ran.
-        """
-        if job.verdict:
-            return False
-        next_start = job.spec.tasks - 1 if job.spec.gang else job.waiting[0]
-        if job.spec.idempotent or next_start < job.started:
-            return True
-        below = job.spec.tasks if job.spec.gang else self._startable(job)
-        if below > job.started:
-            self._marked_at_ms[job.job_id] = self._now_ms()
-            self._writer.mark_started(job, below)
-        return False
-
-    def _startable(self, job: job_state.Job) -> int:
-        """Returns the index below which tasks could start now."""
-        spec = job.spec
-        free = self._free.of_service(spec.service)
-        room = sum(
-            resources.copies_in(spec.resources, amount)
-            for amount in free.values()
-        )
-        count = min(len(job.waiting), room, self._keeper.free_units(spec.team))
-        if not count:
-            self._keeper.want(spec.team, len(job.waiting))
-            return 0
-        return sorted(job.waiting)[count - 1] + 1
-
     def _usage_of(self, team: str) -> float:
         """Returns the usage of a team divided by its share."""
         rule = self._config.rules.teams.get(team)
@@ -479,53 +421,14 @@
             return False
         return not self._impossible.reason(job.spec)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Runs a read as a task."""
-        task = asyncio.create_task(work)
-        self._reads.add(task)
-        task.add_done_callback(self._reads.discard)
-
-    async def _read_all(self) -> None:
-        """Reads all open jobs of the zone."""
-        prefix = job_rows.open_prefix(self._settings.zone)
-        after = ""
-        try:
-            while True:
-                rows = await self._table_client.scan(prefix, after, _PAGE)
-                for row in rows:
-                    self._add(row)
-                if len(rows) < _PAGE:
-                    break
-                after = rows[-1].key
-        except errors.MarigoldgapError as error:
-            _log.debug("Jobs could not be read: %s", error.detail)
-            self._next_scan_ms = self._now_ms() + _RETRY_LOAD_MS
-            return
-        except Exception:
-            _log.exception("Reading the jobs failed.")
-            return
+    def _load(self) -> None:
+        """Notes that all open jobs were read."""
         if not self._loaded:
             self._loaded = True
             self._stops.add(self._jobs.loaded())
 
-    async def _read_one(self, job_id: str) -> None:
-        """Reads the row of one job; the next scan finds it otherwise."""
-        key = job_rows.open_key(self._settings.zone, job_id)
-        try:
-            row = await self._table_client.get(key)
-        except errors.MarigoldgapError:
-            return
-        if row is not None:
-            self._add(row)
-
-    def _add(self, row: Any) -> None:
+    def _add(self, job: job_state.Job) -> None:
         """Adds a job from its row, unless it is known."""
-        if row.key.rpartition("/")[2] in self._jobs.jobs:
-            return
-        try:
-            job = job_rows.parse_job(row)
-        except errors.ProtocolError as error:
-            _log.error("%s", error.detail)
-            return
-        self._groups.add(job)
-        self._jobs.add(job, self._now_ms())
+        if job.job_id not in self._jobs.jobs:
+            self._groups.add(job)
+            self._jobs.add(job, self._now_ms())
--- /dev/null
+++ b/src/marigoldgap/coordination/start_marks.py
@@ -0,0 +1,90 @@
+"""Marks in the rows of non-idempotent jobs, below which tasks may have run."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from marigoldgap.coordination import allowance_keeper
+from marigoldgap.coordination import free_capacity
+from marigoldgap.coordination import job_closing
+from marigoldgap.coordination import job_state
+from marigoldgap.scheduling import resources
+
+# A marked task mostly starts at once; this spares two writes if it does not.
+_UNMARK_AFTER_MS = 1_000
+# A job that pauses for longer than this is unmarked without waiting.
+_SHORT_PAUSE_MS = 200
+
+
+class StartMarks:
+    """Raises a mark before tasks start, and lowers it if they do not.
+
+    A new coordinator cannot tell whether marked tasks that nobody reports
+    have run, so as few tasks as possible are marked.
+
+    Args:
+        find: Returns an open job by its id.
+        writer: Writes the rows.
+        keeper: Knows the free units of the teams.
+        free: Knows the free capacity of the instances.
+        now_ms: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        find: Callable[[str], job_state.Job | None],
+        writer: job_closing.JobWriter,
+        keeper: allowance_keeper.AllowanceKeeper,
+        free: free_capacity.FreeCapacity,
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._find = find
+        self._writer = writer
+        self._keeper = keeper
+        self._free = free
+        self._now_ms = now_ms
+        self._marked_at_ms: dict[str, int] = {}
+
+    def may_start(self, job: job_state.Job) -> bool:
+        """Whether a job's row allows to start its next task.
+
+        Otherwise the row is marked first, for as many tasks as seem to find
+        room now.
+        """
+        if job.verdict:
+            return False
+        next_start = job.spec.tasks - 1 if job.spec.gang else job.waiting[0]
+        if job.spec.idempotent or next_start < job.started:
+            return True
+        below = job.spec.tasks if job.spec.gang else self._startable(job)
+        if below > job.started:
+            self._marked_at_ms[job.job_id] = self._now_ms()
+            self._writer.mark_started(job, below)
+        return False
+
+    def lower(self) -> None:
+        """Lowers the marks of jobs whose marked tasks still wait."""
+        now_ms = self._now_ms()
+        for job_id, marked_ms in list(self._marked_at_ms.items()):
+            job = self._find(job_id)
+            if job is None or job.verdict or job.is_marked_exactly:
+                del self._marked_at_ms[job_id]
+                continue
+            is_paused = job.not_before_ms - now_ms > _SHORT_PAUSE_MS
+            is_due = now_ms - marked_ms >= _UNMARK_AFTER_MS or is_paused
+            if is_due and not self._writer.is_busy(job_id):
+                self._writer.unmark(job, job.unstarted_from())
+
+    def _startable(self, job: job_state.Job) -> int:
+        """Returns the index below which tasks could start now."""
+        spec = job.spec
+        free = self._free.of_service(spec.service)
+        room = sum(
+            resources.copies_in(spec.resources, amount)
+            for amount in free.values()
+        )
+        count = min(len(job.waiting), room, self._keeper.free_units(spec.team))
+        if not count:
+            self._keeper.want(spec.team, len(job.waiting))
+            return 0
+        return sorted(job.waiting)[count - 1] + 1
--- a/tests/features/coordination/jobs.feature
+++ b/tests/features/coordination/jobs.feature
@@ -112,6 +112,12 @@
     Then within 60 s all 16 tasks of the gang run
     And no invariant was broken
 
+  Scenario: An answer of the store that is older than a closing opens no job
+    Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 12
+    And a job of 2 tasks runs
+    When the job finishes while a slow read of all jobs still contains it
+    Then each of its 2 tasks started once and the job stays "finished"
+
   Scenario: An expired reservation gives its room back
     Then a reservation that is not committed in time is released and starts nothing
 
--- a/tests/features/steps/coordination_jobs_steps.py
+++ b/tests/features/steps/coordination_jobs_steps.py
@@ -263,6 +263,31 @@
     zone_steps.no_violation(context)
 
 
+@when("the job finishes while a slow read of all jobs still contains it")
+def slow_read(context):
+    store = context.world.store
+    scan = store.scan
+    answer = asyncio.Event()
+
+    async def slow_scan(prefix, after="", limit=500):
+        rows = await scan(prefix, after, limit)
+        await answer.wait()
+        return rows
+
+    store.scan = slow_scan
+    zone_steps.advance(context, 31_000)
+    _finish_all(context)
+    zone_steps.advance(context, 2_000)
+    assert _status(context, context.job_id).state == "finished"
+    answer.set()
+    zone_steps.advance(context, 5_000)
+
+
+@then('each of its {count:d} tasks started once and the job stays "{state}"')
+def stays(context, count, state):
+    state_and_starts(context, state, count)
+
+
 @then('both jobs are "{state}"')
 def both_jobs(context, state):
     for job_id in (context.job_id, context.other_job_id):
