--- a/src/marigoldgap/serving/instance.py
+++ b/src/marigoldgap/serving/instance.py
@@ -68,6 +68,7 @@
         self._start("dispatcher", parts.data.dispatcher.run())
         self._start("fleet", parts.data.fleet.run())
         self._start("ownership", parts.ownership.run())
+        self._start("usage", parts.usage.run())
         self._start("coordination", parts.coordination.run())
         self._start("config", self._follow_config())
         self._start("metrics", self._metrics.run())
--- a/src/marigoldgap/serving/parts.py
+++ b/src/marigoldgap/serving/parts.py
@@ -33,6 +33,7 @@
 from marigoldgap.serving import readiness as readiness_module
 from marigoldgap.serving import rules_follower
 from marigoldgap.serving import status
+from marigoldgap.serving import usage_reporter
 from marigoldgap.settings import model as settings_model
 
 
@@ -44,6 +45,7 @@
     coordination: coordination_module.Coordination
     ownership: ownership.OwnershipTask
     server: http_server.HttpServer
+    usage: usage_reporter.UsageReporter
 
 
 def build(
@@ -63,10 +65,14 @@
     def ask_holding(team: str, wanted: int) -> None:
         late[0].ask_holding(team, wanted)
 
+    def holding_returned(team: str) -> None:
+        late[0].agent.holding_returned(team)
+
     data = dispatch_builder.build_data_plane(
         settings,
         dispatch_builder.Connections(
             request_holding=ask_holding,
+            holding_returned=holding_returned,
             claims=claims.TableClaimStore(platform.committer, platform.table),
             forwarder=forwarding.HttpForwarder(
                 settings,
@@ -130,7 +136,8 @@
     owner = ownership.OwnershipTask(
         settings, hub.membership, platform.instances, data.fleet
     )
-    return Parts(hub, data, coordination, owner, server)
+    usage = usage_reporter.UsageReporter(data.dispatcher, hub.membership)
+    return Parts(hub, data, coordination, owner, server, usage)
 
 
 def _observe(
