Ask for the state of a few jobs at a time

Cause: while a run settled, the tool asked for the state of every open job each second, several hundred requests, which slowed what it measured; and a problem's status was taken for the state of a job.

--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -14,6 +14,8 @@
 
 _RETRY_S = 1.0
 _CANCEL_ATTEMPTS = 60
+_ASKED_AT_ONCE = 20
+_OK = 200
 _ACKNOWLEDGED = (200, 202)
 _ENDS = ("failed", "impossible", "cancelled", "finished")
 
@@ -116,9 +118,13 @@
         await asyncio.gather(*(self.cancel(token) for token in endless))
         loop = asyncio.get_running_loop()
         give_up_s = loop.time() + timeout_s
-        while loop.time() < give_up_s and self.open_jobs():
-            await asyncio.gather(*(self._ask(job) for job in self.open_jobs()))
+        while loop.time() < give_up_s and (left := self.open_jobs()):
+            # The oldest first, few at once: asking is load as well.
+            asked = left[:_ASKED_AT_ONCE]
+            await asyncio.gather(*(self._ask(job) for job in asked))
             await asyncio.sleep(_RETRY_S)
+        for job in self.open_jobs():
+            await self._ask(job)
 
     def open_jobs(self) -> list[evidence.Job]:
         """Returns jobs that have not come to an end, as far as is known."""
@@ -135,7 +141,11 @@
         reply = await self.sender.send(
             "GET", self._zones[job.token], f"/v1/jobs/{job.job_id}", job.team
         )
-        value = reply.json() if reply is not None else None
-        if isinstance(value, dict):
-            state = str(value.get("state") or value.get("status") or "")
-            self._jobs[job.token] = job._replace(reported=state)
+        if reply is None:
+            return
+        value = reply.json()
+        if reply.status == _OK:
+            state = str(value["state"])
+        else:
+            state = f"status {reply.status} {value.get('code', '')}"
+        self._jobs[job.token] = job._replace(reported=state)
