--- a/tests/features/steps/coordination_jobs_steps.py
+++ b/tests/features/steps/coordination_jobs_steps.py
@@ -100,6 +100,29 @@
     )
 
 
+@given("all instances refuse job tasks")
+def refuse_all(context):
+    for instance in context.world.instances.values():
+        instance.refuse_starts = True
+
+
+@when(
+    "a non-idempotent job of {count:d} tasks is submitted and"
+    ' "{name}" dies {seconds:d} s later'
+)
+def submit_and_die(context, count, name, seconds):
+    context.job_id = _submit(context, "e2", tasks=count, idempotent=False)
+    zone_steps.advance(context, seconds * 1_000)
+    context.world.net.dead.add(name)
+
+
+@when("the instances accept job tasks again after {seconds:d} s")
+def accept_again(context, seconds):
+    zone_steps.advance(context, seconds * 1_000)
+    for instance in context.world.instances.values():
+        instance.refuse_starts = False
+
+
 @when("that worker is removed from the platform")
 def remove_worker(context):
     worker = context.world.workers["large"]
@@ -240,6 +263,31 @@
     zone_steps.no_violation(context)
 
 
+@when("the job finishes while a slow read of all jobs still contains it")
+def slow_read(context):
+    store = context.world.store
+    scan = store.scan
+    answer = asyncio.Event()
+
+    async def slow_scan(prefix, after="", limit=500):
+        rows = await scan(prefix, after, limit)
+        await answer.wait()
+        return rows
+
+    store.scan = slow_scan
+    zone_steps.advance(context, 31_000)
+    _finish_all(context)
+    zone_steps.advance(context, 2_000)
+    assert _status(context, context.job_id).state == "finished"
+    answer.set()
+    zone_steps.advance(context, 5_000)
+
+
+@then('each of its {count:d} tasks started once and the job stays "{state}"')
+def stays(context, count, state):
+    state_and_starts(context, state, count)
+
+
 @then('both jobs are "{state}"')
 def both_jobs(context, state):
     for job_id in (context.job_id, context.other_job_id):
