Report after a pause only once lapsed leases are noticed

A resumed instance reported tasks of lapsed leases as running. The agent now leaves the announcement unanswered until its fleet has noticed the losses; the coordinator repeats it every second.

--- a/src/marigoldgap/coordination/coordinator.py
+++ b/src/marigoldgap/coordination/coordinator.py
@@ -147,6 +147,8 @@
             self._lost(sender, worker_id)
         owned = [worker.worker_id for worker in report.workers]
         self._barrier.acknowledge(sender, owned, self._now_ms())
+        if self._incarnations.get(sender) == report.incarnation:
+            self.jobs.instance_back(sender)
         self._incarnations[sender] = report.incarnation
         self._unretired.discard(report.incarnation)
         self.keeper.admit(sender, report.incarnation)
--- a/src/marigoldgap/coordination/entry_agent.py
+++ b/src/marigoldgap/coordination/entry_agent.py
@@ -124,7 +124,15 @@
     def on_term_announce(
         self, sender: str, message: messages.TermAnnounce
     ) -> None:
-        """Obeys the term unless a higher one was seen, and reports."""
+        """Obeys the term unless a higher one was seen, and reports.
+
+        After a pause the report waits until the fleet has noticed the lapsed
+        leases: others own these workers, and the tasks on them must not be
+        counted twice. The coordinator repeats its announcement.
+        """
+        valid = {owned.worker.worker_id for owned in self._fleet.owned()}
+        if not self.tasks.is_current(valid):
+            return
         membership = self._peers.membership
         accepted = membership.observe_term(message.term)
         if accepted:
@@ -254,12 +262,11 @@
 
     def _full_report(self, accepted: bool) -> messages.TermReport:
         """Returns everything that the coordinator must know."""
-        valid = {owned.worker.worker_id for owned in self._fleet.owned()}
         return messages.TermReport(
             term=self._peers.membership.term,
             accepted=accepted,
             incarnation=self._holdings.incarnation,
-            workers=self.tasks.full_report(valid) if accepted else (),
+            workers=self.tasks.full_report() if accepted else (),
             placing=self._runner.placing() if accepted else (),
             holdings=holding_wire.to_entries(self._holdings.reports()),
             outcomes=self.tasks.all_outcomes() if accepted else (),
--- a/src/marigoldgap/coordination/job_role.py
+++ b/src/marigoldgap/coordination/job_role.py
@@ -279,12 +279,16 @@
 
     def instance_lost(self, instance_id: str) -> None:
         """Records that starts at an instance have an unknown result."""
-        self._jobs.instance_lost(instance_id)
+        self._jobs.instance_lost(instance_id, self._now_ms())
         self._reader.read_soon()
 
+    def instance_back(self, instance_id: str) -> None:
+        """Records that a process was only paused."""
+        self._jobs.instance_back(instance_id)
+
     def settled(self) -> None:
         """Everything that runs was reported."""
-        self._jobs.settled()
+        self._jobs.settled(self._now_ms())
 
     def placed(
         self, sender: str, outcomes: Iterable[job_messages.Placed]
--- a/src/marigoldgap/coordination/job_table.py
+++ b/src/marigoldgap/coordination/job_table.py
@@ -24,6 +24,9 @@
 _FAILED = "failed"
 _CHECKPOINTED = "checkpointed"
 
+# Longer than a process is paused in any fault that it survives.
+_AWAIT_PROCESS_MS = 60_000
+
 # A job whose tasks failed on this many workers is at fault itself.
 FAILED_WORKERS_LIMIT = 3
 
@@ -204,23 +207,46 @@
                 if attempt.place == worker_id:
                     del early[task_id]
 
-    def instance_lost(self, instance_id: str) -> None:
+    def instance_lost(self, instance_id: str, now_ms: int) -> None:
         """Records that starts at an instance have an unknown result."""
         for attempt in list(self._attempts.values()):
             placing = attempt.state is job_state.TaskState.PLACING
             if placing and attempt.place == instance_id:
                 limbo = job_state.TaskState.LIMBO
-                self._attempts[attempt.task_id] = attempt._replace(state=limbo)
+                self._attempts[attempt.task_id] = attempt._replace(
+                    state=limbo, since_ms=now_ms
+                )
         for early in self._early.values():
             for task_id, attempt in list(early.items()):
                 if attempt.place == instance_id:
                     limbo = job_state.TaskState.LIMBO
                     early[task_id] = attempt._replace(state=limbo)
 
-    def settled(self) -> None:
-        """Everything that runs was reported: tasks in limbo do not run."""
+    def instance_back(self, instance_id: str) -> None:
+        """Lets a process that was only paused be asked for its starts again.
+
+        It remembers which ones it tried, and starts none of them twice.
+        """
+        for attempt in list(self._attempts.values()):
+            limbo = attempt.state is job_state.TaskState.LIMBO
+            if limbo and attempt.place == instance_id:
+                placing = job_state.TaskState.PLACING
+                self._attempts[attempt.task_id] = attempt._replace(
+                    state=placing, since_ms=0
+                )
+
+    def settled(self, now_ms: int) -> None:
+        """Everything that runs was reported: tasks in limbo do not run.
+
+        Those of a non-idempotent job may have run, and wait for a while for
+        the process that was asked to start them.
+        """
         for attempt in list(self._attempts.values()):
-            if attempt.state is job_state.TaskState.LIMBO:
+            if attempt.state is not job_state.TaskState.LIMBO:
+                continue
+            waited_ms = now_ms - attempt.since_ms
+            idempotent = self._job_of(attempt).spec.idempotent
+            if idempotent or waited_ms >= _AWAIT_PROCESS_MS:
                 self.gone(attempt.task_id, "no worker runs it")
         for early in self._early.values():
             for task_id, attempt in list(early.items()):
--- a/src/marigoldgap/coordination/owned_tasks.py
+++ b/src/marigoldgap/coordination/owned_tasks.py
@@ -100,22 +100,20 @@
         task = self._tasks.get(worker_id, {}).get(task_id)
         return task.team if task else None
 
-    def full_report(
-        self, valid: Collection[str]
-    ) -> tuple[messages.OwnedReport, ...]:
-        """Returns all workers; pending changes are part of it.
+    def is_current(self, valid: Collection[str]) -> bool:
+        """Whether the leases on all workers here are valid.
 
         Args:
             valid: Workers whose lease is valid now. After a pause others may
-                own the rest already, and their inventory here is old; their
-                loss is reported when the fleet notices it.
+                own the rest already, and what is known of them here is old
+                until the fleet notices the loss.
         """
+        return self._workers.keys() <= set(valid)
+
+    def full_report(self) -> tuple[messages.OwnedReport, ...]:
+        """Returns all workers; pending changes are part of it."""
         self._clear_changes()
-        return tuple(
-            self._report(worker_id)
-            for worker_id in self._workers
-            if worker_id in valid
-        )
+        return tuple(self._report(worker_id) for worker_id in self._workers)
 
     def all_outcomes(self) -> tuple[messages.Outcome, ...]:
         """Returns the kept outcomes of all open jobs."""
--- a/tests/features/coordination/jobs.feature
+++ b/tests/features/coordination/jobs.feature
@@ -44,6 +44,14 @@
     And 20 s pass and every running task finishes
     Then the job is "finished" and each of its 20 tasks started once
 
+  Scenario: A non-idempotent job waits for an instance that was only paused
+    Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 16
+    When a non-idempotent job of 16 tasks is submitted and "e2, e3" are paused before they start any
+    And "e2, e3" are resumed after 20 s
+    And 10 s pass and every running task finishes
+    And 5 s pass and every running task finishes
+    Then the job is "finished" and each of its 16 tasks started once
+
   Scenario: A non-idempotent job that found no room survives its coordinator
     Given a coordinated zone "centro-a" with instances "e1, e2, e3" and a limit of 12
     And all instances refuse job tasks
--- a/tests/features/steps/coordination_jobs_steps.py
+++ b/tests/features/steps/coordination_jobs_steps.py
@@ -116,6 +116,37 @@
     context.world.net.dead.add(name)
 
 
+@when(
+    "a non-idempotent job of {count:d} tasks is submitted and"
+    ' "{names}" are paused before they start any'
+)
+def submit_and_pause(context, count, names):
+    context.job_id = _submit(context, "e1", tasks=count, idempotent=False)
+    world = context.world
+    coordinator = world.net.peers["e1"]
+    send = coordinator.send
+
+    def send_and_pause(instance_id, message):
+        if isinstance(message, job_messages.PlaceTasks):
+            world.net.paused.update(names.split(", "))
+        return send(instance_id, message)
+
+    coordinator.send = send_and_pause
+    zone_steps.advance(context, 1_000)
+    coordinator.send = send
+    assert world.net.paused, "no task was placed"
+
+
+@when('"{names}" are resumed after {seconds:d} s')
+def resume_after(context, names, seconds):
+    async def resume():
+        for name in names.split(", "):
+            context.world.resume(name)
+
+    zone_steps.advance(context, seconds * 1_000)
+    zone_steps.run(context, resume())
+
+
 @when("the instances accept job tasks again after {seconds:d} s")
 def accept_again(context, seconds):
     zone_steps.advance(context, seconds * 1_000)
@@ -507,11 +538,13 @@
 @then("no sequence of faults loses a job or breaks an invariant")
 def generated_faults(context):
     # The examples broke an invariant before: a process restarted under its
-    # id, tasks it had taken over, and an old inventory after a pause.
+    # id, tasks it had taken over, an old inventory after a pause, and tasks
+    # of lapsed leases counted at two instances.
     @hypothesis.settings(max_examples=12)
     @hypothesis.example(57)
     @hypothesis.example(35)
     @hypothesis.example(51)
+    @hypothesis.example(39)
     @hypothesis.given(strategies.integers(0, 10_000))
     def check(seed):
         tokens = map("{:020x}".format, itertools.count())
