Measure slopes of cost with the command capacity

Ruled out: counters of the network of the machine, since all processes share it; ticks of /proc/PID/stat, which are too coarse for short windows.

The operators' status shows peer bytes by class and the bytes of lease exchanges.

Conclusion: units travel with every series and number; a product with the slope of another variable is refused.

--- /dev/null
+++ b/bench/capacity/tables.py
@@ -0,0 +1,77 @@
+"""Prints fits as a table and writes points as JSON lines."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import json
+import pathlib
+
+import rich.console
+import rich.table
+
+from bench.capacity import fitting
+from bench.capacity import roles
+
+_WIDTH = 160
+
+
+def write_points(path: pathlib.Path, points: Iterable[fitting.Point]) -> None:
+    """Writes one JSON object for each point."""
+    with path.open("w", encoding="utf-8") as file:
+        for point in points:
+            fields = {**point.series._asdict(), "x": point.x, "y": point.y}
+            file.write(json.dumps(fields) + "\n")
+
+
+def read_points(path: pathlib.Path) -> list[fitting.Point]:
+    """Returns the points of a file."""
+    points = []
+    for line in path.read_text(encoding="utf-8").splitlines():
+        fields = json.loads(line)
+        x, y = fields.pop("x"), fields.pop("y")
+        points.append(fitting.Point(fitting.Series(**fields), x, y))
+    return points
+
+
+def show(fits: Iterable[fitting.Fit]) -> None:
+    """Prints one row for each fit."""
+    table = rich.table.Table(
+        "sweep", "measure", "role", "slope", "intercept", "residual rms"
+    )
+    for fit in fits:
+        series = fit.series
+        table.add_row(
+            series.sweep,
+            series.measure,
+            series.role,
+            f"{fit.slope:.4g} {series.y_unit} per {series.x_unit}",
+            f"{fit.intercept:.4g} {series.y_unit}",
+            f"{fit.rms:.2g} ({len(fit.residuals)} points)",
+        )
+    rich.console.Console(width=_WIDTH).print(table)
+
+
+def show_roles(fits: Iterable[fitting.Fit]) -> None:
+    """Prints the costs at the size to design for."""
+    worked_out = roles.Roles(fits)
+    for_requests = worked_out.entries_for_requests()
+    for_control, least = worked_out.fewest_entries()
+    entries = max(for_requests, for_control)
+    console = rich.console.Console(width=_WIDTH)
+    console.print(
+        f"entry instances in a zone: {for_requests} for requests;"
+        f" least control at {for_control}, {least:.1f} ms/s"
+    )
+    table = rich.table.Table(
+        "role", "cost", "mechanism", "arithmetic", "value", "meets the limit"
+    )
+    for line in worked_out.lines(entries):
+        table.add_row(
+            line.role,
+            line.name,
+            line.mechanism,
+            line.cost.arithmetic,
+            f"{line.cost.value:,.4g} {line.cost.unit}",
+            line.verdict,
+        )
+    console.print(table)
--- /dev/null
+++ b/bench/capacity/zone_sweeps.py
@@ -0,0 +1,57 @@
+"""Sweeps of entry instances in a zone and of workers for each of them."""
+
+from __future__ import annotations
+
+from bench import layouts
+from bench.capacity import deployment
+from bench.capacity import fitting
+from bench.capacity import registry
+
+_ENTRIES = (1, 3, 6)
+_WORKERS = (8, 32, 64)
+
+ENTRIES = deployment.Variable(
+    "entries in a zone", "peers in the zone", "entries"
+)
+WORKERS = deployment.Variable(
+    "workers of an entry", "workers of the entry", "workers"
+)
+
+
+@registry.sweep
+async def sweep_entries(scale: registry.Scale) -> list[fitting.Point]:
+    """Varies the entry instances; each owns about as many workers."""
+    points: list[fitting.Point] = []
+    for entries in scale.pick(_ENTRIES):
+        scale.say(f"{entries} entry instances in a zone")
+        value = deployment.Value(entries - 1, entries)
+        points += await _measure(scale, ENTRIES, (entries, 4 * entries), value)
+    return points
+
+
+@registry.sweep
+async def sweep_workers(scale: registry.Scale) -> list[fitting.Point]:
+    """Varies the workers of a single entry instance."""
+    points: list[fitting.Point] = []
+    for workers in scale.pick(_WORKERS):
+        scale.say(f"{workers} workers of one entry instance")
+        value = deployment.Value(workers, workers)
+        points += await _measure(scale, WORKERS, (1, workers), value)
+    return points
+
+
+async def _measure(
+    scale: registry.Scale,
+    variable: deployment.Variable,
+    size: tuple[int, int],
+    value: deployment.Value,
+) -> list[fitting.Point]:
+    """Measures one idle zone."""
+    zone = layouts.Zone("centro-a", "centro", *size)
+
+    async def work(seconds: float) -> deployment.Value:
+        await deployment.idle(seconds)
+        return value
+
+    async with deployment.started((zone,), scale) as running:
+        return await running.window(variable, work)
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -122,6 +122,10 @@
         """Returns whether the process of an entry instance runs."""
         return self._entries[entry.instance_id].is_running
 
+    def entry_pid(self, entry: wiring.Entry) -> int:
+        """Returns the process id of an entry instance."""
+        return self._entries[entry.instance_id].pid
+
     def signal_entry(self, entry: wiring.Entry, number: signal.Signals) -> None:
         """Sends a signal to an entry instance."""
         self._entries[entry.instance_id].send(number)
--- /dev/null
+++ b/bench/commands/capacity.py
@@ -0,0 +1,82 @@
+"""The command `capacity`."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import typer
+
+from bench import display
+from bench import experiment
+from bench import registry
+from bench.capacity import fitting
+from bench.capacity import load_sweeps
+from bench.capacity import process_codec
+from bench.capacity import process_listing
+from bench.capacity import process_scheduling
+from bench.capacity import registry as capacity_registry
+from bench.capacity import tables
+from bench.capacity import zone_sweeps
+
+# Fill the registries when they are imported, in the order of the table.
+_REGISTERED = (
+    process_codec,
+    process_scheduling,
+    process_listing,
+    load_sweeps,
+    zone_sweeps,
+)
+_WINDOW_S = 5.0
+_SETTLE_S = 1.5
+_LEVELS = 4
+_QUICK_WINDOW_S = 1.2
+_QUICK_SETTLE_S = 0.3
+_QUICK_LEVELS = 2
+
+
+@registry.command
+class CapacityCommand:
+    """Measures slopes of cost on this machine."""
+
+    def register(self, application: typer.Typer) -> None:
+        """Adds `capacity` to the application."""
+        application.command("capacity")(self.run)
+
+    def run(self, quick: bool = False) -> None:
+        """Measure costs with small deployments and print fitted lines."""
+        name = f"{time.strftime('%Y%m%d-%H%M%S')}-capacity"
+        directory = experiment.RUNS / name
+        directory.mkdir(parents=True)
+        shown = display.Display()
+        scale = capacity_registry.Scale(
+            _QUICK_WINDOW_S if quick else _WINDOW_S,
+            _QUICK_SETTLE_S if quick else _SETTLE_S,
+            _QUICK_LEVELS if quick else _LEVELS,
+            directory,
+            shown.say,
+        )
+        points = self._measure(scale)
+        path = directory / "points.jsonl"
+        tables.write_points(path, points)
+        fits = fitting.fit_all(points)
+        tables.show(fits)
+        tables.show_roles(fits)
+        shown.say(f"points: {path}")
+
+    def _measure(self, scale: capacity_registry.Scale) -> list[fitting.Point]:
+        """Returns the points of all measurements and sweeps."""
+        points: list[fitting.Point] = []
+        for measurement in capacity_registry.measurements():
+            scale.say(measurement.__name__.replace("_", " "))
+            points += measurement(scale)
+        for sweep in capacity_registry.sweeps():
+            points += asyncio.run(_awaited(sweep, scale))
+        return points
+
+
+async def _awaited(
+    sweep: capacity_registry.Sweep, scale: capacity_registry.Scale
+) -> list[fitting.Point]:
+    """Runs a sweep."""
+    return await sweep(scale)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -60,6 +60,11 @@
         """Whether the process was started and has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Process id; 0 before the start."""
+        return self._process.pid if self._process else 0
+
     @property
     def status(self) -> int:
         """Exit status; 0 while the process runs."""
--- a/src/marigoldgap/http_client.py
+++ b/src/marigoldgap/http_client.py
@@ -42,6 +42,10 @@
 _KEEPALIVE_PROBES = 3
 _UNACKNOWLEDGED_LIMIT_MS = 11_000
 _FIRST_FINAL_STATUS = 200
+# "HTTP/1.1 200 OK" with its line end and the empty line after the headers.
+_STATUS_LINE_BYTES = 19
+# The colon, the space and the line end of a header.
+_HEADER_EXTRA_BYTES = 4
 _BODILESS_STATUSES = frozenset({204, 304})
 _DECODED_BY_LIBRARY = frozenset({"gzip", "deflate"})
 _HOP_BY_HOP = frozenset(
@@ -59,11 +63,33 @@
     body: bytes
 
 
+class HttpTraffic:
+    """Bytes of exchanges, with headers but without those of TCP and IP.
+
+    The length lines of answers in chunks are not counted.
+    """
+
+    def __init__(self) -> None:
+        self.exchanges = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def count_received(self, response: Any, body: bytes) -> None:
+        """Counts a complete answer."""
+        self.exchanges += 1
+        self.bytes_received += _STATUS_LINE_BYTES + len(body)
+        for name, text in response.raw_headers:
+            self.bytes_received += len(name) + len(text) + _HEADER_EXTRA_BYTES
+
+
 class _Attempt:
     """Follows one exchange: whether it was sent, and on which connection."""
 
-    def __init__(self, before_send: BeforeSend | None) -> None:
+    def __init__(
+        self, before_send: BeforeSend | None, traffic: HttpTraffic
+    ) -> None:
         self._before_send = before_send
+        self._traffic = traffic
         self._connection: GuardedConnection | None = None
         self._writer: Any = None
 
@@ -88,6 +114,10 @@
         self._connection = connection
         self._writer = connection.writer
 
+    def count_sent(self, size: int) -> None:
+        """Counts bytes that were handed to the connection."""
+        self._traffic.bytes_sent += size
+
     def discard_connection(self) -> None:
         """Closes the connection so that no later exchange can use it."""
         if self._connection is not None:
@@ -124,6 +154,7 @@
         attempt = _attempt.get()
         if attempt is not None:
             attempt.begin_send(self)
+            attempt.count_sent(len(data))
         super().write(data)
 
     async def __aexit__(
@@ -151,9 +182,13 @@
 
     Args:
         connections: Exchanges that may run side by side; more of them wait.
+        traffic: Counts the bytes of all exchanges.
     """
 
-    def __init__(self, connections: int) -> None:
+    def __init__(
+        self, connections: int, traffic: HttpTraffic | None = None
+    ) -> None:
+        self._traffic = traffic or HttpTraffic()
         pool = pools.PoolConfig(
             size=connections,
             max_conn_requests=None,
@@ -202,7 +237,7 @@
                 no complete answer.
             MarigoldgapError: Raised by `before_send`.
         """
-        attempt = _Attempt(before_send)
+        attempt = _Attempt(before_send, self._traffic)
         token = _attempt.set(attempt)
         try:
             async with asyncio.timeout(timeout_s):
@@ -235,6 +270,7 @@
         )
         _check_framing(response)
         content = await response.content()
+        self._traffic.count_received(response, content)
         return HttpAnswer(
             response.status_code, _end_to_end_headers(response), content
         )
--- a/src/marigoldgap/serving/status.py
+++ b/src/marigoldgap/serving/status.py
@@ -40,6 +40,7 @@
         load = self._data.dispatcher.load()
         membership = self._hub.membership
         role = self._coordination.role
+        control = self._data.fleet.control_traffic
         return {
             "ready": not self._readiness.not_ready_reason(),
             "not_ready_reason": self._readiness.not_ready_reason(),
@@ -60,6 +61,12 @@
                 instance_id: sum(traffic.sent.values())
                 for instance_id, traffic in self._hub.link_traffic().items()
             },
+            "peer_traffic": self._peer_traffic(),
+            "worker_control": {
+                "exchanges": control.exchanges,
+                "bytes_sent": control.bytes_sent,
+                "bytes_received": control.bytes_received,
+            },
         }
 
     def situation(self) -> preview.Situation:
@@ -77,3 +84,15 @@
                 slots += sum(free.slots for free in peer.free.values())
         capacity = float(slots + running.total())
         return preview.Situation(capacity, dict(running), {})
+
+    def _peer_traffic(self) -> dict[str, int]:
+        """Returns bytes by class and messages over all open links."""
+        totals: Counter[str] = Counter()
+        for link in self._hub.link_traffic().values():
+            for kind, size in link.sent.items():
+                totals[f"{kind.value}_sent"] += size
+            for kind, size in link.received.items():
+                totals[f"{kind.value}_received"] += size
+            totals["messages_sent"] += link.messages_sent
+            totals["messages_received"] += link.messages_received
+        return dict(totals)
--- a/src/marigoldgap/workers/client.py
+++ b/src/marigoldgap/workers/client.py
@@ -31,16 +31,21 @@
         worker: The worker; only its id and address are used.
         owner: Id of this instance.
         control_timeout_s: Limit for each control exchange.
+        traffic: Counts the bytes of control exchanges.
     """
 
     def __init__(
-        self, worker: model.WorkerInfo, owner: str, control_timeout_s: float
+        self,
+        worker: model.WorkerInfo,
+        owner: str,
+        control_timeout_s: float,
+        traffic: http_client.HttpTraffic | None = None,
     ) -> None:
         self._worker_id = worker.worker_id
         self._address = worker.address
         self._owner = owner
         self._control_timeout_s = control_timeout_s
-        self._control = http_client.HttpClient(_CONTROL_CONNECTIONS)
+        self._control = http_client.HttpClient(_CONTROL_CONNECTIONS, traffic)
         self._connections = 1
         self._tasks = http_client.HttpClient(self._connections)
 
--- a/src/marigoldgap/workers/fleet.py
+++ b/src/marigoldgap/workers/fleet.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from marigoldgap import errors
+from marigoldgap import http_client
 from marigoldgap import logs
 from marigoldgap.scheduling import model
 from marigoldgap.settings import model as settings_model
@@ -38,6 +39,7 @@
         self._generation = 0
         self._releasing = False
         self._changed = asyncio.Event()
+        self.control_traffic = http_client.HttpTraffic()
 
     @property
     def generation(self) -> int:
@@ -150,7 +152,11 @@
 
     def _open(self, worker: model.WorkerInfo) -> None:
         link = worker_link.WorkerLink(
-            self._settings, worker, self._listener, self._ownership_changed
+            self._settings,
+            worker,
+            self._listener,
+            self._ownership_changed,
+            self.control_traffic,
         )
         self._links[worker.worker_id] = link
         if worker.leaving:
--- a/src/marigoldgap/workers/link.py
+++ b/src/marigoldgap/workers/link.py
@@ -10,6 +10,7 @@
 
 from marigoldgap import clock
 from marigoldgap import errors
+from marigoldgap import http_client
 from marigoldgap import logs
 from marigoldgap.scheduling import model
 from marigoldgap.settings import model as settings_model
@@ -40,6 +41,7 @@
     Args:
         listener: Gets what the worker reports.
         ownership_changed: Called when the lease is gained or lost.
+        traffic: Counts the bytes of leases, polls and stops.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         worker: model.WorkerInfo,
         listener: workers_model.FleetListener,
         ownership_changed: Callable[[], None],
+        traffic: http_client.HttpTraffic | None = None,
     ) -> None:
         self._settings = settings
         self._worker = worker
@@ -58,6 +61,7 @@
             worker,
             settings.instance_id,
             settings.lease.renew_ms / clock.MILLISECONDS_PER_SECOND,
+            traffic,
         )
         self._incarnation = ""
         self._seq = 0
--- /dev/null
+++ b/tests/features/bench/capacity.feature
@@ -0,0 +1,63 @@
+Feature: Costs at full size follow from measured slopes
+
+  Scenario: The line through exact points is found
+    # Guards against a fit of x on y, or of the wrong column.
+    Then exact lines with random slopes and intercepts are found again
+
+  Scenario: The residuals tell how far points are from the line
+    Given the capacity points "0:10 1:13 2:10 3:13"
+    When the capacity line is fitted
+    Then the capacity slope is 0.6 and the intercept is 10.6
+    And the capacity residuals are "-0.6 1.8 -1.8 0.6"
+
+  Scenario: A line needs two different values
+    Given the capacity points "4:1 4:2"
+    Then the capacity fit is refused with "unfittable"
+
+  Scenario Outline: Points that measure different things are never mixed
+    # Guards against a slope over two variables, measures or roles.
+    Given the capacity points "0:1 1:2"
+    And one more capacity point whose "<field>" is "<other>"
+    Then the capacity fit is refused with "mixed-series"
+
+    Examples:
+      | field   | other          |
+      | sweep   | running tasks  |
+      | measure | memory         |
+      | role    | coordinator    |
+      | x_unit  | workers        |
+      | y_unit  | MiB            |
+
+  Scenario: Slope times number plus base gives the cost
+    Given the capacity points "0:12 10:32"
+    When the capacity line is fitted
+    Then 1461 "requests/s" cost 2922 "ms/s" above the base of 12
+    And the arithmetic names the slope and "1,461 requests/s"
+
+  Scenario Outline: A number of the wrong unit is refused
+    # Guards against workers of a zone multiplied with a slope per entry.
+    Given the capacity points "0:12 10:32"
+    When the capacity line is fitted
+    Then a capacity product with 5 "<unit>" is refused with "wrong-unit"
+
+    Examples:
+      | unit                    |
+      | jobs/s                  |
+      | requests/s of the entry |
+
+  Scenario: Costs of different units are neither added nor compared
+    Then adding "ms/s" to "MiB" is refused with "wrong-unit"
+    And comparing "B/s" with a limit in "ms/s" is refused with "wrong-unit"
+
+  Scenario: The limits are those of the design page
+    Then the capacity limits are 4.9% of a core, 128 MB and 9 KB/s
+
+  Scenario: Control of an entry instance counts base, peers, workers and changes
+    # Guards against a base that is paid once for each sweep.
+    Given capacity fits of 2 ms/s per peer, 1 ms/s per worker and base 10
+    Then with 73 entry instances control costs about 10 + 144 + 20.02 ms/s
+    And the fewest-control number of entry instances is 27
+
+  Scenario: Points survive the file
+    Given the capacity points "0:10 1:13 2:10.25"
+    Then the capacity points are equal after writing and reading
