Read the instance list conditionally and look it up by zone

Cause: every entry instance read and parsed the whole list once a second, and each look at the workers of a zone passed over all instances, some 30 times a second on a coordinator.

Ruled out: a slower poll, since the list already lags by seconds; a query by zone, which the platform may not offer and which the look-up of coordinators of other zones would need in addition.

Change: the entity tag of the last list is sent with the next read; 304 keeps the list. The entries are grouped by kind and zone when a list is adopted. Services without entity tags work as before.

--- a/src/marigoldgap/platform/instances.py
+++ b/src/marigoldgap/platform/instances.py
@@ -19,10 +19,15 @@
 
 _log = logs.PartLogger("platform")
 _OK = 200
+_NOT_MODIFIED = 304
 _FIELDS = ("id", "kind", "zone", "region", "rack", "address")
 _OPTIONAL_FIELDS = ("peer_address", "service", "state")
 
 
+# Entries by kind and zone; the zone None holds those of all zones.
+_Index = dict[tuple[str, str | None], tuple[model.InstanceEntry, ...]]
+
+
 class InstanceList:
     """Polls the list; users always see the last good answer.
 
@@ -39,6 +44,9 @@
         self._poll_ms = settings.platform.list_poll_ms
         self._source = source
         self._all: tuple[model.InstanceEntry, ...] = ()
+        # Looked at several times a second, while the list rarely changes.
+        self._by_kind: _Index = {}
+        self._entity_tag = ""
         self._is_known = False
         self._read_at_ms = clock.monotonic_ms()
         self._listeners: list[Callable[[], None]] = []
@@ -84,7 +92,10 @@
     async def refresh(self) -> bool:
         """Reads the list once; returns whether there was a good answer."""
         try:
-            answer = await self._source.read(PROBE_PATH)
+            answer = await self._source.read(PROBE_PATH, self._condition())
+            if answer.status == _NOT_MODIFIED:
+                self._read_at_ms = clock.monotonic_ms()
+                return True
             if answer.status != _OK:
                 raise errors.ProtocolError(f"status {answer.status}")
             received = _parse(service.decode(answer))
@@ -95,25 +106,31 @@
             _log.warning("An instance list without entry instances is ignored")
             return False
         self._adopt(received)
+        self._entity_tag = answer.headers.get("etag", "")
         return True
 
+    def _condition(self) -> dict[str, str]:
+        """Returns the header of a conditional read.
+
+        The whole list is several megabytes at 19,000 workers; a service
+        without entity tags sends it each time.
+        """
+        return {"if-none-match": self._entity_tag} if self._entity_tag else {}
+
     def _adopt(self, received: tuple[model.InstanceEntry, ...]) -> None:
         self._is_known = True
         self._read_at_ms = clock.monotonic_ms()
         if received == self._all:
             return
         self._all = received
+        self._by_kind = _index(received)
         for listener in self._listeners:
             listener()
 
     def _select(
         self, kind: str, zone: str | None
     ) -> tuple[model.InstanceEntry, ...]:
-        return tuple(
-            entry
-            for entry in self._all
-            if entry.kind == kind and zone in (None, entry.zone)
-        )
+        return self._by_kind.get((kind, zone), ())
 
     def _is_implausible(
         self, received: tuple[model.InstanceEntry, ...]
@@ -129,6 +146,15 @@
         )
 
 
+def _index(entries: tuple[model.InstanceEntry, ...]) -> _Index:
+    """Returns the entries by kind and zone, in their order."""
+    groups: dict[tuple[str, str | None], list[model.InstanceEntry]] = {}
+    for entry in entries:
+        groups.setdefault((entry.kind, entry.zone), []).append(entry)
+        groups.setdefault((entry.kind, None), []).append(entry)
+    return {key: tuple(group) for key, group in groups.items()}
+
+
 def _parse(content: Any) -> tuple[model.InstanceEntry, ...]:
     """Returns all well-formed entries; the others are left out."""
     if not isinstance(content, dict) or not isinstance(
--- a/tests/features/platform/outage.feature
+++ b/tests/features/platform/outage.feature
@@ -53,3 +53,28 @@
       | unreachable |
       | empty       |
       | malformed   |
+
+  Scenario: An unchanged instance list is not sent and not read again
+    # Guards against a list of 19,000 instances sent and parsed every second.
+    Given a platform with a table service in memory
+    And an instance list with 400 instances in 4 zones was read
+    When the instance list is read 20 times more
+    Then 20 reads of the list were answered without its content
+
+  Scenario: A changed instance list is seen at the next read
+    Given a platform with a table service in memory
+    And an instance list with 400 instances in 4 zones was read
+    When a worker of the list starts leaving and the list is read
+    Then the instance list shows the worker as leaving
+
+  Scenario: A service without entity tags still gives its list
+    Given a platform with a table service in memory
+    And an instance list with an entry instance and a worker was read
+    When the instance list is read 20 times more
+    Then the list still has the entry instance and the worker
+
+  Scenario: A look at one zone does not pass over the instances of the others
+    # Guards against 30 scans of all instances a second.
+    Given a platform with a table service in memory
+    And an instance list with 400 instances in 4 zones was read
+    Then 100 looks at the workers of a zone pass over no instance
--- a/tests/features/steps/platform_outage_steps.py
+++ b/tests/features/steps/platform_outage_steps.py
@@ -184,3 +184,73 @@
     assert [each.instance_id for each in instances.workers("centro-a")] == [
         "w1"
     ]
+
+
+class _CountedEntries(tuple):
+    """Counts how many of its entries are passed over."""
+
+    passed = 0
+
+    def __iter__(self):
+        for entry in super().__iter__():
+            type(self).passed += 1
+            yield entry
+
+
+@given("an instance list with {count:d} instances in {zones:d} zones was read")
+def read_long_list(context, count, zones):
+    common = {"region": "centro", "rack": "r1", "address": "127.0.0.1:1"}
+    listed = [
+        {
+            "id": f"i{number}",
+            "kind": "entry" if number < zones else "worker",
+            "zone": f"zone-{number % zones}",
+            **common,
+        }
+        for number in range(count)
+    ]
+    context.table_double.instances = {"instances": listed}
+    context.table_double.has_entity_tags = True
+    assert loops.outcome(context, context.platform.instances.refresh()) is True
+
+
+@when("the instance list is read {times:d} times more")
+def read_list_again(context, times):
+    context.table_double.requests.clear()
+    context.table_double.list_contents = 0
+    for _ in range(times):
+        found = loops.outcome(context, context.platform.instances.refresh())
+        assert found is True, repr(found)
+
+
+@then("{times:d} reads of the list were answered without its content")
+def answered_without_content(context, times):
+    assert len(context.table_double.requests) == times
+    assert context.table_double.list_contents == 0
+
+
+@when("a worker of the list starts leaving and the list is read")
+def worker_starts_leaving(context):
+    context.table_double.instances["instances"][-1]["state"] = "leaving"
+    assert loops.outcome(context, context.platform.instances.refresh()) is True
+
+
+@then("the instance list shows the worker as leaving")
+def shows_leaving(context):
+    instances = context.platform.instances
+    changed = context.table_double.instances["instances"][-1]
+    found = {each.instance_id: each.state for each in instances.workers()}
+    assert found[changed["id"]] == "leaving"
+    zoned = instances.workers(changed["zone"])
+    assert "leaving" in {each.state for each in zoned}
+
+
+@then("{looks:d} looks at the workers of a zone pass over no instance")
+def looks_are_indexed(context, looks):
+    instances = context.platform.instances
+    before = instances.workers("zone-1")
+    assert len(before) == 99
+    instances._all = _CountedEntries(instances._all)
+    for _ in range(looks):
+        assert instances.workers("zone-1") == before
+    assert _CountedEntries.passed == 0, _CountedEntries.passed
--- a/tests/standins/instance_list.py
+++ b/tests/standins/instance_list.py
@@ -11,6 +11,7 @@
 import pathlib
 from typing import Annotated
 from typing import Any
+import zlib
 
 import typer
 
@@ -57,10 +58,10 @@
     def router(self, zone: str) -> http.Router:
         """Returns the routes for callers in one zone."""
 
-        async def show(_: http.Request) -> http.Response:
+        async def show(request: http.Request) -> http.Response:
             refusal = await self._faults.before()
-            return refusal or http.json_response(
-                {"instances": self._seen_from(zone)}
+            return refusal or _conditional(
+                request, {"instances": self._seen_from(zone)}
             )
 
         router = http.Router()
@@ -102,6 +103,15 @@
         return [_view(instance, zone) for instance in self._shown.values()]
 
 
+def _conditional(request: http.Request, value: Any) -> http.Response:
+    """Returns the value with an entity tag, or 304 if the caller has it."""
+    response = http.json_response(value)
+    tag = f'"{zlib.crc32(response.body):08x}"'
+    if request.headers.get("if-none-match") == tag:
+        return http.Response(304, headers={"ETag": tag})
+    return response._replace(headers={"ETag": tag})
+
+
 def _view(instance: Instance, zone: str) -> dict[str, str]:
     """Returns the fields of one instance with the addresses for a zone."""
     addresses = instance.get("addresses_from", {}).get(zone, {})
