Look at teams without demand once a second

Cause: the coordinator looked at every team in each of its ticks, ten times a second, and asked for the demands of all other zones each time.

Ruled out: slower ticks, since holdings and starts depend on them.

Change: all teams are looked at once a second, as often as digests come; in between only teams that wait for units.

--- a/bench/capacity/reading.py
+++ b/bench/capacity/reading.py
@@ -15,6 +15,9 @@
 
 COORDINATOR = "coordinator"
 MEMBER = "member"
+# Mean of all entry instances of the zone. Tasks and workers are spread
+# unevenly, so only the mean belongs to the mean of the variable.
+ENTRY = "entry"
 DEPLOYMENT = "deployment"
 
 
@@ -75,7 +78,7 @@
 def rates(
     before: Reading, after: Reading, zone_ids: tuple[str, ...]
 ) -> Iterator[Rate]:
-    """Yields rates of the coordinator, the other members and the whole.
+    """Yields rates of the coordinator, other members, their mean, the whole.
 
     Args:
         before: Start of the window.
@@ -89,6 +92,7 @@
         role = COORDINATOR if is_coordinator else MEMBER
         values = _entry_rates(before.entries[name], reading)
         groups.setdefault(role, []).append(values)
+        groups.setdefault(ENTRY, []).append(values)
     for role, members in groups.items():
         for measure, unit in members[0]:
             mean = sum(each[measure, unit] for each in members) / len(members)
--- a/bench/capacity/role_lines.py
+++ b/bench/capacity/role_lines.py
@@ -13,7 +13,7 @@
 WORKERS = 19_000
 ZONES = 13
 STARTS_PER_S = 10_000
-_TASKS = 140_000
+TASKS = 140_000
 _TEAMS = 420
 _SECONDS_A_DAY = 86_400
 CHANGES_PER_S = 21_000 / _SECONDS_A_DAY
@@ -55,39 +55,81 @@
 
 def per_entry(entries: int) -> tuple[Single, ...]:
     """Returns the costs that are divided among the instances of a zone."""
-    lease = ("workers of an entry", "lease bytes", "coordinator")
+    lease = ("workers of an entry", "lease bytes", "entry")
     renewal = "lease renewal, poll of changes"
     of_entry = "workers of the entry"
     owned = WORKERS / ZONES / entries
+    busy = ("running tasks", "lease bytes", "entry")
+    usage = "inventory and usage in lease answers"
+    of_tasks = "running tasks of the entry"
+    tasks = TASKS / ZONES / entries
     return (
         Single(
-            "member",
+            "entry",
             "processor, requests",
             "HTTP in, HTTP to the worker",
             "quick requests",
             "processor",
-            "member",
+            "entry",
             STARTS_PER_S / ZONES / entries,
             "requests/s of the entry",
         ),
         Single(
-            "member",
-            "lease bytes",
+            "entry",
+            "processor, running tasks",
+            usage,
+            "running tasks",
+            "processor",
+            "entry",
+            tasks,
+            of_tasks,
+        ),
+        Single(
+            "entry",
+            "memory, running tasks",
+            usage,
+            "running tasks",
+            "memory",
+            "entry",
+            tasks,
+            of_tasks,
+        ),
+        Single(
+            "entry",
+            "lease bytes, workers",
             renewal,
             *lease,
             owned,
             of_entry,
             BYTES_LIMIT,
         ),
+        Single(
+            "entry",
+            "lease bytes, running tasks",
+            usage,
+            *busy,
+            tasks,
+            of_tasks,
+            BYTES_LIMIT,
+        ),
         Single(
             "worker side",
-            "lease bytes",
+            "lease bytes, idle",
             renewal,
             *lease,
             1,
             of_entry,
             BYTES_LIMIT,
         ),
+        Single(
+            "worker side",
+            "lease bytes, tasks",
+            usage,
+            *busy,
+            TASKS / WORKERS,
+            of_tasks,
+            BYTES_LIMIT,
+        ),
     )
 
 
@@ -156,7 +198,7 @@
             "index, 365 workers",
             "memory",
             "process",
-            _TASKS / ZONES,
+            TASKS / ZONES,
             "tasks",
         ),
         Single(
@@ -166,7 +208,7 @@
             "term report, one worker",
             "size",
             "process",
-            _TASKS / ZONES,
+            TASKS / ZONES,
             "tasks",
         ),
         Single(
--- a/bench/capacity/roles.py
+++ b/bench/capacity/roles.py
@@ -63,7 +63,7 @@
 
     def entries_for_requests(self) -> int:
         """Returns how many serve the zone's requests at the peak."""
-        fit = self._fits["quick requests", "processor", "member"]
+        fit = self._fits["quick requests", "processor", "entry"]
         per_s = role_lines.STARTS_PER_S / role_lines.ZONES
         for entries in range(1, _MOST_ENTRIES):
             cost = projection.product(
@@ -91,7 +91,7 @@
     def _idle(self, measure: str, entries: int, role: str) -> projection.Sum:
         """Returns base plus peers plus workers plus rule changes."""
         peers = self._fits["entries in a zone", measure, role]
-        workers = self._fits["workers of an entry", measure, "coordinator"]
+        workers = self._fits["workers of an entry", measure, "entry"]
         changes = self._fits["rule changes", measure, role]
         numbers = (
             (peers, entries - 1),
--- a/src/marigoldgap/coordination/allowance_keeper.py
+++ b/src/marigoldgap/coordination/allowance_keeper.py
@@ -71,6 +71,7 @@
         self._unmet = unmet_demand.UnmetDemand()
         self._last_grants: dict[tuple[str, str], messages.HoldingGrant] = {}
         self._reviewed_ms: dict[str, int] = {}
+        self._next_look_ms = 0
         self._recalled_ms: dict[str, int] = {}
         self._give_ups: dict[str, int] = {}
         self._confirmed: set[str] = set()
@@ -151,7 +152,7 @@
         """Reviews teams; called several times a second after the barrier."""
         now_ms = self._now_ms()
         self._unmet.expire(now_ms)
-        for team in self._config.rules.teams:
+        for team in self._teams_to_look_at(now_ms):
             if team in self._tasks or not self._is_due(team, now_ms):
                 continue
             self._reviewed_ms[team] = now_ms
@@ -162,6 +163,18 @@
         for task in self._tasks.values():
             task.cancel()
 
+    def _teams_to_look_at(self, now_ms: int) -> tuple[str, ...]:
+        """Returns all teams once a second, else those that wait for units.
+
+        The demands of other zones come with digests, once a second; a look
+        at hundreds of teams in each tick would cost more than it finds.
+        """
+        teams = self._config.rules.teams
+        if now_ms >= self._next_look_ms:
+            self._next_look_ms = now_ms + _REVIEW_MS
+            return tuple(teams)
+        return tuple(team for team in self._unmet.teams if team in teams)
+
     def _is_due(self, team: str, now_ms: int) -> bool:
         """Whether the row of a team may have to change."""
         reviewed_ms = self._reviewed_ms.get(team)
@@ -169,10 +182,8 @@
             return False
         if team not in self._confirmed or team in self._give_ups:
             return True
-        own = self.demand(team)
-        if own.allowance > self._config.rules.teams[team].limit:
-            return True
-        if own.waiting:
+        limit = self._config.rules.teams[team].limit
+        if self._ledger.allowance(team) > limit or self._unmet.waiting(team):
             return True
         return self._give_up_target(team) is not None
 
--- a/src/marigoldgap/coordination/unmet_demand.py
+++ b/src/marigoldgap/coordination/unmet_demand.py
@@ -9,6 +9,11 @@
     def __init__(self) -> None:
         self._missing: dict[str, dict[str, tuple[int, int]]] = {}
 
+    @property
+    def teams(self) -> tuple[str, ...]:
+        """Teams of which units are missing."""
+        return tuple(self._missing)
+
     def note(
         self, team: str, instance_id: str, units: int, until_ms: int
     ) -> None:
--- a/tests/features/coordination/allowances.feature
+++ b/tests/features/coordination/allowances.feature
@@ -50,3 +50,18 @@
 
   Scenario: An allowance policy never asks for more than the limit
     Then for any demands the wanted and given up allowances stay in bounds
+
+  Scenario: Teams without demand are looked at once a second
+    # Guards against a scan of 420 teams in each tick of a coordinator.
+    Given a coordinated zone "centro-a" with instances "e1, e2" and a limit of 12
+    And 419 more teams whose allowances are confirmed
+    When 10 s pass in the zone without demand
+    Then the demands of other zones were asked for at most 11 times per team
+
+  Scenario: A team that waits is reviewed at the next tick
+    # Guards against a look that comes too seldom for teams in need.
+    Given a coordinated zone "centro-a" with instances "e1, e2" and a limit of 12
+    And 419 more teams whose allowances are confirmed
+    When 2 s pass in the zone without demand
+    And "e2" misses units of "team-7" for 200 ms
+    Then the coordinator has read the row of "team-7" and of no other team
--- a/tests/features/steps/coordination_allowance_steps.py
+++ b/tests/features/steps/coordination_allowance_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 from behave import given
 from behave import then
 from behave import when
@@ -188,3 +190,54 @@
         assert target is None or 0 <= target < own.allowance
 
     check()
+
+
+@given("{count:d} more teams whose allowances are confirmed")
+def more_teams(context, count):
+    world = context.world
+    for number in range(count):
+        world.config.set_team(f"team-{number}", 12)
+    zone_steps.advance(context, 6_000)
+    keeper = world.coordinations["e1"].role.keeper
+    assert len(keeper._confirmed) == count + 1, len(keeper._confirmed)
+    context.looks = collections.Counter()
+    context.row_reads = []
+    ask, read = keeper._other_demands, keeper._table.get
+
+    def counted_ask(team):
+        context.looks[team] += 1
+        return ask(team)
+
+    async def counted_read(key):
+        context.row_reads.append(key)
+        return await read(key)
+
+    keeper._other_demands = counted_ask
+    world.store.get = counted_read
+
+
+@when("{seconds:d} s pass in the zone without demand")
+def pass_without_demand(context, seconds):
+    zone_steps.advance(context, seconds * 1_000)
+
+
+@when('"{name}" misses units of "{team}" for {milliseconds:d} ms')
+def miss_units(context, name, team, milliseconds):
+    context.row_reads.clear()
+    coordination = context.world.coordinations[name]
+    zone_steps.run(context, coordination.request_holding(team, 50))
+    zone_steps.advance(context, milliseconds)
+
+
+@then(
+    "the demands of other zones were asked for at most {looks:d} times per team"
+)
+def few_looks(context, looks):
+    assert max(context.looks.values(), default=0) <= looks, max(
+        context.looks.values()
+    )
+
+
+@then('the coordinator has read the row of "{team}" and of no other team')
+def only_row_read(context, team):
+    assert set(context.row_reads) == {f"allowance/{team}"}, context.row_reads
