Work out how many entry instances carry the peak

Change: the steps build the fits that the roles read; the roles count control and requests of one core together; a coordinator's control includes its teams and jobs; an earlier run can be printed again from its points.

--- a/bench/capacity/role_lines.py
+++ b/bench/capacity/role_lines.py
@@ -1,4 +1,4 @@
-"""Numbers of section 1.6 and the slopes that each of them multiplies."""
+"""Numbers of section 1.6, and the costs of one entry instance."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 ZONES = 13
 STARTS_PER_S = 10_000
 TASKS = 140_000
-_TEAMS = 420
+TEAMS = 420
 _SECONDS_A_DAY = 86_400
 CHANGES_PER_S = 21_000 / _SECONDS_A_DAY
-_JOBS_PER_S = 150_000 / _SECONDS_A_DAY
+JOBS_PER_S = 150_000 / _SECONDS_A_DAY
 
 
 class Single(NamedTuple):
@@ -131,143 +131,3 @@
             BYTES_LIMIT,
         ),
     )
-
-
-def _coordinator() -> tuple[Single, ...]:
-    """Returns what a coordinator pays for its zone."""
-    role = "coordinator"
-    teams = "teams in the rules"
-    return (
-        Single(
-            role,
-            "processor, jobs",
-            "rows, dispatch, ends",
-            "jobs",
-            "processor",
-            role,
-            _JOBS_PER_S / ZONES,
-            "jobs/s of the zone",
-            CPU_LIMIT,
-        ),
-        Single(
-            role,
-            "processor, teams",
-            "digest, allowance reviews",
-            teams,
-            "processor",
-            role,
-            _TEAMS,
-            "teams",
-            CPU_LIMIT,
-        ),
-        Single(
-            role,
-            "memory, teams",
-            "rules, accounts, digests",
-            teams,
-            "memory",
-            role,
-            _TEAMS,
-            "teams",
-            MEMORY_LIMIT,
-        ),
-        Single(
-            role,
-            "processor, all starts are job tasks",
-            "PlaceTasks, results, ends",
-            "starts of job tasks",
-            "processor",
-            role,
-            STARTS_PER_S / ZONES,
-            "starts/s of the zone",
-        ),
-        Single(
-            role,
-            "processor, one look at the barrier",
-            "TermBarrier",
-            "barrier",
-            "is_settled",
-            "process",
-            WORKERS / ZONES,
-            "workers",
-        ),
-        Single(
-            role,
-            "memory, running tasks of a zone",
-            "free-capacity index",
-            "index, 365 workers",
-            "memory",
-            "process",
-            TASKS / ZONES,
-            "tasks",
-        ),
-        Single(
-            role,
-            "term reports of a zone",
-            "TermReport, once a term",
-            "term report, one worker",
-            "size",
-            "process",
-            TASKS / ZONES,
-            "tasks",
-        ),
-        Single(
-            role,
-            "digest of all teams",
-            "ZoneDigest, once a minute and link",
-            "zone digest",
-            "size",
-            "process",
-            _TEAMS,
-            "changed teams",
-        ),
-    )
-
-
-def _platform() -> tuple[Single, ...]:
-    """Returns what the table service, the link and the list pay."""
-    loads = (
-        ("jobs", "group commit, reads of rows", _JOBS_PER_S, "jobs/s"),
-        ("rule changes", "compare-and-set, polls", CHANGES_PER_S, "changes/s"),
-        ("teams in the rules", "allowance rows", _TEAMS, "teams"),
-    )
-    found = [
-        Single(
-            role,
-            f"{measure}, {sweep}",
-            mechanism,
-            sweep,
-            measure,
-            "deployment",
-            number,
-            unit,
-        )
-        for role, measure in (
-            ("table service", "table reads"),
-            ("table service", "table writes"),
-            ("link between regions", "link between regions"),
-        )
-        for sweep, mechanism, number, unit in loads
-    ]
-    for measure in (
-        "size",
-        "changed list",
-        "unchanged list",
-        "workers of a zone",
-    ):
-        found.append(
-            Single(
-                "instance list",
-                measure,
-                "read of the list; lookup",
-                "instance list",
-                measure,
-                "process",
-                WORKERS,
-                "instances",
-            )
-        )
-    return tuple(found)
-
-
-SINGLE = (*_coordinator(), *_platform())
--- a/bench/capacity/roles.py
+++ b/bench/capacity/roles.py
@@ -9,10 +9,11 @@
 from bench.capacity import fitting
 from bench.capacity import projection
 from bench.capacity import role_lines
+from bench.capacity import zone_lines
 
 _MOST_ENTRIES = 200
 # A core that serves requests keeps a quarter in reserve for bursts.
-_REQUESTS_LIMIT = projection.Limit(750, "ms/s")
+_CORE_LIMIT = projection.Limit(750, "ms/s")
 
 
 class Line(NamedTuple):
@@ -45,6 +46,11 @@
             for fit in fits
         }
 
+    @property
+    def fits(self) -> tuple[fitting.Fit, ...]:
+        """All fits."""
+        return tuple(self._fits.values())
+
     def control(self, entries: int, role: str) -> projection.Sum:
         """Returns the processor time for control of one entry instance.
 
@@ -61,15 +67,23 @@
         )
         return best, self.control(best, role).value
 
-    def entries_for_requests(self) -> int:
-        """Returns how many serve the zone's requests at the peak."""
+    def entries_needed(self) -> int:
+        """Returns how many carry the peak of the zone on a core each.
+
+        Each pays for its control as a coordinator and for its part of the
+        starts, all of them quick requests.
+        """
         fit = self._fits["quick requests", "processor", "entry"]
         per_s = role_lines.STARTS_PER_S / role_lines.ZONES
         for entries in range(1, _MOST_ENTRIES):
-            cost = projection.product(
-                fit, projection.Number(per_s / entries, fit.series.x_unit)
+            part = projection.Number(per_s / entries, fit.series.x_unit)
+            cost = projection.add(
+                (
+                    self.control(entries, "coordinator"),
+                    projection.product(fit, part),
+                )
             )
-            if projection.meets(cost, _REQUESTS_LIMIT):
+            if projection.meets(cost, _CORE_LIMIT):
                 return entries
         return _MOST_ENTRIES
 
@@ -83,11 +97,25 @@
                 self._idle(measure, entries, role),
                 limit,
             )
+        yield self._coordinator_sum(entries)
         for single in role_lines.per_entry(entries):
             yield self._one(single)
-        for single in role_lines.SINGLE:
+        for single in zone_lines.SINGLE:
             yield self._one(single)
 
+    def _coordinator_sum(self, entries: int) -> Line:
+        """Returns control plus teams plus jobs."""
+        parts = [self.control(entries, "coordinator")]
+        for single in zone_lines.COORDINATOR_PROCESSOR:
+            parts.append(self._one(single).cost)
+        return Line(
+            "coordinator",
+            "processor, control, teams and jobs",
+            "all of the above for a coordinator",
+            projection.add(tuple(parts)),
+            role_lines.CPU_LIMIT,
+        )
+
     def _idle(self, measure: str, entries: int, role: str) -> projection.Sum:
         """Returns base plus peers plus workers plus rule changes."""
         peers = self._fits["entries in a zone", measure, role]
--- a/bench/capacity/tables.py
+++ b/bench/capacity/tables.py
@@ -54,13 +54,12 @@
 def show_roles(fits: Iterable[fitting.Fit]) -> None:
     """Prints the costs at the size to design for."""
     worked_out = roles.Roles(fits)
-    for_requests = worked_out.entries_for_requests()
-    for_control, least = worked_out.fewest_entries()
-    entries = max(for_requests, for_control)
+    needed = worked_out.entries_needed()
+    entries, least = worked_out.fewest_entries()
     console = rich.console.Console(width=_WIDTH)
     console.print(
-        f"entry instances in a zone: {for_requests} for requests;"
-        f" least control at {for_control}, {least:.1f} ms/s"
+        f"entry instances in a zone: {needed} carry the peak;"
+        f" least control at {entries}, {least:.1f} ms/s"
     )
     table = rich.table.Table(
         "role", "cost", "mechanism", "arithmetic", "value", "meets the limit"
--- a/bench/commands/capacity.py
+++ b/bench/commands/capacity.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 import signal
 import time
+from typing import Annotated
 
 import typer
 
@@ -44,8 +46,18 @@
         """Adds `capacity` to the application."""
         application.command("capacity")(self.run)
 
-    def run(self, quick: bool = False) -> None:
+    def run(
+        self,
+        quick: bool = False,
+        points_file: Annotated[
+            pathlib.Path | None,
+            typer.Option(help="Print the tables of an earlier run."),
+        ] = None,
+    ) -> None:
         """Measure costs with small deployments and print fitted lines."""
+        if points_file is not None:
+            _show(tables.read_points(points_file))
+            return
         name = f"{time.strftime('%Y%m%d-%H%M%S')}-capacity"
         directory = experiment.RUNS / name
         directory.mkdir(parents=True)
@@ -60,9 +72,7 @@
         points = self._measure(scale)
         path = directory / "points.jsonl"
         tables.write_points(path, points)
-        fits = fitting.fit_all(points)
-        tables.show(fits)
-        tables.show_roles(fits)
+        _show(points)
         shown.say(f"points: {path}")
 
     def _measure(self, scale: capacity_registry.Scale) -> list[fitting.Point]:
@@ -76,6 +86,13 @@
         return points
 
 
+def _show(points: list[fitting.Point]) -> None:
+    """Prints the fits and the costs at the size to design for."""
+    fits = fitting.fit_all(points)
+    tables.show(fits)
+    tables.show_roles(fits)
+
+
 async def _awaited(
     sweep: capacity_registry.Sweep, scale: capacity_registry.Scale
 ) -> list[fitting.Point]:
--- a/tests/features/bench/capacity.feature
+++ b/tests/features/bench/capacity.feature
@@ -57,6 +57,8 @@
     Given capacity fits of 2 ms/s per peer, 1 ms/s per worker and base 10
     Then with 73 entry instances control costs about 10 + 144 + 20.02 ms/s
     And the fewest-control number of entry instances is 27
+    # 6: 10 + 2 x 5 + 1461.5 / 6 + 3 x 769.2 / 6 = 648; 5: 772.
+    And with 3 ms/s per request/s and a peak of 10000 requests/s in 13 zones it takes 6 entry instances below 750 ms/s each
 
   Scenario: Points survive the file
     Given the capacity points "0:10 1:13 2:10.25"
--- a/tests/features/steps/bench_capacity_steps.py
+++ b/tests/features/steps/bench_capacity_steps.py
@@ -149,7 +149,7 @@
     )
     fits = []
     for sweep, role, unit, slope, intercept in lines:
-        series = fitting.Series(sweep, "processor", "coordinator", unit, "ms/s")
+        series = fitting.Series(sweep, "processor", role, unit, "ms/s")
         points = [
             fitting.Point(series, x, intercept + slope * x) for x in (0, 5)
         ]
@@ -178,3 +178,14 @@
         path = pathlib.Path(directory) / "points.jsonl"
         tables.write_points(path, context.capacity_points)
         assert tables.read_points(path) == context.capacity_points
+
+
+@then(
+    "with 3 ms/s per request/s and a peak of 10000 requests/s in 13 zones it"
+    " takes {entries:d} entry instances below 750 ms/s each"
+)
+def entries_taken(context, entries):
+    requests = _SERIES._replace(role="entry", x_unit="requests/s of the entry")
+    points = [fitting.Point(requests, x, 40 + 3 * x) for x in (0, 50)]
+    fits = [*context.capacity_roles.fits, fitting.fit(points)]
+    assert roles.Roles(fits).entries_needed() == entries
