--- a/bench/capacity/role_lines.py
+++ b/bench/capacity/role_lines.py
@@ -42,13 +42,14 @@
     limit: projection.Limit | None = None
 
 
-IDLE = tuple(
+IDLE: tuple[tuple[str, str, str, projection.Limit | None], ...] = tuple(
     (role, measure, mechanism, limit)
     for role in ("member", "coordinator")
     for measure, mechanism, limit in (
         ("processor", "heartbeats, leases, lists, rule changes", CPU_LIMIT),
         ("memory", "links to peers and workers", MEMORY_LIMIT),
         ("peer control sent", "heartbeats, rule changes", BYTES_LIMIT),
+        ("peer messages", "heartbeats, rule changes", None),
     )
 )
 
@@ -94,6 +95,16 @@
             tasks,
             of_tasks,
         ),
+        Single(
+            "entry",
+            "lease exchanges",
+            renewal,
+            "workers of an entry",
+            "lease exchanges",
+            "entry",
+            owned,
+            of_entry,
+        ),
         Single(
             "entry",
             "lease bytes, workers",
