--- a/src/marigoldgap/platform/instances.py
+++ b/src/marigoldgap/platform/instances.py
@@ -46,8 +46,8 @@
         self._all: tuple[model.InstanceEntry, ...] = ()
         # Looked at several times a second, while the list rarely changes.
         self._by_kind: _Index = {}
-        self._entity_tag = ""
         self._is_known = False
+        self._tag = ""
         self._read_at_ms = clock.monotonic_ms()
         self._listeners: list[Callable[[], None]] = []
 
@@ -90,10 +90,15 @@
             await asyncio.sleep(self._poll_ms / clock.MILLISECONDS_PER_SECOND)
 
     async def refresh(self) -> bool:
-        """Reads the list once; returns whether there was a good answer."""
+        """Reads the list once; returns whether there was a good answer.
+
+        The entity tag of the last answer saves the transfer of an unchanged
+        list; a service without entity tags sends the whole list each time.
+        """
+        headers = {"if-none-match": self._tag} if self._tag else {}
         try:
-            answer = await self._source.read(PROBE_PATH, self._condition())
-            if answer.status == _NOT_MODIFIED:
+            answer = await self._source.read(PROBE_PATH, headers)
+            if answer.status == _NOT_MODIFIED and self._tag:
                 self._read_at_ms = clock.monotonic_ms()
                 return True
             if answer.status != _OK:
@@ -105,18 +110,10 @@
         if self._is_implausible(received):
             _log.warning("An instance list without entry instances is ignored")
             return False
+        self._tag = answer.headers.get("etag", "")
         self._adopt(received)
-        self._entity_tag = answer.headers.get("etag", "")
         return True
 
-    def _condition(self) -> dict[str, str]:
-        """Returns the header of a conditional read.
-
-        The whole list is several megabytes at 19,000 workers; a service
-        without entity tags sends it each time.
-        """
-        return {"if-none-match": self._entity_tag} if self._entity_tag else {}
-
     def _adopt(self, received: tuple[model.InstanceEntry, ...]) -> None:
         self._is_known = True
         self._read_at_ms = clock.monotonic_ms()
--- a/tests/features/steps/platform_outage_steps.py
+++ b/tests/features/steps/platform_outage_steps.py
@@ -210,10 +210,14 @@
         for number in range(count)
     ]
     context.table_double.instances = {"instances": listed}
-    context.table_double.has_entity_tags = True
     assert loops.outcome(context, context.platform.instances.refresh()) is True
 
 
+@given("the instance list is sent without entity tags")
+def send_no_tags(context):
+    context.table_double.has_entity_tags = False
+
+
 @when("the instance list is read {times:d} times more")
 def read_list_again(context, times):
     context.table_double.requests.clear()
@@ -254,3 +258,17 @@
     for _ in range(looks):
         assert instances.workers("zone-1") == before
     assert _CountedEntries.passed == 0, _CountedEntries.passed
+
+
+@when("the unchanged instance list is read {count:d} more times")
+def read_unchanged_list(context, count):
+    for _ in range(count):
+        refresh = context.platform.instances.refresh()
+        assert loops.outcome(context, refresh) is True
+    context.list_reads = count + 1
+
+
+@then("the whole instance list was sent once")
+def whole_list_sent_once(context):
+    unchanged = context.table_double.applied["unchanged list"]
+    assert context.list_reads - unchanged == 1
--- a/tests/standins/instance_list.py
+++ b/tests/standins/instance_list.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import collections
+import hashlib
 import json
 import pathlib
 from typing import Annotated
 from typing import Any
-import zlib
 
 import typer
 
@@ -21,6 +21,7 @@
 from tests.standins import store_limits
 
 _LAG_MS = 2_000
+_TAG_DIGITS = 16
 _FIELDS = (
     "id",
     "kind",
@@ -60,9 +61,14 @@
 
         async def show(request: http.Request) -> http.Response:
             refusal = await self._faults.before()
-            return refusal or _conditional(
-                request, {"instances": self._seen_from(zone)}
-            )
+            if refusal:
+                return refusal
+            shown = {"instances": self._seen_from(zone)}
+            tag = _tag_of(shown)
+            headers = {"etag": tag}
+            if request.headers.get("if-none-match") == tag:
+                return http.Response(304, headers=headers)
+            return http.json_response(shown, headers=headers)
 
         router = http.Router()
         router.add("GET", "/v1/instances", show)
@@ -103,13 +109,10 @@
         return [_view(instance, zone) for instance in self._shown.values()]
 
 
-def _conditional(request: http.Request, value: Any) -> http.Response:
-    """Returns the value with an entity tag, or 304 if the caller has it."""
-    response = http.json_response(value)
-    tag = f'"{zlib.crc32(response.body):08x}"'
-    if request.headers.get("if-none-match") == tag:
-        return http.Response(304, headers={"ETag": tag})
-    return response._replace(headers={"ETag": tag})
+def _tag_of(shown: dict[str, Any]) -> str:
+    """Returns the entity tag of an answer."""
+    digest = hashlib.sha256(json.dumps(shown).encode()).hexdigest()
+    return f'"{digest[:_TAG_DIGITS]}"'
 
 
 def _view(instance: Instance, zone: str) -> dict[str, str]:
