--- a/src/marigoldgap/http_client.py
+++ b/src/marigoldgap/http_client.py
@@ -36,6 +36,7 @@
 COOKIE_SEPARATOR = "\n"
 
 BeforeSend = http_connection.BeforeSend
+HttpTraffic = http_connection.HttpTraffic
 
 
 class HttpAnswer(NamedTuple):
@@ -51,9 +52,13 @@
 
     Args:
         connections: Exchanges that may run side by side; more of them wait.
+        traffic: Counts the bytes of all exchanges.
     """
 
-    def __init__(self, connections: int) -> None:
+    def __init__(
+        self, connections: int, traffic: HttpTraffic | None = None
+    ) -> None:
+        self._traffic = traffic or HttpTraffic()
         pool = pools.PoolConfig(
             size=connections,
             max_conn_requests=None,
@@ -102,7 +107,7 @@
                 no complete answer.
             MarigoldgapError: Raised by `before_send`.
         """
-        attempt = http_connection.Attempt(before_send)
+        attempt = http_connection.Attempt(before_send, self._traffic)
         token = http_connection.current_attempt.set(attempt)
         try:
             async with asyncio.timeout(timeout_s):
@@ -135,6 +140,7 @@
         )
         _check_framing(response)
         content = await response.content()
+        self._traffic.count_received(response, content)
         return HttpAnswer(
             response.status_code, _end_to_end_headers(response), content
         )
--- a/src/marigoldgap/http_connection.py
+++ b/src/marigoldgap/http_connection.py
@@ -29,19 +29,46 @@
 _KEEPALIVE_INTERVAL_S = 2
 _KEEPALIVE_PROBES = 3
 _UNACKNOWLEDGED_LIMIT_MS = 11_000
+# "HTTP/1.1 200 OK" with its line end and the empty line after the headers.
+_STATUS_LINE_BYTES = 19
+# The colon, the space and the line end of a header.
+_HEADER_EXTRA_BYTES = 4
 
 BeforeSend = Callable[[], None]
 
 
+class HttpTraffic:
+    """Bytes of exchanges, with headers but without those of TCP and IP.
+
+    The length lines of answers in chunks are not counted.
+    """
+
+    def __init__(self) -> None:
+        self.exchanges = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def count_received(self, response: Any, body: bytes) -> None:
+        """Counts a complete answer."""
+        self.exchanges += 1
+        self.bytes_received += _STATUS_LINE_BYTES + len(body)
+        for name, text in response.raw_headers:
+            self.bytes_received += len(name) + len(text) + _HEADER_EXTRA_BYTES
+
+
 class Attempt:
     """Follows one exchange: whether it was sent, and on which connection.
 
     Args:
         before_send: Called immediately before the first byte is written.
+        traffic: Counts the bytes that are written.
     """
 
-    def __init__(self, before_send: BeforeSend | None) -> None:
+    def __init__(
+        self, before_send: BeforeSend | None, traffic: HttpTraffic
+    ) -> None:
         self._before_send = before_send
+        self._traffic = traffic
         self._connection: GuardedConnection | None = None
         self._writer: Any = None
 
@@ -66,6 +93,10 @@
         self._connection = connection
         self._writer = connection.writer
 
+    def count_sent(self, size: int) -> None:
+        """Counts bytes that are handed to the connection."""
+        self._traffic.bytes_sent += size
+
     def discard_connection(self) -> None:
         """Closes the connection so that no later exchange can use it."""
         if self._connection is not None:
@@ -124,9 +155,10 @@
         if not self._unsent:
             return
         attempt = current_attempt.get()
+        data = b"".join(self._unsent)
         if attempt is not None:
             attempt.begin_send(self)
-        data = b"".join(self._unsent)
+            attempt.count_sent(len(data))
         self._unsent.clear()
         super().write(data)
 
--- a/src/marigoldgap/platform/instances.py
+++ b/src/marigoldgap/platform/instances.py
@@ -24,6 +24,10 @@
 _OPTIONAL_FIELDS = ("peer_address", "service", "state")
 
 
+# Entries by kind and zone; the zone None holds those of all zones.
+_Index = dict[tuple[str, str | None], tuple[model.InstanceEntry, ...]]
+
+
 class InstanceList:
     """Polls the list; users always see the last good answer.
 
@@ -40,6 +44,8 @@
         self._poll_ms = settings.platform.list_poll_ms
         self._source = source
         self._all: tuple[model.InstanceEntry, ...] = ()
+        # Looked at several times a second, while the list rarely changes.
+        self._by_kind: _Index = {}
         self._is_known = False
         self._tag = ""
         self._read_at_ms = clock.monotonic_ms()
@@ -114,17 +120,14 @@
         if received == self._all:
             return
         self._all = received
+        self._by_kind = _index(received)
         for listener in self._listeners:
             listener()
 
     def _select(
         self, kind: str, zone: str | None
     ) -> tuple[model.InstanceEntry, ...]:
-        return tuple(
-            entry
-            for entry in self._all
-            if entry.kind == kind and zone in (None, entry.zone)
-        )
+        return self._by_kind.get((kind, zone), ())
 
     def _is_implausible(
         self, received: tuple[model.InstanceEntry, ...]
@@ -140,6 +143,15 @@
         )
 
 
+def _index(entries: tuple[model.InstanceEntry, ...]) -> _Index:
+    """Returns the entries by kind and zone, in their order."""
+    groups: dict[tuple[str, str | None], list[model.InstanceEntry]] = {}
+    for entry in entries:
+        groups.setdefault((entry.kind, entry.zone), []).append(entry)
+        groups.setdefault((entry.kind, None), []).append(entry)
+    return {key: tuple(group) for key, group in groups.items()}
+
+
 def _parse(content: Any) -> tuple[model.InstanceEntry, ...]:
     """Returns all well-formed entries; the others are left out."""
     if not isinstance(content, dict) or not isinstance(
