Keep a deployment up for trying commands; record starts of tasks

Cause: the tour needs a running deployment; the timeline had no starts, so a retried task could not be followed; the status table was too wide to read. Ruled out: a second table layout for wide terminals. Change: the command bench up, the event task-started with epoch and attempt, job ids on task-ended, ten columns in status.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: environment test faults lint format types features benchmarks demo soak binary capacity lock
+.PHONY: environment test faults lint format types features benchmarks demo up soak binary capacity lock
 
 environment: $(VENV)/.installed
 
@@ -41,6 +41,9 @@
 DURATION ?= 60
 FAULTS ?= all
 LAYOUT ?= quetzal
+up: environment
+	$(PYTHON) -m bench up
+
 soak: environment
 	$(PYTHON) -m bench soak --seed $(SEED) --duration $(DURATION) --faults $(FAULTS) --layout $(LAYOUT)
 
--- a/src/marigoldgap/console/commands/status.py
+++ b/src/marigoldgap/console/commands/status.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Annotated
+from typing import Any
 
 import rich.live
 import rich.table
@@ -17,6 +19,20 @@
 from marigoldgap.console import running
 from marigoldgap.operators import client
 
+# Fields of the answer and their titles; the whole answer is too wide.
+_COLUMNS = {
+    "instance_id": "instance",
+    "zone": "zone",
+    "config_version": "config",
+    "ready": "ready",
+    "draining": "draining",
+    "coordinator": "coordinator",
+    "workers_owned": "workers",
+    "free": "free slots",
+    "running": "running",
+    "waiting": "waiting",
+}
+
 
 @registry.command
 class StatusCommand:
@@ -81,20 +97,23 @@
 
 
 def _table(reached: Sequence[client.Reached]) -> rich.table.Table:
-    """Returns a row for each instance; lists are in the JSON form only."""
-    names: dict[str, None] = {}
-    for each in reached:
-        names.update(
-            (name, None)
-            for name, value in (each.answer or {}).items()
-            if not isinstance(value, dict | list)
-        )
+    """Returns a row for each instance; the JSON form has all values."""
     rows = [
         (
             each.address,
-            *((each.answer or {}).get(name) for name in names),
+            *(_cell(each.answer or {}, name) for name in _COLUMNS),
             each.error or "reached",
         )
         for each in reached
     ]
-    return output.make_table(("address", *names, "result"), rows)
+    return output.make_table(("address", *_COLUMNS.values(), "result"), rows)
+
+
+def _cell(answer: Mapping[str, Any], name: str) -> str:
+    """Returns one value as text; numbers by team or service are added up."""
+    value = answer.get(name, "")
+    if name == "free":
+        return str(sum(each["slots"] for each in (value or {}).values()))
+    if isinstance(value, dict):
+        return str(sum(value.values()))
+    return str(value)
--- a/src/marigoldgap/serving/fleet_observer.py
+++ b/src/marigoldgap/serving/fleet_observer.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+from marigoldgap.coordination import owned_tasks
 from marigoldgap.events import ring
 from marigoldgap.events import types
 from marigoldgap.metrics import client
@@ -34,6 +35,20 @@
         self._events = events
         self._metrics = metrics
         self._known: set[str] = set()
+        fleet.on_start(self.task_starting)
+
+    def task_starting(self, worker_id: str, task: model.TaskSpec) -> None:
+        """Records a start that is about to be sent."""
+        self._events.record(
+            types.TaskStarted(
+                task.task_id,
+                worker_id,
+                task.team,
+                task.job_id,
+                task.attempt,
+                self._fleet.epoch_of(worker_id),
+            )
+        )
 
     def worker_acquired(
         self, worker: model.WorkerInfo, running: Sequence[model.RunningTask]
@@ -44,7 +59,9 @@
         self._known.add(worker.worker_id)
         self._events.record(
             types.LeaseAcquired(
-                worker.worker_id, self._epoch(worker.worker_id), len(running)
+                worker.worker_id,
+                self._fleet.epoch_of(worker.worker_id),
+                len(running),
             )
         )
 
@@ -65,14 +82,13 @@
     def task_changed(self, change: workers_model.TaskChange) -> None:
         """Records a change of a job task."""
         self._events.record(
-            types.TaskEnded(change.task_id, change.worker_id, "", change.state)
+            types.TaskEnded(
+                change.task_id,
+                change.worker_id,
+                owned_tasks.job_of(change.task_id),
+                change.state,
+            )
         )
 
     def usage_reported(self, usage: workers_model.TaskUsage) -> None:
         """Records nothing: usage is measured, not an event."""
-
-    def _epoch(self, worker_id: str) -> int:
-        for owned in self._fleet.owned():
-            if owned.worker.worker_id == worker_id:
-                return owned.epoch
-        return _NO_EPOCH
--- a/src/marigoldgap/workers/fleet.py
+++ b/src/marigoldgap/workers/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 
 from marigoldgap import errors
@@ -18,6 +19,13 @@
 # A link that ends by an error in the program is opened again after this time.
 _REOPEN_AFTER_S = 1.0
 
+StartObserver = Callable[[str, model.TaskSpec], None]
+
+
+def _ignore_start(worker_id: str, task: model.TaskSpec) -> None:
+    """Observes nothing."""
+    del worker_id, task
+
 
 class WorkerFleet:
     """Runs one task for each worker that this instance should own.
@@ -38,6 +46,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._generation = 0
         self._releasing = False
+        self._starting: StartObserver = _ignore_start
         self._changed = asyncio.Event()
         self.control_traffic = http_client.HttpTraffic()
 
@@ -46,11 +55,21 @@
         """A number that rises whenever a worker is gained or lost."""
         return self._generation
 
+    def on_start(self, observer: StartObserver) -> None:
+        """Sets what is called before each start that is sent."""
+        self._starting = observer
+
     def owned(self) -> tuple[workers_model.OwnedWorker, ...]:
         """Returns the workers whose lease is held and valid."""
         owned = (link.owned for link in self._links.values())
         return tuple(worker for worker in owned if worker is not None)
 
+    def epoch_of(self, worker_id: str) -> int:
+        """Returns the epoch of the lease on a worker, or 0 without one."""
+        link = self._links.get(worker_id)
+        owned = link.owned if link is not None else None
+        return owned.epoch if owned is not None else 0
+
     def set_candidates(self, workers: Sequence[model.WorkerInfo]) -> None:
         """Sets the workers that this instance should own.
 
@@ -79,13 +98,17 @@
             WorkerRefusedError: The worker refused; the task did not run.
             OutcomeUnknownError: The task may have run.
         """
-        return await self._link(worker_id).run_request(task, payload)
+        link = self._link(worker_id)
+        self._starting(worker_id, task)
+        return await link.run_request(task, payload)
 
     async def start_job_task(
         self, worker_id: str, task: model.TaskSpec, payload: bytes
     ) -> None:
         """Starts a job task; errors as for `run_request`."""
-        await self._link(worker_id).start_job_task(task, payload)
+        link = self._link(worker_id)
+        self._starting(worker_id, task)
+        await link.start_job_task(task, payload)
 
     async def stop_task(
         self, worker_id: str, task_id: str, action: str = "stop"
