--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,9 @@
 	$(PYTHON) -m bench capacity
 
 binary: environment
-	$(VENV)/bin/shiv --console-script marigoldgap --output-file dist/marigoldgap --compressed --reproducible --requirement requirements.lock .
+	mkdir -p dist
+	$(VENV)/bin/shiv --console-script marigoldgap --output-file dist/marigoldgap --compressed --reproducible --requirement requirements-runtime.lock .
 
 lock: environment
 	$(VENV)/bin/pip-compile --quiet --extra dev --no-emit-index-url --no-emit-find-links --strip-extras --output-file requirements.lock pyproject.toml
+	$(VENV)/bin/pip-compile --quiet --no-emit-index-url --no-emit-find-links --strip-extras --constraint requirements.lock --output-file requirements-runtime.lock pyproject.toml
