Keep the type of errors between instances

Cause: the state of an ended job was answered with 500 and code not-found. The type of a received error was searched from the last defined subclass, so that an error of the callers' HTTP layer with the same code replaced NotFoundError; the gateway then did not ask the table for the stored state. Ruled out: the table; its row was there. Change: the search goes from the base outwards in the order of definition. Conclusion: ended jobs show their stored state.

--- a/src/marigoldgap/entries/remote_errors.py
+++ b/src/marigoldgap/entries/remote_errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 from marigoldgap import errors
 from marigoldgap.entries import messages
 
@@ -18,16 +20,19 @@
 
     An unknown code becomes the base error, whose outcome is unknown.
     """
-    error_type = _types_by_code().get(failure.code, errors.MarigoldgapError)
-    return error_type(failure.detail)
+    return type_of_code(failure.code)(failure.detail)
+
 
+def type_of_code(code: str) -> type[errors.MarigoldgapError]:
+    """Returns the error type with a code, or the base type.
 
-def _types_by_code() -> dict[str, type[errors.MarigoldgapError]]:
-    """Returns all error types by their codes."""
-    found: dict[str, type[errors.MarigoldgapError]] = {}
-    waiting = [errors.MarigoldgapError]
+    The search goes from the base outwards and in the order of definition, so
+    that a type of another package never replaces one of the hierarchy.
+    """
+    waiting = collections.deque([errors.MarigoldgapError])
     while waiting:
-        error_type = waiting.pop()
-        found.setdefault(error_type.code, error_type)
+        error_type = waiting.popleft()
+        if error_type.code == code:
+            return error_type
         waiting.extend(error_type.__subclasses__())
-    return found
+    return errors.MarigoldgapError
--- a/tests/features/entries/codec.feature
+++ b/tests/features/entries/codec.feature
@@ -14,3 +14,8 @@
 
   Scenario: Frames above the size bound are refused before they are read
     Then a peer frame longer than its limit is refused
+
+  Scenario: An error keeps its type on the way to another instance
+    Guards against error types of other packages that share a code: a job that
+    had ended was answered with status 500 instead of its stored state.
+    Then every error of the hierarchy keeps type, status and ran between peers
