Share the command registry between the program and the load tool

Cause: the duplicates listing showed the registry and the assembly of the application twice. Ruled out: one registry for both, which would mix their commands. Change: a class CommandRegistry; each command line has one. Conclusion: behaviour is unchanged.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import importlib
-import pkgutil
 import sys
 
 import typer
@@ -17,16 +15,9 @@
 
 def build() -> typer.Typer:
     """Returns the application with all commands."""
-    application = typer.Typer(
-        name="bench",
-        help="Load and experiments on stand-ins.",
-        no_args_is_help=True,
-        pretty_exceptions_enable=False,
+    return registry.build(
+        "bench", "Load and experiments on stand-ins.", commands
     )
-    for module in pkgutil.iter_modules(commands.__path__):
-        importlib.import_module(f"{commands.__name__}.{module.name}")
-    registry.register_all(application)
-    return application
 
 
 def main() -> None:
--- a/src/marigoldgap/console/application.py
+++ b/src/marigoldgap/console/application.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import importlib
-import pkgutil
 import sys
 
 import typer
@@ -17,16 +15,9 @@
 
 def build() -> typer.Typer:
     """Returns the application with all commands."""
-    application = typer.Typer(
-        name="marigoldgap",
-        help="A cluster scheduler for unlike workloads.",
-        no_args_is_help=True,
-        pretty_exceptions_enable=False,
+    return registry.build(
+        "marigoldgap", "A cluster scheduler for unlike workloads.", commands
     )
-    for module in pkgutil.iter_modules(commands.__path__):
-        importlib.import_module(f"{commands.__name__}.{module.name}")
-    registry.register_all(application)
-    return application
 
 
 def main() -> None:
--- a/src/marigoldgap/console/registry.py
+++ b/src/marigoldgap/console/registry.py
@@ -1,7 +1,10 @@
-"""Registry of commands, filled by a decorator."""
+"""Registries of commands, filled by a decorator."""
 
 from __future__ import annotations
 
+import importlib
+import pkgutil
+from types import ModuleType
 from typing import Protocol
 
 import typer
@@ -14,16 +17,40 @@
         """Adds the command to the application or to one of its groups."""
 
 
-_commands: list[type[Command]] = []
-
-
-def command(command_class: type[Command]) -> type[Command]:
-    """Adds a command class to the registry."""
-    _commands.append(command_class)
-    return command_class
-
-
-def register_all(application: typer.Typer) -> None:
-    """Adds every registered command to the application."""
-    for command_class in _commands:
-        command_class().register(application)
+class CommandRegistry:
+    """The commands of one command line."""
+
+    def __init__(self) -> None:
+        self._commands: list[type[Command]] = []
+
+    def command(self, command_class: type[Command]) -> type[Command]:
+        """Adds a command class; used as a decorator."""
+        self._commands.append(command_class)
+        return command_class
+
+    def build(
+        self, name: str, help_text: str, package: ModuleType
+    ) -> typer.Typer:
+        """Returns the application with all commands of a package.
+
+        Args:
+            name: Name of the program.
+            help_text: First line of its help.
+            package: Its modules are imported, which fills this registry.
+        """
+        for module in pkgutil.iter_modules(package.__path__):
+            importlib.import_module(f"{package.__name__}.{module.name}")
+        application = typer.Typer(
+            name=name,
+            help=help_text,
+            no_args_is_help=True,
+            pretty_exceptions_enable=False,
+        )
+        for command_class in self._commands:
+            command_class().register(application)
+        return application
+
+
+_program = CommandRegistry()
+command = _program.command
+build = _program.build
