--- a/bench/measures.py
+++ b/bench/measures.py
@@ -4,12 +4,17 @@
 
 from collections.abc import Sequence
 
+from bench import evidence
 from bench import shares
 from bench import spans
 from bench.invariants import registry
 
 _MEDIAN = 0.5
 _NINETY_NINTH = 0.99
+# Kinds of work of bench.mix that a zone can serve alone.
+SERVED_WHEN_CUT_OFF = frozenset(
+    {"lookup", "open-lookup", "filing", "late", "large"}
+)
 
 
 def compute(case: registry.Case) -> dict[str, float | int | None]:
@@ -33,9 +38,37 @@
         ),
         "share_distance": shares.distance(run, loaded, usage),
         "link_bytes": run.link_bytes,
+        "cut_zone_served": cut_zone_served(run),
     }
 
 
+def cut_zone_served(run: evidence.Evidence) -> float | None:
+    """Returns the part of requests that cut-off zones answered.
+
+    Counted are requests that need neither the table service nor a new key;
+    None if no such request was sent to a zone while it was cut off.
+    """
+    sent = [
+        each
+        for each in run.submissions
+        if each.use in SERVED_WHEN_CUT_OFF and _is_cut_off(run, each)
+    ]
+    if not sent:
+        return None
+    answered = sum(each.outcome == "answered" for each in sent)
+    return round(answered / len(sent), 4)
+
+
+def _is_cut_off(run: evidence.Evidence, sent: evidence.Submission) -> bool:
+    """Whether the zone of a request was cut off when it was sent."""
+    return any(
+        each.kind == "cut"
+        and each.zone == sent.zone
+        and each.from_ms <= sent.sent_ms <= each.to_ms
+        for each in run.disturbances
+    )
+
+
 def waits(case: registry.Case, mode: str) -> list[int]:
     """Returns the times from sending work to its first start, sorted."""
     sent: dict[str, int] = {}
--- a/tests/features/bench/judge.feature
+++ b/tests/features/bench/judge.feature
@@ -13,6 +13,12 @@
     And the verdict says that "unknown" is 1
     And the verdict says that "wait_p50_ms" is 10
 
+  Scenario: The part of requests that a cut-off zone served is measured
+    Guards against requests of other zones or times in the measure.
+    Given the evidence of a clean run
+    And the zone "centro-a" was cut off while it answered 3 of 4 lookups
+    Then the verdict says that 75 percent were served while cut off
+
   Scenario Outline: A violation is counted
     Given the evidence of a clean run
     And the evidence also shows "<case>"
--- a/tests/features/steps/bench_judge_steps.py
+++ b/tests/features/steps/bench_judge_steps.py
@@ -467,3 +467,23 @@
         assert bool(fields["two_places"]) == shared
 
     check()
+
+
+@given('the zone "{zone}" was cut off while it answered 3 of 4 lookups')
+def cut_off_zone(context, zone):
+    cut = evidence.Disturbance("cut", zone, _NOW, _NOW + 1_000)
+    run = context.evidence._replace(disturbances=[cut], submissions=[])
+    for number in range(3):
+        run = _with_submission(run, f"served-{number}", zone=zone)
+    run = _with_submission(run, "lost", zone=zone, outcome="unknown")
+    run = _with_submission(run, "other-zone", zone="b", outcome="unknown")
+    run = _with_submission(
+        run, "later", zone=zone, sent_ms=_NOW + 1_001, outcome="unknown"
+    )
+    context.evidence = run
+
+
+@then("the verdict says that {percent:d} percent were served while cut off")
+def served_while_cut_off(context, percent):
+    fields = judge.judge(context.evidence).fields
+    assert fields["cut_zone_served"] == percent / 100, fields
