--- a/src/marigoldgap/coordination/holding_wire.py
+++ b/src/marigoldgap/coordination/holding_wire.py
@@ -20,7 +20,7 @@
         granted_total=report.granted_total,
         returned_total=report.returned_total,
         running=report.running,
-        stray=report.stray,
+        orphaned=report.orphaned,
     )
 
 
@@ -43,7 +43,7 @@
             granted_total=entry.granted_total,
             returned_total=entry.returned_total,
             running=entry.running,
-            stray=entry.stray,
+            orphaned=entry.orphaned,
         )
         for entry in entries
     }
--- a/src/marigoldgap/coordination/job_state.py
+++ b/src/marigoldgap/coordination/job_state.py
@@ -15,12 +15,12 @@
 
     PLACING: an instance was asked to start it.
     RUNNING: a worker runs it, as far as is known.
-    LIMBO: the instance that was asked is gone; a worker may run it.
+    UNRESOLVED: the instance that was asked is gone; a worker may run it.
     """
 
     PLACING = "placing"
     RUNNING = "running"
-    LIMBO = "limbo"
+    UNRESOLVED = "unresolved"
 
 
 class Attempt(NamedTuple):
--- a/src/marigoldgap/coordination/job_table.py
+++ b/src/marigoldgap/coordination/job_table.py
@@ -87,7 +87,7 @@
     def loaded(self) -> list[StopRequest]:
         """Ends the load of rows; returns tasks of jobs that have no row."""
         self._loaded = True
-        strays = [
+        orphans = [
             StopRequest(attempt.place, attempt.task_id)
             for early in self._early.values()
             for attempt in early.values()
@@ -95,7 +95,7 @@
         ]
         self._early.clear()
         self._early_outcomes.clear()
-        return strays
+        return orphans
 
     def close(self, job_id: str) -> None:
         """Drops a job whose row was moved."""
@@ -212,15 +212,15 @@
         for attempt in list(self._attempts.values()):
             placing = attempt.state is job_state.TaskState.PLACING
             if placing and attempt.place == instance_id:
-                limbo = job_state.TaskState.LIMBO
+                unresolved = job_state.TaskState.UNRESOLVED
                 self._attempts[attempt.task_id] = attempt._replace(
-                    state=limbo, since_ms=now_ms
+                    state=unresolved, since_ms=now_ms
                 )
         for early in self._early.values():
             for task_id, attempt in list(early.items()):
                 if attempt.place == instance_id:
-                    limbo = job_state.TaskState.LIMBO
-                    early[task_id] = attempt._replace(state=limbo)
+                    unresolved = job_state.TaskState.UNRESOLVED
+                    early[task_id] = attempt._replace(state=unresolved)
 
     def instance_back(self, instance_id: str) -> None:
         """Lets a process that was only paused be asked for its starts again.
@@ -228,21 +228,21 @@
         It remembers which ones it tried, and starts none of them twice.
         """
         for attempt in list(self._attempts.values()):
-            limbo = attempt.state is job_state.TaskState.LIMBO
-            if limbo and attempt.place == instance_id:
+            unresolved = attempt.state is job_state.TaskState.UNRESOLVED
+            if unresolved and attempt.place == instance_id:
                 placing = job_state.TaskState.PLACING
                 self._attempts[attempt.task_id] = attempt._replace(
                     state=placing, since_ms=0
                 )
 
     def settled(self, now_ms: int) -> None:
-        """Everything that runs was reported: tasks in limbo do not run.
+        """Everything that runs was reported: unresolved tasks do not run.
 
         Those of a non-idempotent job may have run, and wait for a while for
         the process that was asked to start them.
         """
         for attempt in list(self._attempts.values()):
-            if attempt.state is not job_state.TaskState.LIMBO:
+            if attempt.state is not job_state.TaskState.UNRESOLVED:
                 continue
             waited_ms = now_ms - attempt.since_ms
             idempotent = self._job_of(attempt).spec.idempotent
@@ -250,7 +250,7 @@
                 self.gone(attempt.task_id, "no worker runs it")
         for early in self._early.values():
             for task_id, attempt in list(early.items()):
-                if attempt.state is job_state.TaskState.LIMBO:
+                if attempt.state is job_state.TaskState.UNRESOLVED:
                     del early[task_id]
 
     def stops_of(self, job: job_state.Job) -> list[StopRequest]:
--- a/src/marigoldgap/dispatch/acceptance.py
+++ b/src/marigoldgap/dispatch/acceptance.py
@@ -39,7 +39,7 @@
         self._clear(worker_id)
         loop = asyncio.get_running_loop()
         self._suspects[worker_id] = loop.call_later(
-            SUSPECT_S, self._forgive, worker_id
+            SUSPECT_S, self._accept_again, worker_id
         )
         self._apply(worker_id)
 
@@ -56,7 +56,7 @@
         self._clear(worker_id)
         self._apply(worker_id)
 
-    def _forgive(self, worker_id: str) -> None:
+    def _accept_again(self, worker_id: str) -> None:
         self._clear(worker_id)
         self._apply(worker_id)
 
--- a/src/marigoldgap/dispatch/builder.py
+++ b/src/marigoldgap/dispatch/builder.py
@@ -16,9 +16,9 @@
 from marigoldgap.dispatch import placement as dispatch_placement
 from marigoldgap.dispatch import preemption
 from marigoldgap.dispatch import quarantine as dispatch_quarantine
+from marigoldgap.dispatch import request_queue
 from marigoldgap.dispatch import request_run
 from marigoldgap.dispatch import usage as dispatch_usage
-from marigoldgap.dispatch import waiting_room
 from marigoldgap.rules import model as rules_model
 from marigoldgap.scheduling import fair_queue
 from marigoldgap.scheduling import free_index
@@ -74,22 +74,22 @@
     )
     placement = dispatch_placement.Placement(index, holdings)
     usage = dispatch_usage.TeamUsage(queue, holdings.running)
-    room = waiting_room.WaitingRoom(queue, placement, usage.of, now_ms)
-    placement.on_freed(room.freed)
-    holdings.on_granted(room.pump)
-    holdings.on_demand(room.waiting_of)
+    requests = request_queue.RequestQueue(queue, placement, usage.of, now_ms)
+    placement.on_freed(requests.freed)
+    holdings.on_granted(requests.place_waiting)
+    holdings.on_demand(requests.waiting_of)
     gate = acceptance.AcceptanceGate(index)
     quarantine = dispatch_quarantine.WorkerQuarantine(gate, now_ms)
     placement.on_tasks(quarantine.task_placed, quarantine.task_released)
     events = fleet_events.FleetEvents(
-        settings, holdings, placement, room, gate, quarantine
+        settings, holdings, placement, requests, gate, quarantine
     )
     fleet = workers_builder.build_fleet(settings, events)
     events.set_fleet(fleet)
     parts = request_run.RunnerParts(
         fleet,
         placement,
-        room,
+        requests,
         gate,
         connections.forwarder,
         connections.budget or retry_budget.RetryBudget(rules_model.RetryRule()),
--- a/src/marigoldgap/dispatch/dispatcher.py
+++ b/src/marigoldgap/dispatch/dispatcher.py
@@ -92,7 +92,7 @@
         """Returns free resources by service, waiting by queue, running."""
         return dispatch_model.EntryLoad(
             self._parts.placement.index.free_by_service(),
-            self._parts.room.by_queue,
+            self._parts.requests.by_queue,
             self._holdings.running_by_team(),
         )
 
@@ -178,7 +178,7 @@
     async def run(self) -> None:
         """Expires waiting requests and returns unused units; never ends."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._parts.room.run())
+            group.create_task(self._parts.requests.run())
             group.create_task(self._return_unused())
             group.create_task(self._parts.quarantine.run())
 
@@ -188,7 +188,7 @@
             return
         self._draining = True
         _logger.info("draining; %d requests are under way", self._accepted)
-        self._parts.room.hand_over_all()
+        self._parts.requests.hand_over_all()
 
     async def drain(self) -> None:
         """Waits until every accepted request has its answer.
--- a/src/marigoldgap/dispatch/fleet_events.py
+++ b/src/marigoldgap/dispatch/fleet_events.py
@@ -10,7 +10,7 @@
 from marigoldgap.dispatch import holdings as dispatch_holdings
 from marigoldgap.dispatch import placement as dispatch_placement
 from marigoldgap.dispatch import quarantine as dispatch_quarantine
-from marigoldgap.dispatch import waiting_room
+from marigoldgap.dispatch import request_queue
 from marigoldgap.scheduling import model
 from marigoldgap.settings import model as settings_model
 from marigoldgap.workers import fleet as workers_fleet
@@ -36,20 +36,20 @@
         settings: settings_model.Settings,
         holdings: dispatch_holdings.HoldingsTable,
         placement: dispatch_placement.Placement,
-        room: waiting_room.WaitingRoom,
+        requests: request_queue.RequestQueue,
         gate: acceptance.AcceptanceGate,
         quarantine: dispatch_quarantine.WorkerQuarantine,
     ) -> None:
         self._holdings = holdings
         self._placement = placement
-        self._room = room
+        self._requests = requests
         self._gate = gate
         self._quarantine = quarantine
         self._observers: list[workers_model.FleetListener] = []
         self._fleet: workers_fleet.WorkerFleet | None = None
-        self._stray_timers: dict[str, asyncio.TimerHandle] = {}
+        self._orphaned_timers: dict[str, asyncio.TimerHandle] = {}
         # By then the next owner of the worker has reported its inventory.
-        self._stray_s = (
+        self._orphaned_s = (
             settings.lease.certain_lapse_ms + settings.peers.dead_after_ms
         ) / clock.MILLISECONDS_PER_SECOND
 
@@ -67,7 +67,7 @@
         if worker_id is None:
             return
         if self._placement.settle(task_id) is None:
-            self._drop_late_stray(worker_id)
+            self._drop_late_orphaned(worker_id)
             return
         self._ask_inventory(worker_id)
 
@@ -76,7 +76,7 @@
     ) -> None:
         """Takes over a worker or a newer inventory of it."""
         worker_id = worker.worker_id
-        self._cancel_stray_timer(worker_id)
+        self._cancel_orphaned_timer(worker_id)
         if not self._placement.index:
             # Without a lease this instance may have been dropped, with its
             # units, by a coordinator that it did not hear.
@@ -87,7 +87,7 @@
             self._ask_inventory(worker_id)
         for observer in self._observers:
             observer.worker_acquired(worker, running)
-        self._room.pump()
+        self._requests.place_waiting()
 
     def worker_lost(self, worker_id: str) -> None:
         """Stops placing on a worker.
@@ -136,23 +136,23 @@
         if self._fleet is not None:
             self._fleet.request_inventory(worker_id)
 
-    def _drop_late_stray(self, worker_id: str) -> None:
+    def _drop_late_orphaned(self, worker_id: str) -> None:
         """Bounds how long a request counts whose worker was lost earlier.
 
         The coordinator may have settled the worker before, and no report of
         this instance will name the request.
         """
-        self._cancel_stray_timer(worker_id)
+        self._cancel_orphaned_timer(worker_id)
         loop = asyncio.get_running_loop()
-        self._stray_timers[worker_id] = loop.call_later(
-            self._stray_s, self._drop_strays, worker_id
+        self._orphaned_timers[worker_id] = loop.call_later(
+            self._orphaned_s, self._drop_orphans, worker_id
         )
 
-    def _drop_strays(self, worker_id: str) -> None:
-        self._stray_timers.pop(worker_id, None)
+    def _drop_orphans(self, worker_id: str) -> None:
+        self._orphaned_timers.pop(worker_id, None)
         self._holdings.settle([worker_id])
 
-    def _cancel_stray_timer(self, worker_id: str) -> None:
-        timer = self._stray_timers.pop(worker_id, None)
+    def _cancel_orphaned_timer(self, worker_id: str) -> None:
+        timer = self._orphaned_timers.pop(worker_id, None)
         if timer is not None:
             timer.cancel()
--- a/src/marigoldgap/dispatch/holdings.py
+++ b/src/marigoldgap/dispatch/holdings.py
@@ -42,7 +42,7 @@
         self._accounts: dict[str, holding_account.HoldingAccount] = {}
         self._asked_at: dict[str, int] = {}
         self._peaks: Counter[str] = Counter()
-        self._stray: dict[str, Counter[str]] = {}
+        self._orphaned: dict[str, Counter[str]] = {}
         self._granted: Callable[[], None] = lambda: None
         self._waiting: Callable[[str], int] = lambda _: 0
 
@@ -64,7 +64,7 @@
         return self._account(team).holding
 
     def running(self, team: str) -> int:
-        """Returns the tasks counted for a team, stray ones included."""
+        """Returns the tasks counted for a team, orphaned ones included."""
         return self._account(team).running
 
     def running_by_team(self) -> Mapping[str, int]:
@@ -110,25 +110,25 @@
         self._account(team).adopt(1)
 
     def lose(self, worker_id: str, teams: Counter[str]) -> None:
-        """Marks the tasks on a worker whose lease was lost as stray."""
-        self._stray.setdefault(worker_id, Counter()).update(teams)
+        """Marks the tasks on a worker whose lease was lost as orphaned."""
+        self._orphaned.setdefault(worker_id, Counter()).update(teams)
         for team, tasks in teams.items():
             self._account(team).lose(tasks)
 
     def reclaim(self, worker_id: str, teams: Counter[str]) -> None:
-        """Replaces stray tasks by those a worker taken back still runs."""
-        lost = self._stray.pop(worker_id, Counter())
+        """Replaces orphaned tasks by those a worker taken back still runs."""
+        lost = self._orphaned.pop(worker_id, Counter())
         for team in lost.keys() | teams.keys():
             self._account(team).reclaim(lost[team], teams[team])
 
     def settle(self, worker_ids: Sequence[str]) -> None:
-        """Drops stray tasks with their units.
+        """Drops orphaned tasks with their units.
 
         To be called once the coordinator knows that another owner counts the
         tasks on these workers, or that they certainly ended.
         """
         for worker_id in worker_ids:
-            for team, tasks in self._stray.pop(worker_id, Counter()).items():
+            for team, tasks in self._orphaned.pop(worker_id, Counter()).items():
                 self._account(team).settle(tasks)
 
     def accept_grant(self, grant: allowance_model.HoldingGrant) -> bool:
@@ -158,7 +158,7 @@
             return False
         if term > self._term:
             self._term = term
-            self._stray.clear()
+            self._orphaned.clear()
             self._asked_at.clear()
         return all(
             account.begin_term(term) for account in self._accounts.values()
--- a/src/marigoldgap/dispatch/placement.py
+++ b/src/marigoldgap/dispatch/placement.py
@@ -139,7 +139,7 @@
 
         Returns:
             The worker, or None if it is not owned any more; the task is then
-            counted as stray.
+            counted as orphaned.
         """
         self._placed_under.pop(task_id, None)
         task = self._pending.pop(task_id, None)
@@ -183,7 +183,7 @@
             self._index.mark_leaving(worker_id)
 
     def lost(self, worker_id: str) -> None:
-        """Counts the settled tasks of a lost worker as stray."""
+        """Counts the settled tasks of a lost worker as orphaned."""
         settled = self._settled.pop(worker_id, {})
         self._index.remove(worker_id)
         for task_id in settled:
--- a/src/marigoldgap/dispatch/waiting_room.py
+++ b/src/marigoldgap/dispatch/request_queue.py
@@ -19,7 +19,7 @@
 HANDED_OVER = ""
 
 
-class WaitingRoom:
+class RequestQueue:
     """A bounded fair queue whose requests leave it placed, or refused.
 
     Args:
@@ -91,7 +91,7 @@
         self._by_queue[task.queue] += 1
         self._by_team[task.team] += 1
         self._occupied.set()
-        self.pump()
+        self.place_waiting()
         try:
             return await future
         except asyncio.CancelledError:
@@ -102,9 +102,9 @@
         """Places waiting requests after a task of the team ended."""
         if self._queue:
             self._queue.set_usage(team, self._usage(team))
-            self.pump()
+            self.place_waiting()
 
-    def pump(self) -> None:
+    def place_waiting(self) -> None:
         """Places waiting requests until none of them fits."""
         while self._queue:
             task = self._queue.pop(self._placement.can_place)
@@ -136,7 +136,7 @@
         while True:
             await self._occupied.wait()
             self.expire()
-            self.pump()
+            self.place_waiting()
             if self.is_empty:
                 self._occupied.clear()
                 continue
--- a/src/marigoldgap/dispatch/request_run.py
+++ b/src/marigoldgap/dispatch/request_run.py
@@ -14,7 +14,7 @@
 from marigoldgap.dispatch import interfaces
 from marigoldgap.dispatch import placement as dispatch_placement
 from marigoldgap.dispatch import quarantine as dispatch_quarantine
-from marigoldgap.dispatch import waiting_room
+from marigoldgap.dispatch import request_queue
 from marigoldgap.scheduling import model
 from marigoldgap.workers import fleet as workers_fleet
 from marigoldgap.workers import model as workers_model
@@ -53,7 +53,7 @@
 
     fleet: workers_fleet.WorkerFleet
     placement: dispatch_placement.Placement
-    room: waiting_room.WaitingRoom
+    requests: request_queue.RequestQueue
     gate: acceptance.AcceptanceGate
     forwarder: interfaces.Forwarder
     budget: interfaces.RetryBudget
@@ -114,14 +114,14 @@
     async def _advance(self) -> workers_model.WorkerAnswer | None:
         """Makes one step; returns None if another one is needed."""
         worker_id = None
-        if not self._prefer_peers and self._parts.room.is_empty:
+        if not self._prefer_peers and self._parts.requests.is_empty:
             worker_id = self._parts.placement.try_place(self._task, self._avoid)
         if worker_id is None:
             answer = await self._try_peer()
             if answer is not None:
                 return answer
-            worker_id = await self._parts.room.wait(self._task)
-        self._prefer_peers = worker_id == waiting_room.HANDED_OVER
+            worker_id = await self._parts.requests.wait(self._task)
+        self._prefer_peers = worker_id == request_queue.HANDED_OVER
         if self._prefer_peers:
             return None
         return await self._attempt(worker_id)
@@ -134,7 +134,7 @@
         if not prefer_peers and self._parts.placement.has_room(self._task):
             # Only a unit of the team is missing; a grant is on its way.
             return None
-        expected_ms = self._parts.room.expected_wait_ms(self._task) or 0.0
+        expected_ms = self._parts.requests.expected_wait_ms(self._task) or 0.0
         if prefer_peers:
             expected_ms = float("inf")
         instance_id = self._parts.forwarder.choose(
--- a/src/marigoldgap/entries/messages.py
+++ b/src/marigoldgap/entries/messages.py
@@ -39,7 +39,7 @@
     granted_total: int
     returned_total: int
     running: int
-    stray: int
+    orphaned: int
 
 
 class Outcome(NamedTuple):
--- a/src/marigoldgap/entries/peer.capnp
+++ b/src/marigoldgap/entries/peer.capnp
@@ -95,7 +95,7 @@
   grantedTotal @2 :Int64;
   returnedTotal @3 :Int64;
   running @4 :Int64;
-  stray @5 :Int64;
+  orphaned @5 :Int64;
 }
 struct Outcome {
   taskId @0 :Text;
--- a/src/marigoldgap/scheduling/allowance_model.py
+++ b/src/marigoldgap/scheduling/allowance_model.py
@@ -78,8 +78,8 @@
         granted_total: Units received in this term, including those held when
             the term began.
         returned_total: Units given back in this term.
-        running: Tasks of the team on the instance's workers, with stray ones.
-        stray: Tasks on workers whose lease the instance has lost.
+        running: Tasks of the team on the instance's workers, with orphaned ones.
+        orphaned: Tasks on workers whose lease the instance has lost.
     """
 
     term: model.Term
@@ -87,7 +87,7 @@
     granted_total: int
     returned_total: int
     running: int
-    stray: int = 0
+    orphaned: int = 0
 
 
 class AllowanceNotice(NamedTuple):
--- a/src/marigoldgap/scheduling/holding_account.py
+++ b/src/marigoldgap/scheduling/holding_account.py
@@ -26,7 +26,7 @@
         self._granted = 0
         self._returned = 0
         self._running = 0
-        self._stray = 0
+        self._orphaned = 0
         self._ceiling: int | None = None
         self._sequence = 0
 
@@ -37,7 +37,7 @@
 
     @property
     def running(self) -> int:
-        """Tasks counted against the holding, including stray ones."""
+        """Tasks counted against the holding, including orphaned ones."""
         return self._running
 
     @property
@@ -66,27 +66,27 @@
         self._running += tasks
 
     def lose(self, tasks: int) -> None:
-        """Marks tasks on a worker whose lease was lost as stray.
+        """Marks tasks on a worker whose lease was lost as orphaned.
 
         They stay counted: they may still run, and their next owner may not
         have reported them yet.
         """
-        self._stray += tasks
+        self._orphaned += tasks
 
     def reclaim(self, lost: int, found: int) -> None:
-        """Replaces stray tasks by what a worker taken back still runs."""
-        settled = min(lost, self._stray)
-        self._stray -= settled
+        """Replaces orphaned tasks by what a worker taken back still runs."""
+        settled = min(lost, self._orphaned)
+        self._orphaned -= settled
         self._running += found - settled
 
     def settle(self, tasks: int) -> None:
-        """Drops stray tasks together with their units.
+        """Drops orphaned tasks together with their units.
 
         To be called when the coordinator has confirmed that their worker was
         taken over and reported, or has lapsed.
         """
-        settled = min(tasks, self._stray)
-        self._stray -= settled
+        settled = min(tasks, self._orphaned)
+        self._orphaned -= settled
         self._running -= settled
         self._returned += min(settled, self.holding)
 
@@ -134,12 +134,12 @@
     def begin_term(self, term: model.Term) -> bool:
         """Obeys a new term; returns False if a higher term is known.
 
-        Stray tasks are dropped with their units: the barrier of the new term
+        Orphaned tasks are dropped with their units: the barrier of the new term
         completes only when their worker was reported by its owner or lapsed.
         """
         if term <= self._term:
             return term == self._term
-        self.settle(self._stray)
+        self.settle(self._orphaned)
         self._term = term
         self._granted = self.holding
         self._returned = 0
@@ -154,5 +154,5 @@
             self._granted,
             self._returned,
             self._running,
-            self._stray,
+            self._orphaned,
         )
--- a/src/marigoldgap/scheduling/team_allowance.py
+++ b/src/marigoldgap/scheduling/team_allowance.py
@@ -16,13 +16,13 @@
     counted when they are sent and returns when they are reported.
     """
 
-    __slots__ = ("granted", "returned", "running", "sequence", "stray")
+    __slots__ = ("granted", "orphaned", "returned", "running", "sequence")
 
     def __init__(self) -> None:
         self.granted = 0
         self.returned = 0
         self.running = 0
-        self.stray = 0
+        self.orphaned = 0
         self.sequence = 0
 
     @property
@@ -43,7 +43,7 @@
         self.granted = max(self.granted, report.granted_total)
         self.returned = min(report.returned_total, self.granted)
         self.running = report.running
-        self.stray = report.stray
+        self.orphaned = report.orphaned
 
 
 class TeamAllowance:
@@ -71,9 +71,9 @@
 
     @property
     def inherited(self) -> int:
-        """Units in use, with stray tasks counted at their new owner only."""
+        """Units in use, with orphaned tasks counted at their new owner only."""
         return sum(
-            max(0, holding.bound - holding.stray)
+            max(0, holding.bound - holding.orphaned)
             for holding in self.holdings.values()
         )
 
--- a/tests/features/bench/tool.feature
+++ b/tests/features/bench/tool.feature
@@ -21,6 +21,6 @@
   Scenario: Targets of shares never exceed demand or capacity
     Then share targets are fair for random demands
 
-  Scenario: All faults of the brief are registered
+  Scenario: All faults of section 1.4 are registered
     Then the faults are "cancel-wave entry-freeze entry-kill key-withdraw operator-race platform-cut rolling-restart store-answer-lost store-down store-slow worker-fails-all worker-kill worker-leave zone-cut"
     And an unknown fault is refused by name
--- a/tests/features/steps/dispatch_requests_steps.py
+++ b/tests/features/steps/dispatch_requests_steps.py
@@ -232,15 +232,15 @@
     context.plane = data_plane.Plane(1, 1)
     loops.run(context, context.plane.start())
     occupied_slot(context)
-    room = context.plane.dispatcher._parts.room
-    room._estimate = estimate
+    requests = context.plane.dispatcher._parts.requests
+    requests._estimate = estimate
     result = loops.outcome(
         context,
         submit(context, "t1", deadline_ms=clock.monotonic_ms() + 5),
     )
     assert isinstance(result, errors.OverloadedError), result
     assert result.ran is errors.Ran.NO
-    assert room.is_empty
+    assert requests.is_empty
 
 
 @when("a waiting dispatch is cancelled and the slot is freed")
--- a/tests/features/workers/requests.feature
+++ b/tests/features/workers/requests.feature
@@ -52,7 +52,7 @@
     When a worker request is cancelled before its late answer
     Then the next worker requests get their own answers
 
-  Scenario: A stray second answer is not taken for the next answer
+  Scenario: A orphaned second answer is not taken for the next answer
     Given a fleet that owns one scripted worker
     When a worker request meets the fault "answer twice"
     Then the next worker requests get their own answers
