Move the cancellation of jobs into a module of its own

Ruled out: a change of behaviour. Change: JobCancelling; the role only checks that the jobs were read.

--- /dev/null
+++ b/src/marigoldgap/coordination/job_cancelling.py
@@ -0,0 +1,71 @@
+"""Cancels open jobs, one or thousands, without a scan."""
+
+from __future__ import annotations
+
+import asyncio
+
+from marigoldgap import errors
+from marigoldgap.coordination import job_closing
+from marigoldgap.coordination import job_groups
+from marigoldgap.coordination import job_state
+from marigoldgap.coordination import job_table
+from marigoldgap.coordination import model as jobs_model
+from marigoldgap.entries import job_messages
+
+
+class JobCancelling:
+    """Marks the rows of jobs as cancelled and lets the jobs end.
+
+    Args:
+        table: Open jobs.
+        groups: Finds the jobs of a group.
+        writer: Writes the marks; it joins many marks in one write.
+    """
+
+    def __init__(
+        self,
+        table: job_table.JobTable,
+        groups: job_groups.JobGroups,
+        writer: job_closing.JobWriter,
+    ) -> None:
+        self._table = table
+        self._groups = groups
+        self._writer = writer
+
+    async def cancel(
+        self, request: job_messages.JobsCancelled
+    ) -> tuple[str, ...]:
+        """Cancels jobs; returns when that is certain to survive this process.
+
+        The rows are marked first; a job is closed when its tasks have
+        stopped. Jobs of other teams and unknown ones are ignored.
+
+        Returns:
+            The jobs that are cancelled.
+
+        Raises:
+            errors.StoreUnavailableError: Some could not be written.
+        """
+        job_ids = list(request.job_ids)
+        if request.group:
+            job_ids += self._groups.of(request.team, request.group)
+        found = [self._table.jobs.get(job_id) for job_id in job_ids]
+        jobs = [job for job in found if job and job.spec.team == request.team]
+        marks = [self._cancel_one(job) for job in jobs if not job.verdict]
+        results = await asyncio.gather(*marks, return_exceptions=True)
+        for result in results:
+            if isinstance(result, BaseException):
+                raise result
+        return tuple(
+            job.job_id for job in jobs if job.verdict == jobs_model.CANCELLED
+        )
+
+    async def _cancel_one(self, job: job_state.Job) -> None:
+        """Marks the row of a job, and lets the job end."""
+        try:
+            await self._writer.mark_cancelled(job)
+        except errors.ConflictError:
+            # The job was closed meanwhile; there is nothing to cancel.
+            return
+        job.give_verdict(jobs_model.CANCELLED, "cancelled")
+        self._table.changed.add(job.job_id)
--- a/src/marigoldgap/coordination/job_role.py
+++ b/src/marigoldgap/coordination/job_role.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
 import random
@@ -15,6 +14,7 @@
 from marigoldgap.coordination import gang_dispatch
 from marigoldgap.coordination import impossible_jobs
 from marigoldgap.coordination import interfaces
+from marigoldgap.coordination import job_cancelling
 from marigoldgap.coordination import job_closing
 from marigoldgap.coordination import job_dispatch
 from marigoldgap.coordination import job_groups
@@ -105,6 +105,9 @@
         self._writer = job_closing.JobWriter(
             settings, table_client, committer, self._closed, now_ms
         )
+        self._cancelling = job_cancelling.JobCancelling(
+            self._jobs, self._groups, self._writer
+        )
         self._marks = start_marks.StartMarks(
             self._jobs.jobs.get, self._writer, keeper, free, now_ms
         )
@@ -203,13 +206,7 @@
     async def cancel(
         self, request: job_messages.JobsCancelled
     ) -> tuple[str, ...]:
-        """Cancels jobs; returns when that is certain to survive this process.
-
-        The rows are marked first; a job is closed when its tasks have
-        stopped. Jobs of other teams and unknown ones are ignored.
-
-        Returns:
-            The jobs that are cancelled.
+        """Cancels jobs; see `JobCancelling.cancel`.
 
         Raises:
             errors.NotReadyError: The jobs have not been read yet.
@@ -217,29 +214,7 @@
         """
         if not self._loaded:
             raise errors.NotReadyError("the jobs of the zone are being read")
-        job_ids = list(request.job_ids)
-        if request.group:
-            job_ids += self._groups.of(request.team, request.group)
-        found = [self._jobs.jobs.get(job_id) for job_id in job_ids]
-        jobs = [job for job in found if job and job.spec.team == request.team]
-        marks = [self._cancel_one(job) for job in jobs if not job.verdict]
-        results = await asyncio.gather(*marks, return_exceptions=True)
-        for result in results:
-            if isinstance(result, BaseException):
-                raise result
-        return tuple(
-            job.job_id for job in jobs if job.verdict == jobs_model.CANCELLED
-        )
-
-    async def _cancel_one(self, job: job_state.Job) -> None:
-        """Marks the row of a job, and lets the job end."""
-        try:
-            await self._writer.mark_cancelled(job)
-        except errors.ConflictError:
-            # The job was closed meanwhile; there is nothing to cancel.
-            return
-        job.give_verdict(jobs_model.CANCELLED, "cancelled")
-        self._jobs.changed.add(job.job_id)
+        return await self._cancelling.cancel(request)
 
     def check(self, spec: jobs_model.JobSpec) -> None:
         """Refuses a job that this zone could never run.
