Use the configuration observer, and drop twins and dead code

Cause: reading the whole change again. The serving package recorded events of the configuration although ConfigObserver does so and was used nowhere; the ledger computed the raised number twice; the usage reporter built the whole load for one of its parts; three functions had no caller. Conclusion: events and decisions are unchanged.

--- a/src/marigoldgap/coordination/job_role.py
+++ b/src/marigoldgap/coordination/job_role.py
@@ -147,11 +147,6 @@
         self._loaded = False
         self._next_usage_ms = 0
 
-    @property
-    def is_loaded(self) -> bool:
-        """Whether all open jobs were read in this term."""
-        return self._loaded
-
     def free_total(self) -> model.Resources:
         """Returns what is free in the zone."""
         return self._free.total_free()
--- a/src/marigoldgap/dispatch/preemption.py
+++ b/src/marigoldgap/dispatch/preemption.py
@@ -25,11 +25,3 @@
         key=lambda other: (other.resources.millicores, other.resources),
         default=None,
     )
-
-
-def choose_none(
-    task: model.TaskSpec, running: Sequence[model.RunningTask]
-) -> model.RunningTask | None:
-    """Never preempts."""
-    del task, running
-    return None
--- a/src/marigoldgap/scheduling/allowance_ledger.py
+++ b/src/marigoldgap/scheduling/allowance_ledger.py
@@ -180,9 +180,7 @@
         state = self._team(team)
         if state.row is None or state.write is not None or state.give_up:
             return None
-        own = state.row.zones.get(self._zone, 0)
-        room = team_allowance.room_for(state.row, self._zone, limit)
-        number = max(own, min(wanted, room))
+        number = self._raised_number(state.row, wanted, limit)
         return self._begin_write(team, state, number, limit)
 
     def has_room(
@@ -193,8 +191,7 @@
         if row is None:
             return False
         own = row.zones.get(self._zone, 0)
-        room = team_allowance.room_for(row, self._zone, limit)
-        return min(wanted, room) > own
+        return self._raised_number(row, wanted, limit) > own
 
     def begin_give_up(
         self, team: str, target: int
@@ -276,6 +273,17 @@
             state = self._teams[team] = team_allowance.TeamAllowance()
         return state
 
+    def _raised_number(
+        self,
+        row: allowance_model.AllowanceRow,
+        wanted: int,
+        limit: allowance_model.TeamLimit,
+    ) -> int:
+        """Returns the zone's number after a raise; never a lower one."""
+        own = row.zones.get(self._zone, 0)
+        room = team_allowance.room_for(row, self._zone, limit)
+        return max(own, min(wanted, room))
+
     def _begin_write(
         self,
         team: str,
--- a/src/marigoldgap/scheduling/free_index.py
+++ b/src/marigoldgap/scheduling/free_index.py
@@ -179,11 +179,6 @@
         for state in self._workers.values():
             yield from state.running()
 
-    def running_on(self, worker_id: str) -> tuple[model.RunningTask, ...]:
-        """Returns the tasks on one worker; empty if it is unknown."""
-        state = self._workers.get(worker_id)
-        return tuple(state.running()) if state else ()
-
     def free_on(self, worker_id: str) -> model.Resources:
         """Returns what is free on a worker; negative where it is exceeded."""
         state = self._workers.get(worker_id)
--- a/src/marigoldgap/serving/parts.py
+++ b/src/marigoldgap/serving/parts.py
@@ -7,6 +7,7 @@
 from marigoldgap import clock
 from marigoldgap.callers import builder as callers_builder
 from marigoldgap.config_store import builder as config_builder
+from marigoldgap.config_store import observer as config_observer
 from marigoldgap.coordination import builder as coordination_builder
 from marigoldgap.coordination import coordination as coordination_module
 from marigoldgap.dispatch import builder as dispatch_builder
@@ -154,9 +155,8 @@
     data.dispatcher.events.add_observer(
         fleet_observer.FleetObserver(data.fleet, events.ring, metrics)
     )
-    changes = change_observer.ChangeObserver(events.ring)
-    hub.membership.subscribe(changes)
-    config.state.subscribe(changes)
+    hub.membership.subscribe(change_observer.ChangeObserver(events.ring))
+    config_observer.ConfigObserver(config.state, events.ring, metrics)
     config.state.subscribe(
         rules_follower.RulesFollower(config.state, data.dispatcher, budget)
     )
--- a/src/marigoldgap/serving/usage_reporter.py
+++ b/src/marigoldgap/serving/usage_reporter.py
@@ -39,7 +39,9 @@
 
     def report(self) -> None:
         """Reports the usage of each team as a part of all running tasks."""
-        running: Counter[str] = Counter(self._dispatcher.load().running)
+        running: Counter[str] = Counter(
+            self._dispatcher.holdings.running_by_team()
+        )
         for peer in self._membership.peers():
             if peer.alive:
                 running.update(peer.running)
--- a/tests/features/steps/serving_parts_steps.py
+++ b/tests/features/steps/serving_parts_steps.py
@@ -8,7 +8,6 @@
 from behave import then
 from behave import when
 
-from marigoldgap.dispatch import model as dispatch_model
 from marigoldgap.entries import membership
 from marigoldgap.entries import messages
 from marigoldgap.platform import model as platform_model
@@ -44,10 +43,9 @@
 def instance_and_peer(context, own, count, other):
     members = _with_peer(settings_fixtures.make_settings())
     members.apply_heartbeat("peer-1", _heartbeat(running=((other, count),)))
-    load = dispatch_model.EntryLoad({}, {}, {own: 1})
     context.reported_usage = {}
     dispatcher = types.SimpleNamespace(
-        load=lambda: load,
+        holdings=types.SimpleNamespace(running_by_team=lambda: {own: 1}),
         usage=types.SimpleNamespace(report=context.reported_usage.update),
     )
     context.usage_reporter = usage_reporter.UsageReporter(dispatcher, members)
