Rename the client of the first table service to table_service

Change: package, features and import aliases renamed; no behaviour changed. Result: features of table_service and coordination pass.

--- a/bench/capacity/process_listing.py
+++ b/bench/capacity/process_listing.py
@@ -12,7 +12,7 @@
 from bench.capacity import registry
 from bench.capacity import timing
 from marigoldgap import http_client
-from marigoldgap.platform import instances
+from marigoldgap.table_service import instances
 from tests.fixtures import peer_hubs
 
 _LISTED = (50, 5_000, 10_000, 19_400)
--- a/bench/control_traffic.py
+++ b/bench/control_traffic.py
@@ -17,7 +17,7 @@
 from marigoldgap.dispatch import model as dispatch_model
 from marigoldgap.entries import hub as hub_module
 from marigoldgap.entries import registry
-from marigoldgap.platform import model as platform_model
+from marigoldgap.table_service import model as table_service_model
 from tests.fixtures import control_workers
 from tests.fixtures import control_world
 from tests.fixtures import peer_hubs
@@ -70,10 +70,10 @@
 
     def entries(
         self, zone: str | None = None
-    ) -> tuple[platform_model.InstanceEntry, ...]:
+    ) -> tuple[table_service_model.InstanceEntry, ...]:
         """Returns the hubs."""
         return tuple(
-            platform_model.InstanceEntry(
+            table_service_model.InstanceEntry(
                 instance_id=name,
                 kind="entry",
                 zone=self._world.zone_of[name],
@@ -90,7 +90,7 @@
 
     def workers(
         self, zone: str | None = None
-    ) -> tuple[platform_model.InstanceEntry, ...]:
+    ) -> tuple[table_service_model.InstanceEntry, ...]:
         """Returns the worker doubles."""
         return control_world.WorkerList(self._world).workers(zone)
 
--- a/src/marigoldgap/config_store/interfaces.py
+++ b/src/marigoldgap/config_store/interfaces.py
@@ -7,14 +7,14 @@
 from typing import Protocol
 
 from marigoldgap.config_store import model
-from marigoldgap.platform import model as platform_model
-from marigoldgap.platform import table
+from marigoldgap.table_service import model as table_service_model
+from marigoldgap.table_service import table
 
 
 class Table(Protocol):
-    """Reads rows; `platform.table.TableClient` does so."""
+    """Reads rows; `table_service.table.TableClient` does so."""
 
-    async def get(self, key: str) -> platform_model.Row | None:
+    async def get(self, key: str) -> table_service_model.Row | None:
         """Returns a row, or None if there is none."""
 
     async def get_if_changed(
@@ -24,14 +24,14 @@
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 500
-    ) -> list[platform_model.Row]:
+    ) -> list[table_service_model.Row]:
         """Returns rows in order of their keys."""
 
 
 class Committer(Protocol):
-    """Writes rows; `platform.committer.GroupCommitter` does so."""
+    """Writes rows; `table_service.committer.GroupCommitter` does so."""
 
-    async def commit(self, transaction: platform_model.Transaction) -> int:
+    async def commit(self, transaction: table_service_model.Transaction) -> int:
         """Commits a transaction and returns its version."""
 
 
@@ -60,5 +60,5 @@
 
     def entries(
         self, zone: str | None = None
-    ) -> tuple[platform_model.InstanceEntry, ...]:
+    ) -> tuple[table_service_model.InstanceEntry, ...]:
         """Returns the entry instances of one zone or of all zones."""
--- a/src/marigoldgap/config_store/publisher.py
+++ b/src/marigoldgap/config_store/publisher.py
@@ -20,8 +20,8 @@
 from marigoldgap.config_store import reader
 from marigoldgap.config_store import rows
 from marigoldgap.config_store import state as state_module
-from marigoldgap.platform import model as platform_model
 from marigoldgap.rules import parser
+from marigoldgap.table_service import model as table_service_model
 
 _log = logs.PartLogger("config_store")
 
@@ -54,7 +54,7 @@
     kind: str
     author: str
     content: Any
-    puts: tuple[platform_model.Put, ...] = ()
+    puts: tuple[table_service_model.Put, ...] = ()
 
 
 _MakeDraft = Callable[[model.Image], _Draft | None]
@@ -148,7 +148,7 @@
             errors.StoreOutcomeUnknownError: The call may be repeated.
         """
         value = {"author": author, "at_ms": clock.wall_ms()}
-        denied = platform_model.Put(rows.denied_key(key_id), value)
+        denied = table_service_model.Put(rows.denied_key(key_id), value)
 
         def make(image: model.Image) -> _Draft | None:
             if key_id not in image.keys:
@@ -200,8 +200,8 @@
         after = images.advance(image, change)
         puts = [*draft.puts, *_version_puts(change, after)]
         await self._committer.commit(
-            platform_model.Transaction(
-                (platform_model.Check(rows.HEAD, head.row_version),),
+            table_service_model.Transaction(
+                (table_service_model.Check(rows.HEAD, head.row_version),),
                 tuple(puts),
             )
         )
@@ -258,18 +258,18 @@
 
 def _version_puts(
     change: model.ConfigVersion, after: model.Image
-) -> list[platform_model.Put]:
+) -> list[table_service_model.Put]:
     """Returns the rows of a version, with a snapshot where one is due."""
     puts = [
-        platform_model.Put(
+        table_service_model.Put(
             rows.version_key(change.version), encoding.to_value(change)
         ),
-        platform_model.Put(rows.HEAD, {"version": change.version}),
+        table_service_model.Put(rows.HEAD, {"version": change.version}),
     ]
     if rows.last_snapshot(change.version) == change.version:
         snapshot = images.snapshot_of(after, change.applied_at_ms)
         puts.append(
-            platform_model.Put(
+            table_service_model.Put(
                 rows.snapshot_key(change.version), encoding.to_value(snapshot)
             )
         )
--- a/src/marigoldgap/coordination/allowance_rows.py
+++ b/src/marigoldgap/coordination/allowance_rows.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from marigoldgap import errors
-from marigoldgap.platform import model as platform_model
 from marigoldgap.scheduling import allowance_model
 from marigoldgap.scheduling import model
+from marigoldgap.table_service import model as table_service_model
 
 PREFIX = "allowance/"
 
@@ -42,7 +42,7 @@
 
 def transaction_of(
     write: allowance_model.AllowanceWrite,
-) -> platform_model.Transaction:
+) -> table_service_model.Transaction:
     """Returns the compare-and-set of a row."""
     key = key_of(write.team)
     value = {
@@ -51,7 +51,7 @@
         "limit_version": write.row.limit_version,
         "terms": {zone: list(term) for zone, term in write.row.terms.items()},
     }
-    return platform_model.Transaction(
-        checks=(platform_model.Check(key, write.expected_version),),
-        puts=(platform_model.Put(key, value),),
+    return table_service_model.Transaction(
+        checks=(table_service_model.Check(key, write.expected_version),),
+        puts=(table_service_model.Put(key, value),),
     )
--- a/src/marigoldgap/coordination/interfaces.py
+++ b/src/marigoldgap/coordination/interfaces.py
@@ -11,10 +11,10 @@
 from marigoldgap.config_store import model as config_model
 from marigoldgap.dispatch import model as dispatch_model
 from marigoldgap.entries import membership as membership_module
-from marigoldgap.platform import model as platform_model
 from marigoldgap.rules import model as rules_model
 from marigoldgap.scheduling import allowance_model
 from marigoldgap.scheduling import model
+from marigoldgap.table_service import model as table_service_model
 from marigoldgap.workers import model as workers_model
 
 
@@ -47,19 +47,19 @@
 class TableClient(Protocol):
     """Reads of the table service."""
 
-    async def get(self, key: str) -> platform_model.Row | None:
+    async def get(self, key: str) -> table_service_model.Row | None:
         """Returns a row, or None if there is none."""
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 500
-    ) -> list[platform_model.Row]:
+    ) -> list[table_service_model.Row]:
         """Returns rows in the order of their keys."""
 
 
 class GroupCommitter(Protocol):
     """Writes to the table service."""
 
-    async def commit(self, transaction: platform_model.Transaction) -> int:
+    async def commit(self, transaction: table_service_model.Transaction) -> int:
         """Commits and returns the version of the written rows.
 
         Raises:
@@ -84,12 +84,12 @@
 
     def entries(
         self, zone: str | None = None
-    ) -> tuple[platform_model.InstanceEntry, ...]:
+    ) -> tuple[table_service_model.InstanceEntry, ...]:
         """Returns the entry instances."""
 
     def workers(
         self, zone: str | None = None
-    ) -> tuple[platform_model.InstanceEntry, ...]:
+    ) -> tuple[table_service_model.InstanceEntry, ...]:
         """Returns the workers."""
 
     def age_ms(self) -> int | None:
--- a/src/marigoldgap/coordination/job_closing.py
+++ b/src/marigoldgap/coordination/job_closing.py
@@ -13,8 +13,8 @@
 from marigoldgap.coordination import interfaces
 from marigoldgap.coordination import job_rows
 from marigoldgap.coordination import job_state
-from marigoldgap.platform import model as platform_model
 from marigoldgap.settings import model as settings_model
+from marigoldgap.table_service import model as table_service_model
 
 _log = logs.PartLogger("coordination")
 
@@ -138,7 +138,7 @@
         """Learns the row's version after a conflict, or that it is gone."""
         key = job_rows.open_key(self._zone, job.job_id)
         try:
-            row: platform_model.Row | None = await self._table.get(key)
+            row: table_service_model.Row | None = await self._table.get(key)
         except errors.MarigoldgapError:
             return
         if row is None:
--- a/src/marigoldgap/coordination/job_reader.py
+++ b/src/marigoldgap/coordination/job_reader.py
@@ -13,7 +13,7 @@
 from marigoldgap.coordination import interfaces
 from marigoldgap.coordination import job_rows
 from marigoldgap.coordination import job_state
-from marigoldgap.platform import model as platform_model
+from marigoldgap.table_service import model as table_service_model
 
 _log = logs.PartLogger("coordination")
 
@@ -129,7 +129,7 @@
         if row is not None:
             self._take(row)
 
-    def _take(self, row: platform_model.Row) -> None:
+    def _take(self, row: table_service_model.Row) -> None:
         """Passes a job on unless it was closed meanwhile."""
         if row.key.rpartition("/")[2] in self._closed_ms:
             return
--- a/src/marigoldgap/coordination/job_rows.py
+++ b/src/marigoldgap/coordination/job_rows.py
@@ -8,8 +8,8 @@
 from marigoldgap import errors
 from marigoldgap.coordination import job_state
 from marigoldgap.coordination import model as jobs_model
-from marigoldgap.platform import model as platform_model
 from marigoldgap.scheduling import model
+from marigoldgap.table_service import model as table_service_model
 
 
 def open_prefix(zone: str) -> str:
@@ -53,7 +53,7 @@
     }
 
 
-def parse_job(row: platform_model.Row) -> job_state.Job:
+def parse_job(row: table_service_model.Row) -> job_state.Job:
     """Returns the job in a row.
 
     Raises:
@@ -84,29 +84,29 @@
 
 def close_transaction(
     zone: str, job: job_state.Job, finished_at_ms: int
-) -> platform_model.Transaction:
+) -> table_service_model.Transaction:
     """Returns the move of a job to the closed ones.
 
     The check lets only the coordinator that knows the latest row move it.
     """
     key = open_key(zone, job.job_id)
     value = {"status": job.status()._asdict(), "finished_at_ms": finished_at_ms}
-    return platform_model.Transaction(
-        checks=(platform_model.Check(key, job.row_version),),
-        puts=(platform_model.Put(done_key(zone, job.job_id), value),),
+    return table_service_model.Transaction(
+        checks=(table_service_model.Check(key, job.row_version),),
+        puts=(table_service_model.Put(done_key(zone, job.job_id), value),),
         deletes=(key,),
     )
 
 
 def mark_transaction(
     zone: str, job: job_state.Job, started: int, cancelled: bool
-) -> platform_model.Transaction:
+) -> table_service_model.Transaction:
     """Returns the update of an open job's row."""
     key = open_key(zone, job.job_id)
     value = open_value(job.spec, job.reference, started, cancelled)
-    return platform_model.Transaction(
-        checks=(platform_model.Check(key, job.row_version),),
-        puts=(platform_model.Put(key, value),),
+    return table_service_model.Transaction(
+        checks=(table_service_model.Check(key, job.row_version),),
+        puts=(table_service_model.Put(key, value),),
     )
 
 
--- a/src/marigoldgap/coordination/jobs_gateway.py
+++ b/src/marigoldgap/coordination/jobs_gateway.py
@@ -13,8 +13,8 @@
 from marigoldgap.coordination import model as jobs_model
 from marigoldgap.coordination import payloads
 from marigoldgap.entries import job_messages
-from marigoldgap.platform import model as platform_model
 from marigoldgap.settings import model as settings_model
+from marigoldgap.table_service import model as table_service_model
 
 # Errors after which the rows of the table service are asked instead.
 _COORDINATOR_AWAY = (
@@ -64,10 +64,12 @@
         reference = await self._put_payload(job_id, spec)
         key = job_rows.open_key(self._zone, job_id)
         value = job_rows.open_value(spec, reference)
-        absent = platform_model.Check(key, platform_model.ABSENT_VERSION)
+        absent = table_service_model.Check(
+            key, table_service_model.ABSENT_VERSION
+        )
         await self._committer.commit(
-            platform_model.Transaction(
-                checks=(absent,), puts=(platform_model.Put(key, value),)
+            table_service_model.Transaction(
+                checks=(absent,), puts=(table_service_model.Put(key, value),)
             )
         )
         self._peers.send(
--- a/src/marigoldgap/dispatch/claims.py
+++ b/src/marigoldgap/dispatch/claims.py
@@ -12,8 +12,8 @@
 from marigoldgap import identifiers
 from marigoldgap import logs
 from marigoldgap.dispatch import interfaces
-from marigoldgap.platform import model as platform_model
 from marigoldgap.scheduling import model
+from marigoldgap.table_service import model as table_service_model
 from marigoldgap.workers import model as workers_model
 
 LARGEST_RECORDED_BODY = 4_096
@@ -51,7 +51,7 @@
             _row_key(task.team, key),
             identifiers.new_token(),
             _fingerprint(task.queue, payload),
-            platform_model.ABSENT_VERSION,
+            table_service_model.ABSENT_VERSION,
         )
         try:
             version = await self._write(claim, {"state": "started"})
@@ -72,8 +72,10 @@
 
     async def abandon(self, claim: interfaces.Claim) -> None:
         """Deletes the claim of work that did not run."""
-        checks = (platform_model.Check(claim.key, claim.version),)
-        transaction = platform_model.Transaction(checks, deletes=(claim.key,))
+        checks = (table_service_model.Check(claim.key, claim.version),)
+        transaction = table_service_model.Transaction(
+            checks, deletes=(claim.key,)
+        )
         try:
             await self._committer.commit(transaction)
         except errors.MarigoldgapError as error:
@@ -88,9 +90,9 @@
             "fingerprint": claim.fingerprint,
             "at_ms": clock.wall_ms(),
         }
-        transaction = platform_model.Transaction(
-            checks=(platform_model.Check(claim.key, claim.version),),
-            puts=(platform_model.Put(claim.key, content),),
+        transaction = table_service_model.Transaction(
+            checks=(table_service_model.Check(claim.key, claim.version),),
+            puts=(table_service_model.Put(claim.key, content),),
         )
         return await self._committer.commit(transaction)
 
--- a/src/marigoldgap/dispatch/interfaces.py
+++ b/src/marigoldgap/dispatch/interfaces.py
@@ -8,8 +8,8 @@
 from typing import Protocol
 
 from marigoldgap.dispatch import model
-from marigoldgap.platform import model as platform_model
 from marigoldgap.scheduling import model as scheduling_model
+from marigoldgap.table_service import model as table_service_model
 from marigoldgap.workers import model as workers_model
 
 # Asks the coordinator for more units of a team's limit. Arguments: the team
@@ -23,7 +23,7 @@
 class TableReader(Protocol):
     """Reads rows of the table service."""
 
-    async def get(self, key: str) -> platform_model.Row | None:
+    async def get(self, key: str) -> table_service_model.Row | None:
         """Returns a row, or None.
 
         Raises:
@@ -34,7 +34,7 @@
 class Committer(Protocol):
     """Writes to the table service."""
 
-    async def commit(self, transaction: platform_model.Transaction) -> int:
+    async def commit(self, transaction: table_service_model.Transaction) -> int:
         """Commits and returns the version of the written rows.
 
         Raises:
--- a/src/marigoldgap/entries/interfaces.py
+++ b/src/marigoldgap/entries/interfaces.py
@@ -5,8 +5,8 @@
 from typing import Protocol
 
 from marigoldgap.dispatch import model as dispatch_model
-from marigoldgap.platform import model as platform_model
 from marigoldgap.scheduling import model
+from marigoldgap.table_service import model as table_service_model
 
 
 class InstanceList(Protocol):
@@ -14,7 +14,7 @@
 
     def entries(
         self, zone: str | None = None
-    ) -> tuple[platform_model.InstanceEntry, ...]:
+    ) -> tuple[table_service_model.InstanceEntry, ...]:
         """Returns the entry instances of a zone, or of all zones."""
 
     def age_ms(self) -> int:
--- a/src/marigoldgap/serving/instance.py
+++ b/src/marigoldgap/serving/instance.py
@@ -12,10 +12,10 @@
 from marigoldgap.events import builder as events_builder
 from marigoldgap.events import types
 from marigoldgap.metrics import builder as metrics_builder
-from marigoldgap.platform import builder as platform_builder
-from marigoldgap.platform import observer as platform_observer
 from marigoldgap.serving import parts as parts_module
 from marigoldgap.settings import model as settings_model
+from marigoldgap.table_service import builder as table_service_builder
+from marigoldgap.table_service import observer as table_service_observer
 
 _log = logs.PartLogger("serving")
 
@@ -35,7 +35,7 @@
         self._settings = settings
         self._events = events_builder.build(settings)
         self._metrics = metrics_builder.build(settings)
-        self._platform = platform_builder.build(settings)
+        self._platform = table_service_builder.build(settings)
         self._config = config_builder.build(
             settings,
             self._platform.table,
@@ -45,7 +45,7 @@
         self._parts = parts_module.build(
             settings, self._platform, self._config, self._events, self._metrics
         )
-        platform_observer.PlatformObserver(
+        table_service_observer.PlatformObserver(
             self._platform, self._events.ring, self._metrics
         )
         self._drain_requested = asyncio.Event()
--- a/src/marigoldgap/serving/ownership.py
+++ b/src/marigoldgap/serving/ownership.py
@@ -7,11 +7,11 @@
 from marigoldgap import clock
 from marigoldgap.entries import membership as membership_module
 from marigoldgap.entries import peer as peer_module
-from marigoldgap.platform import instances as platform_instances
-from marigoldgap.platform import model as platform_model
 from marigoldgap.scheduling import model
 from marigoldgap.scheduling import rendezvous
 from marigoldgap.settings import model as settings_model
+from marigoldgap.table_service import instances as table_service_instances
+from marigoldgap.table_service import model as table_service_model
 from marigoldgap.workers import fleet as workers_fleet
 
 _REVIEW_MS = 250
@@ -31,7 +31,7 @@
         self,
         settings: settings_model.Settings,
         membership: membership_module.Membership,
-        instances: platform_instances.InstanceList,
+        instances: table_service_instances.InstanceList,
         fleet: workers_fleet.WorkerFleet,
     ) -> None:
         self._settings = settings
@@ -73,7 +73,7 @@
         return tuple(each for each in members if each not in draining)
 
 
-def _worker_info(entry: platform_model.InstanceEntry) -> model.WorkerInfo:
+def _worker_info(entry: table_service_model.InstanceEntry) -> model.WorkerInfo:
     """Returns what the list knows; the lease answer adds the capacity."""
     return model.WorkerInfo(
         worker_id=entry.instance_id,
--- a/src/marigoldgap/serving/parts.py
+++ b/src/marigoldgap/serving/parts.py
@@ -19,7 +19,6 @@
 from marigoldgap.metrics import client as metrics_client
 from marigoldgap.operators import builder as operators_builder
 from marigoldgap.operators import services as operators_services
-from marigoldgap.platform import builder as platform_builder
 from marigoldgap.rules import model as rules_model
 from marigoldgap.scheduling import retry_budget
 from marigoldgap.scheduling import shares
@@ -36,6 +35,7 @@
 from marigoldgap.serving import status
 from marigoldgap.serving import usage_reporter
 from marigoldgap.settings import model as settings_model
+from marigoldgap.table_service import builder as table_service_builder
 
 
 class Parts(NamedTuple):
@@ -51,7 +51,7 @@
 
 def build(
     settings: settings_model.Settings,
-    platform: platform_builder.Platform,
+    platform: table_service_builder.Platform,
     config: config_builder.ConfigStore,
     events: events_builder.Events,
     metrics: metrics_client.MetricsClient,
--- a/src/marigoldgap/serving/peer_directory.py
+++ b/src/marigoldgap/serving/peer_directory.py
@@ -8,7 +8,7 @@
 from marigoldgap.dispatch import model as dispatch_model
 from marigoldgap.entries import membership as membership_module
 from marigoldgap.entries import peer as peer_module
-from marigoldgap.platform import instances as platform_instances
+from marigoldgap.table_service import instances as table_service_instances
 
 
 class PeerDirectory:
@@ -22,7 +22,7 @@
     def __init__(
         self,
         membership: membership_module.Membership,
-        instances: platform_instances.InstanceList,
+        instances: table_service_instances.InstanceList,
     ) -> None:
         self._membership = membership
         self._instances = instances
--- a/src/marigoldgap/serving/readiness.py
+++ b/src/marigoldgap/serving/readiness.py
@@ -4,7 +4,7 @@
 
 from marigoldgap.config_store import state as config_state
 from marigoldgap.dispatch import dispatcher as dispatch_dispatcher
-from marigoldgap.platform import instances as platform_instances
+from marigoldgap.table_service import instances as table_service_instances
 
 
 class Readiness:
@@ -19,7 +19,7 @@
     def __init__(
         self,
         config: config_state.ConfigState,
-        instances: platform_instances.InstanceList,
+        instances: table_service_instances.InstanceList,
         dispatcher: dispatch_dispatcher.Dispatcher,
     ) -> None:
         self._config = config
--- a/src/marigoldgap/platform/batches.py
+++ b/src/marigoldgap/table_service/batches.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from marigoldgap.platform import model
+from marigoldgap.table_service import model
 
 
 class Member(NamedTuple):
--- a/src/marigoldgap/platform/builder.py
+++ b/src/marigoldgap/table_service/builder.py
@@ -6,13 +6,13 @@
 from typing import NamedTuple
 
 from marigoldgap import http_client
-from marigoldgap.platform import committer
-from marigoldgap.platform import instances
-from marigoldgap.platform import objects
-from marigoldgap.platform import service
-from marigoldgap.platform import table
-from marigoldgap.platform import writer_row
 from marigoldgap.settings import model as settings_model
+from marigoldgap.table_service import committer
+from marigoldgap.table_service import instances
+from marigoldgap.table_service import objects
+from marigoldgap.table_service import service
+from marigoldgap.table_service import table
+from marigoldgap.table_service import writer_row
 
 # Writes need one connection, since they are serial; the others are for reads.
 _CONNECTIONS = 64
--- a/src/marigoldgap/platform/committer.py
+++ b/src/marigoldgap/table_service/committer.py
@@ -8,11 +8,11 @@
 from marigoldgap import clock
 from marigoldgap import errors
 from marigoldgap import logs
-from marigoldgap.platform import batches
-from marigoldgap.platform import model
-from marigoldgap.platform import table
-from marigoldgap.platform import writer_row
 from marigoldgap.settings import model as settings_model
+from marigoldgap.table_service import batches
+from marigoldgap.table_service import model
+from marigoldgap.table_service import table
+from marigoldgap.table_service import writer_row
 
 _log = logs.PartLogger("platform")
 
--- a/src/marigoldgap/platform/instances.py
+++ b/src/marigoldgap/table_service/instances.py
@@ -9,9 +9,9 @@
 from marigoldgap import clock
 from marigoldgap import errors
 from marigoldgap import logs
-from marigoldgap.platform import model
-from marigoldgap.platform import service
 from marigoldgap.settings import model as settings_model
+from marigoldgap.table_service import model
+from marigoldgap.table_service import service
 
 PROBE_PATH = "/v1/instances"
 KIND_ENTRY = "entry"
--- a/src/marigoldgap/platform/objects.py
+++ b/src/marigoldgap/table_service/objects.py
@@ -5,7 +5,7 @@
 import urllib.parse
 
 from marigoldgap import errors
-from marigoldgap.platform import service
+from marigoldgap.table_service import service
 
 PROBE_PATH = "/v1/objects/probe"
 
--- a/src/marigoldgap/platform/observer.py
+++ b/src/marigoldgap/table_service/observer.py
@@ -6,7 +6,7 @@
 from marigoldgap.events import types
 from marigoldgap.metrics import client
 from marigoldgap.metrics import names
-from marigoldgap.platform import builder
+from marigoldgap.table_service import builder
 
 
 class PlatformObserver:
--- a/src/marigoldgap/platform/service.py
+++ b/src/marigoldgap/table_service/service.py
@@ -12,8 +12,8 @@
 from marigoldgap import clock
 from marigoldgap import errors
 from marigoldgap import http_client
-from marigoldgap.platform import breaker
 from marigoldgap.settings import model as settings_model
+from marigoldgap.table_service import breaker
 
 _FIRST_SERVER_ERROR = 500
 _TOO_MANY_REQUESTS = 429
--- a/src/marigoldgap/platform/table.py
+++ b/src/marigoldgap/table_service/table.py
@@ -9,8 +9,8 @@
 import urllib.parse
 
 from marigoldgap import errors
-from marigoldgap.platform import model
-from marigoldgap.platform import service
+from marigoldgap.table_service import model
+from marigoldgap.table_service import service
 
 PROBE_PATH = "/v1/rows?prefix=probe/&limit=1"
 MAX_ROWS_PER_TRANSACTION = 500
--- a/src/marigoldgap/platform/writer_row.py
+++ b/src/marigoldgap/table_service/writer_row.py
@@ -16,9 +16,9 @@
 from marigoldgap import errors
 from marigoldgap import identifiers
 from marigoldgap import logs
-from marigoldgap.platform import model
-from marigoldgap.platform import table
 from marigoldgap.settings import model as settings_model
+from marigoldgap.table_service import model
+from marigoldgap.table_service import table
 
 _log = logs.PartLogger("platform")
 _LONGEST_PAUSE_MS = 200
--- a/tests/features/steps/config_store_publishing_steps.py
+++ b/tests/features/steps/config_store_publishing_steps.py
@@ -16,7 +16,7 @@
 from marigoldgap.config_store import in_force
 from marigoldgap.config_store import model
 from marigoldgap.config_store import state as state_module
-from marigoldgap.platform import model as platform_model
+from marigoldgap.table_service import model as table_service_model
 from tests.fixtures import config_world
 from tests.fixtures import rules_texts
 from tests.fixtures import table_double
@@ -298,7 +298,7 @@
 def tracker(context):
     common = ("r", "", "", "", "", "live")
     entries = [
-        platform_model.InstanceEntry(name, "entry", zone, *common)
+        table_service_model.InstanceEntry(name, "entry", zone, *common)
         for name, zone in (
             ("entry-1", "centro-a"),
             ("entry-2", "centro-a"),
--- a/tests/features/steps/serving_parts_steps.py
+++ b/tests/features/steps/serving_parts_steps.py
@@ -10,10 +10,10 @@
 
 from marigoldgap.entries import membership
 from marigoldgap.entries import messages
-from marigoldgap.platform import model as platform_model
 from marigoldgap.scheduling import model
 from marigoldgap.serving import ownership
 from marigoldgap.serving import usage_reporter
+from marigoldgap.table_service import model as table_service_model
 from tests.fixtures import settings_fixtures
 
 
@@ -66,7 +66,7 @@
     settings = settings_fixtures.make_settings()
     context.members = _with_peer(settings)
     entries = tuple(
-        platform_model.InstanceEntry(
+        table_service_model.InstanceEntry(
             f"w{n}",
             "worker",
             settings.zone,
--- a/tests/features/steps/platform_commit_steps.py
+++ b/tests/features/steps/table_service_commit_steps.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies
 
 from marigoldgap import errors
-from marigoldgap.platform import model
+from marigoldgap.table_service import model
 from tests.fixtures import loops
 from tests.fixtures import table_double
 
--- a/tests/features/steps/platform_outage_steps.py
+++ b/tests/features/steps/table_service_outage_steps.py
@@ -11,7 +11,7 @@
 from marigoldgap import errors
 from marigoldgap.events import builder as events_builder
 from marigoldgap.metrics import builder as metrics_builder
-from marigoldgap.platform import observer
+from marigoldgap.table_service import observer
 from tests.fixtures import loops
 from tests.fixtures import table_double
 
