--- /dev/null
+++ b/src/marigoldgap/cell/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling of one cell of workers by one elected instance."""
--- /dev/null
+++ b/src/marigoldgap/cell/advice_desk.py
@@ -0,0 +1,166 @@
+"""Spreads calls for advice over the instances.
+
+The advice service handles the calls of one machine one after the other, so
+each instance is a lane of its own. Slow calls leave some lanes to quick ones.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+from typing import Protocol
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.cell import jobs
+from marigoldgap.cell import model
+from marigoldgap.cell import time_source
+
+_log = logs.PartLogger("advice")
+
+# Calls that take longer than this may not use every lane.
+_SLOW_CALL_S = 0.1
+# Share of the lanes that slow calls leave to quick ones.
+_QUICK_SHARE = 0.25
+# A lane that failed is not used for this long.
+_LANE_PAUSE_S = 1.0
+# Limit of a call beyond its own time: the way to the lane and the service.
+_CALL_SLACK_S = 0.6
+# A ticket loses this much of its validity on the way.
+_TRANSIT_S = 0.05
+# Most workers that one call names.
+_MAX_WORKERS = 100
+
+
+class Lane(Protocol):
+    """An instance that asks the advice service."""
+
+    name: str
+
+    async def ask(
+        self, step: str, workers: list[str], timeout_s: float
+    ) -> model.Tickets:
+        """Asks which of the workers may run a step."""
+
+
+class _Request(NamedTuple):
+    """A step that needs tickets."""
+
+    step: jobs.StepProgress
+    workers: list[str]
+
+    @property
+    def cost_s(self) -> float:
+        """How long the service needs."""
+        advice = self.step.job.queue.advice
+        assert advice is not None
+        return (advice.decide_ms + advice.each_ms * len(self.workers)) / 1000
+
+
+class AdviceDesk:
+    """Gets tickets for steps.
+
+    Args:
+        lanes: Returns the lanes that may be used.
+        answered: Called after each step whose tickets have arrived.
+    """
+
+    def __init__(
+        self,
+        lanes: Callable[[], list[Lane]],
+        answered: Callable[[], None],
+    ) -> None:
+        self._lanes = lanes
+        self._answered = answered
+        self._waiting: list[_Request] = []
+        self._busy: dict[str, float] = {}
+        self._paused_until: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def request(self, step: jobs.StepProgress, workers: list[str]) -> None:
+        """Asks for tickets of a step; the answer is put into the step."""
+        if step.is_asking or not workers:
+            return
+        step.is_asking = True
+        self._waiting.append(_Request(step, workers[:_MAX_WORKERS]))
+        self._dispatch()
+
+    def close(self) -> None:
+        """Ends all calls."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _dispatch(self) -> None:
+        self._waiting.sort(key=lambda request: request.cost_s)
+        now = time_source.now_s()
+        lanes = [
+            lane
+            for lane in self._lanes()
+            if self._paused_until.get(lane.name, 0.0) <= now
+        ]
+        quick_lanes = max(1, int(len(lanes) * _QUICK_SHARE))
+        for request in list(self._waiting):
+            if request.step.job.is_ended:
+                self._drop(request)
+                continue
+            is_slow = request.cost_s > _SLOW_CALL_S
+            usable = lanes[quick_lanes:] if is_slow else lanes
+            usable = usable or lanes
+            free = [lane for lane in usable if lane.name not in self._busy]
+            if not free:
+                continue
+            self._waiting.remove(request)
+            self._busy[free[0].name] = now
+            task = asyncio.create_task(self._ask(free[0], request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _drop(self, request: _Request) -> None:
+        self._waiting.remove(request)
+        request.step.is_asking = False
+
+    async def _ask(self, lane: Lane, request: _Request) -> None:
+        step = request.step
+        try:
+            tickets = await lane.ask(
+                step.advice_name,
+                request.workers,
+                request.cost_s + _CALL_SLACK_S,
+            )
+        except errors.MarigoldgapError as error:
+            now = time_source.now_s()
+            _log.warning(
+                "No advice for %s over %s: %s",
+                step.advice_name,
+                lane.name,
+                error,
+            )
+            self._paused_until[lane.name] = now + _LANE_PAUSE_S
+            asyncio.get_running_loop().call_later(_LANE_PAUSE_S, self._dispatch)
+        else:
+            self._record(step, request.workers, tickets)
+        finally:
+            self._busy.pop(lane.name, None)
+            step.is_asking = False
+        self._dispatch()
+        self._answered()
+
+    def _record(
+        self,
+        step: jobs.StepProgress,
+        workers: list[str],
+        tickets: model.Tickets,
+    ) -> None:
+        until = time_source.now_s() + tickets.valid_ms / 1000 - _TRANSIT_S
+        step.asked.update(workers)
+        step.good.difference_update(workers)
+        for worker_id, ticket in tickets.by_worker.items():
+            step.good.add(worker_id)
+            step.tickets[worker_id] = (ticket, until)
+        _log.info(
+            "Advice for %s: %d of %d workers are good",
+            step.advice_name,
+            len(tickets.by_worker),
+            len(workers),
+        )
--- /dev/null
+++ b/src/marigoldgap/cell/configuration_follower.py
@@ -0,0 +1,108 @@
+"""Follows the configuration in the store and knows how fresh it is."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.cell import model
+from marigoldgap.cell import store
+from marigoldgap.cell import time_source
+
+_log = logs.PartLogger("configuration")
+
+# How long the store waits for a change; each answer confirms the version.
+_WAIT_MS = 1_000
+# Pause after a failed call.
+_RETRY_S = 0.1
+
+
+class ConfigurationFollower:
+    """Keeps the newest configuration.
+
+    Args:
+        rows: The store.
+        place: Row of the configuration.
+        decode: Decodes the row.
+        adopted: Called with each new version.
+    """
+
+    def __init__(
+        self,
+        rows: store.Store,
+        place: store.RowKey,
+        decode: Callable[[bytes], model.Configuration],
+        adopted: Callable[[model.Configuration], None],
+    ) -> None:
+        self.current: model.Configuration | None = None
+        self._rows = rows
+        self._place = place
+        self._decode = decode
+        self._adopted = adopted
+        self._after = 0
+        self._confirmed_s: float | None = None
+
+    @property
+    def age_s(self) -> float:
+        """Time since the store confirmed the configuration."""
+        if self._confirmed_s is None:
+            return float("inf")
+        return time_source.now_s() - self._confirmed_s
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        must_read = True
+        while True:
+            started_s = time_source.now_s()
+            try:
+                if must_read or self.current is None:
+                    page = await self._rows.read(
+                        self._place.table,
+                        self._place.partition,
+                        self._place.key,
+                        self._place.key + "\0",
+                    )
+                else:
+                    page = await self._rows.changes(
+                        self._place.table, self._after, _WAIT_MS
+                    )
+            except store.HistoryLostError as error:
+                _log.info("Reading the configuration anew: %s", error)
+                must_read = True
+                continue
+            except store.StoreError as error:
+                _log.warning(
+                    "Configuration is unconfirmed for %.1f s: %s",
+                    self.age_s,
+                    error,
+                )
+                must_read = True
+                await asyncio.sleep(_RETRY_S)
+                continue
+            self._after = page.version
+            self._confirmed_s = started_s
+            for row in page.rows:
+                if row.place == self._place and row.value is not None:
+                    self._adopt(row.value)
+            if must_read and self.current is None:
+                await asyncio.sleep(_RETRY_S)
+            must_read = False
+
+    def _adopt(self, content: bytes) -> None:
+        try:
+            found = self._decode(content)
+        except errors.MarigoldgapError as error:
+            _log.error("The configuration is unusable: %s", error)
+            return
+        if self.current is not None and found.version <= self.current.version:
+            return
+        _log.info(
+            "Adopted version %d with %d queues and %d keys",
+            found.version,
+            len(found.queues),
+            len(found.keys),
+        )
+        self.current = found
+        self._adopted(found)
--- /dev/null
+++ b/src/marigoldgap/cell/election.py
@@ -0,0 +1,218 @@
+"""Election of the instance that schedules a cell.
+
+The election row is written only to change hands; its number is the fencing
+token that workers check. The elected instance shows that it works by a beat in
+a row of its own. An instance takes over when the beat has stood still for a
+while on its own steady clock, counting only time in which it could read.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import NamedTuple
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.cell import records
+from marigoldgap.cell import store
+from marigoldgap.cell import time_source
+
+_log = logs.PartLogger("election")
+
+# Pause between two looks at the rows.
+_POLL_S = 0.6
+# A beat that stands still for this long shows a failed instance: four beats.
+_PATIENCE_S = 2.0
+# A look that comes later than this after the one before starts a new window,
+# since the store may have been away.
+_WINDOW_GAP_S = 1.2
+# Longest read that shows a store in the same region.
+_NEAR_READ_S = 0.03
+# Head start of instances near the store.
+_FAR_DELAY_S = 0.5
+# Pause after a failed read.
+_RETRY_S = 0.2
+
+
+class Elected(NamedTuple):
+    """The instance that schedules.
+
+    Attributes:
+        epoch: Number of the election.
+        instance: Name of the instance.
+        address: `ip:port` for calls of its peers.
+        is_released: Whether it has given its duty up.
+    """
+
+    epoch: int
+    instance: str
+    address: str
+    is_released: bool
+
+
+class Won(NamedTuple):
+    """The rows of an election that this instance has won."""
+
+    election: store.Row
+    epoch: int
+    roster: store.Row | None
+
+
+class Election:
+    """Watches the election and takes part in it.
+
+    Args:
+        rows: The store.
+        instance: Name of this instance.
+        address: Address for calls of its peers.
+        serve: Schedules after an election that was won, until deposed.
+    """
+
+    def __init__(
+        self,
+        rows: store.Store,
+        instance: str,
+        address: str,
+        serve: Callable[[Won], Awaitable[None]],
+    ) -> None:
+        self.elected: Elected | None = None
+        self._rows = rows
+        self._instance = instance
+        self._address = address
+        self._serve = serve
+        self._is_candidate = True
+        self._seen: tuple[int, bytes | None] | None = None
+        self._seen_since_s = 0.0
+        self._looked_s = -_WINDOW_GAP_S
+        self._read_s = 0.0
+
+    def withdraw(self) -> None:
+        """Takes part in no further election."""
+        self._is_candidate = False
+
+    async def run(self) -> None:
+        """Watches until cancelled; serves each election that is won."""
+        while True:
+            try:
+                won = await self._look()
+            except store.StoreError as error:
+                _log.warning("Could not read the election: %s", error)
+                await asyncio.sleep(_RETRY_S)
+                continue
+            if won is None:
+                await asyncio.sleep(_POLL_S)
+                continue
+            try:
+                await self._serve(won)
+            except errors.MarigoldgapError as error:
+                _log.error("Election %d ended early: %s", won.epoch, error)
+            self._seen = None
+
+    async def release(self, won: Won) -> None:
+        """Gives the duty up, so that another instance takes over at once."""
+        row = Elected(won.epoch, self._instance, self._address, True)
+        check = store.RowCheck(won.election.place, won.election.version)
+        await self._rows.transact(
+            store.Transaction((check,), ((records.ELECTION, _encode(row)),))
+        )
+
+    async def _look(self) -> Won | None:
+        started_s = time_source.now_s()
+        first, end = records.ELECTION_RANGE
+        page = await self._rows.read(records.CELL, records.CELL, first, end)
+        now = time_source.now_s()
+        self._read_s = now - started_s
+        found = {row.place: row for row in page.rows}
+        row = found.get(records.ELECTION)
+        beat = found.get(records.BEAT)
+        if row is not None:
+            self._note(_decode(row))
+        is_vacant = row is None or (
+            self.elected is not None and self.elected.is_released
+        )
+        has_stopped = self._has_stopped(row, beat, now)
+        if not self._is_candidate or not (is_vacant or has_stopped):
+            return None
+        if self._read_s > _NEAR_READ_S:
+            await asyncio.sleep(_FAR_DELAY_S)
+        return await self._claim(row)
+
+    def _has_stopped(
+        self, row: store.Row | None, beat: store.Row | None, now: float
+    ) -> bool:
+        seen = (
+            row.version if row is not None else 0,
+            beat.value if beat is not None else None,
+        )
+        has_gap = now - self._looked_s > _WINDOW_GAP_S
+        self._looked_s = now
+        if seen != self._seen or has_gap:
+            self._seen = seen
+            self._seen_since_s = now
+            return False
+        return now - self._seen_since_s >= _PATIENCE_S
+
+    async def _claim(self, row: store.Row | None) -> Won | None:
+        epoch = self.elected.epoch + 1 if self.elected is not None else 1
+        claim = Elected(epoch, self._instance, self._address, False)
+        version = row.version if row is not None else 0
+        check = store.RowCheck(records.ELECTION, version)
+        content = _encode(claim)
+        try:
+            new_version = await self._rows.transact(
+                store.Transaction((check,), ((records.ELECTION, content),))
+            )
+        except store.CheckFailedError as error:
+            _log.info("Election %d was lost", epoch)
+            for current in error.rows:
+                if current.place == records.ELECTION:
+                    self._note(_decode(current))
+            return None
+        except store.StoreUnknownError:
+            new_version = await self._settle(content)
+            if not new_version:
+                return None
+        _log.info("Elected in election %d; the row had %d", epoch, version)
+        self.elected = claim
+        election = store.Row(records.ELECTION, content, new_version)
+        page = await self._rows.read(
+            records.CELL, records.CELL, records.ROSTER.key
+        )
+        roster = next(
+            (each for each in page.rows if each.place == records.ROSTER), None
+        )
+        return Won(election, epoch, roster)
+
+    async def _settle(self, content: bytes) -> int:
+        """Returns the version of the claim if it was stored, else 0."""
+        page = await self._rows.read(
+            records.CELL, records.CELL, records.ELECTION.key
+        )
+        for row in page.rows:
+            if row.place == records.ELECTION and row.value == content:
+                return row.version
+        return 0
+
+    def _note(self, elected: Elected) -> None:
+        if elected != self.elected:
+            _log.info(
+                "Election %d: %s schedules, released %s",
+                elected.epoch,
+                elected.instance,
+                elected.is_released,
+            )
+        self.elected = elected
+
+
+def _encode(elected: Elected) -> bytes:
+    return records.encode(elected._asdict())
+
+
+def _decode(row: store.Row) -> Elected:
+    try:
+        return Elected(**records.decode(row.value))
+    except (errors.MarigoldgapError, TypeError) as error:
+        _log.error("The election row is unusable: %s", error)
+        return Elected(0, "", "", True)
--- /dev/null
+++ b/src/marigoldgap/cell/feeds.py
@@ -0,0 +1,128 @@
+"""Follows tables of the store for the elected instance."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.cell import model
+from marigoldgap.cell import records
+from marigoldgap.cell import scheduler as schedulers
+from marigoldgap.cell import store
+
+_log = logs.PartLogger("feeds")
+
+# How long the store waits for a change.
+_WAIT_MS = 1_000
+# Pause after each answer; joins the changes of that time in one answer.
+_JOBS_PAUSE_S = 0.02
+_WORKERS_PAUSE_S = 0.4
+# Pause after a failed call.
+_RETRY_S = 0.1
+
+
+async def follow_jobs(
+    rows: store.Store, scheduler: schedulers.Scheduler
+) -> None:
+    """Hands accepted and cancelled jobs to the scheduler, until cancelled."""
+    after = scheduler.jobs_version
+    while True:
+        try:
+            page = await rows.changes(records.JOBS, after, _WAIT_MS)
+        except store.HistoryLostError as error:
+            _log.info("Reading all jobs anew: %s", error)
+            try:
+                after = await _read_jobs(rows, scheduler)
+            except store.StoreError as read_error:
+                _log.warning("Could not read the jobs: %s", read_error)
+                await asyncio.sleep(_RETRY_S)
+            continue
+        except store.StoreError as error:
+            _log.warning("Could not follow the jobs: %s", error)
+            await asyncio.sleep(_RETRY_S)
+            continue
+        after = page.version
+        _apply_jobs(page, scheduler)
+        await asyncio.sleep(_JOBS_PAUSE_S)
+
+
+async def _read_jobs(rows: store.Store, scheduler: schedulers.Scheduler) -> int:
+    versions = []
+    for partition in records.JOB_PARTITIONS:
+        page = await store.read_all(rows, records.JOBS, partition)
+        versions.append(page.version)
+        _apply_jobs(page, scheduler)
+    return min(versions)
+
+
+def _apply_jobs(page: store.Page, scheduler: schedulers.Scheduler) -> None:
+    for row in page.rows:
+        if row.value is None:
+            scheduler.drop_job(row.place.key)
+            continue
+        try:
+            scheduler.add_job(records.decode_job(row.place.key, row.value))
+        except errors.MarigoldgapError as error:
+            _log.error("Job row %s is unusable: %s", row.place.key, error)
+
+
+async def follow_workers(
+    rows: store.Store,
+    scheduler: schedulers.Scheduler,
+    table: str,
+    decode: Callable[[str, bytes], model.Registration],
+) -> None:
+    """Hands entries of workers to the scheduler, until cancelled.
+
+    Args:
+        rows: The store.
+        scheduler: The scheduler.
+        table: Table of the entries.
+        decode: Decodes the entry with the given id.
+    """
+    after: int | None = None
+    while True:
+        try:
+            if after is None:
+                page = await store.read_all(rows, table, "")
+                _forget_missing(page, scheduler)
+            else:
+                page = await rows.changes(table, after, _WAIT_MS)
+        except store.HistoryLostError as error:
+            _log.info("Reading all workers anew: %s", error)
+            after = None
+            continue
+        except store.StoreError as error:
+            _log.warning("Could not follow the workers: %s", error)
+            await asyncio.sleep(_RETRY_S)
+            continue
+        after = page.version
+        for row in page.rows:
+            _apply_worker(row, scheduler, decode)
+        await asyncio.sleep(_WORKERS_PAUSE_S)
+
+
+def _forget_missing(page: store.Page, scheduler: schedulers.Scheduler) -> None:
+    present = {row.place.key for row in page.rows}
+    for worker in scheduler.workers.values():
+        if worker.worker_id not in present:
+            scheduler.on_unlisted(worker.worker_id)
+
+
+def _apply_worker(
+    row: store.Row,
+    scheduler: schedulers.Scheduler,
+    decode: Callable[[str, bytes], model.Registration],
+) -> None:
+    if row.value is None:
+        scheduler.on_unlisted(row.place.key)
+        return
+    try:
+        registration = decode(row.place.key, row.value)
+    except errors.MarigoldgapError as error:
+        _log.warning("Entry of worker %s is unusable: %s", row.place.key, error)
+        scheduler.on_unlisted(row.place.key)
+        return
+    scheduler.on_registration(registration)
--- /dev/null
+++ b/src/marigoldgap/cell/job_desk.py
@@ -0,0 +1,271 @@
+"""Accepts, shows and cancels jobs on any instance."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.cell import configuration_follower
+from marigoldgap.cell import election as elections
+from marigoldgap.cell import model
+from marigoldgap.cell import peers
+from marigoldgap.cell import records
+from marigoldgap.cell import store
+from marigoldgap.cell import time_source
+from marigoldgap.web import client
+
+_log = logs.PartLogger("jobs")
+
+# How long an acceptance that the store refused is tried again.
+_REFUSED_RETRY_S = 0.25
+# Pause between attempts.
+_PAUSE_S = 0.05
+# Kept of the caller's deadline for the way of the answer.
+_ANSWER_MARGIN_S = 0.15
+# Share of the time to withdraw keys after which unconfirmed keys are refused.
+_KEY_AGE_SHARE = 0.7
+
+
+class JobGoneError(errors.NotFoundError):
+    """No such job exists."""
+
+    code = "job-gone"
+    status = 410
+
+
+class StoreAwayError(errors.OverloadedError):
+    """The store cannot be reached; the job was not accepted."""
+
+    code = "store-away"
+
+
+class OutcomeOpenError(errors.MarigoldgapError):
+    """The store did not say whether the job is stored."""
+
+    code = "outcome-open"
+    status = 504
+
+
+class JobDesk:
+    """Serves callers.
+
+    Args:
+        rows: The store.
+        is_store_reachable: Whether the store answered last.
+        configuration: The configuration in force.
+        election: Knows which instance schedules.
+        view: What is known here while this instance schedules.
+        pool: Connections to peers.
+        withdrawal_s: Time within which a withdrawn key stops working; 0 if
+            keys may be used without confirmation.
+    """
+
+    def __init__(
+        self,
+        rows: store.Store,
+        is_store_reachable: Callable[[], bool],
+        configuration: configuration_follower.ConfigurationFollower,
+        election: elections.Election,
+        view: peers.JobView,
+        pool: client.HttpPool,
+        withdrawal_s: float,
+    ) -> None:
+        self._rows = rows
+        self._is_store_reachable = is_store_reachable
+        self._configuration = configuration
+        self._election = election
+        self._view = view
+        self._pool = pool
+        self._withdrawal_s = withdrawal_s
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers are served well here."""
+        return (
+            self._configuration.current is not None
+            and not self._is_unconfirmed()
+        )
+
+    def find_queue(self, host: str, path: str) -> model.Queue:
+        """Returns the queue of a request.
+
+        Raises:
+            NotReadyError: There is no configuration yet.
+            NotFoundError: There is no such queue.
+        """
+        configuration = self._current()
+        queue = configuration.queue_for(host, path)
+        if queue is None:
+            raise errors.NotFoundError(f"no queue at {host}{path}")
+        return queue
+
+    def check_key(self, queue: model.Queue, key: str | None) -> str:
+        """Returns the workspace of a key; empty for an open queue.
+
+        Raises:
+            KeysUnconfirmedError: The keys were confirmed too long ago.
+            AuthenticationError: The key is unknown or withdrawn.
+        """
+        if queue.is_open:
+            return ""
+        if self._is_unconfirmed():
+            raise errors.KeysUnconfirmedError(
+                f"keys were confirmed {self._configuration.age_s:.1f} s ago"
+            )
+        workspace = self._current().keys.get(key or "")
+        if workspace is None:
+            raise errors.AuthenticationError("the key is unknown")
+        return workspace
+
+    async def submit(self, record: model.JobRecord, deadline_s: float) -> None:
+        """Stores a job; repeating it is safe.
+
+        Args:
+            record: The job.
+            deadline_s: How long the caller waits.
+
+        Raises:
+            StoreAwayError: The job was not accepted and never runs.
+            OutcomeOpenError: The job may have been accepted.
+        """
+        place = records.job_place(record.job_id)
+        content = records.encode_job(record)
+        transaction = store.Transaction(
+            (store.RowCheck(place, 0),), ((place, content),)
+        )
+        now = time_source.now_s()
+        refused_until = now + _REFUSED_RETRY_S
+        open_until = now + deadline_s - _ANSWER_MARGIN_S
+        if not self._is_store_reachable():
+            refused_until = now
+        is_open = False
+        while True:
+            try:
+                await self._rows.transact(transaction)
+            except store.CheckFailedError:
+                _log.info("Job %s is stored already", record.job_id)
+                return
+            except store.StoreUnknownError as error:
+                is_open = True
+                cause = str(error)
+            except store.StoreError as error:
+                cause = str(error)
+            else:
+                _log.info(
+                    "Accepted job %s of %s in %s after %.3f s",
+                    record.job_id,
+                    record.workspace,
+                    record.queue.name,
+                    time_source.now_s() - now,
+                )
+                return
+            if not is_open and time_source.now_s() >= refused_until:
+                raise StoreAwayError(cause)
+            if is_open and time_source.now_s() >= open_until:
+                raise OutcomeOpenError(cause)
+            await asyncio.sleep(_PAUSE_S)
+
+    async def state(self, job_id: str) -> model.JobState:
+        """Returns the state of a job.
+
+        Raises:
+            JobGoneError: No such job exists.
+            StoreError: The store is needed and does not answer.
+        """
+        state = await self._known_state(job_id)
+        if state is not None:
+            return state
+        return await self._stored_state(job_id)
+
+    async def cancel(self, job_id: str, deadline_s: float) -> None:
+        """Cancels a job; repeating it is safe.
+
+        Raises:
+            JobGoneError: No such job exists.
+            StoreError: The store does not answer; the job may be cancelled.
+        """
+        until = time_source.now_s() + deadline_s - _ANSWER_MARGIN_S
+        while True:
+            try:
+                await self._mark_cancelled(job_id)
+            except store.StoreError:
+                if time_source.now_s() >= until:
+                    raise
+                await asyncio.sleep(_PAUSE_S)
+            else:
+                _log.info("Cancelled job %s", job_id)
+                return
+
+    async def waiting(self, queue: model.Queue) -> int:
+        """Returns how many accepted jobs of a queue have not begun.
+
+        Raises:
+            MarigoldgapError: The scheduling instance does not answer.
+        """
+        try:
+            return self._view.waiting(queue.name)
+        except peers.NotElectedError:
+            return await self._elected().waiting(queue.name)
+
+    async def _known_state(self, job_id: str) -> model.JobState | None:
+        try:
+            return self._view.state(job_id)
+        except peers.NotElectedError:
+            pass
+        try:
+            return await self._elected().state(job_id)
+        except errors.MarigoldgapError as error:
+            _log.info("Reading job %s from the store: %s", job_id, error)
+            return None
+
+    async def _stored_state(self, job_id: str) -> model.JobState:
+        place = records.job_place(job_id)
+        row = await self._read_row(place)
+        if row is None:
+            raise JobGoneError(f"no job {job_id}")
+        record = records.decode_job(job_id, row.value)
+        if record.is_cancelled:
+            return model.JobState.CANCELLED
+        progress = await self._read_row(records.progress_place(job_id))
+        if progress is None:
+            return model.JobState.QUEUED
+        return model.JobState(records.decode(progress.value)["state"])
+
+    async def _mark_cancelled(self, job_id: str) -> None:
+        place = records.job_place(job_id)
+        row = await self._read_row(place)
+        if row is None:
+            raise JobGoneError(f"no job {job_id}")
+        record = records.decode_job(job_id, row.value)
+        if record.is_cancelled:
+            return
+        content = records.encode_job(record._replace(is_cancelled=True))
+        await self._rows.transact(
+            store.Transaction(
+                (store.RowCheck(place, row.version),), ((place, content),)
+            )
+        )
+
+    async def _read_row(self, place: store.RowKey) -> store.Row | None:
+        page = await self._rows.read(
+            place.table, place.partition, place.key, place.key + "\0"
+        )
+        return page.rows[0] if page.rows else None
+
+    def _elected(self) -> peers.PeerClient:
+        elected = self._election.elected
+        if elected is None or not elected.address:
+            raise peers.NotElectedError("no instance schedules")
+        return peers.PeerClient(self._pool, elected.address, elected.instance)
+
+    def _current(self) -> model.Configuration:
+        if self._configuration.current is None:
+            raise errors.NotReadyError("there is no configuration yet")
+        return self._configuration.current
+
+    def _is_unconfirmed(self) -> bool:
+        if not self._withdrawal_s:
+            return False
+        return self._configuration.age_s > _KEY_AGE_SHARE * self._withdrawal_s
--- /dev/null
+++ b/src/marigoldgap/cell/jobs.py
@@ -0,0 +1,358 @@
+"""State of jobs, their steps and their runs in the elected instance."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+from typing import Any
+
+from marigoldgap.cell import model
+
+if TYPE_CHECKING:
+    from marigoldgap.cell import fleet
+
+
+class RunState(enum.Enum):
+    """What is known of a run."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Run:
+    """One start of a task on a worker; holds its resources until it ends."""
+
+    __slots__ = (
+        "answered_s",
+        "name",
+        "percent",
+        "progressed_s",
+        "saved",
+        "started_s",
+        "state",
+        "step",
+        "worker",
+    )
+
+    def __init__(
+        self,
+        name: model.RunName,
+        step: StepProgress,
+        worker: fleet.Worker,
+        now: float,
+    ) -> None:
+        self.name = name
+        self.step = step
+        self.worker = worker
+        self.state = RunState.STARTING
+        self.started_s = now
+        # When the worker confirmed the start; infinite before that.
+        self.answered_s = float("inf")
+        self.progressed_s = now
+        self.percent = 0.0
+        self.saved = ""
+
+    def remaining_s(self, now: float, expected_s: float) -> float:
+        """Returns an estimate of the time until the run ends."""
+        elapsed = now - self.started_s
+        if self.percent >= _MIN_PERCENT:
+            seen = self.progressed_s - self.started_s
+            total = seen * 100 / self.percent
+            return max(0.0, total - elapsed)
+        return max(_MIN_REMAINING_S, expected_s - elapsed)
+
+
+# Below this progress the time so far says little about the rest.
+_MIN_PERCENT = 8.0
+# A run that is over its estimate is expected to need this much longer.
+_MIN_REMAINING_S = 0.3
+
+
+class StepProgress:
+    """One step of one occurrence of a job."""
+
+    __slots__ = (
+        "active",
+        "asked",
+        "avoid",
+        "done",
+        "failures",
+        "good",
+        "is_asking",
+        "job",
+        "last_run",
+        "not_before_s",
+        "number",
+        "occurrence",
+        "saved",
+        "spec",
+        "tickets",
+        "waiting",
+    )
+
+    def __init__(
+        self, job: Job, occurrence: int, number: int, spec: model.StepSpec
+    ) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.spec = spec
+        self.waiting: set[int] = set(range(spec.task_count))
+        self.active: dict[int, Run] = {}
+        self.done = 0
+        # Numbers of failed runs by task; a gang counts under index 0.
+        self.failures: dict[int, list[int]] = {}
+        self.saved: dict[int, str] = {}
+        self.last_run: dict[int, int] = {}
+        # Workers on which a task failed, by task.
+        self.avoid: dict[int, set[str]] = {}
+        self.not_before_s = 0.0
+        # Advice: asked and good workers, tickets with the end of validity.
+        self.asked: set[str] = set()
+        self.good: set[str] = set()
+        self.tickets: dict[str, tuple[str, float]] = {}
+        self.is_asking = False
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task has ended as done."""
+        return self.done == (1 << self.spec.task_count) - 1
+
+    @property
+    def advice_name(self) -> str:
+        """Name of the step for the advice service."""
+        return f"{self.job.job_id}.{self.occurrence}.{self.number}"
+
+    def is_task_done(self, index: int) -> bool:
+        """Whether the task has ended as done."""
+        return bool(self.done >> index & 1)
+
+    def next_run(self, index: int) -> int:
+        """Returns the number of the task's next run."""
+        if self.spec.is_gang:
+            return max(self.last_run.values(), default=self.job.run_floor) + 1
+        return self.last_run.get(index, self.job.run_floor) + 1
+
+    def mark_done(self, index: int) -> None:
+        """Records the end of a task; one member's end stands for its gang."""
+        if self.spec.is_gang:
+            self.done = (1 << self.spec.task_count) - 1
+            self.waiting.clear()
+            return
+        self.done |= 1 << index
+        self.waiting.discard(index)
+        self.saved.pop(index, None)
+
+    def record_failure(self, name: model.RunName) -> int:
+        """Counts a failed run once; returns the failures of its task."""
+        runs = self.failures.setdefault(self._account(name.task.position), [])
+        if name.run not in runs:
+            runs.append(name.run)
+        return len(runs)
+
+    def saved_for(self, index: int) -> str:
+        """Returns the saved progress from which a run of the task resumes."""
+        return self.saved.get(self._account(index), "")
+
+    def keep_saved(self, index: int, saved: str) -> None:
+        """Keeps the newest saved progress of a task or a gang."""
+        if saved:
+            self.saved[self._account(index)] = saved
+
+    def task(self, index: int) -> model.TaskName:
+        """Returns the name of a task."""
+        return model.TaskName(
+            self.job.job_id, self.occurrence, self.number, index
+        )
+
+    def encode(self) -> list[Any]:
+        """Returns what is stored."""
+        return [f"{self.done:x}", self.failures, self.saved]
+
+    def _account(self, index: int) -> int:
+        """Returns the index under which a task is accounted."""
+        return 0 if self.spec.is_gang else index
+
+    def restore(self, stored: list[Any]) -> None:
+        """Takes over what was stored."""
+        self.done = int(stored[0], 16)
+        self.failures = {int(key): value for key, value in stored[1].items()}
+        self.saved = {int(key): value for key, value in stored[2].items()}
+        self.waiting = {
+            index
+            for index in range(self.spec.task_count)
+            if not self.is_task_done(index)
+        }
+
+
+class Job:
+    """An accepted job.
+
+    Args:
+        record: What is stored of it.
+        queue: Its queue when it was seen first.
+        now: Time at which it was seen.
+        run_floor: Highest run number that an earlier election may have used.
+    """
+
+    __slots__ = (
+        "deadline_s",
+        "ended_s",
+        "has_begun",
+        "is_inherited",
+        "is_over_share",
+        "is_stored",
+        "next_occurrence",
+        "occurrences",
+        "queue",
+        "record",
+        "run_floor",
+        "seen_s",
+        "state",
+    )
+
+    def __init__(
+        self,
+        record: model.JobRecord,
+        queue: model.Queue,
+        now: float,
+        run_floor: int = 0,
+    ) -> None:
+        self.record = record
+        self.queue = queue
+        self.run_floor = run_floor
+        self.state = model.JobState.QUEUED
+        self.has_begun = False
+        self.is_inherited = run_floor > 0
+        self.is_over_share = False
+        # Whether the end of the job is stored; callers see it only then.
+        self.is_stored = False
+        self.seen_s = now
+        self.ended_s = 0.0
+        self.occurrences: dict[int, list[StepProgress]] = {}
+        self.next_occurrence = 0
+        self.deadline_s = now + self._objective_s()
+
+    @property
+    def job_id(self) -> str:
+        """Identifier chosen by the caller."""
+        return self.record.job_id
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether nothing of the job will start any more."""
+        return self.state in model.ENDED_STATES
+
+    @property
+    def occurrence_count(self) -> int:
+        """How many occurrences the job has."""
+        return max(1, self.record.spec.occurrences)
+
+    @property
+    def shown_state(self) -> model.JobState:
+        """State for callers; an end counts once it is stored."""
+        if not self.is_ended or self.is_stored:
+            return self.state
+        if self.state is model.JobState.CANCELLED:
+            return self.state
+        return model.JobState.RUNNING
+
+    def due_ms(self, occurrence: int) -> int:
+        """Returns the wall time at which an occurrence is due; 0: at once."""
+        spec = self.record.spec
+        if not spec.first_due_ms:
+            return 0
+        return spec.first_due_ms + occurrence * spec.interval_ms
+
+    def open_due(self, wall_ms: int) -> bool:
+        """Opens the occurrences that are due; returns whether any was."""
+        opened = False
+        while (
+            self.next_occurrence < self.occurrence_count
+            and self.due_ms(self.next_occurrence) <= wall_ms
+        ):
+            self.open(self.next_occurrence)
+            opened = True
+        return opened
+
+    def open(self, occurrence: int) -> list[StepProgress]:
+        """Makes the steps of an occurrence ready to run."""
+        steps = [
+            StepProgress(self, occurrence, number, spec)
+            for number, spec in enumerate(self.record.spec.steps)
+        ]
+        self.occurrences[occurrence] = steps
+        self.next_occurrence = max(self.next_occurrence, occurrence + 1)
+        return steps
+
+    def step(self, task: model.TaskName) -> StepProgress | None:
+        """Returns the step of a task, if it is open and has such a task."""
+        steps = self.occurrences.get(task.occurrence)
+        if steps is None or task.step >= len(steps):
+            return None
+        step = steps[task.step]
+        return step if task.position < step.spec.task_count else None
+
+    def ready_steps(self) -> list[StepProgress]:
+        """Returns the steps that have waiting tasks and may start."""
+        ready = []
+        for steps in self.occurrences.values():
+            for step in steps:
+                if step.waiting and all(
+                    steps[number].is_done for number in step.spec.after
+                ):
+                    ready.append(step)
+        return ready
+
+    def runs(self) -> list[Run]:
+        """Returns all runs that have not ended."""
+        return [
+            run
+            for steps in self.occurrences.values()
+            for step in steps
+            for run in step.active.values()
+        ]
+
+    def close_done(self) -> bool:
+        """Forgets occurrences that are done; returns whether all are."""
+        for occurrence, steps in list(self.occurrences.items()):
+            if all(step.is_done and not step.active for step in steps):
+                del self.occurrences[occurrence]
+        return (
+            not self.occurrences
+            and self.next_occurrence >= self.occurrence_count
+        )
+
+    def encode(self) -> dict[str, Any]:
+        """Returns what is stored of the progress."""
+        return {
+            "state": self.state.value,
+            "begun": self.has_begun,
+            "next": self.next_occurrence,
+            "open": {
+                occurrence: [step.encode() for step in steps]
+                for occurrence, steps in self.occurrences.items()
+                if not self.is_ended
+            },
+        }
+
+    def restore(self, stored: dict[str, Any]) -> None:
+        """Takes over stored progress."""
+        self.state = model.JobState(stored["state"])
+        self.has_begun = stored["begun"]
+        self.next_occurrence = stored["next"]
+        for occurrence, steps in stored["open"].items():
+            opened = self.open(int(occurrence))
+            for step, kept in zip(opened, steps, strict=True):
+                step.restore(kept)
+        self.next_occurrence = stored["next"]
+
+    def _objective_s(self) -> float:
+        """Returns the latency objective by the declared run times."""
+        longest: list[float] = []
+        for step in self.record.spec.steps:
+            before = max((longest[each] for each in step.after), default=0.0)
+            longest.append(before + step.estimate_ms)
+        chain_ms = max(longest, default=0.0)
+        return (self.queue.stretch * chain_ms + self.queue.target_ms) / 1000
--- /dev/null
+++ b/src/marigoldgap/cell/peers.py
@@ -0,0 +1,175 @@
+"""Calls between the instances of a cell, JSON over HTTP.
+
+The messages are few and small; a further codec would cost each process more
+memory than it saves bytes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from urllib import parse
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.cell import model
+from marigoldgap.cell import ports
+from marigoldgap.cell import scheduler as schedulers
+from marigoldgap.web import client
+from marigoldgap.web import messages
+
+_log = logs.PartLogger("peers")
+
+# Limit of a question to the elected instance; three crossings of a region.
+_QUESTION_TIMEOUT_S = 0.4
+_JOBS_PATH = "/peer/jobs/"
+_QUEUES_PATH = "/peer/queues/"
+_ADVICE_PATH = "/peer/advice"
+
+
+class NotElectedError(errors.OverloadedError):
+    """The asked instance does not schedule."""
+
+    code = "not-elected"
+
+
+class JobView:
+    """What the elected instance knows of jobs.
+
+    Args:
+        scheduler: Returns the scheduler while this instance is elected.
+    """
+
+    def __init__(
+        self, scheduler: Callable[[], schedulers.Scheduler | None]
+    ) -> None:
+        self._scheduler = scheduler
+
+    def state(self, job_id: str) -> model.JobState | None:
+        """Returns the state of a job; None if it is not known.
+
+        Raises:
+            NotElectedError: This instance does not schedule.
+        """
+        job = self._recovered().jobs.get(job_id)
+        return None if job is None else job.shown_state
+
+    def waiting(self, queue: str) -> int:
+        """Returns how many jobs of a queue have not begun.
+
+        Raises:
+            NotElectedError: This instance does not schedule.
+        """
+        return self._recovered().waiting_jobs(queue)
+
+    def _recovered(self) -> schedulers.Scheduler:
+        scheduler = self._scheduler()
+        if scheduler is None or not scheduler.is_recovered:
+            raise NotElectedError("this instance does not schedule")
+        return scheduler
+
+
+class PeerServer:
+    """Answers the calls of other instances.
+
+    Args:
+        view: What is known of jobs here.
+        advice: The advice service; None if there is none.
+    """
+
+    def __init__(self, view: JobView, advice: ports.AdvicePort | None) -> None:
+        self._view = view
+        self._advice = advice
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answers one call."""
+        try:
+            return await self._handle(request)
+        except errors.MarigoldgapError as error:
+            _log.warning("Could not answer %s: %s", request.path, error)
+            return messages.json_response(503, {"error": error.code})
+
+    async def _handle(self, request: messages.Request) -> messages.Response:
+        path = parse.unquote(request.path)
+        if path.startswith(_JOBS_PATH):
+            state = self._view.state(path.removeprefix(_JOBS_PATH))
+            found = state.value if state is not None else None
+            return messages.json_response(200, {"state": found})
+        if path.startswith(_QUEUES_PATH):
+            count = self._view.waiting(path.removeprefix(_QUEUES_PATH))
+            return messages.json_response(200, {"waiting": count})
+        if path == _ADVICE_PATH and self._advice is not None:
+            return await self._ask(messages.decode_object(request.body))
+        return messages.json_response(404, {"error": "not-found"})
+
+    async def _ask(self, fields: dict[str, Any]) -> messages.Response:
+        assert self._advice is not None
+        tickets = await self._advice.ask(
+            str(fields["step"]),
+            [str(each) for each in fields["workers"]],
+            float(fields["timeout_s"]),
+        )
+        return messages.json_response(200, tickets._asdict())
+
+
+class PeerClient:
+    """Calls another instance.
+
+    Args:
+        pool: Connections.
+        address: `ip:port` of the instance.
+        name: Its name.
+    """
+
+    def __init__(self, pool: client.HttpPool, address: str, name: str) -> None:
+        self.name = name
+        self._pool = pool
+        self._address = address
+
+    async def state(self, job_id: str) -> model.JobState | None:
+        """Asks for the state of a job; None if it is not known there.
+
+        Raises:
+            MarigoldgapError: There is no usable answer.
+        """
+        fields = await self._call(
+            "GET", _JOBS_PATH + job_id, b"", _QUESTION_TIMEOUT_S
+        )
+        state = fields.get("state")
+        return None if state is None else model.JobState(state)
+
+    async def waiting(self, queue: str) -> int:
+        """Asks how many jobs of a queue have not begun.
+
+        Raises:
+            MarigoldgapError: There is no usable answer.
+        """
+        path = _QUEUES_PATH + parse.quote(queue, safe="")
+        fields = await self._call("GET", path, b"", _QUESTION_TIMEOUT_S)
+        return int(fields["waiting"])
+
+    async def ask(
+        self, step: str, workers: list[str], timeout_s: float
+    ) -> model.Tickets:
+        """Has the instance ask the advice service.
+
+        Raises:
+            MarigoldgapError: There is no usable answer.
+        """
+        body = {"step": step, "workers": workers, "timeout_s": timeout_s}
+        fields = await self._call(
+            "POST", _ADVICE_PATH, messages.encode_json(body), timeout_s
+        )
+        return model.Tickets(fields["by_worker"], fields["valid_ms"])
+
+    async def _call(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> dict[str, Any]:
+        answer = await self._pool.exchange(
+            method, self._address, path, body, timeout_s
+        )
+        if answer.status != 200:
+            raise messages.InvalidAnswerError(
+                f"{self.name} answered {answer.status}"
+            )
+        return messages.decode_object(answer.body)
--- /dev/null
+++ b/src/marigoldgap/cell/planner.py
@@ -0,0 +1,480 @@
+"""Decides which waiting tasks start on which workers.
+
+Steps are taken in the order of urgency. A gang that does not fit yet reserves
+room on the workers where it will fit first; later steps may use that room only
+if they are expected to end before.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from marigoldgap.cell import fleet
+from marigoldgap.cell import jobs
+from marigoldgap.cell import model
+from marigoldgap.cell import run_times
+
+# Gangs that hold reservations at a time; later ones wait without.
+_MAX_RESERVING_GANGS = 8
+# Tickets with less validity left are not used: one crossing between regions
+# and the queue of orders of a worker.
+TICKET_MARGIN_S = 0.12
+# A backfilled run may end this share of its expected time late.
+_BACKFILL_MARGIN = 1.2
+# Cost, in millicores of packing, of running away from the data.
+_FAR_PENALTY = 100_000
+# Time that a reservation of a gang with room is kept for its tickets.
+_TICKET_WAIT_S = 0.1
+
+
+class Placement(NamedTuple):
+    """A task to start now."""
+
+    step: jobs.StepProgress
+    position: int
+    worker: fleet.Worker
+    ticket: str
+
+
+class Plan(NamedTuple):
+    """What to do now.
+
+    Attributes:
+        placements: Tasks to start; members of a gang are all in it.
+        advice: Steps that need tickets, with the workers to ask about.
+    """
+
+    placements: list[Placement]
+    advice: list[tuple[jobs.StepProgress, list[str]]]
+
+
+class _Room:
+    """What a worker has left while a plan is made."""
+
+    __slots__ = ("free", "releases", "reserved_at", "spare", "worker")
+
+    def __init__(self, worker: fleet.Worker) -> None:
+        self.worker = worker
+        self.free = worker.free()
+        # Set where gangs hold a reservation: its time, and what is free then.
+        self.reserved_at = float("inf")
+        self.spare: list[int] | None = None
+        self.releases: list[tuple[float, jobs.Run]] | None = None
+
+    def copies(self, demand: model.Demand, bound: int) -> int:
+        """Returns how many tasks fit now, without regard to reservations."""
+        return _copies(self.free, demand, bound)
+
+    def fits(self, spec: model.StepSpec, ends_s: float) -> bool:
+        """Whether a task fits and leaves reservations alone."""
+        if not _fits(self.free, spec):
+            return False
+        if self.spare is None or ends_s <= self.reserved_at:
+            return True
+        return _fits(self.spare, spec)
+
+    def take(self, spec: model.StepSpec, ends_s: float) -> None:
+        """Uses room for a task."""
+        _charge(self.free, spec)
+        if self.spare is not None and ends_s > self.reserved_at:
+            _charge(self.spare, spec)
+
+    def reserve(
+        self, demand: model.Demand, count: int, at: float, free: list[int]
+    ) -> None:
+        """Keeps room for members of a gang from a time on."""
+        spare = free if self.spare is None else self.spare
+        self.spare = [
+            have - count * need
+            for have, need in zip(spare, demand, strict=True)
+        ]
+        self.reserved_at = min(self.reserved_at, at)
+
+
+def _fits(free: list[int], spec: model.StepSpec) -> bool:
+    demand = spec.demand
+    if spec.uses_idle_only:
+        return demand.memory_mib <= free[1]
+    return (
+        demand.millicores <= free[0]
+        and demand.memory_mib <= free[1]
+        and demand.accelerators <= free[2]
+    )
+
+
+def _charge(free: list[int], spec: model.StepSpec) -> None:
+    if spec.uses_idle_only:
+        free[1] -= spec.demand.memory_mib
+        return
+    for part, amount in enumerate(spec.demand):
+        free[part] -= amount
+
+
+def _copies(free: list[int], demand: model.Demand, bound: int) -> int:
+    count = bound
+    for have, need in zip(free, demand, strict=True):
+        if need > 0:
+            count = min(count, have // need)
+    return max(0, count)
+
+
+class Planner:
+    """Makes plans; one call of `plan` is one pass over all waiting steps.
+
+    Args:
+        workers: The workers of the cell.
+        times: Learned run times.
+    """
+
+    def __init__(self, workers: fleet.Fleet, times: run_times.RunTimes) -> None:
+        self._workers = workers
+        self._times = times
+        self._rooms: dict[str, _Room] = {}
+        self._gangs = 0
+        self._now = 0.0
+
+    def plan(
+        self,
+        steps: list[jobs.StepProgress],
+        usage: dict[str, list[int]],
+        limits: dict[str, model.Workspace],
+        now: float,
+    ) -> Plan:
+        """Plans the waiting steps.
+
+        Args:
+            steps: Steps with waiting tasks whose prerequisites are done.
+            usage: What each workspace has running; updated with the plan.
+            limits: Workspaces with their upper limits.
+            now: Current time.
+        """
+        self._now = now
+        self._gangs = 0
+        self._rooms = {
+            worker.worker_id: _Room(worker)
+            for worker in self._workers.values()
+            if worker.accepts(now)
+        }
+        plan = Plan([], [])
+        for step in sorted(steps, key=_urgency):
+            if step.not_before_s > now:
+                continue
+            allowed = _allowed_tasks(step, usage, limits)
+            if step.spec.is_gang:
+                self._plan_gang(step, allowed, plan, usage)
+            elif allowed > 0:
+                self._plan_tasks(step, allowed, plan, usage)
+        return plan
+
+    def _candidates(self, step: jobs.StepProgress) -> list[_Room]:
+        """Returns the workers that the step may use by rule."""
+        service = step.job.queue.service
+        label = step.spec.required_label
+        return [
+            room
+            for room in self._rooms.values()
+            if room.worker.registration.service == service
+            and (not label or label in room.worker.registration.labels)
+        ]
+
+    def _advised(
+        self, step: jobs.StepProgress, candidates: list[_Room], plan: Plan
+    ) -> list[_Room]:
+        """Returns the workers known as good; asks about unknown ones."""
+        if step.job.queue.advice is None:
+            return candidates
+        unknown = [
+            room.worker.worker_id
+            for room in candidates
+            if room.worker.worker_id not in step.asked
+        ]
+        good = [
+            room for room in candidates if room.worker.worker_id in step.good
+        ]
+        if unknown and not step.is_asking and (not step.asked or not good):
+            plan.advice.append((step, unknown))
+        return good
+
+    def _ticket(self, step: jobs.StepProgress, room: _Room) -> str | None:
+        """Returns a valid ticket; an empty one where none is needed."""
+        if step.job.queue.advice is None:
+            return ""
+        ticket, valid_until = step.tickets.get(room.worker.worker_id, ("", 0.0))
+        return ticket if valid_until > self._now + TICKET_MARGIN_S else None
+
+    def _plan_tasks(
+        self,
+        step: jobs.StepProgress,
+        allowed: int,
+        plan: Plan,
+        usage: dict[str, list[int]],
+    ) -> None:
+        good = self._advised(step, self._candidates(step), plan)
+        ends_s = self._now + self._times.expected_s(step) * _BACKFILL_MARGIN
+        counts = _counts(step)
+        stale: list[str] = []
+        for index in sorted(step.waiting)[:allowed]:
+            room = self._best(step, index, good, counts, ends_s)
+            if room is None:
+                break
+            ticket = self._ticket(step, room)
+            if ticket is None:
+                stale.append(room.worker.worker_id)
+            else:
+                _use(usage, step)
+                plan.placements.append(
+                    Placement(step, index, room.worker, ticket)
+                )
+            # Room is kept for a task that still waits for its ticket.
+            room.take(step.spec, ends_s)
+            worker_id = room.worker.worker_id
+            counts[worker_id] = counts.get(worker_id, 0) + 1
+        if stale and not step.is_asking:
+            plan.advice.append((step, sorted(set(stale))))
+
+    def _best(
+        self,
+        step: jobs.StepProgress,
+        index: int,
+        rooms: list[_Room],
+        counts: dict[str, int],
+        ends_s: float,
+    ) -> _Room | None:
+        """Returns the tightest worker that fits, near the data if possible."""
+        spec = step.spec
+        avoid = step.avoid.get(index, set())
+        best: _Room | None = None
+        best_cost = 0
+        for room in rooms:
+            worker_id = room.worker.worker_id
+            if (
+                spec.max_per_worker
+                and counts.get(worker_id, 0) >= spec.max_per_worker
+            ):
+                continue
+            if not room.fits(spec, ends_s):
+                continue
+            cost = room.free[0]
+            if spec.data_rack and (
+                room.worker.registration.rack != spec.data_rack
+            ):
+                cost += _FAR_PENALTY
+            if worker_id in avoid:
+                cost += 2 * _FAR_PENALTY
+            if self._ticket(step, room) is None:
+                cost += _FAR_PENALTY // 2
+            if best is None or cost < best_cost:
+                best, best_cost = room, cost
+        return best
+
+    def _plan_gang(
+        self,
+        step: jobs.StepProgress,
+        allowed: int,
+        plan: Plan,
+        usage: dict[str, list[int]],
+    ) -> None:
+        spec = step.spec
+        if step.active or len(step.waiting) < spec.task_count:
+            return
+        good = self._advised(step, self._candidates(step), plan)
+        if not good or allowed < spec.task_count:
+            return
+        ends_s = self._now + self._times.expected_s(step)
+        chosen = self._gang_now(step, good, ends_s)
+        if chosen is None:
+            self._reserve_gang(step, good, plan)
+            return
+        tickets = [self._ticket(step, room) for room, _ in chosen]
+        if None in tickets:
+            self._wait_for_tickets(step, chosen, plan)
+            return
+        index = 0
+        for (room, count), ticket in zip(chosen, tickets, strict=True):
+            for _ in range(count):
+                room.take(spec, ends_s)
+                _use(usage, step)
+                plan.placements.append(
+                    Placement(step, index, room.worker, ticket or "")
+                )
+                index += 1
+
+    def _gang_now(
+        self, step: jobs.StepProgress, rooms: list[_Room], ends_s: float
+    ) -> list[tuple[_Room, int]] | None:
+        """Returns workers with room for all members now, or None."""
+        spec = step.spec
+        bound = spec.max_per_worker or spec.task_count
+        found: list[tuple[_Room, int]] = []
+        for room in rooms:
+            copies = room.copies(spec.demand, bound)
+            if room.spare is not None and ends_s > room.reserved_at:
+                copies = min(copies, _copies(room.spare, spec.demand, bound))
+            if copies:
+                found.append((room, copies))
+        return _pick_gang(step, found)
+
+    def _wait_for_tickets(
+        self,
+        step: jobs.StepProgress,
+        chosen: list[tuple[_Room, int]],
+        plan: Plan,
+    ) -> None:
+        for room, count in chosen:
+            room.reserve(
+                step.spec.demand,
+                count,
+                self._now + _TICKET_WAIT_S,
+                list(room.free),
+            )
+        if not step.is_asking:
+            plan.advice.append(
+                (step, [room.worker.worker_id for room, _ in chosen])
+            )
+
+    def _reserve_gang(
+        self, step: jobs.StepProgress, rooms: list[_Room], plan: Plan
+    ) -> None:
+        """Keeps room where the gang will fit first; asks for tickets early."""
+        if self._gangs >= _MAX_RESERVING_GANGS:
+            return
+        found = self._earliest(step, rooms)
+        if found is None:
+            return
+        self._gangs += 1
+        at, chosen = found
+        for room, count in chosen:
+            room.reserve(step.spec.demand, count, at, self._free_at(room, at))
+        advice = step.job.queue.advice
+        if advice is None or step.is_asking:
+            return
+        lead_s = (
+            advice.decide_ms + advice.each_ms * len(chosen)
+        ) / 1000 + _TICKET_WAIT_S
+        names = [room.worker.worker_id for room, _ in chosen]
+        if at - self._now <= lead_s and any(
+            self._ticket(step, room) is None for room, _ in chosen
+        ):
+            plan.advice.append((step, names))
+
+    def _earliest(
+        self, step: jobs.StepProgress, rooms: list[_Room]
+    ) -> tuple[float, list[tuple[_Room, int]]] | None:
+        """Returns when and where all members fit first."""
+        spec = step.spec
+        bound = spec.max_per_worker or spec.task_count
+        # A worker that is reserved already does not serve a second gang.
+        usable = [room for room in rooms if room.spare is None]
+        times = sorted(
+            {at for room in usable for at, _ in self._releases(room)}
+        )
+        if not times or not usable:
+            return None
+        low, high = 0, len(times) - 1
+        best = None
+        while low <= high:
+            middle = (low + high) // 2
+            at = times[middle]
+            found = [
+                (room, _copies(self._free_at(room, at), spec.demand, bound))
+                for room in usable
+            ]
+            chosen = _pick_gang(step, [each for each in found if each[1]])
+            if chosen is None:
+                low = middle + 1
+            else:
+                best = at, chosen
+                high = middle - 1
+        return best
+
+    def _releases(self, room: _Room) -> list[tuple[float, jobs.Run]]:
+        if room.releases is None:
+            room.releases = [
+                (
+                    self._now
+                    + run.remaining_s(
+                        self._now, self._times.expected_s(run.step)
+                    ),
+                    run,
+                )
+                for run in room.worker.runs.values()
+                if not run.step.spec.is_long_running
+            ]
+        return room.releases
+
+    def _free_at(self, room: _Room, at: float) -> list[int]:
+        free = list(room.free)
+        for release, run in self._releases(room):
+            if release <= at:
+                for part, amount in enumerate(run.step.spec.demand):
+                    free[part] += amount
+        return free
+
+
+def _pick_gang(
+    step: jobs.StepProgress, found: list[tuple[_Room, int]]
+) -> list[tuple[_Room, int]] | None:
+    """Returns as few workers as hold all members, or None."""
+    spec = step.spec
+    if spec.same_rack:
+        by_rack: dict[str, list[tuple[_Room, int]]] = {}
+        for each in found:
+            by_rack.setdefault(each[0].worker.registration.rack, []).append(
+                each
+            )
+        groups = [
+            group
+            for group in by_rack.values()
+            if sum(count for _, count in group) >= spec.task_count
+        ]
+        found = max(
+            groups, key=lambda group: sum(n for _, n in group), default=found
+        )
+    needed = spec.task_count
+    chosen = []
+    for room, count in sorted(found, key=lambda each: -each[1]):
+        taken = min(count, needed)
+        chosen.append((room, taken))
+        needed -= taken
+        if needed == 0:
+            return chosen
+    return None
+
+
+def _urgency(step: jobs.StepProgress) -> tuple[bool, int, float]:
+    """Sorts by fair share, then priority of the queue, then objective."""
+    job = step.job
+    return job.is_over_share, job.queue.priority, job.deadline_s
+
+
+def _counts(step: jobs.StepProgress) -> dict[str, int]:
+    """Returns how many tasks of the step each worker runs."""
+    counts: dict[str, int] = {}
+    for run in step.active.values():
+        worker_id = run.worker.worker_id
+        counts[worker_id] = counts.get(worker_id, 0) + 1
+    return counts
+
+
+def _allowed_tasks(
+    step: jobs.StepProgress,
+    usage: dict[str, list[int]],
+    limits: dict[str, model.Workspace],
+) -> int:
+    """Returns how many more tasks the upper limit of the workspace allows."""
+    workspace = limits.get(step.job.record.workspace)
+    allowed = len(step.waiting)
+    if workspace is None:
+        return allowed
+    used = usage.get(workspace.name, [0, 0, 0])
+    for part, limit in enumerate(workspace.limit):
+        need = step.spec.demand[part]
+        if limit and need:
+            allowed = min(allowed, (limit - used[part]) // need)
+    return max(0, allowed)
+
+
+def _use(usage: dict[str, list[int]], step: jobs.StepProgress) -> None:
+    used = usage.setdefault(step.job.record.workspace, [0, 0, 0])
+    for part, amount in enumerate(step.spec.demand):
+        used[part] += amount
--- /dev/null
+++ b/src/marigoldgap/cell/records.py
@@ -0,0 +1,151 @@
+"""Encoding of what the cell keeps in the store."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from marigoldgap import errors
+from marigoldgap.cell import model
+from marigoldgap.cell import store
+
+JOBS = "jobs"
+# One partition for all rows of the elected instance, so that each of its
+# transactions can check its election row.
+CELL = "cell"
+PROGRESS = "progress"
+ELECTION = store.RowKey(CELL, CELL, "election")
+# Sorts before the election row; both are read in one range.
+BEAT = store.RowKey(CELL, CELL, "beat")
+ELECTION_RANGE = ("beat", "election\0")
+ROSTER = store.RowKey(CELL, CELL, "roster")
+INSTANCES = "instances"
+JOB_PARTITIONS = tuple(f"j{number}" for number in range(4))
+
+
+class RecordError(errors.MarigoldgapError):
+    """A stored record cannot be read."""
+
+    code = "record-invalid"
+
+
+def job_place(job_id: str) -> store.RowKey:
+    """Returns the place of a job's record."""
+    number = int(job_id[:2], 16) % len(JOB_PARTITIONS)
+    return store.RowKey(JOBS, JOB_PARTITIONS[number], job_id)
+
+
+def progress_place(job_id: str) -> store.RowKey:
+    """Returns the place of a job's progress."""
+    return store.RowKey(PROGRESS, CELL, job_id)
+
+
+def encode(value: Any) -> bytes:
+    """Returns the value as compact JSON."""
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def decode(content: bytes | None) -> Any:
+    """Returns the decoded JSON object.
+
+    Raises:
+        RecordError: The content is no JSON object.
+    """
+    try:
+        value = json.loads(content or b"")
+    except ValueError as error:
+        raise RecordError(f"not JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise RecordError("not a JSON object")
+    return value
+
+
+def encode_job(record: model.JobRecord) -> bytes:
+    """Returns the stored form of a job."""
+    spec = record.spec
+    fields = {
+        "queue": record.queue,
+        "workspace": record.workspace,
+        "accepted": record.accepted_ms,
+        "payload": spec.payload,
+        "steps": [_encode_step(step) for step in spec.steps],
+        "due": spec.first_due_ms,
+        "interval": spec.interval_ms,
+        "occurrences": spec.occurrences,
+        "cancelled": record.is_cancelled,
+    }
+    return encode({name: value for name, value in fields.items() if value})
+
+
+def decode_job(job_id: str, content: bytes | None) -> model.JobRecord:
+    """Returns the job of a stored row.
+
+    Raises:
+        RecordError: The row cannot be read.
+    """
+    fields = decode(content)
+    try:
+        spec = model.JobSpec(
+            fields.get("payload", ""),
+            tuple(_decode_step(each) for each in fields["steps"]),
+            fields.get("due", 0),
+            fields.get("interval", 0),
+            fields.get("occurrences", 0),
+        )
+        return model.JobRecord(
+            job_id,
+            _decode_queue(fields["queue"]),
+            fields.get("workspace", ""),
+            fields.get("accepted", 0),
+            spec,
+            fields.get("cancelled", False),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise RecordError(f"job {job_id}: {error!r}") from error
+
+
+def _decode_queue(values: list[Any]) -> model.Queue:
+    queue = model.Queue(*values)
+    if queue.advice is None:
+        return queue
+    return queue._replace(advice=model.PlacementAdvice(*queue.advice))
+
+
+def _encode_step(step: model.StepSpec) -> dict[str, Any]:
+    defaults = model.StepSpec._field_defaults
+    return {
+        name: value
+        for name, value in step._asdict().items()
+        if name not in defaults or value != defaults[name]
+    }
+
+
+def _decode_step(fields: dict[str, Any]) -> model.StepSpec:
+    values = dict(fields)
+    values["demand"] = model.Demand(*values["demand"])
+    values["after"] = tuple(values.get("after", ()))
+    return model.StepSpec(**values)
+
+
+def encode_roster(workers: list[model.Registration]) -> bytes:
+    """Returns the stored form of the workers that may hold runs."""
+    rows = [
+        {**worker._asdict(), "labels": sorted(worker.labels)}
+        for worker in workers
+    ]
+    return encode({"workers": rows})
+
+
+def decode_roster(content: bytes | None) -> list[model.Registration]:
+    """Returns the workers that may hold runs.
+
+    Raises:
+        RecordError: The row cannot be read.
+    """
+    workers = []
+    for row in decode(content).get("workers", ()):
+        values = dict(row)
+        values["capacity"] = model.Demand(*values["capacity"])
+        values["labels"] = frozenset(values["labels"])
+        workers.append(model.Registration(**values))
+    return workers
--- /dev/null
+++ b/src/marigoldgap/cell/worker_session.py
@@ -0,0 +1,229 @@
+"""Conversation with one worker: its lease, its lists, orders to it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.cell import fleet
+from marigoldgap.cell import jobs
+from marigoldgap.cell import model
+from marigoldgap.cell import ports
+from marigoldgap.cell import time_source
+from marigoldgap.web import client
+from marigoldgap.web import messages
+
+_log = logs.PartLogger("workers")
+
+# Length of a lease. The platform cuts leases at 6 s (`holdMaxMs`); the rest is
+# for the difference between the clocks.
+LEASE_S = 5.8
+# How long a worker may hold back its answer when nothing ends.
+_WAIT_MS = 1_500
+# Pause before the next attempt to reach a silent worker.
+_RETRY_S = 0.25
+# Limit of one order; unanswered orders are repeated.
+_ORDER_TIMEOUT_S = 0.5
+# Pause between repeated orders.
+_ORDER_RETRY_S = 0.1
+# How long an end may wait for the store before the lease is renewed without it.
+_STORE_WAIT_S = 1.0
+# Refused connections in a row that prove that the worker's process is gone.
+_REFUSALS = 3
+# A worker that refuses starts gets none for this long.
+_UNHEALTHY_PAUSE_S = 1.0
+
+
+class Owner(Protocol):
+    """The elected instance, as its conversations see it."""
+
+    fence: int
+
+    def on_listing(
+        self,
+        worker: fleet.Worker,
+        listing: model.WorkerListing,
+        sent_s: float,
+    ) -> None:
+        """Takes over what a worker listed."""
+
+    def on_gone(self, worker: fleet.Worker, why: str) -> None:
+        """Gives up the runs of a worker that has certainly ended."""
+
+    def on_silent(self, worker: fleet.Worker, why: str) -> None:
+        """Stops giving runs to a worker that does not answer."""
+
+    def on_started(self, run: jobs.Run) -> None:
+        """Records that a worker confirmed a start."""
+
+    def on_refused(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+        """Records that a worker did not start a run and will not."""
+
+    def on_fenced(self) -> None:
+        """Records that a worker obeys another instance."""
+
+    def flushed(self) -> asyncio.Future[None]:
+        """Returns a future that is done when what is known is stored."""
+
+
+class WorkerSession:
+    """Keeps the lease of one worker and carries its orders.
+
+    Args:
+        owner: The elected instance.
+        worker: The worker.
+        port: Calls to workers.
+    """
+
+    def __init__(
+        self,
+        owner: Owner,
+        worker: fleet.Worker,
+        port: ports.WorkerPort,
+    ) -> None:
+        self._owner = owner
+        self._worker = worker
+        self._port = port
+        self._refusals = 0
+        self._is_closed = False
+
+    async def run(self) -> None:
+        """Renews the lease until the worker is gone."""
+        while self._worker.contact is not fleet.Contact.GONE:
+            try:
+                await self._converse()
+            except ports.FencedError as error:
+                _log.warning("Fenced off: %s", error)
+                self._owner.on_fenced()
+                return
+            except ports.OtherLifeError as error:
+                self._owner.on_gone(self._worker, str(error))
+                return
+            except messages.ConnectionRefusedByHostError as error:
+                self._refusals += 1
+                self._owner.on_silent(self._worker, str(error))
+            except errors.MarigoldgapError as error:
+                self._refusals = 0
+                self._owner.on_silent(self._worker, str(error))
+            if self._is_certainly_gone():
+                self._owner.on_gone(self._worker, "its lease has lapsed")
+                return
+            await asyncio.sleep(_RETRY_S)
+
+    def close(self) -> None:
+        """Ends repeated orders."""
+        self._is_closed = True
+
+    async def start(self, run: jobs.Run, ticket: str) -> None:
+        """Starts a run; repeats the order until its outcome is known."""
+        worker = self._worker
+        while run.state is jobs.RunState.STARTING and not self._is_closed:
+            now = time_source.now_s()
+            try:
+                answer = await self._port.start(
+                    worker.registration,
+                    run.name,
+                    run.step.job.record.spec.payload,
+                    worker.lease_end_ms(now, LEASE_S),
+                    self._owner.fence,
+                    run.step.saved_for(run.name.task.position),
+                    ticket,
+                    _ORDER_TIMEOUT_S,
+                )
+            except errors.MarigoldgapError as error:
+                _log.warning("Start of %s is open: %s", run.name, error)
+                await asyncio.sleep(_ORDER_RETRY_S)
+                if worker.contact is fleet.Contact.GONE:
+                    return
+                continue
+            if run.state is jobs.RunState.STARTING:
+                self._conclude(run, answer)
+
+    def _conclude(self, run: jobs.Run, answer: model.StartAnswer) -> None:
+        outcome = answer.outcome
+        if outcome is model.StartOutcome.STARTED:
+            run.answered_s = time_source.now_s()
+            self._owner.on_started(run)
+        elif outcome is model.StartOutcome.FENCED:
+            self._owner.on_fenced()
+        else:
+            if outcome is model.StartOutcome.UNHEALTHY:
+                self._worker.avoid_until_s = (
+                    time_source.now_s() + _UNHEALTHY_PAUSE_S
+                )
+            self._owner.on_refused(run, outcome)
+
+    async def stop(self, run: jobs.Run) -> None:
+        """Stops a run; repeats the order until the worker has taken it."""
+        while run.name in self._worker.runs and not self._is_closed:
+            try:
+                taken = await self._port.stop(
+                    self._worker.registration,
+                    run.name,
+                    self._owner.fence,
+                    _ORDER_TIMEOUT_S,
+                )
+            except errors.MarigoldgapError as error:
+                _log.warning("Stop of %s is open: %s", run.name, error)
+            else:
+                if taken:
+                    # A stopped run is listed as ended; one that never arrived
+                    # will be refused, and the next listing shows neither.
+                    run.answered_s = min(run.answered_s, time_source.now_s())
+                    return
+            await asyncio.sleep(_ORDER_RETRY_S)
+
+    async def _converse(self) -> None:
+        """Renews the lease over one connection.
+
+        A connection does not outlive the worker's process, so the numbers of
+        ends that were acknowledged on it belong to the same life.
+        """
+        worker = self._worker
+        connection = await client.connect(worker.registration.address)
+        try:
+            await self._renew(connection, 0, 0, 0)
+            self._refusals = 0
+            while worker.contact is not fleet.Contact.GONE:
+                await self._renew_with_lease(connection)
+        finally:
+            connection.close()
+
+    async def _renew_with_lease(self, connection: client.Connection) -> None:
+        worker = self._worker
+        handled = worker.handled_number
+        if handled > worker.stored_number:
+            try:
+                await asyncio.wait_for(self._owner.flushed(), _STORE_WAIT_S)
+                worker.stored_number = handled
+            except TimeoutError:
+                _log.warning("Ends of %s wait for the store", worker.worker_id)
+        # Unacknowledged ends make the worker answer at once.
+        wait_ms = _WAIT_MS if worker.stored_number >= handled else 0
+        until = worker.lease_end_ms(time_source.now_s(), LEASE_S)
+        await self._renew(connection, worker.stored_number, until, wait_ms)
+
+    async def _renew(
+        self,
+        connection: client.Connection,
+        seen_number: int,
+        until_ms: int,
+        wait_ms: int,
+    ) -> None:
+        sent_s = time_source.now_s()
+        listing = await self._port.renew(
+            connection,
+            self._worker.registration,
+            self._owner.fence,
+            seen_number,
+            until_ms,
+            wait_ms,
+        )
+        self._owner.on_listing(self._worker, listing, sent_s)
+
+    def _is_certainly_gone(self) -> bool:
+        if self._refusals >= _REFUSALS:
+            return True
+        return self._worker.has_lapsed(time_source.now_s())
--- /dev/null
+++ b/src/marigoldgap/node/__init__.py
@@ -0,0 +1,1 @@
+"""A serving process: its settings, its parts, its start and stop."""
--- /dev/null
+++ b/src/marigoldgap/node/instance_rows.py
@@ -0,0 +1,77 @@
+"""Instances announce themselves in the store; the elected one finds them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.cell import peers
+from marigoldgap.cell import records
+from marigoldgap.cell import store
+from marigoldgap.web import client
+
+_log = logs.PartLogger("instances")
+
+# Interval at which the elected instance reads the list.
+_READ_S = 4.0
+# Pause after a failed call.
+_RETRY_S = 0.3
+
+
+async def announce(rows: store.Store, name: str, address: str) -> None:
+    """Writes the address of this instance; tries until it is stored."""
+    place = store.RowKey(records.INSTANCES, "", name)
+    content = records.encode({"address": address})
+    transaction = store.Transaction((), ((place, content),))
+    while True:
+        try:
+            await rows.transact(transaction)
+        except store.StoreError as error:
+            _log.warning("Could not announce this instance: %s", error)
+            await asyncio.sleep(_RETRY_S)
+        else:
+            return
+
+
+class InstanceList:
+    """The other instances, as lanes for advice.
+
+    Args:
+        rows: The store.
+        pool: Connections.
+        own_name: Name of this instance.
+    """
+
+    def __init__(
+        self, rows: store.Store, pool: client.HttpPool, own_name: str
+    ) -> None:
+        self.peers: list[peers.PeerClient] = []
+        self._rows = rows
+        self._pool = pool
+        self._own_name = own_name
+
+    async def follow(self) -> None:
+        """Reads the list again and again, until cancelled."""
+        while True:
+            try:
+                page = await store.read_all(self._rows, records.INSTANCES, "")
+            except store.StoreError as error:
+                _log.warning("Could not read the instances: %s", error)
+                await asyncio.sleep(_RETRY_S)
+                continue
+            self.peers = self._decode(page)
+            await asyncio.sleep(_READ_S)
+
+    def _decode(self, page: store.Page) -> list[peers.PeerClient]:
+        found = []
+        for row in page.rows:
+            if row.place.key == self._own_name:
+                continue
+            try:
+                address = records.decode(row.value)["address"]
+            except (errors.MarigoldgapError, KeyError) as error:
+                _log.warning("Entry %s is unusable: %s", row.place.key, error)
+                continue
+            found.append(peers.PeerClient(self._pool, address, row.place.key))
+        return found
--- /dev/null
+++ b/src/marigoldgap/node/settings.py
@@ -0,0 +1,34 @@
+"""Settings of a serving process."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class NodeSettings(NamedTuple):
+    """Where a process listens and what it talks to.
+
+    Attributes:
+        name: Name of the instance.
+        zone: Availability zone.
+        callers_address: `ip:port` for callers.
+        readiness_address: `ip:port` for the question whether it is ready.
+        peers_address: `ip:port` for the other instances.
+        metrics_address: `ip:port` for metrics.
+        store_address: `ip:port` of the store.
+        advice_address: `ip:port` of the advice service; empty if none.
+        shutdown_s: Time from the request to stop until the process is killed.
+        withdrawal_s: Time within which a withdrawn key must stop working; 0
+            if keys may be used without confirmation.
+    """
+
+    name: str
+    zone: str
+    callers_address: str
+    readiness_address: str
+    peers_address: str
+    metrics_address: str
+    store_address: str
+    advice_address: str
+    shutdown_s: float
+    withdrawal_s: float
--- /dev/null
+++ b/src/marigoldgap/platform/advice_client.py
@@ -0,0 +1,57 @@
+"""Calls to the service that advises which workers may run a step."""
+
+from __future__ import annotations
+
+from marigoldgap.cell import model
+from marigoldgap.cell import ports
+from marigoldgap.platform import decoding
+from marigoldgap.web import client
+from marigoldgap.web import messages
+
+# Most workers that one call may name.
+MAX_WORKERS = 100
+
+
+class AdviceClient:
+    """Asks the advice service.
+
+    Args:
+        pool: Connections.
+        address: `ip:port` of the service.
+    """
+
+    def __init__(self, pool: client.HttpPool, address: str) -> None:
+        self._pool = pool
+        self._address = address
+
+    async def ask(
+        self, step: str, workers: list[str], timeout_s: float
+    ) -> model.Tickets:
+        """Asks which of the workers may run a step.
+
+        Args:
+            step: Job, occurrence and step, joined with dots.
+            workers: Identifiers of at most `MAX_WORKERS` workers.
+            timeout_s: Limit of the call.
+
+        Raises:
+            AdviceBusyError: The service takes no more calls now.
+            ExchangeError: No usable answer.
+            FormatError: The answer cannot be read.
+        """
+        body = messages.encode_json({"step": step, "workers": workers})
+        answer = await self._pool.exchange(
+            "POST", self._address, "/v1/advise", body, timeout_s
+        )
+        if answer.status == 429:
+            raise ports.AdviceBusyError("the advice service is busy")
+        if answer.status != 200:
+            raise messages.InvalidAnswerError(
+                f"the advice service answered {answer.status}"
+            )
+        fields = decoding.decode_object(answer.body)
+        try:
+            by_worker = {str(row[0]): str(row[1]) for row in fields["good"]}
+        except (KeyError, IndexError, TypeError) as error:
+            raise decoding.FormatError(f"advice: {error}") from error
+        return model.Tickets(by_worker, decoding.number(fields, "validMs"))
--- /dev/null
+++ b/src/marigoldgap/platform/job_api.py
@@ -0,0 +1,126 @@
+"""The callers' HTTP interface on the platform."""
+
+from __future__ import annotations
+
+import re
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.cell import job_desk
+from marigoldgap.cell import model
+from marigoldgap.cell import store
+from marigoldgap.cell import time_source
+from marigoldgap.platform import documents
+from marigoldgap.web import messages
+
+_log = logs.PartLogger("callers")
+
+# How long a caller waits if it does not say.
+_DEFAULT_DEADLINE_MS = 3_000
+# When a refused caller may come back.
+_RETRY_AFTER_MS = 1_000
+_JOB_ID = re.compile(r"[0-9a-f]{16}")
+_SCHEME = "token "
+# "completed" and the other words are the same on both sides.
+_STATE_WORDS = {state: state.value for state in model.JobState}
+
+
+class JobApi:
+    """Translates requests of callers.
+
+    Args:
+        desk: Serves callers.
+    """
+
+    def __init__(self, desk: job_desk.JobDesk) -> None:
+        self._desk = desk
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answers one request."""
+        started_s = time_source.now_s()
+        try:
+            return await self._route(request)
+        except errors.MarigoldgapError as error:
+            _log.warning(
+                "Answered %s %s with %d after %.3f s: %s: %s",
+                request.method,
+                request.path,
+                error.status,
+                time_source.now_s() - started_s,
+                error.code,
+                error.detail,
+            )
+            return _error_response(error)
+
+    async def ready(self, request: messages.Request) -> messages.Response:
+        """Answers the platform's question whether to send callers here."""
+        del request
+        return messages.Response(200 if self._desk.is_ready else 503)
+
+    async def _route(self, request: messages.Request) -> messages.Response:
+        path = request.path.partition("?")[0]
+        queue = self._desk.find_queue(request.headers.get("host", ""), path)
+        workspace = self._desk.check_key(queue, _key(request))
+        job_id = path.removeprefix(queue.prefix)
+        if not job_id and request.method == "GET":
+            count = await self._desk.waiting(queue)
+            return messages.json_response(200, {"waiting": count})
+        if not _JOB_ID.fullmatch(job_id):
+            raise errors.NotFoundError(f"{job_id!r} is no job identifier")
+        if request.method == "POST":
+            return await self._submit(request, queue, workspace, job_id)
+        if request.method == "GET":
+            state = await self._desk.state(job_id)
+            return messages.json_response(200, {"state": _STATE_WORDS[state]})
+        if request.method == "DELETE":
+            await self._desk.cancel(job_id, _deadline_s(request))
+            return messages.Response(200)
+        return messages.json_response(405, {"error": "method-not-allowed"})
+
+    async def _submit(
+        self,
+        request: messages.Request,
+        queue: model.Queue,
+        workspace: str,
+        job_id: str,
+    ) -> messages.Response:
+        record = model.JobRecord(
+            job_id,
+            queue,
+            workspace,
+            time_source.wall_ms(),
+            documents.decode_job(request.body),
+        )
+        await self._desk.submit(record, _deadline_s(request))
+        return messages.Response(200)
+
+
+def _key(request: messages.Request) -> str | None:
+    value = request.headers.get("authorization", "")
+    if value[: len(_SCHEME)].lower() != _SCHEME:
+        return None
+    return value[len(_SCHEME) :].strip()
+
+
+def _deadline_s(request: messages.Request) -> float:
+    text = request.headers.get("x-deadline-ms", "")
+    try:
+        return float(text) / 1000 if text else _DEFAULT_DEADLINE_MS / 1000
+    except ValueError as error:
+        raise errors.InvalidRequestError(f"deadline {text!r}") from error
+
+
+def _error_response(error: errors.MarigoldgapError) -> messages.Response:
+    status = error.status
+    if isinstance(error, store.StoreError):
+        # A read or a cancel may be repeated.
+        status = 503
+    body = {"error": error.code}
+    if status not in (429, 503):
+        return messages.json_response(status, body)
+    retry = str(max(1, round(_RETRY_AFTER_MS / 1000)))
+    return messages.json_response(
+        status,
+        {**body, "retryAfterMs": _RETRY_AFTER_MS},
+        (("Retry-After", retry),),
+    )
--- /dev/null
+++ b/src/marigoldgap/platform/node_settings.py
@@ -0,0 +1,54 @@
+"""Decodes the settings file that the platform writes for a process."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+
+from marigoldgap.cell import store
+from marigoldgap.node import settings
+from marigoldgap.platform import decoding
+
+_PATH_VARIABLE = "MARIGOLDGAP_BOOT"
+_DEFAULT_PATH = "/etc/marigoldgap/node.json"
+# Rows that the operator and the workers write.
+CONFIGURATION = store.RowKey("op", "", "config")
+WORKERS_TABLE = "servers"
+
+
+def path() -> pathlib.Path:
+    """Returns the place of the settings file."""
+    return pathlib.Path(os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH))
+
+
+def load(file: pathlib.Path) -> settings.NodeSettings:
+    """Reads the settings file.
+
+    Raises:
+        FormatError: It lacks a field or holds another type.
+        OSError: It cannot be read.
+    """
+    fields = decoding.decode_object(file.read_bytes())
+    listen = fields.get("listen") or {}
+    bounds = fields.get("bounds") or {}
+    store_fields = fields.get("platform") or {}
+    ports = fields.get("portRange") or [0]
+    ip = decoding.text(fields, "ip")
+    is_strict = bounds.get("strictRevoke") is True
+    return settings.NodeSettings(
+        name=decoding.text(fields, "nodeName"),
+        zone=decoding.text(fields, "zone", ""),
+        callers_address=decoding.text(listen, "front"),
+        readiness_address=decoding.text(listen, "ready"),
+        # Free for the protocol of the project.
+        peers_address=f"{ip}:{int(ports[0])}",
+        metrics_address=f"{ip}:{int(ports[0]) + 1}",
+        store_address=decoding.text(store_fields, "address"),
+        advice_address=decoding.text(fields, "advice", ""),
+        shutdown_s=decoding.number(bounds, "graceS", 6),
+        withdrawal_s=(
+            decoding.number(bounds, "revokeMs", 5_000) / 1000
+            if is_strict
+            else 0.0
+        ),
+    )
--- /dev/null
+++ b/src/marigoldgap/platform/store_client.py
@@ -0,0 +1,169 @@
+"""Client of the platform's metadata store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import Any
+from urllib import parse
+
+from marigoldgap.cell import store
+from marigoldgap.cell import time_source
+from marigoldgap.web import client
+from marigoldgap.web import messages
+
+# Longest answer seen under a slow store is 60 times 4 ms plus two crossings
+# between regions; twice that.
+_CALL_TIMEOUT_S = 1.0
+# What a feed may need beyond its wait time.
+_FEED_SLACK_S = 0.7
+_REFUSED_STATUSES = frozenset({429, 503, 507})
+
+
+class StoreClient:
+    """Implements `cell.store.Store` over HTTP.
+
+    Args:
+        pool: Connections.
+        address: `ip:port` of the store.
+    """
+
+    def __init__(self, pool: client.HttpPool, address: str) -> None:
+        self._pool = pool
+        self._address = address
+        self.last_success_s = -1.0
+        self.last_failure_s = -1.0
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the latest call that ended got an answer."""
+        return self.last_success_s >= self.last_failure_s
+
+    async def transact(self, transaction: store.Transaction) -> int:
+        """Applies a transaction; returns its version.
+
+        Raises:
+            CheckFailedError: A row has another version.
+            StoreRefusedError: Nothing was done.
+            StoreUnknownError: The transaction may take effect, also later.
+        """
+        partitions = {
+            each.partition
+            for each in (
+                *(check.place for check in transaction.checks),
+                *(place for place, _ in transaction.writes),
+                *transaction.removals,
+            )
+        }
+        body = {
+            "expectRev": [
+                {**_place(check.place), "ver": check.version}
+                for check in transaction.checks
+            ],
+            "setKeys": [
+                {**_place(place), "value": base64.b64encode(value).decode()}
+                for place, value in transaction.writes
+            ],
+            "remove": [_place(place) for place in transaction.removals],
+        }
+        if len(partitions) > 1:
+            body["across"] = True  # type: ignore[assignment]
+        answer = await self._call(
+            "POST", "/v1/rows-tx", messages.encode_json(body), _CALL_TIMEOUT_S
+        )
+        content = answer.json()
+        if answer.status == 412:
+            raise store.CheckFailedError(_rows(content))
+        return int(content["ver"])
+
+    async def read(
+        self, table: str, partition: str, first: str = "", end: str = ""
+    ) -> store.Page:
+        """Reads a range of keys.
+
+        Raises:
+            StoreRefusedError: The store did not read.
+            StoreUnknownError: The store did not answer.
+        """
+        query = {"table": table, "part": partition}
+        if first:
+            query["from"] = first
+        if end:
+            # "target" is the exclusive upper end of the range.
+            query["target"] = end
+        path = f"/v1/rows-get?{parse.urlencode(query)}"
+        return _page(
+            (await self._call("GET", path, b"", _CALL_TIMEOUT_S)).json()
+        )
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> store.Page:
+        """Waits for changed rows.
+
+        Raises:
+            HistoryLostError: The changes are no longer kept.
+            StoreRefusedError: The store did not read.
+            StoreUnknownError: The store did not answer.
+        """
+        query = {"table": table, "after": after, "waitMs": wait_ms}
+        path = f"/v1/rows-feed?{parse.urlencode(query)}"
+        answer = await self._call(
+            "GET", path, b"", wait_ms / 1000 + _FEED_SLACK_S
+        )
+        if answer.status == 410:
+            raise store.HistoryLostError(f"no history after version {after}")
+        return _page(answer.json())
+
+    async def _call(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> messages.Response:
+        try:
+            answer = await self._pool.exchange(
+                method, self._address, path, body, timeout_s
+            )
+        except messages.NotConnectedError as error:
+            self.last_failure_s = time_source.now_s()
+            raise store.StoreRefusedError(str(error)) from error
+        except messages.ExchangeError as error:
+            self.last_failure_s = time_source.now_s()
+            raise store.StoreUnknownError(str(error)) from error
+        if answer.status in _REFUSED_STATUSES:
+            self.last_failure_s = time_source.now_s()
+            raise store.StoreRefusedError(f"store answered {answer.status}")
+        if answer.status not in (200, 410, 412):
+            raise store.StoreError(
+                f"store answered {answer.status}: {answer.body[:200]!r}"
+            )
+        self.last_success_s = time_source.now_s()
+        return answer
+
+
+def _place(place: store.RowKey) -> dict[str, Any]:
+    return {"table": place.table, "part": place.partition, "key": place.key}
+
+
+def _rows(content: Any) -> tuple[store.Row, ...]:
+    return tuple(_row(each) for each in content.get("rows", ()))
+
+
+def _row(content: Any) -> store.Row:
+    place = store.RowKey(
+        content["table"], content.get("part", ""), content["key"]
+    )
+    return store.Row(place, _value(content), int(content.get("ver", 0)))
+
+
+def _value(content: Any) -> bytes | None:
+    if content.get("removed") or "value" not in content:
+        return None
+    try:
+        return base64.b64decode(content["value"])
+    except (binascii.Error, TypeError, ValueError):
+        # Other writers share these tables; a value that cannot be decoded is
+        # passed on as one that no decoder accepts.
+        return b""
+
+
+def _page(content: Any) -> store.Page:
+    return store.Page(
+        _rows(content), bool(content.get("hasMore")), int(content["ver"])
+    )
--- /dev/null
+++ b/src/marigoldgap/web/client.py
@@ -0,0 +1,219 @@
+"""HTTP client: one exchange at a time on a connection, each sent once."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import httptools
+
+from marigoldgap.web import messages
+
+# A connect attempt that takes longer is given up; three round trips between
+# regions (40 ms each) and the first retransmission of a lost packet (1 s).
+CONNECT_TIMEOUT_S = 1.2
+# Idle connections kept for each address; more are closed after use.
+MAX_IDLE_PER_ADDRESS = 4
+# Unacknowledged data fails the connection after this time, so that a silent
+# link is noticed before leases of 6 s end.
+_UNACKNOWLEDGED_LIMIT_MS = 4_000
+
+
+class Connection(asyncio.Protocol):
+    """One client connection; carries one exchange at a time."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._parser: Any = None
+        self._waiter: asyncio.Future[messages.Response] | None = None
+        self._body: list[bytes] = []
+        self._headers: list[tuple[str, str]] = []
+        self._keep_alive = True
+        self.is_open = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Prepares the socket."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self.is_open = True
+        connected = transport.get_extra_info("socket")
+        if connected is not None:
+            connected.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                _UNACKNOWLEDGED_LIMIT_MS,
+            )
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails the exchange that is waiting."""
+        self.is_open = False
+        self._fail(f"connection lost: {exc or 'closed by the server'}")
+
+    def data_received(self, data: bytes) -> None:
+        """Parses a part of the response."""
+        if self._waiter is None or self._waiter.done():
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"invalid response: {error}")
+            self.close()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Records a header of the response."""
+        self._headers.append(
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+        )
+
+    def on_body(self, body: bytes) -> None:
+        """Records a part of the body."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hands the response to the exchange."""
+        self._keep_alive = self._parser.should_keep_alive()
+        response = messages.Response(
+            self._parser.get_status_code(),
+            b"".join(self._body),
+            tuple(self._headers),
+        )
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(response)
+
+    async def exchange(
+        self, head: bytes, body: bytes, timeout_s: float
+    ) -> messages.Response:
+        """Sends a request and waits for the whole response.
+
+        Raises:
+            NoAnswerError: The request may have been carried out.
+        """
+        assert self._transport is not None
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = []
+        self._headers = []
+        loop = asyncio.get_running_loop()
+        self._waiter = loop.create_future()
+        timer = loop.call_later(timeout_s, self._fail, "timeout")
+        self._transport.write(head + body)
+        try:
+            response = await self._waiter
+        except BaseException:
+            self.close()
+            raise
+        finally:
+            timer.cancel()
+            self._waiter = None
+        if not self._keep_alive:
+            self.close()
+        return response
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self.is_open = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _fail(self, cause: str) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(messages.NoAnswerError(cause))
+
+
+def request_head(
+    method: str,
+    address: str,
+    path: str,
+    body_bytes: int,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> bytes:
+    """Returns the encoded head of a request."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}"]
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    if body_bytes:
+        lines.append(f"Content-Type: {messages.JSON_TYPE}")
+    lines.append(f"Content-Length: {body_bytes}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
+
+
+async def connect(address: str) -> Connection:
+    """Opens a connection to `ip:port`.
+
+    Raises:
+        NotConnectedError: There is no connection; nothing was sent.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, connection = await loop.create_connection(
+                Connection, host, int(port)
+            )
+    except ConnectionRefusedError as error:
+        raise messages.ConnectionRefusedByHostError(
+            f"{address} refused the connection"
+        ) from error
+    except (OSError, TimeoutError, ValueError) as error:
+        raise messages.NotConnectedError(
+            f"no connection to {address}: {error or 'timeout'}"
+        ) from error
+    return connection
+
+
+class HttpPool:
+    """Keeps idle connections to servers and runs exchanges on them."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[Connection]] = {}
+
+    async def exchange(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes = b"",
+        timeout_s: float = 1.0,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> messages.Response:
+        """Sends one request, once.
+
+        Args:
+            method: HTTP method.
+            address: `ip:port` of the server.
+            path: Path and query, quoted.
+            body: Content, JSON.
+            timeout_s: Limit from the sending to the whole response.
+            headers: Further headers.
+
+        Raises:
+            NotConnectedError: Nothing was sent.
+            NoAnswerError: The request may have been carried out.
+        """
+        connection = self._take(address) or await connect(address)
+        head = request_head(method, address, path, len(body), headers)
+        response = await connection.exchange(head, body, timeout_s)
+        self._put(address, connection)
+        return response
+
+    def forget(self, address: str) -> None:
+        """Closes the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
+    def _take(self, address: str) -> Connection | None:
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.is_open:
+                return connection
+        return None
+
+    def _put(self, address: str, connection: Connection) -> None:
+        if not connection.is_open:
+            return
+        idle = self._idle.setdefault(address, [])
+        if len(idle) >= MAX_IDLE_PER_ADDRESS:
+            connection.close()
+            return
+        idle.append(connection)
--- /dev/null
+++ b/src/marigoldgap/web/messages.py
@@ -0,0 +1,133 @@
+"""Requests and responses that the server and the client exchange."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import NamedTuple
+
+from marigoldgap import errors
+
+JSON_TYPE = "application/json"
+
+_REASONS = {
+    200: "OK",
+    201: "Created",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class Request(NamedTuple):
+    """A complete request; header names are in lower case."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Response(NamedTuple):
+    """A complete response; `headers` are those beside the standard ones."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def json(self) -> Any:
+        """Returns the decoded body.
+
+        Raises:
+            InvalidAnswerError: The body is not JSON.
+        """
+        try:
+            return json.loads(self.body)
+        except ValueError as error:
+            raise InvalidAnswerError(f"body is not JSON: {error}") from error
+
+
+class ExchangeError(errors.MarigoldgapError):
+    """An exchange with a server gave no complete response."""
+
+    code = "exchange-failed"
+
+
+class NotConnectedError(ExchangeError):
+    """No connection could be made; nothing was sent."""
+
+    code = "not-connected"
+    ran = errors.Ran.NO
+
+
+class ConnectionRefusedByHostError(NotConnectedError):
+    """The host answered that no process listens on the port."""
+
+    code = "connection-refused"
+
+
+class NoAnswerError(ExchangeError):
+    """The request may have been carried out; no response arrived."""
+
+    code = "no-answer"
+
+
+class InvalidAnswerError(ExchangeError):
+    """The response cannot be read."""
+
+    code = "answer-invalid"
+
+
+def json_response(
+    status: int, value: Any, headers: tuple[tuple[str, str], ...] = ()
+) -> Response:
+    """Returns a response with a JSON body."""
+    return Response(status, encode_json(value), headers)
+
+
+def encode_json(value: Any) -> bytes:
+    """Returns the value as compact JSON."""
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def encode_response(response: Response, close: bool) -> bytes:
+    """Returns the bytes of a response.
+
+    Args:
+        response: What to send.
+        close: Whether the connection closes after this response.
+    """
+    reason = _REASONS.get(response.status, "Status")
+    lines = [f"HTTP/1.1 {response.status} {reason}"]
+    lines.extend(f"{name}: {value}" for name, value in response.headers)
+    if response.body:
+        lines.append(f"Content-Type: {JSON_TYPE}")
+    lines.append(f"Content-Length: {len(response.body)}")
+    if close:
+        lines.append("Connection: close")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + response.body
+
+
+def decode_object(content: bytes) -> dict[str, Any]:
+    """Returns the JSON object.
+
+    Raises:
+        InvalidAnswerError: The bytes are no JSON object.
+    """
+    try:
+        value = json.loads(content)
+    except (ValueError, RecursionError) as error:
+        raise InvalidAnswerError(f"not JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise InvalidAnswerError("not a JSON object")
+    return value
