End an order once its start is refused

A refused start left the run in the state 'starting', so its order was repeated while the task was placed anew. A refusal after an order without an answer was taken as proof. Change: runs end in a state of their own; a refusal after an open order leads to a stop, and the next listing settles it.

--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -18,6 +18,7 @@
     STARTING = "starting"
     RUNNING = "running"
     STOPPING = "stopping"
+    ENDED = "ended"
 
 
 class Run:
--- a/src/marigoldgap/cell/model.py
+++ b/src/marigoldgap/cell/model.py
@@ -218,6 +218,9 @@
     step: int
     position: int
 
+    def __str__(self) -> str:
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.position}"
+
 
 class RunName(NamedTuple):
     """One start of a task; `run` rises with each."""
@@ -225,6 +228,9 @@
     task: TaskName
     run: int
 
+    def __str__(self) -> str:
+        return f"{self.task}#{self.run}"
+
 
 class HowEnded(enum.Enum):
     """How a run ended."""
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -458,6 +458,14 @@
         if job.state is model.JobState.QUEUED:
             job.state = model.JobState.RUNNING
 
+    def on_doubtful(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+        """Stops a run of which one order was refused and another is open."""
+        if outcome is model.StartOutcome.NO_TICKET:
+            run.step.tickets.pop(run.worker.worker_id, None)
+        self._stop(run, f"refused as {outcome.value} after an open order")
+        if run.step.spec.is_gang:
+            self._stop_gang(run.step, f"a member is in doubt: {outcome.value}")
+
     def on_refused(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
         """Records that a worker did not start a run and will not."""
         now = time_source.now_s()
@@ -566,6 +574,7 @@
 
     def _release(self, run: jobs.Run) -> None:
         """Forgets a run that has certainly ended."""
+        run.state = jobs.RunState.ENDED
         run.worker.remove(run)
         step = run.step
         index = run.name.task.position
@@ -579,7 +588,7 @@
             self._stop(member, why)
 
     def _stop(self, run: jobs.Run, why: str) -> None:
-        if run.state is jobs.RunState.STOPPING:
+        if run.state in (jobs.RunState.STOPPING, jobs.RunState.ENDED):
             return
         run.state = jobs.RunState.STOPPING
         _log.info("Stopping %s on %s: %s", run.name, run.worker.worker_id, why)
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -58,6 +58,9 @@
     def on_started(self, run: jobs.Run) -> None:
         """Records that a worker confirmed a start."""
 
+    def on_doubtful(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+        """Records a refusal while an earlier order may be carried out."""
+
     def on_refused(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
         """Records that a worker did not start a run and will not."""
 
@@ -119,6 +122,7 @@
     async def start(self, run: jobs.Run, ticket: str) -> None:
         """Starts a run; repeats the order until its outcome is known."""
         worker = self._worker
+        is_open = False
         while run.state is jobs.RunState.STARTING and not self._is_closed:
             now = time_source.now_s()
             try:
@@ -133,15 +137,18 @@
                     _ORDER_TIMEOUT_S,
                 )
             except errors.MarigoldgapError as error:
+                is_open = is_open or error.ran is not errors.Ran.NO
                 _log.warning("Start of %s is open: %s", run.name, error)
                 await asyncio.sleep(_ORDER_RETRY_S)
                 if worker.contact is fleet.Contact.GONE:
                     return
                 continue
             if run.state is jobs.RunState.STARTING:
-                self._conclude(run, answer)
+                self._conclude(run, answer, is_open)
 
-    def _conclude(self, run: jobs.Run, answer: model.StartAnswer) -> None:
+    def _conclude(
+        self, run: jobs.Run, answer: model.StartAnswer, is_open: bool
+    ) -> None:
         outcome = answer.outcome
         if outcome is model.StartOutcome.STARTED:
             run.answered_s = time_source.now_s()
@@ -153,7 +160,11 @@
                 self._worker.avoid_until_s = (
                     time_source.now_s() + _UNHEALTHY_PAUSE_S
                 )
-            self._owner.on_refused(run, outcome)
+            # An earlier order without an answer may still be carried out.
+            if is_open:
+                self._owner.on_doubtful(run, outcome)
+            else:
+                self._owner.on_refused(run, outcome)
 
     async def stop(self, run: jobs.Run) -> None:
         """Stops a run; repeats the order until the worker has taken it."""
