Take over at once when the elected instance ends or loses the store

Ruled out: recovery itself (reads take 50 to 90 ms). Change: an elected instance that the store does not serve asks peers near the store to take over; an ended process is seen on a held connection; a restarted instance claims its own row; beat 0.3 s, patience 1.25 s.

--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -21,10 +21,11 @@
 
 _log = logs.PartLogger("election")
 
-# Pause between two looks at the rows.
-_POLL_S = 0.6
+# Pause between two looks at the rows, for instances near the store and far.
+_POLL_S = 0.35
+_FAR_POLL_S = 0.8
 # A beat that stands still for this long shows a failed instance: four beats.
-_PATIENCE_S = 2.0
+_PATIENCE_S = 1.25
 # A look that comes later than this after the one before starts a new window,
 # since the store may have been away.
 _WINDOW_GAP_S = 1.2
@@ -87,6 +88,14 @@
         self._seen_since_s = 0.0
         self._looked_s = -_WINDOW_GAP_S
         self._read_s = 0.0
+        self._taken_over: Won | None = None
+        self._wake = asyncio.Event()
+        self._is_serving = False
+
+    @property
+    def is_near(self) -> bool:
+        """Whether the store is in the same region."""
+        return self._read_s <= _NEAR_READ_S
 
     def withdraw(self) -> None:
         """Takes part in no further election."""
@@ -96,20 +105,58 @@
         """Watches until cancelled; serves each election that is won."""
         while True:
             try:
-                won = await self._look()
+                won = self._taken_over or await self._look()
             except store.StoreError as error:
                 _log.warning("Could not read the election: %s", error)
                 await asyncio.sleep(_RETRY_S)
                 continue
+            self._taken_over = None
             if won is None:
-                await asyncio.sleep(_POLL_S)
+                await self._pause()
                 continue
+            self._is_serving = True
             try:
                 await self._serve(won)
             except errors.MarigoldgapError as error:
                 _log.error("Election %d ended early: %s", won.epoch, error)
+            self._is_serving = False
             self._seen = None
 
+    async def take_over(self, epoch: int, cause: str) -> bool:
+        """Takes the duty over from an instance that cannot do it.
+
+        Args:
+            epoch: The election that is over.
+            cause: Why it is over.
+
+        Returns:
+            Whether this instance schedules now.
+
+        Raises:
+            StoreError: The store does not answer here either.
+        """
+        if not self._is_candidate or self._is_serving or self._taken_over:
+            return False
+        row, _ = await self._read()
+        if row is None or self.elected is None or self.elected.epoch != epoch:
+            return False
+        _log.info("Taking over from election %d: %s", epoch, cause)
+        won = await self._claim(row)
+        if won is None:
+            return False
+        self._taken_over = won
+        self._wake.set()
+        return True
+
+    async def _pause(self) -> None:
+        try:
+            await asyncio.wait_for(
+                self._wake.wait(), _POLL_S if self.is_near else _FAR_POLL_S
+            )
+        except TimeoutError:
+            return
+        self._wake.clear()
+
     async def release(self, won: Won) -> None:
         """Gives the duty up, so that another instance takes over at once."""
         row = Elected(won.epoch, self._instance, self._address, True)
@@ -118,24 +165,32 @@
             store.Transaction((check,), ((records.ELECTION, _encode(row)),))
         )
 
-    async def _look(self) -> Won | None:
+    async def _read(self) -> tuple[store.Row | None, store.Row | None]:
+        """Returns the rows of the election and the beat."""
         started_s = time_source.now_s()
         first, end = records.ELECTION_RANGE
         page = await self._rows.read(records.CELL, records.CELL, first, end)
-        now = time_source.now_s()
-        self._read_s = now - started_s
+        self._read_s = time_source.now_s() - started_s
         found = {row.place: row for row in page.rows}
         row = found.get(records.ELECTION)
-        beat = found.get(records.BEAT)
         if row is not None:
             self._note(_decode(row))
+        return row, found.get(records.BEAT)
+
+    async def _look(self) -> Won | None:
+        row, beat = await self._read()
         is_vacant = row is None or (
-            self.elected is not None and self.elected.is_released
+            self.elected is not None
+            and (
+                self.elected.is_released
+                # An earlier life of this instance held the duty.
+                or self.elected.instance == self._instance
+            )
         )
-        has_stopped = self._has_stopped(row, beat, now)
+        has_stopped = self._has_stopped(row, beat, time_source.now_s())
         if not self._is_candidate or not (is_vacant or has_stopped):
             return None
-        if self._read_s > _NEAR_READ_S:
+        if not self.is_near:
             await asyncio.sleep(_FAR_DELAY_S)
         return await self._claim(row)
 
--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -60,6 +60,9 @@
         self.lease_until_ms = 0
         self._inherited_until_s = now + inherited_lease_s
         self.avoid_until_s = 0.0
+        # Runs that the worker lists and whose job is not known here yet; what
+        # they use is not known either. The time is that of the first listing.
+        self.unaccounted: dict[model.RunName, float] = {}
         self._failed_jobs: list[str] = []
         self._quarantine_s = _QUARANTINE_S
         self.is_quarantined = False
@@ -76,6 +79,7 @@
             and self.is_rostered
             and self.is_listed
             and not self.registration.is_draining
+            and not self.unaccounted
             and now >= self.avoid_until_s
             and not (self.is_quarantined and self.runs)
         )
--- a/src/marigoldgap/cell/journal.py
+++ b/src/marigoldgap/cell/journal.py
@@ -52,7 +52,9 @@
         self._documents: dict[store.RowKey, Callable[[], bytes | None]] = {}
         self._dirty = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
-        self.last_success_s = time_source.now_s()
+        # Since when the oldest write is waiting, and since when it is refused.
+        self.waiting_since_s: float | None = None
+        self.refused_since_s: float | None = None
 
     def mark(
         self, place: store.RowKey, encode: Callable[[], bytes | None]
@@ -94,13 +96,15 @@
         self, documents: dict[store.RowKey, Callable[[], bytes | None]]
     ) -> None:
         contents = {place: encode() for place, encode in documents.items()}
+        self.waiting_since_s = time_source.now_s()
         while True:
             try:
                 version = await self._rows.transact(self._transaction(contents))
             except store.CheckFailedError as error:
-                if self._settle(contents, error.rows):
-                    return
-                continue
+                if not self._settle(contents, error.rows):
+                    continue
+                self._note_success()
+                return
             except store.StoreError as error:
                 _log.warning(
                     "Could not write %d rows: %s", len(contents), error
@@ -109,9 +113,13 @@
                 continue
             for place in contents:
                 self._versions[place] = version
-            self.last_success_s = time_source.now_s()
+            self._note_success()
             return
 
+    def _note_success(self) -> None:
+        self.waiting_since_s = None
+        self.refused_since_s = None
+
     def _transaction(
         self, contents: dict[store.RowKey, bytes | None]
     ) -> store.Transaction:
@@ -150,6 +158,4 @@
             found = row.value if row is not None else None
             self._versions[place] = row.version if row is not None else 0
             is_stored = is_stored and found == value
-        if is_stored:
-            self.last_success_s = time_source.now_s()
         return is_stored
--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 from urllib import parse
 
 from marigoldgap import errors
 from marigoldgap import logs
+from marigoldgap.cell import election as elections
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
 from marigoldgap.cell import scheduler as schedulers
@@ -25,6 +27,12 @@
 _JOBS_PATH = "/peer/jobs/"
 _QUEUES_PATH = "/peer/queues/"
 _ADVICE_PATH = "/peer/advice"
+_WATCH_PATH = "/peer/watch"
+_TAKE_OVER_PATH = "/peer/take-over"
+# How long the elected instance holds back its answer to a watcher.
+_WATCH_S = 10.0
+# Limit of a request to take over: a read and a write of the store.
+_TAKE_OVER_TIMEOUT_S = 0.8
 
 
 class NotElectedError(errors.OverloadedError):
@@ -75,11 +83,18 @@
     Args:
         view: What is known of jobs here.
         advice: The advice service; None if there is none.
+        election: Takes part in the election for this instance.
     """
 
-    def __init__(self, view: JobView, advice: ports.AdvicePort | None) -> None:
+    def __init__(
+        self,
+        view: JobView,
+        advice: ports.AdvicePort | None,
+        election: elections.Election,
+    ) -> None:
         self._view = view
         self._advice = advice
+        self._election = election
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answers one call."""
@@ -100,8 +115,23 @@
             return messages.json_response(200, {"waiting": count})
         if path == _ADVICE_PATH and self._advice is not None:
             return await self._ask(messages.decode_object(request.body))
+        if path == _WATCH_PATH:
+            await asyncio.sleep(_WATCH_S)
+            return messages.json_response(200, {})
+        if path == _TAKE_OVER_PATH:
+            fields = messages.decode_object(request.body)
+            return messages.json_response(
+                200, {"taken": await self._take_over(fields)}
+            )
         return messages.json_response(404, {"error": "not-found"})
 
+    async def _take_over(self, fields: dict[str, Any]) -> bool:
+        if fields["near_only"] and not self._election.is_near:
+            return False
+        return await self._election.take_over(
+            int(fields["epoch"]), "it asked for it"
+        )
+
     async def _ask(self, fields: dict[str, Any]) -> messages.Response:
         assert self._advice is not None
         tickets = await self._advice.ask(
@@ -162,6 +192,33 @@
         )
         return model.Tickets(fields["by_worker"], fields["valid_ms"])
 
+    async def take_over(self, epoch: int, near_only: bool) -> bool:
+        """Asks the instance to schedule from now on.
+
+        Args:
+            epoch: The election that is over.
+            near_only: Whether only an instance near the store should do it.
+
+        Raises:
+            MarigoldgapError: There is no usable answer.
+        """
+        body = {"epoch": epoch, "near_only": near_only}
+        fields = await self._call(
+            "POST",
+            _TAKE_OVER_PATH,
+            messages.encode_json(body),
+            _TAKE_OVER_TIMEOUT_S,
+        )
+        return fields.get("taken") is True
+
+    async def watch(self) -> None:
+        """Waits until the instance ends or a while has passed.
+
+        Raises:
+            MarigoldgapError: The connection was lost, or there is none.
+        """
+        await self._call("GET", _WATCH_PATH, b"", 2 * _WATCH_S)
+
     async def _call(
         self, method: str, path: str, body: bytes, timeout_s: float
     ) -> dict[str, Any]:
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Coroutine
 import functools
 from typing import Any
@@ -26,7 +28,13 @@
 _log = logs.PartLogger("scheduler")
 
 # Interval of the beat that shows that the elected instance works.
-BEAT_S = 0.5
+BEAT_S = 0.3
+# Without the store for this long, the duty is offered to other instances:
+# where it refuses, and where it does not answer.
+_REFUSED_LIMIT_S = 0.25
+_SILENT_LIMIT_S = 0.9
+# Pause between two looks at that.
+_STORE_WATCH_S = 0.1
 # Shortest time between two plans.
 _PLAN_PAUSE_S = 0.005
 # A plan is made at least this often: back-offs and due times pass.
@@ -38,6 +46,8 @@
 # Leases of an earlier elected instance end within 6 s (`holdMaxMs`) on a clock
 # that may be 2% slow.
 _INHERITED_LEASE_S = 6.3
+# How long the row of a job may arrive later than the listing of its run.
+_UNKNOWN_JOB_S = 2.0
 # Run numbers that one election may use for a task.
 _RUNS_PER_ELECTION = 1_000
 # Pause before a gang that could not start is planned again.
@@ -58,6 +68,7 @@
         port: Calls to workers.
         lanes: Returns the instances that can ask for advice.
         configuration: Returns the configuration in force.
+        offer: Offers the duty to other instances; returns whether one took it.
     """
 
     def __init__(
@@ -68,6 +79,7 @@
         port: ports.WorkerPort,
         lanes: Any,
         configuration: Any,
+        offer: Callable[[int], Awaitable[bool]],
     ) -> None:
         self.fence = fence
         self.jobs: dict[str, jobs.Job] = {}
@@ -77,6 +89,7 @@
         self._election = election
         self._port = port
         self._configuration = configuration
+        self._offer = offer
         self._times = run_times.RunTimes()
         self._planner = planner.Planner(self.workers, self._times)
         self._desk = advice_desk.AdviceDesk(lanes, self._wake)
@@ -136,6 +149,7 @@
         self._spawn(self._run_journal())
         self._spawn(self._beat())
         self._spawn(self._plan_repeatedly())
+        self._spawn(self._watch_store())
         await self._deposed.wait()
 
     def close(self) -> None:
@@ -355,10 +369,19 @@
             # in the listing unless the worker lost the run.
             if run.answered_s < sent_s and run.name not in listed:
                 self._end_run(run, model.HowEnded.LAPSED, "", "not listed")
-        self._orphans &= {active.name for active in listing.running}
+        self._account(worker, {active.name for active in listing.running})
         self._unresolved.discard(worker.worker_id)
         self._wake()
 
+    def _account(
+        self, worker: fleet.Worker, running: set[model.RunName]
+    ) -> None:
+        """Forgets unknown runs that have ended or are known now."""
+        for name in list(worker.unaccounted):
+            if name not in running or name in worker.runs:
+                del worker.unaccounted[name]
+                self._orphans.discard(name)
+
     def _on_active(
         self, worker: fleet.Worker, active: model.ActiveRun, now: float
     ) -> None:
@@ -396,35 +419,45 @@
     def _adopt(
         self, worker: fleet.Worker, active: model.ActiveRun, now: float
     ) -> jobs.Run | None:
-        """Takes over a run of an earlier election, or stops it."""
+        """Takes over a run of an earlier election."""
         task = active.name.task
         job = self.jobs.get(task.job_id)
         step = job.step(task) if job is not None else None
-        if (
-            job is None
-            or step is None
-            or job.is_ended
-            or step.is_task_done(task.position)
-            or task.position in step.active
-        ):
-            self._stop_orphan(worker, active.name)
+        if job is None or step is None:
+            self._on_unaccounted(worker, active.name, now)
             return None
         run = jobs.Run(active.name, step, worker, now)
         run.state = jobs.RunState.RUNNING
         run.answered_s = now
         run.percent = active.percent
+        worker.add(run)
+        step.last_run[task.position] = max(
+            step.last_run.get(task.position, 0), active.name.run
+        )
+        if (
+            job.is_ended
+            or step.is_task_done(task.position)
+            or task.position in step.active
+        ):
+            self._stop(run, "nothing of it is needed any more")
+            return run
         step.active[task.position] = run
         step.waiting.discard(task.position)
-        step.last_run[task.position] = active.name.run
-        worker.add(run)
         job.has_begun = True
-        if not job.is_ended:
-            job.state = model.JobState.RUNNING
+        job.state = model.JobState.RUNNING
         _log.info("Adopted %s on %s", active.name, worker.worker_id)
         return run
 
-    def _stop_orphan(self, worker: fleet.Worker, name: model.RunName) -> None:
-        if name in self._orphans:
+    def _on_unaccounted(
+        self, worker: fleet.Worker, name: model.RunName, now: float
+    ) -> None:
+        """Stops a run whose job stays unknown.
+
+        The row of a job that was accepted during the election may arrive later
+        than the listing of its run.
+        """
+        since = worker.unaccounted.setdefault(name, now)
+        if now - since < _UNKNOWN_JOB_S or name in self._orphans:
             return
         self._orphans.add(name)
         _log.warning("Stopping unknown run %s on %s", name, worker.worker_id)
@@ -534,6 +567,9 @@
             run.worker.record_done()
             self._times.record(step, now - run.started_s)
             step.mark_done(index)
+            other = step.active.get(index)
+            if other is not None:
+                self._stop(other, "another run is done")
         elif how is model.HowEnded.FAILED:
             if run.worker.record_failure(step.job.job_id, now):
                 _log.warning(
@@ -578,8 +614,9 @@
         run.worker.remove(run)
         step = run.step
         index = run.name.task.position
-        if step.active.get(index) is run:
-            del step.active[index]
+        if step.active.get(index) is not run:
+            return
+        del step.active[index]
         if not step.is_task_done(index) and not step.job.is_ended:
             step.waiting.add(index)
 
@@ -686,6 +723,20 @@
             _log.warning("Deposed: %s", error)
             self._deposed.set()
 
+    async def _watch_store(self) -> None:
+        """Offers the duty to others while the store does not serve it."""
+        while True:
+            await asyncio.sleep(_STORE_WATCH_S)
+            now = time_source.now_s()
+            refused = self._journal.refused_since_s
+            waiting = self._journal.waiting_since_s
+            is_away = (
+                refused is not None and now - refused > _REFUSED_LIMIT_S
+            ) or (waiting is not None and now - waiting > _SILENT_LIMIT_S)
+            if is_away and await self._offer(self.fence):
+                _log.warning("Another instance took over: no store here")
+                self._deposed.set()
+
     async def _beat(self) -> None:
         while True:
             self._beats += 1
--- /dev/null
+++ b/src/marigoldgap/cell/watcher.py
@@ -0,0 +1,76 @@
+"""Notices the end of the elected instance's process at once.
+
+A process that ends resets its connections, and its port refuses new ones. A
+machine that loses power does neither; its beat in the store stands still.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from marigoldgap import errors
+from marigoldgap import logs
+from marigoldgap.cell import election as elections
+from marigoldgap.cell import peers
+from marigoldgap.web import client
+from marigoldgap.web import messages
+
+_log = logs.PartLogger("watcher")
+
+# Pause while there is nobody to watch, and between two attempts.
+_PAUSE_S = 0.2
+
+
+class Watcher:
+    """Watches the elected instance.
+
+    Args:
+        election: Takes part in the election for this instance.
+        own_name: Name of this instance.
+        pool: Connections.
+    """
+
+    def __init__(
+        self,
+        election: elections.Election,
+        own_name: str,
+        pool: client.HttpPool,
+    ) -> None:
+        self._election = election
+        self._own_name = own_name
+        self._pool = pool
+
+    async def run(self) -> None:
+        """Watches until cancelled."""
+        while True:
+            elected = self._election.elected
+            if (
+                elected is None
+                or elected.is_released
+                or elected.instance == self._own_name
+            ):
+                await asyncio.sleep(_PAUSE_S)
+                continue
+            peer = peers.PeerClient(
+                self._pool, elected.address, elected.instance
+            )
+            try:
+                await peer.watch()
+            except messages.ConnectionRefusedByHostError:
+                await self._take_over(elected)
+                await asyncio.sleep(_PAUSE_S)
+            except messages.NoAnswerError as error:
+                _log.info("Lost sight of %s: %s", elected.instance, error)
+            except errors.MarigoldgapError as error:
+                _log.warning("Cannot see %s: %s", elected.instance, error)
+                await asyncio.sleep(_PAUSE_S)
+
+    async def _take_over(self, elected: elections.Elected) -> None:
+        if not self._election.is_near:
+            return
+        try:
+            await self._election.take_over(
+                elected.epoch, f"{elected.instance} has ended"
+            )
+        except errors.MarigoldgapError as error:
+            _log.warning("Could not take over: %s", error)
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -22,6 +22,8 @@
 LEASE_S = 5.8
 # How long a worker may hold back its answer when nothing ends.
 _WAIT_MS = 1_500
+# The same while the worker runs something that is not known here yet.
+_UNACCOUNTED_WAIT_MS = 100
 # Pause before the next attempt to reach a silent worker.
 _RETRY_S = 0.25
 # Limit of one order; unanswered orders are repeated.
@@ -213,6 +215,8 @@
                 _log.warning("Ends of %s wait for the store", worker.worker_id)
         # Unacknowledged ends make the worker answer at once.
         wait_ms = _WAIT_MS if worker.stored_number >= handled else 0
+        if worker.unaccounted:
+            wait_ms = min(wait_ms, _UNACCOUNTED_WAIT_MS)
         until = worker.lease_end_ms(time_source.now_s(), LEASE_S)
         await self._renew(connection, worker.stored_number, until, wait_ms)
 
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -16,6 +16,7 @@
 from marigoldgap.cell import peers
 from marigoldgap.cell import scheduler as schedulers
 from marigoldgap.cell import time_source
+from marigoldgap.cell import watcher
 from marigoldgap.node import instance_rows
 from marigoldgap.node import settings as node_settings
 from marigoldgap.platform import advice_client
@@ -85,7 +86,7 @@
         self._callers = server.HttpServer(api.handle, self._limits)
         self._readiness = server.HttpServer(self._ready)
         self._peers = server.HttpServer(
-            peers.PeerServer(view, self._advice).handle
+            peers.PeerServer(view, self._advice, self._election).handle
         )
         self._stop = asyncio.Event()
 
@@ -101,6 +102,11 @@
         tasks = [
             asyncio.create_task(self._configuration.run()),
             asyncio.create_task(self._election.run()),
+            asyncio.create_task(
+                watcher.Watcher(
+                    self._election, self._settings.name, self._pool
+                ).run()
+            ),
             asyncio.create_task(
                 instance_rows.announce(
                     self._rows,
@@ -162,6 +168,7 @@
             worker_client.WorkerClient(self._pool),
             self._lanes,
             lambda: self._configuration.current,
+            self._offer_duty,
         )
         self._scheduler = scheduler
         self._won = won
@@ -192,6 +199,20 @@
                 task.cancel()
             scheduler.close()
 
+    async def _offer_duty(self, epoch: int) -> bool:
+        """Asks the other instances to take over, those near the store first."""
+        for near_only in (True, False):
+            answers = await asyncio.gather(
+                *(
+                    peer.take_over(epoch, near_only)
+                    for peer in self._instances.peers
+                ),
+                return_exceptions=True,
+            )
+            if any(answer is True for answer in answers):
+                return True
+        return False
+
     def _lanes(self) -> list[advice_desk.Lane]:
         lanes: list[advice_desk.Lane] = []
         if self._advice is not None:
--- a/src/marigoldgap/platform/job_api.py
+++ b/src/marigoldgap/platform/job_api.py
@@ -112,8 +112,8 @@
 
 def _error_response(error: errors.MarigoldgapError) -> messages.Response:
     status = error.status
-    if isinstance(error, store.StoreError):
-        # A read or a cancel may be repeated.
+    if isinstance(error, store.StoreError | messages.ExchangeError):
+        # A question or a cancel may be repeated.
         status = 503
     body = {"error": error.code}
     if status not in (429, 503):
