--- a/src/marigoldgap/cell/advice_desk.py
+++ b/src/marigoldgap/cell/advice_desk.py
@@ -11,13 +11,14 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
+from marigoldgap import measures
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import time_source
 
-_log = logs.PartLogger("advice")
+_log = decision_log.DecisionLogger("advice")
 
 # Calls that take longer than this may not use every lane.
 _SLOW_CALL_S = 0.1
@@ -122,6 +123,7 @@
 
     async def _ask(self, lane: Lane, request: _Request) -> None:
         step = request.step
+        started_s = time_source.now_s()
         try:
             tickets = await lane.ask(
                 step.advice_name,
@@ -131,14 +133,15 @@
         except errors.MarigoldgapError as error:
             now = time_source.now_s()
             _log.warning(
-                "No advice for %s over %s: %s",
-                step.advice_name,
-                lane.name,
-                error,
+                "advice_failed",
+                step=step.advice_name,
+                lane=lane.name,
+                cause=str(error),
             )
             self._paused_until[lane.name] = now + _LANE_PAUSE_S
             asyncio.get_running_loop().call_later(_LANE_PAUSE_S, self._dispatch)
         else:
+            measures.ADVICE_S.observe(time_source.now_s() - started_s)
             self._record(step, request.workers, tickets)
         finally:
             self._busy.pop(lane.name, None)
@@ -159,8 +162,8 @@
             step.good.add(worker_id)
             step.tickets[worker_id] = (ticket, until)
         _log.info(
-            "Advice for %s: %d of %d workers are good",
-            step.advice_name,
-            len(tickets.by_worker),
-            len(workers),
+            "advice_received",
+            step=step.advice_name,
+            good=len(tickets.by_worker),
+            asked=len(workers),
         )
--- a/src/marigoldgap/cell/configuration_follower.py
+++ b/src/marigoldgap/cell/configuration_follower.py
@@ -5,13 +5,14 @@
 import asyncio
 from collections.abc import Callable
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
+from marigoldgap import measures
 from marigoldgap.cell import model
 from marigoldgap.cell import store
 from marigoldgap.cell import time_source
 
-_log = logs.PartLogger("configuration")
+_log = decision_log.DecisionLogger("configuration")
 
 # How long the store waits for a change; each answer confirms the version.
 _WAIT_MS = 1_000
@@ -69,14 +70,14 @@
                         self._place.table, self._after, _WAIT_MS
                     )
             except store.HistoryLostError as error:
-                _log.info("Reading the configuration anew: %s", error)
+                _log.info("history_lost", cause=str(error))
                 must_read = True
                 continue
             except store.StoreError as error:
                 _log.warning(
-                    "Configuration is unconfirmed for %.1f s: %s",
-                    self.age_s,
-                    error,
+                    "configuration_unconfirmed",
+                    age_s=round(self.age_s, 3),
+                    cause=str(error),
                 )
                 must_read = True
                 await asyncio.sleep(_RETRY_S)
@@ -94,15 +95,16 @@
         try:
             found = self._decode(content)
         except errors.MarigoldgapError as error:
-            _log.error("The configuration is unusable: %s", error)
+            _log.error("configuration_unusable", cause=str(error))
             return
         if self.current is not None and found.version <= self.current.version:
             return
         _log.info(
-            "Adopted version %d with %d queues and %d keys",
-            found.version,
-            len(found.queues),
-            len(found.keys),
+            "configuration_adopted",
+            version=found.version,
+            queues=len(found.queues),
+            keys=len(found.keys),
         )
         self.current = found
+        measures.CONFIGURATION_VERSION.set(found.version)
         self._adopted(found)
--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -13,13 +13,14 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
+from marigoldgap import measures
 from marigoldgap.cell import records
 from marigoldgap.cell import store
 from marigoldgap.cell import time_source
 
-_log = logs.PartLogger("election")
+_log = decision_log.DecisionLogger("election")
 
 # Pause between two looks at the rows, for instances near the store and far.
 _POLL_S = 0.35
@@ -107,7 +108,7 @@
             try:
                 won = self._taken_over or await self._look()
             except store.StoreError as error:
-                _log.warning("Could not read the election: %s", error)
+                _log.warning("read_failed", cause=str(error))
                 await asyncio.sleep(_RETRY_S)
                 continue
             self._taken_over = None
@@ -118,7 +119,9 @@
             try:
                 await self._serve(won)
             except errors.MarigoldgapError as error:
-                _log.error("Election %d ended early: %s", won.epoch, error)
+                _log.error(
+                    "duty_ended_early", epoch=won.epoch, cause=str(error)
+                )
             self._is_serving = False
             self._seen = None
 
@@ -140,7 +143,7 @@
         row, _ = await self._read()
         if row is None or self.elected is None or self.elected.epoch != epoch:
             return False
-        _log.info("Taking over from election %d: %s", epoch, cause)
+        _log.info("taking_over", former_epoch=epoch, cause=cause)
         won = await self._claim(row)
         if won is None:
             return False
@@ -220,7 +223,7 @@
                 store.Transaction((check,), ((records.ELECTION, content),))
             )
         except store.CheckFailedError as error:
-            _log.info("Election %d was lost", epoch)
+            _log.info("election_lost", epoch=epoch)
             for current in error.rows:
                 if current.place == records.ELECTION:
                     self._note(_decode(current))
@@ -229,8 +232,9 @@
             new_version = await self._settle(content)
             if not new_version:
                 return None
-        _log.info("Elected in election %d; the row had %d", epoch, version)
+        _log.info("elected", epoch=epoch, row_version=version)
         self.elected = claim
+        measures.ELECTIONS.inc()
         election = store.Row(records.ELECTION, content, new_version)
         page = await self._rows.read(
             records.CELL, records.CELL, records.ROSTER.key
@@ -253,10 +257,10 @@
     def _note(self, elected: Elected) -> None:
         if elected != self.elected:
             _log.info(
-                "Election %d: %s schedules, released %s",
-                elected.epoch,
-                elected.instance,
-                elected.is_released,
+                "elected_seen",
+                epoch=elected.epoch,
+                elected=elected.instance,
+                is_released=elected.is_released,
             )
         self.elected = elected
 
@@ -269,5 +273,5 @@
     try:
         return Elected(**records.decode(row.value))
     except (errors.MarigoldgapError, TypeError) as error:
-        _log.error("The election row is unusable: %s", error)
+        _log.error("row_unusable", cause=str(error))
         return Elected(0, "", "", True)
--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -5,14 +5,14 @@
 import asyncio
 from collections.abc import Callable
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
 from marigoldgap.cell import model
 from marigoldgap.cell import records
 from marigoldgap.cell import scheduler as schedulers
 from marigoldgap.cell import store
 
-_log = logs.PartLogger("feeds")
+_log = decision_log.DecisionLogger("feeds")
 
 # How long the store waits for a change.
 _WAIT_MS = 1_000
@@ -32,15 +32,15 @@
         try:
             page = await rows.changes(records.JOBS, after, _WAIT_MS)
         except store.HistoryLostError as error:
-            _log.info("Reading all jobs anew: %s", error)
+            _log.info("jobs_history_lost", cause=str(error))
             try:
                 after = await _read_jobs(rows, scheduler)
             except store.StoreError as read_error:
-                _log.warning("Could not read the jobs: %s", read_error)
+                _log.warning("jobs_unread", cause=str(read_error))
                 await asyncio.sleep(_RETRY_S)
             continue
         except store.StoreError as error:
-            _log.warning("Could not follow the jobs: %s", error)
+            _log.warning("jobs_unfollowed", cause=str(error))
             await asyncio.sleep(_RETRY_S)
             continue
         after = page.version
@@ -65,7 +65,7 @@
         try:
             scheduler.add_job(records.decode_job(row.place.key, row.value))
         except errors.MarigoldgapError as error:
-            _log.error("Job row %s is unusable: %s", row.place.key, error)
+            _log.error("job_row_unusable", job=row.place.key, cause=str(error))
 
 
 async def follow_workers(
@@ -91,11 +91,11 @@
             else:
                 page = await rows.changes(table, after, _WAIT_MS)
         except store.HistoryLostError as error:
-            _log.info("Reading all workers anew: %s", error)
+            _log.info("workers_history_lost", cause=str(error))
             after = None
             continue
         except store.StoreError as error:
-            _log.warning("Could not follow the workers: %s", error)
+            _log.warning("workers_unfollowed", cause=str(error))
             await asyncio.sleep(_RETRY_S)
             continue
         after = page.version
@@ -122,7 +122,9 @@
     try:
         registration = decode(row.place.key, row.value)
     except errors.MarigoldgapError as error:
-        _log.warning("Entry of worker %s is unusable: %s", row.place.key, error)
+        _log.warning(
+            "registration_unusable", worker=row.place.key, cause=str(error)
+        )
         scheduler.on_unlisted(row.place.key)
         return
     scheduler.on_registration(registration)
--- a/src/marigoldgap/cell/job_desk.py
+++ b/src/marigoldgap/cell/job_desk.py
@@ -5,8 +5,9 @@
 import asyncio
 from collections.abc import Callable
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
+from marigoldgap import measures
 from marigoldgap.cell import configuration_follower
 from marigoldgap.cell import election as elections
 from marigoldgap.cell import model
@@ -16,7 +17,7 @@
 from marigoldgap.cell import time_source
 from marigoldgap.web import client
 
-_log = logs.PartLogger("jobs")
+_log = decision_log.DecisionLogger("jobs")
 
 # How long an acceptance that the store refused is tried again.
 _REFUSED_RETRY_S = 0.25
@@ -145,7 +146,7 @@
             try:
                 await self._rows.transact(transaction)
             except store.CheckFailedError:
-                _log.info("Job %s is stored already", record.job_id)
+                _log.info("job_repeated", job=record.job_id)
                 return
             except store.StoreUnknownError as error:
                 is_open = True
@@ -153,12 +154,13 @@
             except store.StoreError as error:
                 cause = str(error)
             else:
+                measures.ACCEPTANCE_S.observe(time_source.now_s() - now)
                 _log.info(
-                    "Accepted job %s of %s in %s after %.3f s",
-                    record.job_id,
-                    record.workspace,
-                    record.queue.name,
-                    time_source.now_s() - now,
+                    "job_accepted",
+                    job=record.job_id,
+                    workspace=record.workspace,
+                    queue=record.queue.name,
+                    took_s=round(time_source.now_s() - now, 3),
                 )
                 return
             if not is_open and time_source.now_s() >= refused_until:
@@ -195,7 +197,7 @@
                     raise
                 await asyncio.sleep(_PAUSE_S)
             else:
-                _log.info("Cancelled job %s", job_id)
+                _log.info("cancel_stored", job=job_id)
                 return
 
     async def waiting(self, queue: model.Queue) -> int:
@@ -217,7 +219,7 @@
         try:
             return await self._elected().state(job_id)
         except errors.MarigoldgapError as error:
-            _log.info("Reading job %s from the store: %s", job_id, error)
+            _log.info("state_from_store", job=job_id, cause=str(error))
             return None
 
     async def _stored_state(self, job_id: str) -> model.JobState:
--- a/src/marigoldgap/cell/journal.py
+++ b/src/marigoldgap/cell/journal.py
@@ -10,11 +10,11 @@
 import asyncio
 from collections.abc import Callable
 
-from marigoldgap import logs
+from marigoldgap import decision_log
 from marigoldgap.cell import store
 from marigoldgap.cell import time_source
 
-_log = logs.PartLogger("journal")
+_log = decision_log.DecisionLogger("journal")
 
 # A transaction holds at most 100 entries; each row needs a check and a write,
 # and the election row needs a check.
@@ -107,7 +107,7 @@
                 return
             except store.StoreError as error:
                 _log.warning(
-                    "Could not write %d rows: %s", len(contents), error
+                    "write_failed", rows=len(contents), cause=str(error)
                 )
                 await asyncio.sleep(_RETRY_S)
                 continue
--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -11,8 +11,8 @@
 from typing import Any
 from urllib import parse
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
 from marigoldgap.cell import election as elections
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
@@ -20,7 +20,7 @@
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
-_log = logs.PartLogger("peers")
+_log = decision_log.DecisionLogger("peers")
 
 # Limit of a question to the elected instance; three crossings of a region.
 _QUESTION_TIMEOUT_S = 0.4
@@ -101,7 +101,7 @@
         try:
             return await self._handle(request)
         except errors.MarigoldgapError as error:
-            _log.warning("Could not answer %s: %s", request.path, error)
+            _log.warning("answer_failed", path=request.path, cause=str(error))
             return messages.json_response(503, {"error": error.code})
 
     async def _handle(self, request: messages.Request) -> messages.Response:
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -9,8 +9,9 @@
 import functools
 from typing import Any
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
+from marigoldgap import measures
 from marigoldgap.cell import advice_desk
 from marigoldgap.cell import fair_rate
 from marigoldgap.cell import fleet
@@ -25,7 +26,7 @@
 from marigoldgap.cell import time_source
 from marigoldgap.cell import worker_session
 
-_log = logs.PartLogger("scheduler")
+_log = decision_log.DecisionLogger("scheduler")
 
 # Interval of the beat that shows that the elected instance works.
 BEAT_S = 0.3
@@ -138,10 +139,10 @@
                 self._add_worker(worker)
         self.is_recovered = True
         _log.info(
-            "Recovered %d jobs and %d workers in election %d",
-            len(self.jobs),
-            len(self.workers),
-            self.fence,
+            "recovered",
+            jobs=len(self.jobs),
+            workers=len(self.workers),
+            epoch=self.fence,
         )
 
     async def run(self) -> None:
@@ -177,10 +178,10 @@
         if job is None:
             job = self._new_job(record, 0)
             _log.info(
-                "Queued job %s of %s in %s",
-                record.job_id,
-                record.workspace,
-                record.queue.name,
+                "job_queued",
+                job=record.job_id,
+                workspace=record.workspace,
+                queue=record.queue.name,
             )
         if record.is_cancelled and not job.is_ended:
             self._end_job(job, model.JobState.CANCELLED, "cancelled by caller")
@@ -235,7 +236,7 @@
                 job.restore(records.decode(progress.value))
                 job.is_stored = job.is_ended
         except (errors.MarigoldgapError, ValueError) as error:
-            _log.error("Row of job %s is unusable: %s", row.place.key, error)
+            _log.error("job_row_unusable", job=row.place.key, cause=str(error))
             return
         if record.is_cancelled and not job.is_ended:
             self._end_job(job, model.JobState.CANCELLED, "cancelled by caller")
@@ -249,12 +250,15 @@
     def _end_job(self, job: jobs.Job, state: model.JobState, why: str) -> None:
         job.state = state
         job.ended_s = time_source.now_s()
+        measures.COMPLETION_S.labels(job.queue.priority, state.value).observe(
+            job.ended_s - job.seen_s
+        )
         _log.info(
-            "Job %s is %s after %.2f s: %s",
-            job.job_id,
-            state.value,
-            job.ended_s - job.seen_s,
-            why,
+            "job_ended",
+            job=job.job_id,
+            state=state.value,
+            took_s=round(job.ended_s - job.seen_s, 3),
+            cause=why,
         )
         for run in job.runs():
             self._stop(run, why)
@@ -273,15 +277,15 @@
         if worker is None:
             worker = fleet.Worker(registration, time_source.now_s())
             _log.info(
-                "Worker %s joined at %s",
-                worker.worker_id,
-                registration.address,
+                "worker_joined",
+                worker=worker.worker_id,
+                address=registration.address,
             )
             self._add_worker(worker)
             self._store_roster()
             return
         if registration.is_draining and not worker.registration.is_draining:
-            _log.info("Worker %s is draining", worker.worker_id)
+            _log.info("worker_draining", worker=worker.worker_id)
         worker.registration = registration
         worker.is_listed = True
         self._wake()
@@ -290,7 +294,7 @@
         """Gives a worker no new runs whose entry was removed."""
         worker = self.workers.get(worker_id)
         if worker is not None and worker.is_listed:
-            _log.info("Worker %s is no longer registered", worker_id)
+            _log.info("worker_unregistered", worker=worker_id)
             worker.is_listed = False
 
     def _add_worker(self, worker: fleet.Worker) -> None:
@@ -318,16 +322,16 @@
     def on_silent(self, worker: fleet.Worker, why: str) -> None:
         """Stops giving runs to a worker that does not answer."""
         if worker.contact is not fleet.Contact.SILENT:
-            _log.warning("Lost worker %s: %s", worker.worker_id, why)
+            _log.warning("worker_lost", worker=worker.worker_id, cause=why)
             worker.contact = fleet.Contact.SILENT
 
     def on_gone(self, worker: fleet.Worker, why: str) -> None:
         """Gives up the runs of a worker that has certainly ended."""
         _log.warning(
-            "Worker %s is gone with %d runs: %s",
-            worker.worker_id,
-            len(worker.runs),
-            why,
+            "worker_gone",
+            worker=worker.worker_id,
+            runs=len(worker.runs),
+            cause=why,
         )
         worker.contact = fleet.Contact.GONE
         self.workers.remove(worker)
@@ -354,7 +358,7 @@
             worker.begin_life(listing.born_ms)
         worker.observe_clock(listing.clock_ms, now)
         if worker.contact is not fleet.Contact.ANSWERING:
-            _log.info("Worker %s answers", worker.worker_id)
+            _log.info("worker_answers", worker=worker.worker_id)
             worker.contact = fleet.Contact.ANSWERING
         listed = {ended.name for ended in listing.ended}
         for ended in listing.ended:
@@ -445,7 +449,7 @@
         step.waiting.discard(task.position)
         job.has_begun = True
         job.state = model.JobState.RUNNING
-        _log.info("Adopted %s on %s", active.name, worker.worker_id)
+        _log.info("run_adopted", run=active.name, worker=worker.worker_id)
         return run
 
     def _on_unaccounted(
@@ -460,7 +464,7 @@
         if now - since < _UNKNOWN_JOB_S or name in self._orphans:
             return
         self._orphans.add(name)
-        _log.warning("Stopping unknown run %s on %s", name, worker.worker_id)
+        _log.warning("unknown_run_stopping", run=name, worker=worker.worker_id)
         self._spawn(self._order_stop(worker, name))
 
     async def _order_stop(
@@ -470,7 +474,7 @@
             await self._port.stop(worker.registration, name, self.fence, 1.0)
         except errors.MarigoldgapError as error:
             # The next listing shows the run again and repeats the order.
-            _log.warning("Stop of %s is open: %s", name, error)
+            _log.warning("stop_open", run=name, cause=str(error))
             self._orphans.discard(name)
 
     # Runs.
@@ -483,10 +487,13 @@
         job = run.step.job
         if not job.has_begun:
             job.has_begun = True
+            measures.FIRST_START_S.labels(job.queue.priority).observe(
+                time_source.now_s() - job.seen_s
+            )
             _log.info(
-                "Job %s began after %.3f s",
-                job.job_id,
-                time_source.now_s() - job.seen_s,
+                "job_began",
+                job=job.job_id,
+                waited_s=round(time_source.now_s() - job.seen_s, 3),
             )
         if job.state is model.JobState.QUEUED:
             job.state = model.JobState.RUNNING
@@ -505,10 +512,10 @@
         step = run.step
         worker = run.worker
         _log.warning(
-            "Start of %s refused by %s: %s",
-            run.name,
-            worker.worker_id,
-            outcome.value,
+            "start_refused",
+            run=run.name,
+            worker=worker.worker_id,
+            outcome=outcome.value,
         )
         if outcome is model.StartOutcome.NO_TICKET:
             step.tickets.pop(worker.worker_id, None)
@@ -553,13 +560,14 @@
         now = time_source.now_s()
         step = run.step
         index = run.name.task.position
+        measures.RUNS.labels(how.value).inc()
         _log.info(
-            "Run %s on %s ended %s after %.2f s: %s",
-            run.name,
-            run.worker.worker_id,
-            how.value,
-            now - run.started_s,
-            why,
+            "run_ended",
+            run=run.name,
+            worker=run.worker.worker_id,
+            how=how.value,
+            took_s=round(now - run.started_s, 3),
+            cause=why,
         )
         step.keep_saved(index, saved)
         self._release(run)
@@ -572,10 +580,7 @@
                 self._stop(other, "another run is done")
         elif how is model.HowEnded.FAILED:
             if run.worker.record_failure(step.job.job_id, now):
-                _log.warning(
-                    "Worker %s is quarantined: it fails what it starts",
-                    run.worker.worker_id,
-                )
+                _log.warning("worker_quarantined", worker=run.worker.worker_id)
             step.avoid.setdefault(index, set()).add(run.worker.worker_id)
             self._count_failure(step, run.name)
         if how is not model.HowEnded.DONE and step.spec.is_gang:
@@ -628,7 +633,9 @@
         if run.state in (jobs.RunState.STOPPING, jobs.RunState.ENDED):
             return
         run.state = jobs.RunState.STOPPING
-        _log.info("Stopping %s on %s: %s", run.name, run.worker.worker_id, why)
+        _log.info(
+            "run_stopping", run=run.name, worker=run.worker.worker_id, cause=why
+        )
         session = self._sessions.get(run.worker.worker_id)
         if session is not None:
             self._spawn(session.stop(run))
@@ -665,6 +672,7 @@
             if not job.is_ended and not (job.is_inherited and self._unresolved)
             for step in job.ready_steps()
         ]
+        measures.WAITING_TASKS.set(sum(len(step.waiting) for step in steps))
         if not steps:
             return
         plan = self._planner.plan(
@@ -706,10 +714,10 @@
         step.waiting.discard(index)
         placement.worker.add(run)
         _log.info(
-            "Starting %s on %s, %s free after it",
-            name,
-            placement.worker.worker_id,
-            placement.worker.free(),
+            "run_starting",
+            run=name,
+            worker=placement.worker.worker_id,
+            free_after=placement.worker.free(),
         )
         session = self._sessions[placement.worker.worker_id]
         self._spawn(session.start(run, placement.ticket))
@@ -720,7 +728,7 @@
         try:
             await self._journal.run()
         except journal.DeposedError as error:
-            _log.warning("Deposed: %s", error)
+            _log.warning("deposed", cause=str(error))
             self._deposed.set()
 
     async def _watch_store(self) -> None:
@@ -734,7 +742,7 @@
                 refused is not None and now - refused > _REFUSED_LIMIT_S
             ) or (waiting is not None and now - waiting > _SILENT_LIMIT_S)
             if is_away and await self._offer(self.fence):
-                _log.warning("Another instance took over: no store here")
+                _log.warning("duty_handed_over")
                 self._deposed.set()
 
     async def _beat(self) -> None:
@@ -752,7 +760,7 @@
     def _finished(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            _log.error("A task ended early: %r", task.exception())
+            _log.error("task_failed", cause=task.exception())
             self._deposed.set()
 
 
--- a/src/marigoldgap/cell/watcher.py
+++ b/src/marigoldgap/cell/watcher.py
@@ -8,14 +8,14 @@
 
 import asyncio
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
 from marigoldgap.cell import election as elections
 from marigoldgap.cell import peers
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
-_log = logs.PartLogger("watcher")
+_log = decision_log.DecisionLogger("watcher")
 
 # Pause while there is nobody to watch, and between two attempts.
 _PAUSE_S = 0.2
@@ -60,9 +60,17 @@
                 await self._take_over(elected)
                 await asyncio.sleep(_PAUSE_S)
             except messages.NoAnswerError as error:
-                _log.info("Lost sight of %s: %s", elected.instance, error)
+                _log.info(
+                    "elected_out_of_sight",
+                    elected=elected.instance,
+                    cause=str(error),
+                )
             except errors.MarigoldgapError as error:
-                _log.warning("Cannot see %s: %s", elected.instance, error)
+                _log.warning(
+                    "elected_unreachable",
+                    elected=elected.instance,
+                    cause=str(error),
+                )
                 await asyncio.sleep(_PAUSE_S)
 
     async def _take_over(self, elected: elections.Elected) -> None:
@@ -73,4 +81,4 @@
                 elected.epoch, f"{elected.instance} has ended"
             )
         except errors.MarigoldgapError as error:
-            _log.warning("Could not take over: %s", error)
+            _log.warning("take_over_failed", cause=str(error))
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -5,8 +5,9 @@
 import asyncio
 from typing import Protocol
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
+from marigoldgap import measures
 from marigoldgap.cell import fleet
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
@@ -15,7 +16,7 @@
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
-_log = logs.PartLogger("workers")
+_log = decision_log.DecisionLogger("workers")
 
 # Length of a lease. The platform cuts leases at 6 s (`holdMaxMs`); the rest is
 # for the difference between the clocks.
@@ -100,7 +101,7 @@
             try:
                 await self._converse()
             except ports.FencedError as error:
-                _log.warning("Fenced off: %s", error)
+                _log.warning("fenced", cause=str(error))
                 self._owner.on_fenced()
                 return
             except ports.OtherLifeError as error:
@@ -140,7 +141,7 @@
                 )
             except errors.MarigoldgapError as error:
                 is_open = is_open or error.ran is not errors.Ran.NO
-                _log.warning("Start of %s is open: %s", run.name, error)
+                _log.warning("start_open", run=run.name, cause=str(error))
                 await asyncio.sleep(_ORDER_RETRY_S)
                 if worker.contact is fleet.Contact.GONE:
                     return
@@ -152,6 +153,7 @@
         self, run: jobs.Run, answer: model.StartAnswer, is_open: bool
     ) -> None:
         outcome = answer.outcome
+        measures.STARTS.labels(outcome.value).inc()
         if outcome is model.StartOutcome.STARTED:
             run.answered_s = time_source.now_s()
             self._owner.on_started(run)
@@ -179,7 +181,7 @@
                     _ORDER_TIMEOUT_S,
                 )
             except errors.MarigoldgapError as error:
-                _log.warning("Stop of %s is open: %s", run.name, error)
+                _log.warning("stop_open", run=run.name, cause=str(error))
             else:
                 if taken:
                     # A stopped run is listed as ended; one that never arrived
@@ -212,7 +214,7 @@
                 await asyncio.wait_for(self._owner.flushed(), _STORE_WAIT_S)
                 worker.stored_number = handled
             except TimeoutError:
-                _log.warning("Ends of %s wait for the store", worker.worker_id)
+                _log.warning("ends_unstored", worker=worker.worker_id)
         # Unacknowledged ends make the worker answer at once.
         wait_ms = _WAIT_MS if worker.stored_number >= handled else 0
         if worker.unaccounted:
--- /dev/null
+++ b/src/marigoldgap/measures.py
@@ -0,0 +1,89 @@
+"""Counters and histograms of a serving process, for collectors to read."""
+
+from __future__ import annotations
+
+import prometheus_client
+
+# Upper ends of the latency buckets, in seconds: from a call in the zone to the
+# longest objective of a batch job.
+_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0)
+
+REGISTRY = prometheus_client.CollectorRegistry()
+
+REQUESTS = prometheus_client.Counter(
+    "marigoldgap_requests",
+    "Answered requests of callers.",
+    ["method", "status"],
+    registry=REGISTRY,
+)
+ACCEPTANCE_S = prometheus_client.Histogram(
+    "marigoldgap_acceptance_seconds",
+    "Time until a submitted job is stored.",
+    buckets=_BUCKETS_S,
+    registry=REGISTRY,
+)
+FIRST_START_S = prometheus_client.Histogram(
+    "marigoldgap_first_start_seconds",
+    "Time from seeing a job to its first confirmed start.",
+    ["priority"],
+    buckets=_BUCKETS_S,
+    registry=REGISTRY,
+)
+COMPLETION_S = prometheus_client.Histogram(
+    "marigoldgap_completion_seconds",
+    "Time from seeing a job to its end.",
+    ["priority", "state"],
+    buckets=_BUCKETS_S,
+    registry=REGISTRY,
+)
+RUNS = prometheus_client.Counter(
+    "marigoldgap_runs",
+    "Ended runs of tasks.",
+    ["how"],
+    registry=REGISTRY,
+)
+STARTS = prometheus_client.Counter(
+    "marigoldgap_starts",
+    "Answers of workers to starts.",
+    ["outcome"],
+    registry=REGISTRY,
+)
+STORE_CALLS_S = prometheus_client.Histogram(
+    "marigoldgap_store_call_seconds",
+    "Calls to the store that were answered, by call.",
+    ["call"],
+    buckets=_BUCKETS_S,
+    registry=REGISTRY,
+)
+STORE_FAILURES = prometheus_client.Counter(
+    "marigoldgap_store_failures",
+    "Calls to the store that failed.",
+    ["call", "code"],
+    registry=REGISTRY,
+)
+ADVICE_S = prometheus_client.Histogram(
+    "marigoldgap_advice_seconds",
+    "Calls for advice, with the way to the asking instance.",
+    buckets=_BUCKETS_S,
+    registry=REGISTRY,
+)
+ELECTIONS = prometheus_client.Counter(
+    "marigoldgap_elections_won",
+    "Elections that this instance has won.",
+    registry=REGISTRY,
+)
+WAITING_TASKS = prometheus_client.Gauge(
+    "marigoldgap_waiting_tasks",
+    "Tasks that could start if there were room, at the last plan.",
+    registry=REGISTRY,
+)
+CONFIGURATION_VERSION = prometheus_client.Gauge(
+    "marigoldgap_configuration_version",
+    "Version of the configuration in force.",
+    registry=REGISTRY,
+)
+
+
+def text() -> bytes:
+    """Returns all values in the text format of collectors."""
+    return prometheus_client.generate_latest(REGISTRY)
--- a/src/marigoldgap/node/__main__.py
+++ b/src/marigoldgap/node/__main__.py
@@ -5,12 +5,12 @@
 import asyncio
 import sys
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
 from marigoldgap.node import process
 from marigoldgap.platform import node_settings
 
-_log = logs.PartLogger("process")
+_log = decision_log.DecisionLogger("process")
 _SETTINGS_EXIT_CODE = 2
 
 
@@ -19,10 +19,10 @@
     try:
         settings = node_settings.load(node_settings.path())
     except (OSError, errors.MarigoldgapError) as error:
-        logs.configure("unknown", "info", json_lines=True)
-        _log.error("The settings are unusable: %s", error)
+        decision_log.configure("unknown")
+        _log.error("settings_unusable", cause=str(error))
         return _SETTINGS_EXIT_CODE
-    logs.configure(settings.name, "info", json_lines=True)
+    decision_log.configure(settings.name)
     asyncio.run(_serve(settings))
     return 0
 
--- a/src/marigoldgap/node/instance_rows.py
+++ b/src/marigoldgap/node/instance_rows.py
@@ -4,14 +4,14 @@
 
 import asyncio
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
 from marigoldgap.cell import peers
 from marigoldgap.cell import records
 from marigoldgap.cell import store
 from marigoldgap.web import client
 
-_log = logs.PartLogger("instances")
+_log = decision_log.DecisionLogger("instances")
 
 # Interval at which the elected instance reads the list.
 _READ_S = 4.0
@@ -28,7 +28,7 @@
         try:
             await rows.transact(transaction)
         except store.StoreError as error:
-            _log.warning("Could not announce this instance: %s", error)
+            _log.warning("announce_failed", cause=str(error))
             await asyncio.sleep(_RETRY_S)
         else:
             return
@@ -57,7 +57,7 @@
             try:
                 page = await store.read_all(self._rows, records.INSTANCES, "")
             except store.StoreError as error:
-                _log.warning("Could not read the instances: %s", error)
+                _log.warning("instances_unread", cause=str(error))
                 await asyncio.sleep(_RETRY_S)
                 continue
             self.peers = self._decode(page)
@@ -71,7 +71,9 @@
             try:
                 address = records.decode(row.value)["address"]
             except (errors.MarigoldgapError, KeyError) as error:
-                _log.warning("Entry %s is unusable: %s", row.place.key, error)
+                _log.warning(
+                    "instance_row_unusable", row=row.place.key, cause=str(error)
+                )
                 continue
             found.append(peers.PeerClient(self._pool, address, row.place.key))
         return found
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -5,8 +5,9 @@
 import asyncio
 import signal
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
+from marigoldgap import measures
 from marigoldgap.cell import advice_desk
 from marigoldgap.cell import configuration_follower
 from marigoldgap.cell import election as elections
@@ -29,7 +30,7 @@
 from marigoldgap.web import messages
 from marigoldgap.web import server
 
-_log = logs.PartLogger("process")
+_log = decision_log.DecisionLogger("process")
 
 # After a request to stop, callers still come for two checks of readiness.
 _LAME_DUCK_S = 2.5
@@ -46,7 +47,7 @@
     """
 
     def __init__(self, settings: node_settings.NodeSettings) -> None:
-        self._settings = settings
+        self.settings = settings
         self._pool = client.HttpPool()
         self._rows = store_client.StoreClient(
             self._pool, settings.store_address
@@ -88,65 +89,97 @@
         self._peers = server.HttpServer(
             peers.PeerServer(view, self._advice, self._election).handle
         )
+        self._metrics = server.HttpServer(_answer_metrics)
+        self._tasks: list[asyncio.Task[None]] = []
         self._stop = asyncio.Event()
 
+    @property
+    def scheduler(self) -> schedulers.Scheduler | None:
+        """The scheduler, while this instance is elected."""
+        return self._scheduler
+
+    @property
+    def configuration_age_s(self) -> float:
+        """Time since the store confirmed the configuration."""
+        return self._configuration.age_s
+
     async def run(self) -> None:
         """Serves until a signal asks to stop."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGTERM, self.request_stop)
+        loop.add_signal_handler(signal.SIGINT, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        await self._callers.start(self._settings.callers_address)
-        await self._readiness.start(self._settings.readiness_address)
-        await self._peers.start(self._settings.peers_address)
-        tasks = [
-            asyncio.create_task(self._configuration.run()),
-            asyncio.create_task(self._election.run()),
-            asyncio.create_task(
+        await self.serve()
+
+    async def serve(self) -> None:
+        """Serves until a stop is requested."""
+        await self._callers.start(self.settings.callers_address)
+        await self._readiness.start(self.settings.readiness_address)
+        await self._peers.start(self.settings.peers_address)
+        await self._metrics.start(self.settings.metrics_address)
+        self._tasks = [
+            asyncio.create_task(work)
+            for work in (
+                self._configuration.run(),
+                self._election.run(),
                 watcher.Watcher(
-                    self._election, self._settings.name, self._pool
-                ).run()
-            ),
-            asyncio.create_task(
+                    self._election, self.settings.name, self._pool
+                ).run(),
                 instance_rows.announce(
-                    self._rows,
-                    self._settings.name,
-                    self._settings.peers_address,
-                )
-            ),
+                    self._rows, self.settings.name, self.settings.peers_address
+                ),
+            )
         ]
-        _log.info("Started %s", self._settings.name)
+        _log.info(
+            "started",
+            callers=self.settings.callers_address,
+            store=self.settings.store_address,
+            zone=self.settings.zone,
+        )
         await self._stop.wait()
         await self._shut_down()
-        for task in tasks:
+        self.abort()
+        _log.info("stopped")
+
+    def request_stop(self) -> None:
+        """Asks for a graceful shutdown."""
+        self._stop.set()
+
+    def abort(self) -> None:
+        """Closes everything at once."""
+        for task in self._tasks:
             task.cancel()
-        _log.info("Stopped %s", self._settings.name)
+        for each in (
+            self._callers,
+            self._readiness,
+            self._peers,
+            self._metrics,
+        ):
+            each.close()
 
     def _reload(self) -> None:
         """Reads the settings file again; addresses stay until a restart."""
         try:
             platform_settings.load(platform_settings.path())
         except (OSError, errors.MarigoldgapError) as error:
-            _log.error("The changed settings are unusable: %s", error)
+            _log.error("settings_unusable", cause=str(error))
         else:
-            _log.info("Reloaded the settings")
+            _log.info("settings_reloaded")
 
     async def _shut_down(self) -> None:
         """Hands over, finishes requests, then closes."""
         began_s = time_source.now_s()
-        _log.info("Stopping %s", self._settings.name)
+        _log.info("stopping", is_elected=self._scheduler is not None)
         self._is_stopping = True
         self._election.withdraw()
         self._callers.drain()
         await self._hand_over()
-        latest_s = began_s + self._settings.shutdown_s - _SHUTDOWN_MARGIN_S
+        latest_s = began_s + self.settings.shutdown_s - _SHUTDOWN_MARGIN_S
         while time_source.now_s() < latest_s:
             waited = time_source.now_s() - began_s
             if waited > _LAME_DUCK_S and self._callers.is_idle:
                 break
             await asyncio.sleep(_POLL_S)
-        for each in (self._callers, self._readiness, self._peers):
-            each.close()
 
     async def _hand_over(self) -> None:
         scheduler, won = self._scheduler, self._won
@@ -157,7 +190,7 @@
             await asyncio.wait_for(scheduler.flushed(), 1.0)
             await self._election.release(won)
         except (TimeoutError, errors.MarigoldgapError) as error:
-            _log.warning("Could not hand over: %s", error)
+            _log.warning("hand_over_failed", cause=str(error))
         scheduler.on_fenced()
 
     async def _serve_cell(self, won: elections.Won) -> None:
@@ -216,7 +249,7 @@
     def _lanes(self) -> list[advice_desk.Lane]:
         lanes: list[advice_desk.Lane] = []
         if self._advice is not None:
-            lanes.append(_OwnLane(self._settings.name, self._advice))
+            lanes.append(_OwnLane(self.settings.name, self._advice))
         return [*lanes, *self._instances.peers]
 
     def _adopt(self, configuration: model.Configuration) -> None:
@@ -242,6 +275,11 @@
         return await self._api.ready(request)
 
 
+async def _answer_metrics(request: messages.Request) -> messages.Response:
+    del request
+    return messages.Response(200, measures.text())
+
+
 class _OwnLane:
     """This instance as a lane for advice."""
 
--- a/src/marigoldgap/platform/job_api.py
+++ b/src/marigoldgap/platform/job_api.py
@@ -4,8 +4,9 @@
 
 import re
 
+from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import logs
+from marigoldgap import measures
 from marigoldgap.cell import job_desk
 from marigoldgap.cell import model
 from marigoldgap.cell import store
@@ -13,7 +14,7 @@
 from marigoldgap.platform import documents
 from marigoldgap.web import messages
 
-_log = logs.PartLogger("callers")
+_log = decision_log.DecisionLogger("callers")
 
 # How long a caller waits if it does not say.
 _DEFAULT_DEADLINE_MS = 3_000
@@ -37,18 +38,23 @@
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answers one request."""
+        response = await self._answer(request)
+        measures.REQUESTS.labels(request.method, response.status).inc()
+        return response
+
+    async def _answer(self, request: messages.Request) -> messages.Response:
         started_s = time_source.now_s()
         try:
             return await self._route(request)
         except errors.MarigoldgapError as error:
             _log.warning(
-                "Answered %s %s with %d after %.3f s: %s: %s",
-                request.method,
-                request.path,
-                error.status,
-                time_source.now_s() - started_s,
-                error.code,
-                error.detail,
+                "request_refused",
+                method=request.method,
+                path=request.path,
+                status=error.status,
+                took_s=round(time_source.now_s() - started_s, 3),
+                code=error.code,
+                cause=error.detail,
             )
             return _error_response(error)
 
--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -7,6 +7,7 @@
 from typing import Any
 from urllib import parse
 
+from marigoldgap import measures
 from marigoldgap.cell import store
 from marigoldgap.cell import time_source
 from marigoldgap.web import client
@@ -69,7 +70,11 @@
         if len(partitions) > 1:
             body["across"] = True  # type: ignore[assignment]
         answer = await self._call(
-            "POST", "/v1/rows-tx", messages.encode_json(body), _CALL_TIMEOUT_S
+            "write",
+            "POST",
+            "/v1/rows-tx",
+            messages.encode_json(body),
+            _CALL_TIMEOUT_S,
         )
         content = answer.json()
         if answer.status == 412:
@@ -93,7 +98,7 @@
             query["target"] = end
         path = f"/v1/rows-get?{parse.urlencode(query)}"
         return _page(
-            (await self._call("GET", path, b"", _CALL_TIMEOUT_S)).json()
+            (await self._call("read", "GET", path, b"", _CALL_TIMEOUT_S)).json()
         )
 
     async def changes(self, table: str, after: int, wait_ms: int) -> store.Page:
@@ -107,13 +112,27 @@
         query = {"table": table, "after": after, "waitMs": wait_ms}
         path = f"/v1/rows-feed?{parse.urlencode(query)}"
         answer = await self._call(
-            "GET", path, b"", wait_ms / 1000 + _FEED_SLACK_S
+            "changes", "GET", path, b"", wait_ms / 1000 + _FEED_SLACK_S
         )
         if answer.status == 410:
             raise store.HistoryLostError(f"no history after version {after}")
         return _page(answer.json())
 
     async def _call(
+        self, call: str, method: str, path: str, body: bytes, timeout_s: float
+    ) -> messages.Response:
+        started_s = time_source.now_s()
+        try:
+            answer = await self._exchange(method, path, body, timeout_s)
+        except store.StoreError as error:
+            measures.STORE_FAILURES.labels(call, error.code).inc()
+            raise
+        measures.STORE_CALLS_S.labels(call).observe(
+            time_source.now_s() - started_s
+        )
+        return answer
+
+    async def _exchange(
         self, method: str, path: str, body: bytes, timeout_s: float
     ) -> messages.Response:
         try:
--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -11,11 +11,11 @@
 
 import httptools
 
-from marigoldgap import logs
+from marigoldgap import decision_log
 from marigoldgap.cell import time_source
 from marigoldgap.web import messages
 
-_log = logs.PartLogger("web")
+_log = decision_log.DecisionLogger("web")
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
@@ -220,7 +220,7 @@
     def _refuse(self, status: int, why: str) -> None:
         if self._transport.is_closing():
             return
-        _log.warning("Refused a request with %d: %s", status, why)
+        _log.warning("request_malformed", status=status, cause=why)
         response = messages.json_response(status, {"error": why})
         self._transport.write(messages.encode_response(response, True))
         self._begun = False
@@ -240,7 +240,7 @@
         try:
             response = await self._server.handler(request)
         except Exception:
-            _log.exception("Could not answer %s", request.method)
+            _log.exception("answer_failed", method=request.method)
             response = messages.json_response(500, {"error": "internal-error"})
         close = not keep_alive or self._server.is_draining
         if self._transport.is_closing():
--- /dev/null
+++ b/tests/features/cell/takeover.feature
@@ -0,0 +1,36 @@
+Feature: Another instance schedules when the elected one cannot
+
+  Scenario: Running tasks are kept when the elected instance ends
+    Guards against tasks that are started again by a new election.
+    Given a cell with 2 workers and 3 instances
+    When a job with the payload "ms=1500" is submitted and has begun
+    And the elected instance ends
+    Then another instance schedules
+    And the job is shown as "completed" by the others
+    And each of its tasks was started once
+    And every worker obeys the second election
+
+  Scenario: The elected instance hands over when it is asked to stop
+    Guards against a planned stop that leaves the cell without a scheduler.
+    Given a cell with 1 workers and 2 instances
+    When the elected instance is asked to stop
+    Then another instance schedules
+    And a new job of 1 tasks is completed by the others
+
+  Scenario: Ends that were listed but not stored are not lost
+    Guards against a task that is run again after it was done.
+    Given a cell with 1 workers and 2 instances
+    When a job with the payload "ms=300" is submitted and has begun
+    And the store refuses every call until the task is done
+    And the elected instance ends
+    And the store serves again
+    Then another instance schedules
+    And the job is shown as "completed" by the others
+    And each of its tasks was started once
+
+  Scenario: A job that a worker lists before its row arrives keeps its room
+    Guards against overcommitting a worker by a run that is not charged.
+    Given a cell with 1 workers and 1 instances
+    And the worker runs a task of a job that is not known
+    When a job of 1 tasks is submitted
+    Then no task of it starts before the unknown run has ended
--- /dev/null
+++ b/tests/features/cell/whole_path.feature
@@ -0,0 +1,63 @@
+Feature: Jobs of callers run once on workers and are shown truly
+
+  Scenario: A job is accepted, run and shown as completed on every instance
+    Guards against instances that do not know what the elected one knows.
+    Given a cell with 2 workers and 3 instances
+    When a job of 3 tasks is submitted
+    Then every instance shows the job as "completed"
+    And each of its tasks was started once
+
+  Scenario: A repeated submission stays one job
+    Guards against a client's retry that runs its job twice.
+    Given a cell with 1 workers and 2 instances
+    When the same job is submitted 3 times on different instances
+    Then every submission is answered with 200
+    And each of its tasks was started once
+
+  Scenario: Requests that are not allowed get their status
+    Guards against work for unknown keys and unknown queues.
+    Given a cell with 1 workers and 1 instances
+    Then a submission with an unknown key is answered with 401
+    And a submission to an unknown queue is answered with 404
+    And a malformed job is answered with 400
+    And the state of an unknown job is answered with 410
+    And no task was started
+
+  Scenario: A cancelled job stops
+    Guards against tasks that run on after their job was cancelled.
+    Given a cell with 1 workers and 1 instances
+    When a job with the payload "ms=20000" is submitted and has begun
+    And the job is cancelled
+    Then every instance shows the job as "cancelled"
+    And nothing runs
+
+  Scenario: A job whose tasks fail is shown as failed after its attempts
+    Guards against endless attempts and against too few.
+    Given a cell with 2 workers and 1 instances
+    When a job with the payload "ms=20 fail" is submitted
+    Then every instance shows the job as "failed"
+    And its task was started 2 times
+
+  Scenario: A withdrawn key stops working, also while the store is away
+    Guards against work for keys whose withdrawal cannot be seen.
+    Given a cell with 1 workers and 1 instances
+    When the key is withdrawn
+    Then a submission is answered with 401 soon
+    When the store is silent for longer than keys stay confirmed
+    Then a submission is answered with 503 at once and says when to come back
+
+  Scenario: A refused submission has not run
+    Guards against a refusal of a job that is stored all the same.
+    Given a cell with 1 workers and 1 instances
+    When the store refuses every call
+    Then a submission is answered with 503 at once and says when to come back
+    When the store serves again
+    Then no task was started
+
+  Scenario: A submission whose answer from the store is lost is settled
+    Guards against telling the caller that a stored job was refused.
+    Given a cell with 1 workers and 1 instances
+    When the store loses the answer of the next write
+    And a job of 1 tasks is submitted
+    Then every instance shows the job as "completed"
+    And each of its tasks was started once
--- /dev/null
+++ b/tests/features/cell/worker_faults.feature
@@ -0,0 +1,40 @@
+Feature: Orders to workers may be lost, late or refused
+
+  Scenario: An order without an answer is settled before anything else starts
+    Guards against two runs of one task (trouble-1 of quetzal-claims).
+    Given a cell with 2 workers and 1 instances
+    And the workers carry out the next start without an answer
+    When a job with the payload "ms=900" is submitted
+    Then every instance shows the job as "completed"
+    And each of its tasks was started once
+
+  Scenario: A refused start is not repeated
+    Guards against an order that is repeated after its task was placed anew.
+    Given a cell with 2 workers and 1 instances
+    And one worker refuses starts with 503
+    When a job of 4 tasks is submitted
+    Then every instance shows the job as "completed"
+    And each of its tasks was started once
+
+  Scenario: The tasks of a worker that ended run elsewhere
+    Guards against waiting for a worker that is certainly gone.
+    Given a cell with 2 workers and 1 instances
+    When a job with the payload "ms=400" is submitted and has begun
+    And the worker that runs it ends
+    Then every instance shows the job as "completed"
+    And no task ran in two places
+
+  Scenario: A draining worker gets no new tasks
+    Guards against work on a worker that is about to leave.
+    Given a cell with 2 workers and 1 instances
+    When one worker says that it is draining
+    And a job of 4 tasks is submitted
+    Then every instance shows the job as "completed"
+    And the draining worker started nothing
+
+  Scenario: Entries that cannot be read name no worker
+    Guards against an entry of another writer that ends the loop.
+    Given a cell with 1 workers and 1 instances
+    When unreadable entries appear among the workers
+    And a job of 1 tasks is submitted
+    Then every instance shows the job as "completed"
--- /dev/null
+++ b/tests/features/steps/cell_steps.py
@@ -0,0 +1,332 @@
+"""Steps for cells of stand-ins and real instances."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from tests.fixtures import cell_world
+from tests.fixtures import loops
+
+_JOB = "00000000000000a1"
+_OTHER_JOB = "00000000000000b2"
+_FAST_S = 1.5
+
+
+def _names(context):
+    return [
+        start
+        for worker in context.world.workers
+        for start in worker.starts
+        if start[0].startswith(context.job)
+    ]
+
+
+@given("a cell with {workers:d} workers and {instances:d} instances")
+def create_cell(context, workers, instances):
+    context.job = _JOB
+    cell_world.start(context, workers, instances)
+
+
+def _submit(context, body, job_id=_JOB, instance=None):
+    return loops.run(
+        context, context.world.call("POST", job_id, body, instance=instance)
+    )
+
+
+@when("a job of {tasks:d} tasks is submitted")
+def submit_tasks(context, tasks):
+    context.tasks = tasks
+    status, _ = _submit(context, cell_world.job(tasks))
+    assert status == 200, status
+
+
+@when('a job with the payload "{payload}" is submitted')
+def submit_payload(context, payload):
+    context.tasks = 1
+    status, _ = _submit(context, cell_world.job(1, payload))
+    assert status == 200, status
+
+
+@when('a job with the payload "{payload}" is submitted and has begun')
+def submit_begun(context, payload):
+    submit_payload(context, payload)
+    loops.run(context, loops.until(lambda: _names(context)))
+
+
+@when("the same job is submitted {times:d} times on different instances")
+def submit_again(context, times):
+    context.tasks = 1
+    instances = context.world.instances
+    context.statuses = [
+        _submit(
+            context,
+            cell_world.job(),
+            instance=instances[number % len(instances)],
+        )[0]
+        for number in range(times)
+    ]
+
+
+@then("every submission is answered with {status:d}")
+def all_statuses(context, status):
+    assert set(context.statuses) == {status}, context.statuses
+
+
+@then('every instance shows the job as "{state}"')
+def shown_everywhere(context, state):
+    async def check():
+        for instance in context.world.instances:
+            await context.world.wait_for_state(_JOB, state, instance)
+
+    loops.run(context, check())
+
+
+@then("each of its tasks was started once")
+def started_once(context):
+    names = [name for name, _ in _names(context)]
+    assert len(names) == context.tasks == len(set(names)), names
+    no_two_places(context)
+
+
+@then("its task was started {times:d} times")
+def started_times(context, times):
+    assert len(_names(context)) == times, _names(context)
+
+
+@then("no task was started")
+def none_started(context):
+    assert not any(worker.starts for worker in context.world.workers)
+
+
+@then("no task ran in two places")
+def no_two_places(context):
+    found = [
+        each for worker in context.world.workers for each in worker.violations
+    ]
+    assert not found, found
+
+
+@then("a submission with an unknown key is answered with {status:d}")
+def unknown_key(context, status):
+    answer = loops.run(
+        context,
+        context.world.call(
+            "POST",
+            _JOB,
+            cell_world.job(),
+            headers=(("Authorization", "Token wrong"),),
+        ),
+    )
+    assert answer[0] == status, answer
+
+
+@then("a submission to an unknown queue is answered with {status:d}")
+def unknown_queue(context, status):
+    answer = loops.run(
+        context, context.world.call("POST", "../none/", cell_world.job())
+    )
+    assert answer[0] == status, answer
+
+
+@then("a malformed job is answered with {status:d}")
+def malformed(context, status):
+    for body in ({}, {"steps": []}, {"steps": [{"count": "many"}]}):
+        answer = _submit(context, body)
+        assert answer[0] == status, answer
+
+
+@then("the state of an unknown job is answered with {status:d}")
+def unknown_job(context, status):
+    answer = loops.run(context, context.world.call("GET", _OTHER_JOB))
+    assert answer[0] == status, answer
+
+
+@when("the job is cancelled")
+def cancel(context):
+    status, _ = loops.run(context, context.world.call("DELETE", _JOB))
+    assert status == 200, status
+
+
+@then("nothing runs")
+def nothing_runs(context):
+    loops.run(context, loops.until(lambda: not context.world.fleet_runs))
+
+
+@when("the key is withdrawn")
+def withdraw_key(context):
+    content = cell_world.configuration(version=2, keys=())
+    context.world.store.put("op", "", "config", content)
+
+
+@then("a submission is answered with {status:d} soon")
+def answered_soon(context, status):
+    async def check():
+        while True:
+            answer = await context.world.call("POST", _JOB, cell_world.job())
+            if answer[0] == status:
+                return
+            await asyncio.sleep(0.05)
+
+    loops.run(context, check())
+
+
+@when("the store is silent for longer than keys stay confirmed")
+def silent_store(context):
+    context.world.store.is_silent = True
+    instance = context.world.instances[0]
+    loops.run(context, loops.until(lambda: instance.configuration_age_s > 3.6))
+
+
+@when("the store refuses every call")
+def refuse(context):
+    context.world.store.refusal = 503
+    loops.run(context, asyncio.sleep(0.3))
+
+
+@when("the store refuses every call until the task is done")
+def refuse_until_done(context):
+    context.world.store.refusal = 503
+    worker = context.world.workers[0]
+    loops.run(context, loops.until(lambda: worker.ended))
+    loops.run(context, asyncio.sleep(0.2))
+
+
+@when("the store serves again")
+def serve_again(context):
+    context.world.store.refusal = 0
+    loops.run(context, asyncio.sleep(0.3))
+
+
+@then(
+    "a submission is answered with {status:d} at once and says when to come"
+    " back"
+)
+def refused_at_once(context, status):
+    began = time.monotonic()
+    answer = _submit(context, cell_world.job())
+    assert answer[0] == status, answer
+    assert answer[1]["retryAfterMs"] > 0, answer
+    assert time.monotonic() - began < _FAST_S
+
+
+@when("the store loses the answer of the next write")
+def lose_answer(context):
+    context.world.store.lost = 1
+
+
+@when("the elected instance ends")
+def elected_ends(context):
+    context.former = context.world.elected()
+    context.former.abort()
+    context.former.serving.cancel()
+    context.world.instances.remove(context.former)
+
+
+@when("the elected instance is asked to stop")
+def elected_stops(context):
+    context.former = context.world.elected()
+    context.former.request_stop()
+    context.world.instances.remove(context.former)
+
+
+@then("another instance schedules")
+def another_schedules(context):
+    loops.run(context, loops.until(lambda: context.world.scheduler_is_ready(1)))
+    assert context.world.elected() is not context.former
+
+
+@then('the job is shown as "{state}" by the others')
+def shown_by_others(context, state):
+    shown_everywhere(context, state)
+
+
+@then("a new job of {tasks:d} tasks is completed by the others")
+def new_job(context, tasks):
+    submit_tasks(context, tasks)
+    shown_everywhere(context, "completed")
+
+
+@then("every worker obeys the second election")
+def second_election(context):
+    for worker in context.world.workers:
+        assert worker.fences == [1, 2], worker.fences
+
+
+@given("the worker runs a task of a job that is not known")
+def unknown_run(context):
+    worker = context.world.workers[0]
+    name = f"{_OTHER_JOB}.0.0.0"
+
+    async def begin():
+        worker.running[name] = {"run": 1, "spec": "ms=20000"}
+        worker._changed.set()
+        scheduler = context.world.schedulers[0]
+        known = scheduler.workers.get(worker.worker_id)
+        await loops.until(lambda: known.unaccounted)
+
+    loops.run(context, begin())
+    context.unknown_run = name
+
+
+@then("no task of it starts before the unknown run has ended")
+def waits_for_unknown(context):
+    worker = context.world.workers[0]
+
+    async def watch():
+        while not worker.starts:
+            was_running = context.unknown_run in worker.running
+            await asyncio.sleep(0)
+        return was_running
+
+    loops.run(context, watch())
+    ended = [each[1] for each in worker.ended] + list(worker._refused_runs)
+    assert context.unknown_run in ended
+    assert context.unknown_run not in worker.running
+
+
+@given("the workers carry out the next start without an answer")
+def unanswered(context):
+    for worker in context.world.workers:
+        worker.unanswered = 1
+
+
+@given("one worker refuses starts with {status:d}")
+def refusing_worker(context, status):
+    context.world.workers[0].refusal = status
+
+
+@when("the worker that runs it ends")
+def worker_ends(context):
+    worker = next(each for each in context.world.workers if each.running)
+    worker.stop()
+    context.world.store.drop("servers", "", worker.worker_id)
+
+
+@when("one worker says that it is draining")
+def draining(context):
+    worker = context.world.workers[0]
+    worker.is_draining = True
+    worker.register()
+    scheduler = context.world.schedulers[0]
+    known = scheduler.workers.get(worker.worker_id)
+    loops.run(context, loops.until(lambda: known.registration.is_draining))
+
+
+@then("the draining worker started nothing")
+def drained(context):
+    assert not context.world.workers[0].starts
+
+
+@when("unreadable entries appear among the workers")
+def unreadable(context):
+    store = context.world.store
+    store.put("servers", "", "x1", b"\xff\xfe")
+    store.put("servers", "", "x2", b"[]")
+    store.put("servers", "", "x3", json.dumps({"state": "odd"}).encode())
+    loops.run(context, asyncio.sleep(0.6))
--- /dev/null
+++ b/tests/standins/cell/store.py
@@ -0,0 +1,158 @@
+"""Stand-in of the metadata store: rows, transactions, feeds, faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from urllib import parse
+
+from marigoldgap.web import messages
+from marigoldgap.web import server
+
+_PAGE_ROWS = 500
+
+
+class StoreStandIn:
+    """Keeps rows in memory.
+
+    Faults: `refusal` is a status for every call; `lost` answers are withheld
+    after the write took effect; `is_silent` withholds every answer.
+    """
+
+    def __init__(self, address):
+        self.address = address
+        self.rows = {}
+        self.removed = {}
+        self.version = 0
+        self.calls = []
+        self.refusal = 0
+        self.lost = 0
+        self.is_silent = False
+        self.first_version_kept = 0
+        self._changed = asyncio.Event()
+        self._server = server.HttpServer(self._handle)
+
+    async def start(self):
+        await self._server.start(self.address)
+
+    def stop(self):
+        self._server.close()
+
+    def put(self, table, part, key, value):
+        """Writes a row as the operator or a worker does."""
+        self.version += 1
+        self.rows[table, part, key] = (value, self.version)
+        self._notify()
+
+    def drop(self, table, part, key):
+        """Removes a row as the store does when a worker falls silent."""
+        self.version += 1
+        self.rows.pop((table, part, key), None)
+        self.removed[table, part, key] = self.version
+        self._notify()
+
+    def value(self, table, part, key):
+        row = self.rows.get((table, part, key))
+        return None if row is None else row[0]
+
+    def _notify(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(self, request):
+        path, _, query = request.path.partition("?")
+        self.calls.append(path)
+        if self.is_silent:
+            await asyncio.sleep(60)
+        if self.refusal:
+            return messages.Response(self.refusal)
+        fields = dict(parse.parse_qsl(query, keep_blank_values=True))
+        if path == "/v1/rows-tx":
+            return await self._transact(json.loads(request.body))
+        if path == "/v1/rows-get":
+            return self._read(fields)
+        if path == "/v1/rows-feed":
+            return await self._feed(fields)
+        return messages.Response(404)
+
+    async def _transact(self, body):
+        checks = body["expectRev"]
+        current = [self._row(_place(each)) for each in checks]
+        if any(
+            row["ver"] != each["ver"]
+            for row, each in zip(current, checks, strict=True)
+        ):
+            found = [row for row in current if row["ver"]]
+            return self._answer({"rows": found}, 412)
+        self.version += 1
+        for each in body["setKeys"]:
+            value = base64.b64decode(each["value"])
+            self.rows[_place(each)] = (value, self.version)
+        for each in body["remove"]:
+            self.rows.pop(_place(each), None)
+            self.removed[_place(each)] = self.version
+        self._notify()
+        if self.lost:
+            self.lost -= 1
+            await asyncio.sleep(60)
+        return self._answer({})
+
+    def _read(self, fields):
+        first, end = fields.get("from", ""), fields.get("target")
+        keys = sorted(
+            key
+            for table, part, key in self.rows
+            if table == fields["table"]
+            and part == fields["part"]
+            and key >= first
+            and (end is None or key < end)
+        )
+        rows = [
+            self._row((fields["table"], fields["part"], key))
+            for key in keys[:_PAGE_ROWS]
+        ]
+        return self._answer({"rows": rows, "hasMore": len(keys) > _PAGE_ROWS})
+
+    async def _feed(self, fields):
+        after = int(fields["after"])
+        if after < self.first_version_kept:
+            return messages.Response(410)
+        try:
+            async with asyncio.timeout(int(fields["waitMs"]) / 1000):
+                while not (rows := self._changes(fields["table"], after)):
+                    await self._changed.wait()
+        except TimeoutError:
+            rows = []
+        return self._answer({"rows": rows})
+
+    def _changes(self, table, after):
+        found = [
+            self._row(place)
+            for place, (_, version) in self.rows.items()
+            if place[0] == table and version > after
+        ]
+        found += [
+            {**_fields(place), "ver": version, "removed": True}
+            for place, version in self.removed.items()
+            if place[0] == table and version > after and place not in self.rows
+        ]
+        return sorted(found, key=lambda row: row["ver"])
+
+    def _row(self, place):
+        value, version = self.rows.get(place, (b"", 0))
+        text = base64.b64encode(value).decode()
+        return {**_fields(place), "value": text, "ver": version}
+
+    def _answer(self, body, status=200):
+        return messages.json_response(
+            status, {**body, "ver": self.version, "nowMs": 0}
+        )
+
+
+def _place(fields):
+    return fields["table"], fields["part"], fields["key"]
+
+
+def _fields(place):
+    return dict(zip(("table", "part", "key"), place, strict=True))
--- /dev/null
+++ b/tests/standins/cell/worker.py
@@ -0,0 +1,171 @@
+"""Stand-in of a worker: runs under leases, fences, ends until noted."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+from marigoldgap.web import messages
+from marigoldgap.web import server
+
+_CAPACITY = {"cpu": 16000, "memMb": 65536, "gpu": 0}
+_HEARTBEAT_S = 0.3
+
+
+class WorkerStandIn:
+    """Runs tasks; the payload says how: `ms=200`, `fail`.
+
+    Records what breaks a promise: `violations`.
+
+    Faults: `unanswered` starts are carried out without an answer;
+    `refusal` is a status for every start.
+    """
+
+    def __init__(self, worker_id, address, store, fleet_runs):
+        self.worker_id = worker_id
+        self.address = address
+        self.running = {}
+        self.ended = []
+        self.starts = []
+        self.fence = 0
+        self.fences = []
+        self.unanswered = 0
+        self.refusal = 0
+        self.is_draining = False
+        self.violations = []
+        self.lease_until_ms = 0
+        self._store = store
+        # Runs of all workers, to notice two of one task.
+        self._fleet_runs = fleet_runs
+        self._refused_runs = {}
+        self._number = 0
+        self._born_s = time.monotonic()
+        self._born_ms = int(time.time() * 1000)
+        self._changed = asyncio.Event()
+        self._tasks = []
+        self._server = server.HttpServer(self._handle)
+
+    async def start(self):
+        await self._server.start(self.address)
+        self._tasks.append(asyncio.create_task(self._beat()))
+        self._tasks.append(asyncio.create_task(self._watch_lease()))
+
+    def stop(self):
+        """Ends the process: all runs end, connections are reset."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        for name in list(self.running):
+            self._fleet_runs.pop((name, self.worker_id), None)
+        self.running.clear()
+
+    def register(self):
+        state = "draining" if self.is_draining else "ready"
+        fields = {
+            "service": "claims",
+            "address": self.address,
+            "zone": "a",
+            "state": state,
+            "capacity": _CAPACITY,
+            "labels": ["a", "r1-1"],
+            "born": self._born_ms,
+        }
+        content = json.dumps(fields).encode()
+        self._store.put("servers", "", self.worker_id, content)
+
+    @property
+    def _clock_ms(self):
+        return int((time.monotonic() - self._born_s) * 1000)
+
+    async def _beat(self):
+        while True:
+            self.register()
+            await asyncio.sleep(_HEARTBEAT_S)
+
+    async def _watch_lease(self):
+        while True:
+            await asyncio.sleep(0.05)
+            if self.lease_until_ms and self._clock_ms > self.lease_until_ms:
+                for name in list(self.running):
+                    self._end(name, "lapsed")
+
+    async def _handle(self, request):
+        if request.headers.get("x-expect-instance") != self.worker_id:
+            return messages.Response(421)
+        body = json.loads(request.body)
+        if body["fence"] < self.fence:
+            return self._answer({"reason": "fence"}, 409)
+        if body["fence"] > self.fence:
+            self.fence = body["fence"]
+            self.fences.append(self.fence)
+        self.lease_until_ms = max(self.lease_until_ms, body.get("untilMs", 0))
+        if request.path == "/v1/run-start":
+            return await self._start(body)
+        if request.path == "/v1/run-stop":
+            return self._stop(body)
+        return await self._hold(body)
+
+    async def _start(self, body):
+        if self.refusal:
+            return messages.Response(self.refusal)
+        name, run = body["task"], body["run"]
+        if self.running.get(name, {}).get("run") == run:
+            return self._answer({})
+        if run <= self._refused_runs.get(name, 0):
+            return self._answer({"reason": "old"}, 409)
+        self.starts.append((name, run))
+        others = [each for each in self._fleet_runs if each[0] == name]
+        if others:
+            self.violations.append(f"two runs of {name}")
+        self._fleet_runs[name, self.worker_id] = run
+        self.running[name] = {"run": run, "spec": body["spec"]}
+        self._tasks.append(
+            asyncio.create_task(self._work(name, run, body["spec"]))
+        )
+        if self.unanswered:
+            self.unanswered -= 1
+            await asyncio.sleep(60)
+        return self._answer({})
+
+    def _stop(self, body):
+        name, run = body["task"], body["run"]
+        self._refused_runs[name] = max(run, self._refused_runs.get(name, 0))
+        if self.running.get(name, {}).get("run") == run:
+            self._end(name, "stopped")
+        return self._answer({})
+
+    async def _hold(self, body):
+        self.ended = [each for each in self.ended if each[0] > body["lastSeen"]]
+        if not self.ended and body.get("waitMs"):
+            try:
+                async with asyncio.timeout(body["waitMs"] / 1000):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        running = [
+            [name, each["run"], "", 50] for name, each in self.running.items()
+        ]
+        return self._answer(
+            {"running": running, "ended": self.ended, "born": self._born_ms}
+        )
+
+    async def _work(self, name, run, spec):
+        milliseconds = int(spec.partition("ms=")[2].split()[0] or 0)
+        await asyncio.sleep(milliseconds / 1000)
+        if self.running.get(name, {}).get("run") == run:
+            self._end(name, "failed" if "fail" in spec else "done")
+
+    def _end(self, name, how):
+        run = self.running.pop(name)["run"]
+        self._fleet_runs.pop((name, self.worker_id), None)
+        self._refused_runs[name] = max(run, self._refused_runs.get(name, 0))
+        self._number += 1
+        self.ended.append([self._number, name, run, how, ""])
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _answer(self, body, status=200):
+        return messages.json_response(
+            status, {**body, "clockMs": self._clock_ms}
+        )
