--- a/src/marigoldgap/cell/advice_desk.py
+++ b/src/marigoldgap/cell/advice_desk.py
@@ -157,9 +157,10 @@
     ) -> None:
         until = time_source.now_s() + tickets.valid_ms / 1000 - _TRANSIT_S
         step.asked.update(workers)
-        step.good.difference_update(workers)
+        for worker_id in workers:
+            step.good.pop(worker_id, None)
         for worker_id, ticket in tickets.by_worker.items():
-            step.good.add(worker_id)
+            step.good[worker_id] = None
             step.tickets[worker_id] = (ticket, until)
         _log.info(
             "advice_received",
--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -32,8 +32,11 @@
 _WINDOW_GAP_S = 1.2
 # Longest read that shows a store in the same region.
 _NEAR_READ_S = 0.03
-# Head start of instances near the store.
+# Head start of instances near the store, and of each core more.
 _FAR_DELAY_S = 0.5
+_CORE_HEAD_START_S = 0.15
+# Cores beyond which an instance needs no head start over others.
+_MOST_CORES = 2.0
 # Pause after a failed read.
 _RETRY_S = 0.2
 
@@ -69,6 +72,7 @@
         rows: The store.
         instance: Name of this instance.
         address: Address for calls of its peers.
+        cores: Processor cores of this instance.
         serve: Schedules after an election that was won, until deposed.
     """
 
@@ -77,6 +81,7 @@
         rows: store.Store,
         instance: str,
         address: str,
+        cores: float,
         serve: Callable[[Won], Awaitable[None]],
     ) -> None:
         self.elected: Elected | None = None
@@ -84,6 +89,7 @@
         self._instance = instance
         self._address = address
         self._serve = serve
+        self.cores = cores
         self._is_candidate = True
         self._seen: tuple[int, bytes | None] | None = None
         self._seen_since_s = 0.0
@@ -98,6 +104,13 @@
         """Whether the store is in the same region."""
         return self._read_s <= _NEAR_READ_S
 
+    @property
+    def delay_s(self) -> float:
+        """Time that this instance leaves to better placed ones."""
+        missing = max(0.0, _MOST_CORES - self.cores)
+        far_s = 0.0 if self.is_near else _FAR_DELAY_S
+        return far_s + _CORE_HEAD_START_S * missing
+
     def withdraw(self) -> None:
         """Takes part in no further election."""
         self._is_candidate = False
@@ -193,8 +206,7 @@
         has_stopped = self._has_stopped(row, beat, time_source.now_s())
         if not self._is_candidate or not (is_vacant or has_stopped):
             return None
-        if not self.is_near:
-            await asyncio.sleep(_FAR_DELAY_S)
+        await asyncio.sleep(self.delay_s)
         return await self._claim(row)
 
     def _has_stopped(
--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -111,7 +111,7 @@
         self.not_before_s = 0.0
         # Advice: asked and good workers, tickets with the end of validity.
         self.asked: set[str] = set()
-        self.good: set[str] = set()
+        self.good: dict[str, None] = {}
         self.tickets: dict[str, tuple[str, float]] = {}
         self.is_asking = False
 
--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -126,7 +126,7 @@
         return messages.json_response(404, {"error": "not-found"})
 
     async def _take_over(self, fields: dict[str, Any]) -> bool:
-        if fields["near_only"] and not self._election.is_near:
+        if self._election.delay_s > fields["most_delay_s"]:
             return False
         return await self._election.take_over(
             int(fields["epoch"]), "it asked for it"
@@ -192,17 +192,18 @@
         )
         return model.Tickets(fields["by_worker"], fields["valid_ms"])
 
-    async def take_over(self, epoch: int, near_only: bool) -> bool:
+    async def take_over(self, epoch: int, most_delay_s: float) -> bool:
         """Asks the instance to schedule from now on.
 
         Args:
             epoch: The election that is over.
-            near_only: Whether only an instance near the store should do it.
+            most_delay_s: Only an instance that is placed well enough to wait
+                no longer than this should do it.
 
         Raises:
             MarigoldgapError: There is no usable answer.
         """
-        body = {"epoch": epoch, "near_only": near_only}
+        body = {"epoch": epoch, "most_delay_s": most_delay_s}
         fields = await self._call(
             "POST",
             _TAKE_OVER_PATH,
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -130,6 +130,7 @@
         self._workers = workers
         self._times = times
         self._rooms: dict[str, _Room] = {}
+        self._by_rule: dict[tuple[str, str], dict[str, _Room]] = {}
         self._gangs = 0
         self._now = 0.0
 
@@ -155,6 +156,7 @@
             for worker in self._workers.values()
             if worker.accepts(now)
         }
+        self._by_rule = {}
         plan = Plan([], [])
         for step in sorted(steps, key=_urgency):
             if step.not_before_s > now:
@@ -166,33 +168,32 @@
                 self._plan_tasks(step, allowed, plan, usage)
         return plan
 
-    def _candidates(self, step: jobs.StepProgress) -> list[_Room]:
+    def _candidates(self, step: jobs.StepProgress) -> dict[str, _Room]:
         """Returns the workers that the step may use by rule."""
-        service = step.job.queue.service
-        label = step.spec.required_label
-        return [
-            room
-            for room in self._rooms.values()
-            if room.worker.registration.service == service
-            and (not label or label in room.worker.registration.labels)
-        ]
+        key = step.job.queue.service, step.spec.required_label
+        found = self._by_rule.get(key)
+        if found is None:
+            service, label = key
+            found = {
+                worker_id: room
+                for worker_id, room in self._rooms.items()
+                if room.worker.registration.service == service
+                and (not label or label in room.worker.registration.labels)
+            }
+            self._by_rule[key] = found
+        return found
 
     def _advised(
-        self, step: jobs.StepProgress, candidates: list[_Room], plan: Plan
+        self, step: jobs.StepProgress, candidates: dict[str, _Room], plan: Plan
     ) -> list[_Room]:
         """Returns the workers known as good; asks about unknown ones."""
         if step.job.queue.advice is None:
-            return candidates
-        unknown = [
-            room.worker.worker_id
-            for room in candidates
-            if room.worker.worker_id not in step.asked
-        ]
-        good = [
-            room for room in candidates if room.worker.worker_id in step.good
-        ]
-        if unknown and not step.is_asking and (not step.asked or not good):
-            plan.advice.append((step, unknown))
+            return list(candidates.values())
+        good = [candidates[name] for name in step.good if name in candidates]
+        if not step.is_asking and (not step.asked or not good):
+            unknown = [name for name in candidates if name not in step.asked]
+            if unknown:
+                plan.advice.append((step, unknown))
         return good
 
     def _ticket(self, step: jobs.StepProgress, room: _Room) -> str | None:
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -38,6 +38,9 @@
 _STORE_WATCH_S = 0.1
 # Shortest time between two plans.
 _PLAN_PAUSE_S = 0.005
+# Pause after a plan as a multiple of its time: planning takes at most a
+# third of the processor.
+_PLAN_REST = 2.0
 # A plan is made at least this often: back-offs and due times pass.
 _TICK_S = 0.1
 # A run without progress for this long is taken as stuck.
@@ -652,8 +655,10 @@
             except TimeoutError:
                 self._open_due()
             self._changed.clear()
+            began_s = time_source.now_s()
             self._plan()
-            await asyncio.sleep(_PLAN_PAUSE_S)
+            took_s = time_source.now_s() - began_s
+            await asyncio.sleep(max(_PLAN_PAUSE_S, _PLAN_REST * took_s))
 
     def _open_due(self) -> None:
         wall_ms = time_source.wall_ms()
--- a/src/marigoldgap/cell/watcher.py
+++ b/src/marigoldgap/cell/watcher.py
@@ -74,8 +74,7 @@
                 await asyncio.sleep(_PAUSE_S)
 
     async def _take_over(self, elected: elections.Elected) -> None:
-        if not self._election.is_near:
-            return
+        await asyncio.sleep(self._election.delay_s)
         try:
             await self._election.take_over(
                 elected.epoch, f"{elected.instance} has ended"
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -37,6 +37,8 @@
 # Kept of the shutdown time for the last writes.
 _SHUTDOWN_MARGIN_S = 1.0
 _POLL_S = 0.05
+# The duty is offered in turns to instances that would wait at most this long.
+_OFFER_DELAYS_S = (0.1, 0.25, 10.0)
 
 
 class Process:
@@ -66,7 +68,11 @@
             self._adopt,
         )
         self._election = elections.Election(
-            self._rows, settings.name, settings.peers_address, self._serve_cell
+            self._rows,
+            settings.name,
+            settings.peers_address,
+            settings.cores,
+            self._serve_cell,
         )
         self._instances = instance_rows.InstanceList(
             self._rows, self._pool, settings.name
@@ -233,11 +239,11 @@
             scheduler.close()
 
     async def _offer_duty(self, epoch: int) -> bool:
-        """Asks the other instances to take over, those near the store first."""
-        for near_only in (True, False):
+        """Asks the other instances to take over, the best placed first."""
+        for most_delay_s in _OFFER_DELAYS_S:
             answers = await asyncio.gather(
                 *(
-                    peer.take_over(epoch, near_only)
+                    peer.take_over(epoch, most_delay_s)
                     for peer in self._instances.peers
                 ),
                 return_exceptions=True,
--- a/src/marigoldgap/node/settings.py
+++ b/src/marigoldgap/node/settings.py
@@ -15,6 +15,7 @@
         readiness_address: `ip:port` for the question whether it is ready.
         peers_address: `ip:port` for the other instances.
         metrics_address: `ip:port` for metrics.
+        cores: Processor cores that the process may use.
         store_address: `ip:port` of the store.
         advice_address: `ip:port` of the advice service; empty if none.
         shutdown_s: Time from the request to stop until the process is killed.
@@ -28,6 +29,7 @@
     readiness_address: str
     peers_address: str
     metrics_address: str
+    cores: float
     store_address: str
     advice_address: str
     shutdown_s: float
--- a/src/marigoldgap/platform/node_settings.py
+++ b/src/marigoldgap/platform/node_settings.py
@@ -31,6 +31,7 @@
     fields = decoding.decode_object(file.read_bytes())
     listen = fields.get("listen") or {}
     bounds = fields.get("bounds") or {}
+    limits = fields.get("limits") or {}
     store_fields = fields.get("platform") or {}
     ports = fields.get("portRange") or [0]
     ip = decoding.text(fields, "ip")
@@ -43,6 +44,9 @@
         # Free for the protocol of the project.
         peers_address=f"{ip}:{int(ports[0])}",
         metrics_address=f"{ip}:{int(ports[0]) + 1}",
+        # The share is that of one core, for each of the cores.
+        cores=decoding.number(limits, "cpuShare", 1)
+        * decoding.number(limits, "cores", 1),
         store_address=decoding.text(store_fields, "address"),
         advice_address=decoding.text(fields, "advice", ""),
         shutdown_s=decoding.number(bounds, "graceS", 6),
--- /dev/null
+++ b/tests/features/steps/cell_planning_steps.py
@@ -0,0 +1,217 @@
+"""Steps for plans."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from marigoldgap.cell import fleet
+from marigoldgap.cell import jobs
+from marigoldgap.cell import model
+from marigoldgap.cell import planner
+from marigoldgap.cell import run_times
+
+_NOW = 100.0
+_CORE = 1000
+_SERVICE = "claims"
+
+
+def _queue(priority=1):
+    return model.Queue(
+        f"q{priority}", "h", "/", _SERVICE, priority, 2, 2.0, 500, True, None
+    )
+
+
+def _worker(number, cores):
+    registration = model.Registration(
+        f"w{number}",
+        _SERVICE,
+        "127.0.0.1:1",
+        "a",
+        False,
+        model.Demand(cores * _CORE, 65536, 0),
+        frozenset({"a", f"r{number}"}),
+        f"r{number}",
+        0,
+    )
+    worker = fleet.Worker(registration, _NOW)
+    worker.contact = fleet.Contact.ANSWERING
+    worker.is_rostered = True
+    return worker
+
+
+def _step(context, count, cores, estimate_s=5, priority=1, **fields):
+    spec = model.StepSpec(
+        count,
+        model.Demand(int(cores * _CORE), 100),
+        estimate_ms=int(estimate_s * 1000),
+        **fields,
+    )
+    number = len(context.steps_waiting) + len(context.steps_running)
+    record = model.JobRecord(
+        f"{number:016x}",
+        _queue(priority),
+        "team",
+        0,
+        model.JobSpec("", (spec,)),
+    )
+    job = jobs.Job(record, record.queue, _NOW)
+    job.open_due(0)
+    return job.occurrences[0][0]
+
+
+def _wait(context, *arguments, **fields):
+    step = _step(context, *arguments, **fields)
+    context.steps_waiting.append(step)
+    return step
+
+
+@given("{count:d} workers with {cores:d} cores each")
+def create_workers(context, count, cores):
+    context.steps_waiting = []
+    context.steps_running = []
+    context.fleet = fleet.Fleet()
+    for number in range(count):
+        context.fleet.add(_worker(number, cores))
+
+
+@given("a run of {cores:d} cores on each worker that ends in {rest:d} s")
+def add_runs(context, cores, rest):
+    for worker in context.fleet.values():
+        step = _step(context, 1, cores, estimate_s=rest)
+        context.steps_running.append(step)
+        run = jobs.Run(model.RunName(step.task(0), 1), step, worker, _NOW)
+        step.active[0] = run
+        worker.add(run)
+
+
+@given("a waiting gang of {count:d} members of {cores:d} core")
+def add_gang(context, count, cores):
+    _wait(context, count, cores, is_gang=True, priority=0)
+
+
+@given(
+    "{count:d} waiting tasks of 1 core that take {seconds:d} s and are less"
+    " urgent"
+)
+def add_tasks(context, count, seconds):
+    _wait(context, count, 1, estimate_s=seconds, priority=2)
+
+
+@given("{count:d} waiting tasks of 1 core with at most 1 on one worker")
+def add_spread(context, count):
+    _wait(context, count, 1, max_per_worker=1)
+
+
+@given("a waiting task whose data is in the rack of the second worker")
+def add_near(context):
+    _wait(context, 1, 1, data_rack="r1")
+
+
+@given("{count:d} waiting tasks of 1 core beyond the fair rate")
+def add_over(context, count):
+    _wait(context, count, 1, priority=0).job.is_over_share = True
+
+
+@given("{count:d} waiting tasks of 1 core within the fair rate")
+def add_within(context, count):
+    _wait(context, count, 1, priority=1)
+
+
+@when("a plan is made")
+def make_plan(context):
+    context.plan = planner.Planner(context.fleet, run_times.RunTimes()).plan(
+        context.steps_waiting, {}, {}, _NOW
+    )
+
+
+@then("nothing starts")
+def nothing(context):
+    assert not context.plan.placements, context.plan.placements
+
+
+@then("{count:d} tasks start")
+def some_start(context, count):
+    assert len(context.plan.placements) == count, context.plan.placements
+
+
+@then("{count:d} tasks start on different workers")
+def different_workers(context, count):
+    some_start(context, count)
+    workers = {each.worker.worker_id for each in context.plan.placements}
+    assert len(workers) == count, workers
+
+
+@then("it starts on the second worker")
+def second_worker(context):
+    workers = [each.worker.worker_id for each in context.plan.placements]
+    assert workers == ["w1"], workers
+
+
+@then("only tasks within the fair rate start")
+def within_only(context):
+    started = [each.step.job.is_over_share for each in context.plan.placements]
+    assert started == [False] * 4, started
+
+
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(1, 12),
+        strategies.integers(1, 9),
+        strategies.booleans(),
+        strategies.integers(0, 2),
+        strategies.integers(0, 3),
+    ),
+    max_size=8,
+)
+
+
+@then("no generated plan exceeds a worker or an upper limit")
+def generated(context):
+    @hypothesis.given(
+        _STEPS, strategies.integers(1, 5), strategies.integers(0, 20)
+    )
+    def check(steps, workers, limit):
+        create_workers(context, workers, 8)
+        for count, half_cores, is_gang, priority, bound in steps:
+            _wait(
+                context,
+                count,
+                half_cores / 2,
+                is_gang=is_gang,
+                priority=priority,
+                max_per_worker=bound,
+            )
+        workspace = model.Workspace("team", 9, model.Demand(limit * _CORE))
+        plan = planner.Planner(context.fleet, run_times.RunTimes()).plan(
+            context.steps_waiting, {}, {"team": workspace}, _NOW
+        )
+        _check_plan(plan, limit)
+
+    check()
+
+
+def _check_plan(plan, limit):
+    used = {}
+    total = 0
+    members = {}
+    for each in plan.placements:
+        cores = each.step.spec.demand.millicores
+        worker_id = each.worker.worker_id
+        used[worker_id] = used.get(worker_id, 0) + cores
+        total += cores
+        members.setdefault(id(each.step), []).append(each)
+    assert all(value <= 8 * _CORE for value in used.values()), used
+    assert not limit or total <= limit * _CORE, total
+    for placements in members.values():
+        spec = placements[0].step.spec
+        positions = {each.position for each in placements}
+        assert len(positions) == len(placements)
+        if spec.is_gang:
+            assert len(placements) == spec.task_count
+        if spec.max_per_worker:
+            ids = [each.worker.worker_id for each in placements]
+            assert max(map(ids.count, ids)) <= spec.max_per_worker
--- /dev/null
+++ b/tests/features/steps/decision_log_steps.py
@@ -0,0 +1,140 @@
+"""Steps for log lines and the stories told from them."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+
+from behave import given
+from behave import then
+from behave import when
+
+from marigoldgap import decision_log
+from marigoldgap import stories
+
+_JOB = "00000000000000a1"
+
+
+@given("logs that go to a pipe that nobody reads")
+def pipe_logs(context):
+    context.reader, context.writer = os.pipe()
+    root = logging.getLogger("marigoldgap.decisions")
+    kept = list(root.handlers), root.level, root.propagate
+    root.handlers[:] = [decision_log._OutputHandler("e1", context.writer)]
+    root.setLevel(logging.INFO)
+    root.propagate = False
+
+    def restore():
+        root.handlers[:], root.level, root.propagate = kept
+
+    context.add_cleanup(restore)
+
+
+@when("{count:d} decisions are logged")
+def log_many(context, count):
+    logger = decision_log.DecisionLogger("part")
+    for number in range(count):
+        # Few enough lines of each event that the size is what binds.
+        logger.info(f"event_{number % 100}", number=number, text="x" * 100)
+    context.calls = count
+
+
+@then("all calls returned")
+def returned(context):
+    assert context.calls
+
+
+@when("the pipe is read to its end")
+def read_pipe(context):
+    os.set_blocking(context.reader, False)
+    content = b""
+    logger = decision_log.DecisionLogger("part")
+    for _ in range(50):
+        try:
+            content += os.read(context.reader, 1 << 20)
+        except BlockingIOError:
+            break
+        logger.info("last")
+    os.close(context.writer)
+    os.close(context.reader)
+    context.lines = [json.loads(line) for line in content.splitlines()]
+
+
+@then("every line is JSON with time, instance, part and event")
+def structured(context):
+    assert context.lines
+    for line in context.lines:
+        assert {"time_ms", "instance", "part", "event"} <= set(line), line
+
+
+@then("a line tells how many were dropped or summed up")
+def told(context):
+    counts = [
+        line["count"]
+        for line in context.lines
+        if line["event"] in ("lines_dropped", "lines_suppressed")
+    ]
+    assert sum(counts) > 0, context.lines[-3:]
+
+
+def _line(time_ms, instance, event, **fields):
+    entry = {"time_ms": time_ms, "instance": instance, "event": event}
+    return json.dumps({**entry, **fields})
+
+
+@given("lines of two processes about a job, unordered and mixed with others")
+def unordered(context):
+    run = f"{_JOB}.0.0.0#1"
+    context.texts = [
+        _line(30, "e2", "run_ended", run=run, worker="w7", how="failed"),
+        "prefix " + _line(10, "e1", "job_accepted", job=_JOB),
+        "not a log line",
+        _line(20, "e2", "run_starting", run=run, worker="w7"),
+        _line(25, "e2", "job_ended", job="another", state="completed"),
+        _line(
+            31, "e2", "job_ended", job=_JOB, state="failed", cause="attempts"
+        ),
+    ]
+
+
+@given("a line about a refused request of a job")
+def refused(context):
+    context.texts = [
+        _line(
+            1,
+            "e1",
+            "request_refused",
+            path=f"/claims/{_JOB}",
+            status=503,
+            code="store-away",
+            cause="store answered 503",
+        )
+    ]
+
+
+@when("the story of the job is told")
+def tell(context):
+    context.story = stories.tell(_JOB, context.texts)
+
+
+@then("its lines are in the order of their times")
+def ordered(context):
+    times = [line.time_ms for line in context.story.lines]
+    assert times == [10, 20, 30, 31], times
+
+
+@then("{count:d} line is counted as unreadable")
+def unreadable(context, count):
+    assert context.story.unreadable == count
+
+
+@then("the cause names the workers on which it failed")
+def failed_on(context):
+    assert "w7" in context.story.cause, context.story.cause
+
+
+@then("the cause says that it was never accepted and why")
+def never_accepted(context):
+    cause = context.story.cause
+    assert "never accepted" in cause and "store-away" in cause, cause
