Tell the elected instance of stored jobs; begin a fault soak

Cause: the feed adds a call of the store to the first start, which is long when the store is slow; it also costs up to 30 calls a second. Change: the accepting instance tells the elected one directly; the feed is read every 0.3 s for jobs of which the telling was lost. The soak is not run yet.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: real instances as processes, faults from outside."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,119 @@
+"""Callers that submit jobs and check what they are told."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+
+from marigoldgap import errors
+from marigoldgap.web import client
+from marigoldgap.web import messages
+from soak import instances
+
+_ANSWER_TIMEOUT_S = 3.5
+_ATTEMPTS = 5
+_REFUSALS = frozenset({401, 404, 429, 503})
+
+
+class Callers:
+    """Submits jobs at random instances.
+
+    Args:
+        draw: Source of random numbers.
+        nodes: The instances.
+        queue: Host and prefix of the queue, and the key.
+    """
+
+    def __init__(
+        self,
+        draw: random.Random,
+        nodes: list[instances.Instance],
+        queue: tuple[str, str, str],
+    ) -> None:
+        self.accepted: dict[str, str] = {}
+        self.refused: set[str] = set()
+        self.unknown: set[str] = set()
+        self.violations: list[str] = []
+        self._draw = draw
+        self._nodes = nodes
+        self._host, self._prefix, self._key = queue
+
+    async def submit(self, job_id: str) -> None:
+        """Submits a job like a client with retries, and records the outcome."""
+        body = messages.encode_json(self._job())
+        is_open = False
+        for _ in range(_ATTEMPTS):
+            answer = await self._call("POST", job_id, body)
+            if answer is not None and answer.status < 300:
+                self.accepted[job_id] = "accepted"
+                return
+            is_open = is_open or answer is None or answer.status in (502, 504)
+            await asyncio.sleep(self._draw.uniform(0.05, 0.4))
+        (self.unknown if is_open else self.refused).add(job_id)
+
+    async def look(self, job_id: str) -> str | None:
+        """Returns the state of a job as an instance tells it."""
+        answer = await self._call("GET", job_id, b"")
+        if answer is None:
+            return None
+        if answer.status == 410 and job_id in self.accepted:
+            self.violations.append(f"accepted job {job_id} is told to be gone")
+        if answer.status != 200:
+            return None
+        return str(json.loads(answer.body)["state"])
+
+    async def wait_for_all(self, deadline_s: float) -> list[str]:
+        """Returns the accepted jobs that are not completed in time."""
+        open_jobs = set(self.accepted)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + deadline_s
+        while open_jobs and loop.time() < end:
+            for job_id in list(open_jobs):
+                state = await self.look(job_id)
+                if state == "completed":
+                    open_jobs.discard(job_id)
+                elif state in ("failed", "cancelled"):
+                    self.violations.append(f"job {job_id} is told as {state}")
+                    open_jobs.discard(job_id)
+            await asyncio.sleep(0.2)
+        return sorted(open_jobs)
+
+    def _job(self) -> dict[str, object]:
+        cpu = self._draw.choice((1000, 2000, 4000))
+        milliseconds = self._draw.randint(50, 1500)
+        payload = f"ms={milliseconds} cpu={cpu}"
+        step = {
+            "count": self._draw.randint(1, 6),
+            "cpu": cpu,
+            "memMb": 64,
+            "estimateMs": milliseconds,
+            "gang": self._draw.random() < 0.3,
+        }
+        steps = [step]
+        if self._draw.random() < 0.3:
+            steps.append({**step, "after": [0], "gang": False})
+        return {"spec": payload, "steps": steps}
+
+    async def _call(
+        self, method: str, job_id: str, body: bytes
+    ) -> messages.Response | None:
+        node = self._draw.choice(self._nodes)
+        head = client.request_head(
+            method,
+            self._host,
+            self._prefix + job_id,
+            len(body),
+            (("Authorization", f"Token {self._key}"),),
+        )
+        try:
+            connection = await client.connect(node.callers_address)
+        except errors.MarigoldgapError:
+            # Nothing was sent, so the job cannot have been accepted.
+            return messages.Response(503)
+        try:
+            return await connection.exchange(head, body, _ANSWER_TIMEOUT_S)
+        except errors.MarigoldgapError:
+            return None
+        finally:
+            connection.close()
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,143 @@
+"""Faults, drawn from a seed; a registry filled by decorators."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import signal
+from typing import TYPE_CHECKING
+
+from soak import proxy
+
+if TYPE_CHECKING:
+    from soak import world as worlds
+
+Fault = Callable[["worlds.World"], Awaitable[None]]
+FAULTS: dict[str, Fault] = {}
+# Every fault ends within this time and heals what it harmed.
+_LONGEST_S = 5.0
+
+
+def _fault(function: Fault) -> Fault:
+    FAULTS[function.__name__] = function
+    return function
+
+
+@_fault
+async def kill_instances(world: worlds.World) -> None:
+    """Kills some instances and starts them again."""
+    chosen = world.draw.sample(
+        world.instances, world.draw.randint(1, len(world.instances))
+    )
+    for instance in chosen:
+        instance.send(signal.SIGCONT)
+        instance.send(signal.SIGKILL)
+    await asyncio.sleep(world.draw.uniform(0.1, 2.0))
+    for instance in chosen:
+        if not instance.is_running:
+            instance.start()
+
+
+@_fault
+async def stop_gracefully(world: worlds.World) -> None:
+    """Asks an instance to stop and starts it again."""
+    instance = world.draw.choice(world.instances)
+    if instance.is_paused:
+        return
+    instance.send(signal.SIGTERM)
+    code = await asyncio.to_thread(instance.wait, _LONGEST_S)
+    if code is None and not instance.is_paused:
+        world.violations.append(f"{instance.name} did not stop in time")
+    if not instance.is_running:
+        instance.start()
+
+
+@_fault
+async def pause_instance(world: worlds.World) -> None:
+    """Suspends an instance."""
+    instance = world.draw.choice(world.instances)
+    instance.send(signal.SIGSTOP)
+    await asyncio.sleep(world.draw.uniform(0.3, _LONGEST_S))
+    instance.send(signal.SIGCONT)
+
+
+@_fault
+async def reload_settings(world: worlds.World) -> None:
+    """Tells all instances that their settings changed."""
+    for instance in world.instances:
+        instance.send(signal.SIGHUP)
+
+
+async def _harm_links(world: worlds.World, links: list[proxy.Proxy]) -> None:
+    for link in links:
+        link.mode = world.draw.choice(list(proxy.Mode)[1:])
+        link.delay_s = world.draw.uniform(0.01, 0.3)
+    await asyncio.sleep(world.draw.uniform(0.5, _LONGEST_S))
+    for link in links:
+        link.mode = proxy.Mode.PASS
+        # Bytes that were held back are lost with the connection.
+        link.reset()
+
+
+@_fault
+async def harm_store_links(world: worlds.World) -> None:
+    """Delays, silences or cuts links of instances to the store."""
+    links = list(world.store_links.values())
+    await _harm_links(world, world.draw.sample(links, 1))
+
+
+@_fault
+async def harm_worker_links(world: worlds.World) -> None:
+    """Delays, silences or cuts links to workers."""
+    await _harm_links(world, world.draw.sample(world.worker_links, 2))
+
+
+@_fault
+async def reset_links(world: worlds.World) -> None:
+    """Breaks all connections to the store and to workers."""
+    for link in (*world.store_links.values(), *world.worker_links):
+        link.reset()
+
+
+@_fault
+async def refuse_at_store(world: worlds.World) -> None:
+    """Makes the store refuse or silent for a while."""
+    if world.draw.random() < 0.3:
+        world.store.is_silent = True
+    else:
+        world.store.refusal = world.draw.choice((429, 503))
+    await asyncio.sleep(world.draw.uniform(0.3, _LONGEST_S))
+    world.store.refusal = 0
+    world.store.is_silent = False
+
+
+@_fault
+async def lose_store_answers(world: worlds.World) -> None:
+    """Loses the answers of some writes."""
+    world.store.lost += world.draw.randint(1, 5)
+
+
+@_fault
+async def forget_history(world: worlds.World) -> None:
+    """Drops the history of the store."""
+    world.store.first_version_kept = world.store.version
+
+
+@_fault
+async def leave_orders_unanswered(world: worlds.World) -> None:
+    """Makes workers carry out orders without an answer."""
+    for worker in world.draw.sample(world.workers, 2):
+        worker.unanswered += world.draw.randint(1, 3)
+
+
+@_fault
+async def replace_worker(world: worlds.World) -> None:
+    """Ends a worker and starts one in its place, at times with its id."""
+    await world.replace_worker(keeps_id=world.draw.random() < 0.4)
+
+
+@_fault
+async def change_configuration(world: worlds.World) -> None:
+    """Writes a new version of the configuration."""
+    world.change_configuration()
--- /dev/null
+++ b/soak/instances.py
@@ -0,0 +1,96 @@
+"""Entry instances as processes of their own, driven by signals."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+_SHUTDOWN_S = 4
+
+
+class Instance:
+    """One process of the program.
+
+    Args:
+        name: Name of the instance.
+        folder: Folder for its settings and its log.
+        ports: Addresses for callers, readiness and the first peer port.
+        store_address: Where it reaches the store.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        folder: pathlib.Path,
+        ports: tuple[str, str, str],
+        store_address: str,
+    ) -> None:
+        self.name = name
+        self.callers_address = ports[0]
+        self.log = folder / f"{name}.log"
+        self._settings = folder / f"{name}.json"
+        self._process: subprocess.Popen[bytes] | None = None
+        self.is_paused = False
+        peer_port = int(ports[2].rpartition(":")[2])
+        self._settings.write_text(
+            json.dumps(
+                {
+                    "nodeName": name,
+                    "ip": "127.0.0.1",
+                    "zone": "a",
+                    "listen": {"front": ports[0], "ready": ports[1]},
+                    "portRange": [peer_port, peer_port + 1],
+                    "limits": {"cpuShare": 1, "cores": 1},
+                    "bounds": {
+                        "graceS": _SHUTDOWN_S,
+                        "revokeMs": 5000,
+                        "strictRevoke": True,
+                    },
+                    "platform": {"address": store_address},
+                }
+            )
+        )
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process exists."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Starts the process; its log goes on where it ended."""
+        environment = {
+            **os.environ,
+            "MARIGOLDGAP_BOOT": str(self._settings),
+            "PYTHONPATH": os.pathsep.join(sys.path),
+        }
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "marigoldgap.node"],
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+        self.is_paused = False
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the process, if it runs."""
+        if self._process is None or not self.is_running:
+            return
+        self._process.send_signal(number)
+        if number is signal.SIGSTOP:
+            self.is_paused = True
+        elif number is signal.SIGCONT:
+            self.is_paused = False
+
+    def wait(self, timeout_s: float) -> int | None:
+        """Returns the exit code, or None if the process still runs."""
+        if self._process is None:
+            return 0
+        try:
+            return self._process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,97 @@
+"""Loopback proxy that delays, resets, silences or cuts one way."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+
+_CHUNK_BYTES = 65_536
+_SILENCE_POLL_S = 0.02
+
+
+class Mode(enum.Enum):
+    """What the proxy does with bytes."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    ANSWERS_LOST = "answers-lost"
+
+
+class Proxy:
+    """Forwards connections to one server.
+
+    Args:
+        listen: `ip:port` to listen on.
+        target: `ip:port` of the server.
+    """
+
+    def __init__(self, listen: str, target: str) -> None:
+        self.mode = Mode.PASS
+        self.delay_s = 0.0
+        self.address = listen
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    def reset(self) -> None:
+        """Breaks all connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def close(self) -> None:
+        """Stops listening and breaks all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, _, port = self._target.rpartition(":")
+        try:
+            remote = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, remote[1])
+        self._writers.update(pair)
+        tasks = [
+            asyncio.create_task(self._pump(reader, remote[1], False)),
+            asyncio.create_task(self._pump(remote[0], writer, True)),
+        ]
+        self._tasks.update(tasks)
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for each in pair:
+            each.transport.abort()
+            self._writers.discard(each)
+        for task in tasks:
+            task.cancel()
+            self._tasks.discard(task)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_answer: bool,
+    ) -> None:
+        try:
+            while data := await reader.read(_CHUNK_BYTES):
+                while self.mode is Mode.SILENT or (
+                    is_answer and self.mode is Mode.ANSWERS_LOST
+                ):
+                    await asyncio.sleep(_SILENCE_POLL_S)
+                if self.mode is Mode.DELAY:
+                    await asyncio.sleep(self.delay_s)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            return
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,189 @@
+"""The parts of one soak run: instances, stand-ins, links between them."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import signal
+import socket
+
+from soak import callers
+from soak import faults
+from soak import instances
+from soak import proxy
+from tests.fixtures import cell_world
+from tests.standins.cell import store as store_standin
+from tests.standins.cell import worker as worker_standin
+
+_INSTANCES = 4
+_WORKERS = 5
+# Time between two submissions, and between the starts of two faults.
+_MEAN_SUBMIT_S = 0.15
+_MEAN_FAULT_S = 1.0
+_SETTLE_S = 2.5
+_FINISH_S = 30.0
+
+
+class World:
+    """One run.
+
+    Args:
+        seed: Decides jobs and faults.
+        folder: For settings and logs of the instances.
+    """
+
+    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self.draw = random.Random(seed)
+        self._job_draw = random.Random(seed + 2)
+        self.violations: list[str] = []
+        self.applied: list[str] = []
+        self.store = store_standin.StoreStandIn(_address())
+        self.workers: list[worker_standin.WorkerStandIn] = []
+        self.worker_links: list[proxy.Proxy] = []
+        self.store_links: dict[str, proxy.Proxy] = {}
+        self.instances: list[instances.Instance] = []
+        self._ended_workers: list[worker_standin.WorkerStandIn] = []
+        self._fleet_runs: dict[tuple[str, str], int] = {}
+        self._noted_done: set[str] = set()
+        self._version = 1
+        self._faults: set[asyncio.Task[None]] = set()
+        for number in range(_INSTANCES):
+            self._add_instance(f"e{number}", folder)
+        self.callers = callers.Callers(
+            random.Random(seed + 1),
+            self.instances,
+            (cell_world.HOST, cell_world.PREFIX, cell_world.KEY),
+        )
+
+    async def run(self, duration_s: float) -> None:
+        """Runs load and faults, then waits for all accepted jobs."""
+        await self._start()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + duration_s
+        submissions = asyncio.create_task(self._submit_until(end))
+        while loop.time() < end:
+            await asyncio.sleep(self.draw.expovariate(1 / _MEAN_FAULT_S))
+            self._begin_fault(self.draw.choice(sorted(faults.FAULTS)))
+        await submissions
+        await asyncio.gather(*self._faults)
+        await self._check_end()
+
+    def stop(self) -> None:
+        """Ends everything that the run started."""
+        for instance in self.instances:
+            instance.send(signal.SIGKILL)
+            instance.wait(2.0)
+        for link in (*self.store_links.values(), *self.worker_links):
+            link.close()
+        for worker in self.workers:
+            worker.stop()
+        self.store.stop()
+
+    def change_configuration(self) -> None:
+        """Writes a new version of the configuration."""
+        self._version += 1
+        content = cell_world.configuration(self._version)
+        self.store.put("op", "", "config", content)
+
+    async def replace_worker(self, keeps_id: bool) -> None:
+        """Ends a worker and starts another one."""
+        position = self.draw.randrange(len(self.workers))
+        old = self.workers[position]
+        old.stop()
+        self._ended_workers.append(old)
+        self.worker_links[position].close()
+        if not keeps_id:
+            self.store.drop("servers", "", old.worker_id)
+        await asyncio.sleep(self.draw.uniform(0.0, 1.0))
+        worker_id = old.worker_id if keeps_id else f"w{self.draw.random()}"
+        worker, link = await self._create_worker(worker_id)
+        self.workers[position] = worker
+        self.worker_links[position] = link
+
+    def _add_instance(self, name: str, folder: pathlib.Path) -> None:
+        link = proxy.Proxy(_address(), self.store.address)
+        self.store_links[name] = link
+        ports = (_address(), _address(), _address_pair())
+        self.instances.append(
+            instances.Instance(name, folder, ports, link.address)
+        )
+
+    async def _start(self) -> None:
+        await self.store.start()
+        content = cell_world.configuration(self._version)
+        self.store.put("op", "", "config", content)
+        for link in self.store_links.values():
+            await link.start()
+        for number in range(_WORKERS):
+            worker, link = await self._create_worker(f"w{number}")
+            self.workers.append(worker)
+            self.worker_links.append(link)
+        for instance in self.instances:
+            instance.start()
+        await asyncio.sleep(_SETTLE_S)
+
+    async def _create_worker(
+        self, worker_id: str
+    ) -> tuple[worker_standin.WorkerStandIn, proxy.Proxy]:
+        worker = worker_standin.WorkerStandIn(
+            worker_id,
+            _address(),
+            self.store,
+            self._fleet_runs,
+            self._noted_done,
+        )
+        link = proxy.Proxy(_address(), worker.address)
+        worker.public_address = link.address
+        await link.start()
+        await worker.start()
+        return worker, link
+
+    async def _submit_until(self, end: float) -> None:
+        loop = asyncio.get_running_loop()
+        tasks = []
+        while loop.time() < end:
+            job_id = f"{self._job_draw.getrandbits(64):016x}"
+            tasks.append(asyncio.create_task(self.callers.submit(job_id)))
+            await asyncio.sleep(self._job_draw.expovariate(1 / _MEAN_SUBMIT_S))
+        await asyncio.gather(*tasks)
+
+    def _begin_fault(self, name: str) -> None:
+        self.applied.append(name)
+        task = asyncio.create_task(self._apply(name))
+        self._faults.add(task)
+
+    async def _apply(self, name: str) -> None:
+        await faults.FAULTS[name](self)
+
+    async def _check_end(self) -> None:
+        for instance in self.instances:
+            instance.send(signal.SIGCONT)
+            if not instance.is_running:
+                self.violations.append(f"{instance.name} ended by itself")
+        for job_id in await self.callers.wait_for_all(_FINISH_S):
+            self.violations.append(f"accepted job {job_id} is not completed")
+        self.violations += self.callers.violations
+        started = set()
+        for worker in (*self.workers, *self._ended_workers):
+            self.violations += worker.violations
+            started |= {name.partition(".")[0] for name, _ in worker.starts}
+        for job_id in sorted(started & self.callers.refused):
+            self.violations.append(f"refused job {job_id} was started")
+
+
+def _address() -> str:
+    return cell_world.free_address()
+
+
+def _address_pair() -> str:
+    """Returns the first of two free ports next to each other."""
+    while True:
+        address = _address()
+        port = int(address.rpartition(":")[2])
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port + 1))
+            except OSError:
+                continue
+        return address
--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -17,7 +17,9 @@
 # How long the store waits for a change.
 _WAIT_MS = 1_000
 # Pause after each answer; joins the changes of that time in one answer.
-_JOBS_PAUSE_S = 0.02
+# Accepting instances tell of new jobs directly; the feed has those of which
+# the telling was lost.
+_JOBS_PAUSE_S = 0.3
 _WORKERS_PAUSE_S = 0.4
 # Pause after a failed call.
 _RETRY_S = 0.1
--- a/src/marigoldgap/cell/job_desk.py
+++ b/src/marigoldgap/cell/job_desk.py
@@ -80,6 +80,7 @@
         self._view = view
         self._pool = pool
         self._withdrawal_s = withdrawal_s
+        self._telling: set[asyncio.Task[None]] = set()
 
     @property
     def is_ready(self) -> bool:
@@ -162,6 +163,7 @@
                     queue=record.queue.name,
                     took_s=round(time_source.now_s() - now, 3),
                 )
+                self._tell(record)
                 return
             if not is_open and time_source.now_s() >= refused_until:
                 raise StoreAwayError(cause)
@@ -249,6 +251,23 @@
                 (store.RowCheck(place, row.version),), ((place, content),)
             )
         )
+        self._tell(record._replace(is_cancelled=True))
+
+    def _tell(self, record: model.JobRecord) -> None:
+        """Tells the elected instance of a stored job without waiting."""
+        try:
+            self._view.add_stored(record)
+        except peers.NotElectedError:
+            task = asyncio.create_task(self._tell_elected(record))
+            self._telling.add(task)
+            task.add_done_callback(self._telling.discard)
+
+    async def _tell_elected(self, record: model.JobRecord) -> None:
+        try:
+            await self._elected().add_stored(record)
+        except errors.MarigoldgapError as error:
+            # The feed of the table has the job as well.
+            _log.info("telling_failed", job=record.job_id, cause=str(error))
 
     async def _read_row(self, place: store.RowKey) -> store.Row | None:
         page = await self._rows.read(
--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -16,6 +16,7 @@
 from marigoldgap.cell import election as elections
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
+from marigoldgap.cell import records
 from marigoldgap.cell import scheduler as schedulers
 from marigoldgap.web import client
 from marigoldgap.web import messages
@@ -27,6 +28,7 @@
 _JOBS_PATH = "/peer/jobs/"
 _QUEUES_PATH = "/peer/queues/"
 _ADVICE_PATH = "/peer/advice"
+_STORED_PATH = "/peer/stored-jobs"
 _WATCH_PATH = "/peer/watch"
 _TAKE_OVER_PATH = "/peer/take-over"
 # How long the elected instance holds back its answer to a watcher.
@@ -62,6 +64,14 @@
         job = self._recovered().jobs.get(job_id)
         return None if job is None else job.shown_state
 
+    def add_stored(self, record: model.JobRecord) -> None:
+        """Takes over a job whose row was just written.
+
+        Raises:
+            NotElectedError: This instance does not schedule.
+        """
+        self._recovered().add_job(record)
+
     def waiting(self, queue: str) -> int:
         """Returns how many jobs of a queue have not begun.
 
@@ -113,6 +123,12 @@
         if path.startswith(_QUEUES_PATH):
             count = self._view.waiting(path.removeprefix(_QUEUES_PATH))
             return messages.json_response(200, {"waiting": count})
+        if path == _STORED_PATH:
+            fields = messages.decode_object(request.body)
+            self._view.add_stored(
+                records.decode_job(str(fields["job"]), fields["row"].encode())
+            )
+            return messages.json_response(200, {})
         if path == _ADVICE_PATH and self._advice is not None:
             return await self._ask(messages.decode_object(request.body))
         if path == _WATCH_PATH:
@@ -192,6 +208,20 @@
         )
         return model.Tickets(fields["by_worker"], fields["valid_ms"])
 
+    async def add_stored(self, record: model.JobRecord) -> None:
+        """Tells the instance of a job whose row was just written.
+
+        Raises:
+            MarigoldgapError: There is no usable answer.
+        """
+        row = records.encode_job(record).decode()
+        await self._call(
+            "POST",
+            _STORED_PATH,
+            messages.encode_json({"job": record.job_id, "row": row}),
+            _QUESTION_TIMEOUT_S,
+        )
+
     async def take_over(self, epoch: int, most_delay_s: float) -> bool:
         """Asks the instance to schedule from now on.
 
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -14,7 +14,7 @@
 
 
 class WorkerStandIn:
-    """Runs tasks; the payload says how: `ms=200`, `fail`.
+    """Runs tasks; the payload says how: `ms=200`, `fail`, `cpu=1000`.
 
     Records what breaks a promise: `violations`.
 
@@ -22,7 +22,7 @@
     `refusal` is a status for every start.
     """
 
-    def __init__(self, worker_id, address, store, fleet_runs):
+    def __init__(self, worker_id, address, store, fleet_runs, noted_done=None):
         self.worker_id = worker_id
         self.address = address
         self.running = {}
@@ -38,6 +38,10 @@
         self._store = store
         # Runs of all workers, to notice two of one task.
         self._fleet_runs = fleet_runs
+        # Tasks of all workers whose end the system has noted.
+        self.noted_done = set() if noted_done is None else noted_done
+        # Where the system reaches this worker; differs behind a proxy.
+        self.public_address = address
         self._refused_runs = {}
         self._number = 0
         self._born_s = time.monotonic()
@@ -64,7 +68,7 @@
         state = "draining" if self.is_draining else "ready"
         fields = {
             "service": "claims",
-            "address": self.address,
+            "address": self.public_address,
             "zone": "a",
             "state": state,
             "capacity": _CAPACITY,
@@ -118,6 +122,11 @@
         others = [each for each in self._fleet_runs if each[0] == name]
         if others:
             self.violations.append(f"two runs of {name}")
+        if name in self.noted_done:
+            self.violations.append(f"{name} started after its end was noted")
+        used = sum(_cpu(each["spec"]) for each in self.running.values())
+        if used + _cpu(body["spec"]) > _CAPACITY["cpu"]:
+            self.violations.append(f"{name} brings the worker to {used} + more")
         self._fleet_runs[name, self.worker_id] = run
         self.running[name] = {"run": run, "spec": body["spec"]}
         self._tasks.append(
@@ -136,6 +145,9 @@
         return self._answer({})
 
     async def _hold(self, body):
+        for number, name, _, how, _ in self.ended:
+            if number <= body["lastSeen"] and how == "done":
+                self.noted_done.add(name)
         self.ended = [each for each in self.ended if each[0] > body["lastSeen"]]
         if not self.ended and body.get("waitMs"):
             try:
@@ -169,3 +181,7 @@
         return messages.json_response(
             status, {**body, "clockMs": self._clock_ms}
         )
+
+
+def _cpu(spec):
+    return int(spec.partition("cpu=")[2].split()[0] if "cpu=" in spec else 0)
