Waiting gangs reserve room and keep tickets on all their workers

Change: a gang that will fit within 2.5 s renews its tickets on all good workers; tasks prefer workers without a reservation of the plan before.

--- a/src/marigoldgap/cell/advice_desk.py
+++ b/src/marigoldgap/cell/advice_desk.py
@@ -50,6 +50,7 @@
 
     step: jobs.StepProgress
     workers: list[str]
+    requested_s: float
 
     @property
     def cost_s(self) -> float:
@@ -84,7 +85,9 @@
         if step.is_asking or not workers:
             return
         step.is_asking = True
-        self._waiting.append(_Request(step, workers[:_MAX_WORKERS]))
+        self._waiting.append(
+            _Request(step, workers[:_MAX_WORKERS], time_source.now_s())
+        )
         self._dispatch()
 
     def close(self) -> None:
@@ -142,7 +145,7 @@
             asyncio.get_running_loop().call_later(_LANE_PAUSE_S, self._dispatch)
         else:
             measures.ADVICE_S.observe(time_source.now_s() - started_s)
-            self._record(step, request.workers, tickets)
+            self._record(request, tickets, started_s)
         finally:
             self._busy.pop(lane.name, None)
             step.is_asking = False
@@ -150,14 +153,13 @@
         self._answered()
 
     def _record(
-        self,
-        step: jobs.StepProgress,
-        workers: list[str],
-        tickets: model.Tickets,
+        self, request: _Request, tickets: model.Tickets, started_s: float
     ) -> None:
-        until = time_source.now_s() + tickets.valid_ms / 1000 - _TRANSIT_S
-        step.asked.update(workers)
-        for worker_id in workers:
+        now = time_source.now_s()
+        step = request.step
+        until = now + tickets.valid_ms / 1000 - _TRANSIT_S
+        step.asked.update(request.workers)
+        for worker_id in request.workers:
             step.good.pop(worker_id, None)
         for worker_id, ticket in tickets.by_worker.items():
             step.good[worker_id] = None
@@ -166,5 +168,8 @@
             "advice_received",
             step=step.advice_name,
             good=len(tickets.by_worker),
-            asked=len(workers),
+            asked=len(request.workers),
+            cost_s=round(request.cost_s, 3),
+            took_s=round(now - started_s, 3),
+            queued_s=round(started_s - request.requested_s, 3),
         )
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -20,11 +20,16 @@
 # and the queue of orders of a worker.
 TICKET_MARGIN_S = 0.12
 # A backfilled run may end this share of its expected time late.
-_BACKFILL_MARGIN = 1.2
+_BACKFILL_MARGIN = 1.5
 # Cost, in millicores of packing, of running away from the data.
 _FAR_PENALTY = 100_000
-# Time that a reservation of a gang with room is kept for its tickets.
-_TICKET_WAIT_S = 0.1
+# Packing cost, in millicores, of room that a gang waits for: urgent tasks that
+# use it would put the gang off again and again.
+_RESERVED_PENALTY = 25_000
+# A gang that will fit within this time keeps its tickets valid.
+_TICKET_LEAD_S = 2.5
+# Workers for which a gang keeps tickets.
+_MAX_TICKETS = 40
 
 
 class Placement(NamedTuple):
@@ -132,6 +137,8 @@
         self._rooms: dict[str, _Room] = {}
         self._by_rule: dict[tuple[str, str], dict[str, _Room]] = {}
         self._gangs = 0
+        # Workers on which gangs held reservations in the plan before.
+        self._reserved: frozenset[str] = frozenset()
         self._now = 0.0
 
     def plan(
@@ -166,6 +173,11 @@
                 self._plan_gang(step, allowed, plan, usage)
             elif allowed > 0:
                 self._plan_tasks(step, allowed, plan, usage)
+        self._reserved = frozenset(
+            worker_id
+            for worker_id, room in self._rooms.items()
+            if room.spare is not None
+        )
         return plan
 
     def _candidates(self, step: jobs.StepProgress) -> dict[str, _Room]:
@@ -260,6 +272,8 @@
                 room.worker.registration.rack != spec.data_rack
             ):
                 cost += _FAR_PENALTY
+            if worker_id in self._reserved:
+                cost += _RESERVED_PENALTY
             if worker_id in avoid:
                 cost += 2 * _FAR_PENALTY
             if self._ticket(step, room) is None:
@@ -282,23 +296,44 @@
         if not good or allowed < spec.task_count:
             return
         ends_s = self._now + self._times.expected_s(step)
-        chosen = self._gang_now(step, good, ends_s)
-        if chosen is None:
-            self._reserve_gang(step, good, plan)
+        ticketed = [
+            room for room in good if self._ticket(step, room) is not None
+        ]
+        chosen = self._gang_now(step, ticketed, ends_s)
+        if chosen is not None:
+            self._place_gang(step, chosen, ends_s, plan, usage)
             return
-        tickets = [self._ticket(step, room) for room, _ in chosen]
-        if None in tickets:
-            self._wait_for_tickets(step, chosen, plan)
+        if self._gangs >= _MAX_RESERVING_GANGS:
             return
-        index = 0
-        for (room, count), ticket in zip(chosen, tickets, strict=True):
+        self._gangs += 1
+        chosen = self._gang_now(step, good, ends_s)
+        if chosen is None:
+            at = self._reserve_gang(step, good)
+        else:
+            at = self._now
+            for room, count in chosen:
+                room.reserve(step.spec.demand, count, at, list(room.free))
+        if at - self._now <= _TICKET_LEAD_S:
+            self._keep_tickets(step, good, plan)
+
+    def _place_gang(
+        self,
+        step: jobs.StepProgress,
+        chosen: list[tuple[_Room, int]],
+        ends_s: float,
+        plan: Plan,
+        usage: dict[str, list[int]],
+    ) -> None:
+        position = 0
+        for room, count in chosen:
+            ticket = self._ticket(step, room) or ""
             for _ in range(count):
-                room.take(spec, ends_s)
+                room.take(step.spec, ends_s)
                 _use(usage, step)
                 plan.placements.append(
-                    Placement(step, index, room.worker, ticket or "")
+                    Placement(step, position, room.worker, ticket)
                 )
-                index += 1
+                position += 1
 
     def _gang_now(
         self, step: jobs.StepProgress, rooms: list[_Room], ends_s: float
@@ -315,48 +350,37 @@
                 found.append((room, copies))
         return _pick_gang(step, found)
 
-    def _wait_for_tickets(
-        self,
-        step: jobs.StepProgress,
-        chosen: list[tuple[_Room, int]],
-        plan: Plan,
+    def _keep_tickets(
+        self, step: jobs.StepProgress, good: list[_Room], plan: Plan
     ) -> None:
-        for room, count in chosen:
-            room.reserve(
-                step.spec.demand,
-                count,
-                self._now + _TICKET_WAIT_S,
-                list(room.free),
-            )
-        if not step.is_asking:
-            plan.advice.append(
-                (step, [room.worker.worker_id for room, _ in chosen])
-            )
+        """Renews the tickets of a waiting gang before they end.
 
-    def _reserve_gang(
-        self, step: jobs.StepProgress, rooms: list[_Room], plan: Plan
-    ) -> None:
-        """Keeps room where the gang will fit first; asks for tickets early."""
-        if self._gangs >= _MAX_RESERVING_GANGS:
+        The call takes most of the time that a ticket is valid, so a gang with
+        tickets on all its workers can start when the last member has room.
+        """
+        advice = step.job.queue.advice
+        if advice is None or step.is_asking:
             return
+        kept = good[:_MAX_TICKETS]
+        call_s = (advice.decide_ms + advice.each_ms * len(kept)) / 1000
+        renew_from = self._now + TICKET_MARGIN_S + call_s
+        if any(
+            step.tickets.get(room.worker.worker_id, ("", 0.0))[1] < renew_from
+            for room in kept
+        ):
+            plan.advice.append((step, [room.worker.worker_id for room in kept]))
+
+    def _reserve_gang(
+        self, step: jobs.StepProgress, rooms: list[_Room]
+    ) -> float:
+        """Keeps room where the gang will fit first; returns when that is."""
         found = self._earliest(step, rooms)
         if found is None:
-            return
-        self._gangs += 1
+            return float("inf")
         at, chosen = found
         for room, count in chosen:
             room.reserve(step.spec.demand, count, at, self._free_at(room, at))
-        advice = step.job.queue.advice
-        if advice is None or step.is_asking:
-            return
-        lead_s = (
-            advice.decide_ms + advice.each_ms * len(chosen)
-        ) / 1000 + _TICKET_WAIT_S
-        names = [room.worker.worker_id for room, _ in chosen]
-        if at - self._now <= lead_s and any(
-            self._ticket(step, room) is None for room, _ in chosen
-        ):
-            plan.advice.append((step, names))
+        return at
 
     def _earliest(
         self, step: jobs.StepProgress, rooms: list[_Room]
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -452,7 +452,7 @@
         step.waiting.discard(task.position)
         job.has_begun = True
         job.state = model.JobState.RUNNING
-        _log.info("run_adopted", run=active.name, worker=worker.worker_id)
+        _log.info("run_adopted", run=str(active.name), worker=worker.worker_id)
         return run
 
     def _on_unaccounted(
@@ -467,7 +467,9 @@
         if now - since < _UNKNOWN_JOB_S or name in self._orphans:
             return
         self._orphans.add(name)
-        _log.warning("unknown_run_stopping", run=name, worker=worker.worker_id)
+        _log.warning(
+            "unknown_run_stopping", run=str(name), worker=worker.worker_id
+        )
         self._spawn(self._order_stop(worker, name))
 
     async def _order_stop(
@@ -477,7 +479,7 @@
             await self._port.stop(worker.registration, name, self.fence, 1.0)
         except errors.MarigoldgapError as error:
             # The next listing shows the run again and repeats the order.
-            _log.warning("stop_open", run=name, cause=str(error))
+            _log.warning("stop_open", run=str(name), cause=str(error))
             self._orphans.discard(name)
 
     # Runs.
@@ -516,7 +518,7 @@
         worker = run.worker
         _log.warning(
             "start_refused",
-            run=run.name,
+            run=str(run.name),
             worker=worker.worker_id,
             outcome=outcome.value,
         )
@@ -566,7 +568,7 @@
         measures.RUNS.labels(how.value).inc()
         _log.info(
             "run_ended",
-            run=run.name,
+            run=str(run.name),
             worker=run.worker.worker_id,
             how=how.value,
             took_s=round(now - run.started_s, 3),
@@ -637,7 +639,10 @@
             return
         run.state = jobs.RunState.STOPPING
         _log.info(
-            "run_stopping", run=run.name, worker=run.worker.worker_id, cause=why
+            "run_stopping",
+            run=str(run.name),
+            worker=run.worker.worker_id,
+            cause=why,
         )
         session = self._sessions.get(run.worker.worker_id)
         if session is not None:
@@ -720,7 +725,7 @@
         placement.worker.add(run)
         _log.info(
             "run_starting",
-            run=name,
+            run=str(name),
             worker=placement.worker.worker_id,
             free_after=placement.worker.free(),
         )
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -141,7 +141,7 @@
                 )
             except errors.MarigoldgapError as error:
                 is_open = is_open or error.ran is not errors.Ran.NO
-                _log.warning("start_open", run=run.name, cause=str(error))
+                _log.warning("start_open", run=str(run.name), cause=str(error))
                 await asyncio.sleep(_ORDER_RETRY_S)
                 if worker.contact is fleet.Contact.GONE:
                     return
@@ -181,7 +181,7 @@
                     _ORDER_TIMEOUT_S,
                 )
             except errors.MarigoldgapError as error:
-                _log.warning("stop_open", run=run.name, cause=str(error))
+                _log.warning("stop_open", run=str(run.name), cause=str(error))
             else:
                 if taken:
                     # A stopped run is listed as ended; one that never arrived
