--- a/src/marigoldgap/cell/records.py
+++ b/src/marigoldgap/cell/records.py
@@ -20,7 +20,7 @@
 ELECTION_RANGE = ("beat", "election\0")
 ROSTER = store.RowKey(CELL, CELL, "roster")
 INSTANCES = "instances"
-JOB_PARTITIONS = tuple(f"j{number}" for number in range(4))
+JOB_PARTITIONS = tuple(f"j{number}" for number in range(32))
 
 
 class RecordError(errors.MarigoldgapError):
