--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -62,10 +62,10 @@
 def _apply_jobs(page: store.Page, scheduler: schedulers.Scheduler) -> None:
     for row in page.rows:
         if row.value is None:
-            scheduler.drop_job(row.place.key)
+            scheduler.jobs.drop(row.place.key)
             continue
         try:
-            scheduler.add_job(records.decode_job(row.place.key, row.value))
+            scheduler.jobs.add(records.decode_job(row.place.key, row.value))
         except errors.MarigoldgapError as error:
             _log.error("job_row_unusable", job=row.place.key, cause=str(error))
 
@@ -108,9 +108,9 @@
 
 def _forget_missing(page: store.Page, scheduler: schedulers.Scheduler) -> None:
     present = {row.place.key for row in page.rows}
-    for worker in scheduler.workers.values():
+    for worker in scheduler.workers.workers.values():
         if worker.worker_id not in present:
-            scheduler.on_unlisted(worker.worker_id)
+            scheduler.workers.on_unlisted(worker.worker_id)
 
 
 def _apply_worker(
@@ -119,7 +119,7 @@
     decode: Callable[[str, bytes], model.Registration],
 ) -> None:
     if row.value is None:
-        scheduler.on_unlisted(row.place.key)
+        scheduler.workers.on_unlisted(row.place.key)
         return
     try:
         registration = decode(row.place.key, row.value)
@@ -127,6 +127,6 @@
         _log.warning(
             "registration_unusable", worker=row.place.key, cause=str(error)
         )
-        scheduler.on_unlisted(row.place.key)
+        scheduler.workers.on_unlisted(row.place.key)
         return
-    scheduler.on_registration(registration)
+    scheduler.workers.on_registration(registration)
--- /dev/null
+++ b/src/marigoldgap/cell/job_book.py
@@ -0,0 +1,176 @@
+"""Jobs of an elected instance: accepted, restored, ended, stored."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from marigoldgap import decision_log
+from marigoldgap import errors
+from marigoldgap import measures
+from marigoldgap.cell import duty as duties
+from marigoldgap.cell import fair_rate
+from marigoldgap.cell import jobs
+from marigoldgap.cell import model
+from marigoldgap.cell import records
+from marigoldgap.cell import store
+from marigoldgap.cell import time_source
+
+_log = decision_log.DecisionLogger("jobs")
+
+# Run numbers that one election may use for a task.
+_RUNS_PER_ELECTION = 1_000
+
+
+class JobBook:
+    """All jobs that are not forgotten yet.
+
+    Args:
+        duty: The election.
+        configuration: Returns the configuration in force.
+        versions: Versions of stored rows; filled while jobs are restored.
+    """
+
+    def __init__(
+        self,
+        duty: duties.Duty,
+        configuration: Callable[[], model.Configuration | None],
+        versions: dict[store.RowKey, int],
+    ) -> None:
+        self.jobs: dict[str, jobs.Job] = {}
+        # Stops a run whose job has ended; set by the book of runs.
+        self.stop_run: Callable[[jobs.Run, str], None] = _cannot_stop
+        self._duty = duty
+        self._configuration = configuration
+        self._versions = versions
+        self._rates = fair_rate.FairRates()
+
+    def add(self, record: model.JobRecord) -> None:
+        """Takes over an accepted job, or its cancelling."""
+        job = self.jobs.get(record.job_id)
+        if job is None:
+            job = self._new(record, 0)
+            _log.info(
+                "job_queued",
+                job=record.job_id,
+                workspace=record.workspace,
+                queue=record.queue.name,
+            )
+        if record.is_cancelled and not job.is_ended:
+            self.end(job, model.JobState.CANCELLED, "cancelled by caller")
+        self._duty.wake()
+
+    def drop(self, job_id: str) -> None:
+        """Forgets a job whose row was removed."""
+        self.jobs.pop(job_id, None)
+
+    def waiting(self, queue: str) -> int:
+        """Returns how many jobs of a queue have not begun."""
+        return sum(
+            1
+            for job in self.jobs.values()
+            if job.queue.name == queue
+            and not job.has_begun
+            and not job.is_ended
+        )
+
+    def adopt_configuration(self, configuration: model.Configuration) -> None:
+        """Applies changed queues to the jobs."""
+        for job in self.jobs.values():
+            queue = configuration.queue_named(job.queue.name)
+            if queue is not None:
+                job.queue = queue
+        self._duty.wake()
+
+    def ready_steps(self, with_inherited: bool) -> list[jobs.StepProgress]:
+        """Returns the steps that have waiting tasks and may start.
+
+        Args:
+            with_inherited: Whether tasks of jobs from earlier elections may
+                start, because it is known which of them run.
+        """
+        return [
+            step
+            for job in self.jobs.values()
+            if not job.is_ended and (with_inherited or not job.is_inherited)
+            for step in job.ready_steps()
+        ]
+
+    def open_due(self) -> None:
+        """Opens the occurrences of jobs that are due."""
+        wall_ms = time_source.wall_ms()
+        for job in self.jobs.values():
+            if not job.is_ended and job.next_occurrence < job.occurrence_count:
+                job.open_due(wall_ms)
+
+    def restore(self, row: store.Row, progress: store.Row | None) -> None:
+        """Takes over a stored job and its progress."""
+        try:
+            record = records.decode_job(row.place.key, row.value)
+            floor = (self._duty.fence - 1) * _RUNS_PER_ELECTION
+            job = self._new(record, floor)
+            if progress is not None:
+                self._versions[progress.place] = progress.version
+                job.occurrences.clear()
+                job.restore(records.decode(progress.value))
+                job.is_stored = job.is_ended
+        except (errors.MarigoldgapError, ValueError) as error:
+            _log.error("job_row_unusable", job=row.place.key, cause=str(error))
+            return
+        if job.is_ended:
+            return
+        if record.is_cancelled:
+            self.end(job, model.JobState.CANCELLED, "cancelled by caller")
+        elif job.close_done():
+            # The election before stored the last end, not the job's.
+            self.end(job, model.JobState.COMPLETED, "all tasks done")
+
+    def end(self, job: jobs.Job, state: model.JobState, why: str) -> None:
+        """Ends a job; callers see it once it is stored."""
+        job.state = state
+        job.ended_s = time_source.now_s()
+        measures.COMPLETION_S.labels(job.queue.priority, state.value).observe(
+            job.ended_s - job.seen_s
+        )
+        _log.info(
+            "job_ended",
+            job=job.job_id,
+            state=state.value,
+            took_s=round(job.ended_s - job.seen_s, 3),
+            cause=why,
+        )
+        for run in job.runs():
+            self.stop_run(run, why)
+        self.store(job)
+
+        def show(_: asyncio.Future[None]) -> None:
+            job.is_stored = True
+
+        self._duty.journal.flushed().add_done_callback(show)
+
+    def store(self, job: jobs.Job) -> None:
+        """Has the progress of a job stored."""
+        self._duty.journal.mark(
+            records.progress_place(job.job_id),
+            lambda: records.encode(job.encode()),
+        )
+
+    def _new(self, record: model.JobRecord, run_floor: int) -> jobs.Job:
+        configuration = self._configuration()
+        queue = record.queue
+        if configuration is not None:
+            queue = configuration.queue_named(queue.name) or queue
+            workspace = configuration.workspaces.get(record.workspace)
+        else:
+            workspace = None
+        now = time_source.now_s()
+        job = jobs.Job(record, queue, now, run_floor)
+        if workspace is not None and not run_floor:
+            job.is_over_share = self._rates.is_over(workspace, now)
+        job.open_due(time_source.wall_ms())
+        self.jobs[record.job_id] = job
+        return job
+
+
+def _cannot_stop(run: jobs.Run, why: str) -> None:
+    raise RuntimeError(f"no book of runs stops {run.name}: {why}")
--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -61,7 +61,7 @@
         Raises:
             NotElectedError: This instance does not schedule.
         """
-        job = self._recovered().jobs.get(job_id)
+        job = self._recovered().jobs.jobs.get(job_id)
         return None if job is None else job.shown_state
 
     def add_stored(self, record: model.JobRecord) -> None:
@@ -70,7 +70,7 @@
         Raises:
             NotElectedError: This instance does not schedule.
         """
-        self._recovered().add_job(record)
+        self._recovered().jobs.add(record)
 
     def waiting(self, queue: str) -> int:
         """Returns how many jobs of a queue have not begun.
@@ -78,7 +78,7 @@
         Raises:
             NotElectedError: This instance does not schedule.
         """
-        return self._recovered().waiting_jobs(queue)
+        return self._recovered().jobs.waiting(queue)
 
     def _recovered(self) -> schedulers.Scheduler:
         scheduler = self._scheduler()
--- /dev/null
+++ b/src/marigoldgap/cell/run_book.py
@@ -0,0 +1,272 @@
+"""Runs of tasks: what follows from their starts, refusals and ends."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from marigoldgap import decision_log
+from marigoldgap import measures
+from marigoldgap.cell import duty as duties
+from marigoldgap.cell import fleet
+from marigoldgap.cell import job_book
+from marigoldgap.cell import jobs
+from marigoldgap.cell import model
+from marigoldgap.cell import run_times
+from marigoldgap.cell import time_source
+
+_log = decision_log.DecisionLogger("runs")
+
+# Pause before a gang that could not start is planned again.
+_GANG_RETRY_S = 0.15
+# Pause before a task is tried again that a worker rejected as invalid.
+_REJECTED_RETRY_S = 1.0
+# A worker that has no room by its own account gets no start for this long.
+_NO_ROOM_PAUSE_S = 0.3
+
+
+class RunBook:
+    """Decides what follows from what workers say of runs.
+
+    Args:
+        duty: The election.
+        book: The jobs.
+        times: Learns run times.
+        order_stop: Orders a worker to stop a run.
+    """
+
+    def __init__(
+        self,
+        duty: duties.Duty,
+        book: job_book.JobBook,
+        times: run_times.RunTimes,
+        order_stop: Callable[[jobs.Run], None],
+    ) -> None:
+        self._duty = duty
+        self._jobs = book
+        self._times = times
+        self._order_stop = order_stop
+        book.stop_run = self.stop
+
+    def begin(
+        self, name: model.RunName, step: jobs.StepProgress, worker: fleet.Worker
+    ) -> jobs.Run:
+        """Charges a run that is about to be ordered to its worker."""
+        position = name.task.position
+        run = jobs.Run(name, step, worker, time_source.now_s())
+        step.last_run[position] = name.run
+        step.active[position] = run
+        step.waiting.discard(position)
+        worker.add(run)
+        _log.info(
+            "run_starting",
+            run=str(name),
+            worker=worker.worker_id,
+            free_after=worker.free(),
+        )
+        return run
+
+    def on_started(self, run: jobs.Run) -> None:
+        """Records that a worker confirmed a start."""
+        if run.state is not jobs.RunState.STARTING:
+            return
+        run.state = jobs.RunState.RUNNING
+        job = run.step.job
+        if not job.has_begun:
+            job.has_begun = True
+            measures.FIRST_START_S.labels(job.queue.priority).observe(
+                time_source.now_s() - job.seen_s
+            )
+            _log.info(
+                "job_began",
+                job=job.job_id,
+                waited_s=round(time_source.now_s() - job.seen_s, 3),
+            )
+        if job.state is model.JobState.QUEUED:
+            job.state = model.JobState.RUNNING
+
+    def on_doubtful(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+        """Stops a run of which one order was refused and another is open."""
+        if outcome is model.StartOutcome.NO_TICKET:
+            run.step.tickets.pop(run.worker.worker_id, None)
+        self.stop(run, f"refused as {outcome.value} after an open order")
+        if run.step.spec.is_gang:
+            self.stop_gang(run.step, f"a member is in doubt: {outcome.value}")
+
+    def on_refused(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+        """Records that a worker did not start a run and will not."""
+        now = time_source.now_s()
+        step = run.step
+        worker = run.worker
+        _log.warning(
+            "start_refused",
+            run=str(run.name),
+            worker=worker.worker_id,
+            outcome=outcome.value,
+        )
+        if outcome is model.StartOutcome.NO_TICKET:
+            step.tickets.pop(worker.worker_id, None)
+        elif outcome is model.StartOutcome.NO_ROOM:
+            worker.avoid_until_s = now + _NO_ROOM_PAUSE_S
+        elif outcome is model.StartOutcome.REJECTED:
+            step.not_before_s = now + _REJECTED_RETRY_S
+        self._release(run)
+        if step.spec.is_gang:
+            step.not_before_s = max(step.not_before_s, now + _GANG_RETRY_S)
+            self.stop_gang(step, f"a member was refused: {outcome.value}")
+        self._duty.wake()
+
+    def on_ended(self, worker: fleet.Worker, ended: model.EndedRun) -> None:
+        """Takes over an end that a worker listed."""
+        run = worker.runs.get(ended.name)
+        if run is not None:
+            self.end(run, ended.how, ended.saved, "listed by its worker")
+            return
+        task = ended.name.task
+        job = self._jobs.jobs.get(task.job_id)
+        step = job.step(task) if job is not None else None
+        if job is None or step is None or job.is_ended:
+            return
+        _log.info(
+            "former_run_ended",
+            run=str(ended.name),
+            worker=worker.worker_id,
+            how=ended.how.value,
+        )
+        step.last_run[task.position] = max(
+            step.last_run.get(task.position, 0), ended.name.run
+        )
+        step.keep_saved(task.position, ended.saved)
+        job.has_begun = True
+        if ended.how is model.HowEnded.DONE:
+            step.mark_done(task.position)
+            other = step.active.get(task.position)
+            if other is not None:
+                self.stop(other, "another run is done")
+        elif ended.how is model.HowEnded.FAILED:
+            self._count_failure(step, ended.name)
+        self._after_end(step)
+
+    def adopt(
+        self, worker: fleet.Worker, active: model.ActiveRun, now: float
+    ) -> jobs.Run | None:
+        """Takes over a run of an earlier election.
+
+        Returns:
+            The run, or None if its job is not known here yet.
+        """
+        task = active.name.task
+        job = self._jobs.jobs.get(task.job_id)
+        step = job.step(task) if job is not None else None
+        if job is None or step is None:
+            return None
+        run = jobs.Run(active.name, step, worker, now)
+        run.state = jobs.RunState.RUNNING
+        run.answered_s = now
+        run.percent = active.percent
+        worker.add(run)
+        step.last_run[task.position] = max(
+            step.last_run.get(task.position, 0), active.name.run
+        )
+        if (
+            job.is_ended
+            or step.is_task_done(task.position)
+            or task.position in step.active
+        ):
+            self.stop(run, "nothing of it is needed any more")
+            return run
+        step.active[task.position] = run
+        step.waiting.discard(task.position)
+        job.has_begun = True
+        job.state = model.JobState.RUNNING
+        _log.info("run_adopted", run=str(active.name), worker=worker.worker_id)
+        return run
+
+    def end(
+        self, run: jobs.Run, how: model.HowEnded, saved: str, why: str
+    ) -> None:
+        """Frees a run that has ended and decides what follows."""
+        now = time_source.now_s()
+        step = run.step
+        index = run.name.task.position
+        measures.RUNS.labels(how.value).inc()
+        _log.info(
+            "run_ended",
+            run=str(run.name),
+            worker=run.worker.worker_id,
+            how=how.value,
+            took_s=round(now - run.started_s, 3),
+            cause=why,
+        )
+        step.keep_saved(index, saved)
+        self._release(run)
+        if how is model.HowEnded.DONE:
+            run.worker.record_done()
+            self._times.record(step, now - run.started_s)
+            step.mark_done(index)
+            other = step.active.get(index)
+            if other is not None:
+                self.stop(other, "another run is done")
+        elif how is model.HowEnded.FAILED:
+            if run.worker.record_failure(step.job.job_id, now):
+                _log.warning("worker_quarantined", worker=run.worker.worker_id)
+            step.avoid.setdefault(index, set()).add(run.worker.worker_id)
+            self._count_failure(step, run.name)
+        if how is not model.HowEnded.DONE and step.spec.is_gang:
+            self.stop_gang(step, f"a member ended: {how.value}")
+        self._after_end(step)
+
+    def stop(self, run: jobs.Run, why: str) -> None:
+        """Stops a run; it counts against its worker until it has ended."""
+        if run.state in (jobs.RunState.STOPPING, jobs.RunState.ENDED):
+            return
+        run.state = jobs.RunState.STOPPING
+        _log.info(
+            "run_stopping",
+            run=str(run.name),
+            worker=run.worker.worker_id,
+            cause=why,
+        )
+        self._order_stop(run)
+
+    def stop_gang(self, step: jobs.StepProgress, why: str) -> None:
+        """Stops all members of a gang."""
+        for member in list(step.active.values()):
+            self.stop(member, why)
+
+    def _count_failure(
+        self, step: jobs.StepProgress, name: model.RunName
+    ) -> None:
+        failures = step.record_failure(name)
+        job = step.job
+        if (
+            failures >= job.queue.attempts
+            and not step.spec.is_long_running
+            and not job.is_ended
+        ):
+            self._jobs.end(
+                job,
+                model.JobState.FAILED,
+                f"task {name.task.position} of step {step.number} failed "
+                f"{failures} times",
+            )
+
+    def _after_end(self, step: jobs.StepProgress) -> None:
+        job = step.job
+        if not job.is_ended:
+            if step.is_done and job.close_done():
+                self._jobs.end(job, model.JobState.COMPLETED, "all tasks done")
+            else:
+                self._jobs.store(job)
+        self._duty.wake()
+
+    def _release(self, run: jobs.Run) -> None:
+        """Forgets a run that has certainly ended."""
+        run.state = jobs.RunState.ENDED
+        run.worker.remove(run)
+        step = run.step
+        index = run.name.task.position
+        if step.active.get(index) is not run:
+            return
+        del step.active[index]
+        if not step.is_task_done(index) and not step.job.is_ended:
+            step.waiting.add(index)
--- /dev/null
+++ b/src/marigoldgap/cell/worker_book.py
@@ -0,0 +1,291 @@
+"""Workers of an elected instance: entries, conversations, listings."""
+
+from __future__ import annotations
+
+import asyncio
+
+from marigoldgap import decision_log
+from marigoldgap import errors
+from marigoldgap.cell import duty as duties
+from marigoldgap.cell import fleet
+from marigoldgap.cell import job_book
+from marigoldgap.cell import jobs
+from marigoldgap.cell import model
+from marigoldgap.cell import ports
+from marigoldgap.cell import records
+from marigoldgap.cell import run_book
+from marigoldgap.cell import run_times
+from marigoldgap.cell import time_source
+from marigoldgap.cell import worker_session
+
+_log = decision_log.DecisionLogger("workers")
+
+# A run without progress for this long is taken as stuck.
+_STUCK_S = 3.0
+# Progress at which a run counts as complete but for its report.
+_COMPLETE_PERCENT = 100.0
+# Leases of an earlier elected instance end within 6 s (`holdMaxMs`) on a clock
+# that may be 2% slow.
+_INHERITED_LEASE_S = 6.3
+# How long the row of a job may arrive later than the listing of its run.
+_UNKNOWN_JOB_S = 2.0
+# Limit of an order to stop a run that is not known here.
+_STOP_TIMEOUT_S = 1.0
+
+
+class WorkerBook:
+    """Keeps a conversation with each worker and takes over what it lists.
+
+    Args:
+        duty: The election.
+        port: Calls to workers.
+        book: The jobs.
+        times: Learns run times.
+    """
+
+    def __init__(
+        self,
+        duty: duties.Duty,
+        port: ports.WorkerPort,
+        book: job_book.JobBook,
+        times: run_times.RunTimes,
+    ) -> None:
+        self.workers = fleet.Fleet()
+        # Workers of earlier elections that have not answered yet.
+        self.unresolved: set[str] = set()
+        self._duty = duty
+        self._port = port
+        self._runs = run_book.RunBook(duty, book, times, self._order_stop)
+        self._sessions: dict[str, worker_session.WorkerSession] = {}
+        self._unknown_stopping: set[model.RunName] = set()
+
+    @property
+    def fence(self) -> int:
+        """Fencing token of all orders."""
+        return self._duty.fence
+
+    def flushed(self) -> asyncio.Future[None]:
+        """Returns a future that is done when what is known is stored."""
+        return self._duty.journal.flushed()
+
+    def inherit(self, registration: model.Registration) -> None:
+        """Takes over a worker that may hold runs of earlier elections."""
+        now = time_source.now_s()
+        worker = fleet.Worker(registration, now, _INHERITED_LEASE_S)
+        worker.is_rostered = True
+        worker.is_listed = False
+        self.unresolved.add(worker.worker_id)
+        self._add(worker)
+
+    def start(
+        self,
+        name: model.RunName,
+        step: jobs.StepProgress,
+        worker: fleet.Worker,
+        ticket: str,
+    ) -> None:
+        """Orders a worker to start a run."""
+        run = self._runs.begin(name, step, worker)
+        session = self._sessions[worker.worker_id]
+        self._duty.spawn(session.start(run, ticket))
+
+    def close(self) -> None:
+        """Ends repeated orders."""
+        for session in self._sessions.values():
+            session.close()
+
+    def on_started(self, run: jobs.Run) -> None:
+        """Records that a worker confirmed a start."""
+        self._runs.on_started(run)
+
+    def on_doubtful(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+        """Stops a run of which one order was refused and another is open."""
+        self._runs.on_doubtful(run, outcome)
+
+    def on_refused(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+        """Records that a worker did not start a run and will not."""
+        self._runs.on_refused(run, outcome)
+
+    def on_registration(self, registration: model.Registration) -> None:
+        """Takes over the entry of a worker."""
+        worker = self.workers.get(registration.worker_id)
+        if worker is None:
+            worker = fleet.Worker(registration, time_source.now_s())
+            _log.info(
+                "worker_joined",
+                worker=worker.worker_id,
+                address=registration.address,
+            )
+            self._add(worker)
+            self._store_roster()
+            return
+        if registration.is_draining and not worker.registration.is_draining:
+            _log.info("worker_draining", worker=worker.worker_id)
+        worker.registration = registration
+        worker.is_listed = True
+        self._duty.wake()
+
+    def on_unlisted(self, worker_id: str) -> None:
+        """Gives a worker no new runs whose entry was removed."""
+        worker = self.workers.get(worker_id)
+        if worker is not None and worker.is_listed:
+            _log.info("worker_unregistered", worker=worker_id)
+            worker.is_listed = False
+
+    def on_silent(self, worker: fleet.Worker, why: str) -> None:
+        """Stops giving runs to a worker that does not answer."""
+        if worker.contact is not fleet.Contact.SILENT:
+            _log.warning("worker_lost", worker=worker.worker_id, cause=why)
+            worker.contact = fleet.Contact.SILENT
+
+    def on_gone(self, worker: fleet.Worker, why: str) -> None:
+        """Gives up the runs of a worker that has certainly ended."""
+        _log.warning(
+            "worker_gone",
+            worker=worker.worker_id,
+            runs=len(worker.runs),
+            cause=why,
+        )
+        worker.contact = fleet.Contact.GONE
+        self.workers.remove(worker)
+        self._sessions.pop(worker.worker_id, None)
+        self.unresolved.discard(worker.worker_id)
+        for run in list(worker.runs.values()):
+            self._runs.end(run, model.HowEnded.LAPSED, "", "worker is gone")
+        self._store_roster()
+        self._duty.wake()
+
+    def on_fenced(self) -> None:
+        """Records that a worker obeys another instance."""
+        self._duty.depose()
+
+    def on_listing(
+        self,
+        worker: fleet.Worker,
+        listing: model.WorkerListing,
+        sent_s: float,
+    ) -> None:
+        """Takes over what a worker listed."""
+        now = time_source.now_s()
+        if listing.born_ms != worker.born_ms:
+            worker.begin_life(listing.born_ms)
+        worker.observe_clock(listing.clock_ms, now)
+        if worker.contact is not fleet.Contact.ANSWERING:
+            _log.info("worker_answers", worker=worker.worker_id)
+            worker.contact = fleet.Contact.ANSWERING
+        listed = {ended.name for ended in listing.ended}
+        for ended in listing.ended:
+            if ended.number > worker.handled_number:
+                worker.handled_number = ended.number
+                self._runs.on_ended(worker, ended)
+        for active in listing.running:
+            listed.add(active.name)
+            self._on_active(worker, active, now)
+        for run in list(worker.runs.values()):
+            # A start that was confirmed before this listing was asked for is
+            # in the listing unless the worker lost the run.
+            if run.answered_s < sent_s and run.name not in listed:
+                self._runs.end(run, model.HowEnded.LAPSED, "", "not listed")
+        self._account(worker, {active.name for active in listing.running})
+        self.unresolved.discard(worker.worker_id)
+        self._duty.wake()
+
+    def _add(self, worker: fleet.Worker) -> None:
+        self.workers.add(worker)
+        session = worker_session.WorkerSession(self, worker, self._port)
+        self._sessions[worker.worker_id] = session
+        self._duty.spawn(session.run())
+
+    def _store_roster(self) -> None:
+        self._duty.journal.mark(
+            records.ROSTER,
+            lambda: records.encode_roster(
+                [worker.registration for worker in self.workers.values()]
+            ),
+        )
+        members = self.workers.values()
+
+        def note(_: asyncio.Future[None]) -> None:
+            for worker in members:
+                worker.is_rostered = True
+            self._duty.wake()
+
+        self._duty.journal.flushed().add_done_callback(note)
+
+    def _account(
+        self, worker: fleet.Worker, running: set[model.RunName]
+    ) -> None:
+        """Forgets unknown runs that have ended or are known now."""
+        for name in list(worker.unaccounted):
+            if name not in running or name in worker.runs:
+                del worker.unaccounted[name]
+                self._unknown_stopping.discard(name)
+
+    def _on_active(
+        self, worker: fleet.Worker, active: model.ActiveRun, now: float
+    ) -> None:
+        run = worker.runs.get(active.name)
+        if run is None:
+            run = self._runs.adopt(worker, active, now)
+        if run is None:
+            self._on_unaccounted(worker, active.name, now)
+            return
+        if run.state is jobs.RunState.STARTING:
+            run.answered_s = now
+            self._runs.on_started(run)
+        if active.percent != run.percent:
+            run.percent = active.percent
+            run.progressed_s = now
+        elif now - run.progressed_s > _STUCK_S:
+            self._on_stuck(run, now)
+        if active.saved:
+            run.step.keep_saved(run.name.task.position, active.saved)
+
+    def _on_stuck(self, run: jobs.Run, now: float) -> None:
+        """Moves a run that makes no progress to another worker."""
+        if (
+            run.state is not jobs.RunState.RUNNING
+            or run.percent >= _COMPLETE_PERCENT
+            or run.step.spec.is_long_running
+        ):
+            return
+        worker = run.worker
+        worker.avoid_until_s = max(worker.avoid_until_s, now + _STUCK_S)
+        run.step.avoid.setdefault(run.name.task.position, set()).add(
+            worker.worker_id
+        )
+        self._runs.stop(run, "no progress")
+
+    def _on_unaccounted(
+        self, worker: fleet.Worker, name: model.RunName, now: float
+    ) -> None:
+        """Stops a run whose job stays unknown.
+
+        The row of a job that was accepted during the election may arrive later
+        than the listing of its run.
+        """
+        since = worker.unaccounted.setdefault(name, now)
+        if now - since < _UNKNOWN_JOB_S or name in self._unknown_stopping:
+            return
+        self._unknown_stopping.add(name)
+        _log.warning(
+            "unknown_run_stopping", run=str(name), worker=worker.worker_id
+        )
+        self._duty.spawn(self._stop_unknown(worker, name))
+
+    async def _stop_unknown(
+        self, worker: fleet.Worker, name: model.RunName
+    ) -> None:
+        try:
+            await self._port.stop(
+                worker.registration, name, self._duty.fence, _STOP_TIMEOUT_S
+            )
+        except errors.MarigoldgapError as error:
+            # The next listing shows the run again and repeats the order.
+            _log.warning("stop_open", run=str(name), cause=str(error))
+            self._unknown_stopping.discard(name)
+
+    def _order_stop(self, run: jobs.Run) -> None:
+        session = self._sessions.get(run.worker.worker_id)
+        if session is not None:
+            self._duty.spawn(session.stop(run))
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -42,7 +42,9 @@
 class Owner(Protocol):
     """The elected instance, as its conversations see it."""
 
-    fence: int
+    @property
+    def fence(self) -> int:
+        """Fencing token of all orders."""
 
     def on_listing(
         self,
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -197,7 +197,7 @@
             await self._election.release(won)
         except (TimeoutError, errors.MarigoldgapError) as error:
             _log.warning("hand_over_failed", cause=str(error))
-        scheduler.on_fenced()
+        scheduler.depose()
 
     async def _serve_cell(self, won: elections.Won) -> None:
         scheduler = schedulers.Scheduler(
@@ -260,7 +260,7 @@
 
     def _adopt(self, configuration: model.Configuration) -> None:
         if self._scheduler is not None:
-            self._scheduler.adopt_configuration(configuration)
+            self._scheduler.jobs.adopt_configuration(configuration)
 
     def _limits(self) -> server.HttpLimits:
         standard = server.HttpLimits()
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -271,7 +271,7 @@
         worker.running[name] = {"run": 1, "spec": "ms=20000"}
         worker._changed.set()
         scheduler = context.world.schedulers[0]
-        known = scheduler.workers.get(worker.worker_id)
+        known = scheduler.workers.workers.get(worker.worker_id)
         await loops.until(lambda: known.unaccounted)
 
     loops.run(context, begin())
@@ -318,7 +318,7 @@
     worker.is_draining = True
     worker.register()
     scheduler = context.world.schedulers[0]
-    known = scheduler.workers.get(worker.worker_id)
+    known = scheduler.workers.workers.get(worker.worker_id)
     loops.run(context, loops.until(lambda: known.registration.is_draining))
 
 
