--- /dev/null
+++ b/tests/features/steps/web_steps.py
@@ -0,0 +1,108 @@
+"""Steps for the HTTP server and client."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from marigoldgap.web import client
+from marigoldgap.web import messages
+from marigoldgap.web import server
+from tests.fixtures import cell_world
+from tests.fixtures import loops
+
+_LIMITS = server.HttpLimits(
+    header_bytes=1_000, body_bytes=1_000, request_s=0.3, idle_s=5.0
+)
+_INPUTS = {
+    "garbage": b"\x00\x01 nonsense\r\n\r\n",
+    "a large body": b"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n"
+    + b"x" * 5_000,
+    "large headers": b"GET / HTTP/1.1\r\nA: " + b"x" * 5_000 + b"\r\n\r\n",
+    "half a request": b"GET / HTT",
+}
+
+
+@given("an HTTP server with small limits")
+def create_server(context):
+    context.address = cell_world.free_address()
+
+    async def handle(request):
+        await asyncio.sleep(0.3 if request.path == "/slow" else 0)
+        return messages.Response(200, request.path.encode())
+
+    context.server = server.HttpServer(handle, lambda: _LIMITS)
+    loops.run(context, context.server.start(context.address))
+    context.add_cleanup(context.server.close)
+
+
+async def _raw(address, content):
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(content)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+@when("a client sends {name}")
+def send_bad(context, name):
+    context.answer = loops.run(context, _raw(context.address, _INPUTS[name]))
+
+
+@then("it is answered with {status:d}")
+def answered(context, status):
+    assert context.answer.startswith(b"HTTP/1.1 %d " % status), context.answer
+
+
+@then("another client is served")
+def others_served(context):
+    pool = client.HttpPool()
+    answer = loops.run(context, pool.exchange("GET", context.address, "/x"))
+    assert answer.status == 200, answer
+
+
+@when("the server drains while it answers a request")
+def drain(context):
+    async def exchange():
+        sending = asyncio.create_task(
+            _raw(context.address, b"GET /slow HTTP/1.1\r\n\r\n")
+        )
+        await loops.until(lambda: not context.server.is_idle)
+        context.server.drain()
+        return await sending
+
+    context.answer = loops.run(context, exchange())
+
+
+@then("the request gets its whole answer")
+def whole_answer(context):
+    assert context.answer.endswith(b"/slow"), context.answer
+
+
+@then("the connection is closed after it")
+def closed(context):
+    assert b"Connection: close" in context.answer
+
+
+@when("an exchange times out before its answer arrives")
+def time_out(context):
+    context.pool = client.HttpPool()
+    outcome = loops.outcome(
+        context,
+        context.pool.exchange("GET", context.address, "/slow", timeout_s=0.05),
+    )
+    assert isinstance(outcome, messages.NoAnswerError), outcome
+
+
+@then("the next exchange on the pool gets its own answer")
+def own_answer(context):
+    async def exchange():
+        await asyncio.sleep(0.4)
+        return await context.pool.exchange("GET", context.address, "/next")
+
+    answer = loops.run(context, exchange())
+    assert answer.body == b"/next", answer
