Remove ended jobs from the store after their time

Cause: nothing expires in the store on its own; jobs and progress stayed for ever. Change: the elected instance removes rows of jobs that ended 1.5 times status_s ago.

--- a/src/marigoldgap/cell/job_book.py
+++ b/src/marigoldgap/cell/job_book.py
@@ -64,6 +64,15 @@
         """Forgets a job whose row was removed."""
         self.jobs.pop(job_id, None)
 
+    def forget(self, job_id: str) -> None:
+        """Forgets an ended job and has its progress removed."""
+        self.drop(job_id)
+        self.remove_progress(job_id)
+
+    def remove_progress(self, job_id: str) -> None:
+        """Has the progress of a job removed from the store."""
+        self._duty.journal.mark(records.progress_place(job_id), _nothing)
+
     def waiting(self, queue: str) -> int:
         """Returns how many jobs of a queue have not begun."""
         return sum(
@@ -114,6 +123,7 @@
                 job.occurrences.clear()
                 job.restore(records.decode(progress.value))
                 job.is_stored = job.is_ended
+                job.ended_s = time_source.now_s()
         except (errors.MarigoldgapError, ValueError) as error:
             _log.error("job_row_unusable", job=row.place.key, cause=str(error))
             return
@@ -172,5 +182,9 @@
         return job
 
 
+def _nothing() -> None:
+    return None
+
+
 def _cannot_stop(run: jobs.Run, why: str) -> None:
     raise RuntimeError(f"no book of runs stops {run.name}: {why}")
--- /dev/null
+++ b/src/marigoldgap/cell/retention.py
@@ -0,0 +1,71 @@
+"""Removes jobs from the store some time after they have ended."""
+
+from __future__ import annotations
+
+import asyncio
+
+from marigoldgap import decision_log
+from marigoldgap.cell import duty as duties
+from marigoldgap.cell import job_book
+from marigoldgap.cell import records
+from marigoldgap.cell import store
+from marigoldgap.cell import time_source
+
+_log = decision_log.DecisionLogger("retention")
+
+# Pause between two rounds.
+_ROUND_S = 5.0
+# Jobs that one transaction removes.
+_JOBS_PER_TRANSACTION = 50
+
+
+class Retention:
+    """Forgets ended jobs.
+
+    Args:
+        rows: The store.
+        duty: The election.
+        book: The jobs.
+        kept_s: How long callers may ask for an ended job.
+    """
+
+    def __init__(
+        self,
+        rows: store.Store,
+        duty: duties.Duty,
+        book: job_book.JobBook,
+        kept_s: float,
+    ) -> None:
+        self._rows = rows
+        self._duty = duty
+        self._book = book
+        self._kept_s = kept_s
+
+    async def run(self) -> None:
+        """Removes until cancelled."""
+        while True:
+            await asyncio.sleep(min(_ROUND_S, self._kept_s))
+            for job_ids in self._expired():
+                try:
+                    await self._remove(job_ids)
+                except store.StoreError as error:
+                    # The next round finds the same jobs.
+                    _log.warning("removal_failed", cause=str(error))
+                    break
+
+    def _expired(self) -> list[list[str]]:
+        """Returns expired jobs in groups of one partition."""
+        before_s = time_source.now_s() - self._kept_s
+        groups: dict[str, list[str]] = {}
+        for job in self._book.jobs.values():
+            if job.is_stored and job.ended_s < before_s:
+                partition = records.job_place(job.job_id).partition
+                groups.setdefault(partition, []).append(job.job_id)
+        return [ids[:_JOBS_PER_TRANSACTION] for ids in groups.values()]
+
+    async def _remove(self, job_ids: list[str]) -> None:
+        places = tuple(records.job_place(job_id) for job_id in job_ids)
+        await self._rows.transact(store.Transaction((), (), places))
+        for job_id in job_ids:
+            self._book.forget(job_id)
+        _log.info("jobs_removed", count=len(job_ids), kept_s=self._kept_s)
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -17,6 +17,7 @@
 from marigoldgap.cell import planner
 from marigoldgap.cell import ports
 from marigoldgap.cell import records
+from marigoldgap.cell import retention
 from marigoldgap.cell import run_times
 from marigoldgap.cell import store
 from marigoldgap.cell import time_source
@@ -52,6 +53,7 @@
         lanes: Returns the instances that can ask for advice.
         configuration: Returns the configuration in force.
         offer: Offers the duty to other instances; returns whether one took it.
+        kept_s: How long ended jobs are kept.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         lanes: Callable[[], list[advice_desk.Lane]],
         configuration: Callable[[], model.Configuration | None],
         offer: Callable[[int], Awaitable[bool]],
+        kept_s: float,
     ) -> None:
         self.is_recovered = False
         # Version of the store up to which the jobs were read.
@@ -80,6 +83,9 @@
             self._duty, port, self.jobs, times
         )
         self._planner = planner.Planner(self.workers.workers, times)
+        self._retention = retention.Retention(
+            rows, self._duty, self.jobs, kept_s
+        )
         self._desk = advice_desk.AdviceDesk(lanes, self._duty.wake)
         self._beats = 0
         self._is_planning = True
@@ -106,7 +112,11 @@
         progress = {row.place.key: row for row in pages[0].rows}
         for page in pages[1:]:
             for row in page.rows:
-                self.jobs.restore(row, progress.get(row.place.key))
+                self.jobs.restore(row, progress.pop(row.place.key, None))
+        for row in progress.values():
+            # The job's own row was removed by an earlier election.
+            self._versions[row.place] = row.version
+            self.jobs.remove_progress(row.place.key)
         if roster is not None:
             for registration in records.decode_roster(roster):
                 self.workers.inherit(registration)
@@ -124,6 +134,7 @@
         self._duty.spawn(self._beat())
         self._duty.spawn(self._plan_repeatedly())
         self._duty.spawn(self._watch_store())
+        self._duty.spawn(self._retention.run())
         await self._duty.wait_until_deposed()
 
     def depose(self) -> None:
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -208,6 +208,7 @@
             self._lanes,
             lambda: self._configuration.current,
             self._offer_duty,
+            self.settings.kept_s,
         )
         self._scheduler = scheduler
         self._won = won
--- a/src/marigoldgap/node/settings.py
+++ b/src/marigoldgap/node/settings.py
@@ -21,6 +21,7 @@
         shutdown_s: Time from the request to stop until the process is killed.
         withdrawal_s: Time within which a withdrawn key must stop working; 0
             if keys may be used without confirmation.
+        kept_s: How long callers may ask for an ended job.
     """
 
     name: str
@@ -34,3 +35,4 @@
     advice_address: str
     shutdown_s: float
     withdrawal_s: float
+    kept_s: float
--- a/src/marigoldgap/platform/node_settings.py
+++ b/src/marigoldgap/platform/node_settings.py
@@ -11,6 +11,8 @@
 
 _PATH_VARIABLE = "MARIGOLDGAP_BOOT"
 _DEFAULT_PATH = "/etc/marigoldgap/node.json"
+# Ended jobs are kept this much longer than callers may ask for them.
+_KEPT_FACTOR = 1.5
 # Rows that the operator and the workers write.
 CONFIGURATION = store.RowKey("op", "", "config")
 WORKERS_TABLE = "servers"
@@ -55,4 +57,6 @@
             if is_strict
             else 0.0
         ),
+        # Kept longer than promised, for the difference between clocks.
+        kept_s=_KEPT_FACTOR * decoding.number(bounds, "status_s", 120),
     )
--- a/tests/features/cell/whole_path.feature
+++ b/tests/features/cell/whole_path.feature
@@ -61,3 +61,11 @@
     And a job of 1 tasks is submitted
     Then every instance shows the job as "completed"
     And each of its tasks was started once
+
+  Scenario: Ended jobs are removed from the store after a while
+    Guards against a store and a memory that grow for ever.
+    Given a cell with 1 workers and 1 instances that keeps ended jobs for 1 s
+    When a job of 2 tasks is submitted
+    Then every instance shows the job as "completed"
+    And the store forgets the job soon
+    And the state of the job is answered with 410
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -356,3 +356,26 @@
 def cell_with_rows(context, workers, instances):
     context.job = _JOB
     cell_world.start(context, workers, instances, context.rows)
+
+
+@given(
+    "a cell with {workers:d} workers and {instances:d} instances that keeps"
+    " ended jobs for {seconds:d} s"
+)
+def forgetful_cell(context, workers, instances, seconds):
+    context.job = _JOB
+    cell_world.start(context, workers, instances, kept_s=seconds)
+
+
+@then("the store forgets the job soon")
+def forgotten(context):
+    def is_forgotten():
+        return not any(key == _JOB for _, _, key in context.world.store.rows)
+
+    loops.run(context, loops.until(is_forgotten))
+
+
+@then("the state of the job is answered with {status:d}")
+def job_state_status(context, status):
+    answer = loops.run(context, context.world.call("GET", _JOB))
+    assert answer[0] == status, answer
