Ignore reload signals while a process starts

SIGHUP ends a process that has no handler yet; imports take about 0.3 s. Ruled out: a failure of the program (no stack, no line after the signal). Change: SIGHUP is ignored before anything large is imported.

--- a/src/marigoldgap/cell/job_desk.py
+++ b/src/marigoldgap/cell/job_desk.py
@@ -21,6 +21,8 @@
 
 # How long an acceptance that the store refused is tried again.
 _REFUSED_RETRY_S = 0.25
+# When a refused caller may come back: an election takes about as long.
+RETRY_AFTER_S = 1.0
 # Pause between attempts.
 _PAUSE_S = 0.05
 # Kept of the caller's deadline for the way of the answer.
--- a/src/marigoldgap/node/__main__.py
+++ b/src/marigoldgap/node/__main__.py
@@ -3,33 +3,32 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 
-from marigoldgap import decision_log
-from marigoldgap import errors
-from marigoldgap.node import process
-from marigoldgap.platform import node_settings
-
-_log = decision_log.DecisionLogger("process")
 _SETTINGS_EXIT_CODE = 2
 
 
 def main() -> int:
     """Serves until a signal asks to stop; returns the exit code."""
+    # A reload signal during the imports below would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from marigoldgap import decision_log
+    from marigoldgap import errors
+    from marigoldgap.node import process
+    from marigoldgap.platform import node_settings
+
+    log = decision_log.DecisionLogger("process")
     try:
         settings = node_settings.load(node_settings.path())
     except (OSError, errors.MarigoldgapError) as error:
         decision_log.configure("unknown")
-        _log.error("settings_unusable", cause=str(error))
+        log.error("settings_unusable", cause=str(error))
         return _SETTINGS_EXIT_CODE
     decision_log.configure(settings.name)
-    asyncio.run(_serve(settings))
+    asyncio.run(process.Process(settings).run())
     return 0
 
 
-async def _serve(settings: process.node_settings.NodeSettings) -> None:
-    await process.Process(settings).run()
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/marigoldgap/platform/job_api.py
+++ b/src/marigoldgap/platform/job_api.py
@@ -18,12 +18,15 @@
 
 # How long a caller waits if it does not say.
 _DEFAULT_DEADLINE_MS = 3_000
-# When a refused caller may come back.
-_RETRY_AFTER_MS = 1_000
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _SCHEME = "token "
-# "completed" and the other words are the same on both sides.
-_STATE_WORDS = {state: state.value for state in model.JobState}
+_STATE_WORDS = {
+    model.JobState.QUEUED: "queued",
+    model.JobState.RUNNING: "running",
+    model.JobState.COMPLETED: "completed",
+    model.JobState.FAILED: "failed",
+    model.JobState.CANCELLED: "cancelled",
+}
 
 
 class JobApi:
@@ -124,9 +127,8 @@
     body = {"error": error.code}
     if status not in (429, 503):
         return messages.json_response(status, body)
-    retry = str(max(1, round(_RETRY_AFTER_MS / 1000)))
     return messages.json_response(
         status,
-        {**body, "retryAfterMs": _RETRY_AFTER_MS},
-        (("Retry-After", retry),),
+        {**body, "retryAfterMs": int(job_desk.RETRY_AFTER_S * 1000)},
+        (("Retry-After", str(round(job_desk.RETRY_AFTER_S))),),
     )
--- a/src/marigoldgap/platform/worker_client.py
+++ b/src/marigoldgap/platform/worker_client.py
@@ -21,6 +21,14 @@
     "room": model.StartOutcome.NO_ROOM,
     "ticket": model.StartOutcome.NO_TICKET,
 }
+_ENDS = {
+    "done": model.HowEnded.DONE,
+    "failed": model.HowEnded.FAILED,
+    "stopped": model.HowEnded.STOPPED,
+    "lapsed": model.HowEnded.LAPSED,
+    "broken": model.HowEnded.BROKEN,
+    "alone": model.HowEnded.ALONE,
+}
 _EXPECTED_LIFE = "X-Expect-Instance"
 
 
@@ -200,9 +208,7 @@
 
 def _ended(row: Any) -> model.EndedRun:
     name = model.RunName(decode_task(row[1]), int(row[2]))
-    return model.EndedRun(
-        int(row[0]), name, model.HowEnded(row[3]), str(row[4])
-    )
+    return model.EndedRun(int(row[0]), name, _ENDS[row[3]], str(row[4]))
 
 
 def _start_outcome(answer: messages.Response) -> model.StartOutcome:
