One clock, one JSON object codec

Cause: time_source stood beside clock, and three modules decoded JSON objects. Change: clock.now_s counts suspended time; json_object serves all; no behaviour changed.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,6 +7,7 @@
 import random
 
 from marigoldgap import errors
+from marigoldgap import json_object
 from marigoldgap.web import client
 from marigoldgap.web import messages
 from soak import instances
@@ -41,7 +42,7 @@
 
     async def submit(self, job_id: str) -> None:
         """Submits a job like a client with retries, and records the outcome."""
-        body = messages.encode_json(self._job())
+        body = json_object.encode(self._job())
         is_open = False
         for _ in range(_ATTEMPTS):
             answer = await self._call("POST", job_id, body)
--- a/src/marigoldgap/cell/advice_desk.py
+++ b/src/marigoldgap/cell/advice_desk.py
@@ -11,12 +11,12 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
-from marigoldgap.cell import time_source
 
 _log = decision_log.DecisionLogger("advice")
 
@@ -86,7 +86,7 @@
             return
         step.is_asking = True
         self._waiting.append(
-            _Request(step, workers[:_MAX_WORKERS], time_source.now_s())
+            _Request(step, workers[:_MAX_WORKERS], clock.now_s())
         )
         self._dispatch()
 
@@ -97,7 +97,7 @@
 
     def _dispatch(self) -> None:
         self._waiting.sort(key=lambda request: request.cost_s)
-        now = time_source.now_s()
+        now = clock.now_s()
         lanes = [
             lane
             for lane in self._lanes()
@@ -126,7 +126,7 @@
 
     async def _ask(self, lane: Lane, request: _Request) -> None:
         step = request.step
-        started_s = time_source.now_s()
+        started_s = clock.now_s()
         try:
             tickets = await lane.ask(
                 step.advice_name,
@@ -134,7 +134,7 @@
                 request.cost_s + _CALL_SLACK_S,
             )
         except errors.MarigoldgapError as error:
-            now = time_source.now_s()
+            now = clock.now_s()
             _log.warning(
                 "advice_failed",
                 step=step.advice_name,
@@ -144,7 +144,7 @@
             self._paused_until[lane.name] = now + _LANE_PAUSE_S
             asyncio.get_running_loop().call_later(_LANE_PAUSE_S, self._dispatch)
         else:
-            measures.ADVICE_S.observe(time_source.now_s() - started_s)
+            measures.ADVICE_S.observe(clock.now_s() - started_s)
             self._record(request, tickets, started_s)
         finally:
             self._busy.pop(lane.name, None)
@@ -155,7 +155,7 @@
     def _record(
         self, request: _Request, tickets: model.Tickets, started_s: float
     ) -> None:
-        now = time_source.now_s()
+        now = clock.now_s()
         step = request.step
         until = now + tickets.valid_ms / 1000 - _TRANSIT_S
         step.asked.update(request.workers)
--- a/src/marigoldgap/cell/configuration_follower.py
+++ b/src/marigoldgap/cell/configuration_follower.py
@@ -5,12 +5,12 @@
 import asyncio
 from collections.abc import Callable
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
 from marigoldgap.cell import model
 from marigoldgap.cell import store
-from marigoldgap.cell import time_source
 
 _log = decision_log.DecisionLogger("configuration")
 
@@ -50,13 +50,13 @@
         """Time since the store confirmed the configuration."""
         if self._confirmed_s is None:
             return float("inf")
-        return time_source.now_s() - self._confirmed_s
+        return clock.now_s() - self._confirmed_s
 
     async def run(self) -> None:
         """Follows until cancelled."""
         must_read = True
         while True:
-            started_s = time_source.now_s()
+            started_s = clock.now_s()
             try:
                 if must_read or self.current is None:
                     page = await self._rows.read(
--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -13,12 +13,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
+from marigoldgap import json_object
 from marigoldgap import measures
 from marigoldgap.cell import records
 from marigoldgap.cell import store
-from marigoldgap.cell import time_source
 
 _log = decision_log.DecisionLogger("election")
 
@@ -184,10 +185,10 @@
 
     async def _read(self) -> tuple[store.Row | None, store.Row | None]:
         """Returns the rows of the election and the beat."""
-        started_s = time_source.now_s()
+        started_s = clock.now_s()
         first, end = records.ELECTION_RANGE
         page = await self._rows.read(records.CELL, records.CELL, first, end)
-        took_s = time_source.now_s() - started_s
+        took_s = clock.now_s() - started_s
         self._read_s = min(self._read_s, took_s)
         found = {row.place: row for row in page.rows}
         row = found.get(records.ELECTION)
@@ -205,7 +206,7 @@
                 or self.elected.instance == self._instance
             )
         )
-        has_stopped = self._has_stopped(row, beat, time_source.now_s())
+        has_stopped = self._has_stopped(row, beat, clock.now_s())
         if not self._is_candidate or not (is_vacant or has_stopped):
             return None
         await asyncio.sleep(self.delay_s)
@@ -280,7 +281,7 @@
 
 
 def _encode(elected: Elected) -> bytes:
-    return records.encode(elected._asdict())
+    return json_object.encode(elected._asdict())
 
 
 def _decode(row: store.Row) -> Elected:
--- a/src/marigoldgap/cell/job_book.py
+++ b/src/marigoldgap/cell/job_book.py
@@ -5,8 +5,10 @@
 import asyncio
 from collections.abc import Callable
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
+from marigoldgap import json_object
 from marigoldgap import measures
 from marigoldgap.cell import duty as duties
 from marigoldgap.cell import fair_rate
@@ -14,7 +16,6 @@
 from marigoldgap.cell import model
 from marigoldgap.cell import records
 from marigoldgap.cell import store
-from marigoldgap.cell import time_source
 
 _log = decision_log.DecisionLogger("jobs")
 
@@ -107,7 +108,7 @@
 
     def open_due(self) -> None:
         """Opens the occurrences of jobs that are due."""
-        wall_ms = time_source.wall_ms()
+        wall_ms = clock.wall_ms()
         for job in self.jobs.values():
             if not job.is_ended and job.next_occurrence < job.occurrence_count:
                 job.open_due(wall_ms)
@@ -123,7 +124,7 @@
                 job.occurrences.clear()
                 job.restore(records.decode(progress.value))
                 job.is_stored = job.is_ended
-                job.ended_s = time_source.now_s()
+                job.ended_s = clock.now_s()
         except (errors.MarigoldgapError, ValueError) as error:
             _log.error("job_row_unusable", job=row.place.key, cause=str(error))
             return
@@ -138,7 +139,7 @@
     def end(self, job: jobs.Job, state: model.JobState, why: str) -> None:
         """Ends a job; callers see it once it is stored."""
         job.state = state
-        job.ended_s = time_source.now_s()
+        job.ended_s = clock.now_s()
         measures.COMPLETION_S.labels(job.queue.priority, state.value).observe(
             job.ended_s - job.seen_s
         )
@@ -162,7 +163,7 @@
         """Has the progress of a job stored."""
         self._duty.journal.mark(
             records.progress_place(job.job_id),
-            lambda: records.encode(job.encode()),
+            lambda: json_object.encode(job.encode()),
         )
 
     def _new(self, record: model.JobRecord, run_floor: int) -> jobs.Job:
@@ -173,11 +174,11 @@
             workspace = configuration.workspaces.get(record.workspace)
         else:
             workspace = None
-        now = time_source.now_s()
+        now = clock.now_s()
         job = jobs.Job(record, queue, now, run_floor)
         if workspace is not None and not run_floor:
             job.is_over_share = self._rates.is_over(workspace, now)
-        job.open_due(time_source.wall_ms())
+        job.open_due(clock.wall_ms())
         self.jobs[record.job_id] = job
         return job
 
--- a/src/marigoldgap/cell/job_desk.py
+++ b/src/marigoldgap/cell/job_desk.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
@@ -14,7 +15,6 @@
 from marigoldgap.cell import peers
 from marigoldgap.cell import records
 from marigoldgap.cell import store
-from marigoldgap.cell import time_source
 from marigoldgap.web import client
 
 _log = decision_log.DecisionLogger("jobs")
@@ -139,7 +139,7 @@
         transaction = store.Transaction(
             (store.RowCheck(place, 0),), ((place, content),)
         )
-        now = time_source.now_s()
+        now = clock.now_s()
         refused_until = now + _REFUSED_RETRY_S
         open_until = now + deadline_s - _ANSWER_MARGIN_S
         if not self._is_store_reachable():
@@ -157,19 +157,19 @@
             except store.StoreError as error:
                 cause = str(error)
             else:
-                measures.ACCEPTANCE_S.observe(time_source.now_s() - now)
+                measures.ACCEPTANCE_S.observe(clock.now_s() - now)
                 _log.info(
                     "job_accepted",
                     job=record.job_id,
                     workspace=record.workspace,
                     queue=record.queue.name,
-                    took_s=round(time_source.now_s() - now, 3),
+                    took_s=round(clock.now_s() - now, 3),
                 )
                 self._tell(record)
                 return
-            if not is_open and time_source.now_s() >= refused_until:
+            if not is_open and clock.now_s() >= refused_until:
                 raise StoreAwayError(cause)
-            if is_open and time_source.now_s() >= open_until:
+            if is_open and clock.now_s() >= open_until:
                 raise OutcomeOpenError(cause)
             await asyncio.sleep(_PAUSE_S)
 
@@ -192,12 +192,12 @@
             JobGoneError: No such job exists.
             StoreError: The store does not answer; the job may be cancelled.
         """
-        until = time_source.now_s() + deadline_s - _ANSWER_MARGIN_S
+        until = clock.now_s() + deadline_s - _ANSWER_MARGIN_S
         while True:
             try:
                 await self._mark_cancelled(job_id)
             except store.StoreError:
-                if time_source.now_s() >= until:
+                if clock.now_s() >= until:
                     raise
                 await asyncio.sleep(_PAUSE_S)
             else:
@@ -227,11 +227,7 @@
             return None
 
     async def _stored_state(self, job_id: str) -> model.JobState:
-        place = records.job_place(job_id)
-        row = await self._read_row(place)
-        if row is None:
-            raise JobGoneError(f"no job {job_id}")
-        record = records.decode_job(job_id, row.value)
+        _, record = await self._read_job(job_id)
         if record.is_cancelled:
             return model.JobState.CANCELLED
         progress = await self._read_row(records.progress_place(job_id))
@@ -240,17 +236,14 @@
         return model.JobState(records.decode(progress.value)["state"])
 
     async def _mark_cancelled(self, job_id: str) -> None:
-        place = records.job_place(job_id)
-        row = await self._read_row(place)
-        if row is None:
-            raise JobGoneError(f"no job {job_id}")
-        record = records.decode_job(job_id, row.value)
+        row, record = await self._read_job(job_id)
         if record.is_cancelled:
             return
         content = records.encode_job(record._replace(is_cancelled=True))
         await self._rows.transact(
             store.Transaction(
-                (store.RowCheck(place, row.version),), ((place, content),)
+                (store.RowCheck(row.place, row.version),),
+                ((row.place, content),),
             )
         )
         self._tell(record._replace(is_cancelled=True))
@@ -271,6 +264,12 @@
             # The feed of the table has the job as well.
             _log.info("telling_failed", job=record.job_id, cause=str(error))
 
+    async def _read_job(self, job_id: str) -> tuple[store.Row, model.JobRecord]:
+        row = await self._read_row(records.job_place(job_id))
+        if row is None:
+            raise JobGoneError(f"no job {job_id}")
+        return row, records.decode_job(job_id, row.value)
+
     async def _read_row(self, place: store.RowKey) -> store.Row | None:
         page = await self._rows.read(
             place.table, place.partition, place.key, place.key + "\0"
--- a/src/marigoldgap/cell/journal.py
+++ b/src/marigoldgap/cell/journal.py
@@ -10,9 +10,9 @@
 import asyncio
 from collections.abc import Callable
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap.cell import store
-from marigoldgap.cell import time_source
 
 _log = decision_log.DecisionLogger("journal")
 
@@ -96,7 +96,7 @@
         self, documents: dict[store.RowKey, Callable[[], bytes | None]]
     ) -> None:
         contents = {place: encode() for place, encode in documents.items()}
-        self.waiting_since_s = time_source.now_s()
+        self.waiting_since_s = clock.now_s()
         while True:
             try:
                 version = await self._rows.transact(self._transaction(contents))
--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -13,6 +13,7 @@
 
 from marigoldgap import decision_log
 from marigoldgap import errors
+from marigoldgap import json_object
 from marigoldgap.cell import election as elections
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
@@ -124,18 +125,24 @@
             count = self._view.waiting(path.removeprefix(_QUEUES_PATH))
             return messages.json_response(200, {"waiting": count})
         if path == _STORED_PATH:
-            fields = messages.decode_object(request.body)
+            fields = json_object.decode(
+                request.body, messages.InvalidAnswerError
+            )
             self._view.add_stored(
                 records.decode_job(str(fields["job"]), fields["row"].encode())
             )
             return messages.json_response(200, {})
         if path == _ADVICE_PATH and self._advice is not None:
-            return await self._ask(messages.decode_object(request.body))
+            return await self._ask(
+                json_object.decode(request.body, messages.InvalidAnswerError)
+            )
         if path == _WATCH_PATH:
             await asyncio.sleep(_WATCH_S)
             return messages.json_response(200, {})
         if path == _TAKE_OVER_PATH:
-            fields = messages.decode_object(request.body)
+            fields = json_object.decode(
+                request.body, messages.InvalidAnswerError
+            )
             return messages.json_response(
                 200, {"taken": await self._take_over(fields)}
             )
@@ -204,7 +211,7 @@
         """
         body = {"step": step, "workers": workers, "timeout_s": timeout_s}
         fields = await self._call(
-            "POST", _ADVICE_PATH, messages.encode_json(body), timeout_s
+            "POST", _ADVICE_PATH, json_object.encode(body), timeout_s
         )
         return model.Tickets(fields["by_worker"], fields["valid_ms"])
 
@@ -218,7 +225,7 @@
         await self._call(
             "POST",
             _STORED_PATH,
-            messages.encode_json({"job": record.job_id, "row": row}),
+            json_object.encode({"job": record.job_id, "row": row}),
             _QUESTION_TIMEOUT_S,
         )
 
@@ -237,7 +244,7 @@
         fields = await self._call(
             "POST",
             _TAKE_OVER_PATH,
-            messages.encode_json(body),
+            json_object.encode(body),
             _TAKE_OVER_TIMEOUT_S,
         )
         return fields.get("taken") is True
@@ -260,4 +267,4 @@
             raise messages.InvalidAnswerError(
                 f"{self.name} answered {answer.status}"
             )
-        return messages.decode_object(answer.body)
+        return json_object.decode(answer.body, messages.InvalidAnswerError)
--- a/src/marigoldgap/cell/records.py
+++ b/src/marigoldgap/cell/records.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from marigoldgap import errors
+from marigoldgap import json_object
 from marigoldgap.cell import model
 from marigoldgap.cell import store
 
@@ -40,24 +40,13 @@
     return store.RowKey(PROGRESS, CELL, job_id)
 
 
-def encode(value: Any) -> bytes:
-    """Returns the value as compact JSON."""
-    return json.dumps(value, separators=(",", ":")).encode()
-
-
-def decode(content: bytes | None) -> Any:
+def decode(content: bytes | None) -> dict[str, Any]:
     """Returns the decoded JSON object.
 
     Raises:
         RecordError: The content is no JSON object.
     """
-    try:
-        value = json.loads(content or b"")
-    except ValueError as error:
-        raise RecordError(f"not JSON: {error}") from error
-    if not isinstance(value, dict):
-        raise RecordError("not a JSON object")
-    return value
+    return json_object.decode(content or b"", RecordError)
 
 
 def encode_job(record: model.JobRecord) -> bytes:
@@ -74,7 +63,9 @@
         "occurrences": spec.occurrences,
         "cancelled": record.is_cancelled,
     }
-    return encode({name: value for name, value in fields.items() if value})
+    return json_object.encode(
+        {name: value for name, value in fields.items() if value}
+    )
 
 
 def decode_job(job_id: str, content: bytes | None) -> model.JobRecord:
@@ -133,7 +124,7 @@
         {**worker._asdict(), "labels": sorted(worker.labels)}
         for worker in workers
     ]
-    return encode({"workers": rows})
+    return json_object.encode({"workers": rows})
 
 
 def decode_roster(content: bytes | None) -> list[model.Registration]:
--- a/src/marigoldgap/cell/retention.py
+++ b/src/marigoldgap/cell/retention.py
@@ -4,12 +4,12 @@
 
 import asyncio
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap.cell import duty as duties
 from marigoldgap.cell import job_book
 from marigoldgap.cell import records
 from marigoldgap.cell import store
-from marigoldgap.cell import time_source
 
 _log = decision_log.DecisionLogger("retention")
 
@@ -55,7 +55,7 @@
 
     def _expired(self) -> list[list[str]]:
         """Returns expired jobs in groups of one partition."""
-        before_s = time_source.now_s() - self._kept_s
+        before_s = clock.now_s() - self._kept_s
         groups: dict[str, list[str]] = {}
         for job in self._book.jobs.values():
             if job.is_stored and job.ended_s < before_s:
--- a/src/marigoldgap/cell/run_book.py
+++ b/src/marigoldgap/cell/run_book.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import measures
 from marigoldgap.cell import duty as duties
@@ -12,7 +13,6 @@
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import run_times
-from marigoldgap.cell import time_source
 
 _log = decision_log.DecisionLogger("runs")
 
@@ -52,7 +52,7 @@
     ) -> jobs.Run:
         """Charges a run that is about to be ordered to its worker."""
         position = name.task.position
-        run = jobs.Run(name, step, worker, time_source.now_s())
+        run = jobs.Run(name, step, worker, clock.now_s())
         step.last_run[position] = name.run
         step.active[position] = run
         step.waiting.discard(position)
@@ -74,12 +74,12 @@
         if not job.has_begun:
             job.has_begun = True
             measures.FIRST_START_S.labels(job.queue.priority).observe(
-                time_source.now_s() - job.seen_s
+                clock.now_s() - job.seen_s
             )
             _log.info(
                 "job_began",
                 job=job.job_id,
-                waited_s=round(time_source.now_s() - job.seen_s, 3),
+                waited_s=round(clock.now_s() - job.seen_s, 3),
             )
         if job.state is model.JobState.QUEUED:
             job.state = model.JobState.RUNNING
@@ -94,7 +94,7 @@
 
     def on_refused(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
         """Records that a worker did not start a run and will not."""
-        now = time_source.now_s()
+        now = clock.now_s()
         step = run.step
         worker = run.worker
         _log.warning(
@@ -185,7 +185,7 @@
         self, run: jobs.Run, how: model.HowEnded, saved: str, why: str
     ) -> None:
         """Frees a run that has ended and decides what follows."""
-        now = time_source.now_s()
+        now = clock.now_s()
         step = run.step
         index = run.name.task.position
         measures.RUNS.labels(how.value).inc()
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -7,7 +7,9 @@
 from collections.abc import Callable
 import functools
 
+from marigoldgap import clock
 from marigoldgap import decision_log
+from marigoldgap import json_object
 from marigoldgap import measures
 from marigoldgap.cell import advice_desk
 from marigoldgap.cell import duty as duties
@@ -20,7 +22,6 @@
 from marigoldgap.cell import retention
 from marigoldgap.cell import run_times
 from marigoldgap.cell import store
-from marigoldgap.cell import time_source
 from marigoldgap.cell import worker_book
 
 _log = decision_log.DecisionLogger("scheduler")
@@ -163,16 +164,16 @@
             except TimeoutError:
                 self.jobs.open_due()
             self._duty.changed.clear()
-            began_s = time_source.now_s()
+            began_s = clock.now_s()
             self._plan()
-            took_s = time_source.now_s() - began_s
+            took_s = clock.now_s() - began_s
             await asyncio.sleep(max(_PLAN_PAUSE_S, _PLAN_REST * took_s))
 
     def _plan(self) -> None:
         configuration = self._configuration()
         if configuration is None:
             return
-        now = time_source.now_s()
+        now = clock.now_s()
         steps = self.jobs.ready_steps(not self.workers.unresolved)
         measures.WAITING_TASKS.set(sum(len(step.waiting) for step in steps))
         if not steps:
@@ -219,7 +220,7 @@
         """Offers the duty to others while the store does not serve it."""
         while True:
             await asyncio.sleep(_STORE_WATCH_S)
-            now = time_source.now_s()
+            now = clock.now_s()
             refused = self._duty.journal.refused_since_s
             waiting = self._duty.journal.waiting_since_s
             is_away = (
@@ -232,7 +233,7 @@
     async def _beat(self) -> None:
         while True:
             self._beats += 1
-            beat = records.encode(
+            beat = json_object.encode(
                 {"epoch": self._duty.fence, "beat": self._beats}
             )
             self._duty.journal.mark(
--- a/src/marigoldgap/cell/worker_book.py
+++ b/src/marigoldgap/cell/worker_book.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap.cell import duty as duties
@@ -15,7 +16,6 @@
 from marigoldgap.cell import records
 from marigoldgap.cell import run_book
 from marigoldgap.cell import run_times
-from marigoldgap.cell import time_source
 from marigoldgap.cell import worker_session
 
 _log = decision_log.DecisionLogger("workers")
@@ -70,7 +70,7 @@
 
     def inherit(self, registration: model.Registration) -> None:
         """Takes over a worker that may hold runs of earlier elections."""
-        now = time_source.now_s()
+        now = clock.now_s()
         worker = fleet.Worker(registration, now, _INHERITED_LEASE_S)
         worker.is_rostered = True
         worker.is_listed = False
@@ -110,7 +110,7 @@
         """Takes over the entry of a worker."""
         worker = self.workers.get(registration.worker_id)
         if worker is None:
-            worker = fleet.Worker(registration, time_source.now_s())
+            worker = fleet.Worker(registration, clock.now_s())
             _log.info(
                 "worker_joined",
                 worker=worker.worker_id,
@@ -166,7 +166,7 @@
         sent_s: float,
     ) -> None:
         """Takes over what a worker listed."""
-        now = time_source.now_s()
+        now = clock.now_s()
         if listing.born_ms != worker.born_ms:
             worker.begin_life(listing.born_ms)
         worker.observe_clock(listing.clock_ms, now)
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Protocol
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
@@ -12,7 +13,6 @@
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
-from marigoldgap.cell import time_source
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
@@ -129,7 +129,7 @@
         worker = self._worker
         is_open = False
         while run.state is jobs.RunState.STARTING and not self._is_closed:
-            now = time_source.now_s()
+            now = clock.now_s()
             try:
                 answer = await self._port.start(
                     worker.registration,
@@ -157,15 +157,13 @@
         outcome = answer.outcome
         measures.STARTS.labels(outcome.value).inc()
         if outcome is model.StartOutcome.STARTED:
-            run.answered_s = time_source.now_s()
+            run.answered_s = clock.now_s()
             self._owner.on_started(run)
         elif outcome is model.StartOutcome.FENCED:
             self._owner.on_fenced()
         else:
             if outcome is model.StartOutcome.UNHEALTHY:
-                self._worker.avoid_until_s = (
-                    time_source.now_s() + _UNHEALTHY_PAUSE_S
-                )
+                self._worker.avoid_until_s = clock.now_s() + _UNHEALTHY_PAUSE_S
             # An earlier order without an answer may still be carried out.
             if is_open:
                 self._owner.on_doubtful(run, outcome)
@@ -188,7 +186,7 @@
                 if taken:
                     # A stopped run is listed as ended; one that never arrived
                     # will be refused, and the next listing shows neither.
-                    run.answered_s = min(run.answered_s, time_source.now_s())
+                    run.answered_s = min(run.answered_s, clock.now_s())
                     return
             await asyncio.sleep(_ORDER_RETRY_S)
 
@@ -221,7 +219,7 @@
         wait_ms = _WAIT_MS if worker.stored_number >= handled else 0
         if worker.unaccounted:
             wait_ms = min(wait_ms, _UNACCOUNTED_WAIT_MS)
-        until = worker.lease_end_ms(time_source.now_s(), LEASE_S)
+        until = worker.lease_end_ms(clock.now_s(), LEASE_S)
         await self._renew(connection, worker.stored_number, until, wait_ms)
 
     async def _renew(
@@ -231,7 +229,7 @@
         until_ms: int,
         wait_ms: int,
     ) -> None:
-        sent_s = time_source.now_s()
+        sent_s = clock.now_s()
         listing = await self._port.renew(
             connection,
             self._worker.registration,
@@ -245,4 +243,4 @@
     def _is_certainly_gone(self) -> bool:
         if self._refusals >= _REFUSALS:
             return True
-        return self._worker.has_lapsed(time_source.now_s())
+        return self._worker.has_lapsed(clock.now_s())
--- a/src/marigoldgap/clock.py
+++ b/src/marigoldgap/clock.py
@@ -16,3 +16,11 @@
 def wall_ms() -> int:
     """Returns the wall clock in milliseconds since the epoch."""
     return time.time_ns() // _NANOSECONDS_PER_MILLISECOND
+
+
+def now_s() -> float:
+    """Returns seconds since the start of the machine, suspended time too.
+
+    Leases and deadlines go on while a machine is suspended.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/marigoldgap/node/instance_rows.py
+++ b/src/marigoldgap/node/instance_rows.py
@@ -6,6 +6,7 @@
 
 from marigoldgap import decision_log
 from marigoldgap import errors
+from marigoldgap import json_object
 from marigoldgap.cell import peers
 from marigoldgap.cell import records
 from marigoldgap.cell import store
@@ -22,7 +23,7 @@
 async def announce(rows: store.Store, name: str, address: str) -> None:
     """Writes the address of this instance; tries until it is stored."""
     place = store.RowKey(records.INSTANCES, "", name)
-    content = records.encode({"address": address})
+    content = json_object.encode({"address": address})
     transaction = store.Transaction((), ((place, content),))
     while True:
         try:
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
@@ -16,7 +17,6 @@
 from marigoldgap.cell import model
 from marigoldgap.cell import peers
 from marigoldgap.cell import scheduler as schedulers
-from marigoldgap.cell import time_source
 from marigoldgap.cell import watcher
 from marigoldgap.node import instance_rows
 from marigoldgap.node import settings as node_settings
@@ -174,15 +174,15 @@
 
     async def _shut_down(self) -> None:
         """Hands over, finishes requests, then closes."""
-        began_s = time_source.now_s()
+        began_s = clock.now_s()
         _log.info("stopping", is_elected=self._scheduler is not None)
         self._is_stopping = True
         self._election.withdraw()
         self._callers.drain()
         await self._hand_over()
         latest_s = began_s + self.settings.shutdown_s - _SHUTDOWN_MARGIN_S
-        while time_source.now_s() < latest_s:
-            waited = time_source.now_s() - began_s
+        while clock.now_s() < latest_s:
+            waited = clock.now_s() - began_s
             if waited > _LAME_DUCK_S and self._callers.is_idle:
                 break
             await asyncio.sleep(_POLL_S)
--- a/src/marigoldgap/platform/advice_client.py
+++ b/src/marigoldgap/platform/advice_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from marigoldgap import json_object
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
 from marigoldgap.platform import decoding
@@ -39,7 +40,7 @@
             ExchangeError: No usable answer.
             FormatError: The answer cannot be read.
         """
-        body = messages.encode_json({"step": step, "workers": workers})
+        body = json_object.encode({"step": step, "workers": workers})
         answer = await self._pool.exchange(
             "POST", self._address, "/v1/advise", body, timeout_s
         )
--- a/src/marigoldgap/platform/decoding.py
+++ b/src/marigoldgap/platform/decoding.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from marigoldgap import errors
+from marigoldgap import json_object
 
 
 class FormatError(errors.InvalidRequestError):
@@ -20,13 +20,7 @@
     Raises:
         FormatError: The bytes are no JSON object.
     """
-    try:
-        value = json.loads(content)
-    except (ValueError, RecursionError) as error:
-        raise FormatError(f"not JSON: {error}") from error
-    if not isinstance(value, dict):
-        raise FormatError("not a JSON object")
-    return value
+    return json_object.decode(content, FormatError)
 
 
 def text(fields: dict[str, Any], name: str, default: str | None = None) -> str:
--- a/src/marigoldgap/platform/job_api.py
+++ b/src/marigoldgap/platform/job_api.py
@@ -4,13 +4,13 @@
 
 import re
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
 from marigoldgap.cell import job_desk
 from marigoldgap.cell import model
 from marigoldgap.cell import store
-from marigoldgap.cell import time_source
 from marigoldgap.platform import documents
 from marigoldgap.web import messages
 
@@ -46,7 +46,7 @@
         return response
 
     async def _answer(self, request: messages.Request) -> messages.Response:
-        started_s = time_source.now_s()
+        started_s = clock.now_s()
         try:
             return await self._route(request)
         except errors.MarigoldgapError as error:
@@ -55,7 +55,7 @@
                 method=request.method,
                 path=request.path,
                 status=error.status,
-                took_s=round(time_source.now_s() - started_s, 3),
+                took_s=round(clock.now_s() - started_s, 3),
                 code=error.code,
                 cause=error.detail,
             )
@@ -97,7 +97,7 @@
             job_id,
             queue,
             workspace,
-            time_source.wall_ms(),
+            clock.wall_ms(),
             documents.decode_job(request.body),
         )
         await self._desk.submit(record, _deadline_s(request))
--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -7,9 +7,10 @@
 from typing import Any
 from urllib import parse
 
+from marigoldgap import clock
+from marigoldgap import json_object
 from marigoldgap import measures
 from marigoldgap.cell import store
-from marigoldgap.cell import time_source
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
@@ -73,7 +74,7 @@
             "write",
             "POST",
             "/v1/rows-tx",
-            messages.encode_json(body),
+            json_object.encode(body),
             _CALL_TIMEOUT_S,
         )
         content = answer.json()
@@ -121,15 +122,13 @@
     async def _call(
         self, call: str, method: str, path: str, body: bytes, timeout_s: float
     ) -> messages.Response:
-        started_s = time_source.now_s()
+        started_s = clock.now_s()
         try:
             answer = await self._exchange(method, path, body, timeout_s)
         except store.StoreError as error:
             measures.STORE_FAILURES.labels(call, error.code).inc()
             raise
-        measures.STORE_CALLS_S.labels(call).observe(
-            time_source.now_s() - started_s
-        )
+        measures.STORE_CALLS_S.labels(call).observe(clock.now_s() - started_s)
         return answer
 
     async def _exchange(
@@ -140,19 +139,19 @@
                 method, self._address, path, body, timeout_s
             )
         except messages.NotConnectedError as error:
-            self.last_failure_s = time_source.now_s()
+            self.last_failure_s = clock.now_s()
             raise store.StoreRefusedError(str(error)) from error
         except messages.ExchangeError as error:
-            self.last_failure_s = time_source.now_s()
+            self.last_failure_s = clock.now_s()
             raise store.StoreUnknownError(str(error)) from error
         if answer.status in _REFUSED_STATUSES:
-            self.last_failure_s = time_source.now_s()
+            self.last_failure_s = clock.now_s()
             raise store.StoreRefusedError(f"store answered {answer.status}")
         if answer.status not in (200, 410, 412):
             raise store.StoreError(
                 f"store answered {answer.status}: {answer.body[:200]!r}"
             )
-        self.last_success_s = time_source.now_s()
+        self.last_success_s = clock.now_s()
         return answer
 
 
--- a/src/marigoldgap/platform/worker_client.py
+++ b/src/marigoldgap/platform/worker_client.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from marigoldgap import json_object
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
 from marigoldgap.platform import decoding
@@ -123,7 +124,7 @@
             body["untilMs"] = lease_until_ms
         if wait_ms:
             body["waitMs"] = wait_ms
-        content = messages.encode_json(body)
+        content = json_object.encode(body)
         head = client.request_head(
             "POST",
             worker.address,
@@ -157,7 +158,7 @@
             "POST",
             worker.address,
             path,
-            messages.encode_json(body),
+            json_object.encode(body),
             timeout_s,
             ((_EXPECTED_LIFE, worker.worker_id),),
         )
--- a/src/marigoldgap/web/messages.py
+++ b/src/marigoldgap/web/messages.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from marigoldgap import errors
+from marigoldgap import json_object
 
 JSON_TYPE = "application/json"
 
@@ -92,12 +93,7 @@
     status: int, value: Any, headers: tuple[tuple[str, str], ...] = ()
 ) -> Response:
     """Returns a response with a JSON body."""
-    return Response(status, encode_json(value), headers)
-
-
-def encode_json(value: Any) -> bytes:
-    """Returns the value as compact JSON."""
-    return json.dumps(value, separators=(",", ":")).encode()
+    return Response(status, json_object.encode(value), headers)
 
 
 def encode_response(response: Response, close: bool) -> bytes:
@@ -116,18 +112,3 @@
     if close:
         lines.append("Connection: close")
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + response.body
-
-
-def decode_object(content: bytes) -> dict[str, Any]:
-    """Returns the JSON object.
-
-    Raises:
-        InvalidAnswerError: The bytes are no JSON object.
-    """
-    try:
-        value = json.loads(content)
-    except (ValueError, RecursionError) as error:
-        raise InvalidAnswerError(f"not JSON: {error}") from error
-    if not isinstance(value, dict):
-        raise InvalidAnswerError("not a JSON object")
-    return value
--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -11,8 +11,8 @@
 
 import httptools
 
+from marigoldgap import clock
 from marigoldgap import decision_log
-from marigoldgap.cell import time_source
 from marigoldgap.web import messages
 
 _log = decision_log.DecisionLogger("web")
@@ -101,7 +101,7 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_S)
-            now = time_source.now_s()
+            now = clock.now_s()
             limits = self.limits()
             for connection in list(self._connections):
                 connection.check(now, limits, self.is_draining)
@@ -118,7 +118,7 @@
             collections.deque()
         )
         self._task: asyncio.Task[None] | None = None
-        self._since = time_source.now_s()
+        self._since = clock.now_s()
         self._begun = False
         self._reset()
 
@@ -142,7 +142,7 @@
         """Parses a part of a request."""
         if not self._begun:
             self._begun = True
-            self._since = time_source.now_s()
+            self._since = clock.now_s()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -231,7 +231,7 @@
             while self._pending and not self._transport.is_closing():
                 await self._answer(*self._pending.popleft())
         finally:
-            self._since = time_source.now_s()
+            self._since = clock.now_s()
             self._task = None
 
     async def _answer(
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -10,6 +10,7 @@
 from behave import then
 from behave import when
 
+from marigoldgap import json_object
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import records
@@ -348,7 +349,7 @@
     job.occurrences[0][0].mark_done(0)
     context.rows = [
         (records.job_place(_JOB), records.encode_job(record)),
-        (records.progress_place(_JOB), records.encode(job.encode())),
+        (records.progress_place(_JOB), json_object.encode(job.encode())),
     ]
 
 
