Refuse submissions at once while the store is silent

Cause: a submission to a silent store was held to the caller's deadline and then answered 504; a request that is given up gets its answer at once. Change: without an answer of the store for 1 s nothing is sent, so the refusal is true; the configuration feed probes the store. Loss and return of the store are logged once. After lost history all partitions are read in parallel.

--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -51,12 +51,15 @@
 
 
 async def _read_jobs(rows: store.Store, scheduler: schedulers.Scheduler) -> int:
-    versions = []
-    for partition in records.JOB_PARTITIONS:
-        page = await store.read_all(rows, records.JOBS, partition)
-        versions.append(page.version)
+    pages = await asyncio.gather(
+        *(
+            store.read_all(rows, records.JOBS, partition)
+            for partition in records.JOB_PARTITIONS
+        )
+    )
+    for page in pages:
         _apply_jobs(page, scheduler)
-    return min(versions)
+    return min(page.version for page in pages)
 
 
 def _apply_jobs(page: store.Page, scheduler: schedulers.Scheduler) -> None:
--- a/src/marigoldgap/cell/job_desk.py
+++ b/src/marigoldgap/cell/job_desk.py
@@ -21,6 +21,8 @@
 
 # How long an acceptance that the store refused is tried again.
 _REFUSED_RETRY_S = 0.25
+# Without an answer of the store for this long, jobs are refused unsent.
+_AWAY_S = 1.0
 # When a refused caller may come back: an election takes about as long.
 RETRY_AFTER_S = 1.0
 # Pause between attempts.
@@ -56,7 +58,7 @@
 
     Args:
         rows: The store.
-        is_store_reachable: Whether the store answered last.
+        store_away_s: Time since the store's last answer; 0 while it answers.
         configuration: The configuration in force.
         election: Knows which instance schedules.
         view: What is known here while this instance schedules.
@@ -68,7 +70,7 @@
     def __init__(
         self,
         rows: store.Store,
-        is_store_reachable: Callable[[], bool],
+        store_away_s: Callable[[], float],
         configuration: configuration_follower.ConfigurationFollower,
         election: elections.Election,
         view: peers.JobView,
@@ -76,7 +78,7 @@
         withdrawal_s: float,
     ) -> None:
         self._rows = rows
-        self._is_store_reachable = is_store_reachable
+        self._store_away_s = store_away_s
         self._configuration = configuration
         self._election = election
         self._view = view
@@ -140,10 +142,12 @@
             (store.RowCheck(place, 0),), ((place, content),)
         )
         now = clock.now_s()
-        refused_until = now + _REFUSED_RETRY_S
+        away_s = self._store_away_s()
+        if away_s > _AWAY_S:
+            # Nothing is sent, so the refusal is true; others probe the store.
+            raise StoreAwayError(f"no answer of the store for {away_s:.1f} s")
+        refused_until = now + (0 if away_s else _REFUSED_RETRY_S)
         open_until = now + deadline_s - _ANSWER_MARGIN_S
-        if not self._is_store_reachable():
-            refused_until = now
         is_open = False
         while True:
             try:
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -80,7 +80,7 @@
         view = peers.JobView(lambda: self._scheduler)
         self._desk = job_desk.JobDesk(
             self._rows,
-            lambda: self._rows.is_reachable,
+            lambda: self._rows.away_s,
             self._configuration,
             self._election,
             view,
--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -8,12 +8,15 @@
 from urllib import parse
 
 from marigoldgap import clock
+from marigoldgap import decision_log
 from marigoldgap import json_object
 from marigoldgap import measures
 from marigoldgap.cell import store
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
+_log = decision_log.DecisionLogger("store")
+
 # Longest answer seen under a slow store is 60 times 4 ms plus two crossings
 # between regions; twice that.
 _CALL_TIMEOUT_S = 1.0
@@ -41,6 +44,13 @@
         """Whether the latest call that ended got an answer."""
         return self.last_success_s >= self.last_failure_s
 
+    @property
+    def away_s(self) -> float:
+        """Time since the last answer; 0 while the store answers."""
+        if self.is_reachable:
+            return 0.0
+        return clock.now_s() - self.last_success_s
+
     async def transact(self, transaction: store.Transaction) -> int:
         """Applies a transaction; returns its version.
 
@@ -139,21 +149,28 @@
                 method, self._address, path, body, timeout_s
             )
         except messages.NotConnectedError as error:
-            self.last_failure_s = clock.now_s()
+            self._note_failure(str(error))
             raise store.StoreRefusedError(str(error)) from error
         except messages.ExchangeError as error:
-            self.last_failure_s = clock.now_s()
+            self._note_failure(str(error))
             raise store.StoreUnknownError(str(error)) from error
         if answer.status in _REFUSED_STATUSES:
-            self.last_failure_s = clock.now_s()
+            self._note_failure(f"store answered {answer.status}")
             raise store.StoreRefusedError(f"store answered {answer.status}")
         if answer.status not in (200, 410, 412):
             raise store.StoreError(
                 f"store answered {answer.status}: {answer.body[:200]!r}"
             )
+        if not self.is_reachable:
+            _log.info("store_regained", call=path.partition("?")[0])
         self.last_success_s = clock.now_s()
         return answer
 
+    def _note_failure(self, cause: str) -> None:
+        if self.is_reachable:
+            _log.warning("store_lost", cause=cause)
+        self.last_failure_s = clock.now_s()
+
 
 def _place(place: store.RowKey) -> dict[str, Any]:
     return {"table": place.table, "part": place.partition, "key": place.key}
--- a/tests/features/cell/whole_path.feature
+++ b/tests/features/cell/whole_path.feature
@@ -54,6 +54,12 @@
     When the store serves again
     Then no task was started
 
+  Scenario: A silent store does not hold callers
+    Guards against requests that are held to their deadline and then open.
+    Given a cell with 1 workers and 1 instances
+    When the store is silent for 3 s
+    Then a submission is answered with 503 at once and says when to come back
+
   Scenario: A submission whose answer from the store is lost is settled
     Guards against telling the caller that a stored job was refused.
     Given a cell with 1 workers and 1 instances
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -380,3 +380,9 @@
 def job_state_status(context, status):
     answer = loops.run(context, context.world.call("GET", _JOB))
     assert answer[0] == status, answer
+
+
+@when("the store is silent for {seconds:d} s")
+def silent_for(context, seconds):
+    context.world.store.is_silent = True
+    loops.run(context, asyncio.sleep(seconds))
