Ask for advice about workers with room, and about further ones when the good are full

Cause: a call names at most 100 workers; the first 100 of 176 were asked about each time, and the rest only if none of these was good, so 43% of the fleet idled. Change: workers with most room come first; a step that finds no room on its good workers asks about those that were not asked about.

--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -198,16 +198,25 @@
     def _advised(
         self, step: jobs.StepProgress, candidates: dict[str, _Room], plan: Plan
     ) -> list[_Room]:
-        """Returns the workers known as good; asks about unknown ones."""
+        """Returns the workers known as good; asks if none is known."""
         if step.job.queue.advice is None:
             return list(candidates.values())
         good = [candidates[name] for name in step.good if name in candidates]
-        if not step.is_asking and (not step.asked or not good):
-            unknown = [name for name in candidates if name not in step.asked]
-            if unknown:
-                plan.advice.append((step, unknown))
+        if not good:
+            self._ask_further(step, candidates, plan)
         return good
 
+    def _ask_further(
+        self, step: jobs.StepProgress, candidates: dict[str, _Room], plan: Plan
+    ) -> None:
+        """Asks about workers that were not asked about, most room first."""
+        if step.is_asking or step.job.queue.advice is None:
+            return
+        unknown = [name for name in candidates if name not in step.asked]
+        if unknown:
+            unknown.sort(key=lambda name: -candidates[name].free[0])
+            plan.advice.append((step, unknown))
+
     def _ticket(self, step: jobs.StepProgress, room: _Room) -> str | None:
         """Returns a valid ticket; an empty one where none is needed."""
         if step.job.queue.advice is None:
@@ -222,13 +231,16 @@
         plan: Plan,
         usage: dict[str, list[int]],
     ) -> None:
-        good = self._advised(step, self._candidates(step), plan)
+        candidates = self._candidates(step)
+        good = self._advised(step, candidates, plan)
         ends_s = self._now + self._times.expected_s(step) * _BACKFILL_MARGIN
         counts = _counts(step)
         stale: list[str] = []
         for index in sorted(step.waiting)[:allowed]:
             room = self._best(step, index, good, counts, ends_s)
             if room is None:
+                if good:
+                    self._ask_further(step, candidates, plan)
                 break
             ticket = self._ticket(step, room)
             if ticket is None:
@@ -292,7 +304,8 @@
         spec = step.spec
         if step.active or len(step.waiting) < spec.task_count:
             return
-        good = self._advised(step, self._candidates(step), plan)
+        candidates = self._candidates(step)
+        good = self._advised(step, candidates, plan)
         if not good or allowed < spec.task_count:
             return
         ends_s = self._now + self._times.expected_s(step)
@@ -308,6 +321,7 @@
         self._gangs += 1
         chosen = self._gang_now(step, good, ends_s)
         if chosen is None:
+            self._ask_further(step, candidates, plan)
             at = self._reserve_gang(step, good)
         else:
             at = self._now
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -50,3 +50,19 @@
     And 4 waiting tasks of 1 core within the fair rate
     When a plan is made
     Then only tasks within the fair rate start
+
+  Scenario: Advice is asked about workers with room
+    Guards against asking about the same hundred workers of a larger fleet.
+    Given 130 workers with 4 cores each
+    And the first 110 workers are full
+    And a waiting task of a queue with advice
+    When a plan is made
+    Then advice is asked about every worker with room
+
+  Scenario: Advice is asked about further workers when the good ones are full
+    Guards against a task that waits for a few workers while others are idle.
+    Given 130 workers with 4 cores each
+    And the first 110 workers are full
+    And a waiting task of a queue with advice that knows only full workers
+    When a plan is made
+    Then advice is asked about every worker with room
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -215,3 +215,42 @@
         if spec.max_per_worker:
             ids = [each.worker.worker_id for each in placements]
             assert max(map(ids.count, ids)) <= spec.max_per_worker
+
+
+@given("the first {count:d} workers are full")
+def fill_workers(context, count):
+    for worker in context.fleet.values()[:count]:
+        step = _step(context, 1, 4)
+        context.steps_running.append(step)
+        run = jobs.Run(model.RunName(step.task(0), 1), step, worker, _NOW)
+        step.active[0] = run
+        worker.add(run)
+
+
+def _wait_with_advice(context):
+    step = _wait(context, 1, 1)
+    advice = model.PlacementAdvice(10, 1, 1_500)
+    step.job.queue = step.job.queue._replace(advice=advice)
+    return step
+
+
+@given("a waiting task of a queue with advice")
+def advised_task(context):
+    _wait_with_advice(context)
+
+
+@given("a waiting task of a queue with advice that knows only full workers")
+def advised_full(context):
+    step = _wait_with_advice(context)
+    for worker in context.fleet.values()[:100]:
+        step.asked.add(worker.worker_id)
+        step.good[worker.worker_id] = None
+
+
+@then("advice is asked about every worker with room")
+def asked_with_room(context):
+    [(_, names)] = context.plan.advice
+    with_room = {
+        worker.worker_id for worker in context.fleet.values() if not worker.runs
+    }
+    assert with_room <= set(names[:100]), names
