--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -12,6 +12,7 @@
 from marigoldgap.cell import fleet
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
+from marigoldgap.cell import rooms
 from marigoldgap.cell import run_times
 
 # Gangs that hold reservations at a time; later ones wait without.
@@ -53,76 +54,6 @@
     advice: list[tuple[jobs.StepProgress, list[str]]]
 
 
-class _Room:
-    """What a worker has left while a plan is made."""
-
-    __slots__ = ("free", "releases", "reserved_at", "spare", "worker")
-
-    def __init__(self, worker: fleet.Worker) -> None:
-        self.worker = worker
-        self.free = worker.free()
-        # Set where gangs hold a reservation: its time, and what is free then.
-        self.reserved_at = float("inf")
-        self.spare: list[int] | None = None
-        self.releases: list[tuple[float, jobs.Run]] | None = None
-
-    def copies(self, demand: model.Demand, bound: int) -> int:
-        """Returns how many tasks fit now, without regard to reservations."""
-        return _copies(self.free, demand, bound)
-
-    def fits(self, spec: model.StepSpec, ends_s: float) -> bool:
-        """Whether a task fits and leaves reservations alone."""
-        if not _fits(self.free, spec):
-            return False
-        if self.spare is None or ends_s <= self.reserved_at:
-            return True
-        return _fits(self.spare, spec)
-
-    def take(self, spec: model.StepSpec, ends_s: float) -> None:
-        """Uses room for a task."""
-        _charge(self.free, spec)
-        if self.spare is not None and ends_s > self.reserved_at:
-            _charge(self.spare, spec)
-
-    def reserve(
-        self, demand: model.Demand, count: int, at: float, free: list[int]
-    ) -> None:
-        """Keeps room for members of a gang from a time on."""
-        spare = free if self.spare is None else self.spare
-        self.spare = [
-            have - count * need
-            for have, need in zip(spare, demand, strict=True)
-        ]
-        self.reserved_at = min(self.reserved_at, at)
-
-
-def _fits(free: list[int], spec: model.StepSpec) -> bool:
-    demand = spec.demand
-    if spec.uses_idle_only:
-        return demand.memory_mib <= free[1]
-    return (
-        demand.millicores <= free[0]
-        and demand.memory_mib <= free[1]
-        and demand.accelerators <= free[2]
-    )
-
-
-def _charge(free: list[int], spec: model.StepSpec) -> None:
-    if spec.uses_idle_only:
-        free[1] -= spec.demand.memory_mib
-        return
-    for part, amount in enumerate(spec.demand):
-        free[part] -= amount
-
-
-def _copies(free: list[int], demand: model.Demand, bound: int) -> int:
-    count = bound
-    for have, need in zip(free, demand, strict=True):
-        if need > 0:
-            count = min(count, have // need)
-    return max(0, count)
-
-
 class Planner:
     """Makes plans; one call of `plan` is one pass over all waiting steps.
 
@@ -134,8 +65,8 @@
     def __init__(self, workers: fleet.Fleet, times: run_times.RunTimes) -> None:
         self._workers = workers
         self._times = times
-        self._rooms: dict[str, _Room] = {}
-        self._by_rule: dict[tuple[str, str], dict[str, _Room]] = {}
+        self._rooms: dict[str, rooms.Room] = {}
+        self._by_rule: dict[tuple[str, str], dict[str, rooms.Room]] = {}
         self._gangs = 0
         # Workers on which gangs held reservations in the plan before.
         self._reserved: frozenset[str] = frozenset()
@@ -159,7 +90,7 @@
         self._now = now
         self._gangs = 0
         self._rooms = {
-            worker.worker_id: _Room(worker)
+            worker.worker_id: rooms.Room(worker)
             for worker in self._workers.values()
             if worker.accepts(now)
         }
@@ -180,7 +111,7 @@
         )
         return plan
 
-    def _candidates(self, step: jobs.StepProgress) -> dict[str, _Room]:
+    def _candidates(self, step: jobs.StepProgress) -> dict[str, rooms.Room]:
         """Returns the workers that the step may use by rule."""
         key = step.job.queue.service, step.spec.required_label
         found = self._by_rule.get(key)
@@ -196,8 +127,11 @@
         return found
 
     def _advised(
-        self, step: jobs.StepProgress, candidates: dict[str, _Room], plan: Plan
-    ) -> list[_Room]:
+        self,
+        step: jobs.StepProgress,
+        candidates: dict[str, rooms.Room],
+        plan: Plan,
+    ) -> list[rooms.Room]:
         """Returns the workers known as good; asks if none is known."""
         if step.job.queue.advice is None:
             return list(candidates.values())
@@ -207,7 +141,10 @@
         return good
 
     def _ask_further(
-        self, step: jobs.StepProgress, candidates: dict[str, _Room], plan: Plan
+        self,
+        step: jobs.StepProgress,
+        candidates: dict[str, rooms.Room],
+        plan: Plan,
     ) -> None:
         """Asks about workers that were not asked about, most room first."""
         if step.is_asking or step.job.queue.advice is None:
@@ -217,7 +154,7 @@
             unknown.sort(key=lambda name: -candidates[name].free[0])
             plan.advice.append((step, unknown))
 
-    def _ticket(self, step: jobs.StepProgress, room: _Room) -> str | None:
+    def _ticket(self, step: jobs.StepProgress, room: rooms.Room) -> str | None:
         """Returns a valid ticket; an empty one where none is needed."""
         if step.job.queue.advice is None:
             return ""
@@ -261,16 +198,16 @@
         self,
         step: jobs.StepProgress,
         index: int,
-        rooms: list[_Room],
+        usable: list[rooms.Room],
         counts: dict[str, int],
         ends_s: float,
-    ) -> _Room | None:
+    ) -> rooms.Room | None:
         """Returns the tightest worker that fits, near the data if possible."""
         spec = step.spec
         avoid = step.avoid.get(index, set())
-        best: _Room | None = None
+        best: rooms.Room | None = None
         best_cost = 0
-        for room in rooms:
+        for room in usable:
             worker_id = room.worker.worker_id
             if (
                 spec.max_per_worker
@@ -333,7 +270,7 @@
     def _place_gang(
         self,
         step: jobs.StepProgress,
-        chosen: list[tuple[_Room, int]],
+        chosen: list[tuple[rooms.Room, int]],
         ends_s: float,
         plan: Plan,
         usage: dict[str, list[int]],
@@ -350,22 +287,24 @@
                 position += 1
 
     def _gang_now(
-        self, step: jobs.StepProgress, rooms: list[_Room], ends_s: float
-    ) -> list[tuple[_Room, int]] | None:
+        self, step: jobs.StepProgress, usable: list[rooms.Room], ends_s: float
+    ) -> list[tuple[rooms.Room, int]] | None:
         """Returns workers with room for all members now, or None."""
         spec = step.spec
         bound = spec.max_per_worker or spec.task_count
-        found: list[tuple[_Room, int]] = []
-        for room in rooms:
+        found: list[tuple[rooms.Room, int]] = []
+        for room in usable:
             copies = room.copies(spec.demand, bound)
             if room.spare is not None and ends_s > room.reserved_at:
-                copies = min(copies, _copies(room.spare, spec.demand, bound))
+                copies = min(
+                    copies, rooms.copies_in(room.spare, spec.demand, bound)
+                )
             if copies:
                 found.append((room, copies))
-        return _pick_gang(step, found)
+        return rooms.pick_members(step, found)
 
     def _keep_tickets(
-        self, step: jobs.StepProgress, good: list[_Room], plan: Plan
+        self, step: jobs.StepProgress, good: list[rooms.Room], plan: Plan
     ) -> None:
         """Renews the tickets of a waiting gang before they end.
 
@@ -385,99 +324,21 @@
             plan.advice.append((step, [room.worker.worker_id for room in kept]))
 
     def _reserve_gang(
-        self, step: jobs.StepProgress, rooms: list[_Room]
+        self, step: jobs.StepProgress, usable: list[rooms.Room]
     ) -> float:
         """Keeps room where the gang will fit first; returns when that is."""
-        found = self._earliest(step, rooms)
+        found = rooms.earliest_fit(step, usable, self._now, self._times)
         if found is None:
             return float("inf")
         at, chosen = found
         for room, count in chosen:
-            room.reserve(step.spec.demand, count, at, self._free_at(room, at))
-        return at
-
-    def _earliest(
-        self, step: jobs.StepProgress, rooms: list[_Room]
-    ) -> tuple[float, list[tuple[_Room, int]]] | None:
-        """Returns when and where all members fit first."""
-        spec = step.spec
-        bound = spec.max_per_worker or spec.task_count
-        # A worker that is reserved already does not serve a second gang.
-        usable = [room for room in rooms if room.spare is None]
-        times = sorted(
-            {at for room in usable for at, _ in self._releases(room)}
-        )
-        if not times or not usable:
-            return None
-        low, high = 0, len(times) - 1
-        best = None
-        while low <= high:
-            middle = (low + high) // 2
-            at = times[middle]
-            found = [
-                (room, _copies(self._free_at(room, at), spec.demand, bound))
-                for room in usable
-            ]
-            chosen = _pick_gang(step, [each for each in found if each[1]])
-            if chosen is None:
-                low = middle + 1
-            else:
-                best = at, chosen
-                high = middle - 1
-        return best
-
-    def _releases(self, room: _Room) -> list[tuple[float, jobs.Run]]:
-        if room.releases is None:
-            room.releases = [
-                (
-                    self._now
-                    + run.remaining_s(
-                        self._now, self._times.expected_s(run.step)
-                    ),
-                    run,
-                )
-                for run in room.worker.runs.values()
-                if not run.step.spec.is_long_running
-            ]
-        return room.releases
-
-    def _free_at(self, room: _Room, at: float) -> list[int]:
-        free = list(room.free)
-        for release, run in self._releases(room):
-            if release <= at:
-                for part, amount in enumerate(run.step.spec.demand):
-                    free[part] += amount
-        return free
-
-
-def _pick_gang(
-    step: jobs.StepProgress, found: list[tuple[_Room, int]]
-) -> list[tuple[_Room, int]] | None:
-    """Returns as few workers as hold all members, or None."""
-    spec = step.spec
-    if spec.same_rack:
-        by_rack: dict[str, list[tuple[_Room, int]]] = {}
-        for each in found:
-            by_rack.setdefault(each[0].worker.registration.rack, []).append(
-                each
+            room.reserve(
+                step.spec.demand,
+                count,
+                at,
+                room.free_at(at, self._now, self._times),
             )
-        groups = [
-            group
-            for group in by_rack.values()
-            if sum(count for _, count in group) >= spec.task_count
-        ]
-        found = max(
-            groups, key=lambda group: sum(n for _, n in group), default=found
-        )
-    needed = spec.task_count
-    chosen = []
-    for room, count in sorted(found, key=lambda each: -each[1]):
-        taken = min(count, needed)
-        chosen.append((room, taken))
-        needed -= taken
-        if needed == 0:
-            return chosen
-    return None
+        return at
 
 
 def _urgency(step: jobs.StepProgress) -> tuple[bool, int, float]:
--- /dev/null
+++ b/src/marigoldgap/cell/rooms.py
@@ -0,0 +1,167 @@
+"""Room on workers while a plan is made, and where gangs fit."""
+
+from __future__ import annotations
+
+from marigoldgap.cell import fleet
+from marigoldgap.cell import jobs
+from marigoldgap.cell import model
+from marigoldgap.cell import run_times
+
+
+class Room:
+    """What a worker has left while a plan is made."""
+
+    __slots__ = ("_ends", "free", "reserved_at", "spare", "worker")
+
+    def __init__(self, worker: fleet.Worker) -> None:
+        self.worker = worker
+        self.free = worker.free()
+        # Set where gangs hold a reservation: its time, and what is free then.
+        self.reserved_at = float("inf")
+        self.spare: list[int] | None = None
+        self._ends: list[tuple[float, jobs.Run]] | None = None
+
+    def copies(self, demand: model.Demand, bound: int) -> int:
+        """Returns how many tasks fit now, without regard to reservations."""
+        return copies_in(self.free, demand, bound)
+
+    def fits(self, spec: model.StepSpec, ends_s: float) -> bool:
+        """Whether a task fits and leaves reservations alone."""
+        if not _fits(self.free, spec):
+            return False
+        if self.spare is None or ends_s <= self.reserved_at:
+            return True
+        return _fits(self.spare, spec)
+
+    def take(self, spec: model.StepSpec, ends_s: float) -> None:
+        """Uses room for a task."""
+        _charge(self.free, spec)
+        if self.spare is not None and ends_s > self.reserved_at:
+            _charge(self.spare, spec)
+
+    def reserve(
+        self, demand: model.Demand, count: int, at: float, free: list[int]
+    ) -> None:
+        """Keeps room for members of a gang from a time on."""
+        spare = free if self.spare is None else self.spare
+        self.spare = [
+            have - count * need
+            for have, need in zip(spare, demand, strict=True)
+        ]
+        self.reserved_at = min(self.reserved_at, at)
+
+    def free_at(
+        self, at: float, now: float, times: run_times.RunTimes
+    ) -> list[int]:
+        """Returns what is expected to be free at a time."""
+        free = list(self.free)
+        for release, run in self.expected_ends(now, times):
+            if release <= at:
+                for part, amount in enumerate(run.step.spec.demand):
+                    free[part] += amount
+        return free
+
+    def expected_ends(
+        self, now: float, times: run_times.RunTimes
+    ) -> list[tuple[float, jobs.Run]]:
+        """Returns when the runs of the worker are expected to end."""
+        if self._ends is None:
+            self._ends = [
+                (
+                    now + run.remaining_s(now, times.expected_s(run.step)),
+                    run,
+                )
+                for run in self.worker.runs.values()
+                if not run.step.spec.is_long_running
+            ]
+        return self._ends
+
+
+def _fits(free: list[int], spec: model.StepSpec) -> bool:
+    demand = spec.demand
+    if spec.uses_idle_only:
+        return demand.memory_mib <= free[1]
+    return (
+        demand.millicores <= free[0]
+        and demand.memory_mib <= free[1]
+        and demand.accelerators <= free[2]
+    )
+
+
+def _charge(free: list[int], spec: model.StepSpec) -> None:
+    if spec.uses_idle_only:
+        free[1] -= spec.demand.memory_mib
+        return
+    for part, amount in enumerate(spec.demand):
+        free[part] -= amount
+
+
+def copies_in(free: list[int], demand: model.Demand, bound: int) -> int:
+    """Returns how many tasks fit into what is free, at most `bound`."""
+    count = bound
+    for have, need in zip(free, demand, strict=True):
+        if need > 0:
+            count = min(count, have // need)
+    return max(0, count)
+
+
+def pick_members(
+    step: jobs.StepProgress, found: list[tuple[Room, int]]
+) -> list[tuple[Room, int]] | None:
+    """Returns as few workers as hold all members, or None."""
+    spec = step.spec
+    if spec.same_rack:
+        by_rack: dict[str, list[tuple[Room, int]]] = {}
+        for each in found:
+            by_rack.setdefault(each[0].worker.registration.rack, []).append(
+                each
+            )
+        groups = [
+            group
+            for group in by_rack.values()
+            if sum(count for _, count in group) >= spec.task_count
+        ]
+        found = max(
+            groups, key=lambda group: sum(n for _, n in group), default=found
+        )
+    needed = spec.task_count
+    chosen = []
+    for room, count in sorted(found, key=lambda each: -each[1]):
+        taken = min(count, needed)
+        chosen.append((room, taken))
+        needed -= taken
+        if needed == 0:
+            return chosen
+    return None
+
+
+def earliest_fit(
+    step: jobs.StepProgress,
+    rooms: list[Room],
+    now: float,
+    times: run_times.RunTimes,
+) -> tuple[float, list[tuple[Room, int]]] | None:
+    """Returns when and where all members of a gang fit first, or None."""
+    spec = step.spec
+    bound = spec.max_per_worker or spec.task_count
+    # A worker that is reserved already does not serve a second gang.
+    usable = [room for room in rooms if room.spare is None]
+    ends = sorted(
+        {at for room in usable for at, _ in room.expected_ends(now, times)}
+    )
+    low, high = 0, len(ends) - 1
+    best = None
+    while low <= high:
+        middle = (low + high) // 2
+        at = ends[middle]
+        found = [
+            (room, copies_in(room.free_at(at, now, times), spec.demand, bound))
+            for room in usable
+        ]
+        chosen = pick_members(step, [each for each in found if each[1]])
+        if chosen is None:
+            low = middle + 1
+        else:
+            best = at, chosen
+            high = middle - 1
+    return best
