--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,19 +9,24 @@
 
 import typer
 
+import soak
 from soak import world as worlds
 
 _CLOSE_S = 0.2
 
 
 def main(
-    seeds: Annotated[list[int], typer.Argument(help="Seeds to run.")],
+    seeds: Annotated[
+        list[int] | None,
+        typer.Argument(help="Seeds to run; without any, those that failed."),
+    ] = None,
     duration_s: Annotated[float, typer.Option(help="Load and faults.")] = 20,
     logs: Annotated[
         pathlib.Path | None, typer.Option(help="Keep logs here.")
     ] = None,
 ) -> None:
     """Run real instances under random faults, one seed after the other."""
+    seeds = seeds or sorted(soak.REGRESSION_SEEDS)
     failed = [seed for seed in seeds if not run_seed(seed, duration_s, logs)]
     print(f"{len(seeds) - len(failed)} passed, {len(failed)} failed")
     raise typer.Exit(1 if failed else 0)
--- a/src/marigoldgap/cell/advice_desk.py
+++ b/src/marigoldgap/cell/advice_desk.py
@@ -17,6 +17,7 @@
 from marigoldgap import measures
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
+from marigoldgap.cell import ports
 
 _log = decision_log.DecisionLogger("advice")
 
@@ -30,8 +31,6 @@
 _CALL_SLACK_S = 0.6
 # A ticket loses this much of its validity on the way.
 _TRANSIT_S = 0.05
-# Most workers that one call names.
-_MAX_WORKERS = 100
 
 
 class Lane(Protocol):
@@ -86,7 +85,7 @@
             return
         step.is_asking = True
         self._waiting.append(
-            _Request(step, workers[:_MAX_WORKERS], clock.now_s())
+            _Request(step, workers[: ports.MAX_ADVISED_WORKERS], clock.now_s())
         )
         self._dispatch()
 
--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 import enum
 
 from marigoldgap.cell import jobs
@@ -53,7 +52,6 @@
         # Highest end that was handled and the highest that is stored.
         self.handled_number = 0
         self.stored_number = 0
-        self.seen_s = now
         self._clock_ms = 0
         self._clock_read_s = now
         # Latest end of lease that the worker may have received.
@@ -165,9 +163,6 @@
     def __init__(self) -> None:
         self._workers: dict[str, Worker] = {}
 
-    def __iter__(self) -> Iterator[Worker]:
-        return iter(self._workers.values())
-
     def __len__(self) -> int:
         return len(self._workers)
 
--- a/src/marigoldgap/cell/ports.py
+++ b/src/marigoldgap/cell/ports.py
@@ -9,6 +9,9 @@
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
+# Most workers about which one call may ask for advice.
+MAX_ADVISED_WORKERS = 100
+
 
 class FencedError(messages.ExchangeError):
     """The worker has seen a higher fencing token."""
--- a/src/marigoldgap/platform/advice_client.py
+++ b/src/marigoldgap/platform/advice_client.py
@@ -9,9 +9,6 @@
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
-# Most workers that one call may name.
-MAX_WORKERS = 100
-
 
 class AdviceClient:
     """Asks the advice service.
@@ -32,7 +29,7 @@
 
         Args:
             step: Job, occurrence and step, joined with dots.
-            workers: Identifiers of at most `MAX_WORKERS` workers.
+            workers: Identifiers of at most `ports.MAX_ADVISED_WORKERS` workers.
             timeout_s: Limit of the call.
 
         Raises:
--- a/src/marigoldgap/platform/worker_client.py
+++ b/src/marigoldgap/platform/worker_client.py
@@ -11,8 +11,6 @@
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
-# Longest time that a worker may hold back its answer to a lease renewal.
-MAX_WAIT_MS = 2_000
 # Beyond the wait: two crossings between regions and a slow worker.
 _ANSWER_SLACK_S = 0.8
 _START_OUTCOMES = {
--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -196,11 +196,6 @@
         self._put(address, connection)
         return response
 
-    def forget(self, address: str) -> None:
-        """Closes the idle connections to an address."""
-        for connection in self._idle.pop(address, ()):
-            connection.close()
-
     def _take(self, address: str) -> Connection | None:
         idle = self._idle.get(address)
         while idle:
