Start nothing until the former elected instance cannot any more

The former instance was told of a job and started it on a worker that the new election had not reached yet; the new one saw the same job as new and started it elsewhere 0.1 s later. Ruled out: the wait for inherited jobs (the job was accepted after the election). Change: after an election nothing starts until each worker of the roster has answered or failed to, 1.3 s at most.

--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -171,7 +171,7 @@
 
     def _plan(self) -> None:
         configuration = self._configuration()
-        if configuration is None:
+        if configuration is None or self.workers.is_fencing:
             return
         now = clock.now_s()
         steps = self.jobs.ready_steps(not self.workers.unresolved)
--- a/src/marigoldgap/cell/worker_book.py
+++ b/src/marigoldgap/cell/worker_book.py
@@ -29,6 +29,9 @@
 _INHERITED_LEASE_S = 6.3
 # How long the row of a job may arrive later than the listing of its run.
 _UNKNOWN_JOB_S = 2.0
+# Time that a new election gives all workers to obey it: a connection and a
+# renewal across regions with one lost packet.
+_FENCING_LIMIT_S = 1.3
 # Limit of an order to stop a run that is not known here.
 _STOP_TIMEOUT_S = 1.0
 
@@ -53,6 +56,7 @@
         self.workers = fleet.Fleet()
         # Workers of earlier elections that have not answered yet.
         self.unresolved: set[str] = set()
+        self._began_s = clock.now_s()
         self._duty = duty
         self._port = port
         self._runs = run_book.RunBook(duty, book, times, self._order_stop)
@@ -64,6 +68,21 @@
         """Fencing token of all orders."""
         return self._duty.fence
 
+    @property
+    def is_fencing(self) -> bool:
+        """Whether the former instance may still start runs on some worker.
+
+        It may have just been told of a job that is new here as well. A worker
+        that does not answer within the limit answers nobody.
+        """
+        if clock.now_s() > self._began_s + _FENCING_LIMIT_S:
+            return False
+        return any(
+            worker.contact is fleet.Contact.JOINING
+            for worker in self.workers.values()
+            if worker.worker_id in self.unresolved
+        )
+
     def flushed(self) -> asyncio.Future[None]:
         """Returns a future that is done when what is known is stored."""
         return self._duty.journal.flushed()
@@ -71,6 +90,8 @@
     def inherit(self, registration: model.Registration) -> None:
         """Takes over a worker that may hold runs of earlier elections."""
         now = clock.now_s()
+        # The limit of fencing counts from the last worker that is inherited.
+        self._began_s = now
         worker = fleet.Worker(registration, now, _INHERITED_LEASE_S)
         worker.is_rostered = True
         worker.is_listed = False
--- a/tests/features/cell/takeover.feature
+++ b/tests/features/cell/takeover.feature
@@ -41,3 +41,15 @@
     And a cell with 1 workers and 1 instances around it
     Then every instance shows the job as "completed"
     And no task was started
+
+  Scenario: A job that the former instance has just started is not started again
+    Guards against two runs while a new election reaches the workers (trouble-2
+    of quetzal-claims-grown).
+    Given a cell with 2 workers and 2 instances
+    When a job with the payload "ms=3000" is submitted and has begun
+    And the worker that runs it obeys a new election 600 ms late
+    And the other instance takes over while the elected one goes on
+    And another job is submitted to the former elected instance at once
+    Then the other job is completed
+    And no task ran in two places
+    And the other job was started once
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -386,3 +386,42 @@
 def silent_for(context, seconds):
     context.world.store.is_silent = True
     loops.run(context, asyncio.sleep(seconds))
+
+
+@when("the worker that runs it obeys a new election {milliseconds:d} ms late")
+def obeys_late(context, milliseconds):
+    worker = next(each for each in context.world.workers if each.running)
+    worker.fence_delay_s = milliseconds / 1000
+
+
+@when("the other instance takes over while the elected one goes on")
+def takes_over(context):
+    context.former = context.world.elected()
+    other = next(
+        each for each in context.world.instances if each is not context.former
+    )
+    epoch = context.former.scheduler.workers.fence
+    assert loops.run(context, other._election.take_over(epoch, "test"))
+
+
+@when("another job is submitted to the former elected instance at once")
+def submit_to_former(context):
+    body = cell_world.job(1, "ms=1200")
+    status, _ = _submit(context, body, _OTHER_JOB, context.former)
+    assert status == 200, status
+
+
+@then("the other job is completed")
+def other_completed(context):
+    loops.run(context, context.world.wait_for_state(_OTHER_JOB, "completed"))
+
+
+@then("the other job was started once")
+def other_once(context):
+    starts = [
+        start
+        for worker in context.world.workers
+        for start in worker.starts
+        if start[0].startswith(_OTHER_JOB)
+    ]
+    assert len(starts) == 1, starts
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -32,6 +32,8 @@
         self.fences = []
         self.unanswered = 0
         self.refusal = 0
+        # How long a higher fence takes to arrive.
+        self.fence_delay_s = 0.0
         self.is_draining = False
         self.violations = []
         self.lease_until_ms = 0
@@ -98,6 +100,8 @@
         if request.headers.get("x-expect-instance") != self.worker_id:
             return messages.Response(421)
         body = json.loads(request.body)
+        if body["fence"] > self.fence and self.fence_delay_s:
+            await asyncio.sleep(self.fence_delay_s)
         if body["fence"] < self.fence:
             return self._answer({"reason": "fence"}, 409)
         if body["fence"] > self.fence:
