--- a/soak/world.py
+++ b/soak/world.py
@@ -33,7 +33,6 @@
     """
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
-        cell_world.forget_addresses()
         self.draw = random.Random(seed)
         self._job_draw = random.Random(seed + 2)
         self.violations: list[str] = []
