--- a/src/marigoldgap/cell/worker_book.py
+++ b/src/marigoldgap/cell/worker_book.py
@@ -24,7 +24,7 @@
 _STUCK_S = 3.0
 # Progress at which a run counts as complete but for its report.
 _COMPLETE_PERCENT = 100.0
-# Leases of an earlier elected instance end within 6 s (`holdMaxMs`) on a clock
+# Leases of an earlier elected instance end within 6 s on a clock
 # that may be 2% slow.
 _INHERITED_LEASE_S = 6.3
 # How long the row of a job may arrive later than the listing of its run.
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -18,7 +18,7 @@
 
 _log = decision_log.DecisionLogger("workers")
 
-# Length of a lease. The platform cuts leases at 6 s (`holdMaxMs`); the rest is
+# Length of a lease. The platform cuts leases at 6 s; the rest is
 # for the difference between the clocks.
 LEASE_S = 5.8
 # How long a worker may hold back its answer when nothing ends.
