--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from marigoldgap import clock
 from marigoldgap.cell import model
 
 if TYPE_CHECKING:
@@ -21,6 +22,21 @@
     ENDED = "ended"
 
 
+class Lateness(enum.IntEnum):
+    """What a step can still achieve; lower comes first."""
+
+    ON_TIME = 0
+    LATE = 1
+    HOPELESS = 2
+
+
+# A result is worth less after the objective, and nothing after this multiple
+# of it (rules of the users, credit of jobs).
+_LATE_OBJECTIVES = 3.0
+# Longest age of an inherited job that is believed; clocks may differ.
+_MAX_AGE_S = 60.0
+
+
 class Run:
     """One start of a task on a worker; holds its resources until it ends."""
 
@@ -56,6 +72,8 @@
 
     def remaining_s(self, now: float, expected_s: float) -> float:
         """Returns an estimate of the time until the run ends."""
+        if self.state is RunState.STOPPING:
+            return _STOP_S
         elapsed = now - self.started_s
         if self.percent >= _MIN_PERCENT:
             seen = self.progressed_s - self.started_s
@@ -66,6 +84,8 @@
 
 # Below this progress the time so far says little about the rest.
 _MIN_PERCENT = 8.0
+# A worker needs up to 0.9 s to stop a run (`stopMs` of the platform).
+_STOP_S = 0.5
 # A run that is over its estimate is expected to need this much longer.
 _MIN_REMAINING_S = 0.3
 
@@ -86,6 +106,8 @@
         "not_before_s",
         "number",
         "occurrence",
+        "preempts_from_s",
+        "rest_s",
         "saved",
         "spec",
         "tickets",
@@ -93,12 +115,19 @@
     )
 
     def __init__(
-        self, job: Job, occurrence: int, number: int, spec: model.StepSpec
+        self,
+        job: Job,
+        occurrence: int,
+        number: int,
+        spec: model.StepSpec,
+        rest_s: float,
     ) -> None:
         self.job = job
         self.occurrence = occurrence
         self.number = number
         self.spec = spec
+        # Declared run time of the longest chain that begins with this step.
+        self.rest_s = rest_s
         self.waiting: set[int] = set(range(spec.task_count))
         self.active: dict[int, Run] = {}
         self.done = 0
@@ -109,6 +138,8 @@
         # Workers on which a task failed, by task.
         self.avoid: dict[int, set[str]] = {}
         self.not_before_s = 0.0
+        # Earliest time at which runs may be stopped for this step again.
+        self.preempts_from_s = 0.0
         # Advice: asked and good workers, tickets with the end of validity.
         self.asked: set[str] = set()
         self.good: dict[str, None] = {}
@@ -120,6 +151,25 @@
         """Whether every task has ended as done."""
         return self.done == (1 << self.spec.task_count) - 1
 
+    @property
+    def deadline_s(self) -> float:
+        """End of the latency objective of this occurrence."""
+        job = self.job
+        due_ms = job.due_ms(self.occurrence)
+        if not due_ms:
+            return job.deadline_s
+        early_ms = max(0, due_ms - job.record.accepted_ms)
+        return job.deadline_s + early_ms / 1000
+
+    def lateness(self, now: float) -> Lateness:
+        """Returns what the job can still achieve if the step starts now."""
+        late_s = now + self.rest_s - self.deadline_s
+        if late_s <= 0:
+            return Lateness.ON_TIME
+        if late_s <= (_LATE_OBJECTIVES - 1) * self.job.objective_s:
+            return Lateness.LATE
+        return Lateness.HOPELESS
+
     @property
     def advice_name(self) -> str:
         """Name of the step for the advice service."""
@@ -205,6 +255,7 @@
         "is_over_share",
         "is_stored",
         "next_occurrence",
+        "objective_s",
         "occurrences",
         "queue",
         "record",
@@ -233,7 +284,8 @@
         self.ended_s = 0.0
         self.occurrences: dict[int, list[StepProgress]] = {}
         self.next_occurrence = 0
-        self.deadline_s = now + self._objective_s()
+        self.objective_s = self._objective_s()
+        self.deadline_s = now - self._age_s() + self.objective_s
 
     @property
     def job_id(self) -> str:
@@ -279,8 +331,9 @@
 
     def open(self, occurrence: int) -> list[StepProgress]:
         """Makes the steps of an occurrence ready to run."""
+        rests_s = self._rests_s()
         steps = [
-            StepProgress(self, occurrence, number, spec)
+            StepProgress(self, occurrence, number, spec, rests_s[number])
             for number, spec in enumerate(self.record.spec.steps)
         ]
         self.occurrences[occurrence] = steps
@@ -349,11 +402,29 @@
                 step.restore(kept)
         self.next_occurrence = stored["next"]
 
+    def _rests_s(self) -> list[float]:
+        """Returns the longest declared chain from each step on, in seconds.
+
+        Prerequisites have lower numbers than the steps that need them.
+        """
+        steps = self.record.spec.steps
+        rests_s = [step.estimate_ms / 1000 for step in steps]
+        for number in reversed(range(len(steps))):
+            for before in steps[number].after:
+                declared_s = steps[before].estimate_ms / 1000
+                rests_s[before] = max(
+                    rests_s[before], declared_s + rests_s[number]
+                )
+        return rests_s
+
     def _objective_s(self) -> float:
         """Returns the latency objective by the declared run times."""
-        longest: list[float] = []
-        for step in self.record.spec.steps:
-            before = max((longest[each] for each in step.after), default=0.0)
-            longest.append(before + step.estimate_ms)
-        chain_ms = max(longest, default=0.0)
-        return (self.queue.stretch * chain_ms + self.queue.target_ms) / 1000
+        chain_s = max(self._rests_s(), default=0.0)
+        return self.queue.stretch * chain_s + self.queue.target_ms / 1000
+
+    def _age_s(self) -> float:
+        """Returns the time since an inherited job was accepted elsewhere."""
+        if not self.is_inherited:
+            return 0.0
+        age_s = (clock.wall_ms() - self.record.accepted_ms) / 1000
+        return min(max(0.0, age_s), _MAX_AGE_S)
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -12,6 +12,7 @@
 from marigoldgap.cell import fleet
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
+from marigoldgap.cell import preemption
 from marigoldgap.cell import rooms
 from marigoldgap.cell import run_times
 
@@ -31,6 +32,12 @@
 _TICKET_LEAD_S = 2.5
 # Workers for which a gang keeps tickets.
 _MAX_TICKETS = 40
+# Runs are stopped for a gang that would wait longer than this: stopping takes
+# up to 0.9 s (`stopMs` of the platform).
+_PREEMPTION_GAIN_S = 1.2
+# Pause between two attempts to stop runs for one gang: the stops of the first
+# have arrived by then.
+_PREEMPTION_PAUSE_S = 1.5
 
 
 class Placement(NamedTuple):
@@ -48,10 +55,12 @@
     Attributes:
         placements: Tasks to start; members of a gang are all in it.
         advice: Steps that need tickets, with the workers to ask about.
+        stops: Runs to stop, each with the gang that needs their room.
     """
 
     placements: list[Placement]
     advice: list[tuple[jobs.StepProgress, list[str]]]
+    stops: list[tuple[jobs.Run, jobs.StepProgress]]
 
 
 class Planner:
@@ -95,8 +104,8 @@
             if worker.accepts(now)
         }
         self._by_rule = {}
-        plan = Plan([], [])
-        for step in sorted(steps, key=_urgency):
+        plan = Plan([], [], [])
+        for step in sorted(steps, key=lambda step: _urgency(step, now)):
             if step.not_before_s > now:
                 continue
             allowed = _allowed_tasks(step, usage, limits)
@@ -259,7 +268,7 @@
         chosen = self._gang_now(step, good, ends_s)
         if chosen is None:
             self._ask_further(step, candidates, plan)
-            at = self._reserve_gang(step, good)
+            at = self._reserve_gang(step, good, plan)
         else:
             at = self._now
             for room, count in chosen:
@@ -324,14 +333,27 @@
             plan.advice.append((step, [room.worker.worker_id for room in kept]))
 
     def _reserve_gang(
-        self, step: jobs.StepProgress, usable: list[rooms.Room]
+        self,
+        step: jobs.StepProgress,
+        usable: list[rooms.Room],
+        plan: Plan,
     ) -> float:
         """Keeps room where the gang will fit first; returns when that is."""
         found = rooms.earliest_fit(step, usable, self._now, self._times)
+        at = float("inf") if found is None else found[0]
+        if (
+            at - self._now > _PREEMPTION_GAIN_S
+            and self._now >= step.preempts_from_s
+            and not step.job.is_over_share
+            and step.lateness(self._now) is jobs.Lateness.ON_TIME
+        ):
+            step.preempts_from_s = self._now + _PREEMPTION_PAUSE_S
+            choices = preemption.choose(step, usable, self._now, self._times)
+            if choices is not None:
+                return self._make_room(step, choices, plan)
         if found is None:
-            return float("inf")
-        at, chosen = found
-        for room, count in chosen:
+            return at
+        for room, count in found[1]:
             room.reserve(
                 step.spec.demand,
                 count,
@@ -340,11 +362,37 @@
             )
         return at
 
+    def _make_room(
+        self,
+        step: jobs.StepProgress,
+        choices: list[preemption.Choice],
+        plan: Plan,
+    ) -> float:
+        """Stops runs for a gang; returns when their room will be free."""
+        at = self._now + _PREEMPTION_GAIN_S
+        for room, count, stopped in choices:
+            free = list(room.free)
+            for run in stopped:
+                rooms.release(free, run.step.spec)
+                plan.stops.append((run, step))
+            room.reserve(step.spec.demand, count, at, free)
+        return at
+
+
+def _urgency(
+    step: jobs.StepProgress, now: float
+) -> tuple[bool, int, jobs.Lateness, float]:
+    """Sorts by fair share, priority of the queue, then the objective.
 
-def _urgency(step: jobs.StepProgress) -> tuple[bool, int, float]:
-    """Sorts by fair share, then priority of the queue, then objective."""
+    Under overload, steps that are late anyway would make all others late.
+    """
     job = step.job
-    return job.is_over_share, job.queue.priority, job.deadline_s
+    return (
+        job.is_over_share,
+        job.queue.priority,
+        step.lateness(now),
+        step.deadline_s,
+    )
 
 
 def _counts(step: jobs.StepProgress) -> dict[str, int]:
--- a/src/marigoldgap/cell/rooms.py
+++ b/src/marigoldgap/cell/rooms.py
@@ -55,10 +55,9 @@
     ) -> list[int]:
         """Returns what is expected to be free at a time."""
         free = list(self.free)
-        for release, run in self.expected_ends(now, times):
-            if release <= at:
-                for part, amount in enumerate(run.step.spec.demand):
-                    free[part] += amount
+        for ends_s, run in self.expected_ends(now, times):
+            if ends_s <= at:
+                release(free, run.step.spec)
         return free
 
     def expected_ends(
@@ -88,12 +87,17 @@
     )
 
 
-def _charge(free: list[int], spec: model.StepSpec) -> None:
+def _charge(free: list[int], spec: model.StepSpec, sign: int = 1) -> None:
     if spec.uses_idle_only:
-        free[1] -= spec.demand.memory_mib
+        free[1] -= sign * spec.demand.memory_mib
         return
     for part, amount in enumerate(spec.demand):
-        free[part] -= amount
+        free[part] -= sign * amount
+
+
+def release(free: list[int], spec: model.StepSpec) -> None:
+    """Adds what a run uses to what is free."""
+    _charge(free, spec, -1)
 
 
 def copies_in(free: list[int], demand: model.Demand, bound: int) -> int:
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -202,6 +202,8 @@
                 placement.worker,
                 placement.ticket,
             )
+        for run, gang in plan.stops:
+            self.workers.preempt(run, gang)
         for step, workers in plan.advice:
             self._desk.request(step, workers)
 
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -124,7 +124,7 @@
         await self._callers.start(self.settings.callers_address)
         await self._readiness.start(self.settings.readiness_address)
         await self._peers.start(self.settings.peers_address)
-        await self._metrics.start(self.settings.metrics_address)
+        await self._serve_metrics()
         self._tasks = [
             asyncio.create_task(work)
             for work in (
@@ -149,6 +149,17 @@
         self.abort()
         _log.info("stopped")
 
+    async def _serve_metrics(self) -> None:
+        try:
+            await self._metrics.start(self.settings.metrics_address)
+        except OSError as error:
+            # Callers are served without metrics.
+            _log.error(
+                "metrics_unavailable",
+                address=self.settings.metrics_address,
+                cause=str(error),
+            )
+
     def request_stop(self) -> None:
         """Asks for a graceful shutdown."""
         self._stop.set()
--- a/src/marigoldgap/platform/job_api.py
+++ b/src/marigoldgap/platform/job_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 
 from marigoldgap import clock
@@ -18,7 +19,7 @@
 
 # How long a caller waits if it does not say.
 _DEFAULT_DEADLINE_MS = 3_000
-_JOB_ID = re.compile(r"[0-9a-f]{16}")
+_JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 _SCHEME = "token "
 _STATE_WORDS = {
     model.JobState.QUEUED: "queued",
@@ -114,9 +115,12 @@
 def _deadline_s(request: messages.Request) -> float:
     text = request.headers.get("x-deadline-ms", "")
     try:
-        return float(text) / 1000 if text else _DEFAULT_DEADLINE_MS / 1000
+        milliseconds = float(text) if text else _DEFAULT_DEADLINE_MS
     except ValueError as error:
         raise errors.InvalidRequestError(f"deadline {text!r}") from error
+    if not 0 <= milliseconds < math.inf:
+        raise errors.InvalidRequestError(f"deadline {text!r}")
+    return milliseconds / 1000
 
 
 def _error_response(error: errors.MarigoldgapError) -> messages.Response:
--- a/src/marigoldgap/platform/node_settings.py
+++ b/src/marigoldgap/platform/node_settings.py
@@ -10,6 +10,9 @@
 from marigoldgap.platform import decoding
 
 _PATH_VARIABLE = "MARIGOLDGAP_BOOT"
+# The deploy file names the port from which collectors read; without it, the
+# second port of the project's own range is used.
+_METRICS_PORT_VARIABLE = "MARIGOLDGAP_METRICS_PORT"
 _DEFAULT_PATH = "/etc/marigoldgap/node.json"
 # Ended jobs are kept this much longer than callers may ask for them.
 _KEPT_FACTOR = 1.5
@@ -36,6 +39,7 @@
     limits = fields.get("limits") or {}
     store_fields = fields.get("platform") or {}
     ports = fields.get("portRange") or [0]
+    metrics_port = os.environ.get(_METRICS_PORT_VARIABLE) or int(ports[0]) + 1
     ip = decoding.text(fields, "ip")
     is_strict = bounds.get("strictRevoke") is True
     return settings.NodeSettings(
@@ -45,7 +49,7 @@
         readiness_address=decoding.text(listen, "ready"),
         # Free for the protocol of the project.
         peers_address=f"{ip}:{int(ports[0])}",
-        metrics_address=f"{ip}:{int(ports[0]) + 1}",
+        metrics_address=f"{ip}:{metrics_port}",
         # The share is that of one core, for each of the cores.
         cores=decoding.number(limits, "cpuShare", 1)
         * decoding.number(limits, "cores", 1),
--- a/tests/features/cell/whole_path.feature
+++ b/tests/features/cell/whole_path.feature
@@ -24,6 +24,15 @@
     And the state of an unknown job is answered with 410
     And no task was started
 
+  Scenario: Identifiers and deadlines are read as the platform writes them
+    Guards against refusing capital digits, and against a deadline that is no
+    number of milliseconds and holds a caller for ever.
+    Given a cell with 1 workers and 1 instances
+    Then a job named "00000000000000AF" is accepted
+    And a submission with the deadline "nan" is answered with 400
+    And a submission with the deadline "-5" is answered with 400
+    And a submission with the deadline "soon" is answered with 400
+
   Scenario: A cancelled job stops
     Guards against tasks that run on after their job was cancelled.
     Given a cell with 1 workers and 1 instances
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -471,3 +471,48 @@
 def same_schedules(context):
     assert context.former.scheduler is not None
     assert context.former.scheduler.workers.fence == context.epoch
+
+
+@then('a job named "{job_id}" is accepted')
+def named_accepted(context, job_id):
+    answer = _submit(context, cell_world.job(), job_id)
+    assert answer[0] == 200, answer
+    loops.run(context, context.world.wait_for_state(job_id, "completed"))
+
+
+@then('a submission with the deadline "{text}" is answered with {status:d}')
+def deadline_status(context, text, status):
+    headers = (
+        ("Authorization", f"Token {cell_world.KEY}"),
+        ("X-Deadline-Ms", text),
+    )
+    answer = loops.run(
+        context,
+        context.world.call("POST", _JOB, cell_world.job(), headers=headers),
+    )
+    assert answer[0] == status, answer
+
+
+@given("the first worker runs tasks {factor:d} times slower")
+def slow_worker(context, factor):
+    context.world.workers[0].slowness = factor
+
+
+@when(
+    'a job of {tasks:d} tasks with the payload "{payload}" and the estimate'
+    " {estimate:d} ms is submitted"
+)
+def submit_estimated(context, tasks, payload, estimate):
+    body = cell_world.job(tasks, payload, estimateMs=estimate)
+    status, _ = _submit(context, body)
+    assert status == 200, status
+
+
+@then("the job is completed within {seconds:d} s")
+def completed_within(context, seconds):
+    loops.run(
+        context,
+        asyncio.wait_for(
+            context.world.wait_for_state(_JOB, "completed"), seconds
+        ),
+    )
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -19,7 +19,7 @@
     Records what breaks a promise: `violations`.
 
     Faults: `unanswered` starts are carried out without an answer;
-    `refusal` is a status for every start.
+    `refusal` is a status for every start; runs take `slowness` times as long.
     """
 
     def __init__(self, worker_id, address, store, fleet_runs, noted_done=None):
@@ -34,6 +34,7 @@
         self.refusal = 0
         # How long a higher fence takes to arrive.
         self.fence_delay_s = 0.0
+        self.slowness = 1.0
         self.is_draining = False
         self.violations = []
         self.lease_until_ms = 0
@@ -132,7 +133,11 @@
         if used + _cpu(body["spec"]) > _CAPACITY["cpu"]:
             self.violations.append(f"{name} brings the worker to {used} + more")
         self._fleet_runs[name, self.worker_id] = run
-        self.running[name] = {"run": run, "spec": body["spec"]}
+        self.running[name] = {
+            "run": run,
+            "spec": body["spec"],
+            "since": time.monotonic(),
+        }
         self._tasks.append(
             asyncio.create_task(self._work(name, run, body["spec"]))
         )
@@ -160,15 +165,23 @@
             except TimeoutError:
                 pass
         running = [
-            [name, each["run"], "", 50] for name, each in self.running.items()
+            [name, each["run"], "", self._percent(each)]
+            for name, each in self.running.items()
         ]
         return self._answer(
             {"running": running, "ended": self.ended, "born": self._born_ms}
         )
 
+    def _percent(self, run):
+        elapsed_s = time.monotonic() - run.get("since", self._born_s)
+        return min(99, int(100 * elapsed_s / max(self._needs_s(run), 0.001)))
+
+    def _needs_s(self, run):
+        milliseconds = int(run["spec"].partition("ms=")[2].split()[0] or 0)
+        return self.slowness * milliseconds / 1000
+
     async def _work(self, name, run, spec):
-        milliseconds = int(spec.partition("ms=")[2].split()[0] or 0)
-        await asyncio.sleep(milliseconds / 1000)
+        await asyncio.sleep(self._needs_s({"spec": spec}))
         if self.running.get(name, {}).get("run") == run:
             self._end(name, "failed" if "fail" in spec else "done")
 
