Keep the runs of a worker that refuses connections; limits of calls follow answers

A lost answer of the store took the full second of a call's limit. Ruled out: entries of workers as proof that a worker lives or not, since a worker may be cut off from the store as well. Limits of calls to the store follow the answers (0.4 to 2.6 s). Before: the new feature started the task twice.

--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -33,7 +33,9 @@
 _ORDER_RETRY_S = 0.1
 # How long an end may wait for the store before the lease is renewed without it.
 _STORE_WAIT_S = 1.0
-# Refused connections in a row that prove that the worker's process is gone.
+# Refused connections in a row after which a worker that was about to leave,
+# and whose entry was removed, has left. A worker that is only cut off may
+# refuse connections as well, but its entry stays.
 _REFUSALS = 3
 # A worker that refuses starts gets none for this long.
 _UNHEALTHY_PAUSE_S = 1.0
@@ -116,7 +118,10 @@
                 self._refusals = 0
                 self._owner.on_silent(self._worker, str(error))
             if self._is_certainly_gone():
-                self._owner.on_gone(self._worker, "its lease has lapsed")
+                self._owner.on_gone(
+                    self._worker,
+                    "its lease has lapsed or it has left as announced",
+                )
                 return
             await asyncio.sleep(_RETRY_S)
 
@@ -241,6 +246,8 @@
         self._owner.on_listing(self._worker, listing, sent_s)
 
     def _is_certainly_gone(self) -> bool:
-        if self._refusals >= _REFUSALS:
+        worker = self._worker
+        has_left = worker.registration.is_draining and not worker.is_listed
+        if has_left and self._refusals >= _REFUSALS:
             return True
-        return self._worker.has_lapsed(clock.now_s())
+        return worker.has_lapsed(clock.now_s())
--- a/src/marigoldgap/web/call_limit.py
+++ b/src/marigoldgap/web/call_limit.py
@@ -1,29 +1,33 @@
-"""Time limit of calls to a server that may be slow or silent.
+"""Time limit of calls to a server that may be slow, silent or lossy.
 
 A call that is given up may still be in the queue of a slow server, and its
-repetition adds to that queue. A fixed limit therefore makes a slow server
-slower, while a long one notices a silent connection late.
+repetition adds to that queue; a lost answer, on the other hand, never arrives.
+The limit therefore follows how long answers take.
 """
 
 from __future__ import annotations
 
-# Limit while answers are quick: a lost packet is sent again within it.
-_SHORTEST_S = 1.0
+# Shortest limit: a crossing between regions (40 ms) and one retransmission of
+# a lost packet (200 ms).
+_SHORTEST_S = 0.4
 # Callers of the platform wait 3 s for an answer; a call ends before that.
 _LONGEST_S = 2.6
+# Limit while nothing was answered yet: a server that starts.
+_FIRST_S = 1.0
 # Limit as a multiple of the slowest recent answer.
-_SLOWEST_FACTOR = 3.0
-# Limit after a call without an answer, as a multiple of that call's time.
+_SLOWEST_FACTOR = 8.0
+# Limit after calls without answers in a row, as a multiple of the latest.
 _SILENCE_FACTOR = 2.0
 # Part of the slowest recent answer that remains after each further answer.
-_DECAY = 0.9
+_DECAY = 0.8
 
 
 class CallLimit:
     """Follows how long answers take; all times in seconds."""
 
     def __init__(self) -> None:
-        self._slowest_s = 0.0
+        self._slowest_s = _FIRST_S / _SLOWEST_FACTOR
+        self._silences = 0
 
     @property
     def limit_s(self) -> float:
@@ -33,9 +37,16 @@
 
     def note_answer(self, took_s: float) -> None:
         """Learns from an answer."""
+        self._silences = 0
         self._slowest_s = max(took_s, _DECAY * self._slowest_s)
 
     def note_silence(self, waited_s: float) -> None:
-        """Learns from a call that was given up or lost its connection."""
-        expected_s = _SILENCE_FACTOR * waited_s / _SLOWEST_FACTOR
-        self._slowest_s = max(self._slowest_s, expected_s)
+        """Learns from a call that was given up.
+
+        A single one may be a lost answer; several in a row show a server that
+        has become slow.
+        """
+        self._silences += 1
+        if self._silences > 1:
+            expected_s = _SILENCE_FACTOR * waited_s / _SLOWEST_FACTOR
+            self._slowest_s = max(self._slowest_s, expected_s)
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -24,6 +24,23 @@
     Then every instance shows the job as "completed"
     And no task ran in two places
 
+  Scenario: A worker that is cut off and refuses connections keeps its runs
+    Guards against a second run of a task that goes on behind a cut (hunt
+    2fe06252, `workers-cut-off` of quetzal-claims).
+    Given a cell with 2 workers and 1 instances
+    When a job with the payload "ms=3500" is submitted and has begun
+    And the worker that runs it refuses connections for 2500 ms
+    Then every instance shows the job as "completed"
+    And each of its tasks was started once
+
+  Scenario: A worker that leaves as announced is given up at once
+    Guards against waiting for the lease of a worker that has left.
+    Given a cell with 2 workers and 1 instances
+    When a job with the payload "ms=1500" is submitted and has begun
+    And the worker that runs it drains and leaves
+    Then the job is completed within 4 s
+    And no task ran in two places
+
   Scenario: A draining worker gets no new tasks
     Guards against work on a worker that is about to leave.
     Given a cell with 2 workers and 1 instances
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -516,3 +516,27 @@
             context.world.wait_for_state(_JOB, "completed"), seconds
         ),
     )
+
+
+@when("the worker that runs it refuses connections for {milliseconds:d} ms")
+def refuses_connections(context, milliseconds):
+    worker = next(each for each in context.world.workers if each.running)
+
+    async def cut():
+        worker.cut_off()
+        await asyncio.sleep(milliseconds / 1000)
+        await worker.reconnect()
+
+    loops.run(context, cut())
+
+
+@when("the worker that runs it drains and leaves")
+def drains_and_leaves(context):
+    worker = next(each for each in context.world.workers if each.running)
+    worker.is_draining = True
+    worker.register()
+    scheduler = context.world.schedulers[0]
+    known = scheduler.workers.workers.get(worker.worker_id)
+    loops.run(context, loops.until(lambda: known.registration.is_draining))
+    worker.stop()
+    context.world.store.drop("servers", "", worker.worker_id)
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -58,6 +58,14 @@
         self._tasks.append(asyncio.create_task(self._beat()))
         self._tasks.append(asyncio.create_task(self._watch_lease()))
 
+    def cut_off(self):
+        """Refuses connections and goes on working."""
+        self._server.close()
+
+    async def reconnect(self):
+        """Accepts connections again."""
+        await self._server.start(self.address)
+
     def stop(self):
         """Ends the process: all runs end, connections are reset."""
         self._server.close()
