Tell callers early that the outcome of a submission is open

Ruled out: writing again after the answer, which could store a job that another instance has refused meanwhile. Change: 504 after 0.45 of the deadline while the write that is under way goes on; refusals after 0.1 s; unsent refusals after 0.7 s without the store.

--- a/src/marigoldgap/cell/job_desk.py
+++ b/src/marigoldgap/cell/job_desk.py
@@ -19,10 +19,15 @@
 
 _log = decision_log.DecisionLogger("jobs")
 
-# How long an acceptance that the store refused is tried again.
-_REFUSED_RETRY_S = 0.25
-# Without an answer of the store for this long, jobs are refused unsent.
-_AWAY_S = 1.0
+# How long an acceptance that the store refused is tried again: less than a
+# quarter of the shortest latency objective (500 ms).
+_REFUSED_RETRY_S = 0.1
+# Without an answer of the store for this long, jobs are refused unsent: longer
+# than the shortest limit of a call.
+_AWAY_S = 0.7
+# Share of the caller's time after which an open outcome is told; the rest is
+# left for a repetition at another instance.
+_HELD_SHARE = 0.45
 # When a refused caller may come back: an election takes about as long.
 RETRY_AFTER_S = 1.0
 # Pause between attempts.
@@ -84,7 +89,7 @@
         self._view = view
         self._pool = pool
         self._withdrawal_s = withdrawal_s
-        self._telling: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def is_ready(self) -> bool:
@@ -136,18 +141,39 @@
             StoreAwayError: The job was not accepted and never runs.
             OutcomeOpenError: The job may have been accepted.
         """
+        away_s = self._store_away_s()
+        if away_s > _AWAY_S:
+            # Nothing is sent, so the refusal is true; others probe the store.
+            raise StoreAwayError(f"no answer of the store for {away_s:.1f} s")
+        held_s = _HELD_SHARE * deadline_s
+        storing = asyncio.create_task(self._store_job(record, away_s, held_s))
+        self._tasks.add(storing)
+        storing.add_done_callback(self._finished)
+        done, _ = await asyncio.wait({storing}, timeout=held_s)
+        if not done:
+            # The write that is under way may store the job yet.
+            raise OutcomeOpenError(f"no answer of the store in {held_s:.1f} s")
+        storing.result()
+
+    async def _store_job(
+        self, record: model.JobRecord, away_s: float, held_s: float
+    ) -> None:
+        """Stores a job and tells the elected instance.
+
+        No write begins after `held_s`: the caller knows by then that the
+        outcome is open, and may be told elsewhere that the job is refused.
+
+        Raises:
+            StoreAwayError: The store refused; the job never runs.
+            OutcomeOpenError: The job may be stored.
+        """
         place = records.job_place(record.job_id)
         content = records.encode_job(record)
         transaction = store.Transaction(
             (store.RowCheck(place, 0),), ((place, content),)
         )
-        now = clock.now_s()
-        away_s = self._store_away_s()
-        if away_s > _AWAY_S:
-            # Nothing is sent, so the refusal is true; others probe the store.
-            raise StoreAwayError(f"no answer of the store for {away_s:.1f} s")
-        refused_until = now + (0 if away_s else _REFUSED_RETRY_S)
-        open_until = now + deadline_s - _ANSWER_MARGIN_S
+        began_s = clock.now_s()
+        refused_until = began_s + (0 if away_s else _REFUSED_RETRY_S)
         is_open = False
         while True:
             try:
@@ -161,19 +187,20 @@
             except store.StoreError as error:
                 cause = str(error)
             else:
-                measures.ACCEPTANCE_S.observe(clock.now_s() - now)
+                took_s = clock.now_s() - began_s
+                measures.ACCEPTANCE_S.observe(took_s)
                 _log.info(
                     "job_accepted",
                     job=record.job_id,
                     workspace=record.workspace,
                     queue=record.queue.name,
-                    took_s=round(clock.now_s() - now, 3),
+                    took_s=round(took_s, 3),
                 )
                 self._tell(record)
                 return
             if not is_open and clock.now_s() >= refused_until:
                 raise StoreAwayError(cause)
-            if is_open and clock.now_s() >= open_until:
+            if is_open and clock.now_s() - began_s >= held_s:
                 raise OutcomeOpenError(cause)
             await asyncio.sleep(_PAUSE_S)
 
@@ -258,8 +285,8 @@
             self._view.add_stored(record)
         except peers.NotElectedError:
             task = asyncio.create_task(self._tell_elected(record))
-            self._telling.add(task)
-            task.add_done_callback(self._telling.discard)
+            self._tasks.add(task)
+            task.add_done_callback(self._finished)
 
     async def _tell_elected(self, record: model.JobRecord) -> None:
         try:
@@ -268,6 +295,11 @@
             # The feed of the table has the job as well.
             _log.info("telling_failed", job=record.job_id, cause=str(error))
 
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            _log.info("write_ended", cause=str(error))
+
     async def _read_job(self, job_id: str) -> tuple[store.Row, model.JobRecord]:
         row = await self._read_row(records.job_place(job_id))
         if row is None:
--- a/tests/features/cell/whole_path.feature
+++ b/tests/features/cell/whole_path.feature
@@ -70,6 +70,15 @@
     When the store is silent for 3 s
     Then a submission is answered with 503 at once and says when to come back
 
+  Scenario: A caller is told early that the outcome is open
+    Guards against holding a request until its caller has no time to repeat it
+    at another instance.
+    Given a cell with 1 workers and 2 instances
+    When every answer of the store takes 2500 ms
+    Then a submission is answered with 504 within half of its deadline
+    When the store serves again
+    Then the submission is stored and its job is completed once
+
   Scenario: A submission whose answer from the store is lost is settled
     Guards against telling the caller that a stored job was refused.
     Given a cell with 1 workers and 1 instances
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -21,6 +21,8 @@
 _JOB = "00000000000000a1"
 _OTHER_JOB = "00000000000000b2"
 _FAST_S = 1.5
+# How long a caller waits that does not say (PROTOCOL.md of the users).
+_DEADLINE_S = 3.0
 
 
 def _names(context):
@@ -205,6 +207,7 @@
 @when("the store serves again")
 def serve_again(context):
     context.world.store.refusal = 0
+    context.world.store.delay_s = 0.0
     loops.run(context, asyncio.sleep(0.3))
 
 
@@ -467,6 +470,26 @@
     loops.run(context, asyncio.sleep(seconds))
 
 
+@when("every answer of the store takes {milliseconds:d} ms")
+def slow_answers(context, milliseconds):
+    context.world.store.delay_s = milliseconds / 1000
+
+
+@then("a submission is answered with {status:d} within half of its deadline")
+def answered_early(context, status):
+    context.tasks = 1
+    began = time.monotonic()
+    answer = _submit(context, cell_world.job())
+    assert answer[0] == status, answer
+    assert time.monotonic() - began < _DEADLINE_S / 2
+
+
+@then("the submission is stored and its job is completed once")
+def stored_once(context):
+    shown_everywhere(context, "completed")
+    started_once(context)
+
+
 @then("the same instance schedules as before")
 def same_schedules(context):
     assert context.former.scheduler is not None
