Restore the fair shares of jobs at an election

Cause: jobs of earlier elections all counted as within their workspace's fair rate, so that one large workspace got more than its share after each election. Change: the rates follow the time of acceptance, which is stored, and inherited jobs are counted in that order. After: the first 5 of 20 jobs are within the rate.

--- a/src/marigoldgap/cell/job_book.py
+++ b/src/marigoldgap/cell/job_book.py
@@ -166,18 +166,32 @@
             lambda: json_object.encode(job.encode()),
         )
 
+    def count_inherited_shares(self) -> None:
+        """Tells the restored jobs within their fair rate from those beyond."""
+        inherited = sorted(
+            self.jobs.values(), key=lambda job: job.record.accepted_ms
+        )
+        for job in inherited:
+            self._count_share(job)
+
+    def _count_share(self, job: jobs.Job) -> None:
+        configuration = self._configuration()
+        if configuration is None:
+            return
+        workspace = configuration.workspaces.get(job.record.workspace)
+        if workspace is not None:
+            job.is_over_share = self._rates.is_over(
+                workspace, job.record.accepted_ms / 1000
+            )
+
     def _new(self, record: model.JobRecord, run_floor: int) -> jobs.Job:
         configuration = self._configuration()
         queue = record.queue
         if configuration is not None:
             queue = configuration.queue_named(queue.name) or queue
-            workspace = configuration.workspaces.get(record.workspace)
-        else:
-            workspace = None
-        now = clock.now_s()
-        job = jobs.Job(record, queue, now, run_floor)
-        if workspace is not None and not run_floor:
-            job.is_over_share = self._rates.is_over(workspace, now)
+        job = jobs.Job(record, queue, clock.now_s(), run_floor)
+        if not run_floor:
+            self._count_share(job)
         job.open_due(clock.wall_ms())
         self.jobs[record.job_id] = job
         return job
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -117,6 +117,7 @@
         for page in pages[1:]:
             for row in page.rows:
                 self.jobs.restore(row, progress.pop(row.place.key, None))
+        self.jobs.count_inherited_shares()
         for row in progress.values():
             # The job's own row was removed by an earlier election.
             self._versions[row.place] = row.version
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -92,3 +92,10 @@
     And 4 waiting tasks of 1 core that can be on time
     When a plan is made
     Then only tasks that can be on time start
+
+  Scenario: A new election knows which jobs are beyond the fair rate
+    Guards against one workspace that gets more than its share after each
+    election.
+    Given 20 stored jobs of a workspace with a fair rate of 1 job a second
+    When they are restored in any order
+    Then the 5 that were accepted first are within the fair rate
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+import random
+
 from behave import given
 from behave import then
 from behave import when
 import hypothesis
 from hypothesis import strategies
 
+from marigoldgap.cell import duty
 from marigoldgap.cell import fleet
+from marigoldgap.cell import job_book
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import planner
+from marigoldgap.cell import records
 from marigoldgap.cell import run_times
+from marigoldgap.cell import store
 
 _NOW = 100.0
 _CORE = 1000
@@ -298,3 +304,46 @@
         worker.worker_id for worker in context.fleet.values() if not worker.runs
     }
     assert with_room <= set(names[:100]), names
+
+
+@given(
+    "{count:d} stored jobs of a workspace with a fair rate of 1 job a second"
+)
+def stored_jobs(context, count):
+    context.records = [
+        model.JobRecord(
+            f"{number:016x}",
+            _queue(),
+            "team",
+            # All within 0.2 s: a burst beyond the rate.
+            1_000_000 + 10 * number,
+            model.JobSpec("", (model.StepSpec(1, model.Demand(1)),)),
+        )
+        for number in range(count)
+    ]
+
+
+@when("they are restored in any order")
+def restore_jobs(context):
+    workspace = model.Workspace("team", 1.0, model.Demand())
+    limits = model.RequestLimits(0, 0, 0, 0)
+    configuration = model.Configuration(1, (), {}, {"team": workspace}, limits)
+    context.book = job_book.JobBook(
+        duty.Duty(2, None), lambda: configuration, {}
+    )
+    for record in random.Random(1).sample(context.records, 20):
+        place = records.job_place(record.job_id)
+        row = store.Row(place, records.encode_job(record), 1)
+        context.book.restore(row, None)
+    context.book.count_inherited_shares()
+
+
+@then("the {count:d} that were accepted first are within the fair rate")
+def first_within(context, count):
+    within = [
+        job_id
+        for job_id, job in context.book.jobs.items()
+        if not job.is_over_share
+    ]
+    first = [record.job_id for record in context.records[:count]]
+    assert sorted(within) == first, within
