--- a/src/marigoldgap/cell/run_book.py
+++ b/src/marigoldgap/cell/run_book.py
@@ -137,7 +137,7 @@
         )
         step.keep_saved(task.position, ended.saved)
         job.has_begun = True
-        if ended.how is model.HowEnded.DONE:
+        if ended.how is model.HowEnded.DONE and not step.spec.is_long_running:
             step.mark_done(task.position)
             other = step.active.get(task.position)
             if other is not None:
@@ -201,11 +201,13 @@
         self._release(run)
         if how is model.HowEnded.DONE:
             run.worker.record_done()
-            self._times.record(step, now - run.started_s)
-            step.mark_done(index)
-            other = step.active.get(index)
-            if other is not None:
-                self.stop(other, "another run is done")
+            # A service goes on until its job is cancelled.
+            if not step.spec.is_long_running:
+                self._times.record(step, now - run.started_s)
+                step.mark_done(index)
+                other = step.active.get(index)
+                if other is not None:
+                    self.stop(other, "another run is done")
         elif how is model.HowEnded.FAILED:
             if run.worker.record_failure(step.job.job_id, now):
                 _log.warning("worker_quarantined", worker=run.worker.worker_id)
--- a/tests/features/cell/whole_path.feature
+++ b/tests/features/cell/whole_path.feature
@@ -70,6 +70,16 @@
     When the store is silent for 3 s
     Then a submission is answered with 503 at once and says when to come back
 
+  Scenario: A service is started again however its task ends
+    Guards against a service that counts as completed.
+    Given a cell with 1 workers and 1 instances
+    When a service with the payload "ms=100 lasts" is submitted
+    Then its task is started at least 3 times
+    And every instance shows the job as "running"
+    When the job is cancelled
+    Then every instance shows the job as "cancelled"
+    And nothing runs
+
   Scenario: An occurrence starts at its time while the cell is busy
     Guards against timed work that waits until nothing else happens.
     Given a cell with 1 workers and 1 instances
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -596,3 +596,16 @@
     assert _names(context)
     took_ms = 1000 * (time.monotonic() - context.submitted)
     assert least <= took_ms <= most, took_ms
+
+
+@when('a service with the payload "{payload}" is submitted')
+def submit_service(context, payload):
+    body = cell_world.job(1, payload, longRunning=True)
+    status, _ = _submit(context, body)
+    assert status == 200, status
+
+
+@then("its task is started at least {times:d} times")
+def started_at_least(context, times):
+    loops.run(context, loops.until(lambda: len(_names(context)) >= times))
+    no_two_places(context)
