--- a/src/marigoldgap/cell/advice_desk.py
+++ b/src/marigoldgap/cell/advice_desk.py
@@ -25,6 +25,8 @@
 _SLOW_CALL_S = 0.1
 # Share of the lanes that slow calls leave to quick ones.
 _QUICK_SHARE = 0.25
+# Calls that a gang makes at the same time, each about 100 workers.
+_GANG_CALLS = 2
 # A lane that failed is not used for this long.
 _LANE_PAUSE_S = 1.0
 # Limit of a call beyond its own time: the way to the lane and the service.
@@ -80,13 +82,20 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def request(self, step: jobs.StepProgress, workers: list[str]) -> None:
-        """Asks for tickets of a step; the answer is put into the step."""
+        """Asks for tickets of a step; the answer is put into the step.
+
+        A gang needs many workers, so that it asks about all of them at once,
+        in several calls; for other steps one call is enough.
+        """
         if step.is_asking or not workers:
             return
-        step.is_asking = True
-        self._waiting.append(
-            _Request(step, workers[: ports.MAX_ADVISED_WORKERS], clock.now_s())
-        )
+        most = ports.MAX_ADVISED_WORKERS
+        calls = _GANG_CALLS if step.spec.is_gang else 1
+        now = clock.now_s()
+        for first in range(0, min(len(workers), calls * most), most):
+            step.open_questions += 1
+            asked = workers[first : first + most]
+            self._waiting.append(_Request(step, asked, now))
         self._dispatch()
 
     def close(self) -> None:
@@ -121,7 +130,7 @@
 
     def _drop(self, request: _Request) -> None:
         self._waiting.remove(request)
-        request.step.is_asking = False
+        request.step.open_questions -= 1
 
     async def _ask(self, lane: Lane, request: _Request) -> None:
         step = request.step
@@ -147,7 +156,7 @@
             self._record(request, tickets, started_s)
         finally:
             self._busy.pop(lane.name, None)
-            step.is_asking = False
+            step.open_questions -= 1
         self._dispatch()
         self._answered()
 
--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -100,12 +100,12 @@
         "done",
         "failures",
         "good",
-        "is_asking",
         "job",
         "last_run",
         "not_before_s",
         "number",
         "occurrence",
+        "open_questions",
         "preempts_from_s",
         "rest_s",
         "saved",
@@ -144,7 +144,8 @@
         self.asked: set[str] = set()
         self.good: dict[str, None] = {}
         self.tickets: dict[str, tuple[str, float]] = {}
-        self.is_asking = False
+        # Calls for advice that are not answered yet.
+        self.open_questions = 0
 
     @property
     def is_done(self) -> bool:
@@ -170,6 +171,11 @@
             return Lateness.LATE
         return Lateness.HOPELESS
 
+    @property
+    def is_asking(self) -> bool:
+        """Whether advice was asked for and is not complete yet."""
+        return self.open_questions > 0
+
     @property
     def advice_name(self) -> str:
         """Name of the step for the advice service."""
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -99,3 +99,10 @@
     Given 20 stored jobs of a workspace with a fair rate of 1 job a second
     When they are restored in any order
     Then the 5 that were accepted first are within the fair rate
+
+  Scenario: A gang asks about all workers of a larger fleet at once
+    Guards against gangs that learn one part of their workers after the other.
+    Given 130 workers with 4 cores each
+    And a waiting gang of a queue with advice
+    When a plan is made and its questions are asked on 4 lanes
+    Then 2 lanes are asked about 130 workers in all
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 from behave import given
@@ -10,6 +11,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from marigoldgap.cell import advice_desk
 from marigoldgap.cell import duty
 from marigoldgap.cell import fleet
 from marigoldgap.cell import job_book
@@ -19,6 +21,7 @@
 from marigoldgap.cell import records
 from marigoldgap.cell import run_times
 from marigoldgap.cell import store
+from tests.fixtures import loops
 
 _NOW = 100.0
 _CORE = 1000
@@ -347,3 +350,44 @@
     ]
     first = [record.job_id for record in context.records[:count]]
     assert sorted(within) == first, within
+
+
+@given("a waiting gang of a queue with advice")
+def advised_gang(context):
+    step = _wait(context, 8, 1, is_gang=True)
+    advice = model.PlacementAdvice(10, 1, 1_500)
+    step.job.queue = step.job.queue._replace(advice=advice)
+
+
+class _Lane:
+    """Records what it is asked and never answers."""
+
+    def __init__(self, name):
+        self.name = name
+        self.asked = []
+
+    async def ask(self, step, workers, timeout_s):
+        self.asked.extend(workers)
+        await asyncio.sleep(timeout_s)
+
+
+@when("a plan is made and its questions are asked on {count:d} lanes")
+def ask_on_lanes(context, count):
+    make_plan(context)
+    context.lanes = [_Lane(f"lane {number}") for number in range(count)]
+
+    async def ask():
+        desk = advice_desk.AdviceDesk(lambda: context.lanes, lambda: None)
+        for step, workers in context.plan.advice:
+            desk.request(step, workers)
+        await asyncio.sleep(0)
+        desk.close()
+
+    loops.run(context, ask())
+
+
+@then("{count:d} lanes are asked about {workers:d} workers in all")
+def asked_in_all(context, count, workers):
+    asked = [lane.asked for lane in context.lanes if lane.asked]
+    assert len(asked) == count, asked
+    assert len({each for names in asked for each in names}) == workers
