Ignore reload signals before the first import; soak keeps connections open

The soak opened a connection for each call. Change: nothing is imported before the signal is ignored; the soak's callers use open connections until the process is gone, and it refuses at links of workers, slows the store and slows workers.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -39,6 +39,8 @@
         self._draw = draw
         self._nodes = nodes
         self._host, self._prefix, self._key = queue
+        # Open connections by address, used until the process is gone.
+        self._idle: dict[str, list[client.Connection]] = {}
 
     async def submit(self, job_id: str) -> None:
         """Submits a job like a client with retries, and records the outcome."""
@@ -107,14 +109,23 @@
             len(body),
             (("Authorization", f"Token {self._key}"),),
         )
+        idle = self._idle.setdefault(node.callers_address, [])
+        while idle and not idle[-1].is_open:
+            idle.pop()
         try:
-            connection = await client.connect(node.callers_address)
+            connection = (
+                idle.pop()
+                if idle
+                else await client.connect(node.callers_address)
+            )
         except errors.MarigoldgapError:
             # Nothing was sent, so the job cannot have been accepted.
             return messages.Response(503)
         try:
-            return await connection.exchange(head, body, _ANSWER_TIMEOUT_S)
+            answer = await connection.exchange(head, body, _ANSWER_TIMEOUT_S)
         except errors.MarigoldgapError:
-            return None
-        finally:
             connection.close()
+            return None
+        if connection.is_open:
+            idle.append(connection)
+        return answer
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -87,6 +87,36 @@
     await _harm_links(world, world.draw.sample(world.worker_links, 2))
 
 
+@_fault
+async def refuse_at_worker_links(world: worlds.World) -> None:
+    """Refuses connections to workers that run on."""
+    links = world.draw.sample(world.worker_links, 2)
+    for link in links:
+        link.close()
+    await asyncio.sleep(world.draw.uniform(0.5, _LONGEST_S))
+    for link in links:
+        # A link may have been given up with its worker meanwhile.
+        if link in world.worker_links:
+            await link.start()
+
+
+@_fault
+async def slow_store(world: worlds.World) -> None:
+    """Makes each call to the store slow."""
+    world.store.delay_s = world.draw.uniform(0.1, 0.9)
+    await asyncio.sleep(world.draw.uniform(0.5, _LONGEST_S))
+    world.store.delay_s = 0.0
+
+
+@_fault
+async def slow_worker(world: worlds.World) -> None:
+    """Makes new runs on a worker slow."""
+    worker = world.draw.choice(world.workers)
+    worker.slowness = world.draw.uniform(3, 10)
+    await asyncio.sleep(world.draw.uniform(0.5, _LONGEST_S))
+    worker.slowness = 1.0
+
+
 @_fault
 async def reset_links(world: worlds.World) -> None:
     """Breaks all connections to the store and to workers."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -36,7 +36,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
-        """Starts to listen."""
+        """Starts to listen, unless it does."""
+        if self._server is not None:
+            return
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
@@ -49,6 +51,7 @@
         """Stops listening and breaks all connections."""
         if self._server is not None:
             self._server.close()
+            self._server = None
         self.reset()
         for task in self._tasks:
             task.cancel()
--- a/soak/world.py
+++ b/soak/world.py
@@ -165,7 +165,10 @@
                 if instance.is_running:
                     continue
                 if not instance.is_ending:
-                    self.violations.append(f"{instance.name} ended by itself")
+                    self.violations.append(
+                        f"{instance.name} ended by itself with"
+                        f" {instance.wait(0)}"
+                    )
                 instance.start()
 
     async def _check_end(self) -> None:
--- a/src/marigoldgap/node/__main__.py
+++ b/src/marigoldgap/node/__main__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import signal
 import sys
 
@@ -13,6 +12,8 @@
     """Serves until a signal asks to stop; returns the exit code."""
     # A reload signal during the imports below would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    import asyncio
+
     from marigoldgap import decision_log
     from marigoldgap import errors
     from marigoldgap.node import process
--- a/tests/features/node/start.feature
+++ b/tests/features/node/start.feature
@@ -1,7 +1,7 @@
 Feature: A process starts under signals and reports unusable settings
 
   Scenario: A reload signal does not end a process that is starting
-    Guards against a SIGHUP before its handler is installed (soak seeds 311, 323).
+    Guards against a SIGHUP before its handler is installed (soak seeds 311, 323, 412).
     When a process starts
     Then SIGHUP is ignored before anything large is imported
 
--- a/tests/features/steps/node_steps.py
+++ b/tests/features/steps/node_steps.py
@@ -17,7 +17,7 @@
 
 class Finder:
     def find_spec(self, name, path=None, target=None):
-        if name == "marigoldgap.node.process":
+        if name in ("asyncio", "marigoldgap.node.process"):
             print(signal.getsignal(signal.SIGHUP) == signal.SIG_IGN)
             sys.exit(0)
 
