A late claim does not end the wait for workers; lost answers start no election

Ruled out: a silent store as a reason to hand over; others notice the beat that stands still as soon. Change: only a duty that was given up after all workers obeyed skips the wait, and the wait is for every worker that has not answered; the duty is offered only while the store refuses calls; two calls without an answer in a row count as lost answers, not as a slow store.

--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -50,12 +50,15 @@
         instance: Name of the instance.
         address: `ip:port` for calls of its peers.
         is_released: Whether it has given its duty up.
+        was_obeyed: Whether all workers had obeyed it when it gave its duty up,
+            so that no earlier instance starts anything either.
     """
 
     epoch: int
     instance: str
     address: str
     is_released: bool
+    was_obeyed: bool = False
 
 
 class Won(NamedTuple):
@@ -65,8 +68,9 @@
         election: The election row as it was written.
         epoch: Number of the election.
         roster: The stored roster, if there is one.
-        is_former_idle: Whether the former elected instance certainly starts
-            nothing any more: it gave its duty up or has ended.
+        is_former_idle: Whether no former elected instance starts anything any
+            more. A row that names this instance proves nothing: the claim may
+            have taken effect late, while the one before works on.
     """
 
     election: store.Row
@@ -198,9 +202,16 @@
             return
         self._wake.clear()
 
-    async def release(self, won: Won) -> None:
-        """Gives the duty up, so that another instance takes over at once."""
-        row = Elected(won.epoch, self._instance, self._address, True)
+    async def release(self, won: Won, was_obeyed: bool) -> None:
+        """Gives the duty up, so that another instance takes over at once.
+
+        Args:
+            won: The election that this instance has won.
+            was_obeyed: Whether all workers obey this instance.
+        """
+        row = Elected(
+            won.epoch, self._instance, self._address, True, was_obeyed
+        )
         check = store.RowCheck(won.election.place, won.election.version)
         await self._rows.transact(
             store.Transaction((check,), ((records.ELECTION, _encode(row)),))
@@ -284,9 +295,7 @@
         roster = next(
             (each for each in page.rows if each.place == records.ROSTER), None
         )
-        is_former_idle = former is None or (
-            former.is_released or former.instance == self._instance
-        )
+        is_former_idle = former is None or former.was_obeyed
         return Won(election, epoch, roster, is_former_idle)
 
     async def _settle(self, content: bytes) -> int:
--- a/src/marigoldgap/cell/journal.py
+++ b/src/marigoldgap/cell/journal.py
@@ -10,7 +10,6 @@
 import asyncio
 from collections.abc import Callable
 
-from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap.cell import store
 
@@ -21,8 +20,9 @@
 _ROWS_PER_TRANSACTION = 48
 # Shortest time between transactions; joins the writes of many ends.
 _GATHER_S = 0.02
-# Pause after a failed transaction.
-_RETRY_S = 0.1
+# Pause after a failed transaction; a few of them and the limits of their calls
+# must fit into the time after which the beat counts as standing still.
+_RETRY_S = 0.03
 
 
 class DeposedError(store.StoreError):
@@ -53,9 +53,6 @@
         self._dirty = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
         self._is_writing = False
-        # Since when the oldest write is waiting, and since when it is refused.
-        self.waiting_since_s: float | None = None
-        self.refused_since_s: float | None = None
 
     def mark(
         self, place: store.RowKey, encode: Callable[[], bytes | None]
@@ -101,14 +98,12 @@
         self, documents: dict[store.RowKey, Callable[[], bytes | None]]
     ) -> None:
         contents = {place: encode() for place, encode in documents.items()}
-        self.waiting_since_s = clock.now_s()
         while True:
             try:
                 version = await self._rows.transact(self._transaction(contents))
             except store.CheckFailedError as error:
                 if not self._settle(contents, error.rows):
                     continue
-                self._note_success()
                 return
             except store.StoreError as error:
                 _log.warning(
@@ -118,13 +113,8 @@
                 continue
             for place in contents:
                 self._versions[place] = version
-            self._note_success()
             return
 
-    def _note_success(self) -> None:
-        self.waiting_since_s = None
-        self.refused_since_s = None
-
     def _transaction(
         self, contents: dict[store.RowKey, bytes | None]
     ) -> store.Transaction:
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -28,10 +28,10 @@
 
 # Interval of the beat that shows that the elected instance works.
 BEAT_S = 0.3
-# Without the store for this long, the duty is offered to other instances:
-# where it refuses, and where it does not answer.
-_REFUSED_LIMIT_S = 0.25
-_SILENT_LIMIT_S = 0.9
+# Refused by the store for this long, the duty is offered to other instances.
+# Answers that are lost are lost for all; a store that is silent for this
+# instance only lets its beat stand still, which the others notice as soon.
+_REFUSED_LIMIT_S = 0.3
 # Pause between two looks at that.
 _STORE_WATCH_S = 0.1
 # Shortest time between two plans.
@@ -55,8 +55,9 @@
         configuration: Returns the configuration in force.
         offer: Offers the duty to other instances; returns whether one took it.
         kept_s: How long ended jobs are kept.
-        is_former_idle: Whether the former elected instance starts nothing any
+        is_former_idle: Whether no former elected instance starts anything any
             more.
+        store_refused_s: Returns for how long the store has refused all calls.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         offer: Callable[[int], Awaitable[bool]],
         kept_s: float,
         is_former_idle: bool,
+        store_refused_s: Callable[[], float],
     ) -> None:
         self.is_recovered = False
         # Version of the store up to which the jobs were read.
@@ -77,6 +79,7 @@
         self._rows = rows
         self._configuration = configuration
         self._offer = offer
+        self._store_refused_s = store_refused_s
         self._versions: dict[store.RowKey, int] = {}
         self._duty = duties.Duty(
             fence, journal.Journal(rows, election, self._versions)
@@ -234,14 +237,11 @@
         """Offers the duty to others while the store does not serve it."""
         while True:
             await asyncio.sleep(_STORE_WATCH_S)
-            now = clock.now_s()
-            refused = self._duty.journal.refused_since_s
-            waiting = self._duty.journal.waiting_since_s
-            is_away = (
-                refused is not None and now - refused > _REFUSED_LIMIT_S
-            ) or (waiting is not None and now - waiting > _SILENT_LIMIT_S)
-            if is_away and await self._offer(self._duty.fence):
-                _log.warning("duty_handed_over")
+            refused_s = self._store_refused_s()
+            if refused_s > _REFUSED_LIMIT_S and await self._offer(
+                self._duty.fence
+            ):
+                _log.warning("duty_handed_over", refused_s=round(refused_s, 3))
                 self._duty.depose()
 
     async def _beat(self) -> None:
--- a/src/marigoldgap/cell/worker_book.py
+++ b/src/marigoldgap/cell/worker_book.py
@@ -51,8 +51,8 @@
         port: Calls to workers.
         book: The jobs.
         times: Learns run times.
-        is_former_idle: Whether the former elected instance starts nothing any
-            more; what it started is stored and listed.
+        is_former_idle: Whether no former elected instance starts anything any
+            more; what was started is stored and listed.
     """
 
     def __init__(
@@ -92,11 +92,7 @@
             or clock.now_s() > self._began_s + _FENCING_LIMIT_S
         ):
             return False
-        return any(
-            worker.contact is fleet.Contact.JOINING
-            for worker in self.workers.values()
-            if worker.worker_id in self.unresolved
-        )
+        return bool(self.unresolved)
 
     def flushed(self) -> asyncio.Future[None]:
         """Returns a future that is done when what is known is stored."""
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -207,7 +207,8 @@
         scheduler.stop_planning()
         try:
             await asyncio.wait_for(scheduler.flushed(), 1.0)
-            await self._election.release(won)
+            was_obeyed = not scheduler.workers.is_fencing
+            await self._election.release(won, was_obeyed)
             await asyncio.wait_for(self._offer_duty(won.epoch), 1.0)
         except (TimeoutError, errors.MarigoldgapError) as error:
             _log.warning("hand_over_failed", cause=str(error))
@@ -224,6 +225,7 @@
             self._offer_duty,
             self.settings.kept_s,
             won.is_former_idle,
+            lambda: self._rows.refused_s,
         )
         self._scheduler = scheduler
         self._won = won
--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -37,6 +37,7 @@
         self._limit = call_limit.CallLimit()
         self.last_success_s = -1.0
         self.last_failure_s = -1.0
+        self._refused_since_s: float | None = None
 
     @property
     def is_reachable(self) -> bool:
@@ -50,6 +51,13 @@
             return 0.0
         return clock.now_s() - self.last_success_s
 
+    @property
+    def refused_s(self) -> float:
+        """Time for which the store has refused calls and answered none."""
+        if self._refused_since_s is None:
+            return 0.0
+        return clock.now_s() - self._refused_since_s
+
     async def transact(self, transaction: store.Transaction) -> int:
         """Applies a transaction; returns its version.
 
@@ -147,6 +155,8 @@
         measures.STORE_CALLS_S.labels(call).observe(took_s)
         if wait_s is None:
             self._limit.note_answer(took_s)
+        else:
+            self._limit.note_alive()
         return answer
 
     async def _exchange(
@@ -157,13 +167,13 @@
                 method, self._address, path, body, timeout_s
             )
         except messages.NotConnectedError as error:
-            self._note_failure(str(error))
+            self._note_refusal(str(error))
             raise store.StoreRefusedError(str(error)) from error
         except messages.ExchangeError as error:
             self._note_failure(str(error))
             raise store.StoreUnknownError(str(error)) from error
         if answer.status in _REFUSED_STATUSES:
-            self._note_failure(f"store answered {answer.status}")
+            self._note_refusal(f"store answered {answer.status}")
             raise store.StoreRefusedError(f"store answered {answer.status}")
         if answer.status not in (200, 410, 412):
             raise store.StoreError(
@@ -172,8 +182,14 @@
         if not self.is_reachable:
             _log.info("store_regained", call=path.partition("?")[0])
         self.last_success_s = clock.now_s()
+        self._refused_since_s = None
         return answer
 
+    def _note_refusal(self, cause: str) -> None:
+        if self._refused_since_s is None:
+            self._refused_since_s = clock.now_s()
+        self._note_failure(cause)
+
     def _note_failure(self, cause: str) -> None:
         if self.is_reachable:
             _log.warning("store_lost", cause=cause)
--- a/tests/features/cell/takeover.feature
+++ b/tests/features/cell/takeover.feature
@@ -76,3 +76,21 @@
     Given a cell with 1 workers and 2 instances
     When every answer of the store takes 950 ms for 6 s
     Then the same instance schedules as before
+
+  Scenario: A claim that takes effect late does not end the wait for workers
+    Guards against two runs when a claim without an answer is applied after it
+    was given up (hunt 51e7bded, `mix --seed 828112860680` of cordero-agenda).
+    Given a cell with 2 workers and 2 instances
+    When a job with the payload "ms=3000" is submitted and has begun
+    And the worker that runs it obeys a new election 600 ms late
+    And a claim of the other instance takes effect late
+    And another job is submitted to the former elected instance at once
+    Then the other job is completed
+    And no task ran in two places
+    And the other job was started once
+
+  Scenario: Lost answers of the store start no election
+    Guards against handing over what no other instance can do better.
+    Given a cell with 1 workers and 2 instances
+    When the store loses the answers of 3 writes
+    Then the same instance schedules as before
--- a/tests/features/steps/cell_journal_steps.py
+++ b/tests/features/steps/cell_journal_steps.py
@@ -29,9 +29,11 @@
         self.held = []
         # Transactions wait for this event before they are applied.
         self.gate = None
+        self.is_waiting = False
 
     async def transact(self, transaction):
         if self.gate is not None:
+            self.is_waiting = True
             await self.gate.wait()
         fault = self.faults.pop(0) if self.faults else None
         if fault == "hold":
@@ -123,7 +125,7 @@
     async def begin():
         context.rows.gate = asyncio.Event()
         context.journal.mark(_PLACE, lambda: b"content")
-        await loops.until(lambda: context.journal.waiting_since_s is not None)
+        await loops.until(lambda: context.rows.is_waiting)
 
     loops.run(context, begin())
 
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -609,3 +609,43 @@
 def started_at_least(context, times):
     loops.run(context, loops.until(lambda: len(_names(context)) >= times))
     no_two_places(context)
+
+
+class _SilentStore:
+    """Never answers a write."""
+
+    async def transact(self, transaction):
+        await asyncio.sleep(60)
+
+
+@when("a claim of the other instance takes effect late")
+def late_claim(context):
+    context.former = context.world.elected()
+    other = next(
+        each for each in context.world.instances if each is not context.former
+    )
+    epoch = context.former.scheduler.workers.fence
+    claim = {
+        "epoch": epoch + 1,
+        "instance": other.settings.name,
+        "address": other.settings.peers_address,
+        "is_released": False,
+    }
+    row = records.ELECTION
+    content = json_object.encode(claim)
+    # The former instance gets no answers to its writes, so that it goes on.
+    context.former.scheduler._duty.journal._rows = _SilentStore()
+    context.world.store.put(row.table, row.partition, row.key, content)
+    loops.run(
+        context,
+        loops.until(lambda: other.scheduler and other.scheduler.is_recovered),
+    )
+
+
+@when("the store loses the answers of {count:d} writes")
+def lose_answers(context, count):
+    context.former = context.world.elected()
+    context.epoch = context.former.scheduler.workers.fence
+    context.world.store.lost = count
+    loops.run(context, loops.until(lambda: not context.world.store.lost))
+    loops.run(context, asyncio.sleep(1.0))
--- a/tests/standins/cell/store.py
+++ b/tests/standins/cell/store.py
@@ -16,8 +16,8 @@
 class StoreStandIn:
     """Keeps rows in memory.
 
-    Faults: `refusal` is a status for every call; `lost` answers are withheld
-    after the write took effect; `is_silent` withholds every answer;
+    Faults: `refusal` is a status for every call; `lost` answers of writes are
+    withheld, after the write took effect if its checks hold; `is_silent` withholds every answer;
     `delay_s` is what each call takes.
     """
 
@@ -88,6 +88,7 @@
             for row, each in zip(current, checks, strict=True)
         ):
             found = [row for row in current if row["ver"]]
+            await self._lose_answer()
             return self._answer({"rows": found}, 412)
         self.version += 1
         for each in body["setKeys"]:
@@ -97,10 +98,13 @@
             self.rows.pop(_place(each), None)
             self.removed[_place(each)] = self.version
         self._notify()
+        await self._lose_answer()
+        return self._answer({})
+
+    async def _lose_answer(self):
         if self.lost:
             self.lost -= 1
             await asyncio.sleep(60)
-        return self._answer({})
 
     def _read(self, fields):
         first, end = fields.get("from", ""), fields.get("target")
