Waiting gangs keep tickets where they hold room

Change: tickets are asked for where room is held, then where most is free. Before: the new feature asked about 40 full workers. After: about all with room.

--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -268,13 +268,13 @@
         chosen = self._gang_now(step, good, ends_s)
         if chosen is None:
             self._ask_further(step, candidates, plan)
-            at = self._reserve_gang(step, good, plan)
+            at, kept = self._reserve_gang(step, good, plan)
         else:
-            at = self._now
+            at, kept = self._now, [room for room, _ in chosen]
             for room, count in chosen:
                 room.reserve(step.spec.demand, count, at, list(room.free))
         if at - self._now <= _TICKET_LEAD_S:
-            self._keep_tickets(step, good, plan)
+            self._keep_tickets(step, kept, good, plan)
 
     def _place_gang(
         self,
@@ -313,17 +313,25 @@
         return rooms.pick_members(step, found)
 
     def _keep_tickets(
-        self, step: jobs.StepProgress, good: list[rooms.Room], plan: Plan
+        self,
+        step: jobs.StepProgress,
+        reserved: list[rooms.Room],
+        good: list[rooms.Room],
+        plan: Plan,
     ) -> None:
         """Renews the tickets of a waiting gang before they end.
 
-        The call takes most of the time that a ticket is valid, so a gang with
-        tickets on all its workers can start when the last member has room.
+        The call takes most of the time that a ticket is valid, so the gang has
+        tickets where it holds room, and on further workers as far as a call
+        goes, and can start when the last member has room.
         """
         advice = step.job.queue.advice
         if advice is None or step.is_asking:
             return
-        kept = good[:_MAX_TICKETS]
+        held = set(map(id, reserved))
+        others = [room for room in good if id(room) not in held]
+        others.sort(key=lambda room: -room.free[0])
+        kept = [*reserved, *others][:_MAX_TICKETS]
         call_s = (advice.decide_ms + advice.each_ms * len(kept)) / 1000
         renew_from = self._now + TICKET_MARGIN_S + call_s
         if any(
@@ -337,8 +345,8 @@
         step: jobs.StepProgress,
         usable: list[rooms.Room],
         plan: Plan,
-    ) -> float:
-        """Keeps room where the gang will fit first; returns when that is."""
+    ) -> tuple[float, list[rooms.Room]]:
+        """Keeps room where the gang will fit first; returns when and where."""
         found = rooms.earliest_fit(step, usable, self._now, self._times)
         at = float("inf") if found is None else found[0]
         if (
@@ -352,7 +360,7 @@
             if choices is not None:
                 return self._make_room(step, choices, plan)
         if found is None:
-            return at
+            return at, []
         for room, count in found[1]:
             room.reserve(
                 step.spec.demand,
@@ -360,15 +368,15 @@
                 at,
                 room.free_at(at, self._now, self._times),
             )
-        return at
+        return at, [room for room, _ in found[1]]
 
     def _make_room(
         self,
         step: jobs.StepProgress,
         choices: list[preemption.Choice],
         plan: Plan,
-    ) -> float:
-        """Stops runs for a gang; returns when their room will be free."""
+    ) -> tuple[float, list[rooms.Room]]:
+        """Stops runs for a gang; returns when and where their room is free."""
         at = self._now + _PREEMPTION_GAIN_S
         for room, count, stopped in choices:
             free = list(room.free)
@@ -376,7 +384,7 @@
                 rooms.release(free, run.step.spec)
                 plan.stops.append((run, step))
             room.reserve(step.spec.demand, count, at, free)
-        return at
+        return at, [choice.room for choice in choices]
 
 
 def _urgency(
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -106,3 +106,11 @@
     And a waiting gang of a queue with advice
     When a plan is made and its questions are asked on 4 lanes
     Then 2 lanes are asked about 130 workers in all
+
+  Scenario: A waiting gang asks for tickets where it holds room
+    Guards against a gang that has tickets on other workers than it waits for.
+    Given 60 workers with 4 cores each
+    And the first 50 workers are full
+    And a waiting gang of a queue with advice that knows all workers as good
+    When a plan is made
+    Then tickets are asked for on every worker with room
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -391,3 +391,17 @@
     asked = [lane.asked for lane in context.lanes if lane.asked]
     assert len(asked) == count, asked
     assert len({each for names in asked for each in names}) == workers
+
+
+@given("a waiting gang of a queue with advice that knows all workers as good")
+def advised_gang_good(context):
+    advised_gang(context)
+    step = context.steps_waiting[-1]
+    for worker in context.fleet.values():
+        step.asked.add(worker.worker_id)
+        step.good[worker.worker_id] = None
+
+
+@then("tickets are asked for on every worker with room")
+def tickets_with_room(context):
+    asked_with_room(context)
