--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -106,7 +106,6 @@
         "number",
         "occurrence",
         "open_questions",
-        "preempts_from_s",
         "rest_s",
         "saved",
         "spec",
@@ -138,8 +137,6 @@
         # Workers on which a task failed, by task.
         self.avoid: dict[int, set[str]] = {}
         self.not_before_s = 0.0
-        # Earliest time at which runs may be stopped for this step again.
-        self.preempts_from_s = 0.0
         # Advice: asked and good workers, tickets with the end of validity.
         self.asked: set[str] = set()
         self.good: dict[str, None] = {}
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -12,7 +12,6 @@
 from marigoldgap.cell import fleet
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
-from marigoldgap.cell import preemption
 from marigoldgap.cell import rooms
 from marigoldgap.cell import run_times
 
@@ -32,12 +31,6 @@
 _TICKET_LEAD_S = 2.5
 # Workers for which a gang keeps tickets.
 _MAX_TICKETS = 40
-# Runs are stopped for a gang that would wait longer than this: stopping takes
-# up to 0.9 s (`stopMs` of the platform).
-_PREEMPTION_GAIN_S = 1.2
-# Pause between two attempts to stop runs for one gang: the stops of the first
-# have arrived by then.
-_PREEMPTION_PAUSE_S = 1.5
 
 
 class Placement(NamedTuple):
@@ -55,12 +48,10 @@
     Attributes:
         placements: Tasks to start; members of a gang are all in it.
         advice: Steps that need tickets, with the workers to ask about.
-        stops: Runs to stop, each with the gang that needs their room.
     """
 
     placements: list[Placement]
     advice: list[tuple[jobs.StepProgress, list[str]]]
-    stops: list[tuple[jobs.Run, jobs.StepProgress]]
 
 
 class Planner:
@@ -104,7 +95,7 @@
             if worker.accepts(now)
         }
         self._by_rule = {}
-        plan = Plan([], [], [])
+        plan = Plan([], [])
         for step in sorted(steps, key=lambda step: _urgency(step, now)):
             if step.not_before_s > now:
                 continue
@@ -268,7 +259,7 @@
         chosen = self._gang_now(step, good, ends_s)
         if chosen is None:
             self._ask_further(step, candidates, plan)
-            at, kept = self._reserve_gang(step, good, plan)
+            at, kept = self._reserve_gang(step, good)
         else:
             at, kept = self._now, [room for room, _ in chosen]
             for room, count in chosen:
@@ -344,47 +335,20 @@
         self,
         step: jobs.StepProgress,
         usable: list[rooms.Room],
-        plan: Plan,
     ) -> tuple[float, list[rooms.Room]]:
         """Keeps room where the gang will fit first; returns when and where."""
         found = rooms.earliest_fit(step, usable, self._now, self._times)
-        at = float("inf") if found is None else found[0]
-        if (
-            at - self._now > _PREEMPTION_GAIN_S
-            and self._now >= step.preempts_from_s
-            and not step.job.is_over_share
-            and step.lateness(self._now) is jobs.Lateness.ON_TIME
-        ):
-            step.preempts_from_s = self._now + _PREEMPTION_PAUSE_S
-            choices = preemption.choose(step, usable, self._now, self._times)
-            if choices is not None:
-                return self._make_room(step, choices, plan)
         if found is None:
-            return at, []
-        for room, count in found[1]:
+            return float("inf"), []
+        at, chosen = found
+        for room, count in chosen:
             room.reserve(
                 step.spec.demand,
                 count,
                 at,
                 room.free_at(at, self._now, self._times),
             )
-        return at, [room for room, _ in found[1]]
-
-    def _make_room(
-        self,
-        step: jobs.StepProgress,
-        choices: list[preemption.Choice],
-        plan: Plan,
-    ) -> tuple[float, list[rooms.Room]]:
-        """Stops runs for a gang; returns when and where their room is free."""
-        at = self._now + _PREEMPTION_GAIN_S
-        for room, count, stopped in choices:
-            free = list(room.free)
-            for run in stopped:
-                rooms.release(free, run.step.spec)
-                plan.stops.append((run, step))
-            room.reserve(step.spec.demand, count, at, free)
-        return at, [choice.room for choice in choices]
+        return at, [room for room, _ in chosen]
 
 
 def _urgency(
--- a/src/marigoldgap/cell/rooms.py
+++ b/src/marigoldgap/cell/rooms.py
@@ -57,7 +57,7 @@
         free = list(self.free)
         for ends_s, run in self.expected_ends(now, times):
             if ends_s <= at:
-                release(free, run.step.spec)
+                _charge(free, run.step.spec, -1)
         return free
 
     def expected_ends(
@@ -95,11 +95,6 @@
         free[part] -= sign * amount
 
 
-def release(free: list[int], spec: model.StepSpec) -> None:
-    """Adds what a run uses to what is free."""
-    _charge(free, spec, -1)
-
-
 def copies_in(free: list[int], demand: model.Demand, bound: int) -> int:
     """Returns how many tasks fit into what is free, at most `bound`."""
     count = bound
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -210,8 +210,6 @@
                 placement.worker,
                 placement.ticket,
             )
-        for run, gang in plan.stops:
-            self.workers.preempt(run, gang)
         for step, workers in plan.advice:
             self._desk.request(step, workers)
 
--- a/src/marigoldgap/cell/worker_book.py
+++ b/src/marigoldgap/cell/worker_book.py
@@ -7,7 +7,6 @@
 from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import measures
 from marigoldgap.cell import duty as duties
 from marigoldgap.cell import fleet
 from marigoldgap.cell import job_book
@@ -23,12 +22,6 @@
 
 # A run without progress for this long is taken as stuck.
 _STUCK_S = 3.0
-# A run that is expected to need this multiple of its expected run time, and
-# this much more, is moved: its worker has turned slow.
-_SLOW_FACTOR = 2.5
-_SLOW_MARGIN_S = 2.0
-# A run without saved progress is moved only before this part of it is done.
-_MOVED_PERCENT = 30.0
 # Progress at which a run counts as complete but for its report.
 _COMPLETE_PERCENT = 100.0
 # Leases of an earlier elected instance end within 6 s on a clock
@@ -69,7 +62,6 @@
         self._began_s = clock.now_s()
         self._is_former_idle = is_former_idle
         self._duty = duty
-        self._times = times
         self._port = port
         self._runs = run_book.RunBook(duty, book, times, self._order_stop)
         self._sessions: dict[str, worker_session.WorkerSession] = {}
@@ -121,11 +113,6 @@
         session = self._sessions[worker.worker_id]
         self._duty.spawn(session.start(run, ticket))
 
-    def preempt(self, run: jobs.Run, gang: jobs.StepProgress) -> None:
-        """Stops a run whose room a more urgent gang needs."""
-        measures.PREEMPTIONS.labels(gang.job.queue.priority).inc()
-        self._runs.stop(run, f"its room is needed by {gang.advice_name}")
-
     def close(self) -> None:
         """Ends repeated orders."""
         for session in self._sessions.values():
@@ -273,27 +260,13 @@
         if active.percent != run.percent:
             run.percent = active.percent
             run.progressed_s = now
+        elif now - run.progressed_s > _STUCK_S:
+            self._on_stuck(run, now)
         if active.saved:
             run.step.keep_saved(run.name.task.position, active.saved)
-        if now - run.progressed_s > _STUCK_S:
-            self._move(run, now, "no progress")
-        elif self._is_slow(run, now):
-            self._move(run, now, "its worker is slow")
-
-    def _is_slow(self, run: jobs.Run, now: float) -> bool:
-        """Whether the run would end earlier on another worker."""
-        spec = run.step.spec
-        expected_s = self._times.expected_s(run.step)
-        if not expected_s or (
-            not spec.checkpoints
-            and (spec.is_gang or run.percent > _MOVED_PERCENT)
-        ):
-            return False
-        remaining_s = run.remaining_s(now, expected_s)
-        return remaining_s > _SLOW_FACTOR * expected_s + _SLOW_MARGIN_S
 
-    def _move(self, run: jobs.Run, now: float, why: str) -> None:
-        """Stops a run so that it goes on on another worker."""
+    def _on_stuck(self, run: jobs.Run, now: float) -> None:
+        """Moves a run that makes no progress to another worker."""
         if (
             run.state is not jobs.RunState.RUNNING
             or run.percent >= _COMPLETE_PERCENT
@@ -305,7 +278,7 @@
         run.step.avoid.setdefault(run.name.task.position, set()).add(
             worker.worker_id
         )
-        self._runs.stop(run, why)
+        self._runs.stop(run, "no progress")
 
     def _on_unaccounted(
         self, worker: fleet.Worker, name: model.RunName, now: float
