--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -4,8 +4,8 @@
 
 import enum
 
-from marigoldgap.cell import jobs
 from marigoldgap.cell import model
+from marigoldgap.cell import runs
 
 # A worker's steady clock may run this much slower than ours.
 CLOCK_DRIFT = 0.02
@@ -46,7 +46,7 @@
         self.contact = Contact.JOINING
         self.is_rostered = False
         self.is_listed = True
-        self.runs: dict[model.RunName, jobs.Run] = {}
+        self.runs: dict[model.RunName, runs.Run] = {}
         self.used = [0, 0, 0]
         self.born_ms = 0
         # Highest end that was handled and the highest that is stored.
@@ -91,12 +91,12 @@
             capacity.accelerators - self.used[2],
         ]
 
-    def add(self, run: jobs.Run) -> None:
+    def add(self, run: runs.Run) -> None:
         """Charges a run to this worker."""
         self.runs[run.name] = run
         self._charge(run.step.spec, 1)
 
-    def remove(self, run: jobs.Run) -> None:
+    def remove(self, run: runs.Run) -> None:
         """Frees the resources of a run that has certainly ended."""
         if self.runs.pop(run.name, None) is not None:
             self._charge(run.step.spec, -1)
--- a/src/marigoldgap/cell/job_book.py
+++ b/src/marigoldgap/cell/job_book.py
@@ -15,6 +15,7 @@
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import records
+from marigoldgap.cell import runs
 from marigoldgap.cell import store
 
 _log = decision_log.DecisionLogger("jobs")
@@ -42,7 +43,7 @@
         # Those that have not ended; plans look at these only.
         self._open: dict[str, jobs.Job] = {}
         # Stops a run whose job has ended; set by the book of runs.
-        self.stop_run: Callable[[jobs.Run, str], None] = _cannot_stop
+        self.stop_run: Callable[[runs.Run, str], None] = _cannot_stop
         self._duty = duty
         self._configuration = configuration
         self._versions = versions
@@ -205,5 +206,5 @@
     return None
 
 
-def _cannot_stop(run: jobs.Run, why: str) -> None:
+def _cannot_stop(run: runs.Run, why: str) -> None:
     raise RuntimeError(f"no book of runs stops {run.name}: {why}")
--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -10,16 +10,7 @@
 from marigoldgap.cell import model
 
 if TYPE_CHECKING:
-    from marigoldgap.cell import fleet
-
-
-class RunState(enum.Enum):
-    """What is known of a run."""
-
-    STARTING = "starting"
-    RUNNING = "running"
-    STOPPING = "stopping"
-    ENDED = "ended"
+    from marigoldgap.cell import runs
 
 
 class Lateness(enum.IntEnum):
@@ -37,59 +28,6 @@
 _MAX_AGE_S = 60.0
 
 
-class Run:
-    """One start of a task on a worker; holds its resources until it ends."""
-
-    __slots__ = (
-        "answered_s",
-        "name",
-        "percent",
-        "progressed_s",
-        "saved",
-        "started_s",
-        "state",
-        "step",
-        "worker",
-    )
-
-    def __init__(
-        self,
-        name: model.RunName,
-        step: StepProgress,
-        worker: fleet.Worker,
-        now: float,
-    ) -> None:
-        self.name = name
-        self.step = step
-        self.worker = worker
-        self.state = RunState.STARTING
-        self.started_s = now
-        # When the worker confirmed the start; infinite before that.
-        self.answered_s = float("inf")
-        self.progressed_s = now
-        self.percent = 0.0
-        self.saved = ""
-
-    def remaining_s(self, now: float, expected_s: float) -> float:
-        """Returns an estimate of the time until the run ends."""
-        if self.state is RunState.STOPPING:
-            return _STOP_S
-        elapsed = now - self.started_s
-        if self.percent >= _MIN_PERCENT:
-            seen = self.progressed_s - self.started_s
-            total = seen * 100 / self.percent
-            return max(0.0, total - elapsed)
-        return max(_MIN_REMAINING_S, expected_s - elapsed)
-
-
-# Below this progress the time so far says little about the rest.
-_MIN_PERCENT = 8.0
-# A worker needs up to 0.9 s to stop a run (`stopMs` of the platform).
-_STOP_S = 0.5
-# A run that is over its estimate is expected to need this much longer.
-_MIN_REMAINING_S = 0.3
-
-
 class StepProgress:
     """One step of one occurrence of a job."""
 
@@ -128,7 +66,7 @@
         # Declared run time of the longest chain that begins with this step.
         self.rest_s = rest_s
         self.waiting: set[int] = set(range(spec.task_count))
-        self.active: dict[int, Run] = {}
+        self.active: dict[int, runs.Run] = {}
         self.done = 0
         # Numbers of failed runs by task; a gang counts under index 0.
         self.failures: dict[int, list[int]] = {}
@@ -362,7 +300,7 @@
                     ready.append(step)
         return ready
 
-    def runs(self) -> list[Run]:
+    def runs(self) -> list[runs.Run]:
         """Returns all runs that have not ended."""
         return [
             run
--- a/src/marigoldgap/cell/rooms.py
+++ b/src/marigoldgap/cell/rooms.py
@@ -6,6 +6,7 @@
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import run_times
+from marigoldgap.cell import runs
 
 
 class Room:
@@ -19,7 +20,7 @@
         # Set where gangs hold a reservation: its time, and what is free then.
         self.reserved_at = float("inf")
         self.spare: list[int] | None = None
-        self._ends: list[tuple[float, jobs.Run]] | None = None
+        self._ends: list[tuple[float, runs.Run]] | None = None
 
     def copies(self, demand: model.Demand, bound: int) -> int:
         """Returns how many tasks fit now, without regard to reservations."""
@@ -62,7 +63,7 @@
 
     def expected_ends(
         self, now: float, times: run_times.RunTimes
-    ) -> list[tuple[float, jobs.Run]]:
+    ) -> list[tuple[float, runs.Run]]:
         """Returns when the runs of the worker are expected to end."""
         if self._ends is None:
             self._ends = [
--- a/src/marigoldgap/cell/run_book.py
+++ b/src/marigoldgap/cell/run_book.py
@@ -13,6 +13,7 @@
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import run_times
+from marigoldgap.cell import runs
 
 _log = decision_log.DecisionLogger("runs")
 
@@ -39,7 +40,7 @@
         duty: duties.Duty,
         book: job_book.JobBook,
         times: run_times.RunTimes,
-        order_stop: Callable[[jobs.Run], None],
+        order_stop: Callable[[runs.Run], None],
     ) -> None:
         self._duty = duty
         self._jobs = book
@@ -49,10 +50,10 @@
 
     def begin(
         self, name: model.RunName, step: jobs.StepProgress, worker: fleet.Worker
-    ) -> jobs.Run:
+    ) -> runs.Run:
         """Charges a run that is about to be ordered to its worker."""
         position = name.task.position
-        run = jobs.Run(name, step, worker, clock.now_s())
+        run = runs.Run(name, step, worker, clock.now_s())
         step.last_run[position] = name.run
         step.active[position] = run
         step.waiting.discard(position)
@@ -65,11 +66,11 @@
         )
         return run
 
-    def on_started(self, run: jobs.Run) -> None:
+    def on_started(self, run: runs.Run) -> None:
         """Records that a worker confirmed a start."""
-        if run.state is not jobs.RunState.STARTING:
+        if run.state is not runs.RunState.STARTING:
             return
-        run.state = jobs.RunState.RUNNING
+        run.state = runs.RunState.RUNNING
         job = run.step.job
         if not job.has_begun:
             job.has_begun = True
@@ -84,7 +85,7 @@
         if job.state is model.JobState.QUEUED:
             job.state = model.JobState.RUNNING
 
-    def on_doubtful(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+    def on_doubtful(self, run: runs.Run, outcome: model.StartOutcome) -> None:
         """Stops a run of which one order was refused and another is open."""
         if outcome is model.StartOutcome.NO_TICKET:
             run.step.tickets.pop(run.worker.worker_id, None)
@@ -92,7 +93,7 @@
         if run.step.spec.is_gang:
             self.stop_gang(run.step, f"a member is in doubt: {outcome.value}")
 
-    def on_refused(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+    def on_refused(self, run: runs.Run, outcome: model.StartOutcome) -> None:
         """Records that a worker did not start a run and will not."""
         now = clock.now_s()
         step = run.step
@@ -148,7 +149,7 @@
 
     def adopt(
         self, worker: fleet.Worker, active: model.ActiveRun, now: float
-    ) -> jobs.Run | None:
+    ) -> runs.Run | None:
         """Takes over a run of an earlier election.
 
         Returns:
@@ -159,8 +160,8 @@
         step = job.step(task) if job is not None else None
         if job is None or step is None:
             return None
-        run = jobs.Run(active.name, step, worker, now)
-        run.state = jobs.RunState.RUNNING
+        run = runs.Run(active.name, step, worker, now)
+        run.state = runs.RunState.RUNNING
         run.answered_s = now
         run.percent = active.percent
         worker.add(run)
@@ -182,7 +183,7 @@
         return run
 
     def end(
-        self, run: jobs.Run, how: model.HowEnded, saved: str, why: str
+        self, run: runs.Run, how: model.HowEnded, saved: str, why: str
     ) -> None:
         """Frees a run that has ended and decides what follows."""
         now = clock.now_s()
@@ -217,11 +218,11 @@
             self.stop_gang(step, f"a member ended: {how.value}")
         self._after_end(step)
 
-    def stop(self, run: jobs.Run, why: str) -> None:
+    def stop(self, run: runs.Run, why: str) -> None:
         """Stops a run; it counts against its worker until it has ended."""
-        if run.state in (jobs.RunState.STOPPING, jobs.RunState.ENDED):
+        if run.state in (runs.RunState.STOPPING, runs.RunState.ENDED):
             return
-        run.state = jobs.RunState.STOPPING
+        run.state = runs.RunState.STOPPING
         _log.info(
             "run_stopping",
             run=str(run.name),
@@ -261,9 +262,9 @@
                 self._jobs.store(job)
         self._duty.wake()
 
-    def _release(self, run: jobs.Run) -> None:
+    def _release(self, run: runs.Run) -> None:
         """Forgets a run that has certainly ended."""
-        run.state = jobs.RunState.ENDED
+        run.state = runs.RunState.ENDED
         run.worker.remove(run)
         step = run.step
         index = run.name.task.position
--- /dev/null
+++ b/src/marigoldgap/cell/runs.py
@@ -0,0 +1,74 @@
+"""Runs of tasks as the elected instance sees them."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from marigoldgap.cell import model
+
+if TYPE_CHECKING:
+    from marigoldgap.cell import fleet
+    from marigoldgap.cell import jobs
+
+
+class RunState(enum.Enum):
+    """What is known of a run."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    ENDED = "ended"
+
+
+class Run:
+    """One start of a task on a worker; holds its resources until it ends."""
+
+    __slots__ = (
+        "answered_s",
+        "name",
+        "percent",
+        "progressed_s",
+        "saved",
+        "started_s",
+        "state",
+        "step",
+        "worker",
+    )
+
+    def __init__(
+        self,
+        name: model.RunName,
+        step: jobs.StepProgress,
+        worker: fleet.Worker,
+        now: float,
+    ) -> None:
+        self.name = name
+        self.step = step
+        self.worker = worker
+        self.state = RunState.STARTING
+        self.started_s = now
+        # When the worker confirmed the start; infinite before that.
+        self.answered_s = float("inf")
+        self.progressed_s = now
+        self.percent = 0.0
+        self.saved = ""
+
+    def remaining_s(self, now: float, expected_s: float) -> float:
+        """Returns an estimate of the time until the run ends."""
+        if self.state is RunState.STOPPING:
+            return _STOP_S
+        elapsed = now - self.started_s
+        if self.percent >= _MIN_PERCENT:
+            seen = self.progressed_s - self.started_s
+            total = seen * 100 / self.percent
+            return max(0.0, total - elapsed)
+        return max(_MIN_REMAINING_S, expected_s - elapsed)
+
+
+# Below this progress the time so far says little about the rest.
+_MIN_PERCENT = 8.0
+# A worker needs up to 0.9 s to stop a run (`stopMs` of the platform).
+_STOP_S = 0.5
+# A run that is over its estimate is expected to need this much longer.
+_MIN_REMAINING_S = 0.3
--- a/src/marigoldgap/cell/worker_book.py
+++ b/src/marigoldgap/cell/worker_book.py
@@ -16,6 +16,7 @@
 from marigoldgap.cell import records
 from marigoldgap.cell import run_book
 from marigoldgap.cell import run_times
+from marigoldgap.cell import runs
 from marigoldgap.cell import worker_session
 
 _log = decision_log.DecisionLogger("workers")
@@ -118,15 +119,15 @@
         for session in self._sessions.values():
             session.close()
 
-    def on_started(self, run: jobs.Run) -> None:
+    def on_started(self, run: runs.Run) -> None:
         """Records that a worker confirmed a start."""
         self._runs.on_started(run)
 
-    def on_doubtful(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+    def on_doubtful(self, run: runs.Run, outcome: model.StartOutcome) -> None:
         """Stops a run of which one order was refused and another is open."""
         self._runs.on_doubtful(run, outcome)
 
-    def on_refused(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+    def on_refused(self, run: runs.Run, outcome: model.StartOutcome) -> None:
         """Records that a worker did not start a run and will not."""
         self._runs.on_refused(run, outcome)
 
@@ -254,7 +255,7 @@
         if run is None:
             self._on_unaccounted(worker, active.name, now)
             return
-        if run.state is jobs.RunState.STARTING:
+        if run.state is runs.RunState.STARTING:
             run.answered_s = now
             self._runs.on_started(run)
         if active.percent != run.percent:
@@ -265,10 +266,10 @@
         if active.saved:
             run.step.keep_saved(run.name.task.position, active.saved)
 
-    def _on_stuck(self, run: jobs.Run, now: float) -> None:
+    def _on_stuck(self, run: runs.Run, now: float) -> None:
         """Moves a run that makes no progress to another worker."""
         if (
-            run.state is not jobs.RunState.RUNNING
+            run.state is not runs.RunState.RUNNING
             or run.percent >= _COMPLETE_PERCENT
             or run.step.spec.is_long_running
         ):
@@ -309,7 +310,7 @@
             _log.warning("stop_open", run=str(name), cause=str(error))
             self._unknown_stopping.discard(name)
 
-    def _order_stop(self, run: jobs.Run) -> None:
+    def _order_stop(self, run: runs.Run) -> None:
         session = self._sessions.get(run.worker.worker_id)
         if session is not None:
             self._duty.spawn(session.stop(run))
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -10,9 +10,9 @@
 from marigoldgap import errors
 from marigoldgap import measures
 from marigoldgap.cell import fleet
-from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
+from marigoldgap.cell import runs
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
@@ -62,13 +62,13 @@
     def on_silent(self, worker: fleet.Worker, why: str) -> None:
         """Stops giving runs to a worker that does not answer."""
 
-    def on_started(self, run: jobs.Run) -> None:
+    def on_started(self, run: runs.Run) -> None:
         """Records that a worker confirmed a start."""
 
-    def on_doubtful(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+    def on_doubtful(self, run: runs.Run, outcome: model.StartOutcome) -> None:
         """Records a refusal while an earlier order may be carried out."""
 
-    def on_refused(self, run: jobs.Run, outcome: model.StartOutcome) -> None:
+    def on_refused(self, run: runs.Run, outcome: model.StartOutcome) -> None:
         """Records that a worker did not start a run and will not."""
 
     def on_fenced(self) -> None:
@@ -136,11 +136,11 @@
         """Ends repeated orders."""
         self._is_closed = True
 
-    async def start(self, run: jobs.Run, ticket: str) -> None:
+    async def start(self, run: runs.Run, ticket: str) -> None:
         """Starts a run; repeats the order until its outcome is known."""
         worker = self._worker
         is_open = False
-        while run.state is jobs.RunState.STARTING and not self._is_closed:
+        while run.state is runs.RunState.STARTING and not self._is_closed:
             now = clock.now_s()
             try:
                 answer = await self._port.start(
@@ -160,11 +160,11 @@
                 if worker.contact is fleet.Contact.GONE:
                     return
                 continue
-            if run.state is jobs.RunState.STARTING:
+            if run.state is runs.RunState.STARTING:
                 self._conclude(run, answer, is_open)
 
     def _conclude(
-        self, run: jobs.Run, answer: model.StartAnswer, is_open: bool
+        self, run: runs.Run, answer: model.StartAnswer, is_open: bool
     ) -> None:
         outcome = answer.outcome
         measures.STARTS.labels(outcome.value).inc()
@@ -182,7 +182,7 @@
             else:
                 self._owner.on_refused(run, outcome)
 
-    async def stop(self, run: jobs.Run) -> None:
+    async def stop(self, run: runs.Run) -> None:
         """Stops a run; repeats the order until the worker has taken it."""
         while run.name in self._worker.runs and not self._is_closed:
             try:
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -207,7 +207,7 @@
         scheduler.stop_planning()
         try:
             await asyncio.wait_for(scheduler.flushed(), 1.0)
-            was_obeyed = not scheduler.workers.is_fencing
+            was_obeyed = not scheduler.workers.unresolved
             await self._election.release(won, was_obeyed)
             await asyncio.wait_for(self._offer_duty(won.epoch), 1.0)
         except (TimeoutError, errors.MarigoldgapError) as error:
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -20,6 +20,7 @@
 from marigoldgap.cell import planner
 from marigoldgap.cell import records
 from marigoldgap.cell import run_times
+from marigoldgap.cell import runs
 from marigoldgap.cell import store
 from tests.fixtures import loops
 
@@ -92,7 +93,7 @@
     for worker in context.fleet.values():
         step = _step(context, 1, cores, estimate_s=rest)
         context.steps_running.append(step)
-        run = jobs.Run(model.RunName(step.task(0), 1), step, worker, _NOW)
+        run = runs.Run(model.RunName(step.task(0), 1), step, worker, _NOW)
         step.active[0] = run
         worker.add(run)
 
@@ -247,7 +248,7 @@
     for worker in context.fleet.values()[:count]:
         step = _step(context, 1, 4)
         context.steps_running.append(step)
-        run = jobs.Run(model.RunName(step.task(0), 1), step, worker, _NOW)
+        run = runs.Run(model.RunName(step.task(0), 1), step, worker, _NOW)
         step.active[0] = run
         worker.add(run)
 
