--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -140,14 +140,16 @@
         """Starts a run; repeats the order until its outcome is known."""
         worker = self._worker
         is_open = False
+        # Repetitions extend no lease: a worker that answers nothing would
+        # otherwise never be given up.
+        lease_until_ms = worker.lease_end_ms(clock.now_s(), LEASE_S)
         while run.state is runs.RunState.STARTING and not self._is_closed:
-            now = clock.now_s()
             try:
                 answer = await self._port.start(
                     worker.registration,
                     run.name,
                     run.step.job.record.spec.payload,
-                    worker.lease_end_ms(now, LEASE_S),
+                    lease_until_ms,
                     self._owner.fence,
                     run.step.saved_for(run.name.task.position),
                     ticket,
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -42,6 +42,15 @@
     Then the job is completed within 4 s
     And no task ran in two places
 
+  Scenario: A worker that falls silent at a start is given up after its lease
+    Guards against repeated orders that extend the lease of a worker that is
+    gone, so that its tasks wait for ever (hunt ec399a40, LOST).
+    Given a cell with 2 workers and 1 instances
+    And the first worker falls silent at its next start
+    When a job of 2 tasks is submitted
+    Then the job is completed within 9 s
+    And no task ran in two places
+
   Scenario: A draining worker gets no new tasks
     Guards against work on a worker that is about to leave.
     Given a cell with 2 workers and 1 instances
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -403,3 +403,8 @@
 
     age_s = loops.run(context, oldest())
     assert age_s * 1000 <= most, age_s
+
+
+@given("the first worker falls silent at its next start")
+def falls_silent(context):
+    context.world.workers[0].falls_silent = True
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -39,6 +39,9 @@
         # How long a higher fence takes to arrive.
         self.fence_delay_s = 0.0
         self.slowness = 1.0
+        # Whether the next start makes the worker silent for good.
+        self.falls_silent = False
+        self._is_silent = False
         self.is_draining = False
         self.violations = []
         self.lease_until_ms = 0
@@ -118,6 +121,10 @@
     async def _handle(self, request):
         if request.headers.get("x-expect-instance") != self.worker_id:
             return messages.Response(421)
+        if self.falls_silent and request.path == "/v1/run-start":
+            self._is_silent = True
+        if self._is_silent:
+            await asyncio.sleep(60)
         body = json.loads(request.body)
         if body["fence"] > self.fence and self.fence_delay_s:
             await asyncio.sleep(self.fence_delay_s)
