Start nothing of a job that a worker lists as running

Ruled out: the wait for workers, which had answered: their listings named the run. Change: steps of jobs with listed runs that are not adopted yet wait for that.

--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -14,6 +14,7 @@
 from marigoldgap.cell import advice_desk
 from marigoldgap.cell import duty as duties
 from marigoldgap.cell import job_book
+from marigoldgap.cell import jobs
 from marigoldgap.cell import journal
 from marigoldgap.cell import model
 from marigoldgap.cell import planner
@@ -189,7 +190,7 @@
         ):
             return
         now = clock.now_s()
-        steps = self.jobs.ready_steps(not self.workers.unresolved)
+        steps = self._startable_steps()
         measures.WAITING_TASKS.set(sum(len(step.waiting) for step in steps))
         if not steps:
             return
@@ -213,6 +214,23 @@
         for step, workers in plan.advice:
             self._desk.request(step, workers)
 
+    def _startable_steps(self) -> list[jobs.StepProgress]:
+        """Returns the steps that may start without running anything twice.
+
+        A worker may list a run before the row of its job arrives here; its next
+        listing shows which task runs.
+        """
+        listed = {
+            name.task.job_id
+            for worker in self.workers.workers.values()
+            for name in worker.unaccounted
+        }
+        return [
+            step
+            for step in self.jobs.ready_steps(not self.workers.unresolved)
+            if step.job.job_id not in listed
+        ]
+
     def _usage(self) -> dict[str, list[int]]:
         usage: dict[str, list[int]] = {}
         for worker in self.workers.workers.values():
--- a/tests/features/cell/takeover.feature
+++ b/tests/features/cell/takeover.feature
@@ -35,6 +35,15 @@
     When a job of 1 tasks is submitted
     Then no task of it starts before the unknown run has ended
 
+  Scenario: A run that is listed before the row of its job is not started again
+    Guards against two runs of a job that the former instance has started (hunt
+    on the final code, `store-lossy --vary --seed 121771649690` of
+    cordero-agenda).
+    Given a cell with 2 workers and 1 instances
+    And the worker runs a task of a job that is not known
+    When the job of that task is submitted
+    Then no worker starts that task in 1 s
+
   Scenario: A gang whose first end was stored is completed by the next election
     Guards against a job that stays open for ever (soak seed 101).
     Given a stored job whose gang has ended but whose end is not shown yet
--- a/tests/features/steps/cell_takeover_steps.py
+++ b/tests/features/steps/cell_takeover_steps.py
@@ -296,3 +296,20 @@
         return elected.instance != context.former.settings.name
 
     loops.run(context, asyncio.wait_for(loops.until(knows), seconds))
+
+
+@when("the job of that task is submitted")
+def submit_listed(context):
+    # The worker holds its next listing back again.
+    context.world.workers[0]._changed = asyncio.Event()
+    loops.run(context, asyncio.sleep(0.01))
+    body = cell_world.job(1, "ms=20000")
+    status, _ = cell_jobs.submit(context, body, cell_jobs.OTHER_JOB)
+    assert status == 200, status
+
+
+@then("no worker starts that task in {seconds:d} s")
+def starts_nothing(context, seconds):
+    loops.run(context, asyncio.sleep(seconds))
+    found = [worker.starts for worker in context.world.workers if worker.starts]
+    assert not found, found
