cell: recover in pages under a running heartbeat; archive ended jobs

Cause: a new leader read 64 partitions of jobs and the progress of all jobs at once, each under the timeout of small calls, before its first heartbeat. On a thin link one late read threw everything away and the same instance was elected again at once. All jobs of the retention period were part of every takeover. Change: a table reader with few calls in flight, adaptive pages, a retry for each page and a timeout that counts from the latest bytes. The heartbeat is written with the next transaction, whatever waits. A recovery that reads nothing for 3 s, and any leadership that fails, is released and lets others go first; thin links claim later. Ended jobs move to a small row that refuses a second submission. A late notification of an archived job is recognised by the version of its row. A leader that stops during its recovery no longer says that all workers obeyed it.

--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -46,6 +46,13 @@
 _MISSING_CORE_DELAY_S = 0.15
 # Cores above this number do not shorten the claim delay.
 _MAX_COUNTED_CORES = 2.0
+# Further delay of an instance whose link is thinner than this: it takes longer
+# to read the state of the cell.
+_THIN_LINK_MBPS = 50.0
+_THIN_LINK_DELAY_S = 0.1
+# Further delay after a leadership that failed, and time for which it applies.
+_FAILED_DELAY_S = 1.0
+_FAILED_PERIOD_S = 10.0
 # Pause after a failed read.
 _RETRY_S = 0.2
 
@@ -76,7 +83,6 @@
     Attributes:
         election_row: The election row as this instance wrote it.
         epoch: Number of the election.
-        roster: The stored roster of workers, if there is one.
         is_former_inactive: Whether no former leader can start anything any
             more. It is not proved by a former election row that names this
             instance: that claim may have been applied late, while the leader
@@ -85,7 +91,6 @@
 
     election_row: store.Row
     epoch: int
-    roster: store.Row | None
     is_former_inactive: bool
 
 
@@ -97,6 +102,7 @@
         instance: Name of this instance.
         address: `ip:port` of this instance for calls from its peers.
         cores: Processor cores of this instance.
+        link_mbps: Rate of the link of this instance in Mbit/s; 0 if unknown.
         serve: Schedules after a won election, until the leadership ends.
     """
 
@@ -106,6 +112,7 @@
         instance: str,
         address: str,
         cores: float,
+        link_mbps: float,
         serve: Callable[[ElectionWin], Awaitable[None]],
     ) -> None:
         self.leader: Leader | None = None
@@ -114,6 +121,9 @@
         self._address = address
         self._serve = serve
         self.cores = cores
+        self._link_mbps = link_mbps
+        # Until this monotonic time other instances go first.
+        self._yields_until_s = float("-inf")
         self._is_candidate = True
         # Version of the election row and content of the heartbeat row at the
         # latest poll, and the time of the first poll that found them.
@@ -137,10 +147,14 @@
     def claim_delay_s(self) -> float:
         """Seconds before a claim, so that better placed instances go first."""
         missing_cores = max(0.0, _MAX_COUNTED_CORES - self.cores)
-        region_delay_s = (
-            0.0 if self.is_in_store_region else _OTHER_REGION_DELAY_S
-        )
-        return region_delay_s + _MISSING_CORE_DELAY_S * missing_cores
+        delay_s = _MISSING_CORE_DELAY_S * missing_cores
+        if not self.is_in_store_region:
+            delay_s += _OTHER_REGION_DELAY_S
+        if 0 < self._link_mbps < _THIN_LINK_MBPS:
+            delay_s += _THIN_LINK_DELAY_S
+        if clock.now_s() < self._yields_until_s:
+            delay_s += _FAILED_DELAY_S
+        return delay_s
 
     @property
     def _poll_interval_s(self) -> float:
@@ -176,9 +190,19 @@
                 _log.error(
                     "leadership_failed", epoch=won.epoch, cause=str(error)
                 )
+                self._yields_until_s = clock.now_s() + _FAILED_PERIOD_S
+                await self._release_failed(won)
             self._is_serving = False
             self._observed = None
 
+    async def _release_failed(self, won: ElectionWin) -> None:
+        """Releases leadership that failed, so that another instance starts."""
+        try:
+            await self.release(won, was_obeyed=False)
+        except store.StoreError as error:
+            # Another instance takes over when the heartbeat is overdue.
+            _log.warning("release_failed", epoch=won.epoch, cause=str(error))
+
     async def take_over(
         self, epoch: int, cause: str, longest_read_s: float = float("inf")
     ) -> bool:
@@ -264,7 +288,8 @@
             self.leader is not None
             and (
                 self.leader.is_released
-                # This instance was the leader before it was restarted.
+                # This instance was the leader before it was restarted, or its
+                # leadership failed and was not released.
                 or self.leader.instance == self._instance
             )
         )
@@ -322,14 +347,8 @@
         self.leader = claim
         measures.ELECTIONS.inc()
         election_row = store.Row(records.ELECTION, content, new_version)
-        page = await self._rows.read(
-            records.CELL, records.CELL, records.ROSTER.key
-        )
-        roster = next(
-            (each for each in page.rows if each.row_key == records.ROSTER), None
-        )
         is_former_inactive = former is None or former.was_obeyed
-        return ElectionWin(election_row, epoch, roster, is_former_inactive)
+        return ElectionWin(election_row, epoch, is_former_inactive)
 
     async def _find_claim(self, content: bytes) -> int:
         """Returns the row version of the claim if it was stored, else 0."""
--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -11,6 +11,7 @@
 from marigoldgap.cell import records
 from marigoldgap.cell import scheduler as schedulers
 from marigoldgap.cell import store
+from marigoldgap.cell import table_reader
 
 _log = decision_log.DecisionLogger("feeds")
 
@@ -26,20 +27,19 @@
 
 
 async def follow_jobs(
-    rows: store.Store, scheduler: schedulers.Scheduler
+    rows: store.Store,
+    reader: table_reader.TableReader,
+    scheduler: schedulers.Scheduler,
 ) -> None:
     """Passes accepted and cancelled jobs to the scheduler until cancelled."""
+    await scheduler.recovered.wait()
     after = scheduler.jobs_version
     while True:
         try:
             page = await rows.changes(records.JOBS, after, _LONG_POLL_MS)
         except store.HistoryLostError as error:
             _log.info("jobs_history_lost", cause=str(error))
-            try:
-                after = await _read_jobs(rows, scheduler)
-            except store.StoreError as read_error:
-                _log.warning("jobs_read_failed", cause=str(read_error))
-                await asyncio.sleep(_RETRY_S)
+            after = await _read_jobs(reader, scheduler)
             continue
         except store.StoreError as error:
             _log.warning("jobs_feed_failed", cause=str(error))
@@ -50,10 +50,12 @@
         await asyncio.sleep(_JOBS_PAUSE_S)
 
 
-async def _read_jobs(rows: store.Store, scheduler: schedulers.Scheduler) -> int:
+async def _read_jobs(
+    reader: table_reader.TableReader, scheduler: schedulers.Scheduler
+) -> int:
     pages = await asyncio.gather(
         *(
-            store.read_all(rows, records.JOBS, partition)
+            reader.read(records.JOBS, partition)
             for partition in records.JOB_PARTITIONS
         )
     )
@@ -65,7 +67,7 @@
 def _apply_jobs(page: store.Page, scheduler: schedulers.Scheduler) -> None:
     for row in page.rows:
         if row.value is None:
-            scheduler.job_tracker.drop(row.row_key.key)
+            # The row of an archived job was removed.
             continue
         try:
             scheduler.job_tracker.add(
@@ -79,6 +81,7 @@
 
 async def follow_workers(
     rows: store.Store,
+    reader: table_reader.TableReader,
     scheduler: schedulers.Scheduler,
     table: str,
     decode: Callable[[str, bytes], model.Registration],
@@ -87,15 +90,17 @@
 
     Args:
         rows: The store.
+        reader: Reads the whole table.
         scheduler: The scheduler.
         table: Table of the registrations.
         decode: Decodes the registration of the worker with the given id.
     """
+    await scheduler.recovered.wait()
     after: int | None = None
     while True:
         try:
             if after is None:
-                page = await store.read_all(rows, table, "")
+                page = await reader.read(table, "")
                 _unregister_missing(page, scheduler)
             else:
                 page = await rows.changes(table, after, _LONG_POLL_MS)
--- a/src/marigoldgap/cell/job_service.py
+++ b/src/marigoldgap/cell/job_service.py
@@ -180,7 +180,11 @@
         row_key = records.job_row_key(record.job_id)
         content = records.encode_job(record)
         transaction = store.Transaction(
-            (store.RowCheck(row_key, 0),), ((row_key, content),)
+            (
+                store.RowCheck(row_key, 0),
+                store.RowCheck(records.ended_row_key(record.job_id), 0),
+            ),
+            ((row_key, content),),
         )
         started_s = clock.now_s()
         retry_refused_until_s = started_s + (
@@ -189,7 +193,7 @@
         may_be_stored = False
         while True:
             try:
-                await self._rows.transact(transaction)
+                version = await self._rows.transact(transaction)
             except store.CheckFailedError:
                 _log.info("job_repeated", job=record.job_id)
                 return
@@ -208,7 +212,7 @@
                     queue=record.queue.name,
                     took_s=round(took_s, 3),
                 )
-                self._notify(record)
+                self._notify(record, version)
                 return
             if not may_be_stored and clock.now_s() >= retry_refused_until_s:
                 raise StoreUnreachableError(cause)
@@ -275,39 +279,62 @@
             return None
 
     async def _stored_state(self, job_id: str) -> model.JobState:
-        _, record = await self._read_job(job_id)
-        if record.is_cancelled:
-            return model.JobState.CANCELLED
+        row = await self._read_row(records.job_row_key(job_id))
+        if row is None:
+            return await self._archived_state(job_id)
         progress = await self._read_row(records.progress_row_key(job_id))
-        if progress is None:
+        if progress is not None:
+            state = model.JobState(records.decode(progress.value)["state"])
+            if state in model.ENDED_STATES:
+                return state
+        if records.decode_job(job_id, row.value).is_cancelled:
+            return model.JobState.CANCELLED
+        if progress is not None:
+            return state
+        # The job has no progress yet, or was archived since the first read.
+        archived = await self._read_row(records.ended_row_key(job_id))
+        if archived is None:
             return model.JobState.QUEUED
-        return model.JobState(records.decode(progress.value)["state"])
+        return records.decode_ended(archived.value).state
+
+    async def _archived_state(self, job_id: str) -> model.JobState:
+        row = await self._read_row(records.ended_row_key(job_id))
+        if row is None:
+            raise JobGoneError(f"job {job_id} does not exist")
+        return records.decode_ended(row.value).state
 
     async def _store_cancellation(self, job_id: str) -> None:
-        row, record = await self._read_job(job_id)
+        row = await self._read_row(records.job_row_key(job_id))
+        if row is None:
+            # A job that has ended needs no cancellation.
+            await self._archived_state(job_id)
+            return
+        record = records.decode_job(job_id, row.value)
         if record.is_cancelled:
             return
         content = records.encode_job(record._replace(is_cancelled=True))
-        await self._rows.transact(
+        version = await self._rows.transact(
             store.Transaction(
                 (store.RowCheck(row.row_key, row.version),),
                 ((row.row_key, content),),
             )
         )
-        self._notify(record._replace(is_cancelled=True))
+        self._notify(record._replace(is_cancelled=True), version)
 
-    def _notify(self, record: model.JobRecord) -> None:
+    def _notify(self, record: model.JobRecord, version: int) -> None:
         """Notifies the leader of a stored job, in the background."""
         try:
-            self._view.add_stored(record)
+            self._view.add_stored(record, version)
         except peers.NotLeaderError:
-            task = asyncio.create_task(self._notify_leader(record))
+            task = asyncio.create_task(self._notify_leader(record, version))
             self._tasks.add(task)
             task.add_done_callback(self._on_task_done)
 
-    async def _notify_leader(self, record: model.JobRecord) -> None:
+    async def _notify_leader(
+        self, record: model.JobRecord, version: int
+    ) -> None:
         try:
-            await self._leader_client().add_stored(record)
+            await self._leader_client().add_stored(record, version)
         except errors.MarigoldgapError as error:
             # The leader also gets the job from the change feed of the table.
             _log.info(
@@ -322,12 +349,6 @@
         if not task.cancelled() and (error := task.exception()) is not None:
             _log.info("background_task_failed", cause=str(error))
 
-    async def _read_job(self, job_id: str) -> tuple[store.Row, model.JobRecord]:
-        row = await self._read_row(records.job_row_key(job_id))
-        if row is None:
-            raise JobGoneError(f"job {job_id} does not exist")
-        return row, records.decode_job(job_id, row.value)
-
     async def _read_row(self, row_key: store.RowKey) -> store.Row | None:
         page = await self._rows.read(
             row_key.table, row_key.partition, row_key.key, row_key.key + "\0"
--- a/src/marigoldgap/cell/job_tracker.py
+++ b/src/marigoldgap/cell/job_tracker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from marigoldgap import clock
 from marigoldgap import decision_log
@@ -24,6 +25,13 @@
 _RUN_NUMBERS_PER_ELECTION = 1_000
 
 
+class _Archived(NamedTuple):
+    """Final state of an archived job, and the monotonic time of its end."""
+
+    state: model.JobState
+    ended_s: float
+
+
 class JobTracker:
     """Tracks all jobs until they are removed by the retention.
 
@@ -40,6 +48,9 @@
         versions: dict[store.RowKey, int],
     ) -> None:
         self.jobs: dict[str, jobs.Job] = {}
+        # Archived jobs by id: they are shown to callers, and a late
+        # notification does not start them again.
+        self._archived: dict[str, _Archived] = {}
         # Jobs that have not ended; only these are planned.
         self._open_jobs: dict[str, jobs.Job] = {}
         # Stops a run whose job has ended; set by the run tracker.
@@ -51,6 +62,9 @@
 
     def add(self, record: model.JobRecord) -> None:
         """Adds an accepted job, or applies its cancellation."""
+        if record.job_id in self._archived:
+            _log.info("archived_job_repeated", job=record.job_id)
+            return
         job = self.jobs.get(record.job_id)
         if job is None:
             job = self._create(record, 0)
@@ -64,15 +78,37 @@
             self.end(job, model.JobState.CANCELLED, "cancelled by caller")
         self._leadership.request_plan()
 
-    def drop(self, job_id: str) -> None:
-        """Drops a job whose row was removed."""
-        self.jobs.pop(job_id, None)
-        self._open_jobs.pop(job_id, None)
+    def shown_state(self, job_id: str) -> model.JobState | None:
+        """Returns the state that callers see; None for an unknown job."""
+        job = self.jobs.get(job_id)
+        if job is not None:
+            return job.shown_state
+        archived = self._archived.get(job_id)
+        return None if archived is None else archived.state
+
+    def stored_ended_jobs(self) -> list[jobs.Job]:
+        """Returns the ended jobs without runs whose end is stored."""
+        return [
+            job
+            for job in self.jobs.values()
+            if job.is_stored and not job.runs()
+        ]
 
-    def forget(self, job_id: str) -> None:
-        """Drops an ended job and schedules the removal of its progress row."""
-        self.drop(job_id)
-        self.remove_progress(job_id)
+    def is_archived(self, job_id: str) -> bool:
+        """Returns whether this leader has archived a job."""
+        return job_id in self._archived
+
+    def archive(self, job: jobs.Job) -> None:
+        """Drops an archived job and schedules the removal of its progress."""
+        self.jobs.pop(job.job_id, None)
+        self._archived[job.job_id] = _Archived(job.state, job.ended_s)
+        self.remove_progress(job.job_id)
+
+    def forget_archived(self, before_s: float) -> None:
+        """Forgets the archived jobs that ended before a monotonic time."""
+        for job_id, archived in list(self._archived.items()):
+            if archived.ended_s < before_s:
+                del self._archived[job_id]
 
     def remove_progress(self, job_id: str) -> None:
         """Schedules the removal of a job's progress row from the store."""
--- a/src/marigoldgap/cell/journal.py
+++ b/src/marigoldgap/cell/journal.py
@@ -17,7 +17,7 @@
 
 # The store allows 100 entries in a transaction: each row needs a check and a
 # write, and the election row needs a check.
-_ROWS_PER_TRANSACTION = 48
+_ROWS_PER_TRANSACTION = 48  # Leaves room for one urgent row.
 # Time for which writes are collected into a batch; many runs end together.
 _BATCH_WINDOW_S = 0.02
 # Pause after a failed transaction. A few retries with their call timeouts must
@@ -50,6 +50,8 @@
         self._election_row = election_row
         self._versions = versions
         self._encoders: dict[store.RowKey, Callable[[], bytes | None]] = {}
+        # Written with the next transaction, whatever else is waiting.
+        self._urgent: dict[store.RowKey, Callable[[], bytes | None]] = {}
         self._dirty = asyncio.Event()
         self._waiters: list[asyncio.Future[None]] = []
         self._is_writing = False
@@ -66,6 +68,18 @@
         self._encoders[row_key] = encode
         self._dirty.set()
 
+    def schedule_urgent_write(
+        self, row_key: store.RowKey, encode: Callable[[], bytes]
+    ) -> None:
+        """Schedules a write that does not wait for those scheduled before it.
+
+        Args:
+            row_key: Key of the row.
+            encode: Returns the content; called when the write starts.
+        """
+        self._urgent[row_key] = encode
+        self._dirty.set()
+
     def flushed(self) -> asyncio.Future[None]:
         """Returns a future that is done once all scheduled rows are stored."""
         future = asyncio.get_running_loop().create_future()
@@ -91,10 +105,12 @@
             self._dirty.clear()
             row_keys = list(encoders)
             self._is_writing = True
-            for start in range(0, len(row_keys), _ROWS_PER_TRANSACTION):
+            # There may be only urgent rows.
+            for start in range(0, max(1, len(row_keys)), _ROWS_PER_TRANSACTION):
                 chunk = row_keys[start : start + _ROWS_PER_TRANSACTION]
+                urgent, self._urgent = self._urgent, {}
                 await self._write(
-                    {row_key: encoders[row_key] for row_key in chunk}
+                    {**urgent, **{key: encoders[key] for key in chunk}}
                 )
             self._is_writing = False
             for waiter in waiters:
--- a/src/marigoldgap/cell/leadership.py
+++ b/src/marigoldgap/cell/leadership.py
@@ -28,6 +28,11 @@
         self._ended = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether this leadership has ended."""
+        return self._ended.is_set()
+
     def request_plan(self) -> None:
         """Requests a new scheduling plan."""
         self.plan_requested.set()
--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -65,16 +65,19 @@
         Raises:
             NotLeaderError: This instance is not the leader.
         """
-        job = self._require_scheduler().job_tracker.jobs.get(job_id)
-        return None if job is None else job.shown_state
+        return self._require_scheduler().job_tracker.shown_state(job_id)
 
-    def add_stored(self, record: model.JobRecord) -> None:
+    def add_stored(self, record: model.JobRecord, version: int) -> None:
         """Adds a job whose row was just written.
 
+        Args:
+            record: The job.
+            version: Version of its row; 0 if unknown.
+
         Raises:
             NotLeaderError: This instance is not the leader.
         """
-        self._require_scheduler().job_tracker.add(record)
+        self._require_scheduler().add_stored(record, version)
 
     def waiting(self, queue: str) -> int:
         """Returns the number of jobs of a queue that have not started.
@@ -134,7 +137,8 @@
                 request.body, messages.InvalidAnswerError
             )
             self._view.add_stored(
-                records.decode_job(str(fields["job"]), fields["row"].encode())
+                records.decode_job(str(fields["job"]), fields["row"].encode()),
+                int(fields.get("version", 0)),
             )
             return messages.json_response(200, {})
         if path == _ADVICE_PATH and self._advice is not None:
@@ -222,9 +226,13 @@
         )
         return model.Tickets(fields["by_worker"], fields["valid_ms"])
 
-    async def add_stored(self, record: model.JobRecord) -> None:
+    async def add_stored(self, record: model.JobRecord, version: int) -> None:
         """Notifies the instance of a job whose row was just written.
 
+        Args:
+            record: The job.
+            version: Version of its row.
+
         Raises:
             MarigoldgapError: The call failed or its answer is invalid.
         """
@@ -232,7 +240,9 @@
         await self._call(
             "POST",
             _STORED_PATH,
-            json_object.encode({"job": record.job_id, "row": row}),
+            json_object.encode(
+                {"job": record.job_id, "row": row, "version": version}
+            ),
             _QUERY_TIMEOUT_S,
         )
 
--- a/src/marigoldgap/cell/records.py
+++ b/src/marigoldgap/cell/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import NamedTuple
 
 from marigoldgap import errors
 from marigoldgap import json_object
@@ -15,6 +16,8 @@
 # that each of its transactions can check the election row.
 CELL = "cell"
 PROGRESS = "progress"
+# Archived jobs, in the partitions of their records.
+ENDED = "ended"
 ELECTION = store.RowKey(CELL, CELL, "election")
 # Heartbeat row. Its key sorts before that of the election row, so that one
 # range reads both.
@@ -28,6 +31,18 @@
 JOB_PARTITIONS = tuple(f"j{number}" for number in range(64))
 
 
+class ArchivedJob(NamedTuple):
+    """Stored form of an archived job.
+
+    Attributes:
+        state: Final state of the job.
+        ended_ms: Wall time, in ms, at which the job was archived.
+    """
+
+    state: model.JobState
+    ended_ms: int
+
+
 class RecordError(errors.MarigoldgapError):
     """A stored record cannot be read."""
 
@@ -40,6 +55,14 @@
     return store.RowKey(JOBS, JOB_PARTITIONS[number], job_id)
 
 
+def ended_row_key(job_id: str) -> store.RowKey:
+    """Returns the key of the row that replaces the record of an ended job.
+
+    Both rows are in one partition, so that a submission can check both.
+    """
+    return job_row_key(job_id)._replace(table=ENDED)
+
+
 def progress_row_key(job_id: str) -> store.RowKey:
     """Returns the key of the row that holds a job's progress."""
     return store.RowKey(PROGRESS, CELL, job_id)
@@ -102,6 +125,31 @@
         ) from error
 
 
+def encode_ended(state: model.JobState, ended_ms: int) -> bytes:
+    """Returns the stored form of an archived job.
+
+    Args:
+        state: Final state of the job.
+        ended_ms: Wall time, in ms, at which the job was archived.
+    """
+    return json_object.encode({"state": state.value, "ended": ended_ms})
+
+
+def decode_ended(content: bytes | None) -> ArchivedJob:
+    """Returns the archived job in the content of a row.
+
+    Raises:
+        RecordError: The content is invalid.
+    """
+    fields = decode(content)
+    try:
+        return ArchivedJob(
+            model.JobState(fields["state"]), int(fields["ended"])
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise RecordError(f"invalid archived job: {error!r}") from error
+
+
 def _decode_queue(values: list[Any]) -> model.Queue:
     queue = model.Queue(*values)
     if queue.advice is None:
--- /dev/null
+++ b/src/marigoldgap/cell/recovery.py
@@ -0,0 +1,123 @@
+"""Restores the state of a cell from the store after an election.
+
+The leader keeps its heartbeat and the leases of the workers while it reads, so
+that a large state or a thin link ends neither its leadership nor the running
+tasks.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from marigoldgap import clock
+from marigoldgap import decision_log
+from marigoldgap import errors
+from marigoldgap import measures
+from marigoldgap.cell import job_tracker
+from marigoldgap.cell import records
+from marigoldgap.cell import store
+from marigoldgap.cell import table_reader
+from marigoldgap.cell import worker_tracker
+
+_log = decision_log.DecisionLogger("recovery")
+
+# A recovery that reads no page for this long ends the leadership. It is shorter
+# than the leases that other instances would have to renew.
+MAX_IDLE_S = 3.0
+# Jobs that are restored before other tasks, such as the heartbeat, run again.
+_JOBS_PER_TURN = 25
+
+
+class RecoveryStalledError(errors.MarigoldgapError):
+    """The state of the cell cannot be read from the store."""
+
+    code = "recovery-stalled"
+
+
+class Recovery:
+    """Reads and restores the state of a cell once.
+
+    Args:
+        epoch: Number of the election, for the log.
+        reader: Reads the tables.
+        tracker: Receives the jobs.
+        workers: Receives the workers of earlier elections.
+        versions: Receives the versions of the stored rows.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        reader: table_reader.TableReader,
+        tracker: job_tracker.JobTracker,
+        workers: worker_tracker.WorkerTracker,
+        versions: dict[store.RowKey, int],
+    ) -> None:
+        self._epoch = epoch
+        self._reader = reader
+        self._tracker = tracker
+        self._workers = workers
+        self._versions = versions
+        self._started_s = clock.now_s()
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether nothing was read for so long that another leader is better."""
+        return self._reader.idle_s > MAX_IDLE_S
+
+    async def run(self) -> int:
+        """Restores workers, jobs and their progress.
+
+        Returns:
+            The version of the store as of which the jobs were read.
+        """
+        measures.RECOVERY_ATTEMPTS.inc()
+        await self._restore_roster()
+        progress_page, *job_pages = await asyncio.gather(
+            self._reader.read(records.PROGRESS, records.CELL),
+            *(
+                self._reader.read(records.JOBS, partition)
+                for partition in records.JOB_PARTITIONS
+            ),
+        )
+        self._log_stage("tables_read")
+        progress = {row.row_key.key: row for row in progress_page.rows}
+        job_rows = [row for page in job_pages for row in page.rows]
+        for number, row in enumerate(job_rows):
+            self._tracker.restore(row, progress.pop(row.row_key.key, None))
+            if number % _JOBS_PER_TURN == 0:
+                await asyncio.sleep(0)
+        self._tracker.classify_inherited_jobs()
+        self._drop_progress(progress)
+        self._workers.apply_deferred_listings()
+        measures.RECOVERY_S.observe(clock.now_s() - self._started_s)
+        self._log_stage("recovered")
+        return min(page.version for page in job_pages)
+
+    async def _restore_roster(self) -> None:
+        """Starts the sessions with all workers that may have runs."""
+        row = await self._reader.read_row(records.ROSTER)
+        if row is not None:
+            self._versions[records.ROSTER] = row.version
+            for registration in records.decode_roster(row.value):
+                self._workers.inherit(registration)
+        self._log_stage("roster_read")
+
+    def _drop_progress(self, orphans: dict[str, store.Row]) -> None:
+        """Removes progress of jobs whose record an earlier leader removed."""
+        for row in orphans.values():
+            self._versions[row.row_key] = row.version
+            self._tracker.remove_progress(row.row_key.key)
+
+    def _log_stage(self, stage: str) -> None:
+        _log.info(
+            stage,
+            epoch=self._epoch,
+            took_s=round(clock.now_s() - self._started_s, 3),
+            jobs=len(self._tracker.jobs),
+            workers=len(self._workers.workers),
+            pages=self._reader.page_count,
+            rows=self._reader.row_count,
+            bytes=self._reader.byte_count,
+            failed_calls=self._reader.failure_count,
+        )
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -12,6 +12,7 @@
 from marigoldgap import json_object
 from marigoldgap import measures
 from marigoldgap.cell import advice_dispatcher
+from marigoldgap.cell import archive
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import jobs
 from marigoldgap.cell import journal
@@ -20,9 +21,11 @@
 from marigoldgap.cell import planner
 from marigoldgap.cell import ports
 from marigoldgap.cell import records
+from marigoldgap.cell import recovery
 from marigoldgap.cell import retention
 from marigoldgap.cell import run_times
 from marigoldgap.cell import store
+from marigoldgap.cell import table_reader
 from marigoldgap.cell import worker_tracker
 
 _log = decision_log.DecisionLogger("scheduler")
@@ -63,6 +66,7 @@
             more.
         store_refused_s: Returns for how many seconds the store has refused all
             calls.
+        reader: Reads the tables.
     """
 
     def __init__(
@@ -77,8 +81,10 @@
         retention_s: float,
         is_former_inactive: bool,
         store_refused_s: Callable[[], float],
+        reader: table_reader.TableReader,
     ) -> None:
-        self.is_recovered = False
+        # Set once the state has been restored from the store.
+        self.recovered = asyncio.Event()
         # Version of the store as of which the jobs were read.
         self.jobs_version = 0
         self._rows = rows
@@ -97,8 +103,12 @@
             self._leadership, port, self.job_tracker, times, is_former_inactive
         )
         self._planner = planner.Planner(self.worker_tracker.workers, times)
+        self._archive = archive.Archive(rows, self.job_tracker)
         self._retention = retention.Retention(
-            rows, self._leadership, self.job_tracker, retention_s
+            rows, reader, self.job_tracker, retention_s
+        )
+        self._recovery = recovery.Recovery(
+            epoch, reader, self.job_tracker, self.worker_tracker, self._versions
         )
         self._advice = advice_dispatcher.AdviceDispatcher(
             proxies, self._leadership.request_plan
@@ -106,57 +116,65 @@
         self._heartbeat_count = 0
         self._is_planning = True
 
-    async def recover(self, roster: bytes | None, version: int) -> None:
-        """Restores the jobs, their progress and the workers from the store.
+    @property
+    def is_recovered(self) -> bool:
+        """Whether the state has been restored from the store."""
+        return self.recovered.is_set()
 
-        Args:
-            roster: Content of the roster row, which lists the workers that may
-                have runs of earlier elections; None if there is none.
-            version: Version of the roster row; 0 if there is none.
+    @property
+    def is_obeyed(self) -> bool:
+        """Whether all workers have accepted the fencing token."""
+        return self.is_recovered and not self.worker_tracker.pending_inherited
+
+    async def run(self) -> None:
+        """Recovers, then schedules until this leadership ends.
 
         Raises:
-            StoreError: The store could not be read.
+            RecoveryStalledError: The state could not be read.
         """
-        self._versions[records.ROSTER] = version
-        pages = await asyncio.gather(
-            store.read_all(self._rows, records.PROGRESS, records.CELL),
-            *(
-                store.read_all(self._rows, records.JOBS, partition)
-                for partition in records.JOB_PARTITIONS
-            ),
-        )
-        self.jobs_version = min(page.version for page in pages[1:])
-        progress = {row.row_key.key: row for row in pages[0].rows}
-        for page in pages[1:]:
-            for row in page.rows:
-                self.job_tracker.restore(
-                    row, progress.pop(row.row_key.key, None)
-                )
-        self.job_tracker.classify_inherited_jobs()
-        for row in progress.values():
-            # An earlier leader removed the job's record, but not its progress.
-            self._versions[row.row_key] = row.version
-            self.job_tracker.remove_progress(row.row_key.key)
-        if roster is not None:
-            for registration in records.decode_roster(roster):
-                self.worker_tracker.inherit(registration)
-        self.is_recovered = True
-        _log.info(
-            "recovered",
-            jobs=len(self.job_tracker.jobs),
-            workers=len(self.worker_tracker.workers),
-            epoch=self._leadership.epoch,
-        )
-
-    async def run(self) -> None:
-        """Schedules until this leadership ends."""
         self._leadership.spawn(self._run_journal())
         self._leadership.spawn(self._send_heartbeats())
-        self._leadership.spawn(self._plan_repeatedly())
         self._leadership.spawn(self._watch_store())
+        self._leadership.spawn(self._recover())
+        await self._wait_until_recovered()
+        self._leadership.spawn(self._plan_repeatedly())
+        self._leadership.spawn(self._archive.run())
         self._leadership.spawn(self._retention.run())
         await self._leadership.wait_until_ended()
 
+    async def _recover(self) -> None:
+        self.jobs_version = await self._recovery.run()
+        self.recovered.set()
+
+    async def _wait_until_recovered(self) -> None:
+        while not (self.is_recovered or self._leadership.is_ended):
+            if self._recovery.is_stalled:
+                raise recovery.RecoveryStalledError(
+                    f"nothing was read for {recovery.MAX_IDLE_S:g} s"
+                )
+            await asyncio.sleep(_STORE_CHECK_S)
+
+    def add_stored(self, record: model.JobRecord, version: int) -> None:
+        """Adds a job of which another instance sent a notification.
+
+        A row that is not newer than the state that was restored and is not
+        part of it has been archived: its notification was late.
+
+        Args:
+            record: The job.
+            version: Version of its row; 0 if unknown.
+        """
+        is_known = record.job_id in self.job_tracker.jobs
+        if version <= self.jobs_version and not is_known:
+            _log.info(
+                "late_notification_ignored",
+                job=record.job_id,
+                row_version=version,
+                restored_version=self.jobs_version,
+            )
+            return
+        self.job_tracker.add(record)
+
     def end_leadership(self) -> None:
         """Ends the leadership of this instance."""
         self._leadership.end()
@@ -286,7 +304,7 @@
             heartbeat = json_object.encode(
                 {"epoch": self._leadership.epoch, "beat": self._heartbeat_count}
             )
-            self._leadership.journal.schedule_write(
+            self._leadership.journal.schedule_urgent_write(
                 records.HEARTBEAT, functools.partial(_identity, heartbeat)
             )
             await asyncio.sleep(HEARTBEAT_S)
--- a/src/marigoldgap/cell/store.py
+++ b/src/marigoldgap/cell/store.py
@@ -112,6 +112,7 @@
         partition: str,
         first: str = "",
         end: str = "",
+        max_rows: int = 0,
     ) -> Page:
         """Reads the rows whose keys are in a range.
 
@@ -120,6 +121,7 @@
             partition: The partition.
             first: First key of the range; empty for the start.
             end: Exclusive end of the range; empty for the end.
+            max_rows: Maximum number of rows; 0 for the maximum of the store.
         """
 
     async def changes(self, table: str, after: int, wait_ms: int) -> Page:
@@ -129,21 +131,3 @@
             HistoryLostError: The changes since that version are not all kept.
             StoreError: The call failed in another way.
         """
-
-
-async def read_all(store: Store, table: str, partition: str) -> Page:
-    """Reads a whole partition, page by page.
-
-    Returns:
-        All rows, with the version of the first page, so that a reader that
-        follows the changes from there misses none.
-    """
-    page = await store.read(table, partition)
-    rows = list(page.rows)
-    version = page.version
-    while page.has_more:
-        page = await store.read(
-            table, partition, first=rows[-1].row_key.key + "\0"
-        )
-        rows.extend(page.rows)
-    return Page(tuple(rows), False, version)
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -25,6 +25,8 @@
 _LONG_POLL_MS = 1_500
 # The same while the worker has runs of a job that is not known here yet.
 _UNKNOWN_RUNS_LONG_POLL_MS = 100
+# Interval of renewals during a recovery: several fit into a lease.
+_RECOVERY_RENEWAL_S = 1.5
 # Pause before the next attempt to reach an unreachable worker.
 _RETRY_S = 0.25
 # Timeout of a command; commands without an answer are repeated.
@@ -43,7 +45,14 @@
 
 
 class SessionListener(Protocol):
-    """Receives the events of worker sessions."""
+    """Receives the events of worker sessions.
+
+    Attributes:
+        ready: Set once listings are applied; before that, ended runs are not
+            acknowledged.
+    """
+
+    ready: asyncio.Event
 
     @property
     def epoch(self) -> int:
@@ -234,6 +243,11 @@
 
     async def _renew_with_lease(self, connection: client.Connection) -> None:
         worker = self._worker
+        if not self._listener.ready.is_set():
+            until = worker.grant_lease(clock.now_s(), LEASE_S)
+            await self._renew(connection, 0, until, 0)
+            await self._pause_until_ready()
+            return
         handled = worker.handled_number
         if handled > worker.stored_number:
             try:
@@ -250,6 +264,15 @@
         until = worker.grant_lease(clock.now_s(), LEASE_S)
         await self._renew(connection, worker.stored_number, until, wait_ms)
 
+    async def _pause_until_ready(self) -> None:
+        """Waits between two renewals; the worker answers at once meanwhile."""
+        try:
+            await asyncio.wait_for(
+                self._listener.ready.wait(), _RECOVERY_RENEWAL_S
+            )
+        except TimeoutError:
+            return
+
     async def _renew(
         self,
         connection: client.Connection,
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -58,12 +58,19 @@
         is_former_inactive: bool,
     ) -> None:
         self.workers = fleet.Fleet()
-        # Workers of earlier elections that have not answered yet.
+        # Set once the stored jobs are known. Before that, listings cannot be
+        # applied: the latest one of each worker is kept.
+        self.ready = asyncio.Event()
+        self._deferred: dict[str, tuple[model.WorkerListing, float]] = {}
+        # Workers of earlier elections whose runs are not known yet, and those
+        # of them that have not accepted the fencing token yet.
         self.pending_inherited: set[str] = set()
+        self._unfenced: set[str] = set()
         self._fencing_began_s = clock.now_s()
         self._is_former_inactive = is_former_inactive
         self._leadership = leadership
         self._port = port
+        self._job_tracker = tracker
         self._runs = run_tracker.RunTracker(
             leadership, tracker, times, self._send_stop
         )
@@ -88,7 +95,7 @@
             or clock.now_s() > self._fencing_began_s + _FENCING_LIMIT_S
         ):
             return False
-        return bool(self.pending_inherited)
+        return bool(self._unfenced)
 
     def flushed(self) -> asyncio.Future[None]:
         """Returns a future that is done when the current state is stored."""
@@ -103,6 +110,7 @@
         worker.is_rostered = True
         worker.is_registered = False
         self.pending_inherited.add(worker.worker_id)
+        self._unfenced.add(worker.worker_id)
         self._add(worker)
 
     def start(
@@ -180,6 +188,8 @@
         self.workers.remove(worker)
         self._sessions.pop(worker.worker_id, None)
         self.pending_inherited.discard(worker.worker_id)
+        self._unfenced.discard(worker.worker_id)
+        self._deferred.pop(worker.worker_id, None)
         for run in list(worker.runs.values()):
             self._runs.end(run, model.EndReason.LAPSED, "", "worker is gone")
         self._store_roster()
@@ -195,14 +205,36 @@
         listing: model.WorkerListing,
         sent_s: float,
     ) -> None:
-        """Applies a worker's listing of its runs."""
+        """Applies a worker's listing of its runs, or keeps it for later."""
         now = clock.now_s()
+        self._unfenced.discard(worker.worker_id)
         if listing.born_ms != worker.born_ms:
             worker.reset_incarnation(listing.born_ms)
         worker.observe_clock(listing.clock_ms, now)
         if worker.contact is not fleet.Contact.ANSWERING:
             _log.info("worker_answers", worker=worker.worker_id)
             worker.contact = fleet.Contact.ANSWERING
+        if self.ready.is_set():
+            self._apply(worker, listing, sent_s)
+        else:
+            self._deferred[worker.worker_id] = (listing, sent_s)
+
+    def apply_deferred_listings(self) -> None:
+        """Applies the listings that arrived before the jobs were known."""
+        self.ready.set()
+        deferred, self._deferred = self._deferred, {}
+        for worker_id, (listing, sent_s) in deferred.items():
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                self._apply(worker, listing, sent_s)
+
+    def _apply(
+        self,
+        worker: fleet.Worker,
+        listing: model.WorkerListing,
+        sent_s: float,
+    ) -> None:
+        now = clock.now_s()
         listed = {ended.name for ended in listing.ended}
         for ended in listing.ended:
             if ended.number > worker.handled_number:
@@ -297,7 +329,11 @@
         than the listing of its run.
         """
         since = worker.unknown_runs.setdefault(name, now)
-        if now - since < _UNKNOWN_JOB_GRACE_S or name in self._unknown_stopping:
+        is_overdue = (
+            now - since >= _UNKNOWN_JOB_GRACE_S
+            or self._job_tracker.is_archived(name.task.job_id)
+        )
+        if not is_overdue or name in self._unknown_stopping:
             return
         self._unknown_stopping.add(name)
         _log.warning(
--- a/src/marigoldgap/measures.py
+++ b/src/marigoldgap/measures.py
@@ -61,6 +61,27 @@
     ["call", "code"],
     registry=REGISTRY,
 )
+RECOVERY_ATTEMPTS = prometheus_client.Counter(
+    "marigoldgap_recovery_attempts",
+    "Recoveries from the store that a leader has begun.",
+    registry=REGISTRY,
+)
+RECOVERY_S = prometheus_client.Histogram(
+    "marigoldgap_recovery_seconds",
+    "Time of a recovery that has ended, from the election on.",
+    buckets=_BUCKETS_S,
+    registry=REGISTRY,
+)
+READ_ROWS = prometheus_client.Counter(
+    "marigoldgap_table_read_rows",
+    "Rows read in pages of whole tables.",
+    registry=REGISTRY,
+)
+READ_BYTES = prometheus_client.Counter(
+    "marigoldgap_table_read_bytes",
+    "Bytes of the rows read in pages of whole tables.",
+    registry=REGISTRY,
+)
 ADVICE_S = prometheus_client.Histogram(
     "marigoldgap_advice_seconds",
     "Calls for advice, with the way to the asking instance.",
--- a/src/marigoldgap/node/instance_registry.py
+++ b/src/marigoldgap/node/instance_registry.py
@@ -10,6 +10,7 @@
 from marigoldgap.cell import peers
 from marigoldgap.cell import records
 from marigoldgap.cell import store
+from marigoldgap.cell import table_reader
 from marigoldgap.web import client
 
 _log = decision_log.DecisionLogger("instances")
@@ -45,7 +46,7 @@
     """The other registered instances, which can relay calls for advice.
 
     Args:
-        rows: The store.
+        reader: Reads the table of instances.
         pool: HTTP connection pool.
         own_name: Name of this instance.
 
@@ -54,22 +55,20 @@
     """
 
     def __init__(
-        self, rows: store.Store, pool: client.HttpPool, own_name: str
+        self,
+        reader: table_reader.TableReader,
+        pool: client.HttpPool,
+        own_name: str,
     ) -> None:
         self.peers: list[peers.PeerClient] = []
-        self._rows = rows
+        self._reader = reader
         self._pool = pool
         self._own_name = own_name
 
     async def poll(self) -> None:
         """Polls the registered instances until cancelled."""
         while True:
-            try:
-                page = await store.read_all(self._rows, records.INSTANCES, "")
-            except store.StoreError as error:
-                _log.warning("instances_read_failed", cause=str(error))
-                await asyncio.sleep(_RETRY_DELAY_S)
-                continue
+            page = await self._reader.read(records.INSTANCES, "")
             self.peers = self._decode(page)
             await asyncio.sleep(_POLL_INTERVAL_S)
 
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -17,6 +17,7 @@
 from marigoldgap.cell import model
 from marigoldgap.cell import peers
 from marigoldgap.cell import scheduler as schedulers
+from marigoldgap.cell import table_reader
 from marigoldgap.cell import watcher
 from marigoldgap.node import instance_registry
 from marigoldgap.node import settings as node_settings
@@ -77,10 +78,11 @@
             settings.name,
             settings.peers_address,
             settings.cores,
+            settings.link_mbps,
             self._serve_cell,
         )
         self._instances = instance_registry.InstanceList(
-            self._rows, self._pool, settings.name
+            table_reader.TableReader(self._rows), self._pool, settings.name
         )
         view = peers.JobView(lambda: self._scheduler)
         self._job_service = job_service.JobService(
@@ -210,14 +212,14 @@
         scheduler.stop_planning()
         try:
             await asyncio.wait_for(scheduler.flushed(), 1.0)
-            was_obeyed = not scheduler.worker_tracker.pending_inherited
-            await self._election.release(won, was_obeyed)
+            await self._election.release(won, scheduler.is_obeyed)
             await asyncio.wait_for(self._offer_takeover(won.epoch), 1.0)
         except (TimeoutError, errors.MarigoldgapError) as error:
             _log.warning("hand_over_failed", cause=str(error))
         scheduler.end_leadership()
 
     async def _serve_cell(self, won: elections.ElectionWin) -> None:
+        reader = table_reader.TableReader(self._rows)
         scheduler = schedulers.Scheduler(
             self._rows,
             won.election_row,
@@ -229,28 +231,25 @@
             self.settings.job_retention_s,
             won.is_former_inactive,
             lambda: self._rows.refused_s,
+            reader,
         )
         self._scheduler = scheduler
         self._election_win = won
-        tasks: list[asyncio.Task[None]] = []
-        try:
-            roster = won.roster
-            await scheduler.recover(
-                None if roster is None else roster.value,
-                0 if roster is None else roster.version,
-            )
-            tasks = [
-                asyncio.create_task(feeds.follow_jobs(self._rows, scheduler)),
-                asyncio.create_task(
-                    feeds.follow_workers(
-                        self._rows,
-                        scheduler,
-                        settings_file.WORKERS_TABLE,
-                        documents.decode_registration,
-                    )
+        tasks = [
+            asyncio.create_task(work)
+            for work in (
+                feeds.follow_jobs(self._rows, reader, scheduler),
+                feeds.follow_workers(
+                    self._rows,
+                    reader,
+                    scheduler,
+                    settings_file.WORKERS_TABLE,
+                    documents.decode_registration,
                 ),
-                asyncio.create_task(self._instances.poll()),
-            ]
+                self._instances.poll(),
+            )
+        ]
+        try:
             await scheduler.run()
         finally:
             self._scheduler = None
--- a/src/marigoldgap/node/settings.py
+++ b/src/marigoldgap/node/settings.py
@@ -16,6 +16,7 @@
         peers_address: `ip:port` for calls of the other instances.
         metrics_address: `ip:port` of the metrics endpoint.
         cores: Processor cores that the process may use.
+        link_mbps: Rate of the link of the instance in Mbit/s; 0 if unknown.
         store_address: `ip:port` of the store.
         advice_address: `ip:port` of the advice service; empty if none.
         shutdown_s: Seconds from the request to stop until the process is
@@ -32,6 +33,7 @@
     peers_address: str
     metrics_address: str
     cores: float
+    link_mbps: float
     store_address: str
     advice_address: str
     shutdown_s: float
--- a/src/marigoldgap/platform/settings_file.py
+++ b/src/marigoldgap/platform/settings_file.py
@@ -57,6 +57,7 @@
         # The share applies to each of the cores.
         cores=decoding.number(limits, "cpuShare", 1)
         * decoding.number(limits, "cores", 1),
+        link_mbps=decoding.number(limits, "linkMbps", 0),
         store_address=decoding.text(store_fields, "address"),
         advice_address=decoding.text(fields, "advice", ""),
         shutdown_s=decoding.number(bounds, "graceS", 6),
--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -35,6 +35,9 @@
         self._pool = pool
         self._address = address
         self._timeout = adaptive_timeout.AdaptiveTimeout()
+        # Pages of a table wait for each other on a thin link, so their
+        # response times say nothing about other calls.
+        self._page_timeout = adaptive_timeout.AdaptiveTimeout()
         self.last_success_s = -1.0
         self.last_failure_s = -1.0
         self._refused_since_s: float | None = None
@@ -116,7 +119,12 @@
         return int(content["ver"])
 
     async def read(
-        self, table: str, partition: str, first: str = "", end: str = ""
+        self,
+        table: str,
+        partition: str,
+        first: str = "",
+        end: str = "",
+        max_rows: int = 0,
     ) -> store.Page:
         """Reads the rows of a partition whose keys are in a range.
 
@@ -125,6 +133,7 @@
             partition: Partition of the table.
             first: First key of the range; empty for the start.
             end: Exclusive end of the range; empty for the end.
+            max_rows: Maximum number of rows; 0 for the maximum of the store.
 
         Raises:
             StoreRefusedError: The store refused the call.
@@ -137,7 +146,11 @@
             # "target" is the exclusive end of the range.
             query["target"] = end
         path = f"/v1/rows-get?{parse.urlencode(query)}"
-        return _decode_page((await self._call("read", "GET", path)).json())
+        if not max_rows:
+            return _decode_page((await self._call("read", "GET", path)).json())
+        path += f"&limit={max_rows}"
+        answer = await self._call("page", "GET", path, is_page=True)
+        return _decode_page(answer.json())
 
     async def changes(self, table: str, after: int, wait_ms: int) -> store.Page:
         """Waits for rows that changed after a version (long poll).
@@ -175,6 +188,7 @@
         path: str,
         body: bytes = b"",
         held_timeout_s: float | None = None,
+        is_page: bool = False,
     ) -> messages.Response:
         """Makes a call and records its result for the timeout and the metrics.
 
@@ -185,36 +199,49 @@
             body: Content, JSON.
             held_timeout_s: Timeout of a call that the store may hold open;
                 None uses the adaptive timeout.
+            is_page: Whether the answer is a page of a table, whose timeout
+                counts from the latest part that was received.
         """
         started_s = clock.now_s()
+        timeout = self._page_timeout if is_page else self._timeout
         timeout_s = (
-            self._timeout.timeout_s
-            if held_timeout_s is None
-            else held_timeout_s
+            timeout.timeout_s if held_timeout_s is None else held_timeout_s
         )
         try:
-            answer = await self._exchange(method, path, body, timeout_s)
+            answer = await self._exchange(
+                method, path, body, timeout_s, is_page
+            )
         except store.StoreError as error:
             measures.STORE_FAILURES.labels(call, error.code).inc()
             if held_timeout_s is None and isinstance(
                 error, store.StoreUnknownError
             ):
-                self._timeout.record_timeout(clock.now_s() - started_s)
+                timeout.record_timeout(clock.now_s() - started_s)
             raise
         duration_s = clock.now_s() - started_s
         measures.STORE_CALLS_S.labels(call).observe(duration_s)
         if held_timeout_s is None:
-            self._timeout.record_response(duration_s)
+            timeout.record_response(duration_s)
         else:
-            self._timeout.record_held_response()
+            timeout.record_held_response()
         return answer
 
     async def _exchange(
-        self, method: str, path: str, body: bytes, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        is_page: bool,
     ) -> messages.Response:
         try:
             answer = await self._pool.exchange(
-                method, self._address, path, body, timeout_s
+                method,
+                self._address,
+                path,
+                body,
+                timeout_s,
+                is_bulk=is_page,
             )
         except messages.NotConnectedError as error:
             self._record_refusal(str(error))
--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -30,6 +30,10 @@
         self._body: list[bytes] = []
         self._headers: list[tuple[str, str]] = []
         self._keep_alive = True
+        self._timer: asyncio.TimerHandle | None = None
+        # Restarts the timer with each part of the response; 0 if the time limit
+        # is for the complete response.
+        self._stall_timeout_s = 0.0
         self.is_open = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -58,6 +62,8 @@
         if self._response_future is None or self._response_future.done():
             self.close()
             return
+        if self._stall_timeout_s:
+            self._start_timer(self._stall_timeout_s)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -89,14 +95,21 @@
             self._response_future.set_result(response)
 
     async def exchange(
-        self, head: bytes, body: bytes, timeout_s: float
+        self,
+        head: bytes,
+        body: bytes,
+        timeout_s: float,
+        is_bulk: bool = False,
     ) -> messages.Response:
         """Sends a request and waits for the complete response.
 
         Args:
             head: Encoded request line and headers.
             body: Content of the request.
-            timeout_s: Time limit for the complete response, in seconds.
+            timeout_s: Time limit in seconds.
+            is_bulk: Whether the limit is for the time until the next part of
+                the response, instead of the complete response. The time that a
+                large response takes depends on the link.
 
         Raises:
             NoAnswerError: The request may have been carried out.
@@ -107,11 +120,8 @@
         self._headers = []
         loop = asyncio.get_running_loop()
         self._response_future = loop.create_future()
-        timer = loop.call_later(
-            timeout_s,
-            self._fail,
-            messages.NoAnswerError("timeout"),
-        )
+        self._stall_timeout_s = timeout_s if is_bulk else 0.0
+        self._start_timer(timeout_s)
         self._transport.write(head + body)
         try:
             response = await self._response_future
@@ -119,7 +129,7 @@
             self.close()
             raise
         finally:
-            timer.cancel()
+            self._stop_timer()
             self._response_future = None
         if not self._keep_alive:
             self.close()
@@ -131,6 +141,17 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _start_timer(self, timeout_s: float) -> None:
+        self._stop_timer()
+        self._timer = asyncio.get_running_loop().call_later(
+            timeout_s, self._fail, messages.NoAnswerError("timeout")
+        )
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def _fail(self, error: messages.NoAnswerError) -> None:
         if (
             self._response_future is not None
@@ -201,6 +222,7 @@
         body: bytes = b"",
         timeout_s: float = 1.0,
         headers: tuple[tuple[str, str], ...] = (),
+        is_bulk: bool = False,
     ) -> messages.Response:
         """Sends a request once and returns the complete response.
 
@@ -212,6 +234,8 @@
             timeout_s: Time limit for the complete response after connecting, in
                 seconds.
             headers: Further headers.
+            is_bulk: Whether the limit is for the time until the next part of
+                the response, instead of the complete response.
 
         Raises:
             NotConnectedError: Nothing was sent.
@@ -219,7 +243,7 @@
         """
         connection = self._acquire(address) or await connect(address)
         head = request_head(method, address, path, len(body), headers)
-        response = await connection.exchange(head, body, timeout_s)
+        response = await connection.exchange(head, body, timeout_s, is_bulk)
         self._release(address, connection)
         return response
 
--- a/tests/standins/cell/store.py
+++ b/tests/standins/cell/store.py
@@ -11,6 +11,7 @@
 from marigoldgap.web import server
 
 _PAGE_ROWS = 500
+_HOLD_POLL_S = 0.05
 
 
 class StoreStandIn:
@@ -30,6 +31,9 @@
             take effect if their checks hold.
         is_silent: Whether every response is withheld.
         delay_s: Delay of each call, in seconds.
+        holds_tables: Returns whether reads of whole partitions are withheld.
+        lost_removals: Number of the next transactions with removals whose
+            response is withheld; they take effect.
     """
 
     def __init__(self, address):
@@ -43,6 +47,8 @@
         self.is_silent = False
         self.delay_s = 0.0
         self.first_version_kept = 0
+        self.holds_tables = lambda: False
+        self.lost_removals = 0
         self._changed = asyncio.Event()
         self._server = server.HttpServer(self._handle)
 
@@ -86,6 +92,8 @@
         if path == "/v1/rows-tx":
             return await self._transact(json.loads(request.body))
         if path == "/v1/rows-get":
+            while not fields.get("target") and self.holds_tables():
+                await asyncio.sleep(_HOLD_POLL_S)
             return self._read(fields)
         if path == "/v1/rows-feed":
             return await self._feed(fields)
@@ -109,6 +117,9 @@
             self.rows.pop(_row_id(each), None)
             self.removed[_row_id(each)] = self.version
         self._notify()
+        if body["remove"] and self.lost_removals:
+            self.lost_removals -= 1
+            await asyncio.sleep(60)
         await self._withhold_response()
         return self._answer({})
 
@@ -127,11 +138,12 @@
             and key >= first
             and (end is None or key < end)
         )
+        limit = min(_PAGE_ROWS, int(fields.get("limit", _PAGE_ROWS)))
         rows = [
             self._row((fields["table"], fields["part"], key))
-            for key in keys[:_PAGE_ROWS]
+            for key in keys[:limit]
         ]
-        return self._answer({"rows": rows, "hasMore": len(keys) > _PAGE_ROWS})
+        return self._answer({"rows": rows, "hasMore": len(keys) > limit})
 
     async def _feed(self, fields):
         after = int(fields["after"])
