cell: a roster row for each worker; rejected rows hold up no heartbeat

Cause: the roster of all workers was one row. Change: one row for each worker, written only when it joins, moves or is gone; the row of earlier versions is read and replaced. A batch stays below the size that the store accepts.

--- a/src/marigoldgap/cell/journal.py
+++ b/src/marigoldgap/cell/journal.py
@@ -17,7 +17,10 @@
 
 # The store allows 100 entries in a transaction: each row needs a check and a
 # write, and the election row needs a check.
-_ROWS_PER_TRANSACTION = 48  # Leaves room for one urgent row.
+_ROWS_PER_TRANSACTION = 49
+# The store accepts 1 MB for a transaction, with its values in Base64; one more
+# row of up to 64 KiB may follow the last one below this limit.
+_MAX_TRANSACTION_BYTES = 500_000
 # Time for which writes are collected into a batch; many runs end together.
 _BATCH_WINDOW_S = 0.02
 # Pause after a failed transaction. A few retries with their call timeouts must
@@ -103,27 +106,40 @@
             waiters, self._waiters = self._waiters, []
             encoders, self._encoders = self._encoders, {}
             self._dirty.clear()
-            row_keys = list(encoders)
             self._is_writing = True
             # There may be only urgent rows.
-            for start in range(0, max(1, len(row_keys)), _ROWS_PER_TRANSACTION):
-                chunk = row_keys[start : start + _ROWS_PER_TRANSACTION]
-                urgent, self._urgent = self._urgent, {}
-                await self._write(
-                    {**urgent, **{key: encoders[key] for key in chunk}}
-                )
+            while encoders or self._urgent:
+                await self._write(self._encode_chunk(encoders))
             self._is_writing = False
             for waiter in waiters:
                 if not waiter.done():
                     waiter.set_result(None)
 
-    async def _write(
+    def _encode_chunk(
         self, encoders: dict[store.RowKey, Callable[[], bytes | None]]
-    ) -> None:
-        contents = {row_key: encode() for row_key, encode in encoders.items()}
-        while True:
+    ) -> dict[store.RowKey, bytes | None]:
+        """Takes the urgent rows and as many others as one transaction holds."""
+        urgent, self._urgent = self._urgent, {}
+        contents = {row_key: encode() for row_key, encode in urgent.items()}
+        size = 0
+        while (
+            encoders
+            and len(contents) < _ROWS_PER_TRANSACTION
+            and size < _MAX_TRANSACTION_BYTES
+        ):
+            row_key = next(iter(encoders))
+            contents[row_key] = encoders.pop(row_key)()
+            size += len(contents[row_key] or b"")
+        return contents
+
+    async def _write(self, contents: dict[store.RowKey, bytes | None]) -> None:
+        """Writes rows in one transaction; repeats it until it is applied."""
+        while contents:
             try:
                 version = await self._rows.transact(self._transaction(contents))
+            except store.StoreRejectedError as error:
+                await self._write_separately(contents, error)
+                return
             except store.CheckFailedError as error:
                 if not self._adopt_versions(contents, error.rows):
                     continue
@@ -138,6 +154,29 @@
                 self._versions[row_key] = version
             return
 
+    async def _write_separately(
+        self,
+        contents: dict[store.RowKey, bytes | None],
+        error: store.StoreRejectedError,
+    ) -> None:
+        """Writes the rows of a rejected transaction one by one.
+
+        A row that the store rejects by itself is dropped: repeating it would
+        hold up all other rows, with the heartbeat among them.
+        """
+        if len(contents) > 1:
+            for row_key, value in contents.items():
+                await self._write({row_key: value})
+            return
+        for row_key, value in contents.items():
+            _log.error(
+                "row_rejected",
+                table=row_key.table,
+                key=row_key.key,
+                bytes=len(value or b""),
+                cause=str(error),
+            )
+
     def _transaction(
         self, contents: dict[store.RowKey, bytes | None]
     ) -> store.Transaction:
--- a/src/marigoldgap/cell/records.py
+++ b/src/marigoldgap/cell/records.py
@@ -11,7 +11,7 @@
 from marigoldgap.cell import store
 
 JOBS = "jobs"
-# Table of the election, heartbeat and roster rows; also the name of the one
+# Table of the election and heartbeat rows; also the name of the one
 # partition for all rows that the leader writes, in this and other tables, so
 # that each of its transactions can check the election row.
 CELL = "cell"
@@ -23,7 +23,11 @@
 # range reads both.
 HEARTBEAT = store.RowKey(CELL, CELL, "beat")
 ELECTION_RANGE = ("beat", "election\0")
-ROSTER = store.RowKey(CELL, CELL, "roster")
+# Workers that may have runs, a row for each: one row for all of them would
+# exceed the size of a row from about 300 workers on.
+ROSTER = "roster"
+# The one row of earlier versions; a new leader replaces it.
+FORMER_ROSTER = store.RowKey(CELL, CELL, "roster")
 INSTANCES = "instances"
 # A partition applies its transactions one after the other. With a store that
 # is 80 times slower than usual (0.33 s for each), this many partitions accept
@@ -173,25 +177,41 @@
     return model.StepSpec(**values)
 
 
-def encode_roster(workers: list[model.Registration]) -> bytes:
-    """Returns the stored form of the workers that may have runs."""
-    rows = [
+def roster_row_key(worker_id: str) -> store.RowKey:
+    """Returns the key of the row of a worker that may have runs."""
+    return store.RowKey(ROSTER, CELL, worker_id)
+
+
+def encode_worker(worker: model.Registration) -> bytes:
+    """Returns the stored form of a worker that may have runs."""
+    return json_object.encode(
         {**worker._asdict(), "labels": sorted(worker.labels)}
-        for worker in workers
-    ]
-    return json_object.encode({"workers": rows})
+    )
 
 
-def decode_roster(content: bytes | None) -> list[model.Registration]:
-    """Returns the workers that may have runs.
+def decode_worker(content: bytes | None) -> model.Registration:
+    """Returns a worker that may have runs.
 
     Raises:
-        RecordError: The content is not a JSON object.
+        RecordError: The content is invalid.
+    """
+    return _decode_worker(decode(content))
+
+
+def decode_former_roster(content: bytes | None) -> list[model.Registration]:
+    """Returns the workers in the row of earlier versions.
+
+    Raises:
+        RecordError: The content is invalid.
     """
-    workers = []
-    for row in decode(content).get("workers", ()):
-        values = dict(row)
+    return [_decode_worker(row) for row in decode(content).get("workers", ())]
+
+
+def _decode_worker(fields: dict[str, Any]) -> model.Registration:
+    try:
+        values = dict(fields)
         values["capacity"] = model.Demand(*values["capacity"])
         values["labels"] = frozenset(values["labels"])
-        workers.append(model.Registration(**values))
-    return workers
+        return model.Registration(**values)
+    except (KeyError, TypeError, ValueError) as error:
+        raise RecordError(f"invalid worker: {error!r}") from error
--- a/src/marigoldgap/cell/recovery.py
+++ b/src/marigoldgap/cell/recovery.py
@@ -96,13 +96,28 @@
 
     async def _restore_roster(self) -> None:
         """Starts the sessions with all workers that may have runs."""
-        row = await self._reader.read_row(records.ROSTER)
-        if row is not None:
-            self._versions[records.ROSTER] = row.version
-            for registration in records.decode_roster(row.value):
-                self._workers.inherit(registration)
+        page, former = await asyncio.gather(
+            self._reader.read(records.ROSTER, records.CELL),
+            self._reader.read_row(records.FORMER_ROSTER),
+        )
+        for row in page.rows:
+            self._versions[row.row_key] = row.version
+            self._inherit(row)
+        if former is not None:
+            self._versions[former.row_key] = former.version
+            self._workers.replace_former_roster(
+                records.decode_former_roster(former.value)
+            )
         self._log_stage("roster_read")
 
+    def _inherit(self, row: store.Row) -> None:
+        try:
+            self._workers.inherit(records.decode_worker(row.value))
+        except errors.MarigoldgapError as error:
+            _log.error(
+                "worker_row_unusable", worker=row.row_key.key, cause=str(error)
+            )
+
     def _drop_progress(self, orphans: dict[str, store.Row]) -> None:
         """Removes progress of jobs whose record an earlier leader removed."""
         for row in orphans.values():
--- a/src/marigoldgap/cell/store.py
+++ b/src/marigoldgap/cell/store.py
@@ -74,6 +74,14 @@
     status = 504
 
 
+class StoreRejectedError(StoreError):
+    """The call is invalid, for example because a value is too long."""
+
+    code = "store-rejected"
+    status = 500
+    ran = errors.Ran.NO
+
+
 class CheckFailedError(StoreError):
     """A check of the transaction failed; nothing was written."""
 
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -113,6 +113,20 @@
         self._unfenced.add(worker.worker_id)
         self._add(worker)
 
+    def replace_former_roster(
+        self, registrations: list[model.Registration]
+    ) -> None:
+        """Adds the workers in the row of earlier versions, and removes it."""
+        for registration in registrations:
+            if self.workers.get(registration.worker_id) is None:
+                self.inherit(registration)
+            worker = self.workers.get(registration.worker_id)
+            assert worker is not None
+            self._store(worker)
+        self._leadership.journal.schedule_write(
+            records.FORMER_ROSTER, _no_content
+        )
+
     def start(
         self,
         name: model.RunName,
@@ -155,11 +169,13 @@
                 address=registration.address,
             )
             self._add(worker)
-            self._store_roster()
+            self._store(worker)
             return
         if registration.is_draining and not worker.registration.is_draining:
             _log.info("worker_draining", worker=worker.worker_id)
-        worker.registration = registration
+        former, worker.registration = worker.registration, registration
+        if former.address != registration.address:
+            self._store(worker)
         worker.is_registered = True
         self._leadership.request_plan()
 
@@ -192,7 +208,9 @@
         self._deferred.pop(worker.worker_id, None)
         for run in list(worker.runs.values()):
             self._runs.end(run, model.EndReason.LAPSED, "", "worker is gone")
-        self._store_roster()
+        self._leadership.journal.schedule_write(
+            records.roster_row_key(worker.worker_id), _no_content
+        )
         self._leadership.request_plan()
 
     def on_fenced(self) -> None:
@@ -260,18 +278,15 @@
         self._sessions[worker.worker_id] = session
         self._leadership.spawn(session.run())
 
-    def _store_roster(self) -> None:
+    def _store(self, worker: fleet.Worker) -> None:
+        """Adds a worker to the roster, after which runs may start on it."""
         self._leadership.journal.schedule_write(
-            records.ROSTER,
-            lambda: records.encode_roster(
-                [worker.registration for worker in self.workers.values()]
-            ),
+            records.roster_row_key(worker.worker_id),
+            lambda: records.encode_worker(worker.registration),
         )
-        members = self.workers.values()
 
         def mark_rostered(_: asyncio.Future[None]) -> None:
-            for worker in members:
-                worker.is_rostered = True
+            worker.is_rostered = True
             self._leadership.request_plan()
 
         self._leadership.journal.flushed().add_done_callback(mark_rostered)
@@ -360,3 +375,7 @@
         session = self._sessions.get(run.worker.worker_id)
         if session is not None:
             self._leadership.spawn(session.stop(run))
+
+
+def _no_content() -> None:
+    return None
--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -21,6 +21,7 @@
 # Time that a call for changes may take beyond the wait that it requests.
 _CHANGES_MARGIN_S = 0.7
 _REFUSED_STATUSES = frozenset({429, 503, 507})
+_REJECTED_STATUSES = frozenset({400, 403, 404, 413})
 
 
 class StoreClient:
@@ -78,6 +79,7 @@
         Raises:
             CheckFailedError: A checked row has a different version.
             StoreRefusedError: The transaction was not applied.
+            StoreRejectedError: The transaction is invalid.
             StoreUnknownError: There is no answer; the transaction may take
                 effect now or later.
         """
@@ -252,6 +254,10 @@
         if answer.status in _REFUSED_STATUSES:
             self._record_refusal(f"the store answered {answer.status}")
             raise store.StoreRefusedError(f"the store answered {answer.status}")
+        if answer.status in _REJECTED_STATUSES:
+            raise store.StoreRejectedError(
+                f"the store answered {answer.status}: {answer.body[:200]!r}"
+            )
         if answer.status not in (200, 410, 412):
             raise store.StoreError(
                 f"the store answered {answer.status}: {answer.body[:200]!r}"
--- a/tests/features/cell/journal.feature
+++ b/tests/features/cell/journal.feature
@@ -31,3 +31,24 @@
   Scenario: Records survive encoding
     Guards against jobs that change between acceptance and takeover.
     Then every generated job is unchanged after encoding and decoding
+
+  Scenario: The heartbeat is in the first transaction of a backlog
+    Guards against a leader that loses its leadership while it catches up after
+    an outage of the store.
+    Given a journal on a store in memory
+    When 400 rows and then the heartbeat are written
+    Then the heartbeat is stored with the first transaction
+
+  Scenario: A row that the store rejects holds up no other row
+    Guards against a cell without a leader because one row is too long
+    (fresh-f993 of quetzal-claims-large: no heartbeat, 26 elections).
+    Given a journal on a store in memory
+    When a row that the store rejects and the heartbeat are written
+    Then the heartbeat is stored
+    And a row that is written afterwards is stored
+
+  Scenario: A transaction stays below the size that the store accepts
+    Guards against a batch of long rows that the store rejects as a whole.
+    Given a journal on a store in memory
+    When 60 rows of 45000 bytes are written
+    Then no transaction has more than 1 MB
--- a/tests/features/cell/takeover.feature
+++ b/tests/features/cell/takeover.feature
@@ -119,3 +119,20 @@
     When the third instance is elected while the former leader continues
     And a job is submitted to the instance that polls rarely
     Then that instance knows the new leader within 2 s
+
+  Scenario: The workers of a large fleet fit into the rows of the store
+    Guards against a list of workers that is longer than a row may be, so that
+    the leader can store nothing any more (fresh-f993 of quetzal-claims-large).
+    Given a cell with 1 workers and 2 instances
+    When 700 workers without a process join
+    Then the leader is the same as before
+    And the stored roster has 701 workers
+    When the leader ends
+    Then another instance leads and knows 701 workers
+
+  Scenario: The roster of an earlier version is replaced
+    Guards against an upgrade that forgets the workers that may have runs.
+    Given a stored roster of an earlier version with 3 workers
+    And a cell with 1 workers and 1 instances that restores it
+    Then the stored roster has 4 workers
+    And the roster of the earlier version is removed
--- a/tests/features/steps/cell_journal_steps.py
+++ b/tests/features/steps/cell_journal_steps.py
@@ -17,6 +17,8 @@
 from tests.fixtures import loops
 
 _ROW_KEY = records.progress_row_key("a" * 16)
+# Longest value that the store accepts, before it is encoded in Base64.
+_ROW_BYTES = 65_536 * 3 // 4
 
 
 class _MemoryStore:
@@ -34,11 +36,16 @@
         # Event for which each transaction waits before it is applied.
         self.gate = None
         self.is_waiting = False
+        # Keys of the rows of each applied transaction, and its bytes in Base64.
+        self.batches = []
+        self.sizes = []
 
     async def transact(self, transaction):
         if self.gate is not None:
             self.is_waiting = True
             await self.gate.wait()
+        if any(len(value) > _ROW_BYTES for _, value in transaction.writes):
+            raise store.StoreRejectedError("a value is too long")
         fault = self.faults.pop(0) if self.faults else None
         if fault == "hold":
             self.held.append(transaction)
@@ -59,6 +66,10 @@
                 ]
                 raise store.CheckFailedError(tuple(found))
         self.version += 1
+        self.batches.append([row_key for row_key, _ in transaction.writes])
+        self.sizes.append(
+            sum(len(value) * 4 // 3 for _, value in transaction.writes)
+        )
         for row_key, value in transaction.writes:
             self.rows[row_key] = store.Row(row_key, value, self.version)
         return self.version
@@ -147,6 +158,67 @@
     assert _stored(context) == b"content"
 
 
+def _write_rows(context, contents, heartbeat=b""):
+    """Schedules rows and then the heartbeat; waits until all are handled."""
+
+    async def write():
+        for row_key, content in contents.items():
+            context.journal.schedule_write(row_key, lambda value=content: value)
+        if heartbeat:
+            context.journal.schedule_urgent_write(
+                records.HEARTBEAT, lambda: heartbeat
+            )
+        await context.journal.flushed()
+
+    loops.run(context, write())
+
+
+def _rows(count, content):
+    return {
+        records.progress_row_key(f"{number:016x}"): content
+        for number in range(count)
+    }
+
+
+@when("{count:d} rows and then the heartbeat are written")
+def write_backlog(context, count):
+    context.rows.batches.clear()
+    _write_rows(context, _rows(count, b"row"), b"beat")
+
+
+@then("the heartbeat is stored with the first transaction")
+def heartbeat_first(context):
+    assert records.HEARTBEAT in context.rows.batches[0]
+    assert len(context.rows.batches) > 1
+
+
+@when("a row that the store rejects and the heartbeat are written")
+def write_rejected(context):
+    _write_rows(context, _rows(1, b"x" * (_ROW_BYTES + 1)), b"beat")
+
+
+@then("the heartbeat is stored")
+def heartbeat_stored(context):
+    assert context.rows.rows[records.HEARTBEAT].value == b"beat"
+
+
+@then("a row that is written afterwards is stored")
+def stored_afterwards(context):
+    _write(context, b"content")
+    assert _stored(context) == b"content"
+
+
+@when("{count:d} rows of {size:d} bytes are written")
+def write_long_rows(context, count, size):
+    _write_rows(context, _rows(count, b"x" * size))
+    assert len(context.rows.rows) == count + 1
+
+
+@then("no transaction has more than 1 MB")
+def transaction_sizes(context):
+    assert max(context.rows.sizes) <= 1_000_000, context.rows.sizes
+
+
 @when("another instance is elected")
 def elect_other(context):
     context.rows.apply(store.Transaction((), ((records.ELECTION, b"2"),)))
--- a/tests/features/steps/cell_recovery_steps.py
+++ b/tests/features/steps/cell_recovery_steps.py
@@ -151,17 +151,22 @@
     assert _election_row(context)["instance"] != context.successor
 
 
+def _known_workers(world):
+    return [
+        worker
+        for each in world.instances
+        if each.scheduler is not None
+        for worker in each.scheduler.worker_tracker.workers.values()
+    ]
+
+
 @when("the next leader is asked to stop while it recovers")
 def stop_recovering(context):
     world = context.world
 
     async def stop():
-        await loops.until(
-            lambda: any(each.scheduler for each in world.instances)
-        )
-        await loops.until(
-            lambda: world.leader().scheduler.worker_tracker.workers.values()
-        )
+        while not _known_workers(world):
+            await asyncio.sleep(0.005)
         world.leader().request_stop()
         await loops.until(lambda: _election_row(context)["is_released"])
 
@@ -220,3 +225,72 @@
 @when("the store applies the next archive without an answer")
 def lose_archive(context):
     context.world.store.lost_removals = 1
+
+
+def _worker(number):
+    return model.Registration(
+        f"i-{number:010x}",
+        "claims",
+        f"127.0.0.1:{number % 1000 + 1}",
+        "zone-a",
+        False,
+        model.Demand(16_000, 64_000, 0),
+        frozenset({f"rack-{number // 12}", "kind-a"}),
+        f"rack-{number // 12}",
+        1_790_000_000_000 + number,
+    )
+
+
+@when("{count:d} workers without a process join")
+def workers_join(context, count):
+    context.former = context.world.leader()
+    context.epoch = context.former.scheduler.worker_tracker.epoch
+    tracker = context.former.scheduler.worker_tracker
+
+    async def wait():
+        for number in range(count):
+            tracker.on_registration(_worker(number))
+        await tracker.flushed()
+        # Longer than another instance waits for a heartbeat.
+        await asyncio.sleep(3.0)
+
+    loops.run(context, wait())
+
+
+def _roster(context):
+    rows = context.world.store.rows
+    return [key for table, _, key in rows if table == records.ROSTER]
+
+
+@then("the stored roster has {count:d} workers")
+def roster_size(context, count):
+    loops.run(context, loops.until(lambda: len(_roster(context)) == count))
+
+
+@then("another instance leads and knows {count:d} workers")
+def knows_workers(context, count):
+    loops.run(context, loops.until(lambda: context.world.schedulers))
+    assert context.world.leader() is not context.former
+    workers = context.world.schedulers[0].worker_tracker.workers
+    assert len(workers) == count, len(workers)
+
+
+@given("a stored roster of an earlier version with {count:d} workers")
+def former_roster(context, count):
+    workers = [_worker(number) for number in range(count)]
+    content = {
+        "workers": [
+            {**worker._asdict(), "labels": sorted(worker.labels)}
+            for worker in workers
+        ]
+    }
+    context.rows = [(records.FORMER_ROSTER, json.dumps(content).encode())]
+
+
+@then("the roster of the earlier version is removed")
+def former_roster_removed(context):
+    store = context.world.store
+    loops.run(
+        context,
+        loops.until(lambda: store.value(*records.FORMER_ROSTER) is None),
+    )
--- a/tests/standins/cell/store.py
+++ b/tests/standins/cell/store.py
@@ -12,6 +12,8 @@
 
 _PAGE_ROWS = 500
 _HOLD_POLL_S = 0.05
+# Maximum length of a value in Base64.
+_ROW_BYTES = 65_536
 
 
 class StoreStandIn:
@@ -31,7 +33,7 @@
             take effect if their checks hold.
         is_silent: Whether every response is withheld.
         delay_s: Delay of each call, in seconds.
-        holds_tables: Returns whether reads of whole partitions are withheld.
+        holds_tables: Returns whether reads of partitions of jobs are withheld.
         lost_removals: Number of the next transactions with removals whose
             response is withheld; they take effect.
     """
@@ -92,7 +94,11 @@
         if path == "/v1/rows-tx":
             return await self._transact(json.loads(request.body))
         if path == "/v1/rows-get":
-            while not fields.get("target") and self.holds_tables():
+            while (
+                fields["table"] == "jobs"
+                and not fields.get("target")
+                and self.holds_tables()
+            ):
                 await asyncio.sleep(_HOLD_POLL_S)
             return self._read(fields)
         if path == "/v1/rows-feed":
@@ -109,6 +115,8 @@
             found = [row for row in current if row["ver"]]
             await self._withhold_response()
             return self._answer({"rows": found}, 412)
+        if any(len(each["value"]) > _ROW_BYTES for each in body["setKeys"]):
+            return messages.Response(400)
         self.version += 1
         for each in body["setKeys"]:
             value = base64.b64decode(each["value"])
