--- a/src/marigoldgap/cell/journal.py
+++ b/src/marigoldgap/cell/journal.py
@@ -107,8 +107,10 @@
             encoders, self._encoders = self._encoders, {}
             self._dirty.clear()
             self._is_writing = True
-            # There may be only urgent rows.
-            while encoders or self._urgent:
+            # Urgent rows may arrive faster than a slow store writes them, so the
+            # batch ends without waiting for the last of them.
+            await self._write(self._encode_chunk(encoders))
+            while encoders:
                 await self._write(self._encode_chunk(encoders))
             self._is_writing = False
             for waiter in waiters:
--- a/tests/features/cell/journal.feature
+++ b/tests/features/cell/journal.feature
@@ -52,3 +52,10 @@
     Given a journal on a store in memory
     When 60 rows of 45000 bytes are written
     Then no transaction has more than 1 MB
+
+  Scenario: Heartbeats do not keep a batch from ending
+    Guards against ends of runs that are never acknowledged while the store takes
+    longer for a write than the interval of the heartbeat.
+    Given a journal on a store in memory
+    When a heartbeat is scheduled during each write
+    Then a row that is written afterwards is stored
--- a/tests/features/steps/cell_journal_steps.py
+++ b/tests/features/steps/cell_journal_steps.py
@@ -197,6 +197,19 @@
     _write_rows(context, _rows(1, b"x" * (_ROW_BYTES + 1)), b"beat")
 
 
+@when("a heartbeat is scheduled during each write")
+def heartbeat_in_each_write(context):
+    applied = context.rows.apply
+
+    def apply(transaction):
+        context.journal.schedule_urgent_write(
+            records.HEARTBEAT, lambda: b"beat"
+        )
+        return applied(transaction)
+
+    context.rows.apply = apply
+
+
 @then("the heartbeat is stored")
 def heartbeat_stored(context):
     assert context.rows.rows[records.HEARTBEAT].value == b"beat"
