node: log the requests in progress at the start and end of a shutdown

The log of an instance that was asked to stop had no line between stopping and stopped, so it could not be told whether requests were still in progress when its connections were closed, nor how much of the shutdown time the hand-over of leadership took.

--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -193,17 +193,28 @@
     async def _shut_down(self) -> None:
         """Hands leadership over, then waits for requests to finish."""
         started_s = clock.now_s()
-        _log.info("stopping", is_elected=self._scheduler is not None)
+        _log.info(
+            "stopping",
+            is_elected=self._scheduler is not None,
+            requests=self._callers.request_count,
+        )
         self._is_stopping = True
         self._election.withdraw()
         self._callers.drain()
         await self._hand_over_leadership()
+        handed_over_s = clock.now_s() - started_s
         latest_s = started_s + self.settings.shutdown_s - _SHUTDOWN_MARGIN_S
         while clock.now_s() < latest_s:
             waited_s = clock.now_s() - started_s
             if waited_s > _MIN_DRAIN_S and self._callers.is_idle:
                 break
             await asyncio.sleep(_DRAIN_POLL_S)
+        _log.info(
+            "drained",
+            took_s=round(clock.now_s() - started_s, 3),
+            handed_over_s=round(handed_over_s, 3),
+            requests=self._callers.request_count,
+        )
 
     async def _hand_over_leadership(self) -> None:
         scheduler, won = self._scheduler, self._election_win
--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -66,7 +66,12 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or answered."""
-        return not any(each.is_busy for each in self._connections)
+        return not self.request_count
+
+    @property
+    def request_count(self) -> int:
+        """Number of connections on which a request is read or answered."""
+        return sum(each.is_busy for each in self._connections)
 
     async def start(self, address: str) -> None:
         """Listens on `ip:port`."""
