node: answer every request that was read before the process ends

Cause: the loop of the shutdown ended one second before the process would be killed, whatever was being answered, and then closed all connections. With a slow store a submission takes up to 1.35 s, and open connections could send new ones until the last moment.

Change: node.shutdown decides the times. A request that arrives when less time is left than a submission may take is rejected at once with 503 and may be retried elsewhere without delay. At the end each request in progress is cancelled and answered: a submission with 504, since its write may still take effect, a query or cancellation with 503.

Measured: on the scenarios of cell/shutdown fail with ClosedByHostError: closed by the server (submission, cancellation, late submission); they pass now.

--- a/src/marigoldgap/cell/job_service.py
+++ b/src/marigoldgap/cell/job_service.py
@@ -29,7 +29,7 @@
 # the rest is left for a retry at another instance.
 _WAIT_SHARE = 0.45
 # Time after which a refused caller may retry: about as long as an election.
-RETRY_AFTER_S = 1.0
+_RETRY_AFTER_S = 1.0
 # Pause between attempts.
 _RETRY_PAUSE_S = 0.05
 # Part of the caller's deadline that is reserved for the delivery of the answer.
@@ -51,6 +51,19 @@
     code = "store-away"
 
 
+class ShuttingDownError(errors.OverloadedError):
+    """The instance is about to end; the request was not carried out."""
+
+    code = "shutting-down"
+
+
+class RequestInterruptedError(errors.MarigoldgapError):
+    """The instance ended before it had the answer; safe to repeat."""
+
+    code = "interrupted"
+    status = 503
+
+
 class OutcomeUnknownError(errors.MarigoldgapError):
     """The store did not answer, so the job may or may not be stored."""
 
@@ -58,6 +71,16 @@
     status = 504
 
 
+def retry_after_s(error: errors.MarigoldgapError) -> float:
+    """Returns the seconds after which a refused caller may retry.
+
+    Other instances can serve the caller at once while this one shuts down.
+    """
+    if isinstance(error, ShuttingDownError | RequestInterruptedError):
+        return 0.0
+    return _RETRY_AFTER_S
+
+
 class JobService:
     """Serves the requests of callers.
 
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -21,6 +21,7 @@
 from marigoldgap.cell import watcher
 from marigoldgap.node import instance_registry
 from marigoldgap.node import settings as node_settings
+from marigoldgap.node import shutdown
 from marigoldgap.platform import advice_client
 from marigoldgap.platform import documents
 from marigoldgap.platform import job_api
@@ -33,12 +34,9 @@
 
 _log = decision_log.DecisionLogger("process")
 
-# Shortest drain: callers are still routed to this instance until two readiness
-# probes have failed.
-_MIN_DRAIN_S = 2.5
-# Part of the shutdown time that is reserved for the last writes.
-_SHUTDOWN_MARGIN_S = 1.0
 _DRAIN_POLL_S = 0.05
+# Time within which the last answers are sent.
+_FLUSH_S = 0.3
 # Claim delays of the rounds in which leadership is offered. In each round only
 # instances with at most this claim delay may accept, so that the best placed
 # ones come first.
@@ -94,8 +92,9 @@
             self._pool,
             settings.withdrawal_s,
         )
-        api = job_api.JobApi(self._job_service)
-        self._is_stopping = False
+        api = job_api.JobApi(self._job_service, self._accepts_requests)
+        # The times of the shutdown; None until it is requested.
+        self._shutdown: shutdown.ShutdownSchedule | None = None
         self._api = api
         self._callers = server.HttpServer(api.handle, self._limits)
         self._readiness = server.HttpServer(self._handle_readiness)
@@ -190,30 +189,36 @@
         else:
             _log.info("settings_reloaded")
 
+    def _accepts_requests(self) -> bool:
+        schedule = self._shutdown
+        return schedule is None or schedule.accepts(clock.now_s())
+
     async def _shut_down(self) -> None:
-        """Hands leadership over, then waits for requests to finish."""
-        started_s = clock.now_s()
+        """Hands leadership over, then answers the requests in progress."""
+        schedule = shutdown.ShutdownSchedule(
+            clock.now_s(), self.settings.shutdown_s
+        )
+        self._shutdown = schedule
         _log.info(
             "stopping",
             is_elected=self._scheduler is not None,
             requests=self._callers.request_count,
         )
-        self._is_stopping = True
         self._election.withdraw()
         self._callers.drain()
         await self._hand_over_leadership()
-        handed_over_s = clock.now_s() - started_s
-        latest_s = started_s + self.settings.shutdown_s - _SHUTDOWN_MARGIN_S
-        while clock.now_s() < latest_s:
-            waited_s = clock.now_s() - started_s
-            if waited_s > _MIN_DRAIN_S and self._callers.is_idle:
-                break
+        handed_over_s = clock.now_s() - schedule.started_s
+        while not schedule.is_complete(clock.now_s(), self._callers.is_idle):
             await asyncio.sleep(_DRAIN_POLL_S)
+        interrupted = self._callers.answer_unfinished(self._api.interrupt)
+        await self._callers.flush(_FLUSH_S)
+        # Requests that arrived meanwhile.
+        interrupted += self._callers.answer_unfinished(self._api.interrupt)
         _log.info(
             "drained",
-            took_s=round(clock.now_s() - started_s, 3),
+            took_s=round(clock.now_s() - schedule.started_s, 3),
             handed_over_s=round(handed_over_s, 3),
-            requests=self._callers.request_count,
+            interrupted=interrupted,
         )
 
     async def _hand_over_leadership(self) -> None:
@@ -317,7 +322,7 @@
     async def _handle_readiness(
         self, request: messages.Request
     ) -> messages.Response:
-        if self._is_stopping:
+        if self._shutdown is not None:
             return messages.Response(503)
         return await self._api.ready(request)
 
--- a/src/marigoldgap/platform/job_api.py
+++ b/src/marigoldgap/platform/job_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import math
 import re
 
@@ -35,10 +36,17 @@
 
     Args:
         service: Performs the operations.
+        accepts_requests: Returns whether there is time left to answer a new
+            request before the process ends.
     """
 
-    def __init__(self, service: job_service.JobService) -> None:
+    def __init__(
+        self,
+        service: job_service.JobService,
+        accepts_requests: Callable[[], bool],
+    ) -> None:
         self._job_service = service
+        self._accepts_requests = accepts_requests
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answers a request and counts it by method and status."""
@@ -46,21 +54,29 @@
         measures.REQUESTS.labels(request.method, response.status).inc()
         return response
 
+    def interrupt(self, request: messages.Request) -> messages.Response:
+        """Answers a request whose handling was cancelled by the shutdown."""
+        kind: type[errors.MarigoldgapError]
+        kind = job_service.RequestInterruptedError
+        if request.method == "POST":
+            # The write in flight may still store the job.
+            kind = job_service.OutcomeUnknownError
+        error = kind("the instance shut down before it had the answer")
+        response = _refuse(request, error)
+        measures.REQUESTS.labels(request.method, response.status).inc()
+        return response
+
     async def _answer(self, request: messages.Request) -> messages.Response:
         started_s = clock.now_s()
         try:
+            if not self._accepts_requests():
+                raise job_service.ShuttingDownError(
+                    "the instance is shutting down; use another one"
+                )
             return await self._route(request)
         except errors.MarigoldgapError as error:
-            _log.warning(
-                "request_refused",
-                method=request.method,
-                path=request.path,
-                status=error.status,
-                took_s=round(clock.now_s() - started_s, 3),
-                code=error.code,
-                cause=error.detail,
-            )
-            return _error_response(error)
+            took_s = round(clock.now_s() - started_s, 3)
+            return _refuse(request, error, took_s=took_s)
 
     async def ready(self, request: messages.Request) -> messages.Response:
         """Answers the readiness probe: 200 if this instance takes requests."""
@@ -131,6 +147,23 @@
     return milliseconds / 1000
 
 
+def _refuse(
+    request: messages.Request,
+    error: errors.MarigoldgapError,
+    **fields: float,
+) -> messages.Response:
+    _log.warning(
+        "request_refused",
+        method=request.method,
+        path=request.path,
+        status=error.status,
+        code=error.code,
+        cause=error.detail,
+        **fields,
+    )
+    return _error_response(error)
+
+
 def _error_response(error: errors.MarigoldgapError) -> messages.Response:
     status = error.status
     if isinstance(error, store.StoreError | messages.ExchangeError):
@@ -140,8 +173,9 @@
     body = {"error": error.code}
     if status not in (429, 503):
         return messages.json_response(status, body)
+    retry_after_s = job_service.retry_after_s(error)
     return messages.json_response(
         status,
-        {**body, "retryAfterMs": int(job_service.RETRY_AFTER_S * 1000)},
-        (("Retry-After", str(round(job_service.RETRY_AFTER_S))),),
+        {**body, "retryAfterMs": int(retry_after_s * 1000)},
+        (("Retry-After", str(round(retry_after_s))),),
     )
--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -23,6 +23,8 @@
 _BACKLOG = 1_024
 # Interval at which connections are checked for slow requests and idle time.
 _SWEEP_INTERVAL_S = 0.5
+# Interval at which it is checked whether the last responses were sent.
+_FLUSH_POLL_S = 0.02
 # Requests on one connection that may wait for the response to an earlier one.
 _MAX_PIPELINED_REQUESTS = 16
 
@@ -86,6 +88,34 @@
         """Makes each connection close after its next response."""
         self.is_draining = True
 
+    def answer_unfinished(
+        self, answer: Callable[[messages.Request], messages.Response]
+    ) -> int:
+        """Cancels the requests in progress and answers each of them now.
+
+        Args:
+            answer: Returns the response to a request that was cancelled.
+
+        Returns:
+            The number of requests that were cancelled.
+        """
+        return sum(
+            connection.answer_unfinished(answer)
+            for connection in list(self._connections)
+        )
+
+    async def flush(self, timeout_s: float) -> None:
+        """Waits until closing connections have sent their last response.
+
+        Args:
+            timeout_s: Longest time to wait, in seconds.
+        """
+        until_s = clock.now_s() + timeout_s
+        while clock.now_s() < until_s and any(
+            each.is_closing for each in self._connections
+        ):
+            await asyncio.sleep(_FLUSH_POLL_S)
+
     def close(self) -> None:
         """Stops listening and closes all connections."""
         if self._server is not None:
@@ -123,10 +153,17 @@
             collections.deque()
         )
         self._task: asyncio.Task[None] | None = None
+        # The request that the handler is answering.
+        self._current: messages.Request | None = None
         self._state_since_s = clock.now_s()
         self._is_reading = False
         self._reset()
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection closes once its data has been sent."""
+        return self._transport.is_closing()
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is being read or answered."""
@@ -211,6 +248,31 @@
         ):
             self.close()
 
+    def answer_unfinished(
+        self, answer: Callable[[messages.Request], messages.Response]
+    ) -> int:
+        """Cancels the requests of the connection and answers them.
+
+        A request that was not read completely is rejected.
+
+        Returns:
+            The number of complete requests that were cancelled.
+        """
+        if self._task is not None:
+            self._task.cancel()
+        unfinished = [request for request, _ in self._pending]
+        if self._current is not None:
+            unfinished.insert(0, self._current)
+        self._pending.clear()
+        if self._transport.is_closing():
+            return 0
+        for number, request in enumerate(unfinished, 1):
+            is_last = number == len(unfinished)
+            self._write(answer(request), is_last)
+        if self._is_reading:
+            self._reject(503, "the instance is shutting down")
+        return len(unfinished)
+
     def close(self) -> None:
         """Closes the connection after the written data has been sent."""
         if self._transport is not None:
@@ -248,12 +310,17 @@
     async def _answer(
         self, request: messages.Request, keep_alive: bool
     ) -> None:
+        self._current = request
         try:
             response = await self._server.handler(request)
         except Exception:
             _log.exception("answer_failed", method=request.method)
             response = messages.json_response(500, {"error": "internal-error"})
-        close = not keep_alive or self._server.is_draining
+        finally:
+            self._current = None
+        self._write(response, not keep_alive or self._server.is_draining)
+
+    def _write(self, response: messages.Response, close: bool) -> None:
         if self._transport.is_closing():
             return
         self._transport.write(messages.encode_response(response, close))
--- /dev/null
+++ b/tests/features/cell/shutdown.feature
@@ -0,0 +1,33 @@
+Feature: An instance that shuts down answers every request that it has read
+
+  Scenario Outline: A request in progress at the end of the shutdown is answered
+    Guards against a connection that ends without a response after SIGTERM
+    (issue 23).
+    Given a cell with 1 workers and 1 instances
+    When the store is silent and a caller sends <request> on an open connection
+    And the instance is asked to stop
+    Then the caller gets <status> before the process ends
+
+    Examples:
+      | request        | status |
+      | a submission   | 504    |
+      | a query        | 503    |
+      | a cancellation | 503    |
+
+  Scenario: A submission that cannot be answered before the end is rejected
+    Guards against requests that are taken on open connections shortly before
+    the process ends (issue 23).
+    Given a cell with 1 workers and 1 instances
+    When a caller has an open connection
+    And the instance is asked to stop
+    And a submission arrives on that connection 1 s before the process must end
+    Then it is answered at once with 503, to be retried elsewhere at once
+    And no task was started
+
+  Scenario: Requests are served during the first part of the shutdown
+    Guards against rejecting callers that can still be served.
+    Given a cell with 1 workers and 1 instances
+    When a caller has an open connection
+    And the instance is asked to stop
+    And a submission arrives on that connection at once
+    Then it is answered with 200
--- /dev/null
+++ b/tests/features/steps/cell_shutdown_steps.py
@@ -0,0 +1,129 @@
+"""Steps for the graceful shutdown of an instance."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from behave import then
+from behave import when
+
+from marigoldgap import clock
+from marigoldgap.web import client
+from tests.fixtures import cell_jobs
+from tests.fixtures import cell_world
+from tests.fixtures import loops
+
+# Longer than the shutdown, so that no deadline ends a request before it.
+_DEADLINE_S = 20.0
+_METHODS = {
+    "a submission": "POST",
+    "a query": "GET",
+    "a cancellation": "DELETE",
+}
+_FAST_S = 0.3
+
+
+async def _connect(context):
+    instance = context.world.leader()
+    context.instance = instance
+    context.connection = await client.connect(instance.settings.callers_address)
+
+
+async def _send(context, method):
+    """Sends a request; returns its response and the time that it took."""
+    body = json.dumps(cell_world.job()).encode() if method == "POST" else b""
+    head = client.request_head(
+        method,
+        cell_world.HOST,
+        cell_world.PREFIX + cell_jobs.JOB,
+        len(body),
+        (
+            ("Authorization", f"Token {cell_world.KEY}"),
+            ("X-Deadline-Ms", str(int(_DEADLINE_S * 1000))),
+        ),
+    )
+    started_s = clock.now_s()
+    response = await context.connection.exchange(head, body, _DEADLINE_S)
+    return response, clock.now_s() - started_s
+
+
+@when("the store is silent and a caller sends {request} on an open connection")
+def send_to_silent_store(context, request):
+    async def send():
+        await _connect(context)
+        context.world.store.is_silent = True
+        context.exchange = asyncio.create_task(
+            _send(context, _METHODS[request])
+        )
+        await loops.until(lambda: not context.instance._callers.is_idle)
+
+    loops.run(context, send())
+
+
+@when("a caller has an open connection")
+def open_connection(context):
+    loops.run(context, _connect(context))
+
+
+@when("the instance is asked to stop")
+def request_stop(context):
+    context.stopped_s = clock.now_s()
+    context.instance.request_stop()
+
+
+@when("the instance is asked to stop several times")
+def request_stop_often(context):
+    async def request():
+        request_stop(context)
+        for _ in range(3):
+            await asyncio.sleep(0.2)
+            context.instance._reload()
+            context.instance.request_stop()
+
+    loops.run(context, request())
+
+
+@when(
+    "a submission arrives on that connection {left_s:d} s before the process"
+    " must end"
+)
+def submit_late(context, left_s):
+    async def submit():
+        shutdown_s = context.instance.settings.shutdown_s
+        await asyncio.sleep(shutdown_s - 1.0 - left_s)
+        context.world.store.is_silent = True
+        return await _send(context, "POST")
+
+    context.response, context.took_s = loops.run(context, submit())
+
+
+@when("a submission arrives on that connection at once")
+def submit_early(context):
+    context.response, _ = loops.run(context, _send(context, "POST"))
+
+
+@then("the caller gets {status:d} before the process ends")
+def answered(context, status):
+    response, _ = loops.run(context, context.exchange)
+    assert response.status == status, response
+
+
+@then("it is answered at once with 503, to be retried elsewhere at once")
+def rejected_at_once(context):
+    assert context.response.status == 503, context.response
+    assert context.response.json()["retryAfterMs"] == 0, context.response
+    assert context.took_s < _FAST_S, context.took_s
+    context.world.store.is_silent = False
+
+
+@then("it is answered with 200")
+def accepted(context):
+    assert context.response.status == 200, context.response
+
+
+@then("the process has ended within its shutdown time")
+def ended_in_time(context):
+    loops.run(context, context.instance.serving)
+    took_s = clock.now_s() - context.stopped_s
+    assert took_s < context.instance.settings.shutdown_s, took_s
