node: hand leadership over while requests in progress finish

Change: the hand-over runs beside the drain and no longer moves its end. handed_over and hand_over_failed say how long it took.

--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -206,9 +206,12 @@
         )
         self._election.withdraw()
         self._callers.drain()
-        await self._hand_over_leadership()
-        handed_over_s = clock.now_s() - schedule.started_s
-        while not schedule.is_complete(clock.now_s(), self._callers.is_idle):
+        # Concurrently: a late answer of the store must not delay callers.
+        handing_over = asyncio.create_task(self._hand_over_leadership())
+        self._tasks.append(handing_over)
+        while not schedule.is_complete(
+            clock.now_s(), handing_over.done() and self._callers.is_idle
+        ):
             await asyncio.sleep(_DRAIN_POLL_S)
         interrupted = self._callers.answer_unfinished(self._api.interrupt)
         await self._callers.flush(_FLUSH_S)
@@ -217,7 +220,7 @@
         _log.info(
             "drained",
             took_s=round(clock.now_s() - schedule.started_s, 3),
-            handed_over_s=round(handed_over_s, 3),
+            is_handed_over=handing_over.done(),
             interrupted=interrupted,
         )
 
@@ -226,12 +229,24 @@
         if scheduler is None or won is None:
             return
         scheduler.stop_planning()
+        started_s = clock.now_s()
         try:
             await asyncio.wait_for(scheduler.flushed(), 1.0)
             await self._election.release(won, scheduler.is_obeyed)
             await asyncio.wait_for(self._offer_takeover(won.epoch), 1.0)
         except (TimeoutError, errors.MarigoldgapError) as error:
-            _log.warning("hand_over_failed", cause=str(error))
+            _log.warning(
+                "hand_over_failed",
+                epoch=won.epoch,
+                took_s=round(clock.now_s() - started_s, 3),
+                cause=str(error) or "timeout",
+            )
+        else:
+            _log.info(
+                "handed_over",
+                epoch=won.epoch,
+                took_s=round(clock.now_s() - started_s, 3),
+            )
         scheduler.end_leadership()
 
     async def _serve_cell(self, won: elections.ElectionWin) -> None:
--- a/tests/features/cell/shutdown.feature
+++ b/tests/features/cell/shutdown.feature
@@ -31,3 +31,11 @@
     And the instance is asked to stop
     And a submission arrives on that connection at once
     Then it is answered with 200
+
+  Scenario: A late hand-over of leadership does not delay the end
+    Guards against a process that is killed with requests in progress while it
+    waits for the store.
+    Given a cell with 1 workers and 1 instances
+    And the store answers the release of leadership after 3 s
+    When the leader is asked to stop several times and to reload its settings
+    Then the process has ended 0.5 s before it would be killed
--- a/tests/features/steps/cell_shutdown_steps.py
+++ b/tests/features/steps/cell_shutdown_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 
+from behave import given
 from behave import then
 from behave import when
 
@@ -72,7 +73,20 @@
     context.instance.request_stop()
 
 
-@when("the instance is asked to stop several times")
+@given("the store answers the release of leadership after {delay_s:d} s")
+def delay_release(context, delay_s):
+    context.instance = context.world.leader()
+    election = context.instance._election
+    release = election.release
+
+    async def release_late(won, was_obeyed):
+        await asyncio.sleep(delay_s)
+        await release(won, was_obeyed)
+
+    election.release = release_late
+
+
+@when("the leader is asked to stop several times and to reload its settings")
 def request_stop_often(context):
     async def request():
         request_stop(context)
@@ -122,8 +136,8 @@
     assert context.response.status == 200, context.response
 
 
-@then("the process has ended within its shutdown time")
-def ended_in_time(context):
+@then("the process has ended {margin_s:g} s before it would be killed")
+def ended_in_time(context, margin_s):
     loops.run(context, context.instance.serving)
     took_s = clock.now_s() - context.stopped_s
-    assert took_s < context.instance.settings.shutdown_s, took_s
+    assert took_s < context.instance.settings.shutdown_s - margin_s, took_s
