web: answer all requests that were read before a draining server closes

Change: while the server drains, a connection closes after the response to the last request that was read.

--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -318,7 +318,10 @@
             response = messages.json_response(500, {"error": "internal-error"})
         finally:
             self._current = None
-        self._write(response, not keep_alive or self._server.is_draining)
+        # Requests that were already read are answered before the connection
+        # closes.
+        is_last = self._server.is_draining and not self._pending
+        self._write(response, not keep_alive or is_last)
 
     def _write(self, response: messages.Response, close: bool) -> None:
         if self._transport.is_closing():
--- a/tests/features/steps/web_steps.py
+++ b/tests/features/steps/web_steps.py
@@ -110,3 +110,21 @@
 
     response = loops.run(context, exchange())
     assert response.body == b"/next", response
+
+
+@when("the server drains while two requests of a connection are in progress")
+def drain_pipelined(context):
+    async def exchange():
+        content = b"GET /slow HTTP/1.1\r\n\r\nGET /last HTTP/1.1\r\n\r\n"
+        sending = asyncio.create_task(_send_raw(context.address, content))
+        await loops.until(lambda: not context.server.is_idle)
+        context.server.drain()
+        return await sending
+
+    context.response = loops.run(context, exchange())
+
+
+@then("both requests get their complete response")
+def complete_responses(context):
+    assert context.response.count(b"HTTP/1.1 200") == 2, context.response
+    assert context.response.endswith(b"/last"), context.response
--- a/tests/features/web/server.feature
+++ b/tests/features/web/server.feature
@@ -26,3 +26,10 @@
     Given an HTTP server with small limits
     When an exchange times out before its response arrives
     Then the next exchange on the pool gets its own response
+
+  Scenario: A draining server answers all requests that it has read
+    Guards against a request that was read behind another one and gets no
+    response when the connection closes.
+    Given an HTTP server with small limits
+    When the server drains while two requests of a connection are in progress
+    Then both requests get their complete response
