web: answer a client that closes its side after the request

A client that ends its data after a request (half-close) got no response: the connection was closed when the end of the data arrived, while the request was carried out.

Change: the connection stays open for writing until its requests are answered.

Measured: before, the new scenario read an empty response; now the complete one.

--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -155,6 +155,8 @@
         self._task: asyncio.Task[None] | None = None
         # The request that the handler is answering.
         self._current: messages.Request | None = None
+        # Whether the client has ended its data.
+        self._is_read_completely = False
         self._state_since_s = clock.now_s()
         self._is_reading = False
         self._reset()
@@ -180,6 +182,16 @@
         self._is_reading = False
         self._server.remove(self)
 
+    def eof_received(self) -> bool:
+        """Handles the end of the client's data.
+
+        Returns:
+            Whether the connection stays open until its requests are answered.
+        """
+        self._is_reading = False
+        self._is_read_completely = True
+        return self._task is not None
+
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
         if not self._is_reading:
@@ -320,7 +332,9 @@
             self._current = None
         # Requests that were already read are answered before the connection
         # closes.
-        is_last = self._server.is_draining and not self._pending
+        is_last = not self._pending and (
+            self._server.is_draining or self._is_read_completely
+        )
         self._write(response, not keep_alive or is_last)
 
     def _write(self, response: messages.Response, close: bool) -> None:
--- a/tests/features/steps/web_steps.py
+++ b/tests/features/steps/web_steps.py
@@ -23,6 +23,7 @@
     + b"x" * 5_000,
     "large headers": b"GET / HTTP/1.1\r\nA: " + b"x" * 5_000 + b"\r\n\r\n",
     "half a request": b"GET / HTT",
+    "too many requests": b"GET /next HTTP/1.1\r\n\r\n" * 20,
 }
 
 
@@ -128,3 +129,30 @@
 def complete_responses(context):
     assert context.response.count(b"HTTP/1.1 200") == 2, context.response
     assert context.response.endswith(b"/last"), context.response
+
+
+@when("a slow request ends the data of its client")
+def send_and_half_close(context):
+    async def exchange():
+        host, _, port = context.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /slow HTTP/1.1\r\n\r\n")
+        writer.write_eof()
+        response = await reader.read()
+        writer.close()
+        return response
+
+    context.response = loops.run(context, exchange())
+
+
+@when("a slow request is followed by {name}")
+def send_behind(context, name):
+    content = b"GET /slow HTTP/1.1\r\n\r\n" + _INPUTS[name]
+    context.response = loops.run(context, _send_raw(context.address, content))
+
+
+@then("it gets the complete response and then {status:d}")
+def answered_in_order(context, status):
+    first, _, rest = context.response.partition(b"/slow")
+    assert first.startswith(b"HTTP/1.1 200"), context.response
+    assert b"HTTP/1.1 %d " % status in rest, context.response
--- a/tests/features/web/server.feature
+++ b/tests/features/web/server.feature
@@ -33,3 +33,10 @@
     Given an HTTP server with small limits
     When the server drains while two requests of a connection are in progress
     Then both requests get their complete response
+
+  Scenario: A client that sends no more data still gets its response
+    Guards against a request without a response, if the client closes its side
+    of the connection after the request.
+    Given an HTTP server with small limits
+    When a slow request ends the data of its client
+    Then the request gets its complete response
