web: send a rejection after the responses to earlier requests

A client that sends further requests before the first is answered read the rejection of the last (400, 413, 429 or 431) as the response to the first and the connection closed: a submission that was carried out looked rejected, for which 429 means that it never runs.

Change: while earlier requests are unanswered, nothing more is read and the rejection is sent behind their responses.

Measured: before, four examples of the new scenario got the rejection first; now the response and then the rejection.

--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -157,6 +157,9 @@
         self._current: messages.Request | None = None
         # Whether the client has ended its data.
         self._is_read_completely = False
+        # Response after which the connection closes, since what follows the
+        # requests that were read is invalid.
+        self._rejection: messages.Response | None = None
         self._state_since_s = clock.now_s()
         self._is_reading = False
         self._reset()
@@ -194,6 +197,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
+        if self._rejection is not None:
+            return
         if not self._is_reading:
             self._is_reading = True
             self._state_since_s = clock.now_s()
@@ -228,7 +233,7 @@
 
     def on_message_complete(self) -> None:
         """Queues the complete request."""
-        if self._transport.is_closing():
+        if self._transport.is_closing() or self._rejection is not None:
             return
         request = messages.Request(
             self._parser.get_method().decode("latin-1"),
@@ -278,11 +283,14 @@
         self._pending.clear()
         if self._transport.is_closing():
             return 0
-        for number, request in enumerate(unfinished, 1):
-            is_last = number == len(unfinished)
-            self._write(answer(request), is_last)
-        if self._is_reading:
-            self._reject(503, "the instance is shutting down")
+        responses = [answer(request) for request in unfinished]
+        if self._rejection is not None:
+            responses.append(self._rejection)
+        elif self._is_reading:
+            reason = "the server ends before the request is complete"
+            responses.append(messages.json_response(503, {"error": reason}))
+        for number, response in enumerate(responses, 1):
+            self._write(response, number == len(responses))
         return len(unfinished)
 
     def close(self) -> None:
@@ -303,18 +311,26 @@
             self._reject(431, "the headers are too large")
 
     def _reject(self, status: int, reason: str) -> None:
-        if self._transport.is_closing():
+        """Rejects what was read last, after the responses to earlier requests.
+
+        A client reads the responses in the order of its requests.
+        """
+        if self._transport.is_closing() or self._rejection is not None:
             return
         _log.warning("request_malformed", status=status, cause=reason)
         response = messages.json_response(status, {"error": reason})
-        self._transport.write(messages.encode_response(response, True))
         self._is_reading = False
-        self._transport.close()
+        if self._task is None:
+            self._write(response, True)
+        else:
+            self._rejection = response
 
     async def _answer_all(self) -> None:
         try:
             while self._pending and not self._transport.is_closing():
                 await self._answer(*self._pending.popleft())
+            if self._rejection is not None:
+                self._write(self._rejection, True)
         finally:
             self._state_since_s = clock.now_s()
             self._task = None
@@ -332,8 +348,10 @@
             self._current = None
         # Requests that were already read are answered before the connection
         # closes.
-        is_last = not self._pending and (
-            self._server.is_draining or self._is_read_completely
+        is_last = (
+            not self._pending
+            and self._rejection is None
+            and (self._server.is_draining or self._is_read_completely)
         )
         self._write(response, not keep_alive or is_last)
 
--- a/tests/features/web/server.feature
+++ b/tests/features/web/server.feature
@@ -40,3 +40,17 @@
     Given an HTTP server with small limits
     When a slow request ends the data of its client
     Then the request gets its complete response
+
+  Scenario Outline: A request behind others is rejected after their responses
+    Guards against a rejection that the client reads as the response to an
+    earlier request, which may have been carried out.
+    Given an HTTP server with small limits
+    When a slow request is followed by <input>
+    Then it gets the complete response and then <status>
+
+    Examples:
+      | input             | status |
+      | garbage           | 400    |
+      | large headers     | 431    |
+      | a large body      | 413    |
+      | too many requests | 429    |
