cell: serve leadership that was won by a takeover during a poll

An election that was won at the request of the former leader, or after its process had ended, while the instance was reading the election row was forgotten: the poll set the pending win to nothing. The instance then found its own name in the row and won a second election a poll later, with nothing scheduled in between.

Change: the pending win is taken after the poll.

--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -174,12 +174,13 @@
         """Watches the election until cancelled; schedules after each win."""
         while True:
             try:
-                won = self._pending_win or await self._poll()
+                won = None if self._pending_win else await self._poll()
             except store.StoreError as error:
                 _log.warning("read_failed", cause=str(error))
                 await asyncio.sleep(_RETRY_S)
                 continue
-            self._pending_win = None
+            # An election may have been won by `take_over` during the poll.
+            won, self._pending_win = won or self._pending_win, None
             if won is None:
                 await self._pause()
                 continue
--- a/tests/features/cell/takeover.feature
+++ b/tests/features/cell/takeover.feature
@@ -134,3 +134,11 @@
     And a cell with 1 workers and 1 instances that restores it
     Then the stored roster has 4 workers
     And the roster of the earlier version is removed
+
+  Scenario: Leadership that is taken over during a poll is exercised
+    Guards against a second election, if the first one is won while the
+    instance reads the election row.
+    Given a cell with 1 workers and 2 instances
+    When the other instance takes over while it polls the election
+    Then another instance is the leader
+    And every worker has accepted the second fencing token
--- a/tests/features/steps/cell_takeover_steps.py
+++ b/tests/features/steps/cell_takeover_steps.py
@@ -320,3 +320,27 @@
     loops.run(context, asyncio.sleep(seconds))
     found = [worker.starts for worker in context.world.workers if worker.starts]
     assert not found, found
+
+
+@when("the other instance takes over while it polls the election")
+def takes_over_during_poll(context):
+    context.former = context.world.leader()
+    other = next(
+        each for each in context.world.instances if each is not context.former
+    )
+    election = other._election
+    poll = election._poll
+    epoch = context.former.scheduler.worker_tracker.epoch
+    has_taken_over = asyncio.Event()
+
+    async def poll_slowly():
+        election._poll = poll
+        assert await election.take_over(epoch, "test")
+        has_taken_over.set()
+
+    async def take_over():
+        election._poll = poll_slowly
+        await has_taken_over.wait()
+        await loops.until(lambda: context.former.scheduler is None)
+
+    loops.run(context, take_over())
