cell: release leadership that is won after the request to stop

Change: such a win is released at once, and no claim starts after the request to stop.

Measured: before, the election row of the new scenario was not released when the process had ended; now it is.

--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -184,6 +184,9 @@
             if won is None:
                 await self._pause()
                 continue
+            if not self._is_candidate:
+                await self._release_unserved(won)
+                continue
             self._is_serving = True
             try:
                 await self._serve(won)
@@ -192,12 +195,15 @@
                     "leadership_failed", epoch=won.epoch, cause=str(error)
                 )
                 self._yields_until_s = clock.now_s() + _FAILED_PERIOD_S
-                await self._release_failed(won)
+                await self._release_unserved(won)
             self._is_serving = False
             self._observed = None
 
-    async def _release_failed(self, won: ElectionWin) -> None:
-        """Releases leadership that failed, so that another instance starts."""
+    async def _release_unserved(self, won: ElectionWin) -> None:
+        """Releases leadership that this instance cannot exercise.
+
+        Its scheduling failed, or the instance was asked to stop meanwhile.
+        """
         try:
             await self.release(won, was_obeyed=False)
         except store.StoreError as error:
@@ -298,7 +304,7 @@
         if not self._is_candidate or not (is_vacant or is_overdue):
             return None
         await asyncio.sleep(self.claim_delay_s)
-        return await self._claim(row)
+        return await self._claim(row) if self._is_candidate else None
 
     def _is_heartbeat_overdue(
         self, row: store.Row | None, heartbeat: store.Row | None, now: float
--- a/tests/features/cell/shutdown.feature
+++ b/tests/features/cell/shutdown.feature
@@ -39,3 +39,12 @@
     And the store answers the release of leadership after 3 s
     When the leader is asked to stop several times and to reload its settings
     Then the process has ended 0.5 s before it would be killed
+
+  Scenario: Leadership that is won during the shutdown is released at once
+    Guards against a leader that ends without a hand-over, if it was asked to
+    stop while it claimed the leadership.
+    Given a cell with 1 workers and 2 instances
+    When the leader ends
+    And the other instance is asked to stop while it claims the leadership
+    Then it never schedules
+    And the leadership is released
--- a/tests/features/steps/cell_shutdown_steps.py
+++ b/tests/features/steps/cell_shutdown_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 
 from marigoldgap import clock
+from marigoldgap.cell import records
 from marigoldgap.web import client
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
@@ -23,6 +24,8 @@
     "a cancellation": "DELETE",
 }
 _FAST_S = 0.3
+# Time of a call to the store while an instance claims the leadership.
+_CLAIM_S = 0.2
 
 
 async def _connect(context):
@@ -141,3 +144,39 @@
     loops.run(context, context.instance.serving)
     took_s = clock.now_s() - context.stopped_s
     assert took_s < context.instance.settings.shutdown_s - margin_s, took_s
+
+
+@when("the other instance is asked to stop while it claims the leadership")
+def stop_during_claim(context):
+    context.instance = context.world.instances[0]
+    election = context.instance._election
+    claim = election._claim
+    is_claiming = asyncio.Event()
+
+    async def claim_slowly(row):
+        context.world.store.delay_s = _CLAIM_S
+        is_claiming.set()
+        return await claim(row)
+
+    async def stop():
+        election._claim = claim_slowly
+        await is_claiming.wait()
+        request_stop(context)
+
+    loops.run(context, stop())
+
+
+@then("it never schedules")
+def never_schedules(context):
+    async def watch():
+        while not context.instance.serving.done():
+            assert context.instance.scheduler is None
+            await asyncio.sleep(0.005)
+
+    loops.run(context, watch())
+
+
+@then("the leadership is released")
+def leadership_released(context):
+    content = context.world.store.value(*records.ELECTION)
+    assert records.decode(content)["is_released"], content
