cell: count unknown runs of silent workers against the upper limits

Change: until such a worker answers or its lease has certainly expired, the waiting tasks of inherited jobs count as running, at most up to the capacity of these workers. Not covered: runs of a cancelled job that such a worker is still stopping.

Now the limit holds until both jobs are completed.

--- a/src/marigoldgap/cell/job_tracker.py
+++ b/src/marigoldgap/cell/job_tracker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from marigoldgap import clock
@@ -154,6 +155,12 @@
             for step in job.ready_steps()
         ]
 
+    def inherited_steps(self) -> Iterator[jobs.StepProgress]:
+        """Yields the steps of earlier elections that have waiting tasks."""
+        for job in self._open_jobs.values():
+            if job.is_inherited:
+                yield from job.ready_steps()
+
     def open_due(self) -> None:
         """Opens the occurrences of recurring jobs that are due."""
         wall_ms = clock.wall_ms()
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -13,6 +13,7 @@
 from marigoldgap import measures
 from marigoldgap.cell import advice_dispatcher
 from marigoldgap.cell import archive
+from marigoldgap.cell import inherited_usage
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import jobs
 from marigoldgap.cell import journal
@@ -268,6 +269,7 @@
         ]
 
     def _usage(self) -> dict[str, list[int]]:
+        """Returns the resources that each workspace uses or may use."""
         usage: dict[str, list[int]] = {}
         for worker in self.worker_tracker.workers.values():
             for run in worker.runs.values():
@@ -276,6 +278,14 @@
                 )
                 for index, amount in enumerate(run.step.spec.demand):
                     used[index] += amount
+        unknown = inherited_usage.unknown_usage(
+            self.worker_tracker.pending_capacity(),
+            self.job_tracker.inherited_steps(),
+        )
+        for workspace, amounts in unknown.items():
+            used = usage.setdefault(workspace, [0, 0, 0])
+            for index, amount in enumerate(amounts):
+                used[index] += amount
         return usage
 
     async def _run_journal(self) -> None:
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -97,6 +97,15 @@
             return False
         return bool(self._unfenced)
 
+    def pending_capacity(self) -> list[model.Demand]:
+        """Returns the capacities of inherited workers with unknown runs."""
+        pending = (self.workers.get(name) for name in self.pending_inherited)
+        return [
+            worker.registration.capacity
+            for worker in pending
+            if worker is not None
+        ]
+
     def flushed(self) -> asyncio.Future[None]:
         """Returns a future that is done when the current state is stored."""
         return self._leadership.journal.flushed()
--- a/tests/features/cell/takeover.feature
+++ b/tests/features/cell/takeover.feature
@@ -142,3 +142,16 @@
     When the other instance takes over while it polls the election
     Then another instance is the leader
     And every worker has accepted the second fencing token
+
+  Scenario: Runs that a silent worker may have count against the upper limit
+    Guards against a workspace that exceeds its limit after an election, while
+    a worker with its runs does not answer (hunt-bb08-7 of
+    quetzal-claims-large).
+    Given a cell with 2 workers and 2 instances
+    And the workspace may use 2000 millicores
+    When a job of 2 tasks with 1000 millicores each has begun on one worker
+    And that worker falls silent and the leader ends
+    And another job of 2 tasks with 1000 millicores each is submitted
+    Then no task of the other job starts within 2 s of the election
+    When the silent worker answers again
+    Then the limit is never exceeded until both jobs are completed
--- a/tests/features/steps/cell_takeover_steps.py
+++ b/tests/features/steps/cell_takeover_steps.py
@@ -17,6 +17,7 @@
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
 from tests.fixtures import loops
+from tests.standins.cell import worker as worker_standin
 
 
 @when("the leader ends")
@@ -344,3 +345,104 @@
         await loops.until(lambda: context.former.scheduler is None)
 
     loops.run(context, take_over())
+
+
+@given("the workspace may use {millicores:d} millicores")
+def limit_workspace(context, millicores):
+    context.limit = millicores
+    content = cell_world.configuration(version=2, cap=millicores)
+    context.world.store.put("op", "", "config", content)
+
+    async def wait():
+        for instance in context.world.instances:
+            await loops.until(
+                lambda each=instance: each._configuration.current.version == 2
+            )
+
+    loops.run(context, wait())
+
+
+def _submit_limited(context, job_id, payload, instance):
+    body = cell_world.job(2, payload, cpu=1000)
+    status, _ = cell_jobs.submit(context, body, job_id, instance)
+    assert status == 200, status
+
+
+@when(
+    "a job of {tasks:d} tasks with {millicores:d} millicores each has begun on"
+    " one worker"
+)
+def begin_on_one_worker(context, tasks, millicores):
+    payload = f"ms=6000 cpu={millicores}"
+    _submit_limited(context, cell_jobs.JOB, payload, None)
+    workers = context.world.workers
+    loops.run(
+        context,
+        loops.until(
+            lambda: any(len(each.running) == tasks for each in workers)
+        ),
+    )
+
+
+@when("that worker falls silent and the leader ends")
+def silent_then_leader_ends(context):
+    context.silent = next(
+        each for each in context.world.workers if each.running
+    )
+    context.silent._is_silent = True
+    leader_ends(context)
+    loops.run(context, loops.until(lambda: context.world.schedulers))
+
+
+@when(
+    "another job of {tasks:d} tasks with {millicores:d} millicores each is"
+    " submitted"
+)
+def submit_other(context, tasks, millicores):
+    del tasks
+    _submit_limited(
+        context,
+        cell_jobs.OTHER_JOB,
+        f"ms=300 cpu={millicores}",
+        context.world.instances[0],
+    )
+
+
+@then("no task of the other job starts within {seconds:d} s of the election")
+def other_does_not_start(context, seconds):
+    async def watch():
+        await asyncio.sleep(seconds)
+        return [
+            name
+            for worker in context.world.workers
+            for name, _ in worker.starts
+            if name.startswith(cell_jobs.OTHER_JOB)
+        ]
+
+    started = loops.run(context, watch())
+    assert not started, started
+
+
+@when("the silent worker answers again")
+def answers_again(context):
+    context.silent._is_silent = False
+
+
+@then("the limit is never exceeded until both jobs are completed")
+def limit_kept(context):
+    async def watch():
+        states = set()
+        while states != {"completed"}:
+            used = sum(
+                worker_standin.cpu(run["spec"])
+                for worker in context.world.workers
+                for run in worker.running.values()
+            )
+            assert used <= context.limit, used
+            states = {
+                await context.world.state(job)
+                for job in (cell_jobs.JOB, cell_jobs.OTHER_JOB)
+            }
+            await asyncio.sleep(0.02)
+
+    loops.run(context, watch())
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -179,8 +179,8 @@
             self.violations.append(
                 f"task {name} was started after its end was acknowledged"
             )
-        used = sum(_cpu(each["spec"]) for each in self.running.values())
-        if used + _cpu(body["spec"]) > _CAPACITY["cpu"]:
+        used = sum(cpu(each["spec"]) for each in self.running.values())
+        if used + cpu(body["spec"]) > _CAPACITY["cpu"]:
             self.violations.append(
                 f"task {name} overcommits worker {self.worker_id}:"
                 f" {used} of {_CAPACITY['cpu']} millicores are in use"
@@ -253,5 +253,5 @@
         )
 
 
-def _cpu(spec):
+def cpu(spec):
     return int(spec.partition("cpu=")[2].split()[0] if "cpu=" in spec else 0)
