cell: log the ready steps that wait for long, with the reason of the plan

Callers saw an accepted job of which nothing ran although the workers had room; the log did not say why a plan had left it out. Each plan now keeps the reason in the step. The explanation of a job names the longest wait.

A plan only stores a constant for each step; the lines are found outside of it. No logic changes.

--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -25,6 +25,24 @@
     EXPIRED = 2
 
 
+class WaitReason(enum.Enum):
+    """Reason why the latest plan started no task of a ready step."""
+
+    NOT_PLANNED = "not planned yet"
+    RETRY_PAUSE = "pause after a refused start"
+    WORKSPACE_LIMIT = "upper limit of its workspace"
+    NO_CANDIDATE = "no worker with its service and label accepts tasks"
+    ADVICE_PENDING = "call for advice is pending"
+    NOT_ADVISED = "no advised worker accepts tasks"
+    NO_CAPACITY = "does not fit on the workers"
+    NO_RESERVATION = "other gangs have the reservations"
+    TICKETS_MISSING = "tickets are missing or expire too soon"
+    MEMBERS_ACTIVE = "members of an earlier run have not ended"
+    UNKNOWN_RUNS = "a worker lists an unknown run of the job"
+    INHERITED = "workers of the former leader have not answered"
+    STARTING = "starts were sent"
+
+
 # A result earns less credit after the latency objective, and none after this
 # multiple of it (the users' rules for the credit of jobs).
 _EXPIRED_AFTER_OBJECTIVES = 3.0
@@ -53,6 +71,7 @@
         "saved",
         "spec",
         "tickets",
+        "wait_reason",
         "waiting",
     )
 
@@ -95,6 +114,7 @@
         self.tickets: dict[str, tuple[str, float]] = {}
         # Calls to the advice service that are queued or in flight.
         self.pending_advice_calls = 0
+        self.wait_reason = WaitReason.NOT_PLANNED
 
     @property
     def is_done(self) -> bool:
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -103,13 +103,7 @@
         self._by_requirement = {}
         plan = Plan([], [])
         for step in sorted(steps, key=lambda step: _urgency(step, now)):
-            if step.not_before_s > now:
-                continue
-            allowed = _allowed_tasks(step, usage, workspaces)
-            if step.spec.is_gang:
-                self._plan_gang(step, allowed, plan, usage)
-            elif allowed > 0:
-                self._plan_tasks(step, allowed, plan, usage)
+            step.wait_reason = self._plan_step(step, plan, usage, workspaces)
         self._reserved = frozenset(
             worker_id
             for worker_id, capacity in self._capacities.items()
@@ -117,6 +111,23 @@
         )
         return plan
 
+    def _plan_step(
+        self,
+        step: jobs.StepProgress,
+        plan: Plan,
+        usage: dict[str, list[int]],
+        workspaces: dict[str, model.Workspace],
+    ) -> jobs.WaitReason:
+        """Plans one step; returns why its tasks wait if none of them starts."""
+        if step.not_before_s > self._now:
+            return jobs.WaitReason.RETRY_PAUSE
+        allowed = _allowed_tasks(step, usage, workspaces)
+        if step.spec.is_gang:
+            return self._plan_gang(step, allowed, plan, usage)
+        if allowed <= 0:
+            return jobs.WaitReason.WORKSPACE_LIMIT
+        return self._plan_tasks(step, allowed, plan, usage)
+
     def _candidates(
         self, step: jobs.StepProgress
     ) -> dict[str, worker_capacity.WorkerCapacity]:
@@ -185,9 +196,12 @@
         allowed: int,
         plan: Plan,
         usage: dict[str, list[int]],
-    ) -> None:
+    ) -> jobs.WaitReason:
         candidates = self._candidates(step)
         advised = self._advised_workers(step, candidates, plan)
+        if not advised:
+            return _unadvised_reason(step, candidates)
+        reason = jobs.WaitReason.NO_CAPACITY
         ends_s = self._now + self._times.expected_s(step) * _BACKFILL_MARGIN
         counts = _tasks_by_worker(step)
         stale: list[str] = []
@@ -196,13 +210,13 @@
                 step, position, advised, counts, ends_s
             )
             if capacity is None:
-                if advised:
-                    self._request_more_advice(step, candidates, plan)
+                self._request_more_advice(step, candidates, plan)
                 break
             ticket = self._ticket(step, capacity)
             if ticket is None:
                 stale.append(capacity.worker.worker_id)
             else:
+                reason = jobs.WaitReason.STARTING
                 _add_usage(usage, step)
                 plan.placements.append(
                     Placement(step, position, capacity.worker, ticket)
@@ -213,6 +227,9 @@
             counts[worker_id] = counts.get(worker_id, 0) + 1
         if stale and not step.is_advice_pending:
             plan.advice.append((step, sorted(set(stale))))
+        if stale and reason is jobs.WaitReason.NO_CAPACITY:
+            return jobs.WaitReason.TICKETS_MISSING
+        return reason
 
     def _best_worker(
         self,
@@ -262,14 +279,16 @@
         allowed: int,
         plan: Plan,
         usage: dict[str, list[int]],
-    ) -> None:
+    ) -> jobs.WaitReason:
         spec = step.spec
         if step.active or len(step.waiting) < spec.task_count:
-            return
+            return jobs.WaitReason.MEMBERS_ACTIVE
         candidates = self._candidates(step)
         advised = self._advised_workers(step, candidates, plan)
-        if not advised or allowed < spec.task_count:
-            return
+        if not advised:
+            return _unadvised_reason(step, candidates)
+        if allowed < spec.task_count:
+            return jobs.WaitReason.WORKSPACE_LIMIT
         ends_s = self._now + self._times.expected_s(step)
         ticketed = [
             capacity
@@ -279,12 +298,14 @@
         chosen = self._fit_gang_now(step, ticketed, ends_s)
         if chosen is not None:
             self._place_gang(step, chosen, ends_s, plan, usage)
-            return
+            return jobs.WaitReason.STARTING
         if self._reserving_gangs >= _MAX_RESERVING_GANGS:
-            return
+            return jobs.WaitReason.NO_RESERVATION
         self._reserving_gangs += 1
         chosen = self._fit_gang_now(step, advised, ends_s)
+        reason = jobs.WaitReason.TICKETS_MISSING
         if chosen is None:
+            reason = jobs.WaitReason.NO_CAPACITY
             self._request_more_advice(step, candidates, plan)
             at, kept = self._reserve_gang(step, advised)
         else:
@@ -295,6 +316,7 @@
                 )
         if at - self._now <= _TICKET_LEAD_S:
             self._renew_tickets(step, kept, advised, plan)
+        return reason
 
     def _place_gang(
         self,
@@ -417,6 +439,18 @@
     )
 
 
+def _unadvised_reason(
+    step: jobs.StepProgress,
+    candidates: dict[str, worker_capacity.WorkerCapacity],
+) -> jobs.WaitReason:
+    """Returns why a step has no worker that it may use."""
+    if not candidates:
+        return jobs.WaitReason.NO_CANDIDATE
+    if step.is_advice_pending:
+        return jobs.WaitReason.ADVICE_PENDING
+    return jobs.WaitReason.NOT_ADVISED
+
+
 def _tasks_by_worker(step: jobs.StepProgress) -> dict[str, int]:
     """Returns the number of tasks of the step that each worker runs."""
     counts: dict[str, int] = {}
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -26,6 +26,7 @@
 from marigoldgap.cell import run_times
 from marigoldgap.cell import store
 from marigoldgap.cell import table_reader
+from marigoldgap.cell import wait_log
 from marigoldgap.cell import worker_tracker
 
 _log = decision_log.DecisionLogger("scheduler")
@@ -115,6 +116,7 @@
         )
         self._heartbeat_count = 0
         self._is_planning = True
+        self._wait_log = wait_log.WaitLog()
 
     @property
     def is_recovered(self) -> bool:
@@ -138,6 +140,7 @@
         self._leadership.spawn(self._recover())
         await self._wait_until_recovered()
         self._leadership.spawn(self._plan_repeatedly())
+        self._leadership.spawn(self._log_waits())
         self._leadership.spawn(self._archive.run())
         self._leadership.spawn(self._retention.run())
         await self._leadership.wait_until_ended()
@@ -247,6 +250,35 @@
         for step, workers in plan.advice:
             self._advice.request(step, workers)
 
+    async def _log_waits(self) -> None:
+        """Logs the steps that have been ready for long without a run."""
+        while True:
+            await asyncio.sleep(wait_log.INTERVAL_S)
+            unknown_jobs = self._jobs_with_unknown_runs()
+            self._wait_log.examine(
+                [
+                    (step, self._wait_reason(step, unknown_jobs))
+                    for step in self.job_tracker.ready_steps(True)
+                ],
+                clock.now_s(),
+            )
+
+    def _wait_reason(
+        self, step: jobs.StepProgress, unknown_jobs: set[str]
+    ) -> jobs.WaitReason:
+        if step.job.job_id in unknown_jobs:
+            return jobs.WaitReason.UNKNOWN_RUNS
+        if step.job.is_inherited and self.worker_tracker.pending_inherited:
+            return jobs.WaitReason.INHERITED
+        return step.wait_reason
+
+    def _jobs_with_unknown_runs(self) -> set[str]:
+        return {
+            name.task.job_id
+            for worker in self.worker_tracker.workers.values()
+            for name in worker.unknown_runs
+        }
+
     def _startable_steps(self) -> list[jobs.StepProgress]:
         """Returns the steps that may start without running a task twice.
 
@@ -254,11 +286,7 @@
         job. The job then waits for the worker's next listing, which shows the
         task that runs.
         """
-        unknown_jobs = {
-            name.task.job_id
-            for worker in self.worker_tracker.workers.values()
-            for name in worker.unknown_runs
-        }
+        unknown_jobs = self._jobs_with_unknown_runs()
         return [
             step
             for step in self.job_tracker.ready_steps(
--- a/src/marigoldgap/job_explanation.py
+++ b/src/marigoldgap/job_explanation.py
@@ -194,6 +194,15 @@
     ):
         if name in events:
             parts.append(f"{len(events[name])} {problem}")
+    if "step_waiting" in events:
+        longest = max(
+            events["step_waiting"],
+            key=lambda line: float(line.fields.get("waited_s", 0)),
+        ).fields
+        parts.append(
+            f"step {longest.get('step')} waited {longest.get('waited_s')} s:"
+            f" {longest.get('reason')}"
+        )
     queued, started = events.get("job_queued"), events.get("job_began")
     if queued and started:
         waited_ms = started[0].time_ms - queued[0].time_ms
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -99,3 +99,17 @@
     And a waiting gang that is advised on all workers
     When a plan is made
     Then tickets are requested for every worker with free capacity
+
+  Scenario: A ready step that waits for long is logged with its reason
+    Guards against a job that waits without a trace of the cause.
+    Given 2 workers with 4 cores each
+    And a waiting gang of 9 members of 1 core
+    When a plan is made every second for 10 s
+    Then 2 lines say that the step "does not fit on the workers"
+
+  Scenario: A step with a run is not logged as waiting
+    Guards against lines about steps that progress.
+    Given 2 workers with 4 cores each
+    And a run of 3 cores on each worker that ends in 10 s
+    When a plan is made every second for 10 s
+    Then no step is logged as waiting
--- a/tests/features/logs/decision_log.feature
+++ b/tests/features/logs/decision_log.feature
@@ -22,3 +22,9 @@
     Given a log line about a refused request of a job
     When the job is explained
     Then the cause states that the job was never accepted and why
+
+  Scenario: A step that waited is explained
+    Guards against a delay whose reason is not in the explanation.
+    Given log lines about a step that waited 8 s because it "does not fit"
+    When the job is explained
+    Then the cause states that the step waited 8 s because it "does not fit"
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -22,6 +22,8 @@
 from marigoldgap.cell import run_times
 from marigoldgap.cell import runs
 from marigoldgap.cell import store
+from marigoldgap.cell import wait_log
+from tests.fixtures import log_lines
 from tests.fixtures import loops
 
 _NOW = 100.0
@@ -382,3 +384,31 @@
 @then("tickets are requested for every worker with free capacity")
 def tickets_for_free_workers(context):
     advice_for_free_workers(context)
+
+
+@when("a plan is made every second for {seconds:d} s")
+def plan_and_examine(context, seconds):
+    context.log = log_lines.capture(context)
+    waits = wait_log.WaitLog()
+    plans = planner.Planner(context.fleet, run_times.RunTimes())
+    for second in range(seconds):
+        now = _NOW + second
+        plans.plan(context.steps_waiting, {}, {}, now)
+        steps = context.steps_waiting + context.steps_running
+        waits.examine([(step, step.wait_reason) for step in steps], now)
+
+
+def _wait_lines(context):
+    return [fields for event, fields in context.log if event == "step_waiting"]
+
+
+@then('{count:d} lines say that the step "{reason}"')
+def waiting_lines(context, count, reason):
+    lines = _wait_lines(context)
+    assert [line["reason"] for line in lines] == [reason] * count, lines
+    assert [line["waited_s"] for line in lines] == [3.0, 8.0], lines
+
+
+@then("no step is logged as waiting")
+def no_waiting_lines(context):
+    assert not _wait_lines(context), _wait_lines(context)
--- a/tests/features/steps/decision_log_steps.py
+++ b/tests/features/steps/decision_log_steps.py
@@ -141,3 +141,26 @@
 def never_accepted(context):
     cause = context.explanation.cause
     assert "never accepted" in cause and "store-away" in cause, cause
+
+
+@given('log lines about a step that waited {seconds:d} s because it "{reason}"')
+def waiting_step(context, seconds, reason):
+    context.texts = [
+        _line(
+            1000 * waited_s,
+            "e1",
+            "step_waiting",
+            step=f"{_JOB}.0.0",
+            waited_s=waited_s,
+            reason=reason,
+        )
+        for waited_s in (3, seconds)
+    ]
+
+
+@then(
+    'the cause states that the step waited {seconds:d} s because it "{reason}"'
+)
+def waited_because(context, seconds, reason):
+    expected = f"step {_JOB}.0.0 waited {seconds} s: {reason}"
+    assert expected in context.explanation.cause, context.explanation.cause
