cell: use a worker again after it was given up

Callers would see accepted jobs that wait although most of the workers are idle: the leader knows only some of them.

Cause: a worker is removed when its lease has expired, and one that joins is removed at its first failed connection. The feed passes on only registrations that change, and a heartbeat changes none.

Change: the tracker keeps the registrations in force and opens a new session 1 s after a worker was removed, as long as it is registered. The new session starts like the first one: nothing starts before the worker has listed its runs, and those of its former leases have ended. A worker that returns is written to the roster once it answers, so that one that stays away costs no writes.

The stand-in for a worker wrote its registration anew with each heartbeat, which hid the fault. It now writes it only if it changes.

--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -52,8 +52,10 @@
     ) -> None:
         self.registration = registration
         self.contact = Contact.JOINING
-        # Whether the stored roster has the worker. Only then may runs start on
-        # it, so that the next leader knows every worker that may have runs.
+        # Whether a write of the worker to the stored roster was scheduled, and
+        # whether the roster has it. Only then may runs start on it, so that
+        # the next leader knows every worker that may have runs.
+        self.has_roster_row = False
         self.is_rostered = False
         self.is_registered = True
         self.runs: dict[model.RunName, runs.Run] = {}
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -35,6 +35,8 @@
 _FENCING_LIMIT_S = 1.3
 # Timeout of the command to stop a run of an unknown job.
 _STOP_TIMEOUT_S = 1.0
+# Pause before a new session with a removed worker that is still registered.
+_REJOIN_PAUSE_S = 1.0
 
 
 class WorkerTracker:
@@ -58,6 +60,8 @@
         is_former_inactive: bool,
     ) -> None:
         self.workers = fleet.Fleet()
+        # Registered workers, whether or not there is a session with them.
+        self._registrations: dict[str, model.Registration] = {}
         # Set once the stored jobs are known. Before that, listings cannot be
         # applied: the latest one of each worker is kept.
         self.ready = asyncio.Event()
@@ -107,6 +111,7 @@
         # The fencing limit starts when the last worker is inherited.
         self._fencing_began_s = now
         worker = fleet.Worker(registration, now, _INHERITED_LEASE_S)
+        worker.has_roster_row = True
         worker.is_rostered = True
         worker.is_registered = False
         self.pending_inherited.add(worker.worker_id)
@@ -160,16 +165,10 @@
 
     def on_registration(self, registration: model.Registration) -> None:
         """Adds a worker or updates its registration."""
+        self._registrations[registration.worker_id] = registration
         worker = self.workers.get(registration.worker_id)
         if worker is None:
-            worker = fleet.Worker(registration, clock.now_s())
-            _log.info(
-                "worker_joined",
-                worker=worker.worker_id,
-                address=registration.address,
-            )
-            self._add(worker)
-            self._store(worker)
+            self._store(self._join(registration))
             return
         if registration.is_draining and not worker.registration.is_draining:
             _log.info("worker_draining", worker=worker.worker_id)
@@ -181,6 +180,7 @@
 
     def on_unregistered(self, worker_id: str) -> None:
         """Stops placing runs on a worker whose registration was removed."""
+        self._registrations.pop(worker_id, None)
         worker = self.workers.get(worker_id)
         if worker is not None and worker.is_registered:
             _log.info("worker_unregistered", worker=worker_id)
@@ -208,9 +208,11 @@
         self._deferred.pop(worker.worker_id, None)
         for run in list(worker.runs.values()):
             self._runs.end(run, model.EndReason.LAPSED, "", "worker is gone")
-        self._leadership.journal.schedule_write(
-            records.roster_row_key(worker.worker_id), _no_content
-        )
+        if worker.has_roster_row:
+            self._leadership.journal.schedule_write(
+                records.roster_row_key(worker.worker_id), _no_content
+            )
+        self._leadership.spawn(self._rejoin(worker.worker_id))
         self._leadership.request_plan()
 
     def on_fenced(self) -> None:
@@ -232,6 +234,8 @@
         if worker.contact is not fleet.Contact.ANSWERING:
             _log.info("worker_answers", worker=worker.worker_id)
             worker.contact = fleet.Contact.ANSWERING
+        if not worker.has_roster_row:
+            self._store(worker)
         if self.ready.is_set():
             self._apply(worker, listing, sent_s)
         else:
@@ -272,14 +276,36 @@
         self.pending_inherited.discard(worker.worker_id)
         self._leadership.request_plan()
 
+    def _join(self, registration: model.Registration) -> fleet.Worker:
+        worker = fleet.Worker(registration, clock.now_s())
+        _log.info(
+            "worker_joined",
+            worker=worker.worker_id,
+            address=registration.address,
+        )
+        self._add(worker)
+        return worker
+
     def _add(self, worker: fleet.Worker) -> None:
         self.workers.add(worker)
         session = worker_session.WorkerSession(self, worker, self._port)
         self._sessions[worker.worker_id] = session
         self._leadership.spawn(session.run())
 
+    async def _rejoin(self, worker_id: str) -> None:
+        """Opens a new session with a removed worker that is still registered.
+
+        Its registration does not change if only its network was cut.
+        """
+        await asyncio.sleep(_REJOIN_PAUSE_S)
+        registration = self._registrations.get(worker_id)
+        if registration is not None and self.workers.get(worker_id) is None:
+            # It is added to the roster once it answers.
+            self._join(registration)
+
     def _store(self, worker: fleet.Worker) -> None:
         """Adds a worker to the roster, after which runs may start on it."""
+        worker.has_roster_row = True
         self._leadership.journal.schedule_write(
             records.roster_row_key(worker.worker_id),
             lambda: records.encode_worker(worker.registration),
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -67,3 +67,18 @@
     When unreadable registrations appear among the workers
     And a job of 1 tasks is submitted
     Then every instance shows the job as "completed"
+
+  Scenario: A worker that was cut off for longer than its lease is used again
+    Guards against a worker that is idle for good after a network cut, since its
+    registration does not change.
+    Given a cell with 1 workers and 1 instances
+    When the worker is cut off until it is removed
+    And a job of 1 tasks is submitted
+    Then the job is completed within 4 s
+
+  Scenario: A worker that cannot be reached when it joins is used later
+    Guards against a worker that is idle for good since its first connection
+    failed.
+    Given a cell with 1 workers and 1 instances
+    When a worker joins that accepts connections after 1500 ms
+    Then the leader uses 2 workers within 4 s
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -405,3 +405,33 @@
 @given("the first worker stops answering at its next start")
 def stop_answering(context):
     context.world.workers[0].falls_silent = True
+
+
+@when("the worker is cut off until it is removed")
+def cut_off_until_removed(context):
+    worker = context.world.workers[0]
+    tracker = context.world.schedulers[0].worker_tracker
+
+    async def cut():
+        worker.cut_off()
+        await loops.until(lambda: not tracker.workers.get(worker.worker_id))
+        await worker.reconnect()
+
+    loops.run(context, cut())
+
+
+@when("a worker joins that accepts connections after {milliseconds:d} ms")
+def joins_unreachable(context, milliseconds):
+    async def join():
+        worker = context.world.create_worker("late")
+        worker.register()
+        await asyncio.sleep(milliseconds / 1000)
+        await worker.start()
+
+    loops.run(context, join())
+
+
+@then("the leader uses {workers:d} workers within {seconds:d} s")
+def uses_workers(context, workers, seconds):
+    ready = loops.until(lambda: context.world.scheduler_is_ready(workers))
+    loops.run(context, asyncio.wait_for(ready, seconds))
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -121,7 +121,9 @@
             "born": self._born_ms,
         }
         content = json.dumps(fields).encode()
-        self._store.put("servers", "", self.worker_id, content)
+        # A heartbeat that changes nothing but its number is no change.
+        if self._store.value("servers", "", self.worker_id) != content:
+            self._store.put("servers", "", self.worker_id, content)
 
     @property
     def _clock_ms(self):
