cell: end the lease of a restarted worker by its new clock

Callers would see an accepted job whose tasks wait for a worker that is gone, for as long as an earlier incarnation of that worker had been running.

Cause: a worker that restarts under its id counts its clock anew, but the end of its lease was kept from the earlier incarnation. When the new one was lost, its lease seemed to last until its clock would have reached that end. Its runs kept their tasks and resources until then.

Change: the end of the lease is dropped with the rest of the state of an earlier incarnation. A command for the earlier one that reaches the new one may grant it a lease, which the worker shortens to 6 s; the worker is not given up before. A start that is repeated to the new incarnation carries a lease by its clock.

--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -153,8 +153,23 @@
             return False
         return self.clock_ms(now) > self.lease_until_ms
 
-    def reset_incarnation(self, born_ms: int) -> None:
-        """Resets the state kept for an earlier incarnation with the same id."""
+    def reset_incarnation(
+        self, born_ms: int, now: float, max_lease_s: float
+    ) -> None:
+        """Resets the state kept for an earlier incarnation with the same id.
+
+        Args:
+            born_ms: Wall time at which the new incarnation started.
+            now: Current monotonic time in seconds.
+            max_lease_s: Longest time, in seconds, of a lease that a command
+                for the earlier incarnation may have granted to the new one.
+        """
+        if self.born_ms:
+            # The clock of the new incarnation starts anew.
+            self.lease_until_ms = 0
+            self._inherited_until_s = max(
+                self._inherited_until_s, now + max_lease_s
+            )
         self.born_ms = born_ms
         self.handled_number = 0
         self.stored_number = 0
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -155,7 +155,11 @@
         # Repeated commands do not extend the lease. Otherwise the lease of a
         # worker that never answers would not expire.
         lease_until_ms = worker.grant_lease(clock.now_s(), LEASE_S)
+        born_ms = worker.born_ms
         while run.state is runs.RunState.STARTING and not self._is_closed:
+            if worker.born_ms != born_ms:
+                born_ms = worker.born_ms
+                lease_until_ms = worker.grant_lease(clock.now_s(), LEASE_S)
             try:
                 answer = await self._port.start(
                     worker.registration,
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -25,8 +25,9 @@
 _STUCK_AFTER_S = 3.0
 # Progress of a run that is complete but may not be listed as ended yet.
 _COMPLETE_PERCENT = 100.0
-# Leases of an earlier leader expire within 6 s on a worker's clock, which may
-# be slow by 2%.
+# Leases that an earlier leader granted, or that a command for an earlier
+# incarnation of a worker granted to the next one, expire within 6 s on the
+# worker's clock, which may be slow by 2%.
 _INHERITED_LEASE_S = 6.3
 # Time for which the row of a job may arrive later than a listing of its run.
 _UNKNOWN_JOB_GRACE_S = 2.0
@@ -229,7 +230,7 @@
         now = clock.now_s()
         self._unfenced.discard(worker.worker_id)
         if listing.born_ms != worker.born_ms:
-            worker.reset_incarnation(listing.born_ms)
+            worker.reset_incarnation(listing.born_ms, now, _INHERITED_LEASE_S)
         worker.observe_clock(listing.clock_ms, now)
         if worker.contact is not fleet.Contact.ANSWERING:
             _log.info("worker_answers", worker=worker.worker_id)
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -82,3 +82,13 @@
     Given a cell with 1 workers and 1 instances
     When a worker joins that accepts connections after 1500 ms
     Then the leader uses 2 workers within 4 s
+
+  Scenario: The lease of a worker that was restarted ends on its new clock
+    Guards against tasks that wait for the lease of an earlier incarnation, which
+    had a much later clock.
+    Given a cell with 2 workers and 1 instances
+    And the clock of the first worker is at 100 s when it restarts under its id
+    And the first worker stops answering at its next start
+    When a job of 2 tasks is submitted
+    Then the job is completed within 9 s
+    And no task ran in two places
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -435,3 +435,26 @@
 def uses_workers(context, workers, seconds):
     ready = loops.until(lambda: context.world.scheduler_is_ready(workers))
     loops.run(context, asyncio.wait_for(ready, seconds))
+
+
+@given(
+    "the clock of the first worker is at {seconds:d} s when it restarts under"
+    " its id"
+)
+def restart_with_late_clock(context, seconds):
+    world = context.world
+    former = world.workers[0]
+    known = world.schedulers[0].worker_tracker.workers.get(former.worker_id)
+
+    async def restart():
+        former.advance_clock(seconds)
+        await loops.until(lambda: known.lease_until_ms > 1000 * seconds)
+        former.stop()
+        worker = world.create_worker(former.worker_id, former.address)
+        world.workers.remove(worker)
+        world.workers[0] = worker
+        await worker.start()
+        await loops.until(lambda: known.born_ms == worker.born_ms)
+        await loops.until(lambda: world.scheduler_is_ready(2))
+
+    loops.run(context, restart())
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -44,6 +44,7 @@
         falls_silent: Whether the next start makes the worker withhold all
             further responses.
         violations: Each violation as a text.
+        born_ms: Wall time of its start, in ms.
         public_address: Address that is registered; differs from `address`
             behind a proxy.
     """
@@ -76,7 +77,7 @@
         self._refused_runs = {}
         self._last_end_number = 0
         self._born_s = time.monotonic()
-        self._born_ms = int(time.time() * 1000)
+        self.born_ms = int(time.time() * 1000)
         self._changed = asyncio.Event()
         self._tasks = []
         self._server = server.HttpServer(self._handle)
@@ -86,6 +87,10 @@
         self._tasks.append(asyncio.create_task(self._run_heartbeats()))
         self._tasks.append(asyncio.create_task(self._enforce_lease()))
 
+    def advance_clock(self, seconds):
+        """Sets the clock on which leases end forward."""
+        self._born_s -= seconds
+
     def cut_off(self):
         """Resets all connections and refuses new ones; tasks keep running."""
         for connection in list(self._server._connections):
@@ -118,7 +123,7 @@
             "state": state,
             "capacity": _CAPACITY,
             "labels": ["a", "r1-1"],
-            "born": self._born_ms,
+            "born": self.born_ms,
         }
         content = json.dumps(fields).encode()
         # A heartbeat that changes nothing but its number is no change.
@@ -224,7 +229,7 @@
             for name, each in self.running.items()
         ]
         return self._answer(
-            {"running": running, "ended": self.ended, "born": self._born_ms}
+            {"running": running, "ended": self.ended, "born": self.born_ms}
         )
 
     def _progress_percent(self, run):
