cell: request tickets for a gang that fits without a reservation

Callers would see an accepted gang of which nothing runs although most of the room is free.

Cause: at most 8 gangs have a reservation, the most urgent ones first, and only these renewed their tickets or asked for advice on further workers. The first tickets of a gang expire while it does not fit. After that, 8 more urgent gangs that can never run, or that wait for a few busy workers, kept it from new tickets, however many workers were idle.

Change: a gang that fits on workers it is advised on renews its tickets whether or not it has a reservation, and one that does not fit asks about the workers it does not know. A gang without a reservation that does not fit is examined twice a second instead of in each plan, which bounds the time of a plan.

--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -61,6 +61,7 @@
         "avoid",
         "chain_s",
         "done",
+        "examine_after_s",
         "failures",
         "job",
         "last_run",
@@ -106,6 +107,9 @@
         self.avoid: dict[int, set[str]] = {}
         # Monotonic time, in seconds, before which the step is not planned.
         self.not_before_s = 0.0
+        # Monotonic time, in seconds, before which the planner does not look
+        # for advised workers on which a waiting gang fits.
+        self.examine_after_s = 0.0
         # Advice: workers asked about, workers advised (in the order of the
         # answers), and by worker the ticket with the monotonic time until
         # which it is valid.
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -18,6 +18,8 @@
 
 # Maximum number of gangs with a reservation; others wait without one.
 _MAX_RESERVING_GANGS = 8
+# Pause before a gang that does not fit and has no reservation is examined again.
+_EXAMINE_PAUSE_S = 0.5
 # Minimum remaining validity of a ticket that is used: covers one crossing
 # between regions and the wait in the command queue of a worker.
 TICKET_MARGIN_S = 0.12
@@ -299,24 +301,41 @@
         if chosen is not None:
             self._place_gang(step, chosen, ends_s, plan, usage)
             return jobs.WaitReason.STARTING
-        if self._reserving_gangs >= _MAX_RESERVING_GANGS:
-            return jobs.WaitReason.NO_RESERVATION
-        self._reserving_gangs += 1
+        if self._now < step.examine_after_s:
+            return step.wait_reason
+        return self._prepare_gang(step, candidates, advised, ends_s, plan)
+
+    def _prepare_gang(
+        self,
+        step: jobs.StepProgress,
+        candidates: dict[str, worker_capacity.WorkerCapacity],
+        advised: list[worker_capacity.WorkerCapacity],
+        ends_s: float,
+        plan: Plan,
+    ) -> jobs.WaitReason:
+        """Requests tickets and reserves capacity for a gang that waits."""
+        has_reservation = self._reserving_gangs < _MAX_RESERVING_GANGS
         chosen = self._fit_gang_now(step, advised, ends_s)
-        reason = jobs.WaitReason.TICKETS_MISSING
         if chosen is None:
-            reason = jobs.WaitReason.NO_CAPACITY
             self._request_more_advice(step, candidates, plan)
+            if not has_reservation:
+                step.examine_after_s = self._now + _EXAMINE_PAUSE_S
+                return jobs.WaitReason.NO_RESERVATION
+        self._reserving_gangs += has_reservation
+        if chosen is None:
             at, kept = self._reserve_gang(step, advised)
-        else:
-            at, kept = self._now, [capacity for capacity, _ in chosen]
+            if at - self._now <= _TICKET_LEAD_S:
+                self._renew_tickets(step, kept, advised, plan)
+            return jobs.WaitReason.NO_CAPACITY
+        if has_reservation:
             for capacity, count in chosen:
                 capacity.reserve(
-                    step.spec.demand, count, at, list(capacity.free)
+                    step.spec.demand, count, self._now, list(capacity.free)
                 )
-        if at - self._now <= _TICKET_LEAD_S:
-            self._renew_tickets(step, kept, advised, plan)
-        return reason
+        self._renew_tickets(
+            step, [capacity for capacity, _ in chosen], advised, plan
+        )
+        return jobs.WaitReason.TICKETS_MISSING
 
     def _place_gang(
         self,
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -113,3 +113,31 @@
     And a run of 3 cores on each worker that ends in 10 s
     When a plan is made every second for 10 s
     Then no step is logged as waiting
+
+  Scenario: Gangs that fit nowhere keep no other gang from its tickets
+    Guards against a gang that never starts on idle workers, since gangs that
+    can never run have all reservations.
+    Given 20 workers with 4 cores each
+    And 8 waiting gangs that are larger than the fleet
+    And a waiting gang that is advised on all workers
+    When a plan is made
+    Then tickets are requested for the gang that fits
+
+  Scenario: Gangs that wait for busy workers keep no other gang from its tickets
+    Guards against a gang that waits on idle workers for as long as other gangs
+    wait for busy ones.
+    Given 20 workers with 4 cores each
+    And the first 8 workers are full
+    And 8 waiting gangs of which each waits for one of these workers
+    And a waiting gang that is advised on all workers
+    When a plan is made
+    Then tickets are requested for the gang that fits
+
+  Scenario: Gangs that fit nowhere keep no other gang from further advice
+    Guards against a gang that knows only full workers while others are idle.
+    Given 20 workers with 4 cores each
+    And the first 8 workers are full
+    And 8 waiting gangs that are larger than the fleet
+    And a waiting gang that is advised only on full workers
+    When a plan is made
+    Then tickets are requested for the gang that fits
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -412,3 +412,38 @@
 @then("no step is logged as waiting")
 def no_waiting_lines(context):
     assert not _wait_lines(context), _wait_lines(context)
+
+
+@given("{count:d} waiting gangs that are larger than the fleet")
+def add_large_gangs(context, count):
+    for _ in range(count):
+        _wait(context, 200, 1, is_gang=True, priority=0)
+
+
+@given("{count:d} waiting gangs of which each waits for one of these workers")
+def add_label_gangs(context, count):
+    for number in range(count):
+        _wait(
+            context,
+            2,
+            1,
+            is_gang=True,
+            priority=0,
+            required_label=f"r{number}",
+        )
+
+
+@then("tickets are requested for the gang that fits")
+def tickets_for_last_gang(context):
+    asked = [step for step, _ in context.plan.advice]
+    assert asked == [context.steps_waiting[-1]], asked
+
+
+@given("a waiting gang that is advised only on full workers")
+def advised_gang_on_full(context):
+    advised_gang(context)
+    step = context.steps_waiting[-1]
+    for worker in context.fleet.values():
+        if worker.runs:
+            step.asked_workers.add(worker.worker_id)
+            step.advised_workers[worker.worker_id] = None
