cell: a gang that fits nowhere has no reservation

Callers would see a large job that waits while smaller jobs that came later use the room it needs, for as long as 8 jobs that can never run are queued before it.

Cause: at most 8 gangs are given a reservation. Each gang that did not fit counted, also one that does not fit when all current runs have ended and thus reserved nothing.

Change: only gangs that hold a reservation count. A gang that fits nowhere is examined again after 0.5 s, at most 32 gangs are examined in a plan, and the search for the time at which a gang fits starts with the latest one.

Evidence: cell/planning:145 failed before ('ASSERT FAILED: [Placement(..., position=0, ...), Placement(..., position=1, ...)]': tasks used the capacity); it passes now, with all of cell/planning (19 scenarios).

--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -18,8 +18,10 @@
 
 # Maximum number of gangs with a reservation; others wait without one.
 _MAX_RESERVING_GANGS = 8
-# Pause before a gang that does not fit and has no reservation is examined again.
+# Pause before a gang that does not fit and has no reservation is examined again,
+# and maximum number of gangs that are examined in one plan.
 _EXAMINE_PAUSE_S = 0.5
+_MAX_EXAMINED_GANGS = 32
 # Minimum remaining validity of a ticket that is used: covers one crossing
 # between regions and the wait in the command queue of a worker.
 TICKET_MARGIN_S = 0.12
@@ -76,6 +78,7 @@
             tuple[str, str], dict[str, worker_capacity.WorkerCapacity]
         ] = {}
         self._reserving_gangs = 0
+        self._examined_gangs = 0
         # Workers on which gangs held reservations in the previous plan.
         self._reserved: frozenset[str] = frozenset()
         self._now = 0.0
@@ -97,6 +100,7 @@
         """
         self._now = now
         self._reserving_gangs = 0
+        self._examined_gangs = 0
         self._capacities = {
             worker.worker_id: worker_capacity.WorkerCapacity(worker)
             for worker in self._workers.values()
@@ -301,8 +305,12 @@
         if chosen is not None:
             self._place_gang(step, chosen, ends_s, plan, usage)
             return jobs.WaitReason.STARTING
-        if self._now < step.examine_after_s:
+        if (
+            self._now < step.examine_after_s
+            or self._examined_gangs >= _MAX_EXAMINED_GANGS
+        ):
             return step.wait_reason
+        self._examined_gangs += 1
         return self._prepare_gang(step, candidates, advised, ends_s, plan)
 
     def _prepare_gang(
@@ -321,13 +329,16 @@
             if not has_reservation:
                 step.examine_after_s = self._now + _EXAMINE_PAUSE_S
                 return jobs.WaitReason.NO_RESERVATION
-        self._reserving_gangs += has_reservation
-        if chosen is None:
             at, kept = self._reserve_gang(step, advised)
+            if not kept:
+                step.examine_after_s = self._now + _EXAMINE_PAUSE_S
+                return jobs.WaitReason.NO_CAPACITY
+            self._reserving_gangs += 1
             if at - self._now <= _TICKET_LEAD_S:
                 self._renew_tickets(step, kept, advised, plan)
             return jobs.WaitReason.NO_CAPACITY
         if has_reservation:
+            self._reserving_gangs += 1
             for capacity, count in chosen:
                 capacity.reserve(
                     step.spec.demand, count, self._now, list(capacity.free)
--- a/src/marigoldgap/cell/worker_capacity.py
+++ b/src/marigoldgap/cell/worker_capacity.py
@@ -196,11 +196,8 @@
             for at, _ in capacity.expected_ends(now, times)
         }
     )
-    low, high = 0, len(ends) - 1
-    best = None
-    while low <= high:
-        middle = (low + high) // 2
-        at = ends[middle]
+
+    def fit_at(at: float) -> list[tuple[WorkerCapacity, int]] | None:
         found = [
             (
                 capacity,
@@ -208,10 +205,20 @@
             )
             for capacity in usable
         ]
-        chosen = choose_workers(step, [each for each in found if each[1]])
+        return choose_workers(step, [each for each in found if each[1]])
+
+    # A gang that fits nowhere is found out at once.
+    latest = fit_at(ends[-1]) if ends else None
+    if latest is None:
+        return None
+    best = ends[-1], latest
+    low, high = 0, len(ends) - 2
+    while low <= high:
+        middle = (low + high) // 2
+        chosen = fit_at(ends[middle])
         if chosen is None:
             low = middle + 1
         else:
-            best = at, chosen
+            best = ends[middle], chosen
             high = middle - 1
     return best
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -141,3 +141,14 @@
     And a waiting gang that is advised only on full workers
     When a plan is made
     Then tickets are requested for the gang that fits
+
+  Scenario: Gangs that fit nowhere keep no other gang from a reservation
+    Guards against a gang that never fits since small tasks use the capacity,
+    while gangs that can never run have all reservations.
+    Given 2 workers with 4 cores each
+    And a run of 3 cores on each worker that ends in 1 s
+    And 8 waiting gangs that are larger than the fleet
+    And a waiting gang of 8 members of 1 core
+    And 4 waiting tasks of 1 core that take 30 s and are less urgent
+    When a plan is made
+    Then nothing starts
