cell: renew all tickets of a gang on more than 40 workers in one call

Callers would see a gang that waits for ever although the workers have room, if its members need more than 40 workers and a call for advice on 40 workers takes about as long as its tickets are valid.

Cause: the workers for which a waiting gang renews tickets were cut to 40, also those that the gang has reserved. The next call asked about the others; by its answer, the tickets of the first call had expired.

Change: the limit holds only for workers beyond those that the gang has reserved.

Evidence: cell/planning:156 (60 workers, 1 member on each, tickets valid for 250 ms) failed before ('ASSERT FAILED: []': nothing was placed in 2 s); it passes now.

--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -37,7 +37,8 @@
 _RESERVED_COST = 25_000
 # A gang that is expected to fit within this time renews its tickets.
 _TICKET_LEAD_S = 2.5
-# Maximum number of workers for which a waiting gang renews tickets.
+# Maximum number of workers for which a waiting gang renews tickets, unless it
+# has reserved more.
 _MAX_GANG_TICKETS = 40
 
 
@@ -413,7 +414,8 @@
         held = set(map(id, reserved))
         others = [capacity for capacity in advised if id(capacity) not in held]
         others.sort(key=lambda capacity: -capacity.free[0])
-        kept = [*reserved, *others][:_MAX_GANG_TICKETS]
+        kept = [*reserved, *others]
+        kept = kept[: max(_MAX_GANG_TICKETS, len(reserved))]
         call_s = (advice.decide_ms + advice.each_ms * len(kept)) / 1000
         renew_from = self._now + TICKET_MARGIN_S + call_s
         if any(
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -152,3 +152,10 @@
     And 4 waiting tasks of 1 core that take 30 s and are less urgent
     When a plan is made
     Then nothing starts
+
+  Scenario: A gang on more than 40 workers starts
+    Guards against a gang that never has tickets for all of its workers at once.
+    Given 60 workers with 4 cores each
+    And a waiting gang of 60 members that is advised on all workers, 1 per worker
+    When plans are made while 4 proxies answer, with tickets valid for 250 ms
+    Then 60 tasks start on different workers
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -11,6 +11,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from marigoldgap import clock
 from marigoldgap.cell import advice_dispatcher
 from marigoldgap.cell import fleet
 from marigoldgap.cell import job_tracker
@@ -447,3 +448,57 @@
         if worker.runs:
             step.asked_workers.add(worker.worker_id)
             step.advised_workers[worker.worker_id] = None
+
+
+@given(
+    "a waiting gang of {count:d} members that is advised on all workers, 1 per"
+    " worker"
+)
+def advised_spread_gang(context, count):
+    step = _wait(context, count, 1, is_gang=True, max_per_worker=1)
+    for worker in context.fleet.values():
+        step.asked_workers.add(worker.worker_id)
+        step.advised_workers[worker.worker_id] = None
+
+
+class _AnsweringProxy:
+    """Advises every worker, after the declared time of the queue."""
+
+    def __init__(self, name, advice):
+        self.name = name
+        self._advice = advice
+
+    async def ask(self, step, workers, timeout_s):
+        advice = self._advice
+        milliseconds = advice.decide_ms + advice.each_ms * len(workers)
+        await asyncio.sleep(milliseconds / 1000)
+        return model.Tickets(dict.fromkeys(workers, "t"), advice.valid_ms)
+
+
+@when(
+    "plans are made while {count:d} proxies answer, with tickets valid for"
+    " {milliseconds:d} ms"
+)
+def plan_while_answering(context, count, milliseconds):
+    advice = model.PlacementAdvice(10, 2, milliseconds)
+    for step in context.steps_waiting:
+        step.job.queue = step.job.queue._replace(advice=advice)
+    proxies = [_AnsweringProxy(str(number), advice) for number in range(count)]
+    plans = planner.Planner(context.fleet, run_times.RunTimes())
+
+    async def plan_until_placed():
+        dispatcher = advice_dispatcher.AdviceDispatcher(
+            lambda: proxies, lambda: None
+        )
+        for _ in range(200):
+            context.plan = plans.plan(
+                context.steps_waiting, {}, {}, clock.now_s()
+            )
+            if context.plan.placements:
+                break
+            for step, workers in context.plan.advice:
+                dispatcher.request(step, workers)
+            await asyncio.sleep(0.01)
+        dispatcher.close()
+
+    loops.run(context, plan_until_placed())
