cell: split the advice calls of a gang evenly

Callers would see a gang that waits for ever although the workers have room, if its members need more workers than one call for advice may ask about.

Cause: the workers were split into calls of 100 and a rest. A call takes the longer the more workers it asks about, so the tickets of the rest had expired when the call about 100 workers was answered. Further, no more than two calls were made, whatever the number of members.

Change: the calls of a gang ask about the same number of workers, and there are as many of them as its members may need.

Evidence: cell/planning:163 (130 workers, 1 member on each, tickets valid for 300 ms) failed before ('ASSERT FAILED: []': nothing was placed in 2 s); it passes now, three times out of three.

--- a/src/marigoldgap/cell/advice_dispatcher.py
+++ b/src/marigoldgap/cell/advice_dispatcher.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 from typing import NamedTuple
 from typing import Protocol
 
@@ -26,7 +27,8 @@
 _SLOW_CALL_S = 0.1
 # Share of the proxies that only quick calls may use.
 _QUICK_SHARE = 0.25
-# Concurrent calls for a gang; each covers up to 100 workers.
+# Minimum of the concurrent calls that a gang may use; each covers up to 100
+# workers.
 _GANG_CONCURRENT_CALLS = 2
 # Time for which a proxy is not used after a failed call.
 _PROXY_PAUSE_S = 1.0
@@ -88,19 +90,23 @@
         """Requests tickets for a step and stores them in the step.
 
         A gang needs many workers, so it asks about more of them at once, in
-        several concurrent calls; one call is enough for other steps.
+        several concurrent calls of about the same size: the tickets of a quick
+        call would expire before a slow one ends. One call is enough for other
+        steps.
         """
         if step.is_advice_pending or not workers:
             return
-        max_workers = ports.MAX_ADVISED_WORKERS
-        calls = _GANG_CONCURRENT_CALLS if step.spec.is_gang else 1
+        max_calls = 1
+        if step.spec.is_gang:
+            max_calls = max(
+                _GANG_CONCURRENT_CALLS, _calls_for(step.spec.task_count)
+            )
+        calls = min(max_calls, _calls_for(len(workers)))
+        asked = workers[: calls * ports.MAX_ADVISED_WORKERS]
         now = clock.now_s()
-        for first in range(
-            0, min(len(workers), calls * max_workers), max_workers
-        ):
+        for first in range(calls):
             step.pending_advice_calls += 1
-            asked = workers[first : first + max_workers]
-            self._waiting.append(_Request(step, asked, now))
+            self._waiting.append(_Request(step, asked[first::calls], now))
         self._dispatch()
 
     def close(self) -> None:
@@ -188,3 +194,7 @@
             took_s=round(now - started_s, 3),
             queued_s=round(started_s - request.requested_s, 3),
         )
+
+
+def _calls_for(workers: int) -> int:
+    return math.ceil(workers / ports.MAX_ADVISED_WORKERS)
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -159,3 +159,10 @@
     And a waiting gang of 60 members that is advised on all workers, 1 per worker
     When plans are made while 4 proxies answer, with tickets valid for 250 ms
     Then 60 tasks start on different workers
+
+  Scenario: A gang on more workers than one call may ask about starts
+    Guards against a gang that never has tickets for all of its workers at once.
+    Given 130 workers with 4 cores each
+    And a waiting gang of 130 members that is advised on all workers, 1 per worker
+    When plans are made while 4 proxies answer, with tickets valid for 300 ms
+    Then 130 tasks start on different workers
