cell: repeat a refused stop of an unknown run

Callers would see jobs that wait although a worker is idle, while that worker runs a task of a job that is not known any more.

Cause: the command to stop an unknown run was repeated after no answer, but not after a refusal (429 or 503 of an unhealthy worker). The run went on, and its worker took no tasks meanwhile.

Change: a refusal is handled like a missing answer; the next listing shows the run again and repeats the command.

Evidence: cell/worker_faults:96 failed before (TimeoutError in 'the job is completed within 6 s'); it passes now.

--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -387,15 +387,17 @@
         self, worker: fleet.Worker, name: model.RunName
     ) -> None:
         try:
-            await self._port.stop(
+            is_accepted = await self._port.stop(
                 worker.registration,
                 name,
                 self._leadership.epoch,
                 _STOP_TIMEOUT_S,
             )
         except errors.MarigoldgapError as error:
-            # The next listing shows the run again, which repeats the command.
             _log.warning("stop_unanswered", run=str(name), cause=str(error))
+            is_accepted = False
+        if not is_accepted:
+            # The next listing shows the run again, which repeats the command.
             self._unknown_stopping.discard(name)
 
     def _send_stop(self, run: runs.Run) -> None:
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -92,3 +92,12 @@
     When a job of 2 tasks is submitted
     Then the job is completed within 9 s
     And no task ran in two places
+
+  Scenario: A refused stop of an unknown run is repeated
+    Guards against a worker that gets no tasks for as long as it runs a task of
+    an unknown job.
+    Given a cell with 1 workers and 1 instances
+    And the first worker refuses the next 2 stops
+    And the worker runs a task of an unknown job
+    When a job of 1 tasks is submitted
+    Then the job is completed within 6 s
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -458,3 +458,8 @@
         await loops.until(lambda: world.scheduler_is_ready(2))
 
     loops.run(context, restart())
+
+
+@given("the first worker refuses the next {count:d} stops")
+def refuse_stops(context, count):
+    context.world.workers[0].refused_stops = count
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -38,6 +38,7 @@
         unanswered: Number of the next starts that take effect but get no
             response.
         refusal: Status with which every start is refused; 0 for none.
+        refused_stops: Number of the next stops that are refused with 503.
         fence_delay_s: Delay of a request with a higher fencing token, in
             seconds.
         duration_factor: Factor of the duration of runs.
@@ -61,6 +62,7 @@
         self.fences = []
         self.unanswered = 0
         self.refusal = 0
+        self.refused_stops = 0
         self.fence_delay_s = 0.0
         self.duration_factor = 1.0
         self.falls_silent = False
@@ -207,6 +209,9 @@
         return self._answer({})
 
     def _stop(self, body):
+        if self.refused_stops:
+            self.refused_stops -= 1
+            return messages.Response(503)
         name, run = body["task"], body["run"]
         self._refused_runs[name] = max(run, self._refused_runs.get(name, 0))
         if self.running.get(name, {}).get("run") == run:
