cell: a gang avoids workers that refused one of its members

Callers would see a gang that never runs although it fits on healthy workers, while one worker refuses starts.

Cause: a refusal stops the other members, and the gang is planned again when all of them have ended. By then the pause of the worker that refused is over, and the gang is placed on it again, since the choice of workers for a gang did not consider where its members were refused or failed.

Change: a refusal for want of room, as unhealthy or as invalid is recorded in the step, as failed and stuck runs are, and a gang leaves out such workers if it fits on the others.

Evidence: cell/worker_faults:105 failed before (TimeoutError in 'the job is completed within 8 s'); it passes now.

--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -103,7 +103,8 @@
         # Latest saved progress, and number of the latest run, by task.
         self.saved: dict[int, str] = {}
         self.last_run: dict[int, int] = {}
-        # Workers on which a task failed or made no progress, by task.
+        # Workers on which a task failed or made no progress, or that refused to
+        # start it, by task.
         self.avoid: dict[int, set[str]] = {}
         # Monotonic time, in seconds, before which the step is not planned.
         self.not_before_s = 0.0
@@ -157,6 +158,11 @@
         """Name under which the advice service knows the step."""
         return f"{self.job.job_id}.{self.occurrence}.{self.number}"
 
+    @property
+    def avoided_workers(self) -> set[str]:
+        """Workers that any task of the step avoids."""
+        return set().union(*self.avoid.values())
+
     def is_task_done(self, position: int) -> bool:
         """Returns whether the task is done."""
         return bool(self.done >> position & 1)
@@ -186,6 +192,10 @@
             runs.append(name.run)
         return len(runs)
 
+    def avoid_worker(self, position: int, worker_id: str) -> None:
+        """Prefers other workers for the next runs of a task."""
+        self.avoid.setdefault(position, set()).add(worker_id)
+
     def saved_for(self, position: int) -> str:
         """Returns the saved progress from which the task resumes."""
         return self.saved.get(self._accounting_position(position), "")
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -297,6 +297,7 @@
         if allowed < spec.task_count:
             return jobs.WaitReason.WORKSPACE_LIMIT
         ends_s = self._now + self._times.expected_s(step)
+        advised = self._without_avoided(step, advised, ends_s)
         ticketed = [
             capacity
             for capacity in advised
@@ -314,6 +315,25 @@
         self._examined_gangs += 1
         return self._prepare_gang(step, candidates, advised, ends_s, plan)
 
+    def _without_avoided(
+        self,
+        step: jobs.StepProgress,
+        advised: list[worker_capacity.WorkerCapacity],
+        ends_s: float,
+    ) -> list[worker_capacity.WorkerCapacity]:
+        """Leaves out workers that a gang avoids, if it fits on the others."""
+        avoided = step.avoided_workers
+        if not avoided:
+            return advised
+        others = [
+            capacity
+            for capacity in advised
+            if capacity.worker.worker_id not in avoided
+        ]
+        if self._fit_gang_now(step, others, ends_s) is None:
+            return advised
+        return others
+
     def _prepare_gang(
         self,
         step: jobs.StepProgress,
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -21,6 +21,15 @@
 _GANG_RETRY_S = 0.15
 # Pause before a step is planned again after a worker rejected it as invalid.
 _REJECTED_RETRY_S = 1.0
+# Refusals after which a gang avoids the worker: the worker may refuse the next
+# start as well, and the stopped members need longer than its pause to end.
+_AVOIDED_OUTCOMES = frozenset(
+    {
+        model.StartOutcome.NO_ROOM,
+        model.StartOutcome.UNHEALTHY,
+        model.StartOutcome.REJECTED,
+    }
+)
 # Time for which no run is started on a worker that refused a start because it
 # had too little free capacity.
 _NO_ROOM_PAUSE_S = 0.3
@@ -106,6 +115,7 @@
             f"start refused as {outcome.value} after an unanswered start",
         )
         if run.step.spec.is_gang:
+            self._avoid_after(run, outcome)
             self.stop_gang(
                 run.step,
                 f"start of a member is unconfirmed: {outcome.value}",
@@ -130,6 +140,7 @@
             step.not_before_s = now + _REJECTED_RETRY_S
         self._release(run)
         if step.spec.is_gang:
+            self._avoid_after(run, outcome)
             step.not_before_s = max(step.not_before_s, now + _GANG_RETRY_S)
             self.stop_gang(
                 step, f"start of a member was refused: {outcome.value}"
@@ -234,7 +245,7 @@
         elif how is model.EndReason.FAILED:
             if run.worker.record_failure(step.job.job_id, now):
                 _log.warning("worker_quarantined", worker=run.worker.worker_id)
-            step.avoid.setdefault(position, set()).add(run.worker.worker_id)
+            step.avoid_worker(position, run.worker.worker_id)
             self._count_failure(step, run.name)
         if how is not model.EndReason.DONE and step.spec.is_gang:
             self.stop_gang(step, f"a run of a member ended as {how.value}")
@@ -258,6 +269,10 @@
         for member in list(step.active.values()):
             self.stop(member, cause)
 
+    def _avoid_after(self, run: runs.Run, outcome: model.StartOutcome) -> None:
+        if outcome in _AVOIDED_OUTCOMES:
+            run.step.avoid_worker(run.name.task.position, run.worker.worker_id)
+
     def _count_failure(
         self, step: jobs.StepProgress, name: model.RunName
     ) -> None:
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -357,9 +357,7 @@
             return
         worker = run.worker
         worker.avoid_until_s = max(worker.avoid_until_s, now + _STUCK_AFTER_S)
-        run.step.avoid.setdefault(run.name.task.position, set()).add(
-            worker.worker_id
-        )
+        run.step.avoid_worker(run.name.task.position, worker.worker_id)
         self._runs.stop(run, "no progress")
 
     def _on_unknown_run(
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -101,3 +101,11 @@
     And the worker runs a task of an unknown job
     When a job of 1 tasks is submitted
     Then the job is completed within 6 s
+
+  Scenario: A gang starts beside a worker that refuses all starts
+    Guards against a gang that is placed on the same unhealthy worker again and
+    again, although it fits on the others.
+    Given a cell with 3 workers and 1 instances
+    And one worker refuses starts with 503
+    When a gang of 20 tasks is submitted
+    Then the job is completed within 8 s
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -463,3 +463,11 @@
 @given("the first worker refuses the next {count:d} stops")
 def refuse_stops(context, count):
     context.world.workers[0].refused_stops = count
+
+
+@when("a gang of {tasks:d} tasks is submitted")
+def submit_gang(context, tasks):
+    context.tasks = tasks
+    body = cell_world.job(tasks, "ms=200", gang=True)
+    status, _ = cell_jobs.submit(context, body)
+    assert status == 200, status
