cell: a task avoids a worker that rejected its start

Callers would see a job that never runs although all other workers are idle, while one worker rejects its starts (status 400 or an unknown reason).

Cause: a rejected start was repeated after 1 s on the worker with the lowest cost, which is the same one every time.

Change: the task avoids a worker that rejected its start, as it avoids one on which it failed; it is still placed there if it fits on no other worker.

Evidence: cell/worker_faults:113 failed before (TimeoutError in 'the job is completed within 8 s'); it passes now.

--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -138,6 +138,7 @@
             worker.avoid_until_s = now + _NO_ROOM_PAUSE_S
         elif outcome is model.StartOutcome.REJECTED:
             step.not_before_s = now + _REJECTED_RETRY_S
+            step.avoid_worker(run.name.task.position, worker.worker_id)
         self._release(run)
         if step.spec.is_gang:
             self._avoid_after(run, outcome)
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -109,3 +109,11 @@
     And one worker refuses starts with 503
     When a gang of 20 tasks is submitted
     Then the job is completed within 8 s
+
+  Scenario: Tasks start beside a worker that rejects all starts
+    Guards against a task that is placed on the same worker again and again,
+    although that worker rejects its start.
+    Given a cell with 2 workers and 1 instances
+    And one worker refuses starts with 400
+    When a job of 4 tasks is submitted
+    Then the job is completed within 8 s
