--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -25,6 +25,24 @@
     EXPIRED = 2
 
 
+class WaitReason(enum.Enum):
+    """Reason why the latest plan started no task of a ready step."""
+
+    NOT_PLANNED = "not planned yet"
+    RETRY_PAUSE = "pause after a refused start"
+    WORKSPACE_LIMIT = "upper limit of its workspace"
+    NO_CANDIDATE = "no worker with its service and label accepts tasks"
+    ADVICE_PENDING = "call for advice is pending"
+    NOT_ADVISED = "no advised worker accepts tasks"
+    NO_CAPACITY = "does not fit on the workers"
+    NO_RESERVATION = "other gangs have the reservations"
+    TICKETS_MISSING = "tickets are missing or expire too soon"
+    MEMBERS_ACTIVE = "members of an earlier run have not ended"
+    UNKNOWN_RUNS = "a worker lists an unknown run of the job"
+    INHERITED = "workers of the former leader have not answered"
+    STARTING = "starts were sent"
+
+
 # A result earns less credit after the latency objective, and none after this
 # multiple of it (the users' rules for the credit of jobs).
 _EXPIRED_AFTER_OBJECTIVES = 3.0
@@ -43,6 +61,7 @@
         "avoid",
         "chain_s",
         "done",
+        "examine_after_s",
         "failures",
         "job",
         "last_run",
@@ -53,6 +72,7 @@
         "saved",
         "spec",
         "tickets",
+        "wait_reason",
         "waiting",
     )
 
@@ -83,10 +103,14 @@
         # Latest saved progress, and number of the latest run, by task.
         self.saved: dict[int, str] = {}
         self.last_run: dict[int, int] = {}
-        # Workers on which a task failed or made no progress, by task.
+        # Workers on which a task failed or made no progress, or that refused to
+        # start it, by task.
         self.avoid: dict[int, set[str]] = {}
         # Monotonic time, in seconds, before which the step is not planned.
         self.not_before_s = 0.0
+        # Monotonic time, in seconds, before which the planner does not look
+        # for advised workers on which a waiting gang fits.
+        self.examine_after_s = 0.0
         # Advice: workers asked about, workers advised (in the order of the
         # answers), and by worker the ticket with the monotonic time until
         # which it is valid.
@@ -95,6 +119,7 @@
         self.tickets: dict[str, tuple[str, float]] = {}
         # Calls to the advice service that are queued or in flight.
         self.pending_advice_calls = 0
+        self.wait_reason = WaitReason.NOT_PLANNED
 
     @property
     def is_done(self) -> bool:
@@ -133,6 +158,11 @@
         """Name under which the advice service knows the step."""
         return f"{self.job.job_id}.{self.occurrence}.{self.number}"
 
+    @property
+    def avoided_workers(self) -> set[str]:
+        """Workers that any task of the step avoids."""
+        return set().union(*self.avoid.values())
+
     def is_task_done(self, position: int) -> bool:
         """Returns whether the task is done."""
         return bool(self.done >> position & 1)
@@ -162,6 +192,10 @@
             runs.append(name.run)
         return len(runs)
 
+    def avoid_worker(self, position: int, worker_id: str) -> None:
+        """Prefers other workers for the next runs of a task."""
+        self.avoid.setdefault(position, set()).add(worker_id)
+
     def saved_for(self, position: int) -> str:
         """Returns the saved progress from which the task resumes."""
         return self.saved.get(self._accounting_position(position), "")
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -18,6 +18,10 @@
 
 # Maximum number of gangs with a reservation; others wait without one.
 _MAX_RESERVING_GANGS = 8
+# Pause before a gang that does not fit and has no reservation is examined again,
+# and maximum number of gangs that are examined in one plan.
+_EXAMINE_PAUSE_S = 0.5
+_MAX_EXAMINED_GANGS = 32
 # Minimum remaining validity of a ticket that is used: covers one crossing
 # between regions and the wait in the command queue of a worker.
 TICKET_MARGIN_S = 0.12
@@ -33,7 +37,8 @@
 _RESERVED_COST = 25_000
 # A gang that is expected to fit within this time renews its tickets.
 _TICKET_LEAD_S = 2.5
-# Maximum number of workers for which a waiting gang renews tickets.
+# Maximum number of workers for which a waiting gang renews tickets, unless it
+# has reserved more.
 _MAX_GANG_TICKETS = 40
 
 
@@ -74,6 +79,7 @@
             tuple[str, str], dict[str, worker_capacity.WorkerCapacity]
         ] = {}
         self._reserving_gangs = 0
+        self._examined_gangs = 0
         # Workers on which gangs held reservations in the previous plan.
         self._reserved: frozenset[str] = frozenset()
         self._now = 0.0
@@ -95,6 +101,7 @@
         """
         self._now = now
         self._reserving_gangs = 0
+        self._examined_gangs = 0
         self._capacities = {
             worker.worker_id: worker_capacity.WorkerCapacity(worker)
             for worker in self._workers.values()
@@ -103,13 +110,7 @@
         self._by_requirement = {}
         plan = Plan([], [])
         for step in sorted(steps, key=lambda step: _urgency(step, now)):
-            if step.not_before_s > now:
-                continue
-            allowed = _allowed_tasks(step, usage, workspaces)
-            if step.spec.is_gang:
-                self._plan_gang(step, allowed, plan, usage)
-            elif allowed > 0:
-                self._plan_tasks(step, allowed, plan, usage)
+            step.wait_reason = self._plan_step(step, plan, usage, workspaces)
         self._reserved = frozenset(
             worker_id
             for worker_id, capacity in self._capacities.items()
@@ -117,6 +118,23 @@
         )
         return plan
 
+    def _plan_step(
+        self,
+        step: jobs.StepProgress,
+        plan: Plan,
+        usage: dict[str, list[int]],
+        workspaces: dict[str, model.Workspace],
+    ) -> jobs.WaitReason:
+        """Plans one step; returns why its tasks wait if none of them starts."""
+        if step.not_before_s > self._now:
+            return jobs.WaitReason.RETRY_PAUSE
+        allowed = _allowed_tasks(step, usage, workspaces)
+        if step.spec.is_gang:
+            return self._plan_gang(step, allowed, plan, usage)
+        if allowed <= 0:
+            return jobs.WaitReason.WORKSPACE_LIMIT
+        return self._plan_tasks(step, allowed, plan, usage)
+
     def _candidates(
         self, step: jobs.StepProgress
     ) -> dict[str, worker_capacity.WorkerCapacity]:
@@ -185,9 +203,12 @@
         allowed: int,
         plan: Plan,
         usage: dict[str, list[int]],
-    ) -> None:
+    ) -> jobs.WaitReason:
         candidates = self._candidates(step)
         advised = self._advised_workers(step, candidates, plan)
+        if not advised:
+            return _unadvised_reason(step, candidates)
+        reason = jobs.WaitReason.NO_CAPACITY
         ends_s = self._now + self._times.expected_s(step) * _BACKFILL_MARGIN
         counts = _tasks_by_worker(step)
         stale: list[str] = []
@@ -196,13 +217,13 @@
                 step, position, advised, counts, ends_s
             )
             if capacity is None:
-                if advised:
-                    self._request_more_advice(step, candidates, plan)
+                self._request_more_advice(step, candidates, plan)
                 break
             ticket = self._ticket(step, capacity)
             if ticket is None:
                 stale.append(capacity.worker.worker_id)
             else:
+                reason = jobs.WaitReason.STARTING
                 _add_usage(usage, step)
                 plan.placements.append(
                     Placement(step, position, capacity.worker, ticket)
@@ -213,6 +234,9 @@
             counts[worker_id] = counts.get(worker_id, 0) + 1
         if stale and not step.is_advice_pending:
             plan.advice.append((step, sorted(set(stale))))
+        if stale and reason is jobs.WaitReason.NO_CAPACITY:
+            return jobs.WaitReason.TICKETS_MISSING
+        return reason
 
     def _best_worker(
         self,
@@ -262,15 +286,18 @@
         allowed: int,
         plan: Plan,
         usage: dict[str, list[int]],
-    ) -> None:
+    ) -> jobs.WaitReason:
         spec = step.spec
         if step.active or len(step.waiting) < spec.task_count:
-            return
+            return jobs.WaitReason.MEMBERS_ACTIVE
         candidates = self._candidates(step)
         advised = self._advised_workers(step, candidates, plan)
-        if not advised or allowed < spec.task_count:
-            return
+        if not advised:
+            return _unadvised_reason(step, candidates)
+        if allowed < spec.task_count:
+            return jobs.WaitReason.WORKSPACE_LIMIT
         ends_s = self._now + self._times.expected_s(step)
+        advised = self._without_avoided(step, advised, ends_s)
         ticketed = [
             capacity
             for capacity in advised
@@ -279,22 +306,68 @@
         chosen = self._fit_gang_now(step, ticketed, ends_s)
         if chosen is not None:
             self._place_gang(step, chosen, ends_s, plan, usage)
-            return
-        if self._reserving_gangs >= _MAX_RESERVING_GANGS:
-            return
-        self._reserving_gangs += 1
+            return jobs.WaitReason.STARTING
+        if (
+            self._now < step.examine_after_s
+            or self._examined_gangs >= _MAX_EXAMINED_GANGS
+        ):
+            return step.wait_reason
+        self._examined_gangs += 1
+        return self._prepare_gang(step, candidates, advised, ends_s, plan)
+
+    def _without_avoided(
+        self,
+        step: jobs.StepProgress,
+        advised: list[worker_capacity.WorkerCapacity],
+        ends_s: float,
+    ) -> list[worker_capacity.WorkerCapacity]:
+        """Leaves out workers that a gang avoids, if it fits on the others."""
+        avoided = step.avoided_workers
+        if not avoided:
+            return advised
+        others = [
+            capacity
+            for capacity in advised
+            if capacity.worker.worker_id not in avoided
+        ]
+        if self._fit_gang_now(step, others, ends_s) is None:
+            return advised
+        return others
+
+    def _prepare_gang(
+        self,
+        step: jobs.StepProgress,
+        candidates: dict[str, worker_capacity.WorkerCapacity],
+        advised: list[worker_capacity.WorkerCapacity],
+        ends_s: float,
+        plan: Plan,
+    ) -> jobs.WaitReason:
+        """Requests tickets and reserves capacity for a gang that waits."""
+        has_reservation = self._reserving_gangs < _MAX_RESERVING_GANGS
         chosen = self._fit_gang_now(step, advised, ends_s)
         if chosen is None:
             self._request_more_advice(step, candidates, plan)
+            if not has_reservation:
+                step.examine_after_s = self._now + _EXAMINE_PAUSE_S
+                return jobs.WaitReason.NO_RESERVATION
             at, kept = self._reserve_gang(step, advised)
-        else:
-            at, kept = self._now, [capacity for capacity, _ in chosen]
+            if not kept:
+                step.examine_after_s = self._now + _EXAMINE_PAUSE_S
+                return jobs.WaitReason.NO_CAPACITY
+            self._reserving_gangs += 1
+            if at - self._now <= _TICKET_LEAD_S:
+                self._renew_tickets(step, kept, advised, plan)
+            return jobs.WaitReason.NO_CAPACITY
+        if has_reservation:
+            self._reserving_gangs += 1
             for capacity, count in chosen:
                 capacity.reserve(
-                    step.spec.demand, count, at, list(capacity.free)
+                    step.spec.demand, count, self._now, list(capacity.free)
                 )
-        if at - self._now <= _TICKET_LEAD_S:
-            self._renew_tickets(step, kept, advised, plan)
+        self._renew_tickets(
+            step, [capacity for capacity, _ in chosen], advised, plan
+        )
+        return jobs.WaitReason.TICKETS_MISSING
 
     def _place_gang(
         self,
@@ -361,7 +434,8 @@
         held = set(map(id, reserved))
         others = [capacity for capacity in advised if id(capacity) not in held]
         others.sort(key=lambda capacity: -capacity.free[0])
-        kept = [*reserved, *others][:_MAX_GANG_TICKETS]
+        kept = [*reserved, *others]
+        kept = kept[: max(_MAX_GANG_TICKETS, len(reserved))]
         call_s = (advice.decide_ms + advice.each_ms * len(kept)) / 1000
         renew_from = self._now + TICKET_MARGIN_S + call_s
         if any(
@@ -417,6 +491,18 @@
     )
 
 
+def _unadvised_reason(
+    step: jobs.StepProgress,
+    candidates: dict[str, worker_capacity.WorkerCapacity],
+) -> jobs.WaitReason:
+    """Returns why a step has no worker that it may use."""
+    if not candidates:
+        return jobs.WaitReason.NO_CANDIDATE
+    if step.is_advice_pending:
+        return jobs.WaitReason.ADVICE_PENDING
+    return jobs.WaitReason.NOT_ADVISED
+
+
 def _tasks_by_worker(step: jobs.StepProgress) -> dict[str, int]:
     """Returns the number of tasks of the step that each worker runs."""
     counts: dict[str, int] = {}
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -99,3 +99,78 @@
     And a waiting gang that is advised on all workers
     When a plan is made
     Then tickets are requested for every worker with free capacity
+
+  Scenario: A ready step that waits for long is logged with its reason
+    Guards against a job that waits without a trace of the cause.
+    Given 2 workers with 4 cores each
+    And a waiting gang of 9 members of 1 core
+    When a plan is made every second for 10 s
+    Then 2 lines say that the step "does not fit on the workers"
+
+  Scenario: A step with a run is not logged as waiting
+    Guards against lines about steps that progress.
+    Given 2 workers with 4 cores each
+    And a run of 3 cores on each worker that ends in 10 s
+    When a plan is made every second for 10 s
+    Then no step is logged as waiting
+
+  Scenario: Gangs that fit nowhere keep no other gang from its tickets
+    Guards against a gang that never starts on idle workers, since gangs that
+    can never run have all reservations.
+    Given 20 workers with 4 cores each
+    And 8 waiting gangs that are larger than the fleet
+    And a waiting gang that is advised on all workers
+    When a plan is made
+    Then tickets are requested for the gang that fits
+
+  Scenario: Gangs that wait for busy workers keep no other gang from its tickets
+    Guards against a gang that waits on idle workers for as long as other gangs
+    wait for busy ones.
+    Given 20 workers with 4 cores each
+    And the first 8 workers are full
+    And 8 waiting gangs of which each waits for one of these workers
+    And a waiting gang that is advised on all workers
+    When a plan is made
+    Then tickets are requested for the gang that fits
+
+  Scenario: Gangs that fit nowhere keep no other gang from further advice
+    Guards against a gang that knows only full workers while others are idle.
+    Given 20 workers with 4 cores each
+    And the first 8 workers are full
+    And 8 waiting gangs that are larger than the fleet
+    And a waiting gang that is advised only on full workers
+    When a plan is made
+    Then tickets are requested for the gang that fits
+
+  Scenario: Gangs that fit nowhere keep no other gang from a reservation
+    Guards against a gang that never fits since small tasks use the capacity,
+    while gangs that can never run have all reservations.
+    Given 2 workers with 4 cores each
+    And a run of 3 cores on each worker that ends in 1 s
+    And 8 waiting gangs that are larger than the fleet
+    And a waiting gang of 8 members of 1 core
+    And 4 waiting tasks of 1 core that take 30 s and are less urgent
+    When a plan is made
+    Then nothing starts
+
+  Scenario: A gang on more than 40 workers starts
+    Guards against a gang that never has tickets for all of its workers at once.
+    Given 60 workers with 4 cores each
+    And a waiting gang of 60 members that is advised on all workers, 1 per worker
+    When plans are made while 4 proxies answer, with tickets valid for 250 ms
+    Then 60 tasks start on different workers
+
+  Scenario: A gang on more workers than one call may ask about starts
+    Guards against a gang that never has tickets for all of its workers at once.
+    Given 130 workers with 4 cores each
+    And a waiting gang of 130 members that is advised on all workers, 1 per worker
+    When plans are made while 4 proxies answer, with tickets valid for 300 ms
+    Then 130 tasks start on different workers
+
+  Scenario: Instances that do not answer keep no step from its advice
+    Guards against calls for advice that alternate between two silent instances
+    while others are idle.
+    Given 2 workers with 4 cores each
+    And a waiting task of a queue with advice
+    When its advice calls go to 2 silent proxies before 2 that answer
+    Then 1 tasks start within 5 s
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -67,3 +67,53 @@
     When unreadable registrations appear among the workers
     And a job of 1 tasks is submitted
     Then every instance shows the job as "completed"
+
+  Scenario: A worker that was cut off for longer than its lease is used again
+    Guards against a worker that is idle for good after a network cut, since its
+    registration does not change.
+    Given a cell with 1 workers and 1 instances
+    When the worker is cut off until it is removed
+    And a job of 1 tasks is submitted
+    Then the job is completed within 4 s
+
+  Scenario: A worker that cannot be reached when it joins is used later
+    Guards against a worker that is idle for good since its first connection
+    failed.
+    Given a cell with 1 workers and 1 instances
+    When a worker joins that accepts connections after 1500 ms
+    Then the leader uses 2 workers within 4 s
+
+  Scenario: The lease of a worker that was restarted ends on its new clock
+    Guards against tasks that wait for the lease of an earlier incarnation, which
+    had a much later clock.
+    Given a cell with 2 workers and 1 instances
+    And the clock of the first worker is at 100 s when it restarts under its id
+    And the first worker stops answering at its next start
+    When a job of 2 tasks is submitted
+    Then the job is completed within 9 s
+    And no task ran in two places
+
+  Scenario: A refused stop of an unknown run is repeated
+    Guards against a worker that gets no tasks for as long as it runs a task of
+    an unknown job.
+    Given a cell with 1 workers and 1 instances
+    And the first worker refuses the next 2 stops
+    And the worker runs a task of an unknown job
+    When a job of 1 tasks is submitted
+    Then the job is completed within 6 s
+
+  Scenario: A gang starts beside a worker that refuses all starts
+    Guards against a gang that is placed on the same unhealthy worker again and
+    again, although it fits on the others.
+    Given a cell with 3 workers and 1 instances
+    And one worker refuses starts with 503
+    When a gang of 20 tasks is submitted
+    Then the job is completed within 8 s
+
+  Scenario: Tasks start beside a worker that rejects all starts
+    Guards against a task that is placed on the same worker again and again,
+    although that worker rejects its start.
+    Given a cell with 2 workers and 1 instances
+    And one worker refuses starts with 400
+    When a job of 4 tasks is submitted
+    Then the job is completed within 8 s
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -11,6 +11,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from marigoldgap import clock
 from marigoldgap.cell import advice_dispatcher
 from marigoldgap.cell import fleet
 from marigoldgap.cell import job_tracker
@@ -22,11 +23,17 @@
 from marigoldgap.cell import run_times
 from marigoldgap.cell import runs
 from marigoldgap.cell import store
+from marigoldgap.cell import wait_log
+from marigoldgap.web import client
+from marigoldgap.web import messages
+from tests.fixtures import log_lines
 from tests.fixtures import loops
 
 _NOW = 100.0
 _CORE = 1000
 _SERVICE = "claims"
+# Pause between two plans.
+_PLAN_PAUSE_S = 0.01
 
 
 def _queue(priority=1):
@@ -382,3 +389,156 @@
 @then("tickets are requested for every worker with free capacity")
 def tickets_for_free_workers(context):
     advice_for_free_workers(context)
+
+
+@when("a plan is made every second for {seconds:d} s")
+def plan_and_examine(context, seconds):
+    context.log = log_lines.capture(context)
+    waits = wait_log.WaitLog()
+    plans = planner.Planner(context.fleet, run_times.RunTimes())
+    for second in range(seconds):
+        now = _NOW + second
+        plans.plan(context.steps_waiting, {}, {}, now)
+        steps = context.steps_waiting + context.steps_running
+        waits.examine([(step, step.wait_reason) for step in steps], now)
+
+
+def _wait_lines(context):
+    return [fields for event, fields in context.log if event == "step_waiting"]
+
+
+@then('{count:d} lines say that the step "{reason}"')
+def waiting_lines(context, count, reason):
+    lines = _wait_lines(context)
+    assert [line["reason"] for line in lines] == [reason] * count, lines
+    assert [line["waited_s"] for line in lines] == [3.0, 8.0], lines
+
+
+@then("no step is logged as waiting")
+def no_waiting_lines(context):
+    assert not _wait_lines(context), _wait_lines(context)
+
+
+@given("{count:d} waiting gangs that are larger than the fleet")
+def add_large_gangs(context, count):
+    for _ in range(count):
+        _wait(context, 200, 1, is_gang=True, priority=0)
+
+
+@given("{count:d} waiting gangs of which each waits for one of these workers")
+def add_label_gangs(context, count):
+    for number in range(count):
+        _wait(
+            context,
+            2,
+            1,
+            is_gang=True,
+            priority=0,
+            required_label=f"r{number}",
+        )
+
+
+@then("tickets are requested for the gang that fits")
+def tickets_for_last_gang(context):
+    asked = [step for step, _ in context.plan.advice]
+    assert asked == [context.steps_waiting[-1]], asked
+
+
+@given("a waiting gang that is advised only on full workers")
+def advised_gang_on_full(context):
+    advised_gang(context)
+    step = context.steps_waiting[-1]
+    for worker in context.fleet.values():
+        if worker.runs:
+            step.asked_workers.add(worker.worker_id)
+            step.advised_workers[worker.worker_id] = None
+
+
+@given(
+    "a waiting gang of {count:d} members that is advised on all workers, 1 per"
+    " worker"
+)
+def advised_spread_gang(context, count):
+    step = _wait(context, count, 1, is_gang=True, max_per_worker=1)
+    for worker in context.fleet.values():
+        step.asked_workers.add(worker.worker_id)
+        step.advised_workers[worker.worker_id] = None
+
+
+class _AnsweringProxy:
+    """Advises every worker, after the declared time of the queue."""
+
+    def __init__(self, name, advice):
+        self.name = name
+        self._advice = advice
+
+    async def ask(self, step, workers, timeout_s):
+        advice = self._advice
+        milliseconds = advice.decide_ms + advice.each_ms * len(workers)
+        await asyncio.sleep(milliseconds / 1000)
+        return model.Tickets(dict.fromkeys(workers, "t"), advice.valid_ms)
+
+
+@when(
+    "plans are made while {count:d} proxies answer, with tickets valid for"
+    " {milliseconds:d} ms"
+)
+def plan_while_answering(context, count, milliseconds):
+    advice = model.PlacementAdvice(10, 2, milliseconds)
+    for step in context.steps_waiting:
+        step.job.queue = step.job.queue._replace(advice=advice)
+    proxies = [_AnsweringProxy(str(number), advice) for number in range(count)]
+    _plan_until_placed(context, proxies, 2.0)
+
+
+def _plan_until_placed(context, proxies, limit_s):
+    """Plans and calls the proxies until something starts, or for a time."""
+    plans = planner.Planner(context.fleet, run_times.RunTimes())
+
+    async def plan_until_placed():
+        dispatcher = advice_dispatcher.AdviceDispatcher(
+            lambda: proxies, lambda: None
+        )
+        for _ in range(int(limit_s / _PLAN_PAUSE_S)):
+            context.plan = plans.plan(
+                context.steps_waiting, {}, {}, clock.now_s()
+            )
+            if context.plan.placements:
+                break
+            for step, workers in context.plan.advice:
+                dispatcher.request(step, workers)
+            await asyncio.sleep(_PLAN_PAUSE_S)
+        dispatcher.close()
+
+    loops.run(context, plan_until_placed())
+
+
+class _SilentProxy:
+    """Fails each call after the time that a connection attempt takes."""
+
+    def __init__(self, name):
+        self.name = name
+
+    async def ask(self, step, workers, timeout_s):
+        await asyncio.sleep(client.CONNECT_TIMEOUT_S)
+        raise messages.NotConnectedError("timeout")
+
+
+@when(
+    "its advice calls go to {silent:d} silent proxies before {count:d} that"
+    " answer"
+)
+def plan_with_silent_proxies(context, silent, count):
+    advice = context.steps_waiting[-1].job.queue.advice
+    proxies = [_SilentProxy(f"silent {number}") for number in range(silent)]
+    proxies += [
+        _AnsweringProxy(f"answering {number}", advice)
+        for number in range(count)
+    ]
+    context.proxies = proxies
+
+
+@then("{count:d} tasks start within {seconds:d} s")
+def start_within(context, count, seconds):
+    _plan_until_placed(context, context.proxies, seconds)
+    some_start(context, count)
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -405,3 +405,69 @@
 @given("the first worker stops answering at its next start")
 def stop_answering(context):
     context.world.workers[0].falls_silent = True
+
+
+@when("the worker is cut off until it is removed")
+def cut_off_until_removed(context):
+    worker = context.world.workers[0]
+    tracker = context.world.schedulers[0].worker_tracker
+
+    async def cut():
+        worker.cut_off()
+        await loops.until(lambda: not tracker.workers.get(worker.worker_id))
+        await worker.reconnect()
+
+    loops.run(context, cut())
+
+
+@when("a worker joins that accepts connections after {milliseconds:d} ms")
+def joins_unreachable(context, milliseconds):
+    async def join():
+        worker = context.world.create_worker("late")
+        worker.register()
+        await asyncio.sleep(milliseconds / 1000)
+        await worker.start()
+
+    loops.run(context, join())
+
+
+@then("the leader uses {workers:d} workers within {seconds:d} s")
+def uses_workers(context, workers, seconds):
+    ready = loops.until(lambda: context.world.scheduler_is_ready(workers))
+    loops.run(context, asyncio.wait_for(ready, seconds))
+
+
+@given(
+    "the clock of the first worker is at {seconds:d} s when it restarts under"
+    " its id"
+)
+def restart_with_late_clock(context, seconds):
+    world = context.world
+    former = world.workers[0]
+    known = world.schedulers[0].worker_tracker.workers.get(former.worker_id)
+
+    async def restart():
+        former.advance_clock(seconds)
+        await loops.until(lambda: known.lease_until_ms > 1000 * seconds)
+        former.stop()
+        worker = world.create_worker(former.worker_id, former.address)
+        world.workers.remove(worker)
+        world.workers[0] = worker
+        await worker.start()
+        await loops.until(lambda: known.born_ms == worker.born_ms)
+        await loops.until(lambda: world.scheduler_is_ready(2))
+
+    loops.run(context, restart())
+
+
+@given("the first worker refuses the next {count:d} stops")
+def refuse_stops(context, count):
+    context.world.workers[0].refused_stops = count
+
+
+@when("a gang of {tasks:d} tasks is submitted")
+def submit_gang(context, tasks):
+    context.tasks = tasks
+    body = cell_world.job(tasks, "ms=200", gang=True)
+    status, _ = cell_jobs.submit(context, body)
+    assert status == 200, status
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -38,12 +38,14 @@
         unanswered: Number of the next starts that take effect but get no
             response.
         refusal: Status with which every start is refused; 0 for none.
+        refused_stops: Number of the next stops that are refused with 503.
         fence_delay_s: Delay of a request with a higher fencing token, in
             seconds.
         duration_factor: Factor of the duration of runs.
         falls_silent: Whether the next start makes the worker withhold all
             further responses.
         violations: Each violation as a text.
+        born_ms: Wall time of its start, in ms.
         public_address: Address that is registered; differs from `address`
             behind a proxy.
     """
@@ -60,6 +62,7 @@
         self.fences = []
         self.unanswered = 0
         self.refusal = 0
+        self.refused_stops = 0
         self.fence_delay_s = 0.0
         self.duration_factor = 1.0
         self.falls_silent = False
@@ -76,7 +79,7 @@
         self._refused_runs = {}
         self._last_end_number = 0
         self._born_s = time.monotonic()
-        self._born_ms = int(time.time() * 1000)
+        self.born_ms = int(time.time() * 1000)
         self._changed = asyncio.Event()
         self._tasks = []
         self._server = server.HttpServer(self._handle)
@@ -86,6 +89,10 @@
         self._tasks.append(asyncio.create_task(self._run_heartbeats()))
         self._tasks.append(asyncio.create_task(self._enforce_lease()))
 
+    def advance_clock(self, seconds):
+        """Sets the clock on which leases end forward."""
+        self._born_s -= seconds
+
     def cut_off(self):
         """Resets all connections and refuses new ones; tasks keep running."""
         for connection in list(self._server._connections):
@@ -118,10 +125,12 @@
             "state": state,
             "capacity": _CAPACITY,
             "labels": ["a", "r1-1"],
-            "born": self._born_ms,
+            "born": self.born_ms,
         }
         content = json.dumps(fields).encode()
-        self._store.put("servers", "", self.worker_id, content)
+        # A heartbeat that changes nothing but its number is no change.
+        if self._store.value("servers", "", self.worker_id) != content:
+            self._store.put("servers", "", self.worker_id, content)
 
     @property
     def _clock_ms(self):
@@ -200,6 +209,9 @@
         return self._answer({})
 
     def _stop(self, body):
+        if self.refused_stops:
+            self.refused_stops -= 1
+            return messages.Response(503)
         name, run = body["task"], body["run"]
         self._refused_runs[name] = max(run, self._refused_runs.get(name, 0))
         if self.running.get(name, {}).get("run") == run:
@@ -222,7 +234,7 @@
             for name, each in self.running.items()
         ]
         return self._answer(
-            {"running": running, "ended": self.ended, "born": self._born_ms}
+            {"running": running, "ended": self.ended, "born": self.born_ms}
         )
 
     def _progress_percent(self, run):
