cell: give up a task that crashes worker after worker

Cause: only runs that end `failed` counted. A run that was lost with its worker ended as lapsed, whatever the evidence, and counted nothing. Besides, a start without an answer was repeated while its worker was silent, so that one run reached two incarnations of a worker and crashed both.

Change: - The end reason CRASHED: the process of a worker that was not draining has ended (clean close and refused connections), another incarnation answers, or a listing has a new birth time. An expired lease stays LAPSED. - A crash counts once for each run, by task, also for members of gangs and for starts without an answer. Starts that certainly failed, and runs that lasted 10 minutes, do not count. Three crashes fail the job, with a cause that `marigoldgap explain` shows. - The counts are a fourth value of the stored progress. Earlier versions ignore it, and rows without it are read. The task waits until its count is stored; otherwise a leader that ends with the next start loses two counts. - A start is repeated only after its worker answers again, and is stopped if another incarnation answers.

Now all pass, with the whole of tests/features/cell (92 scenarios).

Conclusion: a leader counts each proven crash; one that coincides with the end of the leader may be missed once, which is one start more.

--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -56,6 +56,8 @@
         # it, so that the next leader knows every worker that may have runs.
         self.is_rostered = False
         self.is_registered = True
+        # Whether the current incarnation drains, so that its process may end.
+        self.is_leaving = registration.is_draining
         self.runs: dict[model.RunName, runs.Run] = {}
         # Allocated millicores, MiB of memory and accelerators.
         self.used = [0, 0, 0]
@@ -151,9 +153,21 @@
             return False
         return self.clock_ms(now) > self.lease_until_ms
 
+    def update_registration(self, registration: model.Registration) -> None:
+        """Replaces the registration.
+
+        The registration of the next incarnation may arrive before the end of
+        the current one is known.
+        """
+        is_same = registration.born_ms == self.registration.born_ms
+        if registration.is_draining or is_same:
+            self.is_leaving = registration.is_draining
+        self.registration = registration
+
     def reset_incarnation(self, born_ms: int) -> None:
         """Resets the state kept for an earlier incarnation with the same id."""
         self.born_ms = born_ms
+        self.is_leaving = self.registration.is_draining
         self.handled_number = 0
         self.stored_number = 0
 
--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -42,6 +42,7 @@
         "asked_workers",
         "avoid",
         "chain_s",
+        "crashes",
         "done",
         "failures",
         "job",
@@ -53,6 +54,7 @@
         "saved",
         "spec",
         "tickets",
+        "unstored_crashes",
         "waiting",
     )
 
@@ -80,6 +82,11 @@
         # Numbers of failed runs by position of the task; a gang uses position 0
         # for all members.
         self.failures: dict[int, list[int]] = {}
+        # Numbers of the runs under which workers crashed, by position of the
+        # task, also for the members of a gang.
+        self.crashes: dict[int, list[int]] = {}
+        # Positions of the tasks whose latest crash is not stored yet.
+        self.unstored_crashes: set[int] = set()
         # Latest saved progress, and number of the latest run, by task.
         self.saved: dict[int, str] = {}
         self.last_run: dict[int, int] = {}
@@ -162,6 +169,31 @@
             runs.append(name.run)
         return len(runs)
 
+    def record_crash(self, name: model.RunName) -> int:
+        """Counts a crashed worker once; returns the count of the task."""
+        runs = self.crashes.setdefault(name.task.position, [])
+        if name.run not in runs:
+            runs.append(name.run)
+        return len(runs)
+
+    def make_waiting(self, position: int) -> None:
+        """Lets a task without a run wait for its next one.
+
+        A task under which a worker crashed waits until the crash is stored, so
+        that the next leader knows of it.
+        """
+        if (
+            position not in self.active
+            and position not in self.unstored_crashes
+            and not self.is_task_done(position)
+            and not self.job.is_ended
+        ):
+            self.waiting.add(position)
+
+    def crash_count(self, position: int) -> int:
+        """Returns how many workers have crashed under a task."""
+        return len(self.crashes.get(position, ()))
+
     def saved_for(self, position: int) -> str:
         """Returns the saved progress from which the task resumes."""
         return self.saved.get(self._accounting_position(position), "")
@@ -178,8 +210,11 @@
         )
 
     def encode(self) -> list[Any]:
-        """Returns the stored form of the progress."""
-        return [f"{self.done:x}", self.failures, self.saved]
+        """Returns the stored form of the progress.
+
+        Earlier versions read the first three values only.
+        """
+        return [f"{self.done:x}", self.failures, self.saved, self.crashes]
 
     def _accounting_position(self, position: int) -> int:
         """Returns the position under which failures and progress are kept."""
@@ -190,6 +225,9 @@
         self.done = int(stored[0], 16)
         self.failures = {int(key): value for key, value in stored[1].items()}
         self.saved = {int(key): value for key, value in stored[2].items()}
+        # Earlier versions store no crashes.
+        crashes = stored[3] if len(stored) > 3 else {}
+        self.crashes = {int(key): value for key, value in crashes.items()}
         self.waiting = {
             position
             for position in range(self.spec.task_count)
--- a/src/marigoldgap/cell/model.py
+++ b/src/marigoldgap/cell/model.py
@@ -255,15 +255,16 @@
 class EndReason(enum.Enum):
     """Reason for which a run ended.
 
-    Only FAILED counts as a failed run of the task. After any reason but DONE,
-    the task waits for another run unless its job has ended, and the other runs
-    of a gang are stopped.
+    Only FAILED counts as a failed run of the task, and only CRASHED as a worker
+    that crashed under it. After any reason but DONE, the task waits for another
+    run unless its job has ended, and the other runs of a gang are stopped.
 
     Attributes:
         DONE: The task is done.
         FAILED: The task failed.
         STOPPED: A stop command ended the run.
         LAPSED: The lease expired, or the worker or the run was lost.
+        CRASHED: The process of the worker ended without notice.
         BROKEN: The worker reported `broken`; handled like STOPPED.
         ALONE: The worker reported `alone`; handled like STOPPED.
     """
@@ -272,6 +273,7 @@
     FAILED = "failed"
     STOPPED = "stopped"
     LAPSED = "lapsed"
+    CRASHED = "crashed"
     BROKEN = "broken"
     ALONE = "alone"
 
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from marigoldgap import clock
@@ -24,6 +25,10 @@
 # Time for which no run is started on a worker that refused a start because it
 # had too little free capacity.
 _NO_ROOM_PAUSE_S = 0.3
+# A job fails when this many workers have crashed under one of its tasks.
+_MAX_CRASHES = 3
+# A crash is not attributed to runs that have lasted longer, in seconds.
+_MAX_CRASH_RUN_S = 600.0
 
 
 class RunTracker:
@@ -236,10 +241,25 @@
                 _log.warning("worker_quarantined", worker=run.worker.worker_id)
             step.avoid.setdefault(position, set()).add(run.worker.worker_id)
             self._count_failure(step, run.name)
+        elif how is model.EndReason.CRASHED:
+            self._count_crash(run)
         if how is not model.EndReason.DONE and step.spec.is_gang:
             self.stop_gang(step, f"a run of a member ended as {how.value}")
         self._update_job(step)
 
+    def on_worker_restarted(self, run: runs.Run) -> None:
+        """Handles the crash of the incarnation on which a run was started.
+
+        A start without an answer may still reach the next incarnation, so such
+        a run is stopped first.
+        """
+        if run.confirmed_s < float("inf"):
+            self.end(run, model.EndReason.CRASHED, "", "worker has restarted")
+            return
+        self._count_crash(run)
+        self.stop(run, "worker has restarted")
+        self._update_job(run.step)
+
     def stop(self, run: runs.Run, cause: str) -> None:
         """Stops a run; it keeps its resources until it has ended."""
         if run.state in (runs.RunState.STOPPING, runs.RunState.ENDED):
@@ -275,6 +295,44 @@
                 f"{failures} times",
             )
 
+    def _count_crash(self, run: runs.Run) -> None:
+        """Counts a crashed worker under the task of a run that it has lost."""
+        step = run.step
+        job = step.job
+        position = run.name.task.position
+        if (
+            run.is_unstarted
+            or clock.now_s() - run.started_s > _MAX_CRASH_RUN_S
+            or step.is_task_done(position)
+            or job.is_ended
+        ):
+            return
+        crashes = step.record_crash(run.name)
+        _log.warning(
+            "crash_counted",
+            run=str(run.name),
+            worker=run.worker.worker_id,
+            crashes=crashes,
+        )
+        if crashes >= _MAX_CRASHES:
+            self._job_tracker.end(
+                job,
+                model.JobState.FAILED,
+                f"{crashes} workers crashed under task {position} of step "
+                f"{step.number}",
+            )
+            return
+        step.unstored_crashes.add(position)
+        step.waiting.discard(position)
+        self._job_tracker.store_progress(job)
+
+        def mark_stored(_: asyncio.Future[None]) -> None:
+            step.unstored_crashes.discard(position)
+            step.make_waiting(position)
+            self._leadership.request_plan()
+
+        self._leadership.journal.flushed().add_done_callback(mark_stored)
+
     def _update_job(self, step: jobs.StepProgress) -> None:
         job = step.job
         if not job.is_ended:
@@ -295,5 +353,4 @@
         if step.active.get(position) is not run:
             return
         del step.active[position]
-        if not step.is_task_done(position) and not step.job.is_ended:
-            step.waiting.add(position)
+        step.make_waiting(position)
--- a/src/marigoldgap/cell/runs.py
+++ b/src/marigoldgap/cell/runs.py
@@ -26,6 +26,7 @@
 
     __slots__ = (
         "confirmed_s",
+        "is_unstarted",
         "name",
         "percent",
         "progressed_s",
@@ -51,6 +52,8 @@
         # Time at which the worker first confirmed the run, by a listing or by
         # its answer to a command; infinite before that.
         self.confirmed_s = float("inf")
+        # Whether all commands to start it have certainly failed.
+        self.is_unstarted = False
         # Monotonic time of the latest change of `percent`.
         self.progressed_s = now
         self.percent = 0.0
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -66,8 +66,17 @@
     ) -> None:
         """Applies a worker's listing of its runs."""
 
-    def on_gone(self, worker: fleet.Worker, cause: str) -> None:
-        """Ends the runs of a worker that is known to be gone."""
+    def on_gone(
+        self, worker: fleet.Worker, has_ended: bool, cause: str
+    ) -> None:
+        """Ends the runs of a worker that is known to be gone.
+
+        Args:
+            worker: The worker.
+            has_ended: Whether its process is known to have ended; otherwise
+                only its lease has expired.
+            cause: Evidence, for the log.
+        """
 
     def on_silent(self, worker: fleet.Worker, cause: str) -> None:
         """Stops placing runs on a worker that does not answer."""
@@ -123,7 +132,7 @@
                 self._listener.on_fenced()
                 return
             except ports.OtherIncarnationError as error:
-                self._listener.on_gone(self._worker, str(error))
+                self._listener.on_gone(self._worker, True, str(error))
                 return
             except messages.ConnectionRefusedByHostError as error:
                 self._refusals += 1
@@ -136,10 +145,14 @@
                 self._was_closed_by_worker = False
                 self._refusals = 0
                 self._listener.on_silent(self._worker, str(error))
-            if self._is_gone():
+            if self._was_closed_by_worker and self._refusals >= _GONE_REFUSALS:
                 self._listener.on_gone(
-                    self._worker,
-                    "its process has ended or its lease has expired",
+                    self._worker, True, "its process has ended"
+                )
+                return
+            if self._worker.is_lease_expired(clock.now_s()):
+                self._listener.on_gone(
+                    self._worker, False, "its lease has expired"
                 )
                 return
             await asyncio.sleep(_RETRY_S)
@@ -171,16 +184,27 @@
                 may_have_started = (
                     may_have_started or error.ran is not errors.Ran.NO
                 )
+                run.is_unstarted = not may_have_started
                 _log.warning(
                     "start_unanswered", run=str(run.name), cause=str(error)
                 )
-                await asyncio.sleep(_COMMAND_RETRY_S)
-                if worker.contact is fleet.Contact.GONE:
-                    return
+                await self._wait_for_contact()
                 continue
             if run.state is runs.RunState.STARTING:
                 self._conclude(run, answer, may_have_started)
 
+    async def _wait_for_contact(self) -> None:
+        """Waits before a start is repeated, until the worker answers again.
+
+        Its next listing shows whether it is the same incarnation. In another
+        one, the task might crash the worker again.
+        """
+        await asyncio.sleep(_COMMAND_RETRY_S)
+        while (
+            self._worker.contact is fleet.Contact.SILENT and not self._is_closed
+        ):
+            await asyncio.sleep(_COMMAND_RETRY_S)
+
     def _conclude(
         self, run: runs.Run, answer: model.StartAnswer, may_have_started: bool
     ) -> None:
@@ -290,9 +314,3 @@
             wait_ms,
         )
         self._listener.on_listing(self._worker, listing, sent_s)
-
-    def _is_gone(self) -> bool:
-        has_ended = (
-            self._was_closed_by_worker and self._refusals >= _GONE_REFUSALS
-        )
-        return has_ended or self._worker.is_lease_expired(clock.now_s())
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -173,7 +173,8 @@
             return
         if registration.is_draining and not worker.registration.is_draining:
             _log.info("worker_draining", worker=worker.worker_id)
-        former, worker.registration = worker.registration, registration
+        former = worker.registration
+        worker.update_registration(registration)
         if former.address != registration.address:
             self._store(worker)
         worker.is_registered = True
@@ -192,12 +193,16 @@
             _log.warning("worker_lost", worker=worker.worker_id, cause=cause)
             worker.contact = fleet.Contact.SILENT
 
-    def on_gone(self, worker: fleet.Worker, cause: str) -> None:
+    def on_gone(
+        self, worker: fleet.Worker, has_ended: bool, cause: str
+    ) -> None:
         """Ends the runs of a worker that is known to be gone."""
+        has_crashed = has_ended and not worker.is_leaving
         _log.warning(
             "worker_gone",
             worker=worker.worker_id,
             runs=len(worker.runs),
+            has_crashed=has_crashed,
             cause=cause,
         )
         worker.contact = fleet.Contact.GONE
@@ -207,7 +212,14 @@
         self._unfenced.discard(worker.worker_id)
         self._deferred.pop(worker.worker_id, None)
         for run in list(worker.runs.values()):
-            self._runs.end(run, model.EndReason.LAPSED, "", "worker is gone")
+            self._runs.end(
+                run,
+                model.EndReason.CRASHED
+                if has_crashed
+                else model.EndReason.LAPSED,
+                "",
+                "worker is gone",
+            )
         self._leadership.journal.schedule_write(
             records.roster_row_key(worker.worker_id), _no_content
         )
@@ -227,7 +239,7 @@
         now = clock.now_s()
         self._unfenced.discard(worker.worker_id)
         if listing.born_ms != worker.born_ms:
-            worker.reset_incarnation(listing.born_ms)
+            self._on_other_incarnation(worker, listing)
         worker.observe_clock(listing.clock_ms, now)
         if worker.contact is not fleet.Contact.ANSWERING:
             _log.info("worker_answers", worker=worker.worker_id)
@@ -237,6 +249,28 @@
         else:
             self._deferred[worker.worker_id] = (listing, sent_s)
 
+    def _on_other_incarnation(
+        self, worker: fleet.Worker, listing: model.WorkerListing
+    ) -> None:
+        """Ends the runs of an earlier incarnation that has crashed.
+
+        The runs of one that was draining lapse, as the listing lacks them.
+        """
+        has_crashed = (
+            worker.born_ms > 0 and listing.born_ms > 0 and not worker.is_leaving
+        )
+        worker.reset_incarnation(listing.born_ms)
+        if not has_crashed:
+            return
+        _log.warning(
+            "worker_restarted",
+            worker=worker.worker_id,
+            runs=len(worker.runs),
+            born_ms=listing.born_ms,
+        )
+        for run in list(worker.runs.values()):
+            self._runs.on_worker_restarted(run)
+
     def apply_deferred_listings(self) -> None:
         """Applies the listings that arrived before the jobs were known."""
         self.ready.set()
--- a/src/marigoldgap/job_explanation.py
+++ b/src/marigoldgap/job_explanation.py
@@ -20,7 +20,13 @@
     }
 )
 _WORKER_EVENTS = frozenset(
-    {"worker_lost", "worker_gone", "worker_quarantined", "worker_draining"}
+    {
+        "worker_lost",
+        "worker_gone",
+        "worker_restarted",
+        "worker_quarantined",
+        "worker_draining",
+    }
 )
 # A job that waits longer for its first start counts as delayed.
 _MAX_START_WAIT_MS = 1_000
@@ -159,7 +165,7 @@
         {
             str(line.fields.get("worker"))
             for line in events.get("run_ended", [])
-            if line.fields.get("how") == "failed"
+            if line.fields.get("how") in ("failed", "crashed")
         }
     )
     cause = f"failed: {ended.fields.get('cause')}, on {', '.join(workers)}"
@@ -177,7 +183,7 @@
     lost = [
         line
         for line in events.get("run_ended", [])
-        if line.fields.get("how") == "lapsed"
+        if line.fields.get("how") in ("lapsed", "crashed")
     ]
     if lost:
         workers = sorted({str(line.fields.get("worker")) for line in lost})
--- /dev/null
+++ b/tests/features/cell/worker_crashes.feature
@@ -0,0 +1,119 @@
+Feature: A task that crashes its workers is given up
+
+  Scenario Outline: A task that crashes every worker is given up
+    Guards against a task that crashes worker after worker (BUDGET).
+    Given a cell with 4 workers and 1 instances
+    And crashed workers come back as <process> after <pause> ms
+    When a job with the payload "ms=50 crash" is submitted
+    Then the job is given up after 3 crashed workers
+    And no task ran in two places
+
+    Examples:
+      | process                                | pause |
+      | the same worker                        | 100   |
+      | the same worker                        | 1200  |
+      | another worker at the same address     | 100   |
+      | another worker at the same address     | 1200  |
+      | another worker at another address      | 1200  |
+
+  Scenario: A task whose workers crashed twice completes
+    Guards against a job that fails because of two crashes of machines.
+    Given a cell with 2 workers and 1 instances
+    When a job with the payload "ms=900" is submitted and has begun
+    And the worker that runs it crashes
+    And the worker that runs it crashes
+    Then every instance shows the job as "completed"
+    And 2 crashed workers were counted
+
+  Scenario: Crashed workers are counted across a takeover
+    Guards against a new leader that counts from 0 again.
+    Given a cell with 4 workers and 2 instances
+    When a job with the payload "ms=1500 crash" is submitted
+    And the leader ends when run 3 has begun
+    Then the job is given up after 3 crashed workers
+
+  Scenario: A crash at a takeover is missed at most once
+    Guards against a new leader that counts from 0 again.
+    Given a cell with 4 workers and 2 instances
+    When a job with the payload "ms=50 crash" is submitted
+    And the leader ends when run 3 has begun
+    Then the job is given up after at most 4 crashed workers
+
+  Scenario: A start without an answer counts when its worker crashes
+    Guards against a task that crashes its worker before the answer is sent.
+    Given a cell with 4 workers and 1 instances
+    And the workers carry out the next start without an answer
+    When a job with the payload "ms=50 crash" is submitted
+    Then the job is given up after 3 crashed workers
+
+  Scenario Outline: A start without an answer is not repeated after a restart
+    Guards against one run that crashes two processes of a worker.
+    Given a cell with 1 workers and 1 instances
+    And crashed workers come back as the same worker after <pause> ms
+    And the workers carry out the next start without an answer
+    When a job with the payload "ms=50 crash" is submitted
+    Then the job is given up after 3 crashed workers
+
+    Examples:
+      | pause |
+      | 100   |
+      | 400   |
+
+  Scenario: A long-running task that crashes every worker is given up
+    Guards against a service that crashes workers until it is cancelled.
+    Given a cell with 4 workers and 1 instances
+    When a service with the payload "ms=50 lasts crash" is submitted
+    Then the job is given up after 3 crashed workers
+
+  Scenario: A gang that crashes every worker is given up
+    Guards against gangs that crash worker after worker.
+    Given a cell with 4 workers and 1 instances
+    When a gang of 2 members with the payload "ms=200 crash" is submitted
+    Then the job is given up after 3 crashed workers
+
+  Scenario: A run that its worker outlived for long does not count
+    Guards against a service that is given up for rare crashes of machines.
+    Given a cell with 2 workers and 1 instances
+    When a job with the payload "ms=900" is submitted and has begun
+    And its run is an hour old
+    And the worker that runs it crashes
+    Then every instance shows the job as "completed"
+    And no crashed worker was counted
+
+  Scenario: A worker that is cut off until its lease has lapsed does not count
+    Guards against a job that fails because of network cuts.
+    Given a cell with 2 workers and 1 instances
+    When a job with the payload "ms=20000" is submitted and has begun
+    And the worker that runs it refuses connections until another one runs it
+    Then no crashed worker was counted
+
+  Scenario: A worker that crashed is counted
+    Guards against the two scenarios around this one that count nothing at all.
+    Given a cell with 2 workers and 1 instances
+    When a job with the payload "ms=900" is submitted and has begun
+    And the worker that runs it crashes
+    Then every instance shows the job as "completed"
+    And 1 crashed workers were counted
+
+  Scenario Outline: A draining worker that ends does not count
+    Guards against a job that fails because of planned replacements of workers.
+    Given a cell with 2 workers and 1 instances
+    And crashed workers come back as the same worker after <pause> ms
+    When a job with the payload "ms=1500" is submitted and has begun
+    And the worker that runs it drains and ends
+    Then every instance shows the job as "completed"
+    And no crashed worker was counted
+
+    Examples:
+      | pause |
+      | 100   |
+      | 1200  |
+
+  Scenario: Stored counts of crashed workers are compatible
+    Guards against progress that one of two versions cannot read during a
+    rolling upgrade.
+    Given a task under which 2 workers have crashed
+    Then its stored progress restores the count
+    And its stored progress starts with the values of earlier versions
+    And progress of earlier versions restores no count
+    And a run counts once
--- a/tests/features/logs/decision_log.feature
+++ b/tests/features/logs/decision_log.feature
@@ -17,6 +17,12 @@
     And 1 line is counted as unreadable
     And the cause names the workers on which the job failed
 
+  Scenario: A job under which workers crashed is explained
+    Guards against a job that is given up without a visible reason.
+    Given log lines about a job that was given up after crashes
+    When the job is explained
+    Then the cause names the crashed workers
+
   Scenario: A refused request is explained
     Guards against refusals whose reason is not in the log.
     Given a log line about a refused request of a job
--- a/tests/features/steps/decision_log_steps.py
+++ b/tests/features/steps/decision_log_steps.py
@@ -101,6 +101,31 @@
     ]
 
 
+@given("log lines about a job that was given up after crashes")
+def crashed_lines(context):
+    cause = "3 workers crashed under task 0 of step 0"
+    context.texts = [
+        _line(
+            number,
+            "e1",
+            "run_ended",
+            run=f"{_JOB}.0.0.0#{number}",
+            worker=f"w{number}",
+            how="crashed",
+        )
+        for number in (1, 2, 3)
+    ]
+    context.texts.append(
+        _line(4, "e1", "job_ended", job=_JOB, state="failed", cause=cause)
+    )
+
+
+@then("the cause names the crashed workers")
+def crashed_named(context):
+    expected = "failed: 3 workers crashed under task 0 of step 0, on w1, w2, w3"
+    assert context.explanation.cause == expected, context.explanation.cause
+
+
 @given("a log line about a refused request of a job")
 def refused_request(context):
     context.texts = [
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -21,7 +21,8 @@
     """Runs tasks and records violations of the scheduler's guarantees.
 
     Words of the payload control a run: `ms=200` (duration), `cpu=1000`,
-    `fail` (it ends as failed) and `lasts` (it may run again after its end).
+    `fail` (it ends as failed), `lasts` (it may run again after its end) and
+    `crash` (it ends the process of the worker, which starts again).
 
     Args:
         worker_id: Id under which it registers.
@@ -46,6 +47,12 @@
         violations: Each violation as a text.
         public_address: Address that is registered; differs from `address`
             behind a proxy.
+        restart_s: Time from a crash to the start of the next process, in
+            seconds.
+        restart_ids: Ids of the next processes; the last one is kept.
+        restart_addresses: Addresses of the next processes; the last one is
+            kept.
+        crashes: Runs that were lost in each crash, by name of the task.
     """
 
     def __init__(
@@ -73,6 +80,11 @@
             set() if acknowledged_tasks is None else acknowledged_tasks
         )
         self.public_address = address
+        self.restart_s = 1.2
+        self.restart_ids = []
+        self.restart_addresses = []
+        self.crashes = []
+        self._is_down = False
         self._refused_runs = {}
         self._last_end_number = 0
         self._born_s = time.monotonic()
@@ -109,6 +121,40 @@
             self._fleet_runs.pop((name, self.worker_id), None)
         self.running.clear()
 
+    def crash(self):
+        """Ends the process without notice; another one starts later."""
+        self._is_down = True
+        self.crashes.append(
+            {name: each["run"] for name, each in self.running.items()}
+        )
+        self._server.close()
+        for name in list(self.running):
+            self._fleet_runs.pop((name, self.worker_id), None)
+        self.running.clear()
+        self._tasks.append(asyncio.create_task(self._restart()))
+
+    async def _restart(self):
+        """Starts a process that knows nothing of the earlier one."""
+        await asyncio.sleep(self.restart_s)
+        former_id = self.worker_id
+        if self.restart_ids:
+            self.worker_id = self.restart_ids.pop(0)
+        if self.restart_addresses:
+            self.address = self.public_address = self.restart_addresses.pop(0)
+        if self.worker_id != former_id:
+            self._store.drop("servers", "", former_id)
+        self.ended = []
+        self.fence = 0
+        self.lease_until_ms = 0
+        self.is_draining = False
+        self._refused_runs = {}
+        self._last_end_number = 0
+        self._born_s = time.monotonic()
+        self._born_ms = int(time.time() * 1000)
+        await self._server.start(self.address)
+        self._is_down = False
+        self.register()
+
     def register(self):
         state = "draining" if self.is_draining else "ready"
         fields = {
@@ -129,7 +175,8 @@
 
     async def _run_heartbeats(self):
         while True:
-            self.register()
+            if not self._is_down:
+                self.register()
             await asyncio.sleep(_HEARTBEAT_S)
 
     async def _enforce_lease(self):
@@ -235,7 +282,11 @@
 
     async def _run_task(self, name, run, spec):
         await asyncio.sleep(self._duration_s({"spec": spec}))
-        if self.running.get(name, {}).get("run") == run:
+        if self.running.get(name, {}).get("run") != run:
+            return
+        if "crash" in spec:
+            self.crash()
+        else:
             self._end(name, "failed" if "fail" in spec else "done")
 
     def _end(self, name, state):
