--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -58,6 +58,8 @@
         self.has_roster_row = False
         self.is_rostered = False
         self.is_registered = True
+        # Whether the current incarnation drains, so that its process may end.
+        self.is_leaving = registration.is_draining
         self.runs: dict[model.RunName, runs.Run] = {}
         # Allocated millicores, MiB of memory and accelerators.
         self.used = [0, 0, 0]
@@ -153,6 +155,17 @@
             return False
         return self.clock_ms(now) > self.lease_until_ms
 
+    def update_registration(self, registration: model.Registration) -> None:
+        """Replaces the registration.
+
+        The registration of the next incarnation may arrive before the end of
+        the current one is known.
+        """
+        is_same = registration.born_ms == self.registration.born_ms
+        if registration.is_draining or is_same:
+            self.is_leaving = registration.is_draining
+        self.registration = registration
+
     def reset_incarnation(
         self, born_ms: int, now: float, max_lease_s: float
     ) -> None:
@@ -171,6 +184,7 @@
                 self._inherited_until_s, now + max_lease_s
             )
         self.born_ms = born_ms
+        self.is_leaving = self.registration.is_draining
         self.handled_number = 0
         self.stored_number = 0
 
