--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -157,7 +157,7 @@
         self._refused_runs = {}
         self._last_end_number = 0
         self._born_s = time.monotonic()
-        self._born_ms = int(time.time() * 1000)
+        self.born_ms = int(time.time() * 1000)
         await self._server.start(self.address)
         self._is_down = False
         self.register()
