platform: an unusable answer of the store leaves the outcome open

Callers whose submission was stored got 503, which says that the job never runs, or 500, if the store (or a proxy before it) answered the write with an unexpected status or a body that cannot be decoded. Callers of an instance that shuts down, or of one whose store fails, then gave up a job that ran.

Cause: only a lost answer was a StoreUnknownError. An unexpected status was a plain StoreError, after which the retry was reported as refused, and a malformed body was an ExchangeError, which the API maps to 503.

Change: both raise StoreUnknownError from transact.

Measured: the four examples of the new scenario failed before with ASSERT FAILED: (503, {'error': 'store-away', 'retryAfterMs': 1000}) (2x) ASSERT FAILED: (503, {'error': 'answer-invalid', 'retryAfterMs': 1000}) ASSERT FAILED: (500, {'error': 'internal-error'}) and get 504 now; cell/whole_path passes (19 scenarios).

--- a/src/marigoldgap/cell/store.py
+++ b/src/marigoldgap/cell/store.py
@@ -68,7 +68,7 @@
 
 
 class StoreUnknownError(StoreError):
-    """The store did not answer; the call may take effect now or later."""
+    """There is no usable answer; the call may take effect now or later."""
 
     code = "store-unknown"
     status = 504
--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -4,7 +4,9 @@
 
 import base64
 import binascii
+from collections.abc import Callable
 from typing import Any
+from typing import TypeVar
 from urllib import parse
 
 from marigoldgap import clock
@@ -18,6 +20,8 @@
 
 _log = decision_log.DecisionLogger("store")
 
+_Content = TypeVar("_Content")
+
 # Time that a call for changes may take beyond the wait that it requests.
 _CHANGES_MARGIN_S = 0.7
 _REFUSED_STATUSES = frozenset({429, 503, 507})
@@ -80,8 +84,8 @@
             CheckFailedError: A checked row has a different version.
             StoreRefusedError: The transaction was not applied.
             StoreRejectedError: The transaction is invalid.
-            StoreUnknownError: There is no answer; the transaction may take
-                effect now or later.
+            StoreUnknownError: There is no usable answer; the transaction may
+                take effect now or later.
         """
         partitions = {
             row_key.partition
@@ -115,10 +119,9 @@
             "/v1/rows-tx",
             json_object.encode(body),
         )
-        content = answer.json()
         if answer.status == 412:
-            raise store.CheckFailedError(_decode_rows(content))
-        return int(content["ver"])
+            raise store.CheckFailedError(_decode(answer, _decode_rows))
+        return _decode(answer, lambda content: int(content["ver"]))
 
     async def read(
         self,
@@ -259,7 +262,8 @@
                 f"the store answered {answer.status}: {answer.body[:200]!r}"
             )
         if answer.status not in (200, 410, 412):
-            raise store.StoreError(
+            # A proxy may answer although the store has received the call.
+            raise store.StoreUnknownError(
                 f"the store answered {answer.status}: {answer.body[:200]!r}"
             )
         if not self.is_reachable:
@@ -287,6 +291,28 @@
     }
 
 
+def _decode(
+    answer: messages.Response, decode_content: Callable[[Any], _Content]
+) -> _Content:
+    """Decodes the body of an answer.
+
+    Raises:
+        StoreUnknownError: The body is malformed.
+    """
+    try:
+        return decode_content(answer.json())
+    except (
+        messages.InvalidAnswerError,
+        AttributeError,
+        LookupError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise store.StoreUnknownError(
+            f"the store sent an unusable answer: {error!r}"
+        ) from error
+
+
 def _decode_rows(content: Any) -> tuple[store.Row, ...]:
     return tuple(_decode_row(row) for row in content.get("rows", ()))
 
--- a/tests/features/cell/whole_path.feature
+++ b/tests/features/cell/whole_path.feature
@@ -113,6 +113,21 @@
     Then every instance shows the job as "completed"
     And each of its tasks was started once
 
+  Scenario Outline: The outcome is unknown after an unusable answer
+    Guards against telling the caller that a stored job was refused.
+    Given a cell with 1 workers and 1 instances
+    When the store answers the next job with <answer> and refuses later calls
+    Then a submission is answered with 504 within half of its deadline
+    When the store answers again
+    Then the submission is stored and its job is completed once
+
+    Examples:
+      | answer           |
+      | status 500       |
+      | status 502       |
+      | a body cut short |
+      | a list           |
+
   Scenario: Ended jobs are removed from the store after the retention period
     Guards against a store and a process that grow without bound.
     Given a cell with 1 workers and 1 instances that keeps ended jobs for 1 s
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -10,6 +10,7 @@
 from behave import then
 from behave import when
 
+from marigoldgap.web import messages
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
 from tests.fixtures import loops
@@ -17,6 +18,12 @@
 _FAST_S = 1.5
 # Deadline of a caller that sends none (PROTOCOL.md of the users).
 _DEADLINE_S = 3.0
+_UNUSABLE_ANSWERS = {
+    "status 500": messages.Response(500),
+    "status 502": messages.Response(502),
+    "a body cut short": messages.Response(200, b'{"ver":'),
+    "a list": messages.Response(200, b"[]"),
+}
 
 
 @given("a cell with {workers:d} workers and {instances:d} instances")
@@ -197,6 +204,11 @@
     context.world.store.lost = 1
 
 
+@when("the store answers the next job with {answer} and refuses later calls")
+def answer_unusably(context, answer):
+    context.world.store.unusable = _UNUSABLE_ANSWERS[answer]
+
+
 @given("the workers carry out the next start without an answer")
 def unanswered(context):
     for worker in context.world.workers:
--- a/tests/standins/cell/store.py
+++ b/tests/standins/cell/store.py
@@ -31,6 +31,9 @@
         refusal: Status with which every call is refused; 0 for none.
         lost: Number of the next transactions whose response is withheld; they
             take effect if their checks hold.
+        unusable: Response to the next transaction that writes a job, which
+            takes effect while all later calls are refused; None for the usual
+            response.
         is_silent: Whether every response is withheld.
         delay_s: Delay of each call, in seconds.
         holds_tables: Returns whether reads of partitions of jobs are withheld.
@@ -46,6 +49,7 @@
         self.calls = []
         self.refusal = 0
         self.lost = 0
+        self.unusable = None
         self.is_silent = False
         self.delay_s = 0.0
         self.first_version_kept = 0
@@ -129,6 +133,12 @@
             self.lost_removals -= 1
             await asyncio.sleep(60)
         await self._withhold_response()
+        if self.unusable and any(
+            each["table"] == "jobs" for each in body["setKeys"]
+        ):
+            unusable, self.unusable = self.unusable, None
+            self.refusal = 503
+            return unusable
         return self._answer({})
 
     async def _withhold_response(self):
