platform: a malformed answer to a read of the store ends no task

An instance that read one malformed answer of the store took part in no further election and adopted no further configuration until it was restarted: callers with a withdrawn key were served on, and the cell could stay without a leader.

Cause: the bodies of reads and feeds were decoded without a check, so the error was no StoreError and ended the tasks that follow the election, the configuration, jobs and workers; nothing starts these again.

Change: a malformed answer to a read is a StoreUnknownError, which all of them retry.

Measured: before, the new scenario ended in step "a submission is answered with 401 soon" with TimeoutError after 30 s; now it takes 2.4 s and passes.

--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -142,7 +142,7 @@
 
         Raises:
             StoreRefusedError: The store refused the call.
-            StoreUnknownError: The store did not answer.
+            StoreUnknownError: There is no usable answer.
         """
         query = {"table": table, "part": partition}
         if first:
@@ -152,10 +152,11 @@
             query["target"] = end
         path = f"/v1/rows-get?{parse.urlencode(query)}"
         if not max_rows:
-            return _decode_page((await self._call("read", "GET", path)).json())
+            answer = await self._call("read", "GET", path)
+            return _decode(answer, _decode_page)
         path += f"&limit={max_rows}"
         answer = await self._call("page", "GET", path, is_page=True)
-        return _decode_page(answer.json())
+        return _decode(answer, _decode_page)
 
     async def changes(self, table: str, after: int, wait_ms: int) -> store.Page:
         """Waits for rows that changed after a version (long poll).
@@ -169,7 +170,7 @@
             HistoryLostError: The store no longer keeps all changes since
                 `after`.
             StoreRefusedError: The store refused the call.
-            StoreUnknownError: The store did not answer.
+            StoreUnknownError: There is no usable answer.
         """
         query = {"table": table, "after": after, "waitMs": wait_ms}
         path = f"/v1/rows-feed?{parse.urlencode(query)}"
@@ -184,7 +185,7 @@
                 f"the store no longer keeps all changes of {table!r} since"
                 f" version {after}"
             )
-        return _decode_page(answer.json())
+        return _decode(answer, _decode_page)
 
     async def _call(
         self,
--- a/tests/features/cell/takeover.feature
+++ b/tests/features/cell/takeover.feature
@@ -142,3 +142,13 @@
     When the other instance takes over while it polls the election
     Then another instance is the leader
     And every worker has accepted the second fencing token
+
+  Scenario: Malformed answers of the store end no part of an instance
+    Guards against an instance that follows neither the election nor the
+    configuration any more.
+    Given a cell with 1 workers and 2 instances
+    When every answer of the store is malformed for 2 s
+    And the key is withdrawn
+    Then a submission is answered with 401 soon
+    When the leader ends
+    Then another instance is the leader
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -282,6 +282,13 @@
     loops.run(context, asyncio.sleep(seconds))
 
 
+@when("every answer of the store is malformed for {seconds:d} s")
+def malformed_for(context, seconds):
+    context.world.store.is_malformed = True
+    loops.run(context, asyncio.sleep(seconds))
+    context.world.store.is_malformed = False
+
+
 @when("every answer of the store takes {milliseconds:d} ms")
 def slow_answers(context, milliseconds):
     context.world.store.delay_s = milliseconds / 1000
--- a/tests/standins/cell/store.py
+++ b/tests/standins/cell/store.py
@@ -34,6 +34,7 @@
         unusable: Response to the next transaction that writes a job, which
             takes effect while all later calls are refused; None for the usual
             response.
+        is_malformed: Whether every response has a body that is not JSON.
         is_silent: Whether every response is withheld.
         delay_s: Delay of each call, in seconds.
         holds_tables: Returns whether reads of partitions of jobs are withheld.
@@ -50,6 +51,7 @@
         self.refusal = 0
         self.lost = 0
         self.unusable = None
+        self.is_malformed = False
         self.is_silent = False
         self.delay_s = 0.0
         self.first_version_kept = 0
@@ -94,6 +96,8 @@
             await asyncio.sleep(self.delay_s)
         if self.refusal:
             return messages.Response(self.refusal)
+        if self.is_malformed:
+            return messages.Response(200, b"<html>")
         fields = dict(parse.parse_qsl(query, keep_blank_values=True))
         if path == "/v1/rows-tx":
             return await self._transact(json.loads(request.body))
