cell: accept no take-over after the request to stop

If an instance was asked to stop while it read the election row to take over, it still claimed the leadership and told the leader that hands over that it had a successor. The leader then asked nobody else, the claim was released and the cell waited for a second election.

Cause: whether the instance is a candidate was checked only before the read.

Change: it is checked again before the claim.

Measured: before, the new scenario failed with ASSERT FAILED: the election was claimed now it passes.

--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -233,6 +233,9 @@
         row, _ = await self._read()
         if row is None or self.leader is None or self.leader.epoch != epoch:
             return False
+        if not self._is_candidate:
+            # The instance was asked to stop during the read.
+            return False
         read_s = self._latest_read_s
         if read_s > longest_read_s and not self.leader.is_released:
             _log.info(
--- a/tests/features/cell/shutdown.feature
+++ b/tests/features/cell/shutdown.feature
@@ -48,3 +48,10 @@
     And the other instance is asked to stop while it claims the leadership
     Then it never schedules
     And the leadership is released
+
+  Scenario: An instance that is asked to stop accepts no take-over any more
+    Guards against a second change of the leader, if the instance that takes
+    over was asked to stop before its claim.
+    Given a cell with 1 workers and 2 instances
+    When the other instance is asked to stop while it reads to take over
+    Then it declines and the election row is unchanged
--- a/tests/features/steps/cell_shutdown_steps.py
+++ b/tests/features/steps/cell_shutdown_steps.py
@@ -180,3 +180,32 @@
 def leadership_released(context):
     content = context.world.store.value(*records.ELECTION)
     assert records.decode(content)["is_released"], content
+
+
+@when("the other instance is asked to stop while it reads to take over")
+def stop_during_read(context):
+    leader = context.world.leader()
+    context.instance = next(
+        each for each in context.world.instances if each is not leader
+    )
+    epoch = leader.scheduler.worker_tracker.epoch
+
+    async def take_over():
+        context.election_row = context.world.store.value(*records.ELECTION)
+        context.world.store.delay_s = _CLAIM_S
+        taking_over = asyncio.create_task(
+            context.instance._election.take_over(epoch, "test")
+        )
+        await asyncio.sleep(_CLAIM_S / 2)
+        request_stop(context)
+        return await taking_over
+
+    context.is_taken = loops.run(context, take_over())
+
+
+@then("it declines and the election row is unchanged")
+def declined(context):
+    assert not context.is_taken, "the election was claimed"
+    assert (
+        context.world.store.value(*records.ELECTION) == context.election_row
+    ), context.world.store.value(*records.ELECTION)
