node: reject submissions that have not begun when the instance ends

A caller whose submission waited behind another one of its connection got 504 with an unknown outcome at the end of the shutdown, although the instance knew that it had not been carried out.

Cause: requests that were read but not begun were answered like the one that is in progress.

Change: they get 503 with the code shutting-down, to be retried elsewhere.

--- a/src/marigoldgap/platform/job_api.py
+++ b/src/marigoldgap/platform/job_api.py
@@ -54,11 +54,20 @@
         measures.REQUESTS.labels(request.method, response.status).inc()
         return response
 
-    def interrupt(self, request: messages.Request) -> messages.Response:
-        """Answers a request whose handling was cancelled by the shutdown."""
+    def interrupt(
+        self, request: messages.Request, has_begun: bool
+    ) -> messages.Response:
+        """Answers a request that was cancelled by the shutdown.
+
+        Args:
+            request: The request.
+            has_begun: Whether its handling had begun.
+        """
         kind: type[errors.MarigoldgapError]
         kind = job_service.RequestInterruptedError
-        if request.method == "POST":
+        if not has_begun:
+            kind = job_service.ShuttingDownError
+        elif request.method == "POST":
             # The write in flight may still store the job.
             kind = job_service.OutcomeUnknownError
         error = kind("the instance shut down before it had the answer")
--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -18,6 +18,9 @@
 _log = decision_log.DecisionLogger("web")
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
+# Returns the response to a request that was cancelled, by whether its handler
+# had begun.
+InterruptHandler = Callable[[messages.Request, bool], messages.Response]
 
 # Connections that may wait to be accepted.
 _BACKLOG = 1_024
@@ -88,9 +91,7 @@
         """Makes each connection close after its next response."""
         self.is_draining = True
 
-    def answer_unfinished(
-        self, answer: Callable[[messages.Request], messages.Response]
-    ) -> int:
+    def answer_unfinished(self, answer: InterruptHandler) -> int:
         """Cancels the requests in progress and answers each of them now.
 
         Args:
@@ -265,9 +266,7 @@
         ):
             self.close()
 
-    def answer_unfinished(
-        self, answer: Callable[[messages.Request], messages.Response]
-    ) -> int:
+    def answer_unfinished(self, answer: InterruptHandler) -> int:
         """Cancels the requests of the connection and answers them.
 
         A request that was not read completely is rejected.
@@ -277,13 +276,13 @@
         """
         if self._task is not None:
             self._task.cancel()
-        unfinished = [request for request, _ in self._pending]
+        unfinished = [(request, False) for request, _ in self._pending]
         if self._current is not None:
-            unfinished.insert(0, self._current)
+            unfinished.insert(0, (self._current, True))
         self._pending.clear()
         if self._transport.is_closing():
             return 0
-        responses = [answer(request) for request in unfinished]
+        responses = [answer(*each) for each in unfinished]
         if self._rejection is not None:
             responses.append(self._rejection)
         elif self._is_reading:
--- a/tests/features/cell/shutdown.feature
+++ b/tests/features/cell/shutdown.feature
@@ -14,6 +14,13 @@
       | a query        | 503    |
       | a cancellation | 503    |
 
+  Scenario: A submission that has not begun when the instance ends never runs
+    Guards against an unknown outcome of a submission that was only read.
+    Given a cell with 1 workers and 1 instances
+    When the store is silent and a caller sends two submissions at once
+    And the instance is asked to stop
+    Then the first one gets 504 and the second one 503
+
   Scenario: A submission that cannot be answered before the end is rejected
     Guards against requests that are taken on open connections shortly before
     the process ends (issue 23).
--- a/tests/features/steps/cell_shutdown_steps.py
+++ b/tests/features/steps/cell_shutdown_steps.py
@@ -34,19 +34,24 @@
     context.connection = await client.connect(instance.settings.callers_address)
 
 
-async def _send(context, method):
-    """Sends a request; returns its response and the time that it took."""
+def _encode(method, job_id):
     body = json.dumps(cell_world.job()).encode() if method == "POST" else b""
     head = client.request_head(
         method,
         cell_world.HOST,
-        cell_world.PREFIX + cell_jobs.JOB,
+        cell_world.PREFIX + job_id,
         len(body),
         (
             ("Authorization", f"Token {cell_world.KEY}"),
             ("X-Deadline-Ms", str(int(_DEADLINE_S * 1000))),
         ),
     )
+    return head, body
+
+
+async def _send(context, method):
+    """Sends a request; returns its response and the time that it took."""
+    head, body = _encode(method, cell_jobs.JOB)
     started_s = clock.now_s()
     response = await context.connection.exchange(head, body, _DEADLINE_S)
     return response, clock.now_s() - started_s
@@ -65,6 +70,23 @@
     loops.run(context, send())
 
 
+@when("the store is silent and a caller sends two submissions at once")
+def send_two(context):
+    async def send():
+        context.instance = context.world.leader()
+        context.world.store.is_silent = True
+        address = context.instance.settings.callers_address
+        reader, writer = await asyncio.open_connection(*address.split(":"))
+        for job_id in (cell_jobs.JOB, cell_jobs.OTHER_JOB):
+            head, body = _encode("POST", job_id)
+            writer.write(head + body)
+        context.exchange = asyncio.create_task(reader.read())
+        context.add_cleanup(writer.close)
+        await loops.until(lambda: not context.instance._callers.is_idle)
+
+    loops.run(context, send())
+
+
 @when("a caller has an open connection")
 def open_connection(context):
     loops.run(context, _connect(context))
@@ -126,6 +148,13 @@
     assert response.status == status, response
 
 
+@then("the first one gets {first:d} and the second one {second:d}")
+def both_answered(context, first, second):
+    content = loops.run(context, context.exchange)
+    statuses = [int(each[:3]) for each in content.split(b"HTTP/1.1 ")[1:]]
+    assert statuses == [first, second], content
+
+
 @then("it is answered at once with 503, to be retried elsewhere at once")
 def rejected_at_once(context):
     assert context.response.status == 503, context.response
