tests: the interrupted query passes only with the answer of the shutdown

Change: the examples check the code of the answer too, and no timeout of the store client comes before the end of the shutdown.

--- a/tests/features/cell/shutdown.feature
+++ b/tests/features/cell/shutdown.feature
@@ -6,13 +6,13 @@
     Given a cell with 1 workers and 1 instances
     When the store is silent and a caller sends <request> on an open connection
     And the instance is asked to stop
-    Then the caller gets <status> before the process ends
+    Then the caller gets <status> with the code <code> before the process ends
 
     Examples:
-      | request        | status |
-      | a submission   | 504    |
-      | a query        | 503    |
-      | a cancellation | 503    |
+      | request        | status | code         |
+      | a submission   | 504    | outcome-open |
+      | a query        | 503    | interrupted  |
+      | a cancellation | 503    | interrupted  |
 
   Scenario: A submission that has not begun when the instance ends never runs
     Guards against an unknown outcome of a submission that was only read.
--- a/tests/features/steps/cell_shutdown_steps.py
+++ b/tests/features/steps/cell_shutdown_steps.py
@@ -62,6 +62,9 @@
     async def send():
         await _connect(context)
         context.world.store.is_silent = True
+        # A timeout of the store client would end a query before the shutdown.
+        timeouts = context.instance._rows._timeout
+        timeouts.record_response(_DEADLINE_S)
         context.exchange = asyncio.create_task(
             _send(context, _METHODS[request])
         )
@@ -142,10 +145,11 @@
     context.response, _ = loops.run(context, _send(context, "POST"))
 
 
-@then("the caller gets {status:d} before the process ends")
-def answered(context, status):
+@then("the caller gets {status:d} with the code {code} before the process ends")
+def answered(context, status, code):
     response, _ = loops.run(context, context.exchange)
     assert response.status == status, response
+    assert response.json()["error"] == code, response
 
 
 @then("the first one gets {first:d} and the second one {second:d}")
