platform: log a refused request with the status that the caller got

Change: the line has the status of the response.

Measured: before, the new scenario failed with ASSERT FAILED: {'method': 'GET', ..., 'status': 504, 'code': 'store-unknown' now the line says 503, as the response does.

--- a/src/marigoldgap/platform/job_api.py
+++ b/src/marigoldgap/platform/job_api.py
@@ -161,16 +161,17 @@
     error: errors.MarigoldgapError,
     **fields: float,
 ) -> messages.Response:
+    response = _error_response(error)
     _log.warning(
         "request_refused",
         method=request.method,
         path=request.path,
-        status=error.status,
+        status=response.status,
         code=error.code,
         cause=error.detail,
         **fields,
     )
-    return _error_response(error)
+    return response
 
 
 def _error_response(error: errors.MarigoldgapError) -> messages.Response:
--- a/tests/features/logs/decision_log.feature
+++ b/tests/features/logs/decision_log.feature
@@ -22,3 +22,9 @@
     Given a log line about a refused request of a job
     When the job is explained
     Then the cause states that the job was never accepted and why
+
+  Scenario: A refusal is logged with the status that the caller got
+    Guards against a log that contradicts the answer to the caller.
+    Given a cell with 1 workers and 1 instances
+    When the state of a job is queried while the store sends malformed answers
+    Then the caller gets 503 and the log of the refusal says so
--- a/tests/features/steps/decision_log_steps.py
+++ b/tests/features/steps/decision_log_steps.py
@@ -12,6 +12,7 @@
 
 from marigoldgap import decision_log
 from marigoldgap import job_explanation
+from tests.fixtures import loops
 
 _JOB = "00000000000000a1"
 
@@ -141,3 +142,35 @@
 def never_accepted(context):
     cause = context.explanation.cause
     assert "never accepted" in cause and "store-away" in cause, cause
+
+
+class _RecordList(logging.Handler):
+    """Collects log records."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+
+@when("the state of a job is queried while the store sends malformed answers")
+def query_without_store(context):
+    context.collected = _RecordList()
+    root = logging.getLogger("marigoldgap.decisions")
+    root.addHandler(context.collected)
+    context.add_cleanup(root.removeHandler, context.collected)
+    context.world.store.is_malformed = True
+    context.status, _ = loops.run(context, context.world.call("GET", _JOB))
+
+
+@then("the caller gets {status:d} and the log of the refusal says so")
+def logged_status(context, status):
+    assert context.status == status, context.status
+    [record] = [
+        each
+        for each in context.collected.records
+        if each.getMessage() == "request_refused"
+    ]
+    assert record.fields["status"] == status, record.fields
