web, node: name and describe the shutdown by what it does

drain() said that a connection closes after its next response; it closes after the response to the last request that was read. The time that a submission takes is named for it, and not as a minimum. No change of behaviour.

--- a/src/marigoldgap/node/shutdown.py
+++ b/src/marigoldgap/node/shutdown.py
@@ -12,7 +12,7 @@
 _EXIT_MARGIN_S = 1.0
 # Longest time that a submission with the usual deadline of 3 s takes. A caller
 # whose request arrives later is served sooner by another instance.
-_MIN_ANSWER_S = 1.4
+_SUBMISSION_S = 1.4
 
 
 class ShutdownSchedule(NamedTuple):
@@ -33,7 +33,7 @@
 
     def accepts(self, now: float) -> bool:
         """Returns whether a request that arrives now is still handled."""
-        return now < self.answers_until_s - _MIN_ANSWER_S
+        return now < self.answers_until_s - _SUBMISSION_S
 
     def is_complete(self, now: float, is_idle: bool) -> bool:
         """Returns whether the instance may end.
--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -88,7 +88,7 @@
         self._sweeper = asyncio.create_task(self._sweep())
 
     def drain(self) -> None:
-        """Makes each connection close after its next response."""
+        """Makes each connection close after the response to its last request."""
         self.is_draining = True
 
     def answer_unfinished(self, answer: InterruptHandler) -> int:
@@ -157,7 +157,7 @@
         # The request that the handler is answering.
         self._current: messages.Request | None = None
         # Whether the client has ended its data.
-        self._is_read_completely = False
+        self._has_client_finished = False
         # Response after which the connection closes, since what follows the
         # requests that were read is invalid.
         self._rejection: messages.Response | None = None
@@ -193,7 +193,7 @@
             Whether the connection stays open until its requests are answered.
         """
         self._is_reading = False
-        self._is_read_completely = True
+        self._has_client_finished = True
         return self._task is not None
 
     def data_received(self, data: bytes) -> None:
@@ -350,7 +350,7 @@
         is_last = (
             not self._pending
             and self._rejection is None
-            and (self._server.is_draining or self._is_read_completely)
+            and (self._server.is_draining or self._has_client_finished)
         )
         self._write(response, not keep_alive or is_last)
 
