--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -4,7 +4,9 @@
 
 import base64
 import binascii
+from collections.abc import Callable
 from typing import Any
+from typing import TypeVar
 from urllib import parse
 
 from marigoldgap import clock
@@ -18,6 +20,8 @@
 
 _log = decision_log.DecisionLogger("store")
 
+_Content = TypeVar("_Content")
+
 # Time that a call for changes may take beyond the wait that it requests.
 _CHANGES_MARGIN_S = 0.7
 _REFUSED_STATUSES = frozenset({429, 503, 507})
@@ -80,8 +84,8 @@
             CheckFailedError: A checked row has a different version.
             StoreRefusedError: The transaction was not applied.
             StoreRejectedError: The transaction is invalid.
-            StoreUnknownError: There is no answer; the transaction may take
-                effect now or later.
+            StoreUnknownError: There is no usable answer; the transaction may
+                take effect now or later.
         """
         partitions = {
             row_key.partition
@@ -115,10 +119,9 @@
             "/v1/rows-tx",
             json_object.encode(body),
         )
-        content = answer.json()
         if answer.status == 412:
-            raise store.CheckFailedError(_decode_rows(content))
-        return int(content["ver"])
+            raise store.CheckFailedError(_decode(answer, _decode_rows))
+        return _decode(answer, lambda content: int(content["ver"]))
 
     async def read(
         self,
@@ -139,7 +142,7 @@
 
         Raises:
             StoreRefusedError: The store refused the call.
-            StoreUnknownError: The store did not answer.
+            StoreUnknownError: There is no usable answer.
         """
         query = {"table": table, "part": partition}
         if first:
@@ -149,10 +152,11 @@
             query["target"] = end
         path = f"/v1/rows-get?{parse.urlencode(query)}"
         if not max_rows:
-            return _decode_page((await self._call("read", "GET", path)).json())
+            answer = await self._call("read", "GET", path)
+            return _decode(answer, _decode_page)
         path += f"&limit={max_rows}"
         answer = await self._call("page", "GET", path, is_page=True)
-        return _decode_page(answer.json())
+        return _decode(answer, _decode_page)
 
     async def changes(self, table: str, after: int, wait_ms: int) -> store.Page:
         """Waits for rows that changed after a version (long poll).
@@ -166,7 +170,7 @@
             HistoryLostError: The store no longer keeps all changes since
                 `after`.
             StoreRefusedError: The store refused the call.
-            StoreUnknownError: The store did not answer.
+            StoreUnknownError: There is no usable answer.
         """
         query = {"table": table, "after": after, "waitMs": wait_ms}
         path = f"/v1/rows-feed?{parse.urlencode(query)}"
@@ -181,7 +185,7 @@
                 f"the store no longer keeps all changes of {table!r} since"
                 f" version {after}"
             )
-        return _decode_page(answer.json())
+        return _decode(answer, _decode_page)
 
     async def _call(
         self,
@@ -259,7 +263,8 @@
                 f"the store answered {answer.status}: {answer.body[:200]!r}"
             )
         if answer.status not in (200, 410, 412):
-            raise store.StoreError(
+            # A proxy may answer although the store has received the call.
+            raise store.StoreUnknownError(
                 f"the store answered {answer.status}: {answer.body[:200]!r}"
             )
         if not self.is_reachable:
@@ -287,6 +292,28 @@
     }
 
 
+def _decode(
+    answer: messages.Response, decode_content: Callable[[Any], _Content]
+) -> _Content:
+    """Decodes the body of an answer.
+
+    Raises:
+        StoreUnknownError: The body is malformed.
+    """
+    try:
+        return decode_content(answer.json())
+    except (
+        messages.InvalidAnswerError,
+        AttributeError,
+        LookupError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise store.StoreUnknownError(
+            f"the store sent an unusable answer: {error!r}"
+        ) from error
+
+
 def _decode_rows(content: Any) -> tuple[store.Row, ...]:
     return tuple(_decode_row(row) for row in content.get("rows", ()))
 
--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -18,6 +18,9 @@
 _log = decision_log.DecisionLogger("web")
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
+# Returns the response to a request that was cancelled, by whether its handler
+# had begun.
+InterruptHandler = Callable[[messages.Request, bool], messages.Response]
 
 # Connections that may wait to be accepted.
 _BACKLOG = 1_024
@@ -85,12 +88,10 @@
         self._sweeper = asyncio.create_task(self._sweep())
 
     def drain(self) -> None:
-        """Makes each connection close after its next response."""
+        """Makes each connection close after the response to its last request."""
         self.is_draining = True
 
-    def answer_unfinished(
-        self, answer: Callable[[messages.Request], messages.Response]
-    ) -> int:
+    def answer_unfinished(self, answer: InterruptHandler) -> int:
         """Cancels the requests in progress and answers each of them now.
 
         Args:
@@ -156,7 +157,7 @@
         # The request that the handler is answering.
         self._current: messages.Request | None = None
         # Whether the client has ended its data.
-        self._is_read_completely = False
+        self._has_client_finished = False
         # Response after which the connection closes, since what follows the
         # requests that were read is invalid.
         self._rejection: messages.Response | None = None
@@ -192,7 +193,7 @@
             Whether the connection stays open until its requests are answered.
         """
         self._is_reading = False
-        self._is_read_completely = True
+        self._has_client_finished = True
         return self._task is not None
 
     def data_received(self, data: bytes) -> None:
@@ -265,9 +266,7 @@
         ):
             self.close()
 
-    def answer_unfinished(
-        self, answer: Callable[[messages.Request], messages.Response]
-    ) -> int:
+    def answer_unfinished(self, answer: InterruptHandler) -> int:
         """Cancels the requests of the connection and answers them.
 
         A request that was not read completely is rejected.
@@ -277,13 +276,13 @@
         """
         if self._task is not None:
             self._task.cancel()
-        unfinished = [request for request, _ in self._pending]
+        unfinished = [(request, False) for request, _ in self._pending]
         if self._current is not None:
-            unfinished.insert(0, self._current)
+            unfinished.insert(0, (self._current, True))
         self._pending.clear()
         if self._transport.is_closing():
             return 0
-        responses = [answer(request) for request in unfinished]
+        responses = [answer(*each) for each in unfinished]
         if self._rejection is not None:
             responses.append(self._rejection)
         elif self._is_reading:
@@ -351,7 +350,7 @@
         is_last = (
             not self._pending
             and self._rejection is None
-            and (self._server.is_draining or self._is_read_completely)
+            and (self._server.is_draining or self._has_client_finished)
         )
         self._write(response, not keep_alive or is_last)
 
--- a/tests/features/cell/shutdown.feature
+++ b/tests/features/cell/shutdown.feature
@@ -6,13 +6,20 @@
     Given a cell with 1 workers and 1 instances
     When the store is silent and a caller sends <request> on an open connection
     And the instance is asked to stop
-    Then the caller gets <status> before the process ends
+    Then the caller gets <status> with the code <code> before the process ends
 
     Examples:
-      | request        | status |
-      | a submission   | 504    |
-      | a query        | 503    |
-      | a cancellation | 503    |
+      | request        | status | code         |
+      | a submission   | 504    | outcome-open |
+      | a query        | 503    | interrupted  |
+      | a cancellation | 503    | interrupted  |
+
+  Scenario: A submission that has not begun when the instance ends never runs
+    Guards against an unknown outcome of a submission that was only read.
+    Given a cell with 1 workers and 1 instances
+    When the store is silent and a caller sends two submissions at once
+    And the instance is asked to stop
+    Then the first one gets 504 and the second one 503
 
   Scenario: A submission that cannot be answered before the end is rejected
     Guards against requests that are taken on open connections shortly before
@@ -48,3 +55,10 @@
     And the other instance is asked to stop while it claims the leadership
     Then it never schedules
     And the leadership is released
+
+  Scenario: An instance that is asked to stop accepts no take-over any more
+    Guards against a second change of the leader, if the instance that takes
+    over was asked to stop before its claim.
+    Given a cell with 1 workers and 2 instances
+    When the other instance is asked to stop while it reads to take over
+    Then it declines and the election row is unchanged
--- a/tests/features/steps/cell_shutdown_steps.py
+++ b/tests/features/steps/cell_shutdown_steps.py
@@ -34,19 +34,24 @@
     context.connection = await client.connect(instance.settings.callers_address)
 
 
-async def _send(context, method):
-    """Sends a request; returns its response and the time that it took."""
+def _encode(method, job_id):
     body = json.dumps(cell_world.job()).encode() if method == "POST" else b""
     head = client.request_head(
         method,
         cell_world.HOST,
-        cell_world.PREFIX + cell_jobs.JOB,
+        cell_world.PREFIX + job_id,
         len(body),
         (
             ("Authorization", f"Token {cell_world.KEY}"),
             ("X-Deadline-Ms", str(int(_DEADLINE_S * 1000))),
         ),
     )
+    return head, body
+
+
+async def _send(context, method):
+    """Sends a request; returns its response and the time that it took."""
+    head, body = _encode(method, cell_jobs.JOB)
     started_s = clock.now_s()
     response = await context.connection.exchange(head, body, _DEADLINE_S)
     return response, clock.now_s() - started_s
@@ -57,6 +62,9 @@
     async def send():
         await _connect(context)
         context.world.store.is_silent = True
+        # A timeout of the store client would end a query before the shutdown.
+        timeouts = context.instance._rows._timeout
+        timeouts.record_response(_DEADLINE_S)
         context.exchange = asyncio.create_task(
             _send(context, _METHODS[request])
         )
@@ -65,6 +73,23 @@
     loops.run(context, send())
 
 
+@when("the store is silent and a caller sends two submissions at once")
+def send_two(context):
+    async def send():
+        context.instance = context.world.leader()
+        context.world.store.is_silent = True
+        address = context.instance.settings.callers_address
+        reader, writer = await asyncio.open_connection(*address.split(":"))
+        for job_id in (cell_jobs.JOB, cell_jobs.OTHER_JOB):
+            head, body = _encode("POST", job_id)
+            writer.write(head + body)
+        context.exchange = asyncio.create_task(reader.read())
+        context.add_cleanup(writer.close)
+        await loops.until(lambda: not context.instance._callers.is_idle)
+
+    loops.run(context, send())
+
+
 @when("a caller has an open connection")
 def open_connection(context):
     loops.run(context, _connect(context))
@@ -120,10 +145,18 @@
     context.response, _ = loops.run(context, _send(context, "POST"))
 
 
-@then("the caller gets {status:d} before the process ends")
-def answered(context, status):
+@then("the caller gets {status:d} with the code {code} before the process ends")
+def answered(context, status, code):
     response, _ = loops.run(context, context.exchange)
     assert response.status == status, response
+    assert response.json()["error"] == code, response
+
+
+@then("the first one gets {first:d} and the second one {second:d}")
+def both_answered(context, first, second):
+    content = loops.run(context, context.exchange)
+    statuses = [int(each[:3]) for each in content.split(b"HTTP/1.1 ")[1:]]
+    assert statuses == [first, second], content
 
 
 @then("it is answered at once with 503, to be retried elsewhere at once")
@@ -180,3 +213,32 @@
 def leadership_released(context):
     content = context.world.store.value(*records.ELECTION)
     assert records.decode(content)["is_released"], content
+
+
+@when("the other instance is asked to stop while it reads to take over")
+def stop_during_read(context):
+    leader = context.world.leader()
+    context.instance = next(
+        each for each in context.world.instances if each is not leader
+    )
+    epoch = leader.scheduler.worker_tracker.epoch
+
+    async def take_over():
+        context.election_row = context.world.store.value(*records.ELECTION)
+        context.world.store.delay_s = _CLAIM_S
+        taking_over = asyncio.create_task(
+            context.instance._election.take_over(epoch, "test")
+        )
+        await asyncio.sleep(_CLAIM_S / 2)
+        request_stop(context)
+        return await taking_over
+
+    context.is_taken = loops.run(context, take_over())
+
+
+@then("it declines and the election row is unchanged")
+def declined(context):
+    assert not context.is_taken, "the election was claimed"
+    assert (
+        context.world.store.value(*records.ELECTION) == context.election_row
+    ), context.world.store.value(*records.ELECTION)
