cell: run a task alone after two workers crashed under it

Callers would see jobs fail that did nothing wrong: small tasks are packed on one worker, so they shared three workers with a task that crashes its workers, and each was counted with it.

Cause: a task with known crashes was placed like any other.

Change: the module `isolation` decides which tasks run alone and which worker they get. They are planned first, on a worker without runs, and nothing is placed beside them, also after a takeover. Without an empty worker, the one that will be empty first is kept free. If runs that do not end are on every worker, the task shares the one with the fewest runs. At least half of a service's workers remain for other tasks. Members of gangs do not run alone: a gang may need as many empty workers as it has members.

Conclusion: a task that completes when it runs alone is not given up for the crashes of another one. Isolated tasks of queues with advice have no scenario.

--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -3,7 +3,7 @@
 Steps are planned in the order of urgency. A gang that does not fit yet reserves
 capacity on the workers where it is expected to fit first. Later steps may
 backfill reserved capacity only if they are expected to end before the
-reservation starts.
+reservation starts. Tasks that run alone are planned before all others.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from marigoldgap.cell import fleet
+from marigoldgap.cell import isolation
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import run_times
@@ -98,13 +99,18 @@
         self._capacities = {
             worker.worker_id: worker_capacity.WorkerCapacity(worker)
             for worker in self._workers.values()
-            if worker.accepts(now)
+            if worker.accepts(now) and not isolation.has_isolated_run(worker)
         }
         self._by_requirement = {}
         plan = Plan([], [])
-        for step in sorted(steps, key=lambda step: _urgency(step, now)):
-            if step.not_before_s > now:
-                continue
+        planned = sorted(
+            (step for step in steps if step.not_before_s <= now),
+            key=lambda step: _urgency(step, now),
+        )
+        budget = isolation.WorkerBudget(self._workers.values())
+        for step in planned:
+            self._plan_isolated(step, budget, plan, usage, workspaces)
+        for step in planned:
             allowed = _allowed_tasks(step, usage, workspaces)
             if step.spec.is_gang:
                 self._plan_gang(step, allowed, plan, usage)
@@ -117,6 +123,55 @@
         )
         return plan
 
+    def _plan_isolated(
+        self,
+        step: jobs.StepProgress,
+        budget: isolation.WorkerBudget,
+        plan: Plan,
+        usage: dict[str, list[int]],
+        workspaces: dict[str, model.Workspace],
+    ) -> None:
+        """Plans the tasks of a step that run alone."""
+        service = step.job.queue.service
+        for position in isolation.waiting_positions(step):
+            if budget.is_exhausted(service) or not _allowed_tasks(
+                step, usage, workspaces
+            ):
+                return
+            candidates = self._candidates(step)
+            advised = self._advised_workers(step, candidates, plan)
+            capacity = isolation.choose_worker(
+                step,
+                position,
+                _below_task_limit(step, advised),
+                self._now,
+                self._times,
+            )
+            if capacity is None:
+                if advised:
+                    self._request_more_advice(step, candidates, plan)
+                return
+            budget.keep(service)
+            self._close(capacity)
+            if not isolation.can_start(capacity, step.spec, self._now):
+                continue
+            ticket = self._ticket(step, capacity)
+            if ticket is None:
+                if not step.is_advice_pending:
+                    plan.advice.append((step, [capacity.worker.worker_id]))
+                continue
+            _add_usage(usage, step)
+            plan.placements.append(
+                Placement(step, position, capacity.worker, ticket)
+            )
+
+    def _close(self, capacity: worker_capacity.WorkerCapacity) -> None:
+        """Places nothing else on a worker in this pass."""
+        worker_id = capacity.worker.worker_id
+        del self._capacities[worker_id]
+        for found in self._by_requirement.values():
+            found.pop(worker_id, None)
+
     def _candidates(
         self, step: jobs.StepProgress
     ) -> dict[str, worker_capacity.WorkerCapacity]:
@@ -186,12 +241,19 @@
         plan: Plan,
         usage: dict[str, list[int]],
     ) -> None:
+        positions = [
+            position
+            for position in sorted(step.waiting)
+            if not isolation.is_isolated(step, position)
+        ]
+        if not positions:
+            return
         candidates = self._candidates(step)
         advised = self._advised_workers(step, candidates, plan)
         ends_s = self._now + self._times.expected_s(step) * _BACKFILL_MARGIN
         counts = _tasks_by_worker(step)
         stale: list[str] = []
-        for position in sorted(step.waiting)[:allowed]:
+        for position in positions[:allowed]:
             capacity = self._best_worker(
                 step, position, advised, counts, ends_s
             )
@@ -426,6 +488,22 @@
     return counts
 
 
+def _below_task_limit(
+    step: jobs.StepProgress,
+    capacities: list[worker_capacity.WorkerCapacity],
+) -> list[worker_capacity.WorkerCapacity]:
+    """Returns the workers with fewer tasks of the step than it allows."""
+    limit = step.spec.max_per_worker
+    if not limit:
+        return capacities
+    counts = _tasks_by_worker(step)
+    return [
+        capacity
+        for capacity in capacities
+        if counts.get(capacity.worker.worker_id, 0) < limit
+    ]
+
+
 def _allowed_tasks(
     step: jobs.StepProgress,
     usage: dict[str, list[int]],
--- a/src/marigoldgap/cell/worker_capacity.py
+++ b/src/marigoldgap/cell/worker_capacity.py
@@ -46,6 +46,10 @@
             return True
         return _fits(self.unreserved, spec)
 
+    def fits_alone(self, spec: model.StepSpec) -> bool:
+        """Returns whether a task fits on the worker without other runs."""
+        return _fits(list(self.worker.registration.capacity), spec)
+
     def take(self, spec: model.StepSpec, ends_s: float) -> None:
         """Allocates capacity to a task that is expected to end at `ends_s`."""
         _allocate(self.free, spec)
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -99,3 +99,67 @@
     And a waiting gang that is advised on all workers
     When a plan is made
     Then tickets are requested for every worker with free capacity
+
+  Scenario: A task under which two workers have crashed runs alone
+    Guards against tasks that are lost with a worker that another one crashes.
+    Given 2 workers with 4 cores each
+    And a run of 1 core on the first worker
+    And a waiting task of 1 core under which 2 workers have crashed
+    And 8 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then the crashed task starts alone on the second worker
+    And 3 other tasks start
+
+  Scenario: A task under which one worker has crashed shares a worker
+    Guards against a crash that takes the capacity for many other tasks.
+    Given 1 workers with 4 cores each
+    And a waiting task of 1 core under which 1 workers have crashed
+    And 3 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then 4 tasks start
+
+  Scenario: Nothing starts beside a task that runs alone
+    Guards against tasks that are lost with a worker that another one crashes.
+    Given 1 workers with 4 cores each
+    And a task under which 2 workers have crashed runs on the first worker
+    And 3 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then nothing starts
+
+  Scenario: A worker is kept for a task that runs alone
+    Guards against a task that never starts because small tasks use every
+    worker.
+    Given 2 workers with 4 cores each
+    And a run of 1 core on the first worker
+    And a run of 1 cores on each worker that ends in 5 s
+    And a waiting task of 1 core under which 2 workers have crashed
+    And 8 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then 2 tasks start on the first worker only
+
+  Scenario: A task that runs alone shares a worker if none is ever empty
+    Guards against a task that waits for the end of runs that do not end.
+    Given 2 workers with 4 cores each
+    And 2 long-running runs on the first worker
+    And 1 long-running runs on the second worker
+    And a waiting task of 1 core under which 2 workers have crashed
+    And 8 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then the crashed task starts alone on the second worker
+    And 2 other tasks start
+
+  Scenario: Tasks that run alone leave half of the workers to others
+    Guards against many suspected tasks that take all workers.
+    Given 4 workers with 4 cores each
+    And 5 waiting tasks of 1 core under which 2 workers have crashed
+    And 20 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then 2 crashed tasks start alone and 8 others start
+
+  Scenario: A gang under which workers have crashed does not run alone
+    Guards against a gang that needs more empty workers than there are.
+    Given 2 workers with 4 cores each
+    And a waiting gang of 8 members of 1 core
+    And 2 workers have crashed under the gang
+    When a plan is made
+    Then 8 tasks start
--- a/tests/features/cell/worker_crashes.feature
+++ b/tests/features/cell/worker_crashes.feature
@@ -25,6 +25,15 @@
     Then every instance shows the job as "completed"
     And 2 crashed workers were counted
 
+  Scenario: Jobs that share workers with a task that is given up complete
+    Guards against jobs that fail because another task crashes their workers.
+    Given a cell with 4 workers and 1 instances
+    When a job with the payload "ms=50 crash" is submitted
+    And another job of 5 tasks with the payload "ms=300" is submitted
+    Then the job is given up after 3 crashed workers
+    And the other job is completed
+    And no task ran in two places
+
   Scenario: Crashed workers are counted across a takeover
     Guards against a new leader that counts from 0 again.
     Given a cell with 4 workers and 2 instances
--- a/tests/features/steps/cell_crash_steps.py
+++ b/tests/features/steps/cell_crash_steps.py
@@ -57,6 +57,15 @@
     assert len(_crashes(context)) == count, _crashes(context)
 
 
+@when(
+    'another job of {count:d} tasks with the payload "{payload}" is submitted'
+)
+def submit_other(context, count, payload):
+    body = cell_world.job(count, payload)
+    status, _ = cell_jobs.submit(context, body, cell_jobs.OTHER_JOB)
+    assert status == 200, status
+
+
 @when('a gang of {count:d} members with the payload "{payload}" is submitted')
 def submit_gang(context, count, payload):
     body = cell_world.job(count, payload, gang=True)
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -13,6 +13,7 @@
 
 from marigoldgap.cell import advice_dispatcher
 from marigoldgap.cell import fleet
+from marigoldgap.cell import isolation
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import jobs
 from marigoldgap.cell import leadership
@@ -119,6 +120,98 @@
     _wait(context, count, cores, is_gang=True, priority=0)
 
 
+def _record_crashes(step, count):
+    for position in range(step.spec.task_count):
+        for number in range(1, count + 1):
+            step.record_crash(model.RunName(step.task(position), number))
+
+
+@given("2 workers have crashed under the gang")
+def crash_gang(context):
+    _record_crashes(context.steps_waiting[-1], 2)
+
+
+@given(
+    "{tasks:d} waiting tasks of 1 core under which {count:d} workers have"
+    " crashed"
+)
+def add_crashed_tasks(context, tasks, count):
+    context.crashed = _wait(context, tasks, 1, priority=2)
+    _record_crashes(context.crashed, count)
+
+
+@given("a waiting task of 1 core under which {count:d} workers have crashed")
+def add_crashed(context, count):
+    add_crashed_tasks(context, 1, count)
+
+
+def _run_on(context, worker, estimate_s=1, **fields):
+    step = _step(context, 1, 1, estimate_s=estimate_s, **fields)
+    context.steps_running.append(step)
+    run = runs.Run(model.RunName(step.task(0), 9), step, worker, _NOW)
+    step.active[0] = run
+    step.waiting.clear()
+    worker.add(run)
+    return step
+
+
+@given("a run of 1 core on the first worker")
+def run_on_first(context):
+    _run_on(context, context.fleet.values()[0], estimate_s=60)
+
+
+@given("a task under which 2 workers have crashed runs on the first worker")
+def crashed_on_first(context):
+    _record_crashes(_run_on(context, context.fleet.values()[0]), 2)
+
+
+@given("{count:d} long-running runs on the {name} worker")
+def services_on(context, count, name):
+    worker = context.fleet.values()[("first", "second").index(name)]
+    for _ in range(count):
+        _run_on(context, worker, is_long_running=True)
+
+
+def _crashed_placements(context):
+    """Returns the placements that run alone, after a check of each worker."""
+    crashed = [
+        each for each in context.plan.placements if each.step is context.crashed
+    ]
+    for placement in crashed:
+        beside = [
+            each
+            for each in context.plan.placements
+            if each.worker is placement.worker
+        ]
+        assert beside == [placement], beside
+    return crashed
+
+
+@then("the crashed task starts alone on the second worker")
+def crashed_alone(context):
+    (placement,) = _crashed_placements(context)
+    assert placement.worker.worker_id == "w1", placement
+
+
+@then("{count:d} other tasks start")
+def others_start(context, count):
+    others = len(context.plan.placements) - len(_crashed_placements(context))
+    assert others == count, context.plan.placements
+
+
+@then("{count:d} crashed tasks start alone and {others:d} others start")
+def crashed_and_others(context, count, others):
+    assert len(_crashed_placements(context)) == count
+    others_start(context, others)
+
+
+@then("{count:d} tasks start on the first worker only")
+def first_only(context, count):
+    some_start(context, count)
+    workers = {each.worker.worker_id for each in context.plan.placements}
+    assert workers == {"w0"}, workers
+
+
 @given(
     "{count:d} waiting tasks of 1 core that take {seconds:d} s and are less"
     " urgent"
@@ -192,6 +285,7 @@
         strategies.booleans(),
         strategies.integers(0, 2),
         strategies.integers(0, 3),
+        strategies.integers(0, 2),
     ),
     max_size=8,
 )
@@ -204,8 +298,8 @@
     )
     def check(steps, workers, limit):
         create_workers(context, workers, 8)
-        for count, half_cores, is_gang, priority, bound in steps:
-            _wait(
+        for count, half_cores, is_gang, priority, bound, crashes in steps:
+            step = _wait(
                 context,
                 count,
                 half_cores / 2,
@@ -213,6 +307,7 @@
                 priority=priority,
                 max_per_worker=bound,
             )
+            _record_crashes(step, crashes)
         workspace = model.Workspace("team", 9, model.Demand(limit * _CORE))
         plan = planner.Planner(context.fleet, run_times.RunTimes()).plan(
             context.steps_waiting, {}, {"team": workspace}, _NOW
@@ -234,6 +329,10 @@
         members.setdefault(id(each.step), []).append(each)
     assert all(value <= 8 * _CORE for value in used.values()), used
     assert not limit or total <= limit * _CORE, total
+    for each in plan.placements:
+        if isolation.is_isolated(each.step, each.position):
+            workers = [other.worker for other in plan.placements]
+            assert workers.count(each.worker) == 1, each
     for placements in members.values():
         spec = placements[0].step.spec
         positions = {each.position for each in placements}
