cell: start nothing on a worker that exceeds a shrunk capacity

Callers would see a worker that runs more than its capacity allows: gangs and idle-only tasks that need nothing of the exceeded resource started on it (LIMIT).

Cause: the capacity of a worker may shrink below what runs on it. The free amount is then negative, but the checks for gangs and for idle-only tasks look only at the resources that the task needs.

Change: while any free amount of a worker is negative, no task fits there. A gang may still reserve it from the time when its runs fit again. The stand-in of a worker has a capacity that can change and checks starts against it.

Evidence: "Nothing starts on a worker that exceeds its capacity" of cell/planning failed for members of gangs and for idle-only tasks: ASSERT FAILED: [Placement(step=..., position=0, worker=..., ticket=''), ...] It passes now, with the whole of tests/features/cell (108 scenarios).

--- a/src/marigoldgap/cell/worker_capacity.py
+++ b/src/marigoldgap/cell/worker_capacity.py
@@ -40,7 +40,7 @@
             spec: Step of the task.
             ends_s: Time at which the task is expected to end.
         """
-        if not _fits(self.free, spec):
+        if _is_exceeded(self.free) or not _fits(self.free, spec):
             return False
         if self.unreserved is None or ends_s <= self.reserved_from_s:
             return True
@@ -100,6 +100,14 @@
         return self._expected_ends
 
 
+def _is_exceeded(free: list[int]) -> bool:
+    """Returns whether runs use more than a capacity, which has shrunk.
+
+    Nothing starts then, not even a task that needs none of that resource.
+    """
+    return min(free) < 0
+
+
 def _fits(free: list[int], spec: model.StepSpec) -> bool:
     demand = spec.demand
     if spec.uses_idle_only:
@@ -121,11 +129,13 @@
 
 def copies_in(free: list[int], demand: model.Demand, bound: int) -> int:
     """Returns how many tasks fit into free capacity, at most `bound`."""
+    if _is_exceeded(free):
+        return 0
     count = bound
     for amount, need in zip(free, demand, strict=True):
         if need > 0:
             count = min(count, amount // need)
-    return max(0, count)
+    return count
 
 
 def choose_workers(
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -163,3 +163,31 @@
     And 2 workers have crashed under the gang
     When a plan is made
     Then 8 tasks start
+
+  Scenario Outline: Nothing starts on a worker that exceeds its capacity
+    Guards against starts on a worker whose capacity has shrunk, by tasks that
+    need nothing of the exceeded resource (LIMIT).
+    Given 1 workers with 4 cores each
+    And a run of 3 cores on each worker that ends in 5 s
+    And the capacity of each worker shrinks to 2 cores
+    And <count> waiting <kind> without cores
+    When a plan is made
+    Then nothing starts
+
+    Examples:
+      | count | kind             |
+      | 2     | tasks            |
+      | 2     | members of gangs |
+      | 2     | idle-only tasks  |
+
+  Scenario: A gang reserves a worker that exceeds its capacity for now
+    Guards against a gang that never starts on a worker that has shrunk.
+    Given 1 workers with 4 cores each
+    And a run of 3 cores on each worker that ends in 1 s
+    And the capacity of each worker shrinks to 2 cores
+    And a waiting gang of 2 members of 1 core
+    And 2 waiting tasks of 1 core that take 30 s and are less urgent
+    When a plan is made
+    Then nothing starts
+    When the runs have ended and a plan is made
+    Then 2 tasks start
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -120,6 +120,33 @@
     _wait(context, count, cores, is_gang=True, priority=0)
 
 
+@given("the capacity of each worker shrinks to {cores:d} cores")
+def shrink(context, cores):
+    for worker in context.fleet.values():
+        former = worker.registration
+        capacity = former.capacity._replace(millicores=cores * _CORE)
+        worker.update_registration(former._replace(capacity=capacity))
+
+
+@given("{count:d} waiting {kind} without cores")
+def add_without_cores(context, count, kind):
+    _wait(
+        context,
+        count,
+        0,
+        is_gang=kind == "members of gangs",
+        uses_idle_only=kind == "idle-only tasks",
+    )
+
+
+@when("the runs have ended and a plan is made")
+def end_runs(context):
+    for worker in context.fleet.values():
+        for run in list(worker.runs.values()):
+            worker.remove(run)
+    make_plan(context)
+
+
 def _record_crashes(step, count):
     for position in range(step.spec.task_count):
         for number in range(1, count + 1):
--- a/tests/standins/cell/store.py
+++ b/tests/standins/cell/store.py
@@ -34,6 +34,8 @@
         is_silent: Whether every response is withheld.
         delay_s: Delay of each call, in seconds.
         holds_tables: Returns whether reads of partitions of jobs are withheld.
+        holds_registrations: Whether reads of the table of registrations are
+            withheld.
         lost_removals: Number of the next transactions with removals whose
             response is withheld; they take effect.
     """
@@ -50,6 +52,7 @@
         self.delay_s = 0.0
         self.first_version_kept = 0
         self.holds_tables = lambda: False
+        self.holds_registrations = False
         self.lost_removals = 0
         self._changed = asyncio.Event()
         self._server = server.HttpServer(self._handle)
@@ -100,6 +103,8 @@
                 and self.holds_tables()
             ):
                 await asyncio.sleep(_HOLD_POLL_S)
+            while fields["table"] == "servers" and self.holds_registrations:
+                await asyncio.sleep(_HOLD_POLL_S)
             return self._read(fields)
         if path == "/v1/rows-feed":
             return await self._feed(fields)
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -12,6 +12,8 @@
 from marigoldgap.web import server
 
 _CAPACITY = {"cpu": 16000, "memMb": 65536, "gpu": 0}
+# Words of a payload that declare the resources of its tasks.
+_RESOURCE_WORDS = {"cpu": "cpu=", "memMb": "mem=", "gpu": "gpu="}
 _HEARTBEAT_S = 0.3
 # A linger time of 0 s makes close() reset the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -21,6 +23,7 @@
     """Runs tasks and records violations of the scheduler's guarantees.
 
     Words of the payload control a run: `ms=200` (duration), `cpu=1000`,
+    `mem=100`, `gpu=1` (resources, as its step declares them),
     `fail` (it ends as failed), `lasts` (it may run again after its end) and
     `crash` (it ends the process of the worker, which starts again).
 
@@ -47,6 +50,8 @@
         violations: Each violation as a text.
         public_address: Address that is registered; differs from `address`
             behind a proxy.
+        capacity: Registered capacity, which may change while the worker runs.
+        most_running: Highest number of runs at the same time.
         restart_s: Time from a crash to the start of the next process, in
             seconds.
         restart_ids: Ids of the next processes; the last one is kept.
@@ -80,6 +85,8 @@
             set() if acknowledged_tasks is None else acknowledged_tasks
         )
         self.public_address = address
+        self.capacity = dict(_CAPACITY)
+        self.most_running = 0
         self.restart_s = 1.2
         self.restart_ids = []
         self.restart_addresses = []
@@ -162,7 +169,7 @@
             "address": self.public_address,
             "zone": "a",
             "state": state,
-            "capacity": _CAPACITY,
+            "capacity": self.capacity,
             "labels": ["a", "r1-1"],
             "born": self._born_ms,
         }
@@ -226,18 +233,14 @@
             self.violations.append(
                 f"task {name} was started after its end was acknowledged"
             )
-        used = sum(_cpu(each["spec"]) for each in self.running.values())
-        if used + _cpu(body["spec"]) > _CAPACITY["cpu"]:
-            self.violations.append(
-                f"task {name} overcommits worker {self.worker_id}:"
-                f" {used} of {_CAPACITY['cpu']} millicores are in use"
-            )
+        self._check_capacity(name, body["spec"])
         self._fleet_runs[name, self.worker_id] = run
         self.running[name] = {
             "run": run,
             "spec": body["spec"],
             "since": time.monotonic(),
         }
+        self.most_running = max(self.most_running, len(self.running))
         self._tasks.append(
             asyncio.create_task(self._run_task(name, run, body["spec"]))
         )
@@ -246,6 +249,18 @@
             await asyncio.sleep(60)
         return self._answer({})
 
+    def _check_capacity(self, name, spec):
+        """Records a start after which the worker exceeds its capacity."""
+        specs = [spec, *(each["spec"] for each in self.running.values())]
+        for resource, capacity in self.capacity.items():
+            word = _RESOURCE_WORDS[resource]
+            used = sum(_amount(each, word) for each in specs)
+            if used > capacity:
+                self.violations.append(
+                    f"task {name} overcommits worker {self.worker_id}:"
+                    f" {used} of {capacity} {resource} with it"
+                )
+
     def _stop(self, body):
         name, run = body["task"], body["run"]
         self._refused_runs[name] = max(run, self._refused_runs.get(name, 0))
@@ -304,5 +319,5 @@
         )
 
 
-def _cpu(spec):
-    return int(spec.partition("cpu=")[2].split()[0] if "cpu=" in spec else 0)
+def _amount(spec, word):
+    return int(spec.partition(word)[2].split()[0] if word in spec else 0)
