--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -35,6 +35,7 @@
     ADVICE_PENDING = "call for advice is pending"
     NOT_ADVISED = "no advised worker accepts tasks"
     NO_CAPACITY = "does not fit on the workers"
+    NO_WORKER_ALONE = "no worker is free for a task that runs alone"
     NO_RESERVATION = "other gangs have the reservations"
     TICKETS_MISSING = "tickets are missing or expire too soon"
     MEMBERS_ACTIVE = "members of an earlier run have not ended"
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -174,3 +174,95 @@
     And a waiting task of a queue with advice
     When its advice calls go to 2 silent proxies before 2 that answer
     Then 1 tasks start within 5 s
+
+  Scenario: A task under which two workers have crashed runs alone
+    Guards against tasks that are lost with a worker that another one crashes.
+    Given 2 workers with 4 cores each
+    And a run of 1 core on the first worker
+    And a waiting task of 1 core under which 2 workers have crashed
+    And 8 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then the crashed task starts alone on the second worker
+    And 3 other tasks start
+
+  Scenario: A task under which one worker has crashed shares a worker
+    Guards against a crash that takes the capacity for many other tasks.
+    Given 1 workers with 4 cores each
+    And a waiting task of 1 core under which 1 workers have crashed
+    And 3 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then 4 tasks start
+
+  Scenario: Nothing starts beside a task that runs alone
+    Guards against tasks that are lost with a worker that another one crashes.
+    Given 1 workers with 4 cores each
+    And a task under which 2 workers have crashed runs on the first worker
+    And 3 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then nothing starts
+
+  Scenario: A worker is kept for a task that runs alone
+    Guards against a task that never starts because small tasks use every
+    worker.
+    Given 2 workers with 4 cores each
+    And a run of 1 core on the first worker
+    And a run of 1 cores on each worker that ends in 5 s
+    And a waiting task of 1 core under which 2 workers have crashed
+    And 8 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then 2 tasks start on the first worker only
+
+  Scenario: A task that runs alone shares a worker if none is ever empty
+    Guards against a task that waits for the end of runs that do not end.
+    Given 2 workers with 4 cores each
+    And 2 long-running runs on the first worker
+    And 1 long-running runs on the second worker
+    And a waiting task of 1 core under which 2 workers have crashed
+    And 8 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then the crashed task starts alone on the second worker
+    And 2 other tasks start
+
+  Scenario: Tasks that run alone leave half of the workers to others
+    Guards against many suspected tasks that take all workers.
+    Given 4 workers with 4 cores each
+    And 5 waiting tasks of 1 core under which 2 workers have crashed
+    And 20 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then 2 crashed tasks start alone and 8 others start
+
+  Scenario: A gang under which workers have crashed does not run alone
+    Guards against a gang that needs more empty workers than there are.
+    Given 2 workers with 4 cores each
+    And a waiting gang of 8 members of 1 core
+    And 2 workers have crashed under the gang
+    When a plan is made
+    Then 8 tasks start
+
+  Scenario Outline: Nothing starts on a worker that exceeds its capacity
+    Guards against starts on a worker whose capacity has shrunk, by tasks that
+    need nothing of the exceeded resource (LIMIT).
+    Given 1 workers with 4 cores each
+    And a run of 3 cores on each worker that ends in 5 s
+    And the capacity of each worker shrinks to 2 cores
+    And <count> waiting <kind> without cores
+    When a plan is made
+    Then nothing starts
+
+    Examples:
+      | count | kind             |
+      | 2     | tasks            |
+      | 2     | members of gangs |
+      | 2     | idle-only tasks  |
+
+  Scenario: A gang reserves a worker that exceeds its capacity for now
+    Guards against a gang that never starts on a worker that has shrunk.
+    Given 1 workers with 4 cores each
+    And a run of 3 cores on each worker that ends in 1 s
+    And the capacity of each worker shrinks to 2 cores
+    And a waiting gang of 2 members of 1 core
+    And 2 waiting tasks of 1 core that take 30 s and are less urgent
+    When a plan is made
+    Then nothing starts
+    When the runs have ended and a plan is made
+    Then 2 tasks start
