soak: check that a planned stop answers the requests that were read

Callers of a stopped instance used new connections only, and a request without an answer was recorded as "unknown" whatever the cause.

Change: eight connections that were open before SIGTERM are used for single submissions, queries and cancellations until the server closes them. A request whose connection ends without a response more than 0.2 s after it was sent is a violation, unless the process was killed, or suspended from the SIGTERM on. Such a process must also end within its shutdown time of 4 s; the check allowed 5 s. A single submission that was rejected counts as refused, so the existing check that no refused job starts covers it. Jobs that callers cancelled may end as cancelled.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,16 +5,23 @@
 import asyncio
 import json
 import random
+import time
 
 from marigoldgap import errors
 from marigoldgap import json_object
 from marigoldgap.web import client
 from marigoldgap.web import messages
 from soak import instances
+from soak import planned_stops
 
 _ANSWER_TIMEOUT_S = 3.5
 _ATTEMPTS = 5
-_REFUSALS = frozenset({401, 404, 429, 503})
+# Longest pause between requests on a connection that is kept in use.
+_MAX_PAUSE_S = 0.3
+# Longest time for which a connection is kept in use.
+_MAX_USE_S = 10.0
+# Not a job identifier: the response needs neither the store nor the leader.
+_NO_JOB = "none"
 
 
 class Callers:
@@ -32,9 +39,11 @@
         entry_instances: list[instances.Instance],
         queue: tuple[str, str, str],
     ) -> None:
-        self.accepted: dict[str, str] = {}
+        self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.unknown: set[str] = set()
+        # Jobs for which a cancellation was sent.
+        self.cancelled: set[str] = set()
         self.violations: list[str] = []
         self._random_source = random_source
         self._instances = entry_instances
@@ -53,11 +62,9 @@
         for _ in range(_ATTEMPTS):
             answer = await self._call("POST", job_id, body)
             if answer is not None and answer.status < 300:
-                self.accepted[job_id] = "accepted"
+                self.accepted.add(job_id)
                 return
-            may_be_accepted = (
-                may_be_accepted or answer is None or answer.status in (502, 504)
-            )
+            may_be_accepted = may_be_accepted or _is_open(answer)
             await asyncio.sleep(self._random_source.uniform(0.05, 0.4))
         (self.unknown if may_be_accepted else self.refused).add(job_id)
 
@@ -70,14 +77,44 @@
         answer = await self._call("GET", job_id, b"")
         if answer is None:
             return None
-        if answer.status == 410 and job_id in self.accepted:
-            self.violations.append(
-                f"accepted job {job_id} is reported as gone (410)"
-            )
+        self._check_known(job_id, answer)
         if answer.status != 200:
             return None
         return str(json.loads(answer.body)["state"])
 
+    async def open_connections(
+        self, instance: instances.Instance, count: int
+    ) -> list[client.Connection]:
+        """Opens connections on each of which one request was answered.
+
+        Args:
+            instance: The instance.
+            count: How many connections to open; those that fail are left out.
+        """
+        opened = await asyncio.gather(
+            *(self._open(instance) for _ in range(count))
+        )
+        return [each for each in opened if each is not None]
+
+    async def use_until_closed(
+        self,
+        instance: instances.Instance,
+        connection: client.Connection,
+        delay_s: float,
+    ) -> None:
+        """Sends requests on a connection until the server closes it.
+
+        Args:
+            instance: The instance at the other end.
+            connection: The connection.
+            delay_s: Pause before the first request, in seconds.
+        """
+        await asyncio.sleep(delay_s)
+        until_s = time.monotonic() + _MAX_USE_S
+        while connection.is_open and time.monotonic() < until_s:
+            await self._send_any(instance, connection)
+            await asyncio.sleep(self._random_source.uniform(0, _MAX_PAUSE_S))
+
     async def wait_for_all(self, deadline_s: float) -> list[str]:
         """Polls the accepted jobs until all are completed or time is up.
 
@@ -93,7 +130,9 @@
         while pending_jobs and loop.time() < end:
             for job_id in list(pending_jobs):
                 state = await self.fetch_state(job_id)
-                if state == "completed":
+                if state == "completed" or (
+                    state == "cancelled" and job_id in self.cancelled
+                ):
                     pending_jobs.discard(job_id)
                 elif state in ("failed", "cancelled"):
                     self.violations.append(
@@ -123,13 +162,6 @@
         self, method: str, job_id: str, body: bytes
     ) -> messages.Response | None:
         instance = self._random_source.choice(self._instances)
-        head = client.request_head(
-            method,
-            self._host,
-            self._prefix + job_id,
-            len(body),
-            (("Authorization", f"Token {self._key}"),),
-        )
         idle = self._idle_connections.setdefault(instance.callers_address, [])
         while idle and not idle[-1].is_open:
             idle.pop()
@@ -142,11 +174,90 @@
         except errors.MarigoldgapError:
             # Nothing was sent, so the job cannot have been accepted.
             return messages.Response(503)
-        try:
-            answer = await connection.exchange(head, body, _ANSWER_TIMEOUT_S)
-        except errors.MarigoldgapError:
-            connection.close()
-            return None
+        answer = await self._exchange(
+            instance, connection, method, job_id, body
+        )
         if connection.is_open:
             idle.append(connection)
         return answer
+
+    async def _exchange(
+        self,
+        instance: instances.Instance,
+        connection: client.Connection,
+        method: str,
+        job_id: str,
+        body: bytes,
+    ) -> messages.Response | None:
+        head = client.request_head(
+            method,
+            self._host,
+            self._prefix + job_id,
+            len(body),
+            (("Authorization", f"Token {self._key}"),),
+        )
+        incarnation = instance.incarnation
+        sent_s = time.monotonic()
+        try:
+            return await connection.exchange(head, body, _ANSWER_TIMEOUT_S)
+        except errors.MarigoldgapError as error:
+            connection.close()
+            has_timed_out = time.monotonic() - sent_s >= _ANSWER_TIMEOUT_S
+            if incarnation is not None and not has_timed_out:
+                request = f"{method} {job_id} to {instance.name}"
+                violation = planned_stops.lost_request(
+                    request, sent_s, incarnation, error
+                )
+                self.violations += [violation] if violation else []
+            return None
+
+    async def _open(
+        self, instance: instances.Instance
+    ) -> client.Connection | None:
+        try:
+            connection = await client.connect(instance.callers_address)
+        except errors.MarigoldgapError:
+            return None
+        await self._exchange(instance, connection, "GET", _NO_JOB, b"")
+        return connection if connection.is_open else None
+
+    async def _send_any(
+        self, instance: instances.Instance, connection: client.Connection
+    ) -> None:
+        """Sends one submission, query or cancellation without a retry."""
+        method = self._random_source.choice(("POST", "POST", "GET", "DELETE"))
+        if method == "POST" or not self.accepted:
+            job_id = f"{self._random_source.getrandbits(64):016x}"
+            body = json_object.encode(self._random_job_body())
+            answer = await self._exchange(
+                instance, connection, "POST", job_id, body
+            )
+            self._record_submission(job_id, answer)
+            return
+        job_id = self._random_source.choice(sorted(self.accepted))
+        if method == "DELETE":
+            self.cancelled.add(job_id)
+        answer = await self._exchange(instance, connection, method, job_id, b"")
+        if answer is not None:
+            self._check_known(job_id, answer)
+
+    def _record_submission(
+        self, job_id: str, answer: messages.Response | None
+    ) -> None:
+        if answer is not None and answer.status < 300:
+            self.accepted.add(job_id)
+        elif _is_open(answer):
+            self.unknown.add(job_id)
+        else:
+            self.refused.add(job_id)
+
+    def _check_known(self, job_id: str, answer: messages.Response) -> None:
+        if answer.status == 410 and job_id in self.accepted:
+            self.violations.append(
+                f"accepted job {job_id} is reported as gone (410)"
+            )
+
+
+def _is_open(answer: messages.Response | None) -> bool:
+    """Returns whether the job of a failed submission may be accepted."""
+    return answer is None or answer.status in (502, 504)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 import signal
 from typing import TYPE_CHECKING
 
+from soak import planned_stops
 from soak import proxy
 
 if TYPE_CHECKING:
@@ -39,14 +40,8 @@
 async def stop_gracefully(world: worlds.World) -> None:
     """Asks an instance to shut down; the supervisor restarts it."""
     instance = world.random_source.choice(world.instances)
-    if instance.is_paused:
-        return
-    instance.send_signal(signal.SIGTERM)
-    code = await asyncio.to_thread(instance.wait, _MAX_FAULT_S)
-    if code is None and not instance.is_paused:
-        world.violations.append(
-            f"{instance.name} did not stop within {_MAX_FAULT_S:g} s of SIGTERM"
-        )
+    if not instance.is_paused:
+        await planned_stops.stop_in_use(world, instance, [signal.SIGTERM])
 
 
 @_fault
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -8,8 +8,31 @@
 import signal
 import subprocess
 import sys
+import time
 
-_SHUTDOWN_GRACE_S = 4
+# Time from SIGTERM until a process must have ended.
+SHUTDOWN_S = 4
+
+
+class Incarnation:
+    """One process of an instance, from its start to its end.
+
+    Attributes:
+        stop_requested_s: Monotonic time of the first SIGTERM in seconds; None
+            before it.
+        is_disturbed: Whether the process was killed, or was suspended at any
+            time from the first SIGTERM on.
+    """
+
+    def __init__(self, process: subprocess.Popen[bytes]) -> None:
+        self.stop_requested_s: float | None = None
+        self.is_disturbed = False
+        self._process = process
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.poll() is None
 
 
 class Instance:
@@ -36,6 +59,7 @@
         self.log_path = folder / f"{name}.log"
         self._settings_path = folder / f"{name}.json"
         self._process: subprocess.Popen[bytes] | None = None
+        self.incarnation: Incarnation | None = None
         self.is_paused = False
         # Whether SIGKILL or SIGTERM was sent since the last start.
         self.is_ending = False
@@ -50,7 +74,7 @@
                     "portRange": [peer_port, peer_port + 1],
                     "limits": {"cpuShare": 1, "cores": 1},
                     "bounds": {
-                        "graceS": _SHUTDOWN_GRACE_S,
+                        "graceS": SHUTDOWN_S,
                         "revokeMs": 5000,
                         "strictRevoke": True,
                     },
@@ -78,6 +102,7 @@
                 stderr=log,
                 env=environment,
             )
+        self.incarnation = Incarnation(self._process)
         self.is_paused = False
         self.is_ending = False
 
@@ -92,6 +117,7 @@
             self.is_paused = True
         elif signal_number is signal.SIGCONT:
             self.is_paused = False
+        self._note_signal(signal_number)
 
     def wait(self, timeout_s: float) -> int | None:
         """Waits for the process to end.
@@ -109,3 +135,16 @@
             return self._process.wait(timeout_s)
         except subprocess.TimeoutExpired:
             return None
+
+    def _note_signal(self, signal_number: signal.Signals) -> None:
+        incarnation = self.incarnation
+        if incarnation is None:
+            return
+        if (
+            signal_number is signal.SIGTERM
+            and incarnation.stop_requested_s is None
+        ):
+            incarnation.stop_requested_s = time.monotonic()
+        is_stopping = incarnation.stop_requested_s is not None
+        if signal_number is signal.SIGKILL or (is_stopping and self.is_paused):
+            incarnation.is_disturbed = True
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import datetime
 import pathlib
 import random
 import signal
@@ -46,6 +47,7 @@
         self._fleet_runs: dict[tuple[str, str], int] = {}
         self._acknowledged_tasks: set[str] = set()
         self._config_version = 1
+        self._fault_log = folder / "faults.log"
         self._fault_tasks: set[asyncio.Task[None]] = set()
         for number in range(_INSTANCES):
             self._add_instance(f"e{number}", folder)
@@ -169,7 +171,13 @@
         self._fault_tasks.add(task)
 
     async def _run_fault(self, name: str) -> None:
+        self._log_fault("started", name)
         await faults.FAULTS[name](self)
+        self._log_fault("ended", name)
+
+    def _log_fault(self, event: str, name: str) -> None:
+        with self._fault_log.open("a") as log:
+            log.write(f"{datetime.datetime.now():%H:%M:%S.%f} {event} {name}\n")
 
     async def _supervise(self) -> None:
         """Restarts instances that have ended, as the platform does.
