node: log whether an instance took the offered leadership over

handed_over was logged alike whether or not a peer had accepted the offer, so the log could not tell a hand-over from a release that the next poll finds. Found by the review of the shutdown; no change of behaviour.

--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -233,7 +233,9 @@
         try:
             await asyncio.wait_for(scheduler.flushed(), 1.0)
             await self._election.release(won, scheduler.is_obeyed)
-            await asyncio.wait_for(self._offer_takeover(won.epoch), 1.0)
+            is_taken_over = await asyncio.wait_for(
+                self._offer_takeover(won.epoch), 1.0
+            )
         except (TimeoutError, errors.MarigoldgapError) as error:
             _log.warning(
                 "hand_over_failed",
@@ -245,6 +247,7 @@
             _log.info(
                 "handed_over",
                 epoch=won.epoch,
+                is_taken_over=is_taken_over,
                 took_s=round(clock.now_s() - started_s, 3),
             )
         scheduler.end_leadership()
