platform: a registration without a usable address names no worker

Callers would see that nothing is scheduled any more: one leader after the other is elected and ends at once.

Cause: a registration whose address has a port above 65535 was accepted. The connection to it raised OverflowError, which is not handled as a failed connection, so that the session's task failed and with it the leadership. The next leader read the same registration.

Change: a registration whose address is not a host with a port is invalid, like one with missing fields.

Evidence: cell/worker_faults:121 failed before ('ASSERT FAILED: [2]': the second leadership after 0.6 s); it passes now.

--- a/src/marigoldgap/platform/documents.py
+++ b/src/marigoldgap/platform/documents.py
@@ -14,6 +14,7 @@
 _MAX_TASKS = 10_000
 _DRAINING = "draining"
 _STATES = frozenset({"ready", _DRAINING})
+_MAX_PORT = 65_535
 
 
 def decode_configuration(content: bytes) -> model.Configuration:
@@ -109,7 +110,7 @@
     return model.Registration(
         worker_id=worker_id,
         service=decoding.text(fields, "service"),
-        address=decoding.text(fields, "address"),
+        address=_decode_address(fields),
         zone=decoding.text(fields, "zone"),
         is_draining=state == _DRAINING,
         capacity=decode_demand(capacity),
@@ -120,6 +121,15 @@
     )
 
 
+def _decode_address(fields: dict[str, Any]) -> str:
+    address = decoding.text(fields, "address")
+    host, _, port = address.rpartition(":")
+    is_port = port.isascii() and port.isdecimal() and len(port) <= 5
+    if not host or not is_port or not 0 < int(port) <= _MAX_PORT:
+        raise decoding.FormatError(f"invalid address {address!r}")
+    return address
+
+
 def decode_job(content: bytes) -> model.JobSpec:
     """Decodes a submitted job.
 
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -117,3 +117,11 @@
     And one worker refuses starts with 400
     When a job of 4 tasks is submitted
     Then the job is completed within 8 s
+
+  Scenario: Registrations without a usable address are ignored
+    Guards against a registration of another writer that ends every leadership.
+    Given a cell with 1 workers and 1 instances
+    When registrations without a usable address appear among the workers
+    Then the instance is still in its first leadership
+    When a job of 1 tasks is submitted
+    Then every instance shows the job as "completed"
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -471,3 +471,19 @@
     body = cell_world.job(tasks, "ms=200", gang=True)
     status, _ = cell_jobs.submit(context, body)
     assert status == 200, status
+
+
+@when("registrations without a usable address appear among the workers")
+def unusable_addresses(context):
+    store = context.world.store
+    row = json.loads(store.value("servers", "", "w0"))
+    for number, address in enumerate(("127.0.0.1:99999", "host", ":1", "h:")):
+        content = json.dumps({**row, "address": address}).encode()
+        store.put("servers", "", f"y{number}", content)
+    loops.run(context, asyncio.sleep(0.6))
+
+
+@then("the instance is still in its first leadership")
+def first_leadership(context):
+    epochs = [each.worker_tracker.epoch for each in context.world.schedulers]
+    assert epochs == [1], epochs
