--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -266,3 +266,31 @@
     Then nothing starts
     When the runs have ended and a plan is made
     Then 2 tasks start
+
+  Scenario: A reservation on an idle fleet does not hold a step back for long
+    Guards against a job that waits although most of the capacity is free, while
+    a gang waits for a few busy workers.
+    Given 10 workers with 4 cores each
+    And the first 2 workers are full
+    And a waiting gang of 40 members of 1 core
+    And 4 waiting tasks of 1 core that take 30 s and are less urgent
+    When plans are made for 2 s
+    Then 1 tasks start
+
+  Scenario: A reservation on an idle fleet does not hold a gang back for long
+    Guards against a gang that waits although most of the capacity is free, while
+    a larger one waits for a few busy workers.
+    Given 10 workers with 4 cores each
+    And the first 2 workers are full
+    And a waiting gang of 40 members of 1 core
+    And a waiting gang of 8 members of 1 core that takes 30 s
+    When plans are made for 2 s
+    Then 8 tasks start
+
+  Scenario: Quick calls for advice do not hold a slow one back for long
+    Guards against a step that gets no advice for as long as others need quick
+    calls.
+    Given 100 workers with 4 cores each
+    And a waiting task of a queue with advice
+    When 2 other steps renew their tickets all the time through one proxy
+    Then the task gets its advice on 100 workers within 2 s
