soak: series of signals in overlap with faults of the store

Change: one fault sends SIGTERM and SIGHUP by turns, up to seven signals, to up to half of the instances and often the leader, beside a slow store, lost answers and a change of the configuration. Another one stops an instance while the store is slow until after its end. `--instances` sets the number of instances.

--- a/Makefile
+++ b/Makefile
@@ -52,8 +52,9 @@
 
 # Real instances as processes under random faults; SEEDS="1 2 3".
 SEEDS ?= 101 202
+INSTANCES ?= 4
 fault-soak: environment
-	$(PYTHON) -m soak $(SEEDS) --duration-s $(DURATION)
+	$(PYTHON) -m soak $(SEEDS) --duration-s $(DURATION) --instances $(INSTANCES)
 
 capacity: environment
 	$(PYTHON) -m bench capacity
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,16 +26,26 @@
     logs: Annotated[
         pathlib.Path | None, typer.Option(help="Folder for the logs.")
     ] = None,
+    instances: Annotated[
+        int, typer.Option(min=1, help="Number of instances.")
+    ] = worlds.DEFAULT_INSTANCES,
 ) -> None:
     """Run real instances under random faults, one seed after another."""
     seeds = seeds or sorted(soak.REGRESSION_SEEDS)
-    failed = [seed for seed in seeds if not run_seed(seed, duration_s, logs)]
+    failed = [
+        seed
+        for seed in seeds
+        if not run_seed(seed, duration_s, logs, instances)
+    ]
     print(f"{len(seeds) - len(failed)} passed, {len(failed)} failed")
     raise typer.Exit(1 if failed else 0)
 
 
 def run_seed(
-    seed: int, duration_s: float, logs: pathlib.Path | None = None
+    seed: int,
+    duration_s: float,
+    logs: pathlib.Path | None = None,
+    instance_count: int = worlds.DEFAULT_INSTANCES,
 ) -> bool:
     """Runs one seed.
 
@@ -45,6 +55,7 @@
             seconds.
         logs: Parent of the folder that keeps settings and logs; a temporary
             folder if None.
+        instance_count: Number of instances.
 
     Returns:
         Whether the run ended without a violation.
@@ -52,7 +63,7 @@
     with tempfile.TemporaryDirectory() as temporary:
         folder = pathlib.Path(temporary) if logs is None else logs / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        world = asyncio.run(_run(seed, duration_s, folder))
+        world = asyncio.run(_run(seed, duration_s, folder, instance_count))
     print(
         f"seed {seed}: {len(world.callers.accepted)} accepted, "
         f"{len(world.callers.refused)} refused, "
@@ -66,9 +77,9 @@
 
 
 async def _run(
-    seed: int, duration_s: float, folder: pathlib.Path
+    seed: int, duration_s: float, folder: pathlib.Path, instance_count: int
 ) -> worlds.World:
-    world = worlds.World(seed, folder)
+    world = worlds.World(seed, folder, instance_count)
     try:
         await world.run(duration_s)
     finally:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 import signal
 from typing import TYPE_CHECKING
 
+from soak import instances
 from soak import planned_stops
 from soak import proxy
 
@@ -16,8 +17,12 @@
 
 Fault = Callable[["worlds.World"], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
-# Every fault ends and undoes its effect within this time.
+# Every fault undoes its effect within this time.
 _MAX_FAULT_S = 5.0
+# Longest delay of a call to the store.
+_MAX_STORE_DELAY_S = 0.9
+# Longest pause between two signals of a series.
+_MAX_SIGNAL_GAP_S = 0.8
 
 
 def _fault(function: Fault) -> Fault:
@@ -44,6 +49,53 @@
         await planned_stops.stop_in_use(world, instance, [signal.SIGTERM])
 
 
+@_fault
+async def stop_beside_late_answers(world: worlds.World) -> None:
+    """Stops an instance while the store is slow until after its end."""
+    await asyncio.gather(
+        stop_gracefully(world),
+        _delay_store(
+            world,
+            world.random_source.uniform(0.0, instances.SHUTDOWN_S / 2),
+            world.random_source.uniform(0.5, _MAX_STORE_DELAY_S),
+            instances.SHUTDOWN_S,
+        ),
+    )
+
+
+@_fault
+async def send_signal_series(world: worlds.World) -> None:
+    """Sends SIGTERM and SIGHUP by turns, beside faults of the store."""
+    source = world.random_source
+    chosen = set(
+        source.sample(
+            world.instances, source.randint(1, (len(world.instances) + 1) // 2)
+        )
+    )
+    if world.leader is not None and source.random() < 0.5:
+        chosen.add(world.leader)
+    besides = (slow_store, lose_store_answers, change_configuration)
+    await asyncio.gather(
+        *(fault(world) for fault in besides if source.random() < 0.5),
+        *(
+            planned_stops.stop_in_use(
+                world, instance, _signal_series(world), _MAX_SIGNAL_GAP_S
+            )
+            for instance in chosen
+            if not instance.is_paused
+        ),
+    )
+
+
+def _signal_series(world: worlds.World) -> list[signal.Signals]:
+    """Returns signals that end with SIGTERM, its repetitions included."""
+    count = world.random_source.randint(2, 6)
+    return [
+        signal.SIGTERM if number % 2 == 0 else signal.SIGHUP
+        for number in range(count, -1, -1)
+    ]
+
+
 @_fault
 async def pause_instance(world: worlds.World) -> None:
     """Suspends an instance for a while."""
@@ -113,8 +165,20 @@
 @_fault
 async def slow_store(world: worlds.World) -> None:
     """Delays each call to the store."""
-    world.store.delay_s = world.random_source.uniform(0.1, 0.9)
-    await asyncio.sleep(world.random_source.uniform(0.5, _MAX_FAULT_S))
+    await _delay_store(
+        world,
+        0.0,
+        world.random_source.uniform(0.1, _MAX_STORE_DELAY_S),
+        world.random_source.uniform(0.5, _MAX_FAULT_S),
+    )
+
+
+async def _delay_store(
+    world: worlds.World, start_s: float, delay_s: float, duration_s: float
+) -> None:
+    await asyncio.sleep(start_s)
+    world.store.delay_s = delay_s
+    await asyncio.sleep(duration_s)
     world.store.delay_s = 0.0
 
 
--- a/soak/planned_stops.py
+++ b/soak/planned_stops.py
@@ -40,7 +40,7 @@
         instance, _CONNECTIONS_IN_USE
     )
     incarnation = instance.incarnation
-    uses = [
+    tasks = [
         asyncio.create_task(
             world.callers.use_until_closed(
                 instance,
@@ -50,16 +50,15 @@
         )
         for connection in connections
     ]
+    if incarnation is not None:
+        tasks.append(
+            asyncio.create_task(_check_end(world, instance.name, incarnation))
+        )
     for signal_number in signals:
         if instance.incarnation is incarnation:
             instance.send_signal(signal_number)
         await asyncio.sleep(world.random_source.uniform(0, max_gap_s))
-    if incarnation is not None and not await _ends_in_time(incarnation):
-        world.violations.append(
-            f"{instance.name} did not stop within {instances.SHUTDOWN_S} s of"
-            " SIGTERM"
-        )
-    await asyncio.gather(*uses)
+    await asyncio.gather(*tasks)
 
 
 def lost_request(
@@ -98,14 +97,19 @@
     )
 
 
-async def _ends_in_time(incarnation: instances.Incarnation) -> bool:
-    """Waits for the end of a process, which a disturbed one may delay."""
-    stopped_s = incarnation.stop_requested_s
+async def _check_end(
+    world: worlds.World, name: str, incarnation: instances.Incarnation
+) -> None:
+    """Checks that an undisturbed process ends within its shutdown time."""
     while incarnation.is_running and not incarnation.is_disturbed:
+        stopped_s = incarnation.stop_requested_s
         if (
-            stopped_s is None
-            or time.monotonic() - stopped_s > instances.SHUTDOWN_S
+            stopped_s is not None
+            and time.monotonic() - stopped_s > instances.SHUTDOWN_S
         ):
-            return stopped_s is None
+            world.violations.append(
+                f"{name} did not stop within {instances.SHUTDOWN_S} s of"
+                " SIGTERM"
+            )
+            return
         await asyncio.sleep(_POLL_S)
-    return True
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
 import pathlib
 import random
 import signal
 
+from marigoldgap.cell import records
 from soak import callers
 from soak import faults
 from soak import instances
@@ -16,12 +18,15 @@
 from tests.standins.cell import store as store_standin
 from tests.standins.cell import worker as worker_standin
 
-_INSTANCES = 4
+DEFAULT_INSTANCES = 4
 _WORKERS = 5
 # Mean interval between submissions and between starts of faults.
 _MEAN_SUBMIT_S = 0.15
 _MEAN_FAULT_S = 0.7
 _STARTUP_S = 2.5
+# Time within which all instances must have started.
+_STARTUP_TIMEOUT_S = 30.0
+_STARTUP_POLL_S = 0.2
 _COMPLETION_TIMEOUT_S = 30.0
 
 
@@ -31,9 +36,15 @@
     Args:
         seed: Determines jobs and faults.
         folder: Holds settings and logs of the instances.
+        instance_count: Number of instances.
     """
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        instance_count: int = DEFAULT_INSTANCES,
+    ) -> None:
         self.random_source = random.Random(seed)
         self._job_random_source = random.Random(seed + 2)
         self.violations: list[str] = []
@@ -49,7 +60,7 @@
         self._config_version = 1
         self._fault_log = folder / "faults.log"
         self._fault_tasks: set[asyncio.Task[None]] = set()
-        for number in range(_INSTANCES):
+        for number in range(instance_count):
             self._add_instance(f"e{number}", folder)
         self.callers = callers.Callers(
             random.Random(seed + 1),
@@ -57,6 +68,15 @@
             (cell_world.HOST, cell_world.PREFIX, cell_world.KEY),
         )
 
+    @property
+    def leader(self) -> instances.Instance | None:
+        """The instance that the election row names, released or not."""
+        content = self.store.value(*records.ELECTION)
+        name = records.decode(content)["instance"] if content else ""
+        return next(
+            (each for each in self.instances if each.name == name), None
+        )
+
     async def run(self, duration_s: float) -> None:
         """Runs load and faults, then checks that all accepted jobs complete.
 
@@ -137,6 +157,12 @@
         for instance in self.instances:
             instance.start()
         await asyncio.sleep(_STARTUP_S)
+        # The supervisor restarts an instance that does not start.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_STARTUP_TIMEOUT_S):
+                for instance in self.instances:
+                    while not await self.callers.open_connections(instance, 1):
+                        await asyncio.sleep(_STARTUP_POLL_S)
 
     async def _create_worker(
         self, worker_id: str
