cell: forget the registration of a worker that left unseen

Callers would see nothing; the leader opened a connection to a worker that is gone every second or two, until the next election.

Cause: since a worker that was given up is tried again while it is registered, the leader keeps registrations without a session. When the store had forgotten its history, only the workers with a session were compared with the table that was read anew.

Change: all registrations are compared.

The stand-in for the store answered a feed that waited across the loss of the history as if nothing had changed; it now answers 410.

--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -122,9 +122,9 @@
     page: store.Page, scheduler: schedulers.Scheduler
 ) -> None:
     present = {row.row_key.key for row in page.rows}
-    for worker in scheduler.worker_tracker.workers.values():
-        if worker.worker_id not in present:
-            scheduler.worker_tracker.on_unregistered(worker.worker_id)
+    for worker_id in scheduler.worker_tracker.registered_ids:
+        if worker_id not in present:
+            scheduler.worker_tracker.on_unregistered(worker_id)
 
 
 def _apply_worker(
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -102,6 +102,11 @@
             return False
         return bool(self._unfenced)
 
+    @property
+    def registered_ids(self) -> list[str]:
+        """Workers whose registration is in force, as far as it is known."""
+        return list(self._registrations)
+
     def flushed(self) -> asyncio.Future[None]:
         """Returns a future that is done when the current state is stored."""
         return self._leadership.journal.flushed()
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -125,3 +125,10 @@
     Then the instance is still in its first leadership
     When a job of 1 tasks is submitted
     Then every instance shows the job as "completed"
+
+  Scenario: A worker that left while the history was lost is not contacted again
+    Guards against new connections to a worker that is gone, until the next
+    election.
+    Given a cell with 1 workers and 1 instances
+    When the worker leaves for good while the store forgets its history
+    Then the leader opens no new session in 3 s
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -12,6 +12,7 @@
 
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
+from tests.fixtures import log_lines
 from tests.fixtures import loops
 
 _FAST_S = 1.5
@@ -487,3 +488,26 @@
 def first_leadership(context):
     epochs = [each.worker_tracker.epoch for each in context.world.schedulers]
     assert epochs == [1], epochs
+
+
+@when("the worker leaves for good while the store forgets its history")
+def leaves_unnoticed(context):
+    world = context.world
+    worker = world.workers[0]
+    tracker = world.schedulers[0].worker_tracker
+
+    async def leave():
+        worker.stop()
+        await loops.until(lambda: not tracker.workers.get(worker.worker_id))
+        world.store.drop("servers", "", worker.worker_id)
+        world.store.forget_history()
+        await asyncio.sleep(_FAST_S)
+
+    loops.run(context, leave())
+
+
+@then("the leader opens no new session in {seconds:d} s")
+def no_new_session(context, seconds):
+    lines = log_lines.capture(context)
+    loops.run(context, asyncio.sleep(seconds))
+    assert "worker_joined" not in [event for event, _ in lines], lines
--- a/tests/standins/cell/store.py
+++ b/tests/standins/cell/store.py
@@ -73,6 +73,11 @@
         self.removed[table, part, key] = self.version
         self._notify()
 
+    def forget_history(self):
+        """Makes feeds start again from a whole table."""
+        self.removed.clear()
+        self.first_version_kept = self.version + 1
+
     def value(self, table, part, key):
         row = self.rows.get((table, part, key))
         return None if row is None else row[0]
@@ -163,6 +168,8 @@
                     await self._changed.wait()
         except TimeoutError:
             rows = []
+        if after < self.first_version_kept:
+            return messages.Response(410)
         return self._answer({"rows": rows})
 
     def _changes(self, table, after):
