--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -102,6 +102,11 @@
             return False
         return bool(self._unfenced)
 
+    @property
+    def registered_ids(self) -> list[str]:
+        """Workers whose registration is in force, as far as it is known."""
+        return list(self._registrations)
+
     def pending_capacity(self) -> list[model.Demand]:
         """Returns the capacities of inherited workers with unknown runs."""
         pending = (self.workers.get(name) for name in self.pending_inherited)
