cell: split the planner into the pass, tasks and gangs

The state that tasks and gangs share is now planning_pass, single tasks and tasks that run alone are task_planner, gangs are gang_planner; planner orders the steps. No change of behaviour: the statements moved as they were.

--- /dev/null
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -0,0 +1,219 @@
+"""State that the planners of tasks and gangs share in one pass, and queries."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from marigoldgap.cell import fleet
+from marigoldgap.cell import isolation
+from marigoldgap.cell import jobs
+from marigoldgap.cell import model
+from marigoldgap.cell import run_times
+from marigoldgap.cell import worker_capacity
+
+# Minimum remaining validity of a ticket that is used: covers one crossing
+# between regions and the wait in the command queue of a worker.
+TICKET_MARGIN_S = 0.12
+# Time for which reservations may hold back a step of which nothing runs, while
+# less than half of the cores of its service are in use.
+_MAX_HELD_BACK_S = 1.5
+# Expected end of a task that may use reserved capacity.
+IGNORES_RESERVATIONS = float("-inf")
+
+
+class Placement(NamedTuple):
+    """A task to start now, on a worker."""
+
+    step: jobs.StepProgress
+    position: int
+    worker: fleet.Worker
+    ticket: str
+
+
+class Plan(NamedTuple):
+    """Result of one planning pass.
+
+    Attributes:
+        placements: Tasks to start; a gang has all or none of its members here.
+        advice: Steps that need tickets, with the workers to ask about.
+    """
+
+    placements: list[Placement]
+    advice: list[tuple[jobs.StepProgress, list[str]]]
+
+
+class PlanningPass:
+    """One pass over all waiting steps.
+
+    Args:
+        workers: The workers of the cell.
+        times: Learned run times.
+        usage: Resources that each workspace uses; updated with the plan.
+        workspaces: Workspaces with their upper limits, by name.
+        reserved: Workers on which gangs held reservations in the previous pass.
+        now: Current monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        workers: fleet.Fleet,
+        times: run_times.RunTimes,
+        usage: dict[str, list[int]],
+        workspaces: dict[str, model.Workspace],
+        reserved: frozenset[str],
+        now: float,
+    ) -> None:
+        self.times = times
+        self.reserved = reserved
+        self.now = now
+        self.plan = Plan([], [])
+        self._usage = usage
+        self._workspaces = workspaces
+        self._capacities = {
+            worker.worker_id: worker_capacity.WorkerCapacity(worker)
+            for worker in workers.values()
+            if worker.accepts(now) and not isolation.has_isolated_run(worker)
+        }
+        self._by_requirement: dict[
+            tuple[str, str], dict[str, worker_capacity.WorkerCapacity]
+        ] = {}
+        # Whether less than half of the cores of a service are in use.
+        self._is_idle: dict[str, bool] = {}
+
+    @property
+    def reserved_workers(self) -> frozenset[str]:
+        """Workers on which gangs hold reservations in this pass."""
+        return frozenset(
+            worker_id
+            for worker_id, capacity in self._capacities.items()
+            if capacity.unreserved is not None
+        )
+
+    def place(
+        self,
+        step: jobs.StepProgress,
+        position: int,
+        capacity: worker_capacity.WorkerCapacity,
+        ticket: str,
+    ) -> None:
+        """Adds a task to the plan and counts it in the use of its workspace."""
+        used = self._usage.setdefault(step.job.record.workspace, [0, 0, 0])
+        for index, amount in enumerate(step.spec.demand):
+            used[index] += amount
+        self.plan.placements.append(
+            Placement(step, position, capacity.worker, ticket)
+        )
+
+    def allowed_tasks(self, step: jobs.StepProgress) -> int:
+        """Returns how many waiting tasks the workspace's upper limit allows."""
+        workspace = self._workspaces.get(step.job.record.workspace)
+        allowed = len(step.waiting)
+        if workspace is None:
+            return allowed
+        used = self._usage.get(workspace.name, [0, 0, 0])
+        for index, limit in enumerate(workspace.limit):
+            need = step.spec.demand[index]
+            if limit and need:
+                allowed = min(allowed, (limit - used[index]) // need)
+        return max(0, allowed)
+
+    def candidates(
+        self, step: jobs.StepProgress
+    ) -> dict[str, worker_capacity.WorkerCapacity]:
+        """Returns the workers with the service and label of the step."""
+        key = step.job.queue.service, step.spec.required_label
+        found = self._by_requirement.get(key)
+        if found is None:
+            service, label = key
+            found = {
+                worker_id: capacity
+                for worker_id, capacity in self._capacities.items()
+                if capacity.worker.registration.service == service
+                and (not label or label in capacity.worker.registration.labels)
+            }
+            self._by_requirement[key] = found
+        return found
+
+    def advised_workers(
+        self,
+        step: jobs.StepProgress,
+        candidates: dict[str, worker_capacity.WorkerCapacity],
+    ) -> list[worker_capacity.WorkerCapacity]:
+        """Returns the advised workers; requests advice if there are none."""
+        if step.job.queue.advice is None:
+            return list(candidates.values())
+        advised = [
+            candidates[name]
+            for name in step.advised_workers
+            if name in candidates
+        ]
+        if not advised:
+            self.request_more_advice(step, candidates)
+        return advised
+
+    def request_more_advice(
+        self,
+        step: jobs.StepProgress,
+        candidates: dict[str, worker_capacity.WorkerCapacity],
+    ) -> None:
+        """Requests advice on further workers, most free cores first."""
+        if step.is_advice_pending or step.job.queue.advice is None:
+            return
+        unknown = [
+            name for name in candidates if name not in step.asked_workers
+        ]
+        if unknown:
+            unknown.sort(key=lambda name: -candidates[name].free[0])
+            self.plan.advice.append((step, unknown))
+
+    def ticket(
+        self, step: jobs.StepProgress, capacity: worker_capacity.WorkerCapacity
+    ) -> str | None:
+        """Returns a valid ticket, empty if none is needed; None if missing."""
+        if step.job.queue.advice is None:
+            return ""
+        ticket, valid_until = step.tickets.get(
+            capacity.worker.worker_id, ("", 0.0)
+        )
+        return ticket if valid_until > self.now + TICKET_MARGIN_S else None
+
+    def may_use_reserved(self, step: jobs.StepProgress) -> bool:
+        """Returns whether reservations have held the step back for too long."""
+        return (
+            not step.active
+            and self.now - step.held_back_since_s >= _MAX_HELD_BACK_S
+            and self.is_fleet_idle(step)
+        )
+
+    def is_fleet_idle(self, step: jobs.StepProgress) -> bool:
+        """Returns whether less than half of the service's cores are in use."""
+        service = step.job.queue.service
+        is_idle = self._is_idle.get(service)
+        if is_idle is None:
+            total = free = 0
+            for capacity in self._capacities.values():
+                registration = capacity.worker.registration
+                if registration.service == service:
+                    total += registration.capacity.millicores
+                    free += capacity.free[0]
+            is_idle = self._is_idle[service] = 2 * free > total
+        return is_idle
+
+    def close(self, capacity: worker_capacity.WorkerCapacity) -> None:
+        """Places nothing else on a worker in this pass."""
+        worker_id = capacity.worker.worker_id
+        del self._capacities[worker_id]
+        for found in self._by_requirement.values():
+            found.pop(worker_id, None)
+
+
+def unadvised_reason(
+    step: jobs.StepProgress,
+    candidates: dict[str, worker_capacity.WorkerCapacity],
+) -> jobs.WaitReason:
+    """Returns why a step has no worker that it may use."""
+    if not candidates:
+        return jobs.WaitReason.NO_CANDIDATE
+    if step.is_advice_pending:
+        return jobs.WaitReason.ADVICE_PENDING
+    return jobs.WaitReason.NOT_ADVISED
--- /dev/null
+++ b/src/marigoldgap/cell/task_planner.py
@@ -0,0 +1,186 @@
+"""Places single tasks, and tasks that run alone, in a planning pass."""
+
+from __future__ import annotations
+
+from marigoldgap.cell import isolation
+from marigoldgap.cell import jobs
+from marigoldgap.cell import planning_pass
+from marigoldgap.cell import worker_capacity
+
+# Factor on the expected run time of a task that would backfill a reservation,
+# since it may end later than expected.
+_BACKFILL_MARGIN = 1.5
+# The placement cost of a worker is its free millicores plus extra costs.
+# Extra cost of a worker outside the rack of the data. It is doubled for a
+# worker that the task avoids, and halved for one without a ticket.
+_OTHER_RACK_COST = 100_000
+# Extra cost of a worker that a gang has reserved: urgent tasks that use its
+# capacity would delay the gang again and again.
+_RESERVED_COST = 25_000
+
+
+def plan_isolated(
+    planning: planning_pass.PlanningPass,
+    step: jobs.StepProgress,
+    budget: isolation.WorkerBudget,
+) -> None:
+    """Plans the tasks of a step that run alone."""
+    service = step.job.queue.service
+    for position in isolation.waiting_positions(step):
+        if budget.is_exhausted(service) or not planning.allowed_tasks(step):
+            return
+        candidates = planning.candidates(step)
+        advised = planning.advised_workers(step, candidates)
+        capacity = isolation.choose_worker(
+            step,
+            position,
+            _below_task_limit(step, advised),
+            planning.now,
+            planning.times,
+        )
+        if capacity is None:
+            if advised:
+                planning.request_more_advice(step, candidates)
+            return
+        budget.keep(service)
+        planning.close(capacity)
+        if not isolation.can_start(capacity, step.spec, planning.now):
+            continue
+        ticket = planning.ticket(step, capacity)
+        if ticket is None:
+            if not step.is_advice_pending:
+                planning.plan.advice.append((step, [capacity.worker.worker_id]))
+            continue
+        planning.place(step, position, capacity, ticket)
+
+
+def plan_tasks(
+    planning: planning_pass.PlanningPass, step: jobs.StepProgress
+) -> jobs.WaitReason:
+    """Plans the tasks of a step that share workers.
+
+    Returns:
+        Why its tasks wait, if none of them starts.
+    """
+    allowed = planning.allowed_tasks(step)
+    if allowed <= 0:
+        return jobs.WaitReason.WORKSPACE_LIMIT
+    positions = [
+        position
+        for position in sorted(step.waiting)
+        if not isolation.is_isolated(step, position)
+    ]
+    if not positions:
+        return jobs.WaitReason.NO_WORKER_ALONE
+    candidates = planning.candidates(step)
+    advised = planning.advised_workers(step, candidates)
+    if not advised:
+        return planning_pass.unadvised_reason(step, candidates)
+    reason = jobs.WaitReason.NO_CAPACITY
+    ends_s = planning.now + planning.times.expected_s(step) * _BACKFILL_MARGIN
+    if planning.may_use_reserved(step):
+        # One run shows progress; the reservations keep the other capacity.
+        allowed, ends_s = 1, planning_pass.IGNORES_RESERVATIONS
+    counts = _tasks_by_worker(step)
+    stale: list[str] = []
+    for position in positions[:allowed]:
+        capacity = _best_worker(
+            planning, step, position, advised, counts, ends_s
+        )
+        if capacity is None:
+            planning.request_more_advice(step, candidates)
+            break
+        ticket = planning.ticket(step, capacity)
+        if ticket is None:
+            stale.append(capacity.worker.worker_id)
+        else:
+            reason = jobs.WaitReason.STARTING
+            planning.place(step, position, capacity, ticket)
+        # Also keeps capacity for a task that waits for its ticket.
+        capacity.take(step.spec, ends_s)
+        worker_id = capacity.worker.worker_id
+        counts[worker_id] = counts.get(worker_id, 0) + 1
+    if stale and not step.is_advice_pending:
+        planning.plan.advice.append((step, sorted(set(stale))))
+    if reason is not jobs.WaitReason.NO_CAPACITY:
+        return reason
+    if stale:
+        return jobs.WaitReason.TICKETS_MISSING
+    if (
+        not step.active
+        and planning.is_fleet_idle(step)
+        and any(
+            capacity.fits(step.spec, planning_pass.IGNORES_RESERVATIONS)
+            for capacity in advised
+        )
+    ):
+        return jobs.WaitReason.HELD_BACK
+    return reason
+
+
+def _best_worker(
+    planning: planning_pass.PlanningPass,
+    step: jobs.StepProgress,
+    position: int,
+    usable: list[worker_capacity.WorkerCapacity],
+    counts: dict[str, int],
+    ends_s: float,
+) -> worker_capacity.WorkerCapacity | None:
+    """Returns the worker with the lowest cost on which a task fits.
+
+    Prefers workers that are in the rack of the data, are not reserved, have
+    a ticket, and on which no run of the task has failed or made no
+    progress; among them the one with the fewest free cores.
+    """
+    spec = step.spec
+    avoid = step.avoid.get(position, set())
+    best: worker_capacity.WorkerCapacity | None = None
+    best_cost = 0
+    for capacity in usable:
+        worker_id = capacity.worker.worker_id
+        if (
+            spec.max_per_worker
+            and counts.get(worker_id, 0) >= spec.max_per_worker
+        ):
+            continue
+        if not capacity.fits(spec, ends_s):
+            continue
+        cost = capacity.free[0]
+        if spec.data_rack and (
+            capacity.worker.registration.rack != spec.data_rack
+        ):
+            cost += _OTHER_RACK_COST
+        if worker_id in planning.reserved:
+            cost += _RESERVED_COST
+        if worker_id in avoid:
+            cost += 2 * _OTHER_RACK_COST
+        if planning.ticket(step, capacity) is None:
+            cost += _OTHER_RACK_COST // 2
+        if best is None or cost < best_cost:
+            best, best_cost = capacity, cost
+    return best
+
+
+def _tasks_by_worker(step: jobs.StepProgress) -> dict[str, int]:
+    """Returns the number of tasks of the step that each worker runs."""
+    counts: dict[str, int] = {}
+    for run in step.active.values():
+        worker_id = run.worker.worker_id
+        counts[worker_id] = counts.get(worker_id, 0) + 1
+    return counts
+
+
+def _below_task_limit(
+    step: jobs.StepProgress,
+    capacities: list[worker_capacity.WorkerCapacity],
+) -> list[worker_capacity.WorkerCapacity]:
+    """Returns the workers with fewer tasks of the step than it allows."""
+    limit = step.spec.max_per_worker
+    if not limit:
+        return capacities
+    counts = _tasks_by_worker(step)
+    return [
+        capacity
+        for capacity in capacities
+        if counts.get(capacity.worker.worker_id, 0) < limit
+    ]
