web: fail an exchange on a connection that has ended already

Callers would see the tasks of a crashed worker wait until its lease has expired (up to 5.8 s), and the crash is not counted under its tasks.

Cause: a request on a connection that the server had closed while it was idle waited for its timeout, and the reason of the end was dropped. A lease renewal waits on an idle connection while ended runs are being stored. A clean close in that time is half of the proof that the process has ended.

Change: the connection keeps the error with which it ended, and an exchange raises it at once.

Conclusion: the end of a worker's process is recognised at any time.

--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -34,6 +34,8 @@
         # Restarts the timer with each part of the response; 0 if the time limit
         # is for the complete response.
         self._stall_timeout_s = 0.0
+        # Error with which the connection ended; None while it is open.
+        self._end: messages.NoAnswerError | None = None
         self.is_open = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -53,9 +55,10 @@
         """Fails the exchange in progress."""
         self.is_open = False
         if exc is None:
-            self._fail(messages.ClosedByHostError("closed by the server"))
+            self._end = messages.ClosedByHostError("closed by the server")
         else:
-            self._fail(messages.NoAnswerError(f"connection lost: {exc}"))
+            self._end = messages.NoAnswerError(f"connection lost: {exc}")
+        self._fail(self._end)
 
     def data_received(self, data: bytes) -> None:
         """Parses a part of the response."""
@@ -115,6 +118,8 @@
             NoAnswerError: The request may have been carried out.
         """
         assert self._transport is not None
+        if self._end is not None:
+            raise self._end
         self._parser = httptools.HttpResponseParser(self)
         self._body = []
         self._headers = []
--- a/tests/features/cell/worker_crashes.feature
+++ b/tests/features/cell/worker_crashes.feature
@@ -104,6 +104,16 @@
     Then every instance shows the job as "completed"
     And 1 crashed workers were counted
 
+  Scenario: A worker that crashes while an end is stored is counted
+    Guards against a closed connection that is not noticed, so that the worker
+    is taken to be only out of contact.
+    Given a cell with 1 workers and 1 instances
+    And crashed workers come back as another worker at another address after 1200 ms
+    When a job with the payload "ms=3000" is submitted and has begun
+    And its worker crashes while the end of another job is stored
+    Then 1 crashed workers were counted within 3 s
+    And the other job is completed
+
   Scenario Outline: A draining worker that ends does not count
     Guards against a job that fails because of planned replacements of workers.
     Given a cell with 2 workers and 1 instances
--- a/tests/features/steps/cell_crash_steps.py
+++ b/tests/features/steps/cell_crash_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 from behave import given
@@ -15,6 +16,7 @@
 from tests.fixtures import loops
 
 _HOUR_S = 3600.0
+_SLOW_STORE_S = 0.6
 # More than the crashes of any scenario.
 _RESTARTS = 9
 
@@ -107,6 +109,35 @@
     _crash(context, _running(context)[0])
 
 
+@when("its worker crashes while the end of another job is stored")
+def crashes_while_storing(context):
+    context.job_progress = _progress(context)
+    worker = _running(context)[0]
+    submit_other(context, 1, "ms=100")
+
+    async def crash():
+        await loops.until(lambda: len(worker.running) == 2)
+        context.world.store.delay_s = _SLOW_STORE_S
+        await loops.until(lambda: worker.ended)
+        await asyncio.sleep(_SLOW_STORE_S / 3)
+        worker.crash()
+        await asyncio.sleep(_SLOW_STORE_S)
+        context.world.store.delay_s = 0.0
+
+    loops.run(context, crash())
+
+
+@then("{count:d} crashed workers were counted within {seconds:d} s")
+def counted_within(context, count, seconds):
+    progress = context.job_progress
+    loops.run(
+        context,
+        asyncio.wait_for(
+            loops.until(lambda: progress.crash_count(0) == count), seconds
+        ),
+    )
+
+
 def _progress(context):
     job = context.world.leader().scheduler.job_tracker.jobs[cell_jobs.JOB]
     return job.occurrences[0][0]
