tests: an isolated task requests a ticket for its worker

The planning of tasks that run alone had no scenario with advice. The new one of cell/planning fails on the planner from before isolated tasks: ASSERT FAILED: [(<...StepProgress object ...>, ['w0'])] It passes on the current code, with the whole of tests/features/cell (111 scenarios). No code changes.

--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -191,3 +191,16 @@
     Then nothing starts
     When the runs have ended and a plan is made
     Then 2 tasks start
+
+  Scenario: A task that runs alone requests a ticket for its worker
+    Guards against an isolated task that never gets a ticket, or loses its
+    worker to other tasks before it has one.
+    Given 2 workers with 4 cores each
+    And a run of 1 core on the first worker
+    And a crashed task that is advised on all workers
+    And 8 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then a ticket is requested for the second worker only
+    And 3 tasks start on the first worker only
+    When the ticket has arrived and a plan is made
+    Then the crashed task starts alone on the second worker
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -410,6 +410,28 @@
     assert with_capacity <= set(names[:100]), names
 
 
+@given("a crashed task that is advised on all workers")
+def crashed_advised(context):
+    context.crashed = step = _wait_with_advice(context)
+    _record_crashes(step, 2)
+    for worker in context.fleet.values():
+        step.asked_workers.add(worker.worker_id)
+        step.advised_workers[worker.worker_id] = None
+
+
+@then("a ticket is requested for the second worker only")
+def ticket_for_second(context):
+    assert context.plan.advice == [
+        (context.crashed, ["w1"])
+    ], context.plan.advice
+
+
+@when("the ticket has arrived and a plan is made")
+def ticket_arrived(context):
+    context.crashed.tickets["w1"] = ("ticket", _NOW + 1.5)
+    make_plan(context)
+
+
 @given(
     "{count:d} stored jobs of a workspace with a fair rate of 1 job a second"
 )
