web: a connection to an invalid port fails like any other

A worker in a stored roster whose address has a port above 65535 would end every leadership: connecting raised OverflowError, which no caller expects.

Measured: before, the new scenario got OverflowError; now NotConnectedError.

--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -206,7 +206,7 @@
         raise messages.ConnectionRefusedByHostError(
             f"{address} refused the connection"
         ) from error
-    except (OSError, TimeoutError, ValueError) as error:
+    except (OSError, OverflowError, TimeoutError, ValueError) as error:
         raise messages.NotConnectedError(
             f"no connection to {address}: {error or 'timeout'}"
         ) from error
--- a/tests/features/steps/web_steps.py
+++ b/tests/features/steps/web_steps.py
@@ -156,3 +156,14 @@
     first, _, rest = context.response.partition(b"/slow")
     assert first.startswith(b"HTTP/1.1 200"), context.response
     assert b"HTTP/1.1 %d " % status in rest, context.response
+
+
+@when('a client connects to "{address}"')
+def connect_to(context, address):
+    context.outcome = loops.outcome(context, client.connect(address))
+
+
+@then("the connection fails and nothing was sent")
+def not_connected(context):
+    error = context.outcome
+    assert isinstance(error, messages.NotConnectedError), repr(error)
--- a/tests/features/web/server.feature
+++ b/tests/features/web/server.feature
@@ -54,3 +54,8 @@
       | large headers     | 431    |
       | a large body      | 413    |
       | too many requests | 429    |
+
+  Scenario: An address that cannot exist fails like an unreachable one
+    Guards against one stored address that ends every leadership.
+    When a client connects to "127.0.0.1:70000"
+    Then the connection fails and nothing was sent
