cell: move the progress of a step out of the module of jobs

StepProgress with its enumerations is now step_progress; jobs keeps Job. No change of behaviour: the classes moved as they were.

--- a/src/marigoldgap/cell/advice_dispatcher.py
+++ b/src/marigoldgap/cell/advice_dispatcher.py
@@ -17,9 +17,9 @@
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
-from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
+from marigoldgap.cell import step_progress
 
 _log = decision_log.DecisionLogger("advice")
 
@@ -56,7 +56,7 @@
 class _Request(NamedTuple):
     """A queued call for tickets of a step."""
 
-    step: jobs.StepProgress
+    step: step_progress.StepProgress
     workers: list[str]
     requested_s: float
 
@@ -96,7 +96,9 @@
         self._failures: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def request(self, step: jobs.StepProgress, workers: list[str]) -> None:
+    def request(
+        self, step: step_progress.StepProgress, workers: list[str]
+    ) -> None:
         """Requests tickets for a step and stores them in the step.
 
         A gang needs many workers, so it asks about more of them at once, in
--- a/src/marigoldgap/cell/gang_planner.py
+++ b/src/marigoldgap/cell/gang_planner.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from marigoldgap.cell import jobs
 from marigoldgap.cell import planning_pass
+from marigoldgap.cell import step_progress
 from marigoldgap.cell import worker_capacity
 
 # Maximum number of gangs with a reservation; others wait without one.
@@ -31,7 +31,9 @@
         self._reserving_gangs = 0
         self._examined_gangs = 0
 
-    def plan(self, step: jobs.StepProgress) -> jobs.WaitReason:
+    def plan(
+        self, step: step_progress.StepProgress
+    ) -> step_progress.WaitReason:
         """Plans the members of a gang.
 
         Returns:
@@ -39,13 +41,13 @@
         """
         spec = step.spec
         if step.active or len(step.waiting) < spec.task_count:
-            return jobs.WaitReason.MEMBERS_ACTIVE
+            return step_progress.WaitReason.MEMBERS_ACTIVE
         candidates = self._pass.candidates(step)
         advised = self._pass.advised_workers(step, candidates)
         if not advised:
             return planning_pass.unadvised_reason(step, candidates)
         if self._pass.allowed_tasks(step) < spec.task_count:
-            return jobs.WaitReason.WORKSPACE_LIMIT
+            return step_progress.WaitReason.WORKSPACE_LIMIT
         ends_s = self._pass.now + self._pass.times.expected_s(step)
         if self._pass.may_use_reserved(step):
             ends_s = planning_pass.IGNORES_RESERVATIONS
@@ -58,7 +60,7 @@
         chosen = self._fit_gang_now(step, ticketed, ends_s)
         if chosen is not None:
             self._place_gang(step, chosen, ends_s)
-            return jobs.WaitReason.STARTING
+            return step_progress.WaitReason.STARTING
         if (
             self._pass.now < step.examine_after_s
             or self._examined_gangs >= _MAX_EXAMINED_GANGS
@@ -69,7 +71,7 @@
 
     def _without_avoided(
         self,
-        step: jobs.StepProgress,
+        step: step_progress.StepProgress,
         advised: list[worker_capacity.WorkerCapacity],
         ends_s: float,
     ) -> list[worker_capacity.WorkerCapacity]:
@@ -88,11 +90,11 @@
 
     def _prepare_gang(
         self,
-        step: jobs.StepProgress,
+        step: step_progress.StepProgress,
         candidates: dict[str, worker_capacity.WorkerCapacity],
         advised: list[worker_capacity.WorkerCapacity],
         ends_s: float,
-    ) -> jobs.WaitReason:
+    ) -> step_progress.WaitReason:
         """Requests tickets and reserves capacity for a gang that waits."""
         has_reservation = self._reserving_gangs < _MAX_RESERVING_GANGS
         chosen = self._fit_gang_now(step, advised, ends_s)
@@ -106,22 +108,22 @@
                     step.spec.demand, count, self._pass.now, list(capacity.free)
                 )
         self._renew_tickets(step, [capacity for capacity, _ in chosen], advised)
-        return jobs.WaitReason.TICKETS_MISSING
+        return step_progress.WaitReason.TICKETS_MISSING
 
     def _reserve_later(
         self,
-        step: jobs.StepProgress,
+        step: step_progress.StepProgress,
         advised: list[worker_capacity.WorkerCapacity],
         has_reservation: bool,
-    ) -> jobs.WaitReason:
+    ) -> step_progress.WaitReason:
         """Reserves capacity for a gang that does not fit now."""
-        reason = jobs.WaitReason.NO_CAPACITY
+        reason = step_progress.WaitReason.NO_CAPACITY
         if self._pass.is_fleet_idle(step) and self._fit_gang_now(
             step, advised, planning_pass.IGNORES_RESERVATIONS
         ):
-            reason = jobs.WaitReason.HELD_BACK
+            reason = step_progress.WaitReason.HELD_BACK
         elif not has_reservation:
-            reason = jobs.WaitReason.NO_RESERVATION
+            reason = step_progress.WaitReason.NO_RESERVATION
         at = float("inf")
         kept: list[worker_capacity.WorkerCapacity] = []
         if has_reservation:
@@ -136,7 +138,7 @@
 
     def _place_gang(
         self,
-        step: jobs.StepProgress,
+        step: step_progress.StepProgress,
         chosen: list[tuple[worker_capacity.WorkerCapacity, int]],
         ends_s: float,
     ) -> None:
@@ -150,7 +152,7 @@
 
     def _fit_gang_now(
         self,
-        step: jobs.StepProgress,
+        step: step_progress.StepProgress,
         usable: list[worker_capacity.WorkerCapacity],
         ends_s: float,
     ) -> list[tuple[worker_capacity.WorkerCapacity, int]] | None:
@@ -176,7 +178,7 @@
 
     def _renew_tickets(
         self,
-        step: jobs.StepProgress,
+        step: step_progress.StepProgress,
         reserved: list[worker_capacity.WorkerCapacity],
         advised: list[worker_capacity.WorkerCapacity],
     ) -> None:
@@ -208,7 +210,7 @@
 
     def _reserve_gang(
         self,
-        step: jobs.StepProgress,
+        step: step_progress.StepProgress,
         usable: list[worker_capacity.WorkerCapacity],
     ) -> tuple[float, list[worker_capacity.WorkerCapacity]]:
         """Reserves capacity where the gang is expected to fit first.
--- a/src/marigoldgap/cell/inherited_usage.py
+++ b/src/marigoldgap/cell/inherited_usage.py
@@ -8,12 +8,12 @@
 
 from collections.abc import Iterable
 
-from marigoldgap.cell import jobs
 from marigoldgap.cell import model
+from marigoldgap.cell import step_progress
 
 
 def unknown_usage(
-    capacities: list[model.Demand], steps: Iterable[jobs.StepProgress]
+    capacities: list[model.Demand], steps: Iterable[step_progress.StepProgress]
 ) -> dict[str, list[int]]:
     """Returns an upper bound on the unknown usage of each workspace.
 
--- a/src/marigoldgap/cell/isolation.py
+++ b/src/marigoldgap/cell/isolation.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 from marigoldgap.cell import fleet
-from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import run_times
+from marigoldgap.cell import step_progress
 from marigoldgap.cell import worker_capacity
 
 # Crashed workers after which a task runs alone.
@@ -18,7 +18,7 @@
 _MAX_WORKER_SHARE = 0.5
 
 
-def is_isolated(step: jobs.StepProgress, position: int) -> bool:
+def is_isolated(step: step_progress.StepProgress, position: int) -> bool:
     """Returns whether a task runs alone; members of gangs never do."""
     return (
         not step.spec.is_gang
@@ -26,7 +26,7 @@
     )
 
 
-def waiting_positions(step: jobs.StepProgress) -> list[int]:
+def waiting_positions(step: step_progress.StepProgress) -> list[int]:
     """Returns the positions of the waiting tasks that run alone."""
     return [
         position
@@ -71,7 +71,7 @@
 
 
 def choose_worker(
-    step: jobs.StepProgress,
+    step: step_progress.StepProgress,
     position: int,
     capacities: list[worker_capacity.WorkerCapacity],
     now: float,
--- a/src/marigoldgap/cell/job_tracker.py
+++ b/src/marigoldgap/cell/job_tracker.py
@@ -18,6 +18,7 @@
 from marigoldgap.cell import model
 from marigoldgap.cell import records
 from marigoldgap.cell import runs
+from marigoldgap.cell import step_progress
 from marigoldgap.cell import store
 
 _log = decision_log.DecisionLogger("jobs")
@@ -141,7 +142,9 @@
                 job.queue = queue
         self._leadership.request_plan()
 
-    def ready_steps(self, with_inherited: bool) -> list[jobs.StepProgress]:
+    def ready_steps(
+        self, with_inherited: bool
+    ) -> list[step_progress.StepProgress]:
         """Returns the steps that have waiting tasks and may start.
 
         Args:
@@ -155,7 +158,7 @@
             for step in job.ready_steps()
         ]
 
-    def inherited_steps(self) -> Iterator[jobs.StepProgress]:
+    def inherited_steps(self) -> Iterator[step_progress.StepProgress]:
         """Yields the steps of earlier elections that have waiting tasks."""
         for job in self._open_jobs.values():
             if job.is_inherited:
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -11,10 +11,10 @@
 from marigoldgap.cell import fleet
 from marigoldgap.cell import gang_planner
 from marigoldgap.cell import isolation
-from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import planning_pass
 from marigoldgap.cell import run_times
+from marigoldgap.cell import step_progress
 from marigoldgap.cell import task_planner
 
 
@@ -34,7 +34,7 @@
 
     def plan(
         self,
-        steps: list[jobs.StepProgress],
+        steps: list[step_progress.StepProgress],
         usage: dict[str, list[int]],
         workspaces: dict[str, model.Workspace],
         now: float,
@@ -65,26 +65,26 @@
 def _plan_step(
     planning: planning_pass.PlanningPass,
     gangs: gang_planner.GangPlanner,
-    step: jobs.StepProgress,
+    step: step_progress.StepProgress,
 ) -> None:
     """Plans one step and notes why its tasks wait if none of them starts."""
     if step.not_before_s > planning.now:
-        step.wait_reason = jobs.WaitReason.RETRY_PAUSE
+        step.wait_reason = step_progress.WaitReason.RETRY_PAUSE
         return
     if step.spec.is_gang:
         reason = gangs.plan(step)
     else:
         reason = task_planner.plan_tasks(planning, step)
     step.wait_reason = reason
-    if reason is jobs.WaitReason.HELD_BACK:
+    if reason is step_progress.WaitReason.HELD_BACK:
         step.held_back_since_s = min(step.held_back_since_s, planning.now)
-    elif reason is jobs.WaitReason.STARTING:
+    elif reason is step_progress.WaitReason.STARTING:
         step.held_back_since_s = float("inf")
 
 
 def _urgency(
-    step: jobs.StepProgress, now: float
-) -> tuple[bool, int, jobs.Lateness, float]:
+    step: step_progress.StepProgress, now: float
+) -> tuple[bool, int, step_progress.Lateness, float]:
     """Returns the sort key: fair rate, priority, lateness, then deadline.
 
     Steps that are already late come after those that can still be on time:
--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -6,9 +6,9 @@
 
 from marigoldgap.cell import fleet
 from marigoldgap.cell import isolation
-from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import run_times
+from marigoldgap.cell import step_progress
 from marigoldgap.cell import worker_capacity
 
 # Minimum remaining validity of a ticket that is used: covers one crossing
@@ -24,7 +24,7 @@
 class Placement(NamedTuple):
     """A task to start now, on a worker."""
 
-    step: jobs.StepProgress
+    step: step_progress.StepProgress
     position: int
     worker: fleet.Worker
     ticket: str
@@ -39,7 +39,7 @@
     """
 
     placements: list[Placement]
-    advice: list[tuple[jobs.StepProgress, list[str]]]
+    advice: list[tuple[step_progress.StepProgress, list[str]]]
 
 
 class PlanningPass:
@@ -91,7 +91,7 @@
 
     def place(
         self,
-        step: jobs.StepProgress,
+        step: step_progress.StepProgress,
         position: int,
         capacity: worker_capacity.WorkerCapacity,
         ticket: str,
@@ -104,7 +104,7 @@
             Placement(step, position, capacity.worker, ticket)
         )
 
-    def allowed_tasks(self, step: jobs.StepProgress) -> int:
+    def allowed_tasks(self, step: step_progress.StepProgress) -> int:
         """Returns how many waiting tasks the workspace's upper limit allows."""
         workspace = self._workspaces.get(step.job.record.workspace)
         allowed = len(step.waiting)
@@ -118,7 +118,7 @@
         return max(0, allowed)
 
     def candidates(
-        self, step: jobs.StepProgress
+        self, step: step_progress.StepProgress
     ) -> dict[str, worker_capacity.WorkerCapacity]:
         """Returns the workers with the service and label of the step."""
         key = step.job.queue.service, step.spec.required_label
@@ -136,7 +136,7 @@
 
     def advised_workers(
         self,
-        step: jobs.StepProgress,
+        step: step_progress.StepProgress,
         candidates: dict[str, worker_capacity.WorkerCapacity],
     ) -> list[worker_capacity.WorkerCapacity]:
         """Returns the advised workers; requests advice if there are none."""
@@ -153,7 +153,7 @@
 
     def request_more_advice(
         self,
-        step: jobs.StepProgress,
+        step: step_progress.StepProgress,
         candidates: dict[str, worker_capacity.WorkerCapacity],
     ) -> None:
         """Requests advice on further workers, most free cores first."""
@@ -167,7 +167,9 @@
             self.plan.advice.append((step, unknown))
 
     def ticket(
-        self, step: jobs.StepProgress, capacity: worker_capacity.WorkerCapacity
+        self,
+        step: step_progress.StepProgress,
+        capacity: worker_capacity.WorkerCapacity,
     ) -> str | None:
         """Returns a valid ticket, empty if none is needed; None if missing."""
         if step.job.queue.advice is None:
@@ -177,7 +179,7 @@
         )
         return ticket if valid_until > self.now + TICKET_MARGIN_S else None
 
-    def may_use_reserved(self, step: jobs.StepProgress) -> bool:
+    def may_use_reserved(self, step: step_progress.StepProgress) -> bool:
         """Returns whether reservations have held the step back for too long."""
         return (
             not step.active
@@ -185,7 +187,7 @@
             and self.is_fleet_idle(step)
         )
 
-    def is_fleet_idle(self, step: jobs.StepProgress) -> bool:
+    def is_fleet_idle(self, step: step_progress.StepProgress) -> bool:
         """Returns whether less than half of the service's cores are in use."""
         service = step.job.queue.service
         is_idle = self._is_idle.get(service)
@@ -208,12 +210,12 @@
 
 
 def unadvised_reason(
-    step: jobs.StepProgress,
+    step: step_progress.StepProgress,
     candidates: dict[str, worker_capacity.WorkerCapacity],
-) -> jobs.WaitReason:
+) -> step_progress.WaitReason:
     """Returns why a step has no worker that it may use."""
     if not candidates:
-        return jobs.WaitReason.NO_CANDIDATE
+        return step_progress.WaitReason.NO_CANDIDATE
     if step.is_advice_pending:
-        return jobs.WaitReason.ADVICE_PENDING
-    return jobs.WaitReason.NOT_ADVISED
+        return step_progress.WaitReason.ADVICE_PENDING
+    return step_progress.WaitReason.NOT_ADVISED
--- a/src/marigoldgap/cell/run_times.py
+++ b/src/marigoldgap/cell/run_times.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from marigoldgap.cell import jobs
+from marigoldgap.cell import step_progress
 
 # Weight of the latest run in the exponential moving average.
 _NEWEST_WEIGHT = 0.1
@@ -16,7 +16,7 @@
     def __init__(self) -> None:
         self._average_s: dict[str, float] = {}
 
-    def expected_s(self, step: jobs.StepProgress) -> float:
+    def expected_s(self, step: step_progress.StepProgress) -> float:
         """Returns the expected run time of a task, in seconds."""
         declared = step.spec.estimate_ms / 1000
         average = self._average_s.get(step.job.queue.name)
@@ -26,7 +26,9 @@
             return average
         return _DECLARED_SHARE * declared + (1 - _DECLARED_SHARE) * average
 
-    def record(self, step: jobs.StepProgress, elapsed_s: float) -> None:
+    def record(
+        self, step: step_progress.StepProgress, elapsed_s: float
+    ) -> None:
         """Records the run time of a completed run."""
         name = step.job.queue.name
         average = self._average_s.get(name, elapsed_s)
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -10,11 +10,11 @@
 from marigoldgap import measures
 from marigoldgap.cell import fleet
 from marigoldgap.cell import job_tracker
-from marigoldgap.cell import jobs
 from marigoldgap.cell import leadership as leaderships
 from marigoldgap.cell import model
 from marigoldgap.cell import run_times
 from marigoldgap.cell import runs
+from marigoldgap.cell import step_progress
 
 _log = decision_log.DecisionLogger("runs")
 
@@ -64,7 +64,10 @@
         tracker.stop_run = self.stop
 
     def begin(
-        self, name: model.RunName, step: jobs.StepProgress, worker: fleet.Worker
+        self,
+        name: model.RunName,
+        step: step_progress.StepProgress,
+        worker: fleet.Worker,
     ) -> runs.Run:
         """Creates a run and allocates its resources, before its start is sent.
 
@@ -285,7 +288,7 @@
         )
         self._send_stop(run)
 
-    def stop_gang(self, step: jobs.StepProgress, cause: str) -> None:
+    def stop_gang(self, step: step_progress.StepProgress, cause: str) -> None:
         """Stops the runs of all members of a gang."""
         for member in list(step.active.values()):
             self.stop(member, cause)
@@ -295,7 +298,7 @@
             run.step.avoid_worker(run.name.task.position, run.worker.worker_id)
 
     def _count_failure(
-        self, step: jobs.StepProgress, name: model.RunName
+        self, step: step_progress.StepProgress, name: model.RunName
     ) -> None:
         failures = step.record_failure(name)
         job = step.job
@@ -349,7 +352,7 @@
 
         self._leadership.journal.flushed().add_done_callback(mark_stored)
 
-    def _update_job(self, step: jobs.StepProgress) -> None:
+    def _update_job(self, step: step_progress.StepProgress) -> None:
         job = step.job
         if not job.is_ended:
             if step.is_done and job.close_done():
--- a/src/marigoldgap/cell/runs.py
+++ b/src/marigoldgap/cell/runs.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from marigoldgap.cell import fleet
-    from marigoldgap.cell import jobs
+    from marigoldgap.cell import step_progress
 
 
 class RunState(enum.Enum):
@@ -40,7 +40,7 @@
     def __init__(
         self,
         name: model.RunName,
-        step: jobs.StepProgress,
+        step: step_progress.StepProgress,
         worker: fleet.Worker,
         now: float,
     ) -> None:
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -15,7 +15,6 @@
 from marigoldgap.cell import archive
 from marigoldgap.cell import inherited_usage
 from marigoldgap.cell import job_tracker
-from marigoldgap.cell import jobs
 from marigoldgap.cell import journal
 from marigoldgap.cell import leadership as leaderships
 from marigoldgap.cell import model
@@ -25,6 +24,7 @@
 from marigoldgap.cell import recovery
 from marigoldgap.cell import retention
 from marigoldgap.cell import run_times
+from marigoldgap.cell import step_progress
 from marigoldgap.cell import store
 from marigoldgap.cell import table_reader
 from marigoldgap.cell import wait_log
@@ -265,12 +265,12 @@
             )
 
     def _wait_reason(
-        self, step: jobs.StepProgress, unknown_jobs: set[str]
-    ) -> jobs.WaitReason:
+        self, step: step_progress.StepProgress, unknown_jobs: set[str]
+    ) -> step_progress.WaitReason:
         if step.job.job_id in unknown_jobs:
-            return jobs.WaitReason.UNKNOWN_RUNS
+            return step_progress.WaitReason.UNKNOWN_RUNS
         if step.job.is_inherited and self.worker_tracker.pending_inherited:
-            return jobs.WaitReason.INHERITED
+            return step_progress.WaitReason.INHERITED
         return step.wait_reason
 
     def _jobs_with_unknown_runs(self) -> set[str]:
@@ -280,7 +280,7 @@
             for name in worker.unknown_runs
         }
 
-    def _startable_steps(self) -> list[jobs.StepProgress]:
+    def _startable_steps(self) -> list[step_progress.StepProgress]:
         """Returns the steps that may start without running a task twice.
 
         A worker may list a run before this instance receives the row of its
--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from marigoldgap.cell import isolation
-from marigoldgap.cell import jobs
 from marigoldgap.cell import planning_pass
+from marigoldgap.cell import step_progress
 from marigoldgap.cell import worker_capacity
 
 # Factor on the expected run time of a task that would backfill a reservation,
@@ -21,7 +21,7 @@
 
 def plan_isolated(
     planning: planning_pass.PlanningPass,
-    step: jobs.StepProgress,
+    step: step_progress.StepProgress,
     budget: isolation.WorkerBudget,
 ) -> None:
     """Plans the tasks of a step that run alone."""
@@ -55,8 +55,8 @@
 
 
 def plan_tasks(
-    planning: planning_pass.PlanningPass, step: jobs.StepProgress
-) -> jobs.WaitReason:
+    planning: planning_pass.PlanningPass, step: step_progress.StepProgress
+) -> step_progress.WaitReason:
     """Plans the tasks of a step that share workers.
 
     Returns:
@@ -64,19 +64,19 @@
     """
     allowed = planning.allowed_tasks(step)
     if allowed <= 0:
-        return jobs.WaitReason.WORKSPACE_LIMIT
+        return step_progress.WaitReason.WORKSPACE_LIMIT
     positions = [
         position
         for position in sorted(step.waiting)
         if not isolation.is_isolated(step, position)
     ]
     if not positions:
-        return jobs.WaitReason.NO_WORKER_ALONE
+        return step_progress.WaitReason.NO_WORKER_ALONE
     candidates = planning.candidates(step)
     advised = planning.advised_workers(step, candidates)
     if not advised:
         return planning_pass.unadvised_reason(step, candidates)
-    reason = jobs.WaitReason.NO_CAPACITY
+    reason = step_progress.WaitReason.NO_CAPACITY
     ends_s = planning.now + planning.times.expected_s(step) * _BACKFILL_MARGIN
     if planning.may_use_reserved(step):
         # One run shows progress; the reservations keep the other capacity.
@@ -94,7 +94,7 @@
         if ticket is None:
             stale.append(capacity.worker.worker_id)
         else:
-            reason = jobs.WaitReason.STARTING
+            reason = step_progress.WaitReason.STARTING
             planning.place(step, position, capacity, ticket)
         # Also keeps capacity for a task that waits for its ticket.
         capacity.take(step.spec, ends_s)
@@ -102,10 +102,10 @@
         counts[worker_id] = counts.get(worker_id, 0) + 1
     if stale and not step.is_advice_pending:
         planning.plan.advice.append((step, sorted(set(stale))))
-    if reason is not jobs.WaitReason.NO_CAPACITY:
+    if reason is not step_progress.WaitReason.NO_CAPACITY:
         return reason
     if stale:
-        return jobs.WaitReason.TICKETS_MISSING
+        return step_progress.WaitReason.TICKETS_MISSING
     if (
         not step.active
         and planning.is_fleet_idle(step)
@@ -114,13 +114,13 @@
             for capacity in advised
         )
     ):
-        return jobs.WaitReason.HELD_BACK
+        return step_progress.WaitReason.HELD_BACK
     return reason
 
 
 def _best_worker(
     planning: planning_pass.PlanningPass,
-    step: jobs.StepProgress,
+    step: step_progress.StepProgress,
     position: int,
     usable: list[worker_capacity.WorkerCapacity],
     counts: dict[str, int],
@@ -161,7 +161,7 @@
     return best
 
 
-def _tasks_by_worker(step: jobs.StepProgress) -> dict[str, int]:
+def _tasks_by_worker(step: step_progress.StepProgress) -> dict[str, int]:
     """Returns the number of tasks of the step that each worker runs."""
     counts: dict[str, int] = {}
     for run in step.active.values():
@@ -171,7 +171,7 @@
 
 
 def _below_task_limit(
-    step: jobs.StepProgress,
+    step: step_progress.StepProgress,
     capacities: list[worker_capacity.WorkerCapacity],
 ) -> list[worker_capacity.WorkerCapacity]:
     """Returns the workers with fewer tasks of the step than it allows."""
--- a/src/marigoldgap/cell/wait_log.py
+++ b/src/marigoldgap/cell/wait_log.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from marigoldgap import decision_log
-from marigoldgap.cell import jobs
+from marigoldgap.cell import step_progress
 
 _log = decision_log.DecisionLogger("scheduler")
 
@@ -32,11 +32,13 @@
     """Tracks for how long ready steps have had no run."""
 
     def __init__(self) -> None:
-        self._waits: dict[jobs.StepProgress, _Wait] = {}
+        self._waits: dict[step_progress.StepProgress, _Wait] = {}
 
     def examine(
         self,
-        reasons: list[tuple[jobs.StepProgress, jobs.WaitReason]],
+        reasons: list[
+            tuple[step_progress.StepProgress, step_progress.WaitReason]
+        ],
         now: float,
     ) -> None:
         """Logs the steps that have waited for long.
@@ -63,7 +65,9 @@
             waits[step] = waits[step]._replace(logged_s=now)
         self._waits = waits
 
-    def _current_wait(self, step: jobs.StepProgress, now: float) -> _Wait:
+    def _current_wait(
+        self, step: step_progress.StepProgress, now: float
+    ) -> _Wait:
         latest_run = max(step.last_run.values(), default=0)
         wait = self._waits.get(step)
         if wait is None or wait[:2] != (latest_run, step.done):
@@ -72,7 +76,9 @@
 
 
 def _log_wait(
-    step: jobs.StepProgress, reason: jobs.WaitReason, waited_s: float
+    step: step_progress.StepProgress,
+    reason: step_progress.WaitReason,
+    waited_s: float,
 ) -> None:
     _log.warning(
         "step_waiting",
--- a/src/marigoldgap/cell/worker_capacity.py
+++ b/src/marigoldgap/cell/worker_capacity.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from marigoldgap.cell import fleet
-from marigoldgap.cell import jobs
 from marigoldgap.cell import model
 from marigoldgap.cell import run_times
 from marigoldgap.cell import runs
+from marigoldgap.cell import step_progress
 
 
 class WorkerCapacity:
@@ -139,7 +139,7 @@
 
 
 def choose_workers(
-    step: jobs.StepProgress, found: list[tuple[WorkerCapacity, int]]
+    step: step_progress.StepProgress, found: list[tuple[WorkerCapacity, int]]
 ) -> list[tuple[WorkerCapacity, int]] | None:
     """Chooses as few workers as possible for all members of a gang.
 
@@ -180,7 +180,7 @@
 
 
 def earliest_fit(
-    step: jobs.StepProgress,
+    step: step_progress.StepProgress,
     capacities: list[WorkerCapacity],
     now: float,
     times: run_times.RunTimes,
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -9,7 +9,6 @@
 from marigoldgap import errors
 from marigoldgap.cell import fleet
 from marigoldgap.cell import job_tracker
-from marigoldgap.cell import jobs
 from marigoldgap.cell import leadership as leaderships
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
@@ -17,6 +16,7 @@
 from marigoldgap.cell import run_times
 from marigoldgap.cell import run_tracker
 from marigoldgap.cell import runs
+from marigoldgap.cell import step_progress
 from marigoldgap.cell import worker_session
 
 _log = decision_log.DecisionLogger("workers")
@@ -150,7 +150,7 @@
     def start(
         self,
         name: model.RunName,
-        step: jobs.StepProgress,
+        step: step_progress.StepProgress,
         worker: fleet.Worker,
         ticket: str,
     ) -> None:
