--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -10,5 +10,12 @@
     202: "another part of the soak took a port that was already chosen",
     311: "a reload signal ended a process that was still starting",
     323: "a reload signal ended a process that was still starting",
+    1005: "a reload signal ended a process that was still starting (open, issue"
+    " 10); requests in progress at the end of a planned stop had no response",
+    3005: "requests in progress at the end of a planned stop had no response",
+    3007: "requests in progress at the end of planned stops of two instances"
+    " had no response",
+    5003: "a reload signal ended a process that was still starting (open, issue"
+    " 10)",
     214: "the soak did not restart an instance that ended while suspended",
 }
--- a/soak/world.py
+++ b/soak/world.py
@@ -58,7 +58,7 @@
         self._fleet_runs: dict[tuple[str, str], int] = {}
         self._acknowledged_tasks: set[str] = set()
         self._config_version = 1
-        self._fault_log = folder / "faults.log"
+        self._event_log = folder / "events.log"
         self._fault_tasks: set[asyncio.Task[None]] = set()
         for number in range(instance_count):
             self._add_instance(f"e{number}", folder)
@@ -197,12 +197,13 @@
         self._fault_tasks.add(task)
 
     async def _run_fault(self, name: str) -> None:
-        self._log_fault("started", name)
+        self._log_event("started", name)
         await faults.FAULTS[name](self)
-        self._log_fault("ended", name)
+        self._log_event("ended", name)
 
-    def _log_fault(self, event: str, name: str) -> None:
-        with self._fault_log.open("a") as log:
+    def _log_event(self, event: str, name: str) -> None:
+        """Logs a change of a fault or an instance with the wall-clock time."""
+        with self._event_log.open("a") as log:
             log.write(f"{datetime.datetime.now():%H:%M:%S.%f} {event} {name}\n")
 
     async def _supervise(self) -> None:
@@ -220,6 +221,7 @@
                         f"{instance.name} ended unexpectedly with exit code"
                         f" {instance.wait(0)}"
                     )
+                self._log_event("restarted", instance.name)
                 instance.start()
 
     async def _check_results(self) -> None:
