--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -35,6 +35,8 @@
 _log = decision_log.DecisionLogger("process")
 
 _DRAIN_POLL_S = 0.05
+# Longest time of each step of a hand-over that waits for others.
+_HAND_OVER_STEP_S = 1.0
 # Time within which the last answers are sent.
 _FLUSH_S = 0.3
 # Claim delays of the rounds in which leadership is offered. In each round only
@@ -231,10 +233,10 @@
         scheduler.stop_planning()
         started_s = clock.now_s()
         try:
-            await asyncio.wait_for(scheduler.flushed(), 1.0)
+            await asyncio.wait_for(scheduler.flushed(), _HAND_OVER_STEP_S)
             await self._election.release(won, scheduler.is_obeyed)
             is_taken_over = await asyncio.wait_for(
-                self._offer_takeover(won.epoch), 1.0
+                self._offer_takeover(won.epoch), _HAND_OVER_STEP_S
             )
         except (TimeoutError, errors.MarigoldgapError) as error:
             _log.warning(
