tests: close the connections of workers that answer nothing

In "The workers of a large fleet fit into the rows of the store", 700 sessions retry against a server whose handlers waited for the end of each connection.

A stand-in without a task for each connection now discards what it receives and closes its connections before the loop is closed.

--- a/tests/features/steps/cell_recovery_steps.py
+++ b/tests/features/steps/cell_recovery_steps.py
@@ -15,6 +15,7 @@
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
 from tests.fixtures import loops
+from tests.standins.cell import silent_worker
 
 # More than a worker has, so that the stored jobs wait.
 _LARGE_MILLICORES = 1_000_000
@@ -246,11 +247,6 @@
     )
 
 
-async def _answer_nothing(reader, writer):
-    await reader.read()
-    writer.close()
-
-
 @when("{count:d} workers that answer nothing join")
 def workers_join(context, count):
     context.former = context.world.leader()
@@ -259,15 +255,15 @@
 
     async def join():
         address = cell_world.free_address()
-        host, _, port = address.rpartition(":")
-        server = await asyncio.start_server(_answer_nothing, host, int(port))
+        silent = silent_worker.SilentWorker(address)
+        await silent.start()
+        context.add_cleanup(silent.stop)
         for number in range(count):
             tracker.on_registration(_worker(number, address))
         await tracker.flushed()
         context.roster = _roster(context)
         # Longer than another instance waits for a heartbeat.
         await asyncio.sleep(3.0)
-        server.close()
 
     loops.run(context, join())
 
