node: log an unexpected error of a hand-over and end leadership

An error of the hand-over at SIGTERM that is no MarigoldgapError ended its task without a line in the log, and the leader went on with its leadership, heartbeat and commands to workers until the process ended. No such error was seen; it was found by reading.

Cause: the hand-over caught only the errors that it expects, and ended the leadership after the try statement.

Now any other error is logged with its stack as hand_over_failed, and the leadership ends in every case. The new scenario of cell/shutdown raises a KeyError at the release: before, nothing was logged ("ASSERT FAILED: []"); it passes now.

--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -245,6 +245,8 @@
                 took_s=round(clock.now_s() - started_s, 3),
                 cause=str(error) or "timeout",
             )
+        except Exception:
+            _log.exception("hand_over_failed", epoch=won.epoch)
         else:
             _log.info(
                 "handed_over",
@@ -252,7 +254,8 @@
                 is_taken_over=is_taken_over,
                 took_s=round(clock.now_s() - started_s, 3),
             )
-        scheduler.end_leadership()
+        finally:
+            scheduler.end_leadership()
 
     async def _serve_cell(self, won: elections.ElectionWin) -> None:
         reader = table_reader.TableReader(self._rows)
--- a/tests/features/cell/shutdown.feature
+++ b/tests/features/cell/shutdown.feature
@@ -62,3 +62,11 @@
     Given a cell with 1 workers and 2 instances
     When the other instance is asked to stop while it reads to take over
     Then it declines and the election row is unchanged
+
+  Scenario: An unexpected error of a hand-over is logged and ends leadership
+    Guards against a leader that goes on and leaves no trace of the error.
+    Given a cell with 1 workers and 2 instances
+    And the release of leadership fails unexpectedly
+    When the leader is asked to stop and has ended
+    Then the error is logged with its stack
+    And it had stopped scheduling before its process ended
--- a/tests/features/steps/cell_shutdown_steps.py
+++ b/tests/features/steps/cell_shutdown_steps.py
@@ -11,9 +11,11 @@
 
 from marigoldgap import clock
 from marigoldgap.cell import records
+from marigoldgap.cell import store
 from marigoldgap.web import client
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
+from tests.fixtures import log_lines
 from tests.fixtures import loops
 
 # Longer than the shutdown, so that no deadline ends a request before it.
@@ -24,6 +26,11 @@
     "a cancellation": "DELETE",
 }
 _FAST_S = 0.3
+_RELEASE_ERRORS = {
+    "succeeds": None,
+    "is refused": store.StoreRefusedError("busy"),
+    "fails unexpectedly": KeyError("row"),
+}
 # Time of a call to the store while an instance claims the leadership.
 _CLAIM_S = 0.2
 
@@ -242,3 +249,50 @@
     assert (
         context.world.store.value(*records.ELECTION) == context.election_row
     ), context.world.store.value(*records.ELECTION)
+
+
+@given("the release of leadership {result}")
+def set_release(context, result):
+    context.log = log_lines.capture(context)
+    error = _RELEASE_ERRORS[result]
+    election = context.world.leader()._election
+    succeed = election.release
+
+    async def release_or_fail(won, was_obeyed):
+        if error is not None:
+            raise error
+        await succeed(won, was_obeyed)
+
+    election.release = release_or_fail
+
+
+@when("the {name} is asked to stop and has ended")
+def stop_and_end(context, name):
+    leader = context.world.leader()
+    context.instance = next(
+        each
+        for each in context.world.instances
+        if (each is leader) == (name == "leader")
+    )
+    abort = context.instance.abort
+
+    def note_end():
+        context.is_scheduling = context.instance.scheduler is not None
+        abort()
+
+    context.instance.abort = note_end
+    request_stop(context)
+    loops.run(context, context.instance.serving)
+
+
+@then("the error is logged with its stack")
+def error_logged(context):
+    found = [
+        fields for event, fields in context.log if event == "hand_over_failed"
+    ]
+    assert len(found) == 1 and "KeyError" in found[0]["stack"], found
+
+
+@then("it had stopped scheduling before its process ended")
+def stopped_scheduling(context):
+    assert not context.is_scheduling
