node: log whether leadership was released, not whether the hand-over ended

The event drained had is_handed_over=true for an instance that was not the leader, and after hand_over_failed: operators read a hand-over that did not take place. hand_over_failed was also logged for leadership that was released, but that no other instance accepted within 1 s.

Cause: the field said whether the task of the hand-over had ended, and the timeouts of the release and of the offer after it were handled alike.

The task now returns whether leadership was released: true, false (failed, or not finished at the end of the drain) or null (the instance was not the leader). An offer without an answer leaves is_taken_over=false in handed_over.

--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from typing import Any
 
 from marigoldgap import clock
 from marigoldgap import decision_log
@@ -104,7 +105,7 @@
             peers.PeerServer(view, self._advice, self._election).handle
         )
         self._metrics = server.HttpServer(_handle_metrics)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: list[asyncio.Task[Any]] = []
         self._stop = asyncio.Event()
 
     @property
@@ -222,22 +223,26 @@
         _log.info(
             "drained",
             took_s=round(clock.now_s() - schedule.started_s, 3),
-            is_handed_over=handing_over.done(),
+            is_handed_over=handing_over.done() and handing_over.result(),
             interrupted=interrupted,
         )
 
-    async def _hand_over_leadership(self) -> None:
+    async def _hand_over_leadership(self) -> bool | None:
+        """Releases leadership and offers it to the other instances.
+
+        Returns:
+            Whether leadership was released; None if this instance was not the
+            leader.
+        """
         scheduler, won = self._scheduler, self._election_win
         if scheduler is None or won is None:
-            return
+            return None
         scheduler.stop_planning()
         started_s = clock.now_s()
         try:
             await asyncio.wait_for(scheduler.flushed(), _HAND_OVER_STEP_S)
             await self._election.release(won, scheduler.is_obeyed)
-            is_taken_over = await asyncio.wait_for(
-                self._offer_takeover(won.epoch), _HAND_OVER_STEP_S
-            )
+            is_taken_over = await self._offer_released(won.epoch)
         except (TimeoutError, errors.MarigoldgapError) as error:
             _log.warning(
                 "hand_over_failed",
@@ -245,17 +250,28 @@
                 took_s=round(clock.now_s() - started_s, 3),
                 cause=str(error) or "timeout",
             )
+            return False
         except Exception:
             _log.exception("hand_over_failed", epoch=won.epoch)
-        else:
-            _log.info(
-                "handed_over",
-                epoch=won.epoch,
-                is_taken_over=is_taken_over,
-                took_s=round(clock.now_s() - started_s, 3),
-            )
+            return False
         finally:
             scheduler.end_leadership()
+        _log.info(
+            "handed_over",
+            epoch=won.epoch,
+            is_taken_over=is_taken_over,
+            took_s=round(clock.now_s() - started_s, 3),
+        )
+        return True
+
+    async def _offer_released(self, epoch: int) -> bool:
+        try:
+            return await asyncio.wait_for(
+                self._offer_takeover(epoch), _HAND_OVER_STEP_S
+            )
+        except TimeoutError:
+            # Another instance claims leadership when it reads the release.
+            return False
 
     async def _serve_cell(self, won: elections.ElectionWin) -> None:
         reader = table_reader.TableReader(self._rows)
--- a/tests/features/cell/shutdown.feature
+++ b/tests/features/cell/shutdown.feature
@@ -63,6 +63,29 @@
     When the other instance is asked to stop while it reads to take over
     Then it declines and the election row is unchanged
 
+  Scenario Outline: The log says whether leadership was handed over
+    Guards against a log that reports a hand-over that failed or had no cause.
+    Given a cell with 1 workers and 2 instances
+    And the release of leadership <result>
+    When the <instance> is asked to stop and has ended
+    Then the end of the drain is logged with a hand-over that is <outcome>
+
+    Examples:
+      | instance       | result             | outcome |
+      | leader         | succeeds           | True    |
+      | other instance | succeeds           | None    |
+      | leader         | is refused         | False   |
+      | leader         | fails unexpectedly | False   |
+
+  Scenario: Leadership that nobody takes over at once has been handed over
+    Guards against a log that reports a failure although leadership is released.
+    Given a cell with 1 workers and 1 instances
+    And no instance answers whether it takes over
+    When the leader is asked to stop and has ended
+    Then the end of the drain is logged with a hand-over that is True
+    And no failed hand-over is logged
+    And the leadership is released
+
   Scenario: An unexpected error of a hand-over is logged and ends leadership
     Guards against a leader that goes on and leaves no trace of the error.
     Given a cell with 1 workers and 2 instances
--- a/tests/features/steps/cell_shutdown_steps.py
+++ b/tests/features/steps/cell_shutdown_steps.py
@@ -266,6 +266,17 @@
     election.release = release_or_fail
 
 
+@given("no instance answers whether it takes over")
+def withhold_offers(context):
+    context.log = log_lines.capture(context)
+
+    async def offer(epoch):
+        del epoch
+        await asyncio.Event().wait()
+
+    context.world.leader()._offer_takeover = offer
+
+
 @when("the {name} is asked to stop and has ended")
 def stop_and_end(context, name):
     leader = context.world.leader()
@@ -285,6 +296,18 @@
     loops.run(context, context.instance.serving)
 
 
+@then("the end of the drain is logged with a hand-over that is {outcome}")
+def hand_over_logged(context, outcome):
+    found = [fields for event, fields in context.log if event == "drained"]
+    assert [str(each["is_handed_over"]) for each in found] == [outcome], found
+
+
+@then("no failed hand-over is logged")
+def no_failure_logged(context):
+    events = [event for event, _ in context.log]
+    assert "hand_over_failed" not in events, events
+
+
 @then("the error is logged with its stack")
 def error_logged(context):
     found = [
