cell, node: one source for the time that a submission takes

The shutdown rejects requests for which there is no time any more. It held the time of a submission as 1.4 s, and the job service and the API of the platform held the same fact as 0.45 of a deadline of 3 s: a change of one would have let the shutdown accept requests that it cuts off, or reject ones that it could serve.

cell.deadlines now holds the usual deadline and the share of it after which a submission is answered; the shutdown adds 50 ms for the response, which gives 1.4 s as before. No change of behaviour, so the new scenario of node/shutdown, which relates the two, had nothing to fail on before.

--- a/src/marigoldgap/cell/job_service.py
+++ b/src/marigoldgap/cell/job_service.py
@@ -10,6 +10,7 @@
 from marigoldgap import errors
 from marigoldgap import measures
 from marigoldgap.cell import configuration_follower
+from marigoldgap.cell import deadlines
 from marigoldgap.cell import election as elections
 from marigoldgap.cell import model
 from marigoldgap.cell import peers
@@ -25,9 +26,6 @@
 # After this time without an answer from the store, jobs are refused without a
 # call to it: longer than the shortest timeout of a call.
 _OUTAGE_S = 0.7
-# Share of the caller's deadline after which an unknown outcome is reported;
-# the rest is left for a retry at another instance.
-_WAIT_SHARE = 0.45
 # Time after which a refused caller may retry: about as long as an election.
 _RETRY_AFTER_S = 1.0
 # Pause between attempts.
@@ -176,7 +174,7 @@
             raise StoreUnreachableError(
                 f"store has not answered for {outage_s:.1f} s"
             )
-        wait_s = _WAIT_SHARE * deadline_s
+        wait_s = deadlines.submission_wait_s(deadline_s)
         storing = asyncio.create_task(self._store_job(record, outage_s, wait_s))
         self._tasks.add(storing)
         storing.add_done_callback(self._on_task_done)
--- a/src/marigoldgap/node/shutdown.py
+++ b/src/marigoldgap/node/shutdown.py
@@ -4,15 +4,19 @@
 
 from typing import NamedTuple
 
+from marigoldgap.cell import deadlines
+
 # Callers are still routed to the instance until two readiness probes, one each
 # second, have failed.
 _MIN_DRAIN_S = 2.5
 # Part of the shutdown time that is left for sending the last answers and for
 # the end of the process.
 _EXIT_MARGIN_S = 1.0
-# Longest time that a submission with the usual deadline of 3 s takes. A caller
-# whose request arrives later is served sooner by another instance.
-_SUBMISSION_S = 1.4
+# Time from the decision about a request to its response.
+_RESPONSE_S = 0.05
+# Longest time that a submission with the usual deadline takes. A caller whose
+# request arrives later is served sooner by another instance.
+_SUBMISSION_S = deadlines.submission_wait_s(deadlines.DEFAULT_S) + _RESPONSE_S
 
 
 class ShutdownSchedule(NamedTuple):
--- a/src/marigoldgap/platform/job_api.py
+++ b/src/marigoldgap/platform/job_api.py
@@ -10,6 +10,7 @@
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
+from marigoldgap.cell import deadlines
 from marigoldgap.cell import job_service
 from marigoldgap.cell import model
 from marigoldgap.cell import store
@@ -18,8 +19,6 @@
 
 _log = decision_log.DecisionLogger("callers")
 
-# Deadline of a request without an `X-Deadline-Ms` header.
-_DEFAULT_DEADLINE_MS = 3_000
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 _AUTHORIZATION_SCHEME = "token "
 _STATE_NAMES = {
@@ -143,8 +142,10 @@
 
 def _deadline_s(request: messages.Request) -> float:
     text = request.headers.get("x-deadline-ms", "")
+    if not text:
+        return deadlines.DEFAULT_S
     try:
-        milliseconds = float(text) if text else _DEFAULT_DEADLINE_MS
+        milliseconds = float(text)
     except ValueError as error:
         raise errors.InvalidRequestError(
             f"X-Deadline-Ms is not a non-negative, finite number: {text!r}"
--- a/tests/features/node/shutdown.feature
+++ b/tests/features/node/shutdown.feature
@@ -13,6 +13,12 @@
       | 103.7  | rejected |
       | 104.9  | rejected |
 
+  Scenario: The last request that is handled has time for its answer
+    Guards against two values for the time that a submission takes.
+    Given a shutdown of 6 s that was requested at 100 s
+    Then a submission with the usual deadline that is accepted last is answered
+    And it is accepted until less than 0.1 s before that would be too late
+
   Scenario Outline: The instance ends when it is idle or its time is up
     Guards against an end while callers are routed to the instance, and against
     a process that is killed with requests in progress.
--- a/tests/features/steps/node_shutdown_steps.py
+++ b/tests/features/steps/node_shutdown_steps.py
@@ -5,8 +5,11 @@
 from behave import given
 from behave import then
 
+from marigoldgap.cell import deadlines
 from marigoldgap.node import shutdown
 
+_STEP_S = 0.001
+
 
 @given("a shutdown of {duration_s:g} s that was requested at {started_s:g} s")
 def create_schedule(context, duration_s, started_s):
@@ -22,3 +25,21 @@
 def ends_or_goes_on(context, state, now, outcome):
     is_complete = context.schedule.is_complete(now, state == "idle")
     assert is_complete == (outcome == "ends")
+
+
+@then("a submission with the usual deadline that is accepted last is answered")
+def last_is_answered(context):
+    schedule = context.schedule
+    last_s = schedule.started_s
+    while schedule.accepts(last_s + _STEP_S):
+        last_s += _STEP_S
+    answered_s = last_s + deadlines.submission_wait_s(deadlines.DEFAULT_S)
+    context.left_s = schedule.answers_until_s - answered_s
+    assert context.left_s >= 0, context.left_s
+
+
+@then(
+    "it is accepted until less than {left_s:g} s before that would be too late"
+)
+def is_accepted_long(context, left_s):
+    assert context.left_s < left_s, context.left_s
