node: margins of a short shutdown follow its time

With a shutdown time of 2.4 s or less an instance rejected every request from the SIGTERM on with 503, although callers were still routed to it and it had up to 1.4 s left, and with less than 1 s it had no time for answers at all. Nothing checked this. No deployment has such a time; it was found by reading.

Cause: the 1 s for the end of the process and the 1.4 s of a submission were subtracted from any shutdown time.

The time for the end of the process is now at most a third of the shutdown time, and at most 0.6 of the rest is used for rejecting requests. Settings refuse nothing: an instance that does not start serves no caller, and every time above 0 now has a part in which requests are handled. From 3.4 s on the times are as before.

Of the six examples of the new scenario of node/shutdown, those with 3.0, 2.4 and 1.0 s were decided otherwise before; the others ended in an error only because the time for the last responses had no name there.

--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -38,8 +38,6 @@
 _DRAIN_POLL_S = 0.05
 # Longest time of each step of a hand-over that waits for others.
 _HAND_OVER_STEP_S = 1.0
-# Time within which the last answers are sent.
-_FLUSH_S = 0.3
 # Claim delays of the rounds in which leadership is offered. In each round only
 # instances with at most this claim delay may accept, so that the best placed
 # ones come first.
@@ -217,7 +215,7 @@
         ):
             await asyncio.sleep(_DRAIN_POLL_S)
         interrupted = self._callers.answer_unfinished(self._api.interrupt)
-        await self._callers.flush(_FLUSH_S)
+        await self._callers.flush(schedule.flush_s)
         # Requests that arrived meanwhile.
         interrupted += self._callers.answer_unfinished(self._api.interrupt)
         _log.info(
--- a/src/marigoldgap/node/shutdown.py
+++ b/src/marigoldgap/node/shutdown.py
@@ -10,13 +10,19 @@
 # second, have failed.
 _MIN_DRAIN_S = 2.5
 # Part of the shutdown time that is left for sending the last answers and for
-# the end of the process.
+# the end of the process, and its largest share of a short shutdown.
 _EXIT_MARGIN_S = 1.0
+_MAX_EXIT_SHARE = 1 / 3
+# Share of this part in which the last answers are sent.
+_FLUSH_SHARE = 0.3
 # Time from the decision about a request to its response.
 _RESPONSE_S = 0.05
 # Longest time that a submission with the usual deadline takes. A caller whose
 # request arrives later is served sooner by another instance.
 _SUBMISSION_S = deadlines.submission_wait_s(deadlines.DEFAULT_S) + _RESPONSE_S
+# Largest share of the time for answers in which new requests are rejected:
+# callers are still routed to the instance when it begins.
+_MAX_REJECTING_SHARE = 0.6
 
 
 class ShutdownSchedule(NamedTuple):
@@ -33,11 +39,27 @@
     @property
     def answers_until_s(self) -> float:
         """Monotonic time at which every request must have been answered."""
-        return self.started_s + self.shutdown_s - _EXIT_MARGIN_S
+        return self.started_s + self._answering_s
+
+    @property
+    def flush_s(self) -> float:
+        """Seconds within which the last answers must have been sent."""
+        return _FLUSH_SHARE * self._exit_margin_s
+
+    @property
+    def _exit_margin_s(self) -> float:
+        return min(_EXIT_MARGIN_S, _MAX_EXIT_SHARE * self.shutdown_s)
+
+    @property
+    def _answering_s(self) -> float:
+        return self.shutdown_s - self._exit_margin_s
 
     def accepts(self, now: float) -> bool:
         """Returns whether a request that arrives now is still handled."""
-        return now < self.answers_until_s - _SUBMISSION_S
+        rejecting_s = min(
+            _SUBMISSION_S, _MAX_REJECTING_SHARE * self._answering_s
+        )
+        return now < self.answers_until_s - rejecting_s
 
     def is_complete(self, now: float, is_idle: bool) -> bool:
         """Returns whether the instance may end.
--- a/tests/features/node/shutdown.feature
+++ b/tests/features/node/shutdown.feature
@@ -31,3 +31,22 @@
       | idle  | 102.6  | ends    |
       | busy  | 104.9  | goes on |
       | busy  | 105.0  | ends    |
+
+  Scenario Outline: A short shutdown serves callers first and ends in time
+    Guards against an instance that rejects every request from SIGTERM on, and
+    against margins that are longer than the shutdown.
+    Given a shutdown of <shutdown> s that was requested at 100 s
+    Then a request that arrives at <accepted> s is accepted
+    And a request that arrives at <rejected> s is rejected
+    And an instance that is busy at <goes_on> s goes on
+    And an instance that is busy at <ends> s ends
+    And the last responses are sent within <flush> s
+
+    Examples:
+      | shutdown | accepted | rejected | goes_on | ends  | flush |
+      | 6.0      | 103.5    | 103.7    | 104.9   | 105.0 | 0.30  |
+      | 4.0      | 101.5    | 101.7    | 102.9   | 103.0 | 0.30  |
+      | 3.5      | 101.0    | 101.2    | 102.4   | 102.5 | 0.30  |
+      | 3.0      | 100.7    | 100.9    | 101.9   | 102.0 | 0.30  |
+      | 2.4      | 100.5    | 100.8    | 101.5   | 101.7 | 0.25  |
+      | 1.0      | 100.2    | 100.4    | 100.6   | 100.7 | 0.11  |
--- a/tests/features/steps/node_shutdown_steps.py
+++ b/tests/features/steps/node_shutdown_steps.py
@@ -43,3 +43,8 @@
 )
 def is_accepted_long(context, left_s):
     assert context.left_s < left_s, context.left_s
+
+
+@then("the last responses are sent within {flush_s:g} s")
+def sent_within(context, flush_s):
+    assert context.schedule.flush_s <= flush_s + _STEP_S
