web: a server that has closed reads no request

A connection that was being accepted when the server closed was added to it afterwards, and its request was read and handled while the process ended; whether it got an answer depended on the number of passes that the event loop still made. No caller was seen to lose a request by it: the process ends within milliseconds.

Cause: accepting takes three passes of the event loop, and close() closes the connections that it knows.

A server that has closed now closes such a connection before anything is read from it.

--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -64,6 +64,7 @@
         self.handler = handler
         self.limits = limits
         self.is_draining = False
+        self._is_closed = False
         self._connections: set[_ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
@@ -119,6 +120,7 @@
 
     def close(self) -> None:
         """Stops listening and closes all connections."""
+        self._is_closed = True
         if self._server is not None:
             self._server.close()
         if self._sweeper is not None:
@@ -127,7 +129,10 @@
             connection.close()
 
     def add(self, connection: _ServerConnection) -> None:
-        """Adds an open connection."""
+        """Adds an open connection; a server that has closed reads none."""
+        if self._is_closed:
+            connection.close()
+            return
         self._connections.add(connection)
 
     def remove(self, connection: _ServerConnection) -> None:
--- a/tests/features/steps/web_steps.py
+++ b/tests/features/steps/web_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from behave import given
 from behave import then
@@ -17,6 +18,9 @@
 _LIMITS = server.HttpLimits(
     header_bytes=1_000, body_bytes=1_000, request_s=0.3, idle_s=5.0
 )
+# More passes of the event loop than accepting a connection and reading its
+# request takes.
+_ACCEPT_PASSES = 10
 _INPUTS = {
     "garbage": b"\x00\x01 nonsense\r\n\r\n",
     "a large body": b"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n"
@@ -158,6 +162,44 @@
     assert b"HTTP/1.1 %d " % status in rest, context.response
 
 
+async def _close_during_accept(passes):
+    """Returns whether a server handled a request after it had closed."""
+    is_closed = False
+    handled = []
+
+    async def handle(request):
+        del request
+        handled.append(is_closed)
+        return messages.Response(200)
+
+    address = cell_world.free_address()
+    http_server = server.HttpServer(handle)
+    await http_server.start(address)
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port))) as caller:
+        caller.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        for _ in range(passes):
+            await asyncio.sleep(0)
+        http_server.close()
+        is_closed = True
+        for _ in range(_ACCEPT_PASSES):
+            await asyncio.sleep(0.001)
+    return any(handled)
+
+
+@when("the server closes at each stage of accepting a connection")
+def close_during_accept(context):
+    context.late = [
+        loops.run(context, _close_during_accept(passes))
+        for passes in range(_ACCEPT_PASSES)
+    ]
+
+
+@then("no request was handled after the server had closed")
+def none_handled_late(context):
+    assert not any(context.late), context.late
+
+
 @when('a client connects to "{address}"')
 def connect_to(context, address):
     context.outcome = loops.outcome(context, client.connect(address))
--- a/tests/features/web/server.feature
+++ b/tests/features/web/server.feature
@@ -55,6 +55,13 @@
       | a large body      | 413    |
       | too many requests | 429    |
 
+  Scenario: A server that has closed handles no request
+    Guards against a request that is read while the process ends, if its
+    connection was being accepted when the server closed.
+    Given an HTTP server with small limits
+    When the server closes at each stage of accepting a connection
+    Then no request was handled after the server had closed
+
   Scenario: An address that cannot exist fails like an unreachable one
     Guards against one stored address that ends every leadership.
     When a client connects to "127.0.0.1:70000"
