cell: a large task does not wait for ever for its workspace's limit

Callers would see a job that never begins although the fleet is idle: a task that needs more than the upper limit of its workspace was never started, and one that needs more than half of it waited for as long as small tasks of the workspace ran. The users' rules ask for the start in both cases: LOST counts a task that waits while its tenant uses under half of `cap`, and QUOTA allows `cap` x (1 + `quotaOver`) and one task more.

Cause: the planner started a task only if the use of the workspace stayed within the limit. A gang that needs up to one member more than the limit never started either.

Now a step of which nothing runs, and that could not start otherwise, may exceed the limit by one task (a gang: by one member) while the workspace uses less than half of each limited resource. The tolerance of QUOTA beyond that one task stays unused: it covers runs that the leader does not know yet. A gang that needs more than its limit and one member still waits; QUOTA forbids its start.

Evidence: of the new examples, those with a large task on 0 of 6 and 4 of 9 cores and those with a gang on 0 of 12 and 6 of 18 cores failed before.

--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -105,7 +105,13 @@
         )
 
     def allowed_tasks(self, step: step_progress.StepProgress) -> int:
-        """Returns how many waiting tasks the workspace's upper limit allows."""
+        """Returns how many waiting tasks the workspace's upper limit allows.
+
+        A step that could not start otherwise may exceed the limit by one task
+        while the workspace uses less than half of it: a task that needs more
+        than half of the limit would wait for as long as small ones run, and one
+        that needs more than the limit for ever.
+        """
         workspace = self._workspaces.get(step.job.record.workspace)
         allowed = len(step.waiting)
         if workspace is None:
@@ -115,7 +121,15 @@
             need = step.spec.demand[index]
             if limit and need:
                 allowed = min(allowed, (limit - used[index]) // need)
-        return max(0, allowed)
+        allowed = max(0, allowed)
+        needed = step.spec.task_count if step.spec.is_gang else 1
+        if (
+            allowed < needed
+            and not step.active
+            and _is_below_half(used, workspace.limit)
+        ):
+            allowed += 1
+        return allowed
 
     def candidates(
         self, step: step_progress.StepProgress
@@ -209,6 +223,15 @@
             found.pop(worker_id, None)
 
 
+def _is_below_half(used: list[int], limits: model.Demand) -> bool:
+    """Returns whether less than half of each limited resource is used."""
+    return all(
+        2 * amount < limit
+        for amount, limit in zip(used, limits, strict=True)
+        if limit
+    )
+
+
 def unadvised_reason(
     step: step_progress.StepProgress,
     candidates: dict[str, worker_capacity.WorkerCapacity],
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -307,3 +307,48 @@
     And 3 tasks start on the first worker only
     When the ticket has arrived and a plan is made
     Then the crashed task starts alone on the second worker
+
+  Scenario Outline: A workspace that uses little of its limit runs a large task
+    Guards against a task that waits on an idle fleet for ever, or for as long
+    as small tasks of its workspace run (LOST).
+    Given 4 workers with 8 cores each
+    And 3 waiting tasks of 1 core that can be on time
+    And each of them needs <need> cores
+    And <used> of the <limit> cores that the workspace may use are in use
+    When a plan is made within the limit
+    Then <started> tasks start
+
+    Examples:
+      | need | used | limit | started |
+      | 8    | 0    | 6     | 1       |
+      | 6    | 4    | 9     | 1       |
+      | 6    | 5    | 10    | 0       |
+      | 6    | 0    | 18    | 3       |
+      | 6    | 0    | 12    | 2       |
+      | 6    | 0    | 11    | 1       |
+
+  Scenario Outline: A gang may exceed the limit of its workspace by one member
+    Guards against a gang that never starts, and against one that takes more
+    than the limit and one task.
+    Given 4 workers with 8 cores each
+    And a waiting gang of 4 members of 4 core
+    And <used> of the <limit> cores that the workspace may use are in use
+    When a plan is made within the limit
+    Then <started> tasks start
+
+    Examples:
+      | used | limit | started |
+      | 0    | 16    | 4       |
+      | 0    | 12    | 4       |
+      | 0    | 11    | 0       |
+      | 6    | 17    | 0       |
+      | 6    | 18    | 4       |
+
+  Scenario: A step that runs does not exceed the limit of its workspace
+    Guards against a workspace that exceeds its limit again and again.
+    Given 1 workers with 8 cores each
+    And a run of 1 core on the first worker
+    And another task of that step waits
+    And 1 of the 3 cores that the workspace may use are in use
+    When a plan is made within the limit
+    Then nothing starts
