cell: a feed that fails ends the leadership

Callers would see jobs that never begin: the tasks in which the leader follows the tables of jobs and workers, and the list of instances, were not supervised. After an unexpected exception the task was gone without a log line. The leader kept its heartbeat, but learned of no job whose notification was lost, and of no worker that joined, drained or returned.

They now run as background tasks of the leadership, like all its other tasks: their failure is logged and ends the leadership, and the next leader reads the tables anew.

Evidence: with an unexpected error injected into either feed, no further leadership began within 8 s before; now another one begins and a new job completes.

--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -5,7 +5,9 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 import functools
+from typing import Any
 
 from marigoldgap import clock
 from marigoldgap import decision_log
@@ -179,6 +181,13 @@
             return
         self.job_tracker.add(record)
 
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs a background task during this leadership.
+
+        The leadership ends if the task fails.
+        """
+        self._leadership.spawn(work)
+
     def end_leadership(self) -> None:
         """Ends the leadership of this instance."""
         self._leadership.end()
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -271,27 +271,24 @@
         )
         self._scheduler = scheduler
         self._election_win = won
-        tasks = [
-            asyncio.create_task(work)
-            for work in (
-                feeds.follow_jobs(self._rows, reader, scheduler),
-                feeds.follow_workers(
-                    self._rows,
-                    reader,
-                    scheduler,
-                    settings_file.WORKERS_TABLE,
-                    documents.decode_registration,
-                ),
-                self._instances.poll(),
-            )
-        ]
+        # A feed that ended unnoticed would leave jobs and workers unknown.
+        for work in (
+            feeds.follow_jobs(self._rows, reader, scheduler),
+            feeds.follow_workers(
+                self._rows,
+                reader,
+                scheduler,
+                settings_file.WORKERS_TABLE,
+                documents.decode_registration,
+            ),
+            self._instances.poll(),
+        ):
+            scheduler.spawn(work)
         try:
             await scheduler.run()
         finally:
             self._scheduler = None
             self._election_win = None
-            for task in tasks:
-                task.cancel()
             scheduler.close()
 
     async def _offer_takeover(self, epoch: int) -> bool:
--- a/tests/features/cell/takeover.feature
+++ b/tests/features/cell/takeover.feature
@@ -165,3 +165,16 @@
     Then a submission is answered with 401 soon
     When the leader ends
     Then another instance is the leader
+
+  Scenario Outline: A feed that fails ends the leadership
+    Guards against a leader that learns of no new job or worker any more, since
+    the task that follows the table has ended.
+    Given a cell with 1 workers and 2 instances
+    When an unexpected error ends the task that follows the <table> table
+    Then a leadership with a higher epoch begins within 8 s
+    And a new job of 1 tasks completes on the other instances
+
+    Examples:
+      | table   |
+      | jobs    |
+      | servers |
--- a/tests/features/steps/cell_takeover_steps.py
+++ b/tests/features/steps/cell_takeover_steps.py
@@ -446,3 +446,32 @@
             await asyncio.sleep(0.02)
 
     loops.run(context, watch())
+
+
+@when("an unexpected error ends the task that follows the {table} table")
+def fail_feed(context, table):
+    rows = context.world.leader()._rows
+    follow = rows.changes
+
+    async def fail_once(name, after, wait_ms):
+        if name != table:
+            return await follow(name, after, wait_ms)
+        rows.changes = follow
+        raise RuntimeError("unexpected")
+
+    context.epoch = context.world.leader().scheduler.worker_tracker.epoch
+    rows.changes = fail_once
+
+
+@then("a leadership with a higher epoch begins within {seconds:d} s")
+def higher_epoch(context, seconds):
+    async def watch():
+        async with asyncio.timeout(seconds):
+            await loops.until(
+                lambda: any(
+                    each.worker_tracker.epoch > context.epoch
+                    for each in context.world.schedulers
+                )
+            )
+
+    loops.run(context, watch())
