cell: a cancellation of a session, plan or poll is never dropped

Callers could see a task run twice: `asyncio.wait_for` of Python 3.11 drops a cancellation that arrives in the moment in which the awaited future is done. A worker session that waits until the ends of runs are stored, cancelled at the end of a leadership, then went on and renewed the lease of its worker. If the next leader does not reach that worker, it expects its runs to lapse within 6.3 s and starts their tasks elsewhere, while the former leader keeps them alive. The election poll and the planning loop had the same call.

All these places now use `asyncio.timeout`, which delivers the cancellation at the next step of the task.

--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -255,7 +255,8 @@
 
     async def _pause(self) -> None:
         try:
-            await asyncio.wait_for(self._wake.wait(), self._poll_interval_s)
+            async with asyncio.timeout(self._poll_interval_s):
+                await self._wake.wait()
         except TimeoutError:
             return
         self._wake.clear()
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -211,9 +211,8 @@
         opened_s = 0.0
         while self._is_planning:
             try:
-                await asyncio.wait_for(
-                    self._leadership.plan_requested.wait(), _MAX_PLAN_PAUSE_S
-                )
+                async with asyncio.timeout(_MAX_PLAN_PAUSE_S):
+                    await self._leadership.plan_requested.wait()
             except TimeoutError:
                 pass
             self._leadership.plan_requested.clear()
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -291,9 +291,8 @@
         handled = worker.handled_number
         if handled > worker.stored_number:
             try:
-                await asyncio.wait_for(
-                    self._listener.flushed(), _STORE_TIMEOUT_S
-                )
+                async with asyncio.timeout(_STORE_TIMEOUT_S):
+                    await self._listener.flushed()
                 worker.stored_number = handled
             except TimeoutError:
                 _log.warning("ended_runs_not_stored", worker=worker.worker_id)
@@ -307,9 +306,8 @@
     async def _pause_until_ready(self) -> None:
         """Waits between two renewals; the worker answers at once meanwhile."""
         try:
-            await asyncio.wait_for(
-                self._listener.ready.wait(), _RECOVERY_RENEWAL_S
-            )
+            async with asyncio.timeout(_RECOVERY_RENEWAL_S):
+                await self._listener.ready.wait()
         except TimeoutError:
             return
 
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -233,11 +233,11 @@
         scheduler.stop_planning()
         started_s = clock.now_s()
         try:
-            await asyncio.wait_for(scheduler.flushed(), _HAND_OVER_STEP_S)
+            async with asyncio.timeout(_HAND_OVER_STEP_S):
+                await scheduler.flushed()
             await self._election.release(won, scheduler.is_obeyed)
-            is_taken_over = await asyncio.wait_for(
-                self._offer_takeover(won.epoch), _HAND_OVER_STEP_S
-            )
+            async with asyncio.timeout(_HAND_OVER_STEP_S):
+                is_taken_over = await self._offer_takeover(won.epoch)
         except (TimeoutError, errors.MarigoldgapError) as error:
             _log.warning(
                 "hand_over_failed",
