cell: give up a start that its worker never answers

Callers would see a job that is "queued" for ever: a worker that answers renewals and stops but no start kept the task for as long as it did so. The start was repeated every 0.6 s without limit, and the lease was renewed meanwhile, so that it never expired.

After 10 commands without an answer (about 6 s, longer than a worker takes that carries orders out late) the run is now stopped, which makes sure that the worker refuses a late start, and its task is planned again.

Evidence: a job of 4 tasks beside such a worker was not completed within 12 s before, and is now.

--- a/src/marigoldgap/cell/model.py
+++ b/src/marigoldgap/cell/model.py
@@ -340,6 +340,8 @@
         OTHER_LIFE: Another worker or incarnation answers at this address.
         UNHEALTHY: The worker answered with status 429 or 503.
         REJECTED: The worker refused the start in any other way.
+        UNANSWERED: The worker answers renewals, but none of many commands to
+            start the run.
     """
 
     STARTED = "started"
@@ -351,6 +353,7 @@
     OTHER_LIFE = "other-life"
     UNHEALTHY = "unhealthy"
     REJECTED = "rejected"
+    UNANSWERED = "unanswered"
 
 
 class StartAnswer(NamedTuple):
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -122,6 +122,8 @@
             run,
             f"start refused as {outcome.value} after an unanswered start",
         )
+        if outcome is model.StartOutcome.UNANSWERED:
+            self._suspect_worker(run)
         if run.step.spec.is_gang:
             self._avoid_after(run, outcome)
             self.stop_gang(
@@ -147,6 +149,8 @@
         elif outcome is model.StartOutcome.REJECTED:
             step.not_before_s = now + _REJECTED_RETRY_S
             step.avoid_worker(run.name.task.position, worker.worker_id)
+        elif outcome is model.StartOutcome.UNANSWERED:
+            self._suspect_worker(run)
         self._release(run)
         if step.spec.is_gang:
             self._avoid_after(run, outcome)
@@ -293,6 +297,13 @@
         for member in list(step.active.values()):
             self.stop(member, cause)
 
+    def _suspect_worker(self, run: runs.Run) -> None:
+        """Handles a worker that answers renewals but not the start of a run."""
+        worker = run.worker
+        run.step.avoid_worker(run.name.task.position, worker.worker_id)
+        if worker.record_failure(run.step.job.job_id, clock.now_s()):
+            _log.warning("worker_quarantined", worker=worker.worker_id)
+
     def _avoid_after(self, run: runs.Run, outcome: model.StartOutcome) -> None:
         if outcome in _AVOIDED_OUTCOMES:
             run.step.avoid_worker(run.name.task.position, run.worker.worker_id)
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -33,6 +33,10 @@
 _COMMAND_TIMEOUT_S = 0.5
 # Pause before a command is repeated.
 _COMMAND_RETRY_S = 0.1
+# Commands without an answer after which a start is given up, although the
+# worker answers renewals. It may carry out a command seconds late, so that a
+# new start elsewhere would be no earlier.
+_MAX_UNANSWERED_STARTS = 10
 # Time for which a renewal waits until ended runs are stored; after it the lease
 # is renewed without acknowledging them.
 _STORE_TIMEOUT_S = 1.0
@@ -165,6 +169,7 @@
         """Starts a run; repeats the command until its outcome is known."""
         worker = self._worker
         may_have_started = False
+        unanswered = 0
         # Repeated commands do not extend the lease. Otherwise the lease of a
         # worker that never answers would not expire.
         lease_until_ms = worker.grant_lease(clock.now_s(), LEASE_S)
@@ -189,6 +194,7 @@
                     may_have_started or error.ran is not errors.Ran.NO
                 )
                 run.is_unstarted = not may_have_started
+                unanswered += 1
                 _log.warning(
                     "start_unanswered", run=str(run.name), cause=str(error)
                 )
@@ -197,6 +203,10 @@
                     self._refuse(
                         run, model.StartOutcome.NO_ROOM, may_have_started
                     )
+                elif unanswered >= _MAX_UNANSWERED_STARTS:
+                    self._refuse(
+                        run, model.StartOutcome.UNANSWERED, may_have_started
+                    )
                 continue
             if run.state is runs.RunState.STARTING:
                 self._conclude(run, answer, may_have_started)
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -132,3 +132,12 @@
     Given a cell with 1 workers and 1 instances
     When the worker leaves for good while the store forgets its history
     Then the leader opens no new session in 3 s
+
+  Scenario: Tasks start elsewhere if a worker answers everything but starts
+    Guards against a task that waits for ever for the answer to its start, since
+    the lease of its worker is renewed meanwhile.
+    Given a cell with 2 workers and 1 instances
+    And the first worker loses the next 1000 starts
+    When a job of 4 tasks is submitted
+    Then the job is completed within 12 s
+    And no task ran in two places
