--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -238,7 +238,8 @@
         scheduler.stop_planning()
         started_s = clock.now_s()
         try:
-            await asyncio.wait_for(scheduler.flushed(), _HAND_OVER_STEP_S)
+            async with asyncio.timeout(_HAND_OVER_STEP_S):
+                await scheduler.flushed()
             await self._election.release(won, scheduler.is_obeyed)
             is_taken_over = await self._offer_released(won.epoch)
         except (TimeoutError, errors.MarigoldgapError) as error:
@@ -264,9 +265,8 @@
 
     async def _offer_released(self, epoch: int) -> bool:
         try:
-            return await asyncio.wait_for(
-                self._offer_takeover(epoch), _HAND_OVER_STEP_S
-            )
+            async with asyncio.timeout(_HAND_OVER_STEP_S):
+                return await self._offer_takeover(epoch)
         except TimeoutError:
             # Another instance claims leadership when it reads the release.
             return False
@@ -288,27 +288,24 @@
         )
         self._scheduler = scheduler
         self._election_win = won
-        tasks = [
-            asyncio.create_task(work)
-            for work in (
-                feeds.follow_jobs(self._rows, reader, scheduler),
-                feeds.follow_workers(
-                    self._rows,
-                    reader,
-                    scheduler,
-                    settings_file.WORKERS_TABLE,
-                    documents.decode_registration,
-                ),
-                self._instances.poll(),
-            )
-        ]
+        # A feed that ended unnoticed would leave jobs and workers unknown.
+        for work in (
+            feeds.follow_jobs(self._rows, reader, scheduler),
+            feeds.follow_workers(
+                self._rows,
+                reader,
+                scheduler,
+                settings_file.WORKERS_TABLE,
+                documents.decode_registration,
+            ),
+            self._instances.poll(),
+        ):
+            scheduler.spawn(work)
         try:
             await scheduler.run()
         finally:
             self._scheduler = None
             self._election_win = None
-            for task in tasks:
-                task.cancel()
             scheduler.close()
 
     async def _offer_takeover(self, epoch: int) -> bool:
