node: count a shutdown from before a delay of the event loop

A process that was suspended when it was asked to stop, or whose event loop was busy, counted its shutdown time from when it handled SIGTERM; the platform counts from the signal and killed it with requests in progress: callers saw connections that end without an answer.

The time of a signal cannot be read, but it can be bounded. Each instance now observes its event loop every 0.25 s; a signal that is handled after a delay of the loop arrived after the last observation before it. The shutdown time counts from there, the shortest drain still from when the instance stops being ready. A signal waits unnoticed for 0.5 s at most, which the margin of 1 s covers. After a long suspension the instance answers what it has read and ends at once. stopping logs the wait as waited_s.

Scenarios of node/shutdown and node/loop_monitor test the decisions without a network.

--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -21,6 +21,7 @@
 from marigoldgap.cell import table_reader
 from marigoldgap.cell import watcher
 from marigoldgap.node import instance_registry
+from marigoldgap.node import loop_monitor
 from marigoldgap.node import settings as node_settings
 from marigoldgap.node import shutdown
 from marigoldgap.platform import advice_client
@@ -105,6 +106,7 @@
         self._metrics = server.HttpServer(_handle_metrics)
         self._tasks: list[asyncio.Task[Any]] = []
         self._stop = asyncio.Event()
+        self._loop_monitor = loop_monitor.LoopMonitor(clock.now_s())
 
     @property
     def scheduler(self) -> schedulers.Scheduler | None:
@@ -133,6 +135,7 @@
         self._tasks = [
             asyncio.create_task(work)
             for work in (
+                self._loop_monitor.run(),
                 self._configuration.run(),
                 self._election.run(),
                 watcher.Watcher(
@@ -150,7 +153,8 @@
             zone=self.settings.zone,
         )
         await self._stop.wait()
-        await self._shut_down()
+        assert self._shutdown is not None
+        await self._shut_down(self._shutdown)
         self.abort()
         _log.info("stopped")
 
@@ -167,6 +171,14 @@
 
     def request_stop(self) -> None:
         """Requests a graceful shutdown."""
+        if self._shutdown is not None:
+            return
+        now = clock.now_s()
+        self._shutdown = shutdown.ShutdownSchedule(
+            now,
+            self.settings.shutdown_s,
+            self._loop_monitor.longest_wait_s(now),
+        )
         self._stop.set()
 
     def abort(self) -> None:
@@ -194,16 +206,13 @@
         schedule = self._shutdown
         return schedule is None or schedule.accepts(clock.now_s())
 
-    async def _shut_down(self) -> None:
+    async def _shut_down(self, schedule: shutdown.ShutdownSchedule) -> None:
         """Hands leadership over, then answers the requests in progress."""
-        schedule = shutdown.ShutdownSchedule(
-            clock.now_s(), self.settings.shutdown_s
-        )
-        self._shutdown = schedule
         _log.info(
             "stopping",
             is_elected=self._scheduler is not None,
             requests=self._callers.request_count,
+            waited_s=round(schedule.waited_s, 3),
         )
         self._election.withdraw()
         self._callers.drain()
--- a/src/marigoldgap/node/shutdown.py
+++ b/src/marigoldgap/node/shutdown.py
@@ -29,17 +29,21 @@
     """Times of a graceful shutdown.
 
     Attributes:
-        started_s: Monotonic time in seconds at which it was requested.
-        shutdown_s: Seconds after which the process is killed.
+        started_s: Monotonic time in seconds at which the request for it was
+            handled.
+        shutdown_s: Seconds from the request until the process is killed.
+        waited_s: Longest time for which the request may have waited before it
+            was handled, in seconds.
     """
 
     started_s: float
     shutdown_s: float
+    waited_s: float = 0.0
 
     @property
     def answers_until_s(self) -> float:
         """Monotonic time at which every request must have been answered."""
-        return self.started_s + self._answering_s
+        return self.started_s - self.waited_s + self._answering_s
 
     @property
     def flush_s(self) -> float:
--- a/tests/features/cell/shutdown.feature
+++ b/tests/features/cell/shutdown.feature
@@ -93,3 +93,13 @@
     When the leader is asked to stop and has ended
     Then the error is logged with its stack
     And it had stopped scheduling before its process ended
+
+  Scenario: A process that is suspended when it is asked to stop ends in time
+    Guards against a process that is killed with requests in progress, since it
+    counts its time from when it handles the signal (issue 23).
+    Given a cell with 1 workers and 1 instances
+    And a process that serves callers
+    When the store is silent and a caller sends a submission to the process
+    And the process is suspended for 1.5 s and gets SIGTERM meanwhile
+    Then the caller gets 504 before the process would be killed
+    And the process ends before it would be killed
--- a/tests/features/node/shutdown.feature
+++ b/tests/features/node/shutdown.feature
@@ -50,3 +50,21 @@
       | 3.0      | 100.7    | 100.9    | 101.9   | 102.0 | 0.30  |
       | 2.4      | 100.5    | 100.8    | 101.5   | 101.7 | 0.25  |
       | 1.0      | 100.2    | 100.4    | 100.6   | 100.7 | 0.11  |
+
+  Scenario: The time before a late signal was handled is used up
+    Guards against a process that was suspended when it was asked to stop and is
+    killed with requests in progress (issue 23).
+    Given a shutdown of 6 s that was requested at 100 s
+    And its signal may have waited for 1.5 s before
+    Then a request that arrives at 102.0 s is accepted
+    And a request that arrives at 102.2 s is rejected
+    And an instance that is idle at 102.4 s goes on
+    And an instance that is busy at 103.4 s goes on
+    And an instance that is busy at 103.5 s ends
+
+  Scenario: A shutdown whose time may be used up ends at once
+    Guards against requests that are taken while the process may be killed.
+    Given a shutdown of 6 s that was requested at 100 s
+    And its signal may have waited for 5.5 s before
+    Then a request that arrives at 100.0 s is rejected
+    And an instance that is busy at 100.0 s ends
--- a/tests/features/steps/cell_shutdown_steps.py
+++ b/tests/features/steps/cell_shutdown_steps.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import json
+import pathlib
+import signal
+import tempfile
 
 from behave import given
 from behave import then
@@ -13,6 +16,8 @@
 from marigoldgap.cell import records
 from marigoldgap.cell import store
 from marigoldgap.web import client
+from marigoldgap.web import messages
+from soak import instances
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
 from tests.fixtures import log_lines
@@ -26,6 +31,7 @@
     "a cancellation": "DELETE",
 }
 _FAST_S = 0.3
+_POLL_S = 0.05
 _RELEASE_ERRORS = {
     "succeeds": None,
     "is refused": store.StoreRefusedError("busy"),
@@ -319,3 +325,73 @@
 @then("it had stopped scheduling before its process ended")
 def stopped_scheduling(context):
     assert not context.is_scheduling
+
+
+@given("a process that serves callers")
+def start_process(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.process = instances.Instance(
+        "suspended",
+        pathlib.Path(folder.name),
+        tuple(cell_world.free_address() for _ in range(3)),
+        context.world.store.address,
+    )
+    context.process.start()
+    context.add_cleanup(context.process.wait, _DEADLINE_S)
+    context.add_cleanup(context.process.send_signal, signal.SIGKILL)
+    loops.run(context, _connect_to_process(context))
+
+
+async def _connect_to_process(context):
+    """Connects to the process once it has its configuration."""
+    address = context.process.callers_address
+    head, body = _encode("GET", cell_jobs.OTHER_JOB)
+    while True:
+        try:
+            connection = await client.connect(address)
+            response = await connection.exchange(head, body, _DEADLINE_S)
+        except messages.ExchangeError:
+            await asyncio.sleep(_POLL_S)
+            continue
+        if response.status == 410:
+            context.connection = connection
+            return
+        connection.close()
+        await asyncio.sleep(_POLL_S)
+
+
+@when("the store is silent and a caller sends a submission to the process")
+def submit_to_process(context):
+    async def submit():
+        context.world.store.is_silent = True
+        context.exchange = asyncio.create_task(_send(context, "POST"))
+        await asyncio.sleep(_FAST_S)
+
+    loops.run(context, submit())
+
+
+@when("the process is suspended for {time_s:g} s and gets SIGTERM meanwhile")
+def suspend_and_stop(context, time_s):
+    async def suspend():
+        context.process.send_signal(signal.SIGSTOP)
+        context.process.send_signal(signal.SIGTERM)
+        context.stopped_s = clock.now_s()
+        await asyncio.sleep(time_s)
+        context.process.send_signal(signal.SIGCONT)
+
+    loops.run(context, suspend())
+
+
+@then("the caller gets {status:d} before the process would be killed")
+def answered_in_time(context, status):
+    response, _ = loops.run(context, context.exchange)
+    took_s = clock.now_s() - context.stopped_s
+    assert response.status == status, response
+    assert took_s < instances.SHUTDOWN_S, took_s
+
+
+@then("the process ends before it would be killed")
+def process_ended_in_time(context):
+    left_s = context.stopped_s + instances.SHUTDOWN_S - clock.now_s()
+    assert context.process.wait(left_s) == 0, left_s
--- a/tests/features/steps/node_shutdown_steps.py
+++ b/tests/features/steps/node_shutdown_steps.py
@@ -6,6 +6,7 @@
 from behave import then
 
 from marigoldgap.cell import deadlines
+from marigoldgap.node import loop_monitor
 from marigoldgap.node import shutdown
 
 _STEP_S = 0.001
@@ -16,6 +17,25 @@
     context.schedule = shutdown.ShutdownSchedule(started_s, duration_s)
 
 
+@given("its signal may have waited for {wait_s:g} s before")
+def set_wait(context, wait_s):
+    context.schedule = context.schedule._replace(waited_s=wait_s)
+
+
+@given("an event loop that ran at {times} s")
+def observe_loop(context, times):
+    first_s, *rest_s = (float(each) for each in times.split())
+    context.monitor = loop_monitor.LoopMonitor(first_s)
+    for now in rest_s:
+        context.monitor.observe(now)
+
+
+@then("an event that is handled at {now:g} s may have waited for {wait_s:g} s")
+def may_have_waited(context, now, wait_s):
+    longest_wait_s = context.monitor.longest_wait_s(now)
+    assert abs(longest_wait_s - wait_s) < _STEP_S, longest_wait_s
+
+
 @then("a request that arrives at {now:g} s is {decision}")
 def decided(context, now, decision):
     assert context.schedule.accepts(now) == (decision == "accepted")
