web: answer requests that have arrived when the last answers are sent

At the end of a shutdown a request whose bytes had arrived, but which the event loop had not read yet, was cut off: its connection was reset, and the caller could not tell whether it was carried out.

Cause: the last step waits only while a connection has data to send; without one, the process closed its connections in the same pass of the event loop.

--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -109,14 +109,18 @@
     async def flush(self, timeout_s: float) -> None:
         """Waits until closing connections have sent their last response.
 
+        Requests that have arrived by then are read.
+
         Args:
             timeout_s: Longest time to wait, in seconds.
         """
         until_s = clock.now_s() + timeout_s
-        while clock.now_s() < until_s and any(
-            each.is_closing for each in self._connections
-        ):
+        while True:
             await asyncio.sleep(_FLUSH_POLL_S)
+            if clock.now_s() >= until_s:
+                return
+            if not any(each.is_closing for each in self._connections):
+                return
 
     def close(self) -> None:
         """Stops listening and closes all connections."""
--- a/tests/features/steps/web_steps.py
+++ b/tests/features/steps/web_steps.py
@@ -21,6 +21,7 @@
 # More passes of the event loop than accepting a connection and reading its
 # request takes.
 _ACCEPT_PASSES = 10
+_FLUSH_S = 0.2
 _INPUTS = {
     "garbage": b"\x00\x01 nonsense\r\n\r\n",
     "a large body": b"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n"
@@ -162,6 +163,52 @@
     assert b"HTTP/1.1 %d " % status in rest, context.response
 
 
+def _connect_and_send(address, content):
+    """Sends a request before the event loop runs again; returns the socket."""
+    host, _, port = address.rpartition(":")
+    caller = socket.create_connection((host, int(port)))
+    caller.sendall(content)
+    return caller
+
+
+async def _read_to_end(caller):
+    caller.setblocking(False)
+    reader, writer = await asyncio.open_connection(sock=caller)
+    try:
+        return await reader.read()
+    except ConnectionError as error:
+        return repr(error).encode()
+    finally:
+        writer.close()
+
+
+@when("a slow request has arrived unread and the server ends")
+def end_with_unread(context):
+    def interrupt(request, has_begun):
+        del request, has_begun
+        return messages.Response(503)
+
+    async def end():
+        caller = _connect_and_send(
+            context.address, b"GET /slow HTTP/1.1\r\n\r\n"
+        )
+        context.server.drain()
+        context.server.answer_unfinished(interrupt)
+        await context.server.flush(_FLUSH_S)
+        context.server.answer_unfinished(interrupt)
+        context.server.close()
+        return await _read_to_end(caller)
+
+    context.response = loops.run(context, end())
+
+
+@then("the request is answered with {status:d}")
+def request_answered(context, status):
+    assert context.response.startswith(
+        b"HTTP/1.1 %d " % status
+    ), context.response
+
+
 async def _close_during_accept(passes):
     """Returns whether a server handled a request after it had closed."""
     is_closed = False
@@ -175,9 +222,7 @@
     address = cell_world.free_address()
     http_server = server.HttpServer(handle)
     await http_server.start(address)
-    host, _, port = address.rpartition(":")
-    with socket.create_connection((host, int(port))) as caller:
-        caller.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    with _connect_and_send(address, b"GET / HTTP/1.1\r\n\r\n"):
         for _ in range(passes):
             await asyncio.sleep(0)
         http_server.close()
--- a/tests/features/web/server.feature
+++ b/tests/features/web/server.feature
@@ -55,6 +55,13 @@
       | a large body      | 413    |
       | too many requests | 429    |
 
+  Scenario: A request that has arrived when the last answers are sent is answered
+    Guards against a request that is cut off since the event loop had no time to
+    read it before the process ends.
+    Given an HTTP server with small limits
+    When a slow request has arrived unread and the server ends
+    Then the request is answered with 503
+
   Scenario: A server that has closed handles no request
     Guards against a request that is read while the process ends, if its
     connection was being accepted when the server closed.
