web: do not close a connection as idle on which a request has arrived

A connection that had been idle for the longest allowed time was closed although a request had arrived on it, if the event loop was busy at that moment, for example with a large plan: the connection was reset, and the caller could not tell whether the request was carried out.

Cause: only data that the event loop has read counted as use of the connection.

Before it closes an idle connection, the server now checks whether its socket has unread data, and leaves it open then; the next pass of the loop reads it.

--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -6,6 +6,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import select
 from typing import Any
 from typing import NamedTuple
 
@@ -184,6 +185,17 @@
         """Whether a request is being read or answered."""
         return self._is_reading or self._task is not None
 
+    @property
+    def _has_unread_data(self) -> bool:
+        """Whether data has arrived that the event loop has not read yet."""
+        if self._transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(
+            self._transport.get_extra_info("socket").fileno(), select.POLLIN
+        )
+        return bool(poll.poll(0))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Adds the connection to the server."""
         self._transport = transport
@@ -272,6 +284,7 @@
             not self._is_reading
             and not is_draining
             and waited_s > limits.idle_s
+            and not self._has_unread_data
         ):
             self.close()
 
--- a/tests/features/steps/web_steps.py
+++ b/tests/features/steps/web_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import when
 
+from marigoldgap import clock
 from marigoldgap.web import client
 from marigoldgap.web import messages
 from marigoldgap.web import server
@@ -202,6 +203,25 @@
     context.response = loops.run(context, end())
 
 
+@when("a request arrives unread on a connection that was idle for too long")
+def send_when_idle(context):
+    async def exchange():
+        caller = _connect_and_send(context.address, b"")
+        await loops.until(lambda: context.server._connections)
+        caller.sendall(b"GET /next HTTP/1.1\r\nConnection: close\r\n\r\n")
+        late_s = clock.now_s() + 2 * _LIMITS.idle_s
+        for connection in list(context.server._connections):
+            connection.close_if_overdue(late_s, _LIMITS, False)
+        return await _read_to_end(caller)
+
+    context.response = loops.run(context, exchange())
+
+
+@then("the request gets its response")
+def gets_response(context):
+    assert context.response.endswith(b"/next"), context.response
+
+
 @then("the request is answered with {status:d}")
 def request_answered(context, status):
     assert context.response.startswith(
--- a/tests/features/web/server.feature
+++ b/tests/features/web/server.feature
@@ -62,6 +62,13 @@
     When a slow request has arrived unread and the server ends
     Then the request is answered with 503
 
+  Scenario: A connection on which a request has arrived is not closed as idle
+    Guards against a request that is cut off since the event loop was busy when
+    it arrived.
+    Given an HTTP server with small limits
+    When a request arrives unread on a connection that was idle for too long
+    Then the request gets its response
+
   Scenario: A server that has closed handles no request
     Guards against a request that is read while the process ends, if its
     connection was being accepted when the server closed.
