node: count a signal after a delay until the loop runs in time again

A signal that was handled more than 0.125 s after the end of a suspension counted as new, although a loop with much to catch up may handle it only then; and one that arrived in the first 0.125 s of a process counted from its creation. Seen in a soak on the code before: waited_s of 0.009 and 0.016 without a delay.

Cause: the end of a delay and the start of the process were kept as a time, and a fixed window was applied to it.

A delay now counts until the next observation that is in time, 0.25 s later.

--- a/src/marigoldgap/node/loop_monitor.py
+++ b/src/marigoldgap/node/loop_monitor.py
@@ -26,9 +26,9 @@
 
     def __init__(self, now: float) -> None:
         self._last_s = now
-        # Start and end of the latest delay.
-        self._delayed_from_s = now
-        self._delayed_until_s = now
+        # Start of a delay that ended with the latest observation; None if that
+        # was in time.
+        self._delayed_from_s: float | None = None
 
     async def run(self) -> None:
         """Observes the loop until cancelled."""
@@ -42,9 +42,7 @@
         Args:
             now: Current monotonic time in seconds.
         """
-        if self._is_late(now):
-            self._delayed_from_s = self._last_s
-            self._delayed_until_s = now
+        self._delayed_from_s = self._last_s if self._is_late(now) else None
         self._last_s = now
 
     def longest_wait_s(self, now: float) -> float:
@@ -59,7 +57,7 @@
         if self._is_late(now):
             return now - self._last_s
         # The loop may have been observed before the event was handled.
-        if now - self._delayed_until_s <= _INTERVAL_S / 2:
+        if self._delayed_from_s is not None:
             return now - self._delayed_from_s
         return 0.0
 
