Suspect crashes that look like cuts, and give up their task

What callers would see: a task that crashes each worker that starts it is started without end, if the crash resets the connections and the worker returns under another id at another address.

Cause: such a crash shows only as an expired lease, which counts nothing, as a cut of a link shows the same.

Why it works: an expired lease together with a registration that vanishes, or an id that comes back with another birth time, is counted as a suspected crash. A worker whose link alone is cut keeps its registration; a suspicion is withdrawn when the same incarnation is heard of again. Three proven crashes fail the job, or four proven and suspected ones; after two the task runs alone.

--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -122,7 +122,7 @@
     page: store.Page, scheduler: schedulers.Scheduler
 ) -> None:
     present = {row.row_key.key for row in page.rows}
-    for worker_id in scheduler.worker_tracker.registered_ids:
+    for worker_id in scheduler.worker_tracker.known_ids:
         if worker_id not in present:
             scheduler.worker_tracker.on_unregistered(worker_id)
 
--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -58,6 +58,9 @@
         self.has_roster_row = False
         self.is_rostered = False
         self.is_registered = True
+        # Whether its registration was removed, or was missing when all were
+        # read. Of an inherited worker, neither may be known yet.
+        self.has_vanished = False
         # Whether the current incarnation drains, so that its process may end.
         self.is_leaving = registration.is_draining
         self.runs: dict[model.RunName, runs.Run] = {}
--- a/src/marigoldgap/cell/isolation.py
+++ b/src/marigoldgap/cell/isolation.py
@@ -12,7 +12,7 @@
 from marigoldgap.cell import step_progress
 from marigoldgap.cell import worker_capacity
 
-# Crashed workers after which a task runs alone.
+# Workers after which a task runs alone, if they have crashed or probably have.
 _ISOLATED_CRASHES = 2
 # Maximum share of a service's workers that run isolated tasks or wait for one.
 _MAX_WORKER_SHARE = 0.5
@@ -21,8 +21,7 @@
 def is_isolated(step: step_progress.StepProgress, position: int) -> bool:
     """Returns whether a task runs alone; members of gangs never do."""
     return (
-        not step.spec.is_gang
-        and step.crash_count(position) >= _ISOLATED_CRASHES
+        not step.spec.is_gang and step.loss_count(position) >= _ISOLATED_CRASHES
     )
 
 
@@ -30,7 +29,7 @@
     """Returns the positions of the waiting tasks that run alone."""
     return [
         position
-        for position in sorted(step.crashes)
+        for position in step.suspected_positions
         if position in step.waiting and is_isolated(step, position)
     ]
 
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import measures
+from marigoldgap.cell import crash_counter
 from marigoldgap.cell import fleet
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import leadership as leaderships
@@ -34,10 +34,6 @@
 # Time for which no run is started on a worker that refused a start because it
 # had too little free capacity.
 _NO_ROOM_PAUSE_S = 0.3
-# A job fails when this many workers have crashed under one of its tasks.
-_MAX_CRASHES = 3
-# A crash is not attributed to runs that have lasted longer, in seconds.
-_MAX_CRASH_RUN_S = 600.0
 
 
 class RunTracker:
@@ -47,6 +43,7 @@
         leadership: The current leadership.
         tracker: Tracks the jobs.
         times: Learns run times.
+        crashes: Counts crashed workers.
         send_stop: Sends the command to stop a run to its worker.
     """
 
@@ -55,11 +52,13 @@
         leadership: leaderships.Leadership,
         tracker: job_tracker.JobTracker,
         times: run_times.RunTimes,
+        crashes: crash_counter.CrashCounter,
         send_stop: Callable[[runs.Run], None],
     ) -> None:
         self._leadership = leadership
         self._job_tracker = tracker
         self._times = times
+        self._crashes = crashes
         self._send_stop = send_stop
         tracker.stop_run = self.stop
 
@@ -257,7 +256,7 @@
             step.avoid_worker(position, run.worker.worker_id)
             self._count_failure(step, run.name)
         elif how is model.EndReason.CRASHED:
-            self._count_crash(run)
+            self._crashes.count(run)
         if how is not model.EndReason.DONE and step.spec.is_gang:
             self.stop_gang(step, f"a run of a member ended as {how.value}")
         self._update_job(step)
@@ -271,7 +270,7 @@
         if run.confirmed_s < float("inf"):
             self.end(run, model.EndReason.CRASHED, "", "worker has restarted")
             return
-        self._count_crash(run)
+        self._crashes.count(run)
         self.stop(run, "worker has restarted")
         self._update_job(run.step)
 
@@ -314,44 +313,6 @@
                 f"{failures} times",
             )
 
-    def _count_crash(self, run: runs.Run) -> None:
-        """Counts a crashed worker under the task of a run that it has lost."""
-        step = run.step
-        job = step.job
-        position = run.name.task.position
-        if (
-            run.is_unstarted
-            or clock.now_s() - run.started_s > _MAX_CRASH_RUN_S
-            or step.is_task_done(position)
-            or job.is_ended
-        ):
-            return
-        crashes = step.record_crash(run.name)
-        _log.warning(
-            "crash_counted",
-            run=str(run.name),
-            worker=run.worker.worker_id,
-            crashes=crashes,
-        )
-        if crashes >= _MAX_CRASHES:
-            self._job_tracker.end(
-                job,
-                model.JobState.FAILED,
-                f"{crashes} workers crashed under task {position} of step "
-                f"{step.number}",
-            )
-            return
-        step.unstored_crashes.add(position)
-        step.waiting.discard(position)
-        self._job_tracker.store_progress(job)
-
-        def mark_stored(_: asyncio.Future[None]) -> None:
-            step.unstored_crashes.discard(position)
-            step.make_waiting(position)
-            self._leadership.request_plan()
-
-        self._leadership.journal.flushed().add_done_callback(mark_stored)
-
     def _update_job(self, step: step_progress.StepProgress) -> None:
         job = step.job
         if not job.is_ended:
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -72,6 +72,7 @@
         "pending_advice_calls",
         "saved",
         "spec",
+        "suspicions",
         "tickets",
         "unstored_crashes",
         "wait_reason",
@@ -105,6 +106,8 @@
         # Numbers of the runs under which workers crashed, by position of the
         # task, also for the members of a gang.
         self.crashes: dict[int, list[int]] = {}
+        # The same for workers that have probably crashed, but may be cut off.
+        self.suspicions: dict[int, list[int]] = {}
         # Positions of the tasks whose latest crash is not stored yet.
         self.unstored_crashes: set[int] = set()
         # Latest saved progress, and number of the latest run, by task.
@@ -213,6 +216,18 @@
             runs.append(name.run)
         return len(runs)
 
+    def record_suspicion(self, name: model.RunName) -> None:
+        """Counts a worker that has probably crashed once."""
+        runs = self.suspicions.setdefault(name.task.position, [])
+        if name.run not in runs:
+            runs.append(name.run)
+
+    def withdraw_suspicion(self, name: model.RunName) -> None:
+        """Undoes the count of a worker that was only cut off."""
+        runs = self.suspicions.get(name.task.position, [])
+        if name.run in runs:
+            runs.remove(name.run)
+
     def make_waiting(self, position: int) -> None:
         """Lets a task without a run wait for its next one.
 
@@ -231,6 +246,20 @@
         """Returns how many workers have crashed under a task."""
         return len(self.crashes.get(position, ()))
 
+    def loss_count(self, position: int) -> int:
+        """Returns how many workers have crashed, or probably have."""
+        return len(
+            {
+                *self.crashes.get(position, ()),
+                *self.suspicions.get(position, ()),
+            }
+        )
+
+    @property
+    def suspected_positions(self) -> list[int]:
+        """Positions of the tasks under which workers may have crashed."""
+        return sorted({*self.crashes, *self.suspicions})
+
     def saved_for(self, position: int) -> str:
         """Returns the saved progress from which the task resumes."""
         return self.saved.get(self._accounting_position(position), "")
@@ -249,9 +278,15 @@
     def encode(self) -> list[Any]:
         """Returns the stored form of the progress.
 
-        Earlier versions read the first three values only.
+        Earlier versions read only the first three or four values.
         """
-        return [f"{self.done:x}", self.failures, self.saved, self.crashes]
+        return [
+            f"{self.done:x}",
+            self.failures,
+            self.saved,
+            self.crashes,
+            self.suspicions,
+        ]
 
     def _accounting_position(self, position: int) -> int:
         """Returns the position under which failures and progress are kept."""
@@ -262,9 +297,10 @@
         self.done = int(stored[0], 16)
         self.failures = {int(key): value for key, value in stored[1].items()}
         self.saved = {int(key): value for key, value in stored[2].items()}
-        # Earlier versions store no crashes.
-        crashes = stored[3] if len(stored) > 3 else {}
+        # Earlier versions store no crashes, or none that are suspected.
+        crashes, suspicions = (*stored[3:5], {}, {})[:2]
         self.crashes = {int(key): value for key, value in crashes.items()}
+        self.suspicions = {int(key): value for key, value in suspicions.items()}
         self.waiting = {
             position
             for position in range(self.spec.task_count)
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -7,9 +7,11 @@
 from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
+from marigoldgap.cell import crash_counter
 from marigoldgap.cell import fleet
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import leadership as leaderships
+from marigoldgap.cell import lost_workers
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
 from marigoldgap.cell import records
@@ -76,9 +78,11 @@
         self._leadership = leadership
         self._port = port
         self._job_tracker = tracker
+        crashes = crash_counter.CrashCounter(leadership, tracker)
         self._runs = run_tracker.RunTracker(
-            leadership, tracker, times, self._send_stop
+            leadership, tracker, times, crashes, self._send_stop
         )
+        self._lost = lost_workers.LostWorkers(crashes.suspect, crashes.withdraw)
         self._sessions: dict[str, worker_session.WorkerSession] = {}
         self._unknown_stopping: set[model.RunName] = set()
 
@@ -103,9 +107,10 @@
         return bool(self._unfenced)
 
     @property
-    def registered_ids(self) -> list[str]:
-        """Workers whose registration is in force, as far as it is known."""
-        return list(self._registrations)
+    def known_ids(self) -> list[str]:
+        """Workers that are registered, or were when they were last heard of."""
+        ids = [worker.worker_id for worker in self.workers.values()]
+        return list({*self._registrations, *ids})
 
     def pending_capacity(self) -> list[model.Demand]:
         """Returns the capacities of inherited workers with unknown runs."""
@@ -181,6 +186,7 @@
     def on_registration(self, registration: model.Registration) -> None:
         """Adds a worker or updates its registration."""
         self._registrations[registration.worker_id] = registration
+        self._lost.on_registered(registration.worker_id, registration.born_ms)
         worker = self.workers.get(registration.worker_id)
         if worker is None:
             self._store(self._join(registration))
@@ -192,13 +198,18 @@
         if former.address != registration.address:
             self._store(worker)
         worker.is_registered = True
+        worker.has_vanished = False
         self._leadership.request_plan()
 
     def on_unregistered(self, worker_id: str) -> None:
         """Stops placing runs on a worker whose registration was removed."""
         self._registrations.pop(worker_id, None)
+        self._lost.on_vanished(worker_id)
         worker = self.workers.get(worker_id)
-        if worker is not None and worker.is_registered:
+        if worker is None:
+            return
+        worker.has_vanished = True
+        if worker.is_registered:
             _log.info("worker_unregistered", worker=worker_id)
             worker.is_registered = False
 
@@ -226,6 +237,8 @@
         self.pending_inherited.discard(worker.worker_id)
         self._unfenced.discard(worker.worker_id)
         self._deferred.pop(worker.worker_id, None)
+        if not has_ended:
+            self._lost.add(worker)
         for run in list(worker.runs.values()):
             self._runs.end(
                 run,
@@ -260,6 +273,7 @@
         worker.observe_clock(listing.clock_ms, now)
         if worker.contact is not fleet.Contact.ANSWERING:
             _log.info("worker_answers", worker=worker.worker_id)
+            self._lost.on_heard(worker.worker_id, listing.born_ms)
             worker.contact = fleet.Contact.ANSWERING
         if not worker.has_roster_row:
             self._store(worker)
--- a/tests/features/cell/worker_crashes.feature
+++ b/tests/features/cell/worker_crashes.feature
@@ -96,6 +96,33 @@
     And the worker that runs it refuses connections until another one runs it
     Then no crashed worker was counted
 
+  Scenario Outline: A task whose crashes look like cuts is given up
+    Guards against a task that crashes workers without end (BUDGET), because
+    each crash resets its connections and the worker returns under another id.
+    Given a cell with 6 workers and 1 instances
+    And leases of 2200 ms
+    And crashes reset all connections
+    And crashed workers come back as another worker at another address after <pause> ms
+    When a job with the payload "ms=50 crash" is submitted
+    Then the job is given up after at most <count> crashed workers
+    And no task ran in two places
+
+    Examples:
+      | pause | count |
+      | 100   | 4     |
+      | 3000  | 5     |
+
+  Scenario: A worker that was cut off from all is no longer suspected
+    Guards against a job that fails because of network cuts that last.
+    Given a cell with 2 workers and 1 instances
+    And leases of 2200 ms
+    When a job with the payload "ms=20000" is submitted and has begun
+    And the worker that runs it is cut off from all until another one runs it
+    Then 1 crashes were suspected within 1 s
+    When the worker that was cut off is reached again
+    Then 0 crashes were suspected within 5 s
+    And no crashed worker was counted
+
   Scenario: A worker that crashed is counted
     Guards against the two scenarios around this one that count nothing at all.
     Given a cell with 2 workers and 1 instances
@@ -135,4 +162,5 @@
     Then its stored progress restores the count
     And its stored progress starts with the values of earlier versions
     And progress of earlier versions restores no count
+    And a suspected crash is stored as well
     And a run counts once
--- a/tests/features/steps/cell_crash_steps.py
+++ b/tests/features/steps/cell_crash_steps.py
@@ -11,6 +11,7 @@
 
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
+from marigoldgap.cell import worker_session
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
 from tests.fixtures import loops
@@ -35,6 +36,19 @@
             ]
 
 
+@given("leases of {milliseconds:d} ms")
+def short_leases(context, milliseconds):
+    former = worker_session.LEASE_S
+    worker_session.LEASE_S = milliseconds / 1000
+    context.add_cleanup(setattr, worker_session, "LEASE_S", former)
+
+
+@given("crashes reset all connections")
+def reset_on_crash(context):
+    for worker in context.world.workers:
+        worker.resets_on_crash = True
+
+
 def _crashes(context):
     return [
         crash for worker in context.world.workers for crash in worker.crashes
@@ -175,6 +189,40 @@
     cell_jobs.check_no_violations(context)
 
 
+@when("the worker that runs it is cut off from all until another one runs it")
+def cut_off_from_all(context):
+    context.job_progress = _progress(context)
+    worker = context.cut_worker = _running(context)[0]
+
+    async def cut():
+        worker.cut_off()
+        worker.is_cut_from_store = True
+        context.world.store.drop("servers", "", worker.worker_id)
+        await loops.until(
+            lambda: worker not in _running(context) and _running(context)
+        )
+
+    loops.run(context, cut())
+    cell_jobs.check_no_violations(context)
+
+
+@when("the worker that was cut off is reached again")
+def reached_again(context):
+    context.cut_worker.is_cut_from_store = False
+    loops.run(context, context.cut_worker.reconnect())
+
+
+@then("{count:d} crashes were suspected within {seconds:d} s")
+def suspected_within(context, count, seconds):
+    progress = context.job_progress
+    loops.run(
+        context,
+        asyncio.wait_for(
+            loops.until(lambda: progress.loss_count(0) == count), seconds
+        ),
+    )
+
+
 @when("the worker that runs it drains and ends")
 def drains_and_ends(context):
     context.job_progress = _progress(context)
@@ -228,6 +276,17 @@
     assert restored.failures == {0: [1]} and restored.is_task_done(1)
 
 
+@then("a suspected crash is stored as well")
+def stores_suspicion(context):
+    context.step.record_suspicion(model.RunName(context.step.task(1), 9))
+    restored = _step()
+    restored.restore(json.loads(json.dumps(context.step.encode())))
+    assert restored.crash_count(1) == 2
+    assert restored.loss_count(1) == 3
+    restored.withdraw_suspicion(model.RunName(context.step.task(1), 9))
+    assert restored.loss_count(1) == 2
+
+
 @then("a run counts once")
 def counts_once(context):
     repeated = model.RunName(context.step.task(1), 2)
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -61,6 +61,9 @@
         restart_ids: Ids of the next processes; the last one is kept.
         restart_addresses: Addresses of the next processes; the last one is
             kept.
+        resets_on_crash: Whether a crash resets its connections, instead of
+            closing them.
+        is_cut_from_store: Whether it cannot renew its registration.
         crashes: Runs that were lost in each crash, by name of the task.
     """
 
@@ -96,6 +99,8 @@
         self.restart_s = 1.2
         self.restart_ids = []
         self.restart_addresses = []
+        self.resets_on_crash = False
+        self.is_cut_from_store = False
         self.crashes = []
         self._is_down = False
         self._refused_runs = {}
@@ -117,13 +122,16 @@
 
     def cut_off(self):
         """Resets all connections and refuses new ones; tasks keep running."""
+        self._reset_connections()
+        self._server.close()
+
+    def _reset_connections(self):
         for connection in list(self._server._connections):
             transport = connection._transport
             transport.get_extra_info("socket").setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
             transport.abort()
-        self._server.close()
 
     async def reconnect(self):
         """Accepts connections again."""
@@ -144,6 +152,8 @@
         self.crashes.append(
             {name: each["run"] for name, each in self.running.items()}
         )
+        if self.resets_on_crash:
+            self._reset_connections()
         self._server.close()
         for name in list(self.running):
             self._fleet_runs.pop((name, self.worker_id), None)
@@ -194,7 +204,7 @@
 
     async def _run_heartbeats(self):
         while True:
-            if not self._is_down:
+            if not self._is_down and not self.is_cut_from_store:
                 self.register()
             await asyncio.sleep(_HEARTBEAT_S)
 
