Cover shrinking capacities in overlap with other conditions

Scenarios for what was not covered: memory and accelerators that shrink, tasks that use only idle cores, several changes in series and growth, a gang that waits for growth across a takeover, and a start that is stored while the capacity shrinks.

The stand-in can let a former capacity count for a while, as LIMIT does.

--- a/tests/features/cell/worker_capacity.feature
+++ b/tests/features/cell/worker_capacity.feature
@@ -53,3 +53,74 @@
     And the capacity of the first worker changes to 4 cores
     Then the other job is completed
     And no start exceeded a capacity
+
+  Scenario Outline: No start exceeds memory or accelerators that have shrunk
+    Guards against a capacity of which only the cores are followed.
+    Given a cell with 1 workers and 1 instances
+    When the first worker changes to 8 accelerators
+    And a job of 8 tasks with 100 MiB and 1 accelerators for 1500 ms each is running
+    And the first worker changes to <amount>
+    And another job of 16 tasks with 100 MiB and <each> accelerators for 50 ms each is submitted
+    Then every instance shows the job as "completed"
+    And the other job is completed
+    And no start exceeded a capacity
+    And each running task was started once
+
+    Examples:
+      | amount            | each |
+      | 4 accelerators    | 1    |
+      | 4 accelerators    | 0    |
+      | 400 MiB of memory | 0    |
+
+  Scenario Outline: Tasks that use only idle cores wait while a capacity is exceeded
+    Guards against tasks whose cores do not count and that start all the same.
+    Given a cell with 1 workers and 1 instances
+    When a job of 8 tasks with 100 MiB and 0 accelerators for 1500 ms each is running
+    And <change>
+    And another job of 16 tasks that use only idle cores and 100 MiB for 50 ms each is submitted
+    Then every instance shows the job as "completed"
+    And the other job is completed
+    And no start exceeded a capacity
+
+    Examples:
+      | change                                              |
+      | the capacity of the first worker changes to 4 cores |
+      | the first worker changes to 400 MiB of memory       |
+
+  Scenario: No start exceeds a capacity that shrinks and grows in series
+    Guards against the use of a capacity between two changes.
+    Given a cell with 1 workers and 1 instances
+    And a capacity that has shrunk counts 1000 ms later
+    When a job of 8 tasks with 1 core for 1500 ms each is running
+    And another job of 40 tasks with 1 core for 200 ms each is submitted
+    And the capacity of the first worker changes to 10 cores
+    And the capacity of the first worker changes to 6 cores
+    And the capacity of the first worker changes to 9 cores
+    And the capacity of the first worker changes to 2 cores
+    Then every instance shows the job as "completed"
+    And no start exceeded a capacity
+    When the capacity of the first worker changes to 16 cores
+    Then the other job is completed
+    And no start exceeded a capacity
+
+  Scenario: A gang waits for capacity that grows again after a takeover
+    Guards against a gang that waits on the capacity of the former leader.
+    Given a cell with 2 workers and 2 instances
+    When the capacity of the first worker changes to 2 cores
+    And another gang of 20 tasks with 1 core for 50 ms each is submitted
+    Then no task starts in 500 ms
+    When the leader ends
+    And the capacity of the first worker changes to 16 cores at the next leader
+    Then the other job is completed
+    And no start exceeded a capacity
+
+  Scenario: A recorded start is withdrawn when the capacity shrinks
+    Guards against a start that exceeds a capacity which shrinks while the start
+    of a task that may crash its worker is stored.
+    Given a cell with 1 workers and 1 instances
+    And crashed workers come back as the same worker after 100 ms
+    When a job with the payload "ms=900 cpu=1000" is submitted and has begun
+    And the worker that runs it crashes
+    And its next start is stored while the capacity shrinks for 1000 ms
+    Then every instance shows the job as "completed"
+    And no start exceeded a capacity
