Cover gangs whose members crash their workers in turn

The question was whether a gang is started without end when another member's worker crashes each time, since each member is counted for itself. It is not: a gang of N members is given up after at most 2N + 1 crashes, as no member is under more than two. One count for a whole gang was not taken: a gang on many workers would fail for crashes that are not its own, as its chance to lose one of them grows with its size.

--- a/tests/features/cell/worker_crashes.feature
+++ b/tests/features/cell/worker_crashes.feature
@@ -88,6 +88,16 @@
     When a gang of 2 members with the payload "ms=200 crash" is submitted
     Then the job is given up after 3 crashed workers
 
+  Scenario: A gang whose members crash their workers in turn is given up
+    Guards against a gang that is started without end, because each of its
+    members is counted for itself.
+    Given a cell with 3 workers and 1 instances
+    And crashed workers come back as the same worker after 100 ms
+    When a gang of 2 members on a worker each is submitted
+    And the workers of its members crash in turn until it is given up
+    Then the job is given up after 5 crashed workers
+    And no task ran in two places
+
   Scenario: A run that its worker outlived for long does not count
     Guards against a service that is given up for rare crashes of machines.
     Given a cell with 2 workers and 1 instances
--- a/tests/features/steps/cell_crash_steps.py
+++ b/tests/features/steps/cell_crash_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 
 from behave import given
@@ -19,6 +20,8 @@
 
 _HOUR_S = 3600.0
 _SLOW_STORE_S = 0.6
+# Two tasks with this demand fit on no worker.
+_MOST_MILLICORES = 9_000
 # More than the crashes of any scenario.
 _RESTARTS = 9
 
@@ -90,6 +93,28 @@
     assert status == 200, status
 
 
+@when("a gang of {count:d} members on a worker each is submitted")
+def submit_wide_gang(context, count):
+    body = cell_world.job(count, "ms=20000", gang=True, cpu=_MOST_MILLICORES)
+    status, _ = cell_jobs.submit(context, body)
+    assert status == 200, status
+
+
+@when("the workers of its members crash in turn until it is given up")
+def members_crash_in_turn(context):
+    world = context.world
+
+    async def crash():
+        for number in itertools.count():
+            while len(_running(context)) < 2:
+                if await world.state(cell_jobs.JOB) == "failed":
+                    return
+            name = f"{cell_jobs.JOB}.0.0.{number % 2}"
+            next(each for each in world.workers if name in each.running).crash()
+
+    loops.run(context, crash())
+
+
 @when("the leader ends when run {number:d} has begun")
 def leader_ends_at_run(context, number):
     def has_begun():
