--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -7,9 +7,11 @@
 from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
+from marigoldgap.cell import crash_counter
 from marigoldgap.cell import fleet
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import leadership as leaderships
+from marigoldgap.cell import lost_workers
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
 from marigoldgap.cell import records
@@ -76,9 +78,11 @@
         self._leadership = leadership
         self._port = port
         self._job_tracker = tracker
+        crashes = crash_counter.CrashCounter(leadership, tracker)
         self._runs = run_tracker.RunTracker(
-            leadership, tracker, times, self._send_stop
+            leadership, tracker, times, crashes, self._send_stop
         )
+        self._lost = lost_workers.LostWorkers(crashes.suspect, crashes.withdraw)
         self._sessions: dict[str, worker_session.WorkerSession] = {}
         self._unknown_stopping: set[model.RunName] = set()
 
@@ -103,9 +107,10 @@
         return bool(self._unfenced)
 
     @property
-    def registered_ids(self) -> list[str]:
-        """Workers whose registration is in force, as far as it is known."""
-        return list(self._registrations)
+    def known_ids(self) -> list[str]:
+        """Workers that are registered, or were when they were last heard of."""
+        ids = [worker.worker_id for worker in self.workers.values()]
+        return list({*self._registrations, *ids})
 
     def pending_capacity(self) -> list[model.Demand]:
         """Returns the capacities of inherited workers with unknown runs."""
@@ -157,7 +162,60 @@
         """Starts a run on a worker, in the background."""
         run = self._runs.begin(name, step, worker)
         session = self._sessions[worker.worker_id]
-        self._leadership.spawn(session.start(run, ticket))
+        if step.loss_count(name.task.position):
+            self._leadership.spawn(self._start_recorded(session, run, ticket))
+        else:
+            self._leadership.spawn(session.start(run, ticket))
+
+    async def _start_recorded(
+        self,
+        session: worker_session.WorkerSession,
+        run: runs.Run,
+        ticket: str,
+    ) -> None:
+        """Starts a run of a task that may crash its worker.
+
+        The start is stored first: if this leader ends, the next one counts the
+        crash.
+        """
+        run.is_unstarted = True
+        run.step.record_start(run.name, run.worker)
+        self._job_tracker.store_progress(run.step.job)
+        await self.flushed()
+        if run.state is not runs.RunState.STARTING:
+            return
+        run.is_unstarted = False
+        if run.worker.is_over_capacity:
+            session.withdraw(run)
+        else:
+            await session.start(run, ticket)
+
+    def restore_recorded_runs(self) -> None:
+        """Restores the runs whose starts an earlier leader has recorded."""
+        for step in self._job_tracker.open_steps():
+            for position, start in list(step.recorded_starts.items()):
+                self._restore_recorded(step, position, start)
+
+    def _restore_recorded(
+        self,
+        step: step_progress.StepProgress,
+        position: int,
+        start: step_progress.RecordedStart,
+    ) -> None:
+        name = model.RunName(step.task(position), start.run)
+        worker = self.workers.get(start.worker_id)
+        if worker is None:
+            # This leader has removed it from the stored roster, as it is gone.
+            del step.recorded_starts[position]
+            step.record_suspicion(name)
+            return
+        run = self._runs.restore(name, step, worker)
+        if not worker.born_ms:
+            worker.born_ms = start.born_ms
+        elif worker.born_ms != start.born_ms:
+            self._runs.end(
+                run, model.EndReason.CRASHED, "", "worker has restarted"
+            )
 
     def close(self) -> None:
         """Stops repeating commands."""
@@ -181,6 +239,7 @@
     def on_registration(self, registration: model.Registration) -> None:
         """Adds a worker or updates its registration."""
         self._registrations[registration.worker_id] = registration
+        self._lost.on_registered(registration.worker_id, registration.born_ms)
         worker = self.workers.get(registration.worker_id)
         if worker is None:
             self._store(self._join(registration))
@@ -192,13 +251,18 @@
         if former.address != registration.address:
             self._store(worker)
         worker.is_registered = True
+        worker.has_vanished = False
         self._leadership.request_plan()
 
     def on_unregistered(self, worker_id: str) -> None:
         """Stops placing runs on a worker whose registration was removed."""
         self._registrations.pop(worker_id, None)
+        self._lost.on_vanished(worker_id)
         worker = self.workers.get(worker_id)
-        if worker is not None and worker.is_registered:
+        if worker is None:
+            return
+        worker.has_vanished = True
+        if worker.is_registered:
             _log.info("worker_unregistered", worker=worker_id)
             worker.is_registered = False
 
@@ -226,6 +290,8 @@
         self.pending_inherited.discard(worker.worker_id)
         self._unfenced.discard(worker.worker_id)
         self._deferred.pop(worker.worker_id, None)
+        if not has_ended:
+            self._lost.add(worker)
         for run in list(worker.runs.values()):
             self._runs.end(
                 run,
@@ -260,6 +326,7 @@
         worker.observe_clock(listing.clock_ms, now)
         if worker.contact is not fleet.Contact.ANSWERING:
             _log.info("worker_answers", worker=worker.worker_id)
+            self._lost.on_heard(worker.worker_id, listing.born_ms)
             worker.contact = fleet.Contact.ANSWERING
         if not worker.has_roster_row:
             self._store(worker)
--- a/tests/features/cell/worker_crashes.feature
+++ b/tests/features/cell/worker_crashes.feature
@@ -41,12 +41,20 @@
     And the leader ends when run 3 has begun
     Then the job is given up after 3 crashed workers
 
-  Scenario: A crash at a takeover is missed at most once
-    Guards against a new leader that counts from 0 again.
-    Given a cell with 4 workers and 2 instances
+  Scenario Outline: Crashes at takeovers are counted
+    Guards against a crash that no leader counts, as the next one sees only an
+    inherited worker that is gone or has restarted.
+    Given a cell with 5 workers and 3 instances
+    And crashed workers come back as <process> after <pause> ms
     When a job with the payload "ms=50 crash" is submitted
-    And the leader ends when run 3 has begun
-    Then the job is given up after at most 4 crashed workers
+    And the leader ends when run <first> has begun
+    And the leader ends when run <second> has begun
+    Then the job is given up after at most <count> crashed workers
+
+    Examples:
+      | process                            | pause | first | second | count |
+      | the same worker                    | 100   | 2     | 1001   | 3     |
+      | another worker at another address  | 100   | 2     | 1001   | 4     |
 
   Scenario: A start without an answer counts when its worker crashes
     Guards against a task that crashes its worker before the answer is sent.
@@ -80,6 +88,16 @@
     When a gang of 2 members with the payload "ms=200 crash" is submitted
     Then the job is given up after 3 crashed workers
 
+  Scenario: A gang whose members crash their workers in turn is given up
+    Guards against a gang that is started without end, because each of its
+    members is counted for itself.
+    Given a cell with 3 workers and 1 instances
+    And crashed workers come back as the same worker after 100 ms
+    When a gang of 2 members on a worker each is submitted
+    And the workers of its members crash in turn until it is given up
+    Then the job is given up after 5 crashed workers
+    And no task ran in two places
+
   Scenario: A run that its worker outlived for long does not count
     Guards against a service that is given up for rare crashes of machines.
     Given a cell with 2 workers and 1 instances
@@ -96,6 +114,33 @@
     And the worker that runs it refuses connections until another one runs it
     Then no crashed worker was counted
 
+  Scenario Outline: A task whose crashes look like cuts is given up
+    Guards against a task that crashes workers without end (BUDGET), because
+    each crash resets its connections and the worker returns under another id.
+    Given a cell with 6 workers and 1 instances
+    And leases of 2200 ms
+    And crashes reset all connections
+    And crashed workers come back as another worker at another address after <pause> ms
+    When a job with the payload "ms=50 crash" is submitted
+    Then the job is given up after at most <count> crashed workers
+    And no task ran in two places
+
+    Examples:
+      | pause | count |
+      | 100   | 4     |
+      | 3000  | 5     |
+
+  Scenario: A worker that was cut off from all is no longer suspected
+    Guards against a job that fails because of network cuts that last.
+    Given a cell with 2 workers and 1 instances
+    And leases of 2200 ms
+    When a job with the payload "ms=20000" is submitted and has begun
+    And the worker that runs it is cut off from all until another one runs it
+    Then 1 crashes were suspected within 1 s
+    When the worker that was cut off is reached again
+    Then 0 crashes were suspected within 5 s
+    And no crashed worker was counted
+
   Scenario: A worker that crashed is counted
     Guards against the two scenarios around this one that count nothing at all.
     Given a cell with 2 workers and 1 instances
@@ -135,4 +180,6 @@
     Then its stored progress restores the count
     And its stored progress starts with the values of earlier versions
     And progress of earlier versions restores no count
+    And a suspected crash is stored as well
+    And a recorded start is stored as well
     And a run counts once
--- a/tests/features/steps/cell_crash_steps.py
+++ b/tests/features/steps/cell_crash_steps.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 
 from behave import given
 from behave import then
 from behave import when
 
+from marigoldgap.cell import fleet
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
+from marigoldgap.cell import worker_session
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
 from tests.fixtures import loops
@@ -18,6 +21,8 @@
 
 _HOUR_S = 3600.0
 _SLOW_STORE_S = 0.6
+# Two tasks with this demand fit on no worker.
+_MOST_MILLICORES = 9_000
 # More than the crashes of any scenario.
 _RESTARTS = 9
 
@@ -36,6 +41,19 @@
             ]
 
 
+@given("leases of {milliseconds:d} ms")
+def short_leases(context, milliseconds):
+    former = worker_session.LEASE_S
+    worker_session.LEASE_S = milliseconds / 1000
+    context.add_cleanup(setattr, worker_session, "LEASE_S", former)
+
+
+@given("crashes reset all connections")
+def reset_on_crash(context):
+    for worker in context.world.workers:
+        worker.resets_on_crash = True
+
+
 def _crashes(context):
     return [
         crash for worker in context.world.workers for crash in worker.crashes
@@ -76,6 +94,28 @@
     assert status == 200, status
 
 
+@when("a gang of {count:d} members on a worker each is submitted")
+def submit_wide_gang(context, count):
+    body = cell_world.job(count, "ms=20000", gang=True, cpu=_MOST_MILLICORES)
+    status, _ = cell_jobs.submit(context, body)
+    assert status == 200, status
+
+
+@when("the workers of its members crash in turn until it is given up")
+def members_crash_in_turn(context):
+    world = context.world
+
+    async def crash():
+        for number in itertools.count():
+            while len(_running(context)) < 2:
+                if await world.state(cell_jobs.JOB) == "failed":
+                    return
+            name = f"{cell_jobs.JOB}.0.0.{number % 2}"
+            next(each for each in world.workers if name in each.running).crash()
+
+    loops.run(context, crash())
+
+
 @when("the leader ends when run {number:d} has begun")
 def leader_ends_at_run(context, number):
     def has_begun():
@@ -176,6 +216,40 @@
     cell_jobs.check_no_violations(context)
 
 
+@when("the worker that runs it is cut off from all until another one runs it")
+def cut_off_from_all(context):
+    context.job_progress = _progress(context)
+    worker = context.cut_worker = _running(context)[0]
+
+    async def cut():
+        worker.cut_off()
+        worker.is_cut_from_store = True
+        context.world.store.drop("servers", "", worker.worker_id)
+        await loops.until(
+            lambda: worker not in _running(context) and _running(context)
+        )
+
+    loops.run(context, cut())
+    cell_jobs.check_no_violations(context)
+
+
+@when("the worker that was cut off is reached again")
+def reached_again(context):
+    context.cut_worker.is_cut_from_store = False
+    loops.run(context, context.cut_worker.reconnect())
+
+
+@then("{count:d} crashes were suspected within {seconds:d} s")
+def suspected_within(context, count, seconds):
+    progress = context.job_progress
+    loops.run(
+        context,
+        asyncio.wait_for(
+            loops.until(lambda: progress.loss_count(0) == count), seconds
+        ),
+    )
+
+
 @when("the worker that runs it drains and ends")
 def drains_and_ends(context):
     context.job_progress = _progress(context)
@@ -229,6 +303,30 @@
     assert restored.failures == {0: [1]} and restored.is_task_done(1)
 
 
+@then("a suspected crash is stored as well")
+def stores_suspicion(context):
+    context.step.record_suspicion(model.RunName(context.step.task(1), 9))
+    restored = _step()
+    restored.restore(json.loads(json.dumps(context.step.encode())))
+    assert restored.crash_count(1) == 2
+    assert restored.loss_count(1) == 3
+    restored.withdraw_suspicion(model.RunName(context.step.task(1), 9))
+    assert restored.loss_count(1) == 2
+
+
+@then("a recorded start is stored as well")
+def stores_start(context):
+    registration = model.Registration(
+        "w1", "claims", "h:1", "a", False, model.Demand(1), frozenset(), "", 5
+    )
+    worker = fleet.Worker(registration, 0.0)
+    worker.born_ms = registration.born_ms
+    context.step.record_start(model.RunName(context.step.task(1), 9), worker)
+    restored = _step()
+    restored.restore(json.loads(json.dumps(context.step.encode())))
+    assert restored.recorded_starts == {1: (9, "w1", 5)}
+
+
 @then("a run counts once")
 def counts_once(context):
     repeated = model.RunName(context.step.task(1), 2)
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -61,6 +61,9 @@
         restart_ids: Ids of the next processes; the last one is kept.
         restart_addresses: Addresses of the next processes; the last one is
             kept.
+        resets_on_crash: Whether a crash resets its connections, instead of
+            closing them.
+        is_cut_from_store: Whether it cannot renew its registration.
         crashes: Runs that were lost in each crash, by name of the task.
     """
 
@@ -91,11 +94,15 @@
         )
         self.public_address = address
         self.capacity = dict(_CAPACITY)
+        # Former capacities, and the monotonic times until which they count.
+        self._former_capacities = []
         self.most_running = 0
         self.lost_starts = 0
         self.restart_s = 1.2
         self.restart_ids = []
         self.restart_addresses = []
+        self.resets_on_crash = False
+        self.is_cut_from_store = False
         self.crashes = []
         self._is_down = False
         self._refused_runs = {}
@@ -117,13 +124,16 @@
 
     def cut_off(self):
         """Resets all connections and refuses new ones; tasks keep running."""
+        self._reset_connections()
+        self._server.close()
+
+    def _reset_connections(self):
         for connection in list(self._server._connections):
             transport = connection._transport
             transport.get_extra_info("socket").setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
             transport.abort()
-        self._server.close()
 
     async def reconnect(self):
         """Accepts connections again."""
@@ -144,6 +154,8 @@
         self.crashes.append(
             {name: each["run"] for name, each in self.running.items()}
         )
+        if self.resets_on_crash:
+            self._reset_connections()
         self._server.close()
         for name in list(self.running):
             self._fleet_runs.pop((name, self.worker_id), None)
@@ -172,6 +184,23 @@
         self._is_down = False
         self.register()
 
+    def change_capacity(self, grace_s=0.0, **amounts):
+        """Changes the capacity; the former one counts for a while longer."""
+        until_s = time.monotonic() + grace_s
+        self._former_capacities.append((until_s, self.capacity))
+        self.capacity = {**self.capacity, **amounts}
+        self.register()
+
+    def _counted_capacity(self):
+        capacities = [self.capacity]
+        for until_s, former in self._former_capacities:
+            if time.monotonic() < until_s:
+                capacities.append(former)
+        return {
+            resource: max(each[resource] for each in capacities)
+            for resource in self.capacity
+        }
+
     def register(self):
         state = "draining" if self.is_draining else "ready"
         fields = {
@@ -194,7 +223,7 @@
 
     async def _run_heartbeats(self):
         while True:
-            if not self._is_down:
+            if not self._is_down and not self.is_cut_from_store:
                 self.register()
             await asyncio.sleep(_HEARTBEAT_S)
 
@@ -267,7 +296,7 @@
     def _check_capacity(self, name, spec):
         """Records a start after which the worker exceeds its capacity."""
         specs = [spec, *(each["spec"] for each in self.running.values())]
-        for resource, capacity in self.capacity.items():
+        for resource, capacity in self._counted_capacity().items():
             word = _RESOURCE_WORDS[resource]
             used = sum(_amount(each, word) for each in specs)
             if used > capacity:
