cell: a new leader counts and stops the runs of ended jobs at once

The steps of an ended job are now created when one of its runs is listed: the run is adopted, counted and stopped at once.

Evidence: with a worker that refuses stops and runs 2 tasks of a cancelled job, 2 tasks of another job of the same workspace started beside them before, although the limit allows 2 in all. Now none starts until the runs have ended.

--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -141,6 +141,20 @@
         step = steps[task.step]
         return step if task.position < step.spec.task_count else None
 
+    def ended_step(
+        self, task: model.TaskName
+    ) -> step_progress.StepProgress | None:
+        """Returns the step of a task if the job has ended.
+
+        The stored progress of an ended job lacks its steps, but a run may
+        continue until its worker stops it.
+        """
+        if not self.is_ended or task.occurrence >= self.occurrence_count:
+            return None
+        if task.occurrence not in self.occurrences:
+            self.open(task.occurrence)
+        return self.step(task)
+
     def ready_steps(self) -> list[step_progress.StepProgress]:
         """Returns the steps that have waiting tasks and may start."""
         ready = []
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -201,8 +201,10 @@
         """
         task = active.name.task
         job = self._job_tracker.jobs.get(task.job_id)
-        step = job.step(task) if job is not None else None
-        if job is None or step is None:
+        if job is None:
+            return None
+        step = job.step(task) or job.ended_step(task)
+        if step is None:
             return None
         run = runs.Run(active.name, step, worker, now)
         run.state = runs.RunState.RUNNING
--- a/tests/features/cell/takeover.feature
+++ b/tests/features/cell/takeover.feature
@@ -178,3 +178,16 @@
       | table   |
       | jobs    |
       | servers |
+
+  Scenario: Runs of a cancelled job that a new leader finds count and are stopped
+    Guards against a workspace that exceeds its limit, and a late stop, since
+    the stored progress of an ended job lacks the steps of its runs.
+    Given a cell with 2 workers and 2 instances
+    And the workspace may use 2000 millicores
+    When a job of 2 tasks with 1000 millicores each has begun on one worker
+    And that worker refuses stops, the job is cancelled and the leader ends
+    And another job of 2 tasks with 1000 millicores each is submitted
+    Then no task of the other job starts within 2 s of the election
+    When that worker accepts stops again
+    Then nothing of the cancelled job runs after 1 s
+    And the limit is never exceeded until the other job is completed
--- a/tests/features/steps/cell_takeover_steps.py
+++ b/tests/features/steps/cell_takeover_steps.py
@@ -384,6 +384,42 @@
     )
 
 
+def _cancel_and_end_leader(context):
+    async def cancel():
+        status, _ = await context.world.call("DELETE", cell_jobs.JOB)
+        assert status == 200, status
+        row_key = records.progress_row_key(cell_jobs.JOB)
+        store = context.world.store
+        await loops.until(
+            lambda: b"cancelled" in (store.value(*row_key) or b"")
+        )
+
+    loops.run(context, cancel())
+    leader_ends(context)
+    loops.run(context, loops.until(lambda: context.world.schedulers))
+
+
+@when("that worker refuses stops, the job is cancelled and the leader ends")
+def refuse_and_cancel(context):
+    context.refusing = next(
+        each for each in context.world.workers if each.running
+    )
+    context.refusing.refused_stops = 1_000
+    _cancel_and_end_leader(context)
+
+
+@when("that worker accepts stops again")
+def accept_stops(context):
+    context.refusing.refused_stops = 0
+
+
+@then("nothing of the cancelled job runs after {seconds:d} s")
+def cancelled_stopped(context, seconds):
+    loops.run(context, asyncio.sleep(seconds))
+    names = [name for name, _ in context.world.fleet_runs]
+    assert not [name for name in names if name.startswith(cell_jobs.JOB)], names
+
+
 @when("that worker falls silent and the leader ends")
 def silent_then_leader_ends(context):
     context.silent = next(
@@ -430,6 +466,15 @@
 
 @then("the limit is never exceeded until both jobs are completed")
 def limit_kept(context):
+    _watch_limit(context, (cell_jobs.JOB, cell_jobs.OTHER_JOB))
+
+
+@then("the limit is never exceeded until the other job is completed")
+def limit_kept_for_other(context):
+    _watch_limit(context, (cell_jobs.OTHER_JOB,))
+
+
+def _watch_limit(context, awaited):
     async def watch():
         states = set()
         while states != {"completed"}:
@@ -439,10 +484,7 @@
                 for run in worker.running.values()
             )
             assert used <= context.limit, used
-            states = {
-                await context.world.state(job)
-                for job in (cell_jobs.JOB, cell_jobs.OTHER_JOB)
-            }
+            states = {await context.world.state(job) for job in awaited}
             await asyncio.sleep(0.02)
 
     loops.run(context, watch())
