cell: count runs of ended jobs on silent workers against the limits

The bound now covers all tasks of restored jobs that were cancelled or have failed, as their stored progress does not tell which tasks have ended.

Evidence: with a silent worker that runs 2 tasks of a cancelled job, 2 tasks of another job started beside them before, although the limit allows 2 in all. Now none starts until the silent worker has answered and stopped its runs.

--- a/src/marigoldgap/cell/inherited_usage.py
+++ b/src/marigoldgap/cell/inherited_usage.py
@@ -7,31 +7,63 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import NamedTuple
 
+from marigoldgap.cell import jobs
 from marigoldgap.cell import model
-from marigoldgap.cell import step_progress
+
+# A job that ended in another state had no runs any more.
+_STOPPED_STATES = frozenset({model.JobState.FAILED, model.JobState.CANCELLED})
+
+
+class PossibleRuns(NamedTuple):
+    """Tasks of one step that may run on workers that have not answered."""
+
+    workspace: str
+    demand: model.Demand
+    task_count: int
+
+
+def possible_runs(inherited: Iterable[jobs.Job]) -> Iterator[PossibleRuns]:
+    """Yields the tasks of jobs from earlier elections whose runs are unknown.
+
+    The runs of a job that was cancelled or has failed continue until their
+    worker stops them, and the stored progress does not tell which ones.
+    """
+    for job in inherited:
+        workspace = job.record.workspace
+        if job.state in _STOPPED_STATES:
+            for spec in job.record.spec.steps:
+                count = spec.task_count * job.occurrence_count
+                yield PossibleRuns(workspace, spec.demand, count)
+        elif not job.is_ended:
+            for step in job.ready_steps():
+                yield PossibleRuns(
+                    workspace, step.spec.demand, len(step.waiting)
+                )
 
 
 def unknown_usage(
-    capacities: list[model.Demand], steps: Iterable[step_progress.StepProgress]
+    capacities: list[model.Demand], possible: Iterable[PossibleRuns]
 ) -> dict[str, list[int]]:
     """Returns an upper bound on the unknown usage of each workspace.
 
     Args:
         capacities: Capacities of the workers that have not answered.
-        steps: Steps from earlier elections with tasks whose runs are unknown.
+        possible: Tasks that may run on them.
 
     Returns:
-        The amount of each resource that the waiting tasks of a workspace need,
-        at most the capacity of the workers.
+        The amount of each resource that the tasks of a workspace need, at most
+        the capacity of the workers.
     """
     usage: dict[str, list[int]] = {}
     if not capacities:
         return usage
     totals = [sum(amounts) for amounts in zip(*capacities, strict=True)]
-    for step in steps:
-        used = usage.setdefault(step.job.record.workspace, [0, 0, 0])
-        for index, amount in enumerate(step.spec.demand):
-            needed = used[index] + amount * len(step.waiting)
+    for each in possible:
+        used = usage.setdefault(each.workspace, [0, 0, 0])
+        for index, amount in enumerate(each.demand):
+            needed = used[index] + amount * each.task_count
             used[index] = min(needed, totals[index])
     return usage
--- a/src/marigoldgap/cell/job_tracker.py
+++ b/src/marigoldgap/cell/job_tracker.py
@@ -158,11 +158,11 @@
             for step in job.ready_steps()
         ]
 
-    def inherited_steps(self) -> Iterator[step_progress.StepProgress]:
-        """Yields the steps of earlier elections that have waiting tasks."""
-        for job in self._open_jobs.values():
+    def inherited_jobs(self) -> Iterator[jobs.Job]:
+        """Yields the jobs of earlier elections that are not archived."""
+        for job in self.jobs.values():
             if job.is_inherited:
-                yield from job.ready_steps()
+                yield job
 
     def open_due(self) -> None:
         """Opens the occurrences of recurring jobs that are due."""
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -316,7 +316,7 @@
                     used[index] += amount
         unknown = inherited_usage.unknown_usage(
             self.worker_tracker.pending_capacity(),
-            self.job_tracker.inherited_steps(),
+            inherited_usage.possible_runs(self.job_tracker.inherited_jobs()),
         )
         for workspace, amounts in unknown.items():
             used = usage.setdefault(workspace, [0, 0, 0])
--- a/tests/features/cell/takeover.feature
+++ b/tests/features/cell/takeover.feature
@@ -191,3 +191,15 @@
     When that worker accepts stops again
     Then nothing of the cancelled job runs after 1 s
     And the limit is never exceeded until the other job is completed
+
+  Scenario: Runs of a cancelled job that a silent worker may have count as well
+    Guards against a workspace that exceeds its limit after an election, while
+    a worker that does not answer runs the tasks of a cancelled job.
+    Given a cell with 2 workers and 2 instances
+    And the workspace may use 2000 millicores
+    When a job of 2 tasks with 1000 millicores each has begun on one worker
+    And that worker falls silent, the job is cancelled and the leader ends
+    And another job of 2 tasks with 1000 millicores each is submitted
+    Then no task of the other job starts within 2 s of the election
+    When the silent worker answers again
+    Then the limit is never exceeded until the other job is completed
--- a/tests/features/steps/cell_takeover_steps.py
+++ b/tests/features/steps/cell_takeover_steps.py
@@ -408,6 +408,15 @@
     _cancel_and_end_leader(context)
 
 
+@when("that worker falls silent, the job is cancelled and the leader ends")
+def silent_and_cancelled(context):
+    context.silent = next(
+        each for each in context.world.workers if each.running
+    )
+    context.silent._is_silent = True
+    _cancel_and_end_leader(context)
+
+
 @when("that worker accepts stops again")
 def accept_stops(context):
     context.refusing.refused_stops = 0
