cell: the limit for stuck runs grows with the run time

Callers would see a job with long tasks that never completes: a run without progress for 3 s was stopped and started elsewhere. Workers may list progress in whole percents, so a task of more than 300 s shows none for longer than that. Without saved progress it started anew each time.

The limit is now 4 % of the expected run time, and 3 s at least. As the declared time may be far too short, the limit doubles with each further worker that the task avoids, up to 64 times. For tasks of up to 75 s it stays at 3 s on the first two workers.

--- a/src/marigoldgap/cell/runs.py
+++ b/src/marigoldgap/cell/runs.py
@@ -71,6 +71,28 @@
         return max(_MIN_REMAINING_S, expected_s - elapsed)
 
 
+def stuck_after_s(expected_s: float, avoided_workers: int) -> float:
+    """Returns the seconds without progress after which a run is stuck.
+
+    Workers may list progress in whole percents, so a long run shows none for a
+    while. The declared run time may be far too short: the limit doubles with
+    each further worker on which the task has got no further.
+
+    Args:
+        expected_s: Expected run time of the task in seconds.
+        avoided_workers: Number of workers that the task avoids.
+    """
+    limit_s = max(_MIN_STUCK_S, _STUCK_SHARE * expected_s)
+    doublings = min(max(0, avoided_workers - 1), _MAX_STUCK_DOUBLINGS)
+    return float(limit_s * 2**doublings)
+
+
+# A run without progress for this long is stuck, unless one percent of its
+# expected run time takes about as long.
+_MIN_STUCK_S = 3.0
+# Share of the expected run time without progress after which it is stuck.
+_STUCK_SHARE = 0.04
+_MAX_STUCK_DOUBLINGS = 6
 # Below this progress the elapsed time does not predict the total run time.
 _MIN_PERCENT = 8.0
 # Expected remaining time of a run that is being stopped; a worker needs up to
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -22,8 +22,8 @@
 
 _log = decision_log.DecisionLogger("workers")
 
-# A run without progress for this long is stuck.
-_STUCK_AFTER_S = 3.0
+# Time for which no run is started on a worker on which one was stuck.
+_STUCK_PAUSE_S = 3.0
 # Progress of a run that is complete but may not be listed as ended yet.
 _COMPLETE_PERCENT = 100.0
 # Leases that an earlier leader granted, or that a command for an earlier
@@ -75,6 +75,7 @@
         self._leadership = leadership
         self._port = port
         self._job_tracker = tracker
+        self._times = times
         self._runs = run_tracker.RunTracker(
             leadership, tracker, times, self._send_stop
         )
@@ -400,11 +401,17 @@
         if active.percent != run.percent:
             run.percent = active.percent
             run.progressed_s = now
-        elif now - run.progressed_s > _STUCK_AFTER_S:
+        elif now - run.progressed_s > self._stuck_after_s(run):
             self._on_stuck(run, now)
         if active.saved:
             run.step.keep_saved(run.name.task.position, active.saved)
 
+    def _stuck_after_s(self, run: runs.Run) -> float:
+        avoided = run.step.avoid.get(run.name.task.position, ())
+        return runs.stuck_after_s(
+            self._times.expected_s(run.step), len(avoided)
+        )
+
     def _on_stuck(self, run: runs.Run, now: float) -> None:
         """Stops a run without progress, so that another worker repeats it."""
         if (
@@ -414,7 +421,7 @@
         ):
             return
         worker = run.worker
-        worker.avoid_until_s = max(worker.avoid_until_s, now + _STUCK_AFTER_S)
+        worker.avoid_until_s = max(worker.avoid_until_s, now + _STUCK_PAUSE_S)
         run.step.avoid_worker(run.name.task.position, worker.worker_id)
         self._runs.stop(run, "no progress")
 
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -157,3 +157,24 @@
     Then the pauses were "1 2 4 8 8 8" s
     When the worker has answered and is given up again
     Then the last pause was 1 s
+
+  Scenario: A long run that shows no progress for a while is not stopped
+    Guards against a task that is stopped again and again and never completes,
+    since one percent of it takes longer than the limit for stuck runs.
+    Given a cell with 2 workers and 1 instances
+    When a job of 400 s that declares its run time is submitted and has begun
+    Then its task was started once after 8 s
+
+  Scenario Outline: The limit for stuck runs grows with the run time
+    Guards against a task that never completes, though its declared run time is
+    too short.
+    Then a task of <expected> s that avoids <avoided> workers is stuck after <limit> s
+
+    Examples:
+      | expected | avoided | limit |
+      | 1        | 0       | 3     |
+      | 1        | 1       | 3     |
+      | 1        | 2       | 6     |
+      | 1        | 3       | 12    |
+      | 1        | 99      | 192   |
+      | 400      | 0       | 16    |
