--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -15,6 +15,7 @@
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
 from marigoldgap.cell import records
+from marigoldgap.cell import rejoin
 from marigoldgap.cell import run_times
 from marigoldgap.cell import run_tracker
 from marigoldgap.cell import runs
@@ -23,8 +24,8 @@
 
 _log = decision_log.DecisionLogger("workers")
 
-# A run without progress for this long is stuck.
-_STUCK_AFTER_S = 3.0
+# Time for which no run is started on a worker on which one was stuck.
+_STUCK_PAUSE_S = 3.0
 # Progress of a run that is complete but may not be listed as ended yet.
 _COMPLETE_PERCENT = 100.0
 # Leases that an earlier leader granted, or that a command for an earlier
@@ -38,8 +39,6 @@
 _FENCING_LIMIT_S = 1.3
 # Timeout of the command to stop a run of an unknown job.
 _STOP_TIMEOUT_S = 1.0
-# Pause before a new session with a removed worker that is still registered.
-_REJOIN_PAUSE_S = 1.0
 
 
 class WorkerTracker:
@@ -79,11 +78,13 @@
         self._port = port
         self._job_tracker = tracker
         crashes = crash_counter.CrashCounter(leadership, tracker)
+        self._times = times
         self._runs = run_tracker.RunTracker(
             leadership, tracker, times, crashes, self._send_stop
         )
         self._lost = lost_workers.LostWorkers(crashes.suspect, crashes.withdraw)
         self._sessions: dict[str, worker_session.WorkerSession] = {}
+        self._rejoins = rejoin.RejoinPauses()
         self._unknown_stopping: set[model.RunName] = set()
 
     @property
@@ -242,6 +243,7 @@
         self._lost.on_registered(registration.worker_id, registration.born_ms)
         worker = self.workers.get(registration.worker_id)
         if worker is None:
+            self._rejoins.forget(registration.worker_id)
             self._store(self._join(registration))
             return
         if registration.is_draining and not worker.registration.is_draining:
@@ -258,6 +260,7 @@
         """Stops placing runs on a worker whose registration was removed."""
         self._registrations.pop(worker_id, None)
         self._lost.on_vanished(worker_id)
+        self._rejoins.forget(worker_id)
         worker = self.workers.get(worker_id)
         if worker is None:
             return
@@ -268,22 +271,25 @@
 
     def on_silent(self, worker: fleet.Worker, cause: str) -> None:
         """Stops placing runs on a worker that does not answer."""
-        if worker.contact is not fleet.Contact.SILENT:
+        if worker.contact is fleet.Contact.SILENT:
+            return
+        if not self._rejoins.is_unreachable(worker.worker_id):
             _log.warning("worker_lost", worker=worker.worker_id, cause=cause)
-            worker.contact = fleet.Contact.SILENT
+        worker.contact = fleet.Contact.SILENT
 
     def on_gone(
         self, worker: fleet.Worker, has_ended: bool, cause: str
     ) -> None:
         """Ends the runs of a worker that is known to be gone."""
         has_crashed = has_ended and not worker.is_leaving
-        _log.warning(
-            "worker_gone",
-            worker=worker.worker_id,
-            runs=len(worker.runs),
-            has_crashed=has_crashed,
-            cause=cause,
-        )
+        if not self._rejoins.is_unreachable(worker.worker_id):
+            _log.warning(
+                "worker_gone",
+                worker=worker.worker_id,
+                runs=len(worker.runs),
+                has_crashed=has_crashed,
+                cause=cause,
+            )
         worker.contact = fleet.Contact.GONE
         self.workers.remove(worker)
         self._sessions.pop(worker.worker_id, None)
@@ -305,7 +311,8 @@
             self._leadership.journal.schedule_write(
                 records.roster_row_key(worker.worker_id), _no_content
             )
-        self._leadership.spawn(self._rejoin(worker.worker_id))
+        pause_s = self._rejoins.give_up(worker.worker_id)
+        self._leadership.spawn(self._rejoin(worker.worker_id, pause_s))
         self._leadership.request_plan()
 
     def on_fenced(self) -> None:
@@ -328,6 +335,7 @@
             _log.info("worker_answers", worker=worker.worker_id)
             self._lost.on_heard(worker.worker_id, listing.born_ms)
             worker.contact = fleet.Contact.ANSWERING
+            self._rejoins.forget(worker.worker_id)
         if not worker.has_roster_row:
             self._store(worker)
         if self.ready.is_set():
@@ -396,11 +404,12 @@
 
     def _join(self, registration: model.Registration) -> fleet.Worker:
         worker = fleet.Worker(registration, clock.now_s())
-        _log.info(
-            "worker_joined",
-            worker=worker.worker_id,
-            address=registration.address,
-        )
+        if not self._rejoins.is_unreachable(worker.worker_id):
+            _log.info(
+                "worker_joined",
+                worker=worker.worker_id,
+                address=registration.address,
+            )
         self._add(worker)
         return worker
 
@@ -410,12 +419,12 @@
         self._sessions[worker.worker_id] = session
         self._leadership.spawn(session.run())
 
-    async def _rejoin(self, worker_id: str) -> None:
+    async def _rejoin(self, worker_id: str, pause_s: float) -> None:
         """Opens a new session with a removed worker that is still registered.
 
         Its registration does not change if only its network was cut.
         """
-        await asyncio.sleep(_REJOIN_PAUSE_S)
+        await asyncio.sleep(pause_s)
         registration = self._registrations.get(worker_id)
         if registration is not None and self.workers.get(worker_id) is None:
             # It is added to the roster once it answers.
@@ -459,11 +468,17 @@
         if active.percent != run.percent:
             run.percent = active.percent
             run.progressed_s = now
-        elif now - run.progressed_s > _STUCK_AFTER_S:
+        elif now - run.progressed_s > self._stuck_after_s(run):
             self._on_stuck(run, now)
         if active.saved:
             run.step.keep_saved(run.name.task.position, active.saved)
 
+    def _stuck_after_s(self, run: runs.Run) -> float:
+        avoided = run.step.avoid.get(run.name.task.position, ())
+        return runs.stuck_after_s(
+            self._times.expected_s(run.step), len(avoided)
+        )
+
     def _on_stuck(self, run: runs.Run, now: float) -> None:
         """Stops a run without progress, so that another worker repeats it."""
         if (
@@ -473,7 +488,7 @@
         ):
             return
         worker = run.worker
-        worker.avoid_until_s = max(worker.avoid_until_s, now + _STUCK_AFTER_S)
+        worker.avoid_until_s = max(worker.avoid_until_s, now + _STUCK_PAUSE_S)
         run.step.avoid_worker(run.name.task.position, worker.worker_id)
         self._runs.stop(run, "no progress")
 
