--- a/tests/features/steps/cell_shutdown_steps.py
+++ b/tests/features/steps/cell_shutdown_steps.py
@@ -12,6 +12,7 @@
 from behave import then
 from behave import when
 
+from marigoldgap import clock
 from marigoldgap.cell import records
 from marigoldgap.cell import store
 from marigoldgap.web import client
