web: a server that starts again reads its connections

No instance starts a server twice; the stand-ins of workers do, and after a merge five scenarios of cell/worker_crashes failed for it, each time.

Starting clears the state. worker_faults, shutdown and worker_capacity pass (the first had one failure for it).

--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -84,6 +84,7 @@
         """Listens on `ip:port`."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
+        self._is_closed = False
         self._server = await loop.create_server(
             lambda: _ServerConnection(self), host, int(port), backlog=_BACKLOG
         )
