soak: replace no worker twice at once

Cause: two replacements in overlap chose the same worker. Both started a successor under its id, so that two processes with one id ran at the same time and overwrote each other's registration by turns; the platform has no such workers. The scheduler is not at fault: it ended the runs that the other process did not list.

Why it works: a worker that is down is being replaced, or starts again, and is left alone. The stand-in says whether it is down.

--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -17,5 +17,7 @@
     " had no response",
     5003: "a reload signal ended a process that was still starting (open, issue"
     " 10)",
+    8009: "the soak replaced one worker twice at once, so that two processes had"
+    " its id",
     214: "the soak did not restart an instance that ended while suspended",
 }
--- a/soak/world.py
+++ b/soak/world.py
@@ -118,11 +118,15 @@
     async def replace_worker(self, keeps_id: bool) -> None:
         """Stops a random worker and starts another one in its place.
 
+        A worker that is down starts again, or is being replaced.
+
         Args:
             keeps_id: Whether the new worker has the id of the old one.
         """
         index = self.random_source.randrange(len(self.workers))
         old = self.workers[index]
+        if old.is_down:
+            return
         old.stop()
         self._ended_workers.append(old)
         self.worker_links[index].close()
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -64,6 +64,7 @@
         resets_on_crash: Whether a crash resets its connections, instead of
             closing them.
         is_cut_from_store: Whether it cannot renew its registration.
+        is_down: Whether its process has ended and not started again.
         crashes: Runs that were lost in each crash, by name of the task.
     """
 
@@ -104,7 +105,7 @@
         self.resets_on_crash = False
         self.is_cut_from_store = False
         self.crashes = []
-        self._is_down = False
+        self.is_down = False
         self._refused_runs = {}
         self._last_end_number = 0
         self._born_s = time.monotonic()
@@ -139,8 +140,11 @@
         """Accepts connections again."""
         await self._server.start(self.address)
 
-    def stop(self):
+    def stop(self, is_crash=False):
         """Stops the worker: ends all runs and resets all connections."""
+        if is_crash:
+            self._record_crash()
+        self.is_down = True
         self._server.close()
         for task in self._tasks:
             task.cancel()
@@ -150,10 +154,8 @@
 
     def crash(self):
         """Ends the process without notice; another one starts later."""
-        self._is_down = True
-        self.crashes.append(
-            {name: each["run"] for name, each in self.running.items()}
-        )
+        self.is_down = True
+        self._record_crash()
         if self.resets_on_crash:
             self._reset_connections()
         self._server.close()
@@ -162,6 +164,11 @@
         self.running.clear()
         self._tasks.append(asyncio.create_task(self._restart()))
 
+    def _record_crash(self):
+        self.crashes.append(
+            {name: each["run"] for name, each in self.running.items()}
+        )
+
     async def _restart(self):
         """Starts a process that knows nothing of the earlier one."""
         await asyncio.sleep(self.restart_s)
@@ -181,7 +188,7 @@
         self._born_s = time.monotonic()
         self.born_ms = int(time.time() * 1000)
         await self._server.start(self.address)
-        self._is_down = False
+        self.is_down = False
         self.register()
 
     def change_capacity(self, grace_s=0.0, **amounts):
@@ -189,7 +196,8 @@
         until_s = time.monotonic() + grace_s
         self._former_capacities.append((until_s, self.capacity))
         self.capacity = {**self.capacity, **amounts}
-        self.register()
+        if not self.is_down:
+            self.register()
 
     def _counted_capacity(self):
         capacities = [self.capacity]
@@ -223,7 +231,7 @@
 
     async def _run_heartbeats(self):
         while True:
-            if not self._is_down and not self.is_cut_from_store:
+            if not self.is_down and not self.is_cut_from_store:
                 self.register()
             await asyncio.sleep(_HEARTBEAT_S)
 
