soak: tasks that crash their workers, and capacities that shrink

The soak had neither, so that BUDGET and LIMIT were checked in single scenarios only. New faults, in overlap with the others: a job whose task crashes each worker that runs it, a worker that crashes by itself (its connections closed or reset), and a capacity that shrinks and grows.

Checks, from what the workers saw: no task gets a third start after three workers have crashed under it; a job may be shown as failed only if two workers have crashed under one of its tasks; a start exceeds no capacity, where a former one counts 6 s longer, as no other fault keeps the leader from the registrations for longer.

That the soak would find a start beyond a shrunk capacity was not shown.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import json
 import random
 import time
@@ -51,13 +52,18 @@
         # Idle keep-alive connections by address; a closed one is dropped.
         self._idle_connections: dict[str, list[client.Connection]] = {}
 
-    async def submit(self, job_id: str) -> None:
+    async def submit(self, job_id: str, payload: str = "") -> None:
         """Submits a job with retries and records the outcome.
 
         The job is unknown, not refused, if an attempt had no response or a
         502 or 504, after which the job may have been accepted.
+
+        Args:
+            job_id: Identifier of the job.
+            payload: Payload of a job of one task; empty for a random job.
         """
-        body = json_object.encode(self._random_job_body())
+        content = _small_job_body(payload) if payload else None
+        body = json_object.encode(content or self._random_job_body())
         may_be_accepted = False
         for _ in range(_ATTEMPTS):
             answer = await self._call("POST", job_id, body)
@@ -115,11 +121,14 @@
             await self._send_any(instance, connection)
             await asyncio.sleep(self._random_source.uniform(0, _MAX_PAUSE_S))
 
-    async def wait_for_all(self, deadline_s: float) -> list[str]:
+    async def wait_for_all(
+        self, deadline_s: float, may_fail: Callable[[str], bool]
+    ) -> list[str]:
         """Polls the accepted jobs until all are completed or time is up.
 
         Args:
             deadline_s: How long to poll, in seconds.
+            may_fail: Returns whether a job may be given up.
 
         Returns:
             The jobs that were not completed in time, in order.
@@ -130,8 +139,10 @@
         while pending_jobs and loop.time() < end:
             for job_id in list(pending_jobs):
                 state = await self.fetch_state(job_id)
-                if state == "completed" or (
-                    state == "cancelled" and job_id in self.cancelled
+                if (
+                    state == "completed"
+                    or (state == "cancelled" and job_id in self.cancelled)
+                    or (state == "failed" and may_fail(job_id))
                 ):
                     pending_jobs.discard(job_id)
                 elif state in ("failed", "cancelled"):
@@ -258,6 +269,11 @@
             )
 
 
+def _small_job_body(payload: str) -> dict[str, object]:
+    step = {"count": 1, "cpu": 1000, "memMb": 64, "estimateMs": 200}
+    return {"spec": payload, "steps": [step]}
+
+
 def _is_open(answer: messages.Response | None) -> bool:
     """Returns whether the job of a failed submission may be accepted."""
     return answer is None or answer.status in (502, 504)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,10 +17,14 @@
 
 Fault = Callable[["worlds.World"], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
-# Every fault undoes its effect within this time.
+# Every fault undoes its effect within this time, but that of a capacity.
 _MAX_FAULT_S = 5.0
 # Longest delay of a call to the store.
 _MAX_STORE_DELAY_S = 0.9
+# Time for which a capacity that has shrunk counts no less: no other fault keeps
+# the leader from the registrations for longer.
+_SHRUNK_GRACE_S = _MAX_FAULT_S + 1.0
+_FULL_MILLICORES = 16_000
 # Longest pause between two signals of a series.
 _MAX_SIGNAL_GAP_S = 0.8
 
@@ -239,3 +243,33 @@
 async def change_configuration(world: worlds.World) -> None:
     """Writes a new version of the configuration."""
     world.change_configuration()
+
+
+@_fault
+async def submit_crashing_job(world: worlds.World) -> None:
+    """Submits a job whose task crashes each worker that runs it."""
+    job_id = f"{world.random_source.getrandbits(64):016x}"
+    run_ms = world.random_source.randint(20, 800)
+    await world.callers.submit(job_id, f"ms={run_ms} cpu=1000 crash")
+
+
+@_fault
+async def crash_worker(world: worlds.World) -> None:
+    """Crashes a worker that no task has crashed; it comes back."""
+    worker = world.random_source.choice(world.workers)
+    worker.resets_on_crash = world.random_source.random() < 0.5
+    worker.restart_s = world.random_source.uniform(0.1, _MAX_FAULT_S)
+    if not worker.is_down:
+        worker.crash()
+
+
+@_fault
+async def shrink_capacity(world: worlds.World) -> None:
+    """Shrinks the capacity of a worker for a while, beyond its grace."""
+    worker = world.random_source.choice(world.workers)
+    cores = world.random_source.choice((4000, 6000, 8000))
+    worker.change_capacity(_SHRUNK_GRACE_S, cpu=cores)
+    await asyncio.sleep(
+        _SHRUNK_GRACE_S + world.random_source.uniform(0.5, _MAX_FAULT_S)
+    )
+    worker.change_capacity(cpu=_FULL_MILLICORES)
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,6 +11,7 @@
 
 from marigoldgap.cell import records
 from soak import callers
+from soak import crashes
 from soak import faults
 from soak import instances
 from soak import proxy
@@ -127,7 +128,7 @@
         old = self.workers[index]
         if old.is_down:
             return
-        old.stop()
+        old.stop(is_crash=True)
         self._ended_workers.append(old)
         self.worker_links[index].close()
         if not keeps_id:
@@ -231,14 +232,19 @@
     async def _check_results(self) -> None:
         for instance in self.instances:
             instance.send_signal(signal.SIGCONT)
-        for job_id in await self.callers.wait_for_all(_COMPLETION_TIMEOUT_S):
+        workers = [*self.workers, *self._ended_workers]
+        for job_id in await self.callers.wait_for_all(
+            _COMPLETION_TIMEOUT_S,
+            lambda job_id: crashes.may_be_given_up(job_id, workers),
+        ):
             self.violations.append(
                 f"accepted job {job_id} was not completed"
                 f" within {_COMPLETION_TIMEOUT_S:g} s"
             )
         self.violations += self.callers.violations
         started = set()
-        for worker in (*self.workers, *self._ended_workers):
+        self.violations += crashes.excess_starts(workers)
+        for worker in workers:
             self.violations += worker.violations
             started |= {name.partition(".")[0] for name, _ in worker.starts}
         for job_id in sorted(started & self.callers.refused):
