cell: give up an unanswered start after 9 s instead of 6 s

A worker that carries orders out late leaves them unanswered for up to 6 s on the users' deployments. A start that was given up at the same time would be carried out late and then stopped by the late stop: callers would see the task begin later than with the repeated start, and the work would be thrown away.

--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -36,7 +36,7 @@
 # Commands without an answer after which a start is given up, although the
 # worker answers renewals. It may carry out a command seconds late, so that a
 # new start elsewhere would be no earlier.
-_MAX_UNANSWERED_STARTS = 10
+_MAX_UNANSWERED_STARTS = 15
 # Time for which a renewal waits until ended runs are stored; after it the lease
 # is renewed without acknowledging them.
 _STORE_TIMEOUT_S = 1.0
