tests: a chosen port stays reserved while nothing listens on it

Cause: a port was only probed when it was chosen. While its owner did not listen on it, another process with tests or a soak found it free and took it; so did another source of addresses in the same process, which starts at the same port. Outgoing connections are no cause: the chosen ports lie below the ephemeral range. Fix: the latest 512 ports of a source stay bound by a socket that does not listen. Its option to share the address is set after the bind, so that a second reservation fails while the owner's listener can bind; connections are still refused.

--- a/bench/ports.py
+++ b/bench/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import os
 import random
 import socket
@@ -11,16 +12,25 @@
 # takes the port of an instance that is being restarted.
 _LOWEST_PORT = 10_000
 _HIGHEST_PORT = 31_000
+# Number of the latest ports that a process keeps reserved; each needs a file
+# descriptor.
+_MAX_RESERVED = 512
 
 
 class Ports:
-    """Allocates each free port once; the first port differs by process."""
+    """Allocates each free port once; the first port differs by process.
+
+    The latest ports stay reserved while nothing listens on them: no other
+    instance of this class, in whichever process, allocates them, and
+    connections are refused. A listener with SO_REUSEADDR can bind to them.
+    """
 
     def __init__(self) -> None:
         start = random.Random(os.getpid()).randrange(
             _LOWEST_PORT, _HIGHEST_PORT
         )
         self._next = start
+        self._reserved: collections.deque[socket.socket] = collections.deque()
 
     def take(self) -> str:
         """Returns an address that nothing listens on.
@@ -33,20 +43,34 @@
             self._next += 1
             if self._next >= _HIGHEST_PORT:
                 self._next = _LOWEST_PORT
-            if _is_free(port):
+            reservation = _reserve(port)
+            if reservation is not None:
+                self._keep(reservation)
                 return f"{_HOST}:{port}"
         raise OSError(
             f"no free port on {_HOST} from {_LOWEST_PORT} to"
             f" {_HIGHEST_PORT - 1}"
         )
 
+    def _keep(self, reservation: socket.socket) -> None:
+        self._reserved.append(reservation)
+        if len(self._reserved) > _MAX_RESERVED:
+            self._reserved.popleft().close()
+
+
+def _reserve(port: int) -> socket.socket | None:
+    """Binds a socket to a port that no other socket is bound to.
 
-def _is_free(port: int) -> bool:
-    """Returns whether a listener can bind to the port."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((_HOST, port))
-        except OSError:
-            return False
-    return True
+    Returns:
+        The socket, which does not listen, or None if the port is in use.
+    """
+    reservation = socket.socket()
+    try:
+        reservation.bind((_HOST, port))
+    except OSError:
+        reservation.close()
+        return None
+    # Set after bind(), which thereby failed if the port was reserved. A
+    # listener can bind to the port as well if both sockets have the option.
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return reservation
