soak: two faults that open a link at once listen once

Cause: start() checked that the link does not listen, then waited for the listener; a second fault that ended in the same moment passed the check as well. Fix: the check and the start are one step under a lock.

--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -19,5 +19,6 @@
     " 10)",
     8009: "the soak replaced one worker twice at once, so that two processes had"
     " its id",
+    7008: "a link of the soak could not listen on its port again",
     214: "the soak did not restart an instance that ended while suspended",
 }
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -46,15 +46,19 @@
         self._target = target
         self._free_at_s = 0.0
         self._server: asyncio.Server | None = None
+        self._start_lock = asyncio.Lock()
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Starts listening, unless it already does."""
-        if self._server is not None:
-            return
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        async with self._start_lock:
+            if self._server is not None:
+                return
+            host, _, port = self.address.rpartition(":")
+            self._server = await asyncio.start_server(
+                self._serve, host, int(port)
+            )
 
     def reset(self) -> None:
         """Resets all connections (RST), unlike a process that closes them."""
