soak: a reset of a link skips connections that are already closed

Cause: a link kept a connection in its set until the withheld bytes were released. When the worker behind it resets the connection meanwhile, as a crash does, the transport closes the socket, and the reset at the end of the fault sets an option on a closed socket. Evidence: the new scenario failed before with the same error at the same line. Fix: a connection whose socket is closed is left out; all others are reset as before.

--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -20,5 +20,6 @@
     8009: "the soak replaced one worker twice at once, so that two processes had"
     " its id",
     7008: "a link of the soak could not listen on its port again",
+    8013: "the soak reset a connection whose socket was closed",
     214: "the soak did not restart an instance that ended while suspended",
 }
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -11,6 +11,8 @@
 _WITHHOLD_POLL_INTERVAL_S = 0.02
 # A linger time of 0 s makes close() reset the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# What fileno() returns for a closed socket.
+_CLOSED = -1
 
 
 class Mode(enum.Enum):
@@ -64,6 +66,8 @@
         """Resets all connections (RST), unlike a process that closes them."""
         for writer in list(self._writers):
             connection = writer.get_extra_info("socket")
+            if connection.fileno() == _CLOSED:
+                continue
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
