tests: a pause of the test process lets no run of the stand-in lapse

The stand-in of the worker now records begin and end of each run with its number, token and the other runs of the task, and the scenario shows this record when it fails.

Cause, by a trace: the workers of the test run in the paused process. After a pause beyond the lease, the stand-in handled the end of the lease before that of the run, although the run of 1.5 s had been due seconds earlier. It listed the run as lapsed, and the new leader was right to start it again: no other run of the task existed, and none had ended as done.

A worker is a process of its own, so the end that was due first counts. A run whose lease ended before it was due still lapses. The checks stay as they are.

--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -78,7 +78,8 @@
 @then("each of its tasks was started once")
 def started_once(context):
     names = [name for name, _ in cell_jobs.starts(context)]
-    assert len(names) == context.tasks == len(set(names)), names
+    history = cell_jobs.history(context)
+    assert len(names) == context.tasks == len(set(names)), history
     cell_jobs.check_no_violations(context)
 
 
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import json
+import math
 import socket
 import struct
 import time
+from typing import NamedTuple
 
 from marigoldgap.web import messages
 from marigoldgap.web import server
@@ -19,6 +21,28 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+class RunEvent(NamedTuple):
+    """Begin or end of a run.
+
+    Attributes:
+        time_s: Monotonic time in seconds.
+        worker_id: Id of the worker.
+        task: Name of the task.
+        run: Number of the run.
+        fence: Highest fencing token that the worker has received.
+        what: `started`, how the run ended, or `lost` with its process.
+        others: Other runs of the task at that time, on all workers.
+    """
+
+    time_s: float
+    worker_id: str
+    task: str
+    run: int
+    fence: int
+    what: str
+    others: tuple
+
+
 class WorkerStandIn:
     """Runs tasks and records violations of the scheduler's guarantees.
 
@@ -66,6 +90,7 @@
         is_cut_from_store: Whether it cannot renew its registration.
         is_down: Whether its process has ended and not started again.
         crashes: Runs that were lost in each crash, by name of the task.
+        history: Begin and end of each run, in order.
     """
 
     def __init__(
@@ -105,6 +130,7 @@
         self.resets_on_crash = False
         self.is_cut_from_store = False
         self.crashes = []
+        self.history = []
         self.is_down = False
         self._refused_runs = {}
         self._last_end_number = 0
@@ -148,8 +174,9 @@
         self._server.close()
         for task in self._tasks:
             task.cancel()
-        for name in list(self.running):
+        for name, each in self.running.items():
             self._fleet_runs.pop((name, self.worker_id), None)
+            self._record(name, each["run"], "lost")
         self.running.clear()
 
     def crash(self):
@@ -159,8 +186,9 @@
         if self.resets_on_crash:
             self._reset_connections()
         self._server.close()
-        for name in list(self.running):
+        for name, each in self.running.items():
             self._fleet_runs.pop((name, self.worker_id), None)
+            self._record(name, each["run"], "lost")
         self.running.clear()
         self._tasks.append(asyncio.create_task(self._restart()))
 
@@ -239,8 +267,19 @@
         while True:
             await asyncio.sleep(0.05)
             if self.lease_until_ms and self._clock_ms > self.lease_until_ms:
-                for name in list(self.running):
-                    self._end(name, "lapsed")
+                self._end_all()
+
+    def _end_all(self):
+        """Ends all runs after the lease has ended.
+
+        If the test process was paused, a run may have been complete before.
+        """
+        lease_end_s = self._born_s + self.lease_until_ms / 1000
+        for name, each in list(self.running.items()):
+            if each.get("due_s", math.inf) <= lease_end_s:
+                self._complete(name, each["run"], each["spec"])
+            elif name in self.running:
+                self._end(name, "lapsed")
 
     async def _handle(self, request):
         if request.headers.get("x-expect-instance") != self.worker_id:
@@ -285,12 +324,15 @@
             self.violations.append(
                 f"task {name} was started after its end was acknowledged"
             )
+        self._record(name, run, "started")
         self._check_capacity(name, body["spec"])
         self._fleet_runs[name, self.worker_id] = run
+        now_s = time.monotonic()
         self.running[name] = {
             "run": run,
             "spec": body["spec"],
-            "since": time.monotonic(),
+            "since": now_s,
+            "due_s": now_s + self._duration_s(body),
         }
         self.most_running = max(self.most_running, len(self.running))
         self._tasks.append(
@@ -352,6 +394,9 @@
 
     async def _run_task(self, name, run, spec):
         await asyncio.sleep(self._duration_s({"spec": spec}))
+        self._complete(name, run, spec)
+
+    def _complete(self, name, run, spec):
         if self.running.get(name, {}).get("run") != run:
             return
         if "crash" in spec:
@@ -359,9 +404,28 @@
         else:
             self._end(name, "failed" if "fail" in spec else "done")
 
+    def _record(self, name, run, what):
+        others = tuple(
+            (worker_id, number)
+            for (task, worker_id), number in self._fleet_runs.items()
+            if task == name
+        )
+        self.history.append(
+            RunEvent(
+                time.monotonic(),
+                self.worker_id,
+                name,
+                run,
+                self.fence,
+                what,
+                others,
+            )
+        )
+
     def _end(self, name, state):
         run = self.running.pop(name)["run"]
         self._fleet_runs.pop((name, self.worker_id), None)
+        self._record(name, run, state)
         self._refused_runs[name] = max(run, self._refused_runs.get(name, 0))
         self._last_end_number += 1
         self.ended.append([self._last_end_number, name, run, state, ""])
