tests: the test of slots and limits does not depend on a deadline of 2 s

The deadline of these requests is now 25 s, below the time after which a test is taken to hang, so that all of them must still be answered. The checks of slots and limit are unchanged.

--- a/tests/features/steps/dispatch_requests_steps.py
+++ b/tests/features/steps/dispatch_requests_steps.py
@@ -19,6 +19,9 @@
 from tests.fixtures import data_plane
 from tests.fixtures import loops
 
+# Deadline of requests whose test is not about deadlines, in milliseconds.
+_LONG_DEADLINE_MS = 25_000
+
 
 def make_task(task_id, **fields):
     values = {
@@ -269,7 +272,12 @@
             await asyncio.sleep(delay / 1_000)
             team = "claims" if number % 2 else "desk"
             running = asyncio.create_task(
-                submit(context, f"b{batch}-{number}", team=team)
+                submit(
+                    context,
+                    f"b{batch}-{number}",
+                    team=team,
+                    deadline_ms=clock.monotonic_ms() + _LONG_DEADLINE_MS,
+                )
             )
             peak = max(peak, plane.dispatcher.holdings.running(team))
             return await running
