cell: a long-running task does not keep its worker quarantined

Cause: a quarantined worker gets one run at a time as a probe, and any run counted as the probe. A quarantine ends only with a run that is done, so a worker with a long-running task, which ends only when it fails or is cancelled, was closed to all other tasks as long as that task ran. Evidence: the new scenario failed before: nothing starts on the worker 3 s after the quarantine of 2 s began. Only runs that end count as probes now. Measured: the scenario passes.

--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -99,7 +99,8 @@
     def accepts(self, now: float) -> bool:
         """Returns whether new runs may be started on this worker.
 
-        A quarantined worker gets one run at a time, as a probe.
+        A quarantined worker gets one run at a time, as a probe. Long-running
+        tasks are not counted: they would keep it quarantined for good.
         """
         return (
             self.contact is Contact.ANSWERING
@@ -108,7 +109,13 @@
             and not self.registration.is_draining
             and not self.unknown_runs
             and now >= self.avoid_until_s
-            and not (self.is_quarantined and self.runs)
+            and not (self.is_quarantined and self._is_probed)
+        )
+
+    @property
+    def _is_probed(self) -> bool:
+        return any(
+            not run.step.spec.is_long_running for run in self.runs.values()
         )
 
     def free(self) -> list[int]:
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -352,3 +352,15 @@
     And 1 of the 3 cores that the workspace may use are in use
     When a plan is made within the limit
     Then nothing starts
+
+  Scenario: A quarantined worker with a long-running task is probed
+    Guards against a worker that is quarantined for as long as a long-running
+    task runs there (LOST).
+    Given 1 workers with 4 cores each
+    And 1 long-running runs on the first worker
+    And runs of 3 jobs have failed on the first worker
+    And 1 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then nothing starts
+    When a plan is made 3 s later
+    Then 1 tasks start
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -206,6 +206,13 @@
         _run_on(context, worker, is_long_running=True)
 
 
+@given("runs of {count:d} jobs have failed on the first worker")
+def failures_on_first(context, count):
+    worker = context.fleet.values()[0]
+    for number in range(count):
+        worker.record_failure(f"{number:016x}", _NOW)
+
+
 def _crashed_placements(context):
     """Returns the placements that run alone, after a check of each worker."""
     crashed = [
@@ -281,6 +288,13 @@
     )
 
 
+@when("a plan is made {seconds:d} s later")
+def make_later_plan(context, seconds):
+    context.plan = planner.Planner(context.fleet, run_times.RunTimes()).plan(
+        context.steps_waiting, {}, {}, _NOW + seconds
+    )
+
+
 @then("nothing starts")
 def nothing(context):
     assert not context.plan.placements, context.plan.placements
