cell: a long-running task runs alone for 3 s only

Cause: a task under which two workers have crashed runs alone, on at most half of the workers of its service. A long-running task has no end, so its worker stayed closed to all others, and once such tasks ran on half of the workers, a further one was never started again. Evidence: both new scenarios failed before: nothing starts beside such a task, and a second one does not start on the other of two workers, 4 s later. A long-running run now counts as alone for 3 s from its confirmed start: users count a task as missing from 6 s after its latest run, for 3 s. Measured: cell/planning passes.

--- a/src/marigoldgap/cell/isolation.py
+++ b/src/marigoldgap/cell/isolation.py
@@ -9,6 +9,7 @@
 from marigoldgap.cell import fleet
 from marigoldgap.cell import model
 from marigoldgap.cell import run_times
+from marigoldgap.cell import runs
 from marigoldgap.cell import step_progress
 from marigoldgap.cell import worker_capacity
 
@@ -16,6 +17,9 @@
 _ISOLATED_CRASHES = 2
 # Maximum share of a service's workers that run isolated tasks or wait for one.
 _MAX_WORKER_SHARE = 0.5
+# Time for which a long-running task runs alone, since it has no end. Users
+# count one that has not been started again for 6 s as missing.
+_LONG_RUNNING_ALONE_S = 3.0
 
 
 def is_isolated(step: step_progress.StepProgress, position: int) -> bool:
@@ -34,28 +38,37 @@
     ]
 
 
-def has_isolated_run(worker: fleet.Worker) -> bool:
-    """Returns whether a worker has a run of a task that runs alone."""
+def has_isolated_run(worker: fleet.Worker, now: float) -> bool:
+    """Returns whether a worker has a run that runs alone now."""
     return any(
         is_isolated(run.step, run.name.task.position)
+        and not _has_run_for_long(run, now)
         for run in worker.runs.values()
     )
 
 
+def _has_run_for_long(run: runs.Run, now: float) -> bool:
+    return (
+        run.step.spec.is_long_running
+        and now - run.confirmed_s >= _LONG_RUNNING_ALONE_S
+    )
+
+
 class WorkerBudget:
     """Limits the workers of each service that are kept for isolated tasks.
 
     Args:
         workers: All workers of the cell.
+        now: Current monotonic time in seconds.
     """
 
-    def __init__(self, workers: list[fleet.Worker]) -> None:
+    def __init__(self, workers: list[fleet.Worker], now: float) -> None:
         self._counts: dict[str, int] = {}
         self._kept: dict[str, int] = {}
         for worker in workers:
             service = worker.registration.service
             self._counts[service] = self._counts.get(service, 0) + 1
-            if has_isolated_run(worker):
+            if has_isolated_run(worker, now):
                 self.keep(service)
 
     def is_exhausted(self, service: str) -> bool:
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -51,7 +51,7 @@
             self._workers, self._times, usage, workspaces, self._reserved, now
         )
         planned = sorted(steps, key=lambda step: _urgency(step, now))
-        budget = isolation.WorkerBudget(self._workers.values())
+        budget = isolation.WorkerBudget(self._workers.values(), now)
         for step in planned:
             if step.not_before_s <= now:
                 task_planner.plan_isolated(planning, step, budget)
--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -72,7 +72,8 @@
         self._capacities = {
             worker.worker_id: worker_capacity.WorkerCapacity(worker)
             for worker in workers.values()
-            if worker.accepts(now) and not isolation.has_isolated_run(worker)
+            if worker.accepts(now)
+            and not isolation.has_isolated_run(worker, now)
         }
         self._by_requirement: dict[
             tuple[str, str], dict[str, worker_capacity.WorkerCapacity]
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -364,3 +364,27 @@
     Then nothing starts
     When a plan is made 3 s later
     Then 1 tasks start
+
+  Scenario: A long-running task does not run alone for good
+    Guards against a worker that is closed to other tasks for as long as a
+    long-running task runs there (LOST).
+    Given 1 workers with 4 cores each
+    And 1 long-running runs on the first worker
+    And 2 workers have crashed under that task before
+    And 3 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then nothing starts
+    When a plan is made 4 s later
+    Then 3 tasks start
+
+  Scenario: Long-running tasks do not wait for others that run alone
+    Guards against a long-running task that is never started again, since
+    others run alone on half of the workers (LOST).
+    Given 2 workers with 4 cores each
+    And 1 long-running runs on the first worker
+    And 2 workers have crashed under that task before
+    And a waiting long-running task under which 2 workers have crashed
+    When a plan is made
+    Then nothing starts
+    When a plan is made 4 s later
+    Then the crashed task starts alone on the second worker
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -179,10 +179,22 @@
     add_crashed_tasks(context, 1, count)
 
 
+@given("a waiting long-running task under which 2 workers have crashed")
+def add_crashed_service(context):
+    context.crashed = _wait(context, 1, 1, is_long_running=True)
+    _record_crashes(context.crashed, 2)
+
+
+@given("2 workers have crashed under that task before")
+def crash_running(context):
+    _record_crashes(context.steps_running[-1], 2)
+
+
 def _run_on(context, worker, estimate_s=1, **fields):
     step = _step(context, 1, 1, estimate_s=estimate_s, **fields)
     context.steps_running.append(step)
     run = runs.Run(model.RunName(step.task(0), 9), step, worker, _NOW)
+    run.confirmed_s = _NOW
     step.active[0] = run
     step.waiting.clear()
     worker.add(run)
