cell: a task that runs alone does not wait for long runs

Cause: such a task runs alone; without an empty worker, the one that is expected to be empty first was kept free for it, however late that is. Only a long-running run counted as one that does not end. Evidence: the new scenario failed before: with a run of 60 s on each worker, the task does not start. A worker is kept only if it is expected to be empty within 6 s, the time after which users count a long-running task as missing; otherwise the task shares a worker, as beside long-running tasks before. Measured: cell/planning passes.

--- a/src/marigoldgap/cell/isolation.py
+++ b/src/marigoldgap/cell/isolation.py
@@ -17,6 +17,8 @@
 _ISOLATED_CRASHES = 2
 # Maximum share of a service's workers that run isolated tasks or wait for one.
 _MAX_WORKER_SHARE = 0.5
+# A task does not wait for a worker that is expected to be empty later than this.
+_MAX_EMPTYING_S = 6.0
 # Time for which a long-running task runs alone, since it has no end. Users
 # count one that has not been started again for 6 s as missing.
 _LONG_RUNNING_ALONE_S = 3.0
@@ -92,8 +94,8 @@
     """Returns the worker that is expected to be without runs first.
 
     Prefers workers on which the task has not failed, then those in the rack of
-    the data. If every worker has a run that does not end, the task shares the
-    one with the fewest runs on which it fits.
+    the data. If none is expected to be empty soon, the task shares the one with
+    the fewest runs on which it fits.
 
     Args:
         step: Step of the isolated task.
@@ -111,13 +113,12 @@
     emptied = [
         (
             capacity.worker.worker_id in avoid,
-            empty_at_s,
+            _empty_at_s(capacity, now, times),
             _is_far(capacity, spec),
             number,
         )
         for number, capacity in enumerate(capacities)
-        if capacity.fits_alone(spec)
-        and (empty_at_s := _empty_at_s(capacity, now, times)) < float("inf")
+        if capacity.fits_alone(spec) and _is_empty_soon(capacity, now, times)
     ]
     if emptied:
         return capacities[min(emptied)[-1]]
@@ -128,15 +129,25 @@
 
 
 def can_start(
-    capacity: worker_capacity.WorkerCapacity, spec: model.StepSpec, now: float
+    capacity: worker_capacity.WorkerCapacity,
+    spec: model.StepSpec,
+    now: float,
+    times: run_times.RunTimes,
 ) -> bool:
     """Returns whether an isolated task may start on its chosen worker now."""
-    runs = capacity.worker.runs.values()
     return capacity.fits(spec, now) and (
-        not runs or any(run.step.spec.is_long_running for run in runs)
+        not capacity.worker.runs or not _is_empty_soon(capacity, now, times)
     )
 
 
+def _is_empty_soon(
+    capacity: worker_capacity.WorkerCapacity,
+    now: float,
+    times: run_times.RunTimes,
+) -> bool:
+    return _empty_at_s(capacity, now, times) <= now + _MAX_EMPTYING_S
+
+
 def _empty_at_s(
     capacity: worker_capacity.WorkerCapacity,
     now: float,
--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -44,7 +44,9 @@
             return
         budget.keep(service)
         planning.close(capacity)
-        if not isolation.can_start(capacity, step.spec, planning.now):
+        if not isolation.can_start(
+            capacity, step.spec, planning.now, planning.times
+        ):
             continue
         ticket = planning.ticket(step, capacity)
         if ticket is None:
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -388,3 +388,14 @@
     Then nothing starts
     When a plan is made 4 s later
     Then the crashed task starts alone on the second worker
+
+  Scenario: A task that runs alone shares a worker if none is empty soon
+    Guards against a task that waits for the end of long runs (LOST).
+    Given 2 workers with 4 cores each
+    And a run of 1 core on the first worker
+    And a run of 1 cores on each worker that ends in 60 s
+    And a waiting task of 1 core under which 2 workers have crashed
+    And 8 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then the crashed task starts alone on the second worker
+    And 2 other tasks start
