cell: a task that runs alone prefers an empty worker

Cause: a run that takes longer than its progress lets expect has an expected rest of 0 s, so its worker seemed to be as empty as one without runs, and the first of them was kept for the task. Evidence: the new scenario failed before: nothing starts on the empty worker. Of workers that are expected to be empty at the same time, one without runs is chosen now. Measured: cell/planning passes.

--- a/src/marigoldgap/cell/isolation.py
+++ b/src/marigoldgap/cell/isolation.py
@@ -114,6 +114,8 @@
         (
             capacity.worker.worker_id in avoid,
             _empty_at_s(capacity, now, times),
+            # A run that takes longer than expected seems to end now.
+            bool(capacity.worker.runs),
             _is_far(capacity, spec),
             number,
         )
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -399,3 +399,13 @@
     When a plan is made
     Then the crashed task starts alone on the second worker
     And 2 other tasks start
+
+  Scenario: A task that runs alone starts on an empty worker
+    Guards against a task that waits beside an empty worker, as a run that
+    takes longer than expected is taken to end at once.
+    Given 2 workers with 4 cores each
+    And a run of 1 core on the first worker
+    And that run is at 50 percent for longer than it took to get there
+    And a waiting task of 1 core under which 2 workers have crashed
+    When a plan is made
+    Then the crashed task starts alone on the second worker
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -206,6 +206,14 @@
     _run_on(context, context.fleet.values()[0], estimate_s=60)
 
 
+@given("that run is at 50 percent for longer than it took to get there")
+def overdue_run(context):
+    run = context.steps_running[-1].active[0]
+    run.started_s = _NOW - 2.5
+    run.progressed_s = _NOW - 1.5
+    run.percent = 50.0
+
+
 @given("a task under which 2 workers have crashed runs on the first worker")
 def crashed_on_first(context):
     _record_crashes(_run_on(context, context.fleet.values()[0]), 2)
