cell: quarantines leave half of the workers in use

Cause: three failed runs in a row of two jobs quarantine a worker, whatever the fault is. Tasks that always fail, and long-running tasks, which may fail at any time and are never done, quarantine every sound worker in turn. Evidence: the new scenario failed before: with failed runs of 6 jobs on each of 4 workers, nothing starts 3 s later. Of the workers with the same service and label, half are used now, from 2 s after their latest failure, those first that failed least recently. A worker that fails beside sound ones is kept back as before. A pause after a refused start no longer shortens a quarantine, since both have their own end.

--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -84,7 +84,10 @@
         self.unknown_runs: dict[model.RunName, float] = {}
         self._failed_jobs: list[str] = []
         self._quarantine_s = _QUARANTINE_S
+        self._quarantined_until_s = 0.0
         self.is_quarantined = False
+        # Monotonic time of the latest failed run, in seconds.
+        self.last_failure_s = 0.0
 
     @property
     def worker_id(self) -> str:
@@ -97,11 +100,11 @@
         return min(self.free()) < 0
 
     def accepts(self, now: float) -> bool:
-        """Returns whether new runs may be started on this worker.
+        """Returns whether new runs may be started on this worker."""
+        return self.is_available(now) and not self.is_withheld(now)
 
-        A quarantined worker gets one run at a time, as a probe. Long-running
-        tasks are not counted: they would keep it quarantined for good.
-        """
+    def is_available(self, now: float) -> bool:
+        """Returns whether a worker may be used, apart from a quarantine."""
         return (
             self.contact is Contact.ANSWERING
             and self.is_rostered
@@ -109,9 +112,22 @@
             and not self.registration.is_draining
             and not self.unknown_runs
             and now >= self.avoid_until_s
-            and not (self.is_quarantined and self._is_probed)
         )
 
+    def is_withheld(self, now: float) -> bool:
+        """Returns whether the quarantine of a worker keeps new runs from it.
+
+        After a pause it gets one run at a time, as a probe. Long-running
+        tasks are not counted: they would keep it quarantined for good.
+        """
+        return self.is_quarantined and (
+            now < self._quarantined_until_s or self._is_probed
+        )
+
+    def may_be_released(self, now: float) -> bool:
+        """Returns whether a quarantined worker may be used if others lack."""
+        return now >= self.last_failure_s + _QUARANTINE_S
+
     @property
     def _is_probed(self) -> bool:
         return any(
@@ -212,6 +228,7 @@
     def record_failure(self, job_id: str, now: float) -> bool:
         """Records a failed run; returns whether the worker is quarantined."""
         self._failed_jobs.append(job_id)
+        self.last_failure_s = now
         enough = (
             len(self._failed_jobs) >= _QUARANTINE_FAILURES
             and len(set(self._failed_jobs)) >= _QUARANTINE_JOBS
@@ -219,7 +236,7 @@
         if not enough and not self.is_quarantined:
             return False
         self.is_quarantined = True
-        self.avoid_until_s = now + self._quarantine_s
+        self._quarantined_until_s = now + self._quarantine_s
         self._quarantine_s = min(2 * self._quarantine_s, _MAX_QUARANTINE_S)
         return True
 
--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 from marigoldgap.cell import fleet
@@ -17,6 +18,10 @@
 # Time for which reservations may hold back a step of which nothing runs, while
 # less than half of the cores of its service are in use.
 _MAX_HELD_BACK_S = 1.5
+# Minimum share of the workers with the same service and label that are used,
+# though more of them are quarantined: tasks that fail by their own fault
+# quarantine sound workers.
+_MIN_USED_SHARE = 0.5
 # Expected end of a task that may use reserved capacity.
 IGNORES_RESERVATIONS = float("-inf")
 
@@ -72,7 +77,7 @@
         self._capacities = {
             worker.worker_id: worker_capacity.WorkerCapacity(worker)
             for worker in workers.values()
-            if worker.accepts(now)
+            if worker.is_available(now)
             and not isolation.has_isolated_run(worker, now)
         }
         self._by_requirement: dict[
@@ -146,9 +151,29 @@
                 if capacity.worker.registration.service == service
                 and (not label or label in capacity.worker.registration.labels)
             }
+            self._withhold_quarantined(found)
             self._by_requirement[key] = found
         return found
 
+    def _withhold_quarantined(
+        self, found: dict[str, worker_capacity.WorkerCapacity]
+    ) -> None:
+        """Removes quarantined workers, but leaves a share of the workers.
+
+        The worker that failed least recently is used first.
+        """
+        withheld = [
+            capacity.worker
+            for capacity in found.values()
+            if capacity.worker.is_withheld(self.now)
+        ]
+        withheld.sort(key=lambda worker: worker.last_failure_s)
+        usable = len(found) - len(withheld)
+        missing = math.ceil(_MIN_USED_SHARE * len(found)) - usable
+        for number, worker in enumerate(withheld):
+            if number >= missing or not worker.may_be_released(self.now):
+                del found[worker.worker_id]
+
     def advised_workers(
         self,
         step: step_progress.StepProgress,
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -409,3 +409,22 @@
     And a waiting task of 1 core under which 2 workers have crashed
     When a plan is made
     Then the crashed task starts alone on the second worker
+
+  Scenario: Half of the workers are used though all are quarantined
+    Guards against tasks that wait beside free workers, as tasks of other jobs
+    have failed on all of them by their own fault (LOST).
+    Given 4 workers with 4 cores each
+    And runs of 6 jobs have failed on each worker
+    And 20 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then nothing starts
+    When a plan is made 3 s later
+    Then 8 tasks start
+
+  Scenario: A quarantined worker is not used beside sound ones
+    Guards against tasks on a worker that fails all that it starts.
+    Given 2 workers with 4 cores each
+    And runs of 6 jobs have failed on the first worker
+    And 8 waiting tasks of 1 core that can be on time
+    When a plan is made 3 s later
+    Then 4 tasks start
