cell: quarantines leave half of the advised workers in use

Cause: the share of workers that stay in use was taken from all workers with the service and label of the step, of which it may use only those that are advised. Evidence: the new scenario failed before. The share is taken from the workers that the step may use. Measured: cell/planning passes.

--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -18,9 +18,8 @@
 # Time for which reservations may hold back a step of which nothing runs, while
 # less than half of the cores of its service are in use.
 _MAX_HELD_BACK_S = 1.5
-# Minimum share of the workers with the same service and label that are used,
-# though more of them are quarantined: tasks that fail by their own fault
-# quarantine sound workers.
+# Minimum share of the workers that a step may use, though more of them are
+# quarantined: tasks that fail by their own fault quarantine sound workers.
 _MIN_USED_SHARE = 0.5
 # Expected end of a task that may use reserved capacity.
 IGNORES_RESERVATIONS = float("-inf")
@@ -151,29 +150,9 @@
                 if capacity.worker.registration.service == service
                 and (not label or label in capacity.worker.registration.labels)
             }
-            self._withhold_quarantined(found)
             self._by_requirement[key] = found
         return found
 
-    def _withhold_quarantined(
-        self, found: dict[str, worker_capacity.WorkerCapacity]
-    ) -> None:
-        """Removes quarantined workers, but leaves a share of the workers.
-
-        The worker that failed least recently is used first.
-        """
-        withheld = [
-            capacity.worker
-            for capacity in found.values()
-            if capacity.worker.is_withheld(self.now)
-        ]
-        withheld.sort(key=lambda worker: worker.last_failure_s)
-        usable = len(found) - len(withheld)
-        missing = math.ceil(_MIN_USED_SHARE * len(found)) - usable
-        for number, worker in enumerate(withheld):
-            if number >= missing or not worker.may_be_released(self.now):
-                del found[worker.worker_id]
-
     def advised_workers(
         self,
         step: step_progress.StepProgress,
@@ -181,16 +160,45 @@
     ) -> list[worker_capacity.WorkerCapacity]:
         """Returns the advised workers; requests advice if there are none."""
         if step.job.queue.advice is None:
-            return list(candidates.values())
-        advised = [
-            candidates[name]
-            for name in step.advised_workers
-            if name in candidates
-        ]
+            return self._without_withheld(list(candidates.values()))
+        advised = self._without_withheld(
+            [
+                candidates[name]
+                for name in step.advised_workers
+                if name in candidates
+            ]
+        )
         if not advised:
             self.request_more_advice(step, candidates)
         return advised
 
+    def _without_withheld(
+        self, found: list[worker_capacity.WorkerCapacity]
+    ) -> list[worker_capacity.WorkerCapacity]:
+        """Leaves out quarantined workers, but keeps a share of the workers.
+
+        The worker that failed least recently is used first.
+        """
+        withheld = [
+            each.worker for each in found if each.worker.is_withheld(self.now)
+        ]
+        if not withheld:
+            return found
+        withheld.sort(key=lambda worker: worker.last_failure_s)
+        sound = len(found) - len(withheld)
+        missing = max(0, math.ceil(_MIN_USED_SHARE * len(found)) - sound)
+        released = {
+            worker.worker_id
+            for worker in withheld[:missing]
+            if worker.may_be_released(self.now)
+        }
+        return [
+            each
+            for each in found
+            if each.worker.worker_id in released
+            or not each.worker.is_withheld(self.now)
+        ]
+
     def request_more_advice(
         self,
         step: step_progress.StepProgress,
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -438,3 +438,14 @@
     And 4 waiting tasks of 1 core with the label "special"
     When a plan is made
     Then 3 crashed tasks start alone and 4 others start
+
+  Scenario: A quarantined worker is used for a task that is advised on no other
+    Guards against a task that waits for the only workers that it may use, as
+    tasks of other jobs have failed there by their own fault (LOST).
+    Given 4 workers with 4 cores each
+    And runs of 6 jobs have failed on the first worker
+    And a waiting task that is advised on the first worker only
+    When a plan is made
+    Then nothing starts
+    When a plan is made 3 s later
+    Then 1 tasks start
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -476,6 +476,17 @@
         step.advised_workers[worker.worker_id] = None
 
 
+@given("a waiting task that is advised on the first worker only")
+def advised_on_first(context):
+    step = _wait_with_advice(context)
+    step.asked_workers.update(
+        worker.worker_id for worker in context.fleet.values()
+    )
+    worker_id = context.fleet.values()[0].worker_id
+    step.advised_workers[worker_id] = None
+    step.tickets[worker_id] = ("t", _NOW + 10)
+
+
 @then("advice is requested on every worker with free capacity")
 def advice_for_free_workers(context):
     [(_, names)] = context.plan.advice
