cell: a new registration ends the pause of an unreachable worker

Cause: the pauses between the sessions with an unreachable worker double up to 8 s. A new registration opens a session at once and starts the pauses anew, but not if it arrives during a session that then fails. Evidence: the new scenario failed before: the worker is not used within 3 s. A changed registration now starts the pauses anew in either case.

--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -234,9 +234,10 @@
         """Adds a worker or updates its registration."""
         self._registrations[registration.worker_id] = registration
         self._lost.on_registered(registration.worker_id, registration.born_ms)
+        # It may be in a session that fails, as its process has restarted.
+        self._rejoins.forget(registration.worker_id)
         worker = self.workers.get(registration.worker_id)
         if worker is None:
-            self._rejoins.forget(registration.worker_id)
             self._store(self._join(registration))
             return
         if registration.is_draining and not worker.registration.is_draining:
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -150,6 +150,14 @@
     Then within 8 s at most 4 sessions with it are opened
     And each change of its state is logged once
 
+  Scenario: A worker that registers anew while it is tried is used soon
+    Guards against a restarted worker that is idle for up to 8 s, since its
+    registration arrived during a session that failed (LOST).
+    Given a cell with 1 workers and 1 instances
+    When a worker joins that never answers
+    And it registers anew during the third session, which fails
+    Then the leader uses 2 workers within 3 s
+
   Scenario: The pause before a new session has an upper limit
     Guards against a worker that is idle for good since it was unreachable for
     long.
--- a/tests/features/steps/cell_rejoin_steps.py
+++ b/tests/features/steps/cell_rejoin_steps.py
@@ -21,8 +21,39 @@
     context.world.create_worker(_WORKER).register()
 
 
-@then("within {seconds:d} s at most {count:d} sessions with it are opened")
-def few_sessions(context, seconds, count):
+@when("a worker joins that never answers")
+def join_mute(context):
+    async def keep_open(reader, writer):
+        context.open_connections.append(writer)
+        await reader.read()
+
+    context.open_connections = []
+    context.joined = _record_sessions(context)
+    context.worker = context.world.create_worker(_WORKER)
+    host, _, port = context.worker.address.rpartition(":")
+    context.mute_server = loops.run(
+        context, asyncio.start_server(keep_open, host, int(port))
+    )
+    context.worker.register()
+
+
+@when("it registers anew during the third session, which fails")
+def register_anew(context):
+    async def register():
+        await loops.until(lambda: context.joined.count(_WORKER) == 3)
+        context.worker.born_ms += 1
+        context.worker.register()
+        tracker = context.world.schedulers[0].worker_tracker
+        await loops.until(lambda: tracker.workers.get(_WORKER) is None)
+        context.mute_server.close()
+        for writer in context.open_connections:
+            writer.close()
+        await context.worker.start()
+
+    loops.run(context, register())
+
+
+def _record_sessions(context):
     tracker = context.world.schedulers[0].worker_tracker
     opened = []
     add = tracker.workers.add
@@ -32,6 +63,12 @@
         add(worker)
 
     tracker.workers.add = record
+    return opened
+
+
+@then("within {seconds:d} s at most {count:d} sessions with it are opened")
+def few_sessions(context, seconds, count):
+    opened = _record_sessions(context)
     loops.run(context, asyncio.sleep(seconds))
     assert 1 <= opened.count(_WORKER) <= count, opened
 
