cell: determine the quarantined workers once in a plan

A plan looked at the quarantine of each worker for each step. Now it does so once, and steps are planned as before if no worker is quarantined. No behaviour changes; cell/planning and cell/random_cells pass.

--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -79,6 +79,11 @@
             if worker.is_available(now)
             and not isolation.has_isolated_run(worker, now)
         }
+        self._withheld = {
+            worker_id
+            for worker_id, capacity in self._capacities.items()
+            if capacity.worker.is_withheld(now)
+        }
         self._by_requirement: dict[
             tuple[str, str], dict[str, worker_capacity.WorkerCapacity]
         ] = {}
@@ -179,11 +184,13 @@
 
         The worker that failed least recently is used first.
         """
+        if not self._withheld:
+            return found
         withheld = [
-            each.worker for each in found if each.worker.is_withheld(self.now)
+            each.worker
+            for each in found
+            if each.worker.worker_id in self._withheld
         ]
-        if not withheld:
-            return found
         withheld.sort(key=lambda worker: worker.last_failure_s)
         sound = len(found) - len(withheld)
         missing = max(0, math.ceil(_MIN_USED_SHARE * len(found)) - sound)
@@ -196,7 +203,7 @@
             each
             for each in found
             if each.worker.worker_id in released
-            or not each.worker.is_withheld(self.now)
+            or each.worker.worker_id not in self._withheld
         ]
 
     def request_more_advice(
