--- a/src/marigoldgap/cell/isolation.py
+++ b/src/marigoldgap/cell/isolation.py
@@ -6,16 +6,25 @@
 
 from __future__ import annotations
 
+import collections
+
 from marigoldgap.cell import fleet
 from marigoldgap.cell import model
 from marigoldgap.cell import run_times
+from marigoldgap.cell import runs
 from marigoldgap.cell import step_progress
 from marigoldgap.cell import worker_capacity
 
 # Workers after which a task runs alone, if they have crashed or probably have.
 _ISOLATED_CRASHES = 2
-# Maximum share of a service's workers that run isolated tasks or wait for one.
+# Maximum share of the workers with the same service and label that run isolated
+# tasks or wait for one.
 _MAX_WORKER_SHARE = 0.5
+# A task does not wait for a worker that is expected to be empty later than this.
+_MAX_EMPTYING_S = 6.0
+# Time for which a long-running task runs alone, since it has no end. Users
+# count one that has not been started again for 6 s as missing.
+_LONG_RUNNING_ALONE_S = 3.0
 
 
 def is_isolated(step: step_progress.StepProgress, position: int) -> bool:
@@ -34,39 +43,61 @@
     ]
 
 
-def has_isolated_run(worker: fleet.Worker) -> bool:
-    """Returns whether a worker has a run of a task that runs alone."""
+def has_isolated_run(worker: fleet.Worker, now: float) -> bool:
+    """Returns whether a worker has a run that runs alone now."""
     return any(
         is_isolated(run.step, run.name.task.position)
+        and not _has_run_for_long(run, now)
         for run in worker.runs.values()
     )
 
 
+def _has_run_for_long(run: runs.Run, now: float) -> bool:
+    return (
+        run.step.spec.is_long_running
+        and now - run.confirmed_s >= _LONG_RUNNING_ALONE_S
+    )
+
+
 class WorkerBudget:
-    """Limits the workers of each service that are kept for isolated tasks.
+    """Limits the workers that are kept for isolated tasks.
+
+    The limit holds for each service, and for its workers with each label.
 
     Args:
         workers: All workers of the cell.
+        now: Current monotonic time in seconds.
     """
 
-    def __init__(self, workers: list[fleet.Worker]) -> None:
-        self._counts: dict[str, int] = {}
-        self._kept: dict[str, int] = {}
+    def __init__(self, workers: list[fleet.Worker], now: float) -> None:
+        self._counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._kept: collections.Counter[tuple[str, str]] = collections.Counter()
         for worker in workers:
-            service = worker.registration.service
-            self._counts[service] = self._counts.get(service, 0) + 1
-            if has_isolated_run(worker):
-                self.keep(service)
-
-    def is_exhausted(self, service: str) -> bool:
-        """Returns whether no further worker of a service may be kept."""
-        count = self._counts.get(service, 0)
-        limit = max(1, int(count * _MAX_WORKER_SHARE))
-        return self._kept.get(service, 0) >= limit
-
-    def keep(self, service: str) -> None:
+            self._counts.update(_groups(worker))
+            if has_isolated_run(worker, now):
+                self.keep(worker)
+
+    def allows(self, worker: fleet.Worker) -> bool:
+        """Returns whether a worker may be kept for a further task."""
+        return all(
+            self._kept[group]
+            < max(1, int(self._counts[group] * _MAX_WORKER_SHARE))
+            for group in _groups(worker)
+        )
+
+    def keep(self, worker: fleet.Worker) -> None:
         """Counts a worker that is kept for an isolated task."""
-        self._kept[service] = self._kept.get(service, 0) + 1
+        self._kept.update(_groups(worker))
+
+
+def _groups(worker: fleet.Worker) -> list[tuple[str, str]]:
+    """Returns the service and label of the steps that may need a worker."""
+    registration = worker.registration
+    return [
+        (registration.service, label) for label in ("", *registration.labels)
+    ]
 
 
 def choose_worker(
@@ -79,8 +110,8 @@
     """Returns the worker that is expected to be without runs first.
 
     Prefers workers on which the task has not failed, then those in the rack of
-    the data. If every worker has a run that does not end, the task shares the
-    one with the fewest runs on which it fits.
+    the data. If none is expected to be empty soon, the task shares the one with
+    the fewest runs on which it fits.
 
     Args:
         step: Step of the isolated task.
@@ -98,13 +129,14 @@
     emptied = [
         (
             capacity.worker.worker_id in avoid,
-            empty_at_s,
+            _empty_at_s(capacity, now, times),
+            # A run that takes longer than expected seems to end now.
+            bool(capacity.worker.runs),
             _is_far(capacity, spec),
             number,
         )
         for number, capacity in enumerate(capacities)
-        if capacity.fits_alone(spec)
-        and (empty_at_s := _empty_at_s(capacity, now, times)) < float("inf")
+        if capacity.fits_alone(spec) and _is_empty_soon(capacity, now, times)
     ]
     if emptied:
         return capacities[min(emptied)[-1]]
@@ -115,15 +147,25 @@
 
 
 def can_start(
-    capacity: worker_capacity.WorkerCapacity, spec: model.StepSpec, now: float
+    capacity: worker_capacity.WorkerCapacity,
+    spec: model.StepSpec,
+    now: float,
+    times: run_times.RunTimes,
 ) -> bool:
     """Returns whether an isolated task may start on its chosen worker now."""
-    runs = capacity.worker.runs.values()
     return capacity.fits(spec, now) and (
-        not runs or any(run.step.spec.is_long_running for run in runs)
+        not capacity.worker.runs or not _is_empty_soon(capacity, now, times)
     )
 
 
+def _is_empty_soon(
+    capacity: worker_capacity.WorkerCapacity,
+    now: float,
+    times: run_times.RunTimes,
+) -> bool:
+    return _empty_at_s(capacity, now, times) <= now + _MAX_EMPTYING_S
+
+
 def _empty_at_s(
     capacity: worker_capacity.WorkerCapacity,
     now: float,
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -179,10 +179,22 @@
     add_crashed_tasks(context, 1, count)
 
 
+@given("a waiting long-running task under which 2 workers have crashed")
+def add_crashed_service(context):
+    context.crashed = _wait(context, 1, 1, is_long_running=True)
+    _record_crashes(context.crashed, 2)
+
+
+@given("2 workers have crashed under that task before")
+def crash_running(context):
+    _record_crashes(context.steps_running[-1], 2)
+
+
 def _run_on(context, worker, estimate_s=1, **fields):
     step = _step(context, 1, 1, estimate_s=estimate_s, **fields)
     context.steps_running.append(step)
     run = runs.Run(model.RunName(step.task(0), 9), step, worker, _NOW)
+    run.confirmed_s = _NOW
     step.active[0] = run
     step.waiting.clear()
     worker.add(run)
@@ -194,6 +206,14 @@
     _run_on(context, context.fleet.values()[0], estimate_s=60)
 
 
+@given("that run is at 50 percent for longer than it took to get there")
+def overdue_run(context):
+    run = context.steps_running[-1].active[0]
+    run.started_s = _NOW - 2.5
+    run.progressed_s = _NOW - 1.5
+    run.percent = 50.0
+
+
 @given("a task under which 2 workers have crashed runs on the first worker")
 def crashed_on_first(context):
     _record_crashes(_run_on(context, context.fleet.values()[0]), 2)
@@ -206,6 +226,36 @@
         _run_on(context, worker, is_long_running=True)
 
 
+@given('only the first {count:d} workers have the label "{label}"')
+def label_first(context, count, label):
+    for worker in context.fleet.values()[:count]:
+        registration = worker.registration
+        worker.registration = registration._replace(
+            labels=registration.labels | {label}
+        )
+
+
+@given('{count:d} waiting tasks of 1 core with the label "{label}"')
+def add_labelled(context, count, label):
+    _wait(context, count, 1, required_label=label)
+
+
+@given("runs of {count:d} jobs have failed on the first worker")
+def failures_on_first(context, count):
+    _record_failures(context.fleet.values()[0], count)
+
+
+@given("runs of {count:d} jobs have failed on each worker")
+def failures_on_each(context, count):
+    for worker in context.fleet.values():
+        _record_failures(worker, count)
+
+
+def _record_failures(worker, count):
+    for number in range(count):
+        worker.record_failure(f"{number:016x}", _NOW)
+
+
 def _crashed_placements(context):
     """Returns the placements that run alone, after a check of each worker."""
     crashed = [
@@ -281,6 +331,13 @@
     )
 
 
+@when("a plan is made {seconds:d} s later")
+def make_later_plan(context, seconds):
+    context.plan = planner.Planner(context.fleet, run_times.RunTimes()).plan(
+        context.steps_waiting, {}, {}, _NOW + seconds
+    )
+
+
 @then("nothing starts")
 def nothing(context):
     assert not context.plan.placements, context.plan.placements
@@ -419,6 +476,17 @@
         step.advised_workers[worker.worker_id] = None
 
 
+@given("a waiting task that is advised on the first worker only")
+def advised_on_first(context):
+    step = _wait_with_advice(context)
+    step.asked_workers.update(
+        worker.worker_id for worker in context.fleet.values()
+    )
+    worker_id = context.fleet.values()[0].worker_id
+    step.advised_workers[worker_id] = None
+    step.tickets[worker_id] = ("t", _NOW + 10)
+
+
 @then("advice is requested on every worker with free capacity")
 def advice_for_free_workers(context):
     [(_, names)] = context.plan.advice
