soak: a link that is reset skips connections which have ended

A reset in the same turn of the loop in which the transports are aborted shows it: the error before, none after.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -59,6 +59,9 @@
     def reset(self) -> None:
         """Resets all connections (RST), unlike a process that closes them."""
         for writer in list(self._writers):
+            # The socket of a connection that its peer has reset may be closed.
+            if writer.transport.is_closing():
+                continue
             connection = writer.get_extra_info("socket")
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
