--- a/soak/world.py
+++ b/soak/world.py
@@ -93,15 +93,20 @@
         end = loop.time() + duration_s
         submissions = asyncio.create_task(self._submit_until(end))
         supervisor = asyncio.create_task(self._supervise())
-        while loop.time() < end:
-            await asyncio.sleep(
-                self.random_source.expovariate(1 / _MEAN_FAULT_S)
-            )
-            self._start_fault(self.random_source.choice(sorted(faults.FAULTS)))
-        await submissions
-        await asyncio.gather(*self._fault_tasks)
-        await self._check_results()
-        supervisor.cancel()
+        try:
+            while loop.time() < end:
+                await asyncio.sleep(
+                    self.random_source.expovariate(1 / _MEAN_FAULT_S)
+                )
+                self._start_fault(
+                    self.random_source.choice(sorted(faults.FAULTS))
+                )
+            await submissions
+            await asyncio.gather(*self._fault_tasks)
+            await self._check_results()
+        finally:
+            # It would restart the instances of a run that failed.
+            supervisor.cancel()
 
     def stop(self) -> None:
         """Stops all processes, proxies and stand-ins of the run."""
