cell: a task that would run alone shares a worker after 2 s

Cause: each crash is counted under all tasks of the worker, so that about 200 tasks had two and were to run alone. Change: a task that has waited 2 s for a worker of its own is planned like any other. It is given up after as many crashes as before, so the bound of BUDGET stays. Evidence: the scenario, one task or nine with all workers in use by runs of 60 s, starts nothing without the change. A new leader lets such a task wait for 2 s again.

--- a/src/marigoldgap/cell/isolation.py
+++ b/src/marigoldgap/cell/isolation.py
@@ -1,7 +1,9 @@
 """Decides which tasks run alone on a worker, and which workers they get.
 
 A task under which several workers have crashed runs alone: other tasks on its
-worker would be lost with it and would be suspected as well.
+worker would be lost with it and would be suspected as well. If no worker is empty
+soon, it shares one: after many crashes most tasks are suspected, and there are
+fewer workers than tasks that would run alone.
 """
 
 from __future__ import annotations
@@ -14,6 +16,8 @@
 
 # Workers after which a task runs alone, if they have crashed or probably have.
 _ISOLATED_CRASHES = 2
+# Time for which a task waits for a worker of its own, in seconds.
+_MAX_WAIT_S = 2.0
 # Maximum share of a service's workers that run isolated tasks or wait for one.
 _MAX_WORKER_SHARE = 0.5
 
@@ -21,10 +25,25 @@
 def is_isolated(step: step_progress.StepProgress, position: int) -> bool:
     """Returns whether a task runs alone; members of gangs never do."""
     return (
-        not step.spec.is_gang and step.loss_count(position) >= _ISOLATED_CRASHES
+        not step.spec.is_gang
+        and position not in step.sharing
+        and step.loss_count(position) >= _ISOLATED_CRASHES
     )
 
 
+def end_long_waits(step: step_progress.StepProgress, now: float) -> None:
+    """Lets tasks share a worker that have waited too long to run alone.
+
+    Args:
+        step: A step that may start.
+        now: Current monotonic time in seconds.
+    """
+    for position in waiting_positions(step):
+        since_s = step.isolated_since_s.setdefault(position, now)
+        if now - since_s >= _MAX_WAIT_S:
+            step.sharing.add(position)
+
+
 def waiting_positions(step: step_progress.StepProgress) -> list[int]:
     """Returns the positions of the waiting tasks that run alone."""
     return [
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -54,6 +54,7 @@
         budget = isolation.WorkerBudget(self._workers.values())
         for step in planned:
             if step.not_before_s <= now:
+                isolation.end_long_waits(step, now)
                 task_planner.plan_isolated(planning, step, budget)
         gangs = gang_planner.GangPlanner(planning)
         for step in planned:
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -80,6 +80,7 @@
         step.last_run[position] = name.run
         step.active[position] = run
         step.waiting.discard(position)
+        step.isolated_since_s.pop(position, None)
         worker.add(run)
         _log.info(
             "run_starting",
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -80,6 +80,7 @@
         "examine_after_s",
         "failures",
         "held_back_since_s",
+        "isolated_since_s",
         "job",
         "last_run",
         "not_before_s",
@@ -88,6 +89,7 @@
         "pending_advice_calls",
         "recorded_starts",
         "saved",
+        "sharing",
         "spec",
         "suspicions",
         "tickets",
@@ -130,6 +132,10 @@
         self.recorded_starts: dict[int, RecordedStart] = {}
         # Positions of the tasks whose latest crash is not stored yet.
         self.unstored_crashes: set[int] = set()
+        # Monotonic time, in seconds, since which a task has waited to run alone,
+        # by position, and positions of the tasks that have waited for too long.
+        self.isolated_since_s: dict[int, float] = {}
+        self.sharing: set[int] = set()
         # Latest saved progress, and number of the latest run, by task.
         self.saved: dict[int, str] = {}
         self.last_run: dict[int, int] = {}
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -223,6 +223,21 @@
     Then the crashed task starts alone on the second worker
     And 2 other tasks start
 
+  Scenario Outline: A task that has waited to run alone shares a worker
+    Guards against suspected tasks that wait while most capacity is free (LOST).
+    Given <workers> workers with 4 cores each
+    And a run of 1 cores on each worker that ends in 60 s
+    And <tasks> waiting tasks of 1 core under which 2 workers have crashed
+    When a plan is made
+    Then nothing starts
+    When a plan is made 2 s later
+    Then <tasks> tasks start
+
+    Examples:
+      | workers | tasks |
+      | 1       | 1     |
+      | 4       | 9     |
+
   Scenario: Tasks that run alone leave half of the workers to others
     Guards against many suspected tasks that take all workers.
     Given 4 workers with 4 cores each
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -276,8 +276,13 @@
 
 @when("a plan is made")
 def make_plan(context):
+    make_later_plan(context, 0)
+
+
+@when("a plan is made {seconds:d} s later")
+def make_later_plan(context, seconds):
     context.plan = planner.Planner(context.fleet, run_times.RunTimes()).plan(
-        context.steps_waiting, {}, {}, _NOW
+        context.steps_waiting, {}, {}, _NOW + seconds
     )
 
 
