cell: a start without an answer is not repeated while its worker drains

Cause: a repeated start checked only the capacity of the worker. Change: it is given up when the registration says draining; the run is stopped, and the task starts on another worker.

--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -199,14 +199,9 @@
                     "start_unanswered", run=str(run.name), cause=str(error)
                 )
                 await self._wait_for_contact()
-                if worker.is_over_capacity:
-                    self._refuse(
-                        run, model.StartOutcome.NO_ROOM, may_have_started
-                    )
-                elif unanswered >= _MAX_UNANSWERED_STARTS:
-                    self._refuse(
-                        run, model.StartOutcome.UNANSWERED, may_have_started
-                    )
+                outcome = self._reason_to_give_up(unanswered)
+                if outcome is not None:
+                    self._refuse(run, outcome, may_have_started)
                 continue
             if run.state is runs.RunState.STARTING:
                 self._conclude(run, answer, may_have_started)
@@ -227,6 +222,18 @@
         ):
             await asyncio.sleep(_COMMAND_RETRY_S)
 
+    def _reason_to_give_up(self, unanswered: int) -> model.StartOutcome | None:
+        """Returns the outcome of a start that is not repeated, or None."""
+        worker = self._worker
+        if worker.is_over_capacity:
+            return model.StartOutcome.NO_ROOM
+        if (
+            worker.registration.is_draining
+            or unanswered >= _MAX_UNANSWERED_STARTS
+        ):
+            return model.StartOutcome.UNANSWERED
+        return None
+
     def _conclude(
         self, run: runs.Run, answer: model.StartAnswer, may_have_started: bool
     ) -> None:
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -60,6 +60,16 @@
     Then every instance shows the job as "completed"
     And the draining worker started nothing
 
+  Scenario: A start that got no answer is not repeated while its worker drains
+    Guards against a task that starts long after its worker reported that it is
+    draining (DRAIN).
+    Given a cell with 2 workers and 1 instances
+    And the first worker loses the next 6 starts
+    When a job of 1 tasks is submitted
+    And one worker reports that it is draining
+    Then every instance shows the job as "completed"
+    And the draining worker started nothing
+
   Scenario: Unreadable registrations of workers are ignored
     Guards against a registration of another writer that ends the task which
     follows the registrations.
