cell: a crash before a start was answered is only suspected

Cause: a proven crash of a worker was taken for a proven crash under each run that had been sent to it. A start that is on its way when the process ends looks like one that ended it. Class of fault: the absence of an answer taken for evidence of execution. Change: the crash counts as proven only under runs that the worker has answered or listed, otherwise as suspected. A job fails at three crashes if two of them are proven, or else at four: two proven ones may end a job by the users' rule, and one start after the third crash is within BUDGET, which breaks at three. Evidence: the new scenario, three workers that crash while the start is on its way, shows the job as failed without the change, and completes with it. Two scenarios state another number: a task whose starts are all carried out without an answer, and one whose crashes fall into two elections in a row, are given up after 4 crashed workers instead of 3. The leader sees the same there as in the new scenario, so 3 and completion exclude each other. The first is exact as before, the second an upper bound as before.

--- a/src/marigoldgap/cell/crash_counter.py
+++ b/src/marigoldgap/cell/crash_counter.py
@@ -13,9 +13,11 @@
 
 _log = decision_log.DecisionLogger("crashes")
 
-# A job fails when this many workers have crashed under one of its tasks.
+# A job fails when this many workers have been lost under one of its tasks, and
+# at least two of them have certainly crashed while it ran.
 _MAX_CRASHES = 3
-# The same with the workers that have probably crashed.
+_MIN_PROVEN_CRASHES = 2
+# A job fails when this many workers have been lost, if fewer are certain.
 _MAX_LOSSES = 4
 # A crash is not attributed to runs that have lasted longer, in seconds.
 _MAX_CRASH_RUN_S = 600.0
@@ -40,8 +42,13 @@
         self._job_tracker = tracker
 
     def count(self, run: runs.Run) -> None:
-        """Counts a crashed worker under the task of a run that it has lost."""
-        if _may_have_crashed(run):
+        """Counts a crashed worker under the task of a run that it has lost.
+
+        A worker may have crashed before the start of the run reached it.
+        """
+        if not run.has_begun:
+            self.suspect(run)
+        elif _may_have_crashed(run):
             run.step.record_crash(run.name)
             self._conclude(run)
 
@@ -73,7 +80,8 @@
             crashes=crashes,
             losses=losses,
         )
-        if crashes >= _MAX_CRASHES or losses >= _MAX_LOSSES:
+        is_proven = crashes >= _MIN_PROVEN_CRASHES
+        if losses >= (_MAX_CRASHES if is_proven else _MAX_LOSSES):
             self._job_tracker.end(
                 job,
                 model.JobState.FAILED,
--- a/src/marigoldgap/cell/run_listings.py
+++ b/src/marigoldgap/cell/run_listings.py
@@ -84,7 +84,7 @@
             return
         if run.state is runs.RunState.STARTING:
             run.confirmed_s = now
-            self._runs.on_started(run)
+        self._runs.on_started(run)
         if active.percent != run.percent:
             run.percent = active.percent
             run.progressed_s = now
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -92,6 +92,7 @@
 
     def on_started(self, run: runs.Run) -> None:
         """Handles the confirmation of a start."""
+        run.has_begun = True
         if run.state is not runs.RunState.STARTING:
             return
         run.state = runs.RunState.RUNNING
@@ -225,6 +226,7 @@
             return None
         run = runs.Run(active.name, step, worker, now)
         run.state = runs.RunState.RUNNING
+        run.has_begun = True
         run.confirmed_s = now
         run.percent = active.percent
         worker.add(run)
--- a/src/marigoldgap/cell/runs.py
+++ b/src/marigoldgap/cell/runs.py
@@ -40,6 +40,7 @@
 
     __slots__ = (
         "confirmed_s",
+        "has_begun",
         "is_unstarted",
         "name",
         "percent",
@@ -66,6 +67,8 @@
         # Time at which the worker first confirmed the run, by a listing or by
         # its answer to a command; infinite before that.
         self.confirmed_s = float("inf")
+        # Whether its worker has answered its start or listed it.
+        self.has_begun = False
         # Whether all commands to start it have certainly failed.
         self.is_unstarted = False
         # Monotonic time of the latest change of `percent`.
--- a/tests/features/steps/cell_crash_steps.py
+++ b/tests/features/steps/cell_crash_steps.py
@@ -150,6 +150,28 @@
     _crash(context, _running(context)[0])
 
 
+@given("the workers lose the next start")
+def lose_next_start(context):
+    for worker in context.world.workers:
+        worker.lost_starts = 1
+
+
+@when("{count:d} workers crash while they have not begun it")
+def crash_before_start(context, count):
+    waiting = list(context.world.workers)
+
+    async def crash():
+        for _ in range(count):
+            await loops.until(
+                lambda: any(not worker.lost_starts for worker in waiting)
+            )
+            worker = next(each for each in waiting if not each.lost_starts)
+            waiting.remove(worker)
+            worker.crash()
+
+    loops.run(context, crash())
+
+
 @when("its worker crashes while the end of another job is stored")
 def crashes_while_storing(context):
     context.job_progress = _progress(context)
