--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -326,9 +326,7 @@
 
 @when("a plan is made")
 def make_plan(context):
-    context.plan = planner.Planner(context.fleet, run_times.RunTimes()).plan(
-        context.steps_waiting, {}, {}, _NOW
-    )
+    make_later_plan(context, 0)
 
 
 @when("a plan is made {seconds:d} s later")
