cell: a pause of the new leader does not end the fencing of workers

What callers see: a task may run twice. A new leader starts nothing until each worker has accepted its token, or 1.3 s have passed. The limit was a time on the clock, so a leader whose process was paused for longer planned at once when it continued, before it had read a single answer. A job that the former leader had started meanwhile, on a worker without the new token, was started again.

The limit is now watched by a task that checks it each 0.1 s; a check that is late by more than 0.3 s shows a pause, and the limit starts again. A worker that stays silent ends the wait with its lease, as before. The wait is a module of its own.

--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -7,6 +7,7 @@
 from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap.cell import crash_counter
+from marigoldgap.cell import fencing
 from marigoldgap.cell import fleet
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import leadership as leaderships
@@ -28,9 +29,6 @@
 # incarnation of a worker granted to the next one, expire within 6 s on the
 # worker's clock, which may be slow by 2%.
 _INHERITED_LEASE_S = 6.3
-# Time within which workers accept the fencing token of a new leader: covers a
-# connection and a lease renewal across regions, with one lost packet.
-_FENCING_LIMIT_S = 1.3
 
 
 class WorkerTracker:
@@ -60,12 +58,9 @@
         # applied: the latest one of each worker is kept.
         self.ready = asyncio.Event()
         self._deferred: dict[str, tuple[model.WorkerListing, float]] = {}
-        # Workers of earlier elections whose runs are not known yet, and those
-        # of them that have not accepted the fencing token yet.
+        # Workers of earlier elections whose runs are not known yet.
         self.pending_inherited: set[str] = set()
-        self._unfenced: set[str] = set()
-        self._fencing_began_s = clock.now_s()
-        self._is_former_inactive = is_former_inactive
+        self._fencing = fencing.Fencing(is_former_inactive)
         self._leadership = leadership
         self._port = port
         self._job_tracker = tracker
@@ -90,15 +85,9 @@
         """Whether the former leader may still start runs on some worker.
 
         The former leader may have just been notified of a new job that this
-        leader would start as well. A worker that does not answer within the
-        limit is taken to answer no other instance either.
+        leader would start as well.
         """
-        if (
-            self._is_former_inactive
-            or clock.now_s() > self._fencing_began_s + _FENCING_LIMIT_S
-        ):
-            return False
-        return bool(self._unfenced)
+        return self._fencing.is_pending
 
     @property
     def known_ids(self) -> list[str]:
@@ -121,15 +110,14 @@
 
     def inherit(self, registration: model.Registration) -> None:
         """Adds a worker that may have runs of earlier elections."""
-        now = clock.now_s()
-        # The fencing limit starts when the last worker is inherited.
-        self._fencing_began_s = now
-        worker = fleet.Worker(registration, now, _INHERITED_LEASE_S)
+        worker = fleet.Worker(registration, clock.now_s(), _INHERITED_LEASE_S)
         worker.has_roster_row = True
         worker.is_rostered = True
         worker.is_registered = False
+        if not self.pending_inherited:
+            self._leadership.spawn(self._fencing.run())
         self.pending_inherited.add(worker.worker_id)
-        self._unfenced.add(worker.worker_id)
+        self._fencing.expect(worker.worker_id)
         self._add(worker)
 
     def replace_former_roster(
@@ -287,7 +275,7 @@
         self.workers.remove(worker)
         self._sessions.pop(worker.worker_id, None)
         self.pending_inherited.discard(worker.worker_id)
-        self._unfenced.discard(worker.worker_id)
+        self._fencing.settle(worker.worker_id)
         self._deferred.pop(worker.worker_id, None)
         if not has_ended:
             self._lost.add(worker)
@@ -320,7 +308,7 @@
     ) -> None:
         """Applies a worker's listing of its runs, or keeps it for later."""
         now = clock.now_s()
-        self._unfenced.discard(worker.worker_id)
+        self._fencing.settle(worker.worker_id)
         if listing.born_ms != worker.born_ms:
             self._on_other_incarnation(worker, listing)
         worker.observe_clock(listing.clock_ms, now)
--- a/tests/features/cell/takeover.feature
+++ b/tests/features/cell/takeover.feature
@@ -105,6 +105,19 @@
     And no task ran in two places
     And the other job was started once
 
+  Scenario: A pause of the new leader does not end the fencing of workers
+    Guards against two runs of a task, if the new leader was paused before all
+    workers could accept its fencing token.
+    Given a cell with 2 workers and 2 instances
+    When a job with the payload "ms=3000" is submitted and has begun
+    And the worker that runs it accepts a new fencing token 600 ms late
+    And a claim of the other instance takes effect late
+    And another job is submitted to the former leader at once
+    And all processes are paused for 1500 ms when the new leader knows the job
+    Then the other job is completed
+    And no task ran in two places
+    And the other job was started once
+
   Scenario: Lost answers of the store start no election
     Guards against a handover to an instance that loses the same answers.
     Given a cell with 1 workers and 2 instances
--- a/tests/features/steps/cell_takeover_steps.py
+++ b/tests/features/steps/cell_takeover_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 
 from behave import given
 from behave import then
@@ -151,6 +152,25 @@
     assert status == 200, status
 
 
+@when(
+    "all processes are paused for {milliseconds:d} ms when the new leader knows"
+    " the job"
+)
+def pause_new_leader(context, milliseconds):
+    other = next(
+        each for each in context.world.instances if each is not context.former
+    )
+
+    async def pause():
+        await loops.until(
+            lambda: other.scheduler
+            and cell_jobs.OTHER_JOB in other.scheduler.job_tracker.jobs
+        )
+        time.sleep(milliseconds / 1000)
+
+    loops.run(context, pause())
+
+
 @then("the other job is completed")
 def other_completed(context):
     loops.run(
