--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -11,6 +11,8 @@
 _WITHHOLD_POLL_INTERVAL_S = 0.02
 # A linger time of 0 s makes close() reset the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# What fileno() returns for a closed socket.
+_CLOSED = -1
 
 
 class Mode(enum.Enum):
@@ -46,20 +48,26 @@
         self._target = target
         self._free_at_s = 0.0
         self._server: asyncio.Server | None = None
+        self._start_lock = asyncio.Lock()
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Starts listening, unless it already does."""
-        if self._server is not None:
-            return
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        async with self._start_lock:
+            if self._server is not None:
+                return
+            host, _, port = self.address.rpartition(":")
+            self._server = await asyncio.start_server(
+                self._serve, host, int(port)
+            )
 
     def reset(self) -> None:
         """Resets all connections (RST), unlike a process that closes them."""
         for writer in list(self._writers):
             connection = writer.get_extra_info("socket")
+            if connection.fileno() == _CLOSED:
+                continue
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 from marigoldgap.cell import fleet
@@ -17,6 +18,9 @@
 # Time for which reservations may hold back a step of which nothing runs, while
 # less than half of the cores of its service are in use.
 _MAX_HELD_BACK_S = 1.5
+# Minimum share of the workers that a step may use, though more of them are
+# quarantined: tasks that fail by their own fault quarantine sound workers.
+_MIN_USED_SHARE = 0.5
 # Expected end of a task that may use reserved capacity.
 IGNORES_RESERVATIONS = float("-inf")
 
@@ -72,7 +76,13 @@
         self._capacities = {
             worker.worker_id: worker_capacity.WorkerCapacity(worker)
             for worker in workers.values()
-            if worker.accepts(now) and not isolation.has_isolated_run(worker)
+            if worker.is_available(now)
+            and not isolation.has_isolated_run(worker, now)
+        }
+        self._withheld = {
+            worker_id
+            for worker_id, capacity in self._capacities.items()
+            if capacity.worker.is_withheld(now)
         }
         self._by_requirement: dict[
             tuple[str, str], dict[str, worker_capacity.WorkerCapacity]
@@ -155,16 +165,47 @@
     ) -> list[worker_capacity.WorkerCapacity]:
         """Returns the advised workers; requests advice if there are none."""
         if step.job.queue.advice is None:
-            return list(candidates.values())
-        advised = [
-            candidates[name]
-            for name in step.advised_workers
-            if name in candidates
-        ]
+            return self._without_withheld(list(candidates.values()))
+        advised = self._without_withheld(
+            [
+                candidates[name]
+                for name in step.advised_workers
+                if name in candidates
+            ]
+        )
         if not advised:
             self.request_more_advice(step, candidates)
         return advised
 
+    def _without_withheld(
+        self, found: list[worker_capacity.WorkerCapacity]
+    ) -> list[worker_capacity.WorkerCapacity]:
+        """Leaves out quarantined workers, but keeps a share of the workers.
+
+        The worker that failed least recently is used first.
+        """
+        if not self._withheld:
+            return found
+        withheld = [
+            each.worker
+            for each in found
+            if each.worker.worker_id in self._withheld
+        ]
+        withheld.sort(key=lambda worker: worker.last_failure_s)
+        sound = len(found) - len(withheld)
+        missing = max(0, math.ceil(_MIN_USED_SHARE * len(found)) - sound)
+        released = {
+            worker.worker_id
+            for worker in withheld[:missing]
+            if worker.may_be_released(self.now)
+        }
+        return [
+            each
+            for each in found
+            if each.worker.worker_id in released
+            or each.worker.worker_id not in self._withheld
+        ]
+
     def request_more_advice(
         self,
         step: step_progress.StepProgress,
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -352,3 +352,100 @@
     And 1 of the 3 cores that the workspace may use are in use
     When a plan is made within the limit
     Then nothing starts
+
+  Scenario: A quarantined worker with a long-running task is probed
+    Guards against a worker that is quarantined for as long as a long-running
+    task runs there (LOST).
+    Given 1 workers with 4 cores each
+    And 1 long-running runs on the first worker
+    And runs of 3 jobs have failed on the first worker
+    And 1 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then nothing starts
+    When a plan is made 3 s later
+    Then 1 tasks start
+
+  Scenario: A long-running task does not run alone for good
+    Guards against a worker that is closed to other tasks for as long as a
+    long-running task runs there (LOST).
+    Given 1 workers with 4 cores each
+    And 1 long-running runs on the first worker
+    And 2 workers have crashed under that task before
+    And 3 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then nothing starts
+    When a plan is made 4 s later
+    Then 3 tasks start
+
+  Scenario: Long-running tasks do not wait for others that run alone
+    Guards against a long-running task that is never started again, since
+    others run alone on half of the workers (LOST).
+    Given 2 workers with 4 cores each
+    And 1 long-running runs on the first worker
+    And 2 workers have crashed under that task before
+    And a waiting long-running task under which 2 workers have crashed
+    When a plan is made
+    Then nothing starts
+    When a plan is made 4 s later
+    Then the crashed task starts alone on the second worker
+
+  Scenario: A task that runs alone shares a worker if none is empty soon
+    Guards against a task that waits for the end of long runs (LOST).
+    Given 2 workers with 4 cores each
+    And a run of 1 core on the first worker
+    And a run of 1 cores on each worker that ends in 60 s
+    And a waiting task of 1 core under which 2 workers have crashed
+    And 8 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then the crashed task starts alone on the second worker
+    And 2 other tasks start
+
+  Scenario: A task that runs alone starts on an empty worker
+    Guards against a task that waits beside an empty worker, as a run that
+    takes longer than expected is taken to end at once.
+    Given 2 workers with 4 cores each
+    And a run of 1 core on the first worker
+    And that run is at 50 percent for longer than it took to get there
+    And a waiting task of 1 core under which 2 workers have crashed
+    When a plan is made
+    Then the crashed task starts alone on the second worker
+
+  Scenario: Half of the workers are used though all are quarantined
+    Guards against tasks that wait beside free workers, as tasks of other jobs
+    have failed on all of them by their own fault (LOST).
+    Given 4 workers with 4 cores each
+    And runs of 6 jobs have failed on each worker
+    And 20 waiting tasks of 1 core that can be on time
+    When a plan is made
+    Then nothing starts
+    When a plan is made 3 s later
+    Then 8 tasks start
+
+  Scenario: A quarantined worker is not used beside sound ones
+    Guards against tasks on a worker that fails all that it starts.
+    Given 2 workers with 4 cores each
+    And runs of 6 jobs have failed on the first worker
+    And 8 waiting tasks of 1 core that can be on time
+    When a plan is made 3 s later
+    Then 4 tasks start
+
+  Scenario: Tasks that run alone leave workers of each label to others
+    Guards against a task that waits for its label, since tasks without one run
+    alone on all workers that have it (LOST).
+    Given 6 workers with 4 cores each
+    And only the first 2 workers have the label "special"
+    And 3 waiting tasks of 1 core under which 2 workers have crashed
+    And 4 waiting tasks of 1 core with the label "special"
+    When a plan is made
+    Then 3 crashed tasks start alone and 4 others start
+
+  Scenario: A quarantined worker is used for a task that is advised on no other
+    Guards against a task that waits for the only workers that it may use, as
+    tasks of other jobs have failed there by their own fault (LOST).
+    Given 4 workers with 4 cores each
+    And runs of 6 jobs have failed on the first worker
+    And a waiting task that is advised on the first worker only
+    When a plan is made
+    Then nothing starts
+    When a plan is made 3 s later
+    Then 1 tasks start
