--- a/src/marigoldgap/cell/isolation.py
+++ b/src/marigoldgap/cell/isolation.py
@@ -1,7 +1,9 @@
 """Decides which tasks run alone on a worker, and which workers they get.
 
 A task under which several workers have crashed runs alone: other tasks on its
-worker would be lost with it and would be suspected as well.
+worker would be lost with it and would be suspected as well. If no worker is empty
+soon, it shares one: after many crashes most tasks are suspected, and there are
+fewer workers than tasks that would run alone.
 """
 
 from __future__ import annotations
@@ -17,11 +19,13 @@
 
 # Workers after which a task runs alone, if they have crashed or probably have.
 _ISOLATED_CRASHES = 2
+# Longest time for which a task waits for a worker of its own, in seconds.
+_MAX_WAIT_S = 2.0
+# A worker that is expected to be empty later than this is not kept for a task.
+_MAX_EMPTYING_S = 6.0
 # Maximum share of the workers with the same service and label that run isolated
 # tasks or wait for one.
 _MAX_WORKER_SHARE = 0.5
-# A task does not wait for a worker that is expected to be empty later than this.
-_MAX_EMPTYING_S = 6.0
 # Time for which a long-running task runs alone, since it has no end. Users
 # count one that has not been started again for 6 s as missing.
 _LONG_RUNNING_ALONE_S = 3.0
@@ -30,7 +34,9 @@
 def is_isolated(step: step_progress.StepProgress, position: int) -> bool:
     """Returns whether a task runs alone; members of gangs never do."""
     return (
-        not step.spec.is_gang and step.loss_count(position) >= _ISOLATED_CRASHES
+        not step.spec.is_gang
+        and position not in step.sharing
+        and step.loss_count(position) >= _ISOLATED_CRASHES
     )
 
 
@@ -43,6 +49,20 @@
     ]
 
 
+def overdue_positions(step: step_progress.StepProgress, now: float) -> set[int]:
+    """Returns the waiting tasks that have waited too long to run alone.
+
+    Args:
+        step: A step that may start.
+        now: Current monotonic time in seconds.
+    """
+    return {
+        position
+        for position in waiting_positions(step)
+        if now - step.isolated_since_s.setdefault(position, now) >= _MAX_WAIT_S
+    }
+
+
 def has_isolated_run(worker: fleet.Worker, now: float) -> bool:
     """Returns whether a worker has a run that runs alone now."""
     return any(
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -80,6 +80,7 @@
         step.last_run[position] = name.run
         step.active[position] = run
         step.waiting.discard(position)
+        step.isolated_since_s.pop(position, None)
         worker.add(run)
         _log.info(
             "run_starting",
@@ -91,6 +92,7 @@
 
     def on_started(self, run: runs.Run) -> None:
         """Handles the confirmation of a start."""
+        run.has_begun = True
         if run.state is not runs.RunState.STARTING:
             return
         run.state = runs.RunState.RUNNING
@@ -224,6 +226,7 @@
             return None
         run = runs.Run(active.name, step, worker, now)
         run.state = runs.RunState.RUNNING
+        run.has_begun = True
         run.confirmed_s = now
         run.percent = active.percent
         worker.add(run)
--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -24,35 +24,68 @@
     step: step_progress.StepProgress,
     budget: isolation.WorkerBudget,
 ) -> None:
-    """Plans the tasks of a step that run alone."""
+    """Plans the tasks of a step that run alone.
+
+    Those that have waited too long, and cannot start alone now, share workers.
+    """
+    overdue = isolation.overdue_positions(step, planning.now)
     for position in isolation.waiting_positions(step):
-        if not planning.allowed_tasks(step):
-            return
-        candidates = planning.candidates(step)
-        advised = planning.advised_workers(step, candidates)
-        usable = _below_task_limit(step, advised)
-        allowed = [each for each in usable if budget.allows(each.worker)]
-        if usable and not allowed:
-            return
-        capacity = isolation.choose_worker(
-            step, position, allowed, planning.now, planning.times
-        )
-        if capacity is None:
-            if advised:
-                planning.request_more_advice(step, candidates)
-            return
-        budget.keep(capacity.worker)
-        planning.close(capacity)
-        if not isolation.can_start(
-            capacity, step.spec, planning.now, planning.times
-        ):
-            continue
-        ticket = planning.ticket(step, capacity)
-        if ticket is None:
-            if not step.is_advice_pending:
-                planning.plan.advice.append((step, [capacity.worker.worker_id]))
-            continue
+        if not _plan_alone(planning, step, position, budget, overdue):
+            break
+    step.sharing.update(overdue)
+
+
+def _plan_alone(
+    planning: planning_pass.PlanningPass,
+    step: step_progress.StepProgress,
+    position: int,
+    budget: isolation.WorkerBudget,
+    overdue: set[int],
+) -> bool:
+    """Plans a task that runs alone, on a worker that is kept for it.
+
+    Args:
+        planning: The planning pass.
+        step: Step of the task.
+        position: Position of the task.
+        budget: Limits the workers that are kept.
+        overdue: Positions of the tasks that wait for no worker; the task is
+            removed if it gets one.
+
+    Returns:
+        Whether a worker may be kept for a further task of the step.
+    """
+    if not planning.allowed_tasks(step):
+        return False
+    candidates = planning.candidates(step)
+    advised = planning.advised_workers(step, candidates)
+    usable = _below_task_limit(step, advised)
+    allowed = [each for each in usable if budget.allows(each.worker)]
+    if usable and not allowed:
+        return False
+    capacity = isolation.choose_worker(
+        step, position, allowed, planning.now, planning.times
+    )
+    if capacity is None:
+        if advised:
+            planning.request_more_advice(step, candidates)
+        return False
+    can_start = isolation.can_start(
+        capacity, step.spec, planning.now, planning.times
+    )
+    if position in overdue and not can_start:
+        return True
+    overdue.discard(position)
+    budget.keep(capacity.worker)
+    planning.close(capacity)
+    if not can_start:
+        return True
+    ticket = planning.ticket(step, capacity)
+    if ticket is not None:
         planning.place(step, position, capacity, ticket)
+    elif not step.is_advice_pending:
+        planning.plan.advice.append((step, [capacity.worker.worker_id]))
+    return True
 
 
 def plan_tasks(
