cell: a call for advice chooses its workers when it is sent

The tickets of the call before have expired (2.5 s). The gang never holds enough valid tickets at once.

Ruled out: capacity (over half is free), limits, reservations, quarantines; more calls (the instances are busy: 108 calls of 5 s in 5 s).

Cause: the workers of a call were chosen when it was requested, and only unknown ones. Class of fault: a decision that waits in a queue is carried out on outdated input. Now a call chooses its workers when it is sent: it drops those that are gone, adds unknown ones and, for a gang, those of earlier calls, up to 30 or the number that was requested. The time of a call depends little on their number.

Evidence: both scenarios fail if the requested workers are asked as before.

--- a/src/marigoldgap/cell/advice_dispatcher.py
+++ b/src/marigoldgap/cell/advice_dispatcher.py
@@ -78,15 +78,19 @@
 
     Args:
         proxies: Returns the proxies that may be used.
+        choose: Returns the workers that a call asks about when it is sent, for
+            a step and the workers that were requested.
         answered: Called after each call, whether or not it succeeded.
     """
 
     def __init__(
         self,
         proxies: Callable[[], list[AdviceProxy]],
+        choose: Callable[[step_progress.StepProgress, list[str]], list[str]],
         answered: Callable[[], None],
     ) -> None:
         self._proxies = proxies
+        self._choose = choose
         self._answered = answered
         self._waiting: list[_Request] = []
         # Start time of the current call, by name of the proxy.
@@ -145,13 +149,19 @@
             free = [proxy for proxy in usable if proxy.name not in self._busy]
             if not free:
                 continue
+            workers = self._choose(request.step, request.workers)
+            if not workers:
+                self._drop(request)
+                continue
             self._waiting.remove(request)
             # A silent instance takes longer to fail than its pause lasts.
             proxy = min(
                 free, key=lambda proxy: self._failures.get(proxy.name, 0)
             )
             self._busy[proxy.name] = now
-            task = asyncio.create_task(self._call(proxy, request))
+            task = asyncio.create_task(
+                self._call(proxy, request._replace(workers=workers))
+            )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -14,6 +14,7 @@
 from marigoldgap import json_object
 from marigoldgap import measures
 from marigoldgap.cell import advice_dispatcher
+from marigoldgap.cell import advice_targets
 from marigoldgap.cell import archive
 from marigoldgap.cell import inherited_usage
 from marigoldgap.cell import job_tracker
@@ -115,7 +116,7 @@
             epoch, reader, self.job_tracker, self.worker_tracker, self._versions
         )
         self._advice = advice_dispatcher.AdviceDispatcher(
-            proxies, self._leadership.request_plan
+            proxies, self._choose_advised, self._leadership.request_plan
         )
         self._heartbeat_count = 0
         self._is_planning = True
@@ -259,6 +260,13 @@
         for step, workers in plan.advice:
             self._advice.request(step, workers)
 
+    def _choose_advised(
+        self, step: step_progress.StepProgress, requested: list[str]
+    ) -> list[str]:
+        return advice_targets.choose(
+            step, requested, self.worker_tracker.workers, clock.now_s()
+        )
+
     async def _log_waits(self) -> None:
         """Logs the steps that have been ready for long without a run."""
         while True:
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -464,3 +464,19 @@
     Then nothing starts
     When a plan is made 3 s later
     Then 1 tasks start
+
+  Scenario: A call for advice that waited asks about the workers of now
+    Guards against a gang that never starts, since its calls for advice wait
+    for long and ask about workers that are gone by then (LOST).
+    Given 4 workers with 4 cores each
+    And a waiting gang of a queue with advice
+    When its call for advice waits while 3 workers leave and 5 join
+    Then the gang has tickets for all 6 workers
+
+  Scenario: A call for advice of a gang covers the workers advised before
+    Guards against a gang that never starts, since its tickets on the workers
+    of earlier calls expire while it asks about a few others (LOST).
+    Given 6 workers with 4 cores each
+    And a gang that needs advice on one more worker
+    When its call for advice waits while 0 workers leave and 0 join
+    Then the gang has tickets for all 6 workers
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -13,6 +13,7 @@
 
 from marigoldgap import clock
 from marigoldgap.cell import advice_dispatcher
+from marigoldgap.cell import advice_targets
 from marigoldgap.cell import fleet
 from marigoldgap.cell import isolation
 from marigoldgap.cell import job_tracker
@@ -566,6 +567,13 @@
     step.job.queue = step.job.queue._replace(advice=advice)
 
 
+def _dispatcher(context, proxies, answered=lambda: None):
+    def choose(step, requested):
+        return advice_targets.choose(step, requested, context.fleet, _NOW)
+
+    return advice_dispatcher.AdviceDispatcher(lambda: proxies, choose, answered)
+
+
 class _Proxy:
     """Records the workers that it is asked about and never answers."""
 
@@ -584,9 +592,7 @@
     context.proxies = [_Proxy(f"proxy {number}") for number in range(count)]
 
     async def ask():
-        dispatcher = advice_dispatcher.AdviceDispatcher(
-            lambda: context.proxies, lambda: None
-        )
+        dispatcher = _dispatcher(context, context.proxies)
         for step, workers in context.plan.advice:
             dispatcher.request(step, workers)
         await asyncio.sleep(0)
@@ -616,6 +622,46 @@
     advice_for_free_workers(context)
 
 
+@given("a gang that needs advice on one more worker")
+def gang_with_one_unknown(context):
+    advised_gang_on_all(context)
+    step = context.steps_waiting[-1]
+    name = context.fleet.values()[-1].worker_id
+    step.asked_workers.discard(name)
+    del step.advised_workers[name]
+
+
+@when("its call for advice waits while {gone:d} workers leave and {new:d} join")
+def change_workers_during_wait(context, gone, new):
+    step = context.steps_waiting[-1]
+    other = _wait_with_advice(context)
+    names = [worker.worker_id for worker in context.fleet.values()]
+    proxy = _AnsweringProxy("only", step.job.queue.advice)
+
+    async def ask():
+        dispatcher = _dispatcher(context, [proxy])
+        dispatcher.request(other, names[:1])
+        dispatcher.request(
+            step, [name for name in names if name not in step.asked_workers]
+        )
+        for worker in context.fleet.values()[:gone]:
+            context.fleet.remove(worker)
+        for number in range(new):
+            context.fleet.add(_worker(len(names) + number, 4))
+        await loops.until(lambda: not step.is_advice_pending)
+        dispatcher.close()
+
+    loops.run(context, ask())
+
+
+@then("the gang has tickets for all {count:d} workers")
+def has_tickets(context, count):
+    names = {worker.worker_id for worker in context.fleet.values()}
+    step = next(each for each in context.steps_waiting if each.spec.is_gang)
+    assert set(step.tickets) == names, step.tickets
+    assert len(names) == count, names
+
+
 @when("a plan is made every second for {seconds:d} s")
 def plan_and_examine(context, seconds):
     context.log = log_lines.capture(context)
@@ -721,9 +767,7 @@
     plans = planner.Planner(context.fleet, run_times.RunTimes())
 
     async def plan_until_placed():
-        dispatcher = advice_dispatcher.AdviceDispatcher(
-            lambda: proxies, lambda: None
-        )
+        dispatcher = _dispatcher(context, proxies)
         for _ in range(int(limit_s / _PLAN_PAUSE_S)):
             context.plan = plans.plan(
                 context.steps_waiting, {}, {}, clock.now_s()
@@ -806,7 +850,7 @@
             for step in context.quick:
                 dispatcher.request(step, names[:1])
 
-        dispatcher = advice_dispatcher.AdviceDispatcher(lambda: proxies, renew)
+        dispatcher = _dispatcher(context, proxies, renew)
         renew()
         dispatcher.request(context.slow, names)
         await asyncio.sleep(0)
