cell: a slow leader gives way to a preferred candidate

Cause: only a heartbeat that stops, a store that refuses and a recovery that reads no page end a leadership. A leader that is merely too slow for its workers and its state does none of that.

A leader that is not a preferred candidate now offers its leadership to those that are, if its recovery takes longer than 2 s or over a tenth of the registered workers have not answered for 2 s. The row is not released: the next leader claims it in one step and waits for the fencing of all workers, and a leader whom nobody replaces goes on. A preferred candidate offers nothing, so leadership moves once, also if the workers answer nobody.

--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -31,7 +31,7 @@
 # Minimum time between a poll and an early poll after it.
 _MIN_EARLY_POLL_S = 0.2
 # Longest claim delay at which an instance is a preferred candidate.
-_PREFERRED_MAX_DELAY_S = 0.15
+PREFERRED_MAX_DELAY_S = 0.15
 # A leader whose heartbeat has not changed for this long has failed: four
 # heartbeat intervals.
 _HEARTBEAT_TIMEOUT_S = 1.25
@@ -156,10 +156,14 @@
             delay_s += _FAILED_DELAY_S
         return delay_s
 
+    @property
+    def is_preferred(self) -> bool:
+        """Whether this instance is a preferred candidate."""
+        return self.claim_delay_s <= PREFERRED_MAX_DELAY_S
+
     @property
     def _poll_interval_s(self) -> float:
-        is_preferred = self.claim_delay_s <= _PREFERRED_MAX_DELAY_S
-        return _PREFERRED_POLL_S if is_preferred else _OTHER_POLL_S
+        return _PREFERRED_POLL_S if self.is_preferred else _OTHER_POLL_S
 
     def poll_soon(self) -> None:
         """Requests an early poll, since the leader may have changed."""
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -106,6 +106,17 @@
         ids = [worker.worker_id for worker in self.workers.values()]
         return list({*self._registrations, *ids})
 
+    def unreachable_share(self) -> float:
+        """Returns the share of the registered workers that do not answer."""
+        if not self._registrations:
+            return 0.0
+        known = [self.workers.get(name) for name in self._registrations]
+        answering = sum(
+            worker is not None and worker.contact is fleet.Contact.ANSWERING
+            for worker in known
+        )
+        return 1 - answering / len(known)
+
     def pending_capacity(self) -> list[model.Demand]:
         """Returns the capacities of inherited workers with unknown runs."""
         pending = (self.workers.get(name) for name in self.pending_inherited)
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -15,6 +15,7 @@
 from marigoldgap.cell import election as elections
 from marigoldgap.cell import feeds
 from marigoldgap.cell import job_service
+from marigoldgap.cell import leadership_transfer
 from marigoldgap.cell import model
 from marigoldgap.cell import peers
 from marigoldgap.cell import scheduler as schedulers
@@ -308,6 +309,9 @@
                 documents.decode_registration,
             ),
             self._instances.poll(),
+            leadership_transfer.run(
+                self._election, scheduler, self._offer_to_preferred
+            ),
         ):
             scheduler.spawn(work)
         try:
@@ -317,14 +321,26 @@
             self._election_win = None
             scheduler.close()
 
-    async def _offer_takeover(self, epoch: int) -> bool:
+    async def _offer_to_preferred(self, epoch: int) -> bool:
+        return await self._offer_takeover(
+            epoch, (elections.PREFERRED_MAX_DELAY_S,)
+        )
+
+    async def _offer_takeover(
+        self, epoch: int, max_delays_s: tuple[float, ...] = _MAX_CLAIM_DELAYS_S
+    ) -> bool:
         """Asks the other instances to take over, the best placed first.
 
+        Args:
+            epoch: Epoch of the leadership that ends.
+            max_delays_s: Longest claim delay, in seconds, of the instances that
+                may accept, for each round.
+
         Returns:
             Whether one of them accepted.
         """
         candidates = self._instances.peers
-        for max_delay_s in _MAX_CLAIM_DELAYS_S:
+        for max_delay_s in max_delays_s:
             for first in range(0, len(candidates), _CONCURRENT_TAKEOVER_OFFERS):
                 answers = await asyncio.gather(
                     *(
