--- a/soak/world.py
+++ b/soak/world.py
@@ -16,6 +16,7 @@
 from soak import instances
 from soak import proxy
 from tests.fixtures import cell_world
+from tests.standins.cell import fleet_runs
 from tests.standins.cell import store as store_standin
 from tests.standins.cell import worker as worker_standin
 
@@ -60,7 +61,7 @@
         self.store_links: dict[str, proxy.Proxy] = {}
         self.instances: list[instances.Instance] = []
         self._ended_workers: list[worker_standin.WorkerStandIn] = []
-        self._fleet_runs: dict[tuple[str, str], int] = {}
+        self._fleet_runs = fleet_runs.FleetRuns(self.store)
         self._acknowledged_tasks: set[str] = set()
         self._config_version = 1
         self._event_log = folder / "events.log"
--- /dev/null
+++ b/tests/features/cell/workspace_limits.feature
@@ -0,0 +1,54 @@
+Feature: No workspace uses more than its upper limit
+
+  Workers add up what really runs of a workspace, on all workers, at each start.
+
+  @known-red
+  Scenario: Runs on a silent worker whose capacity has shrunk count in full
+    Guards against a bound on unknown runs that follows a capacity below what
+    runs already (QUOTA).
+    Given a cell with 2 workers and 2 instances
+    And the workspace may use 4000 millicores
+    When a job of 4 tasks with 1000 millicores each has begun on one worker
+    And that worker falls silent and its capacity shrinks to 100 millicores
+    And the leader ends and another instance leads
+    And another job of 4 tasks with 1000 millicores each is submitted
+    Then the other job is completed
+    And no start exceeded a limit
+
+  @known-red
+  Scenario: Runs of a step that is not known to have begun count
+    Guards against a new leader whose stored progress is older than the starts
+    of the former one, so that it counts nothing for the next step (QUOTA).
+    Given a cell with 2 workers and 2 instances
+    And the workspace may use 4000 millicores
+    When the leader stores no progress any more
+    And the second step of a job of 4 tasks with 1000 millicores has begun
+    And its worker falls silent
+    And the leader ends and another instance leads
+    And another job of 4 tasks with 1000 millicores each is submitted
+    Then the other job is completed
+    And no start exceeded a limit
+
+  @known-red
+  Scenario: Runs of a job that a leader does not know yet hold back others
+    Guards against starts beside runs whose workspace is unknown, as the row of
+    their job arrives later than the listing of their worker (QUOTA).
+    Given a cell with 2 workers and 2 instances
+    And the workspace may use 4000 millicores
+    And a worker lists 4 runs with 1000 millicores of a job that is unknown
+    When another job of 4 tasks with 1000 millicores each is submitted
+    Then the other job is completed
+    And no start exceeded a limit
+
+  @known-red
+  Scenario: A start is not repeated after the limit has been lowered
+    Guards against commands that a worker carries out seconds after the limit
+    was lowered, although the leader knows the new one (QUOTA).
+    Given a cell with 1 workers and 1 instances
+    And the workspace may use 8000 millicores
+    When a job of 4 tasks with 1000 millicores each has begun on one worker
+    And the next 24 starts are lost
+    And another job of 4 tasks with 1000 millicores each is submitted
+    And the limit of the workspace is lowered to 3000 millicores
+    Then the other job is completed
+    And no start exceeded a limit
--- a/tests/features/steps/cell_takeover_steps.py
+++ b/tests/features/steps/cell_takeover_steps.py
@@ -19,7 +19,6 @@
 from tests.fixtures import cell_world
 from tests.fixtures import loops
 from tests.fixtures import stopwatch
-from tests.standins.cell import worker as worker_standin
 
 
 @when("the leader ends")
@@ -381,10 +380,13 @@
             )
 
     loops.run(context, wait())
+    # Every instance knows the new limit, so the former one is not in force.
+    del context.world.store.configurations[:-1]
 
 
-def _submit_limited(context, job_id, payload, instance):
-    body = cell_world.job(2, payload, cpu=1000)
+def _submit_limited(context, job_id, tasks, millicores, run_ms, instance):
+    payload = f"ms={run_ms} cpu={millicores}"
+    body = cell_world.job(tasks, payload, cpu=millicores)
     status, _ = cell_jobs.submit(context, body, job_id, instance)
     assert status == 200, status
 
@@ -394,8 +396,7 @@
     " one worker"
 )
 def begin_on_one_worker(context, tasks, millicores):
-    payload = f"ms=6000 cpu={millicores}"
-    _submit_limited(context, cell_jobs.JOB, payload, None)
+    _submit_limited(context, cell_jobs.JOB, tasks, millicores, 6_000, None)
     workers = context.world.workers
     loops.run(
         context,
@@ -465,12 +466,9 @@
     " submitted"
 )
 def submit_other(context, tasks, millicores):
-    del tasks
+    instance = context.world.instances[0]
     _submit_limited(
-        context,
-        cell_jobs.OTHER_JOB,
-        f"ms=300 cpu={millicores}",
-        context.world.instances[0],
+        context, cell_jobs.OTHER_JOB, tasks, millicores, 300, instance
     )
 
 
@@ -508,11 +506,7 @@
     async def watch():
         states = set()
         while states != {"completed"}:
-            used = sum(
-                worker_standin.cpu(run["spec"])
-                for worker in context.world.workers
-                for run in worker.running.values()
-            )
+            used = context.world.fleet_runs.used("team", "cpu")
             assert used <= context.limit, used
             states = {await context.world.state(job) for job in awaited}
             await asyncio.sleep(0.02)
--- /dev/null
+++ b/tests/features/steps/cell_workspace_limits_steps.py
@@ -0,0 +1,111 @@
+"""Steps for the upper limits of workspaces while runs or limits are unknown."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from marigoldgap.cell import records
+from tests.fixtures import cell_jobs
+from tests.fixtures import cell_world
+from tests.fixtures import loops
+
+
+@when(
+    "that worker falls silent and its capacity shrinks to {millicores:d}"
+    " millicores"
+)
+def silent_and_shrunk(context, millicores):
+    silent = next(each for each in context.world.workers if each.running)
+    silent._is_silent = True
+    silent.change_capacity(cpu=millicores)
+
+
+@when("the leader stores no progress any more")
+def lose_progress(context):
+    journal = context.world.leader().scheduler._leadership.journal
+    schedule = journal.schedule_write
+
+    def schedule_others(row_key, encode):
+        if row_key.table != records.PROGRESS:
+            schedule(row_key, encode)
+
+    journal.schedule_write = schedule_others
+    # Ends of runs are not acknowledged before they are stored.
+    journal.flushed = asyncio.Future
+
+
+@when(
+    "the second step of a job of {tasks:d} tasks with {millicores:d} millicores"
+    " has begun"
+)
+def second_step_begun(context, tasks, millicores):
+    step = {"count": 1, "cpu": 100, "memMb": 100, "estimateMs": 50}
+    second = {**step, "count": tasks, "cpu": millicores, "after": [0]}
+    # Tasks of both steps have the same payload.
+    body = {"spec": f"ms=3000 cpu={millicores}", "steps": [step, second]}
+    status, _ = cell_jobs.submit(context, body)
+    assert status == 200, status
+    loops.run(
+        context,
+        loops.until(lambda: len(context.world.fleet_runs) == tasks),
+    )
+
+
+@when("its worker falls silent")
+def workers_silent(context):
+    for worker in context.world.workers:
+        if worker.running:
+            worker._is_silent = True
+
+
+@when("the leader ends and another instance leads")
+def leader_replaced(context):
+    former = context.world.leader()
+    former.abort()
+    former.serving.cancel()
+    context.world.instances.remove(former)
+    loops.run(context, loops.until(lambda: context.world.schedulers))
+
+
+@given(
+    "a worker lists {count:d} runs with {millicores:d} millicores of a job that"
+    " is unknown"
+)
+def list_unknown(context, count, millicores):
+    worker = context.world.workers[0]
+
+    async def begin():
+        spec = f"ms=20000 cpu={millicores}"
+        for number in range(count):
+            task = f"{cell_jobs.JOB}.0.0.{number}"
+            worker.running[task] = {"run": 1, "spec": spec}
+            worker.violations += context.world.fleet_runs.begin(
+                task, worker.worker_id, 1, spec
+            )
+        worker._changed.set()
+        scheduler = context.world.schedulers[0]
+        known = scheduler.worker_tracker.workers.get(worker.worker_id)
+        await loops.until(lambda: known.unknown_runs)
+
+    loops.run(context, begin())
+
+
+@when("the next {count:d} starts are lost")
+def lose_starts(context, count):
+    for worker in context.world.workers:
+        worker.lost_starts = count
+
+
+@when("the limit of the workspace is lowered to {millicores:d} millicores")
+def lower_limit(context, millicores):
+    content = cell_world.configuration(version=3, cap=millicores)
+    context.world.store.put("op", "", "config", content)
+
+
+@then("no start exceeded a limit")
+def no_limit_exceeded(context):
+    cell_jobs.check_no_violations(context)
--- a/tests/standins/cell/store.py
+++ b/tests/standins/cell/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+import time
 from urllib import parse
 
 from marigoldgap.web import messages
@@ -12,6 +13,7 @@
 
 _PAGE_ROWS = 500
 _HOLD_POLL_S = 0.05
+_CONFIGURATION = ("op", "", "config")
 # Maximum length of a value in Base64.
 _ROW_BYTES = 65_536
 
@@ -27,6 +29,7 @@
         removed: Version of the removal by table, part and key.
         version: Version of the last write.
         calls: Path of each request, in order.
+        configurations: Time and content of each configuration, in order.
         first_version_kept: Oldest version from which a feed can continue.
         refusal: Status with which every call is refused; 0 for none.
         lost: Number of the next transactions whose response is withheld; they
@@ -50,6 +53,7 @@
         self.removed = {}
         self.version = 0
         self.calls = []
+        self.configurations = []
         self.refusal = 0
         self.lost = 0
         self.unusable = None
@@ -73,6 +77,8 @@
         """Writes a row, as the operator or a worker does."""
         self.version += 1
         self.rows[table, part, key] = (value, self.version)
+        if (table, part, key) == _CONFIGURATION:
+            self.configurations.append((time.monotonic(), value))
         self._notify()
 
     def drop(self, table, part, key):
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -12,11 +12,12 @@
 
 from marigoldgap.web import messages
 from marigoldgap.web import server
+from tests.standins.cell import fleet_runs as fleet_run_records
 
 _CAPACITY = {"cpu": 16000, "memMb": 65536, "gpu": 0}
-# Words of a payload that declare the resources of its tasks.
-_RESOURCE_WORDS = {"cpu": "cpu=", "memMb": "mem=", "gpu": "gpu="}
 _HEARTBEAT_S = 0.3
+# Longest lease that a worker accepts.
+_MAX_LEASE_MS = 6_000
 # A linger time of 0 s makes close() reset the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -55,8 +56,8 @@
         worker_id: Id under which it registers.
         address: `ip:port` to listen on.
         store: The metadata store in which it registers.
-        fleet_runs: Current runs of all workers by task and worker, to detect
-            two runs of one task.
+        fleet_runs: Current runs of all workers, to detect two runs of one task
+            and workspaces above their limits.
         acknowledged_tasks: Tasks of all workers whose end the scheduler has
             acknowledged.
 
@@ -67,6 +68,9 @@
             response.
         refusal: Status with which every start is refused; 0 for none.
         refused_stops: Number of the next stops that are refused with 503.
+        stop_s: Time that a stopped run takes to end, in seconds.
+        late_orders: Delays, in seconds, of the next commands: each gets no
+            response and is carried out that much later.
         fence_delay_s: Delay of a request with a higher fencing token, in
             seconds.
         duration_factor: Factor of the duration of runs.
@@ -106,6 +110,8 @@
         self.unanswered = 0
         self.refusal = 0
         self.refused_stops = 0
+        self.stop_s = 0.0
+        self.late_orders = []
         self.fence_delay_s = 0.0
         self.duration_factor = 1.0
         self.falls_silent = False
@@ -175,7 +181,7 @@
         for task in self._tasks:
             task.cancel()
         for name, each in self.running.items():
-            self._fleet_runs.pop((name, self.worker_id), None)
+            self._fleet_runs.end(name, self.worker_id)
             self._record(name, each["run"], "lost")
         self.running.clear()
 
@@ -187,7 +193,7 @@
             self._reset_connections()
         self._server.close()
         for name, each in self.running.items():
-            self._fleet_runs.pop((name, self.worker_id), None)
+            self._fleet_runs.end(name, self.worker_id)
             self._record(name, each["run"], "lost")
         self.running.clear()
         self._tasks.append(asyncio.create_task(self._restart()))
@@ -289,6 +295,22 @@
         if self._is_silent:
             await asyncio.sleep(60)
         body = json.loads(request.body)
+        if self.late_orders and request.path != "/v1/hold":
+            delay_s = self.late_orders.pop(0)
+            self._tasks.append(
+                asyncio.create_task(
+                    self._carry_out_late(delay_s, request.path, body)
+                )
+            )
+            await asyncio.sleep(60)
+        return await self._carry_out(request.path, body)
+
+    async def _carry_out_late(self, delay_s, path, body):
+        await asyncio.sleep(delay_s)
+        if not self.is_down:
+            await self._carry_out(path, body)
+
+    async def _carry_out(self, path, body):
         if body["fence"] > self.fence and self.fence_delay_s:
             await asyncio.sleep(self.fence_delay_s)
         if body["fence"] < self.fence:
@@ -296,10 +318,11 @@
         if body["fence"] > self.fence:
             self.fence = body["fence"]
             self.fences.append(self.fence)
-        self.lease_until_ms = max(self.lease_until_ms, body.get("untilMs", 0))
-        if request.path == "/v1/run-start":
+        until_ms = min(body.get("untilMs", 0), self._clock_ms + _MAX_LEASE_MS)
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        if path == "/v1/run-start":
             return await self._start(body)
-        if request.path == "/v1/run-stop":
+        if path == "/v1/run-stop":
             return self._stop(body)
         return await self._handle_hold(body)
 
@@ -315,8 +338,9 @@
         if run <= self._refused_runs.get(name, 0):
             return self._answer({"reason": "old"}, 409)
         self.starts.append((name, run))
-        others = [each for each in self._fleet_runs if each[0] == name]
-        if others:
+        if self._clock_ms > self.lease_until_ms:
+            return self._answer({"reason": "late"}, 409)
+        if self._fleet_runs.others(name):
             self.violations.append(
                 f"task {name} was started while another run of it exists"
             )
@@ -326,7 +350,9 @@
             )
         self._record(name, run, "started")
         self._check_capacity(name, body["spec"])
-        self._fleet_runs[name, self.worker_id] = run
+        self.violations += self._fleet_runs.begin(
+            name, self.worker_id, run, body["spec"]
+        )
         now_s = time.monotonic()
         self.running[name] = {
             "run": run,
@@ -347,8 +373,8 @@
         """Records a start after which the worker exceeds its capacity."""
         specs = [spec, *(each["spec"] for each in self.running.values())]
         for resource, capacity in self._counted_capacity().items():
-            word = _RESOURCE_WORDS[resource]
-            used = sum(_amount(each, word) for each in specs)
+            word = fleet_run_records.RESOURCE_WORDS[resource]
+            used = sum(fleet_run_records.amount(each, word) for each in specs)
             if used > capacity:
                 self.violations.append(
                     f"task {name} overcommits worker {self.worker_id}:"
@@ -361,9 +387,19 @@
             return messages.Response(503)
         name, run = body["task"], body["run"]
         self._refused_runs[name] = max(run, self._refused_runs.get(name, 0))
+        if self.stop_s:
+            self._tasks.append(asyncio.create_task(self._stop_later(name, run)))
+        else:
+            self._end_stopped(name, run)
+        return self._answer({})
+
+    async def _stop_later(self, name, run):
+        await asyncio.sleep(self.stop_s)
+        self._end_stopped(name, run)
+
+    def _end_stopped(self, name, run):
         if self.running.get(name, {}).get("run") == run:
             self._end(name, "stopped")
-        return self._answer({})
 
     async def _handle_hold(self, body):
         for number, name, _, state, _ in self.ended:
@@ -405,11 +441,6 @@
             self._end(name, "failed" if "fail" in spec else "done")
 
     def _record(self, name, run, what):
-        others = tuple(
-            (worker_id, number)
-            for (task, worker_id), number in self._fleet_runs.items()
-            if task == name
-        )
         self.history.append(
             RunEvent(
                 time.monotonic(),
@@ -418,13 +449,13 @@
                 run,
                 self.fence,
                 what,
-                others,
+                self._fleet_runs.others(name),
             )
         )
 
     def _end(self, name, state):
         run = self.running.pop(name)["run"]
-        self._fleet_runs.pop((name, self.worker_id), None)
+        self._fleet_runs.end(name, self.worker_id)
         self._record(name, run, state)
         self._refused_runs[name] = max(run, self._refused_runs.get(name, 0))
         self._last_end_number += 1
@@ -436,12 +467,3 @@
         return messages.json_response(
             status, {**body, "clockMs": self._clock_ms}
         )
-
-
-def cpu(spec):
-    """Returns the millicores that the payload of a run states."""
-    return _amount(spec, "cpu=")
-
-
-def _amount(spec, word):
-    return int(spec.partition(word)[2].split()[0] if word in spec else 0)
