--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -51,6 +51,9 @@
         inherited_lease_s: float = 0.0,
     ) -> None:
         self.registration = registration
+        # Largest amount of each resource that it has had: what was started
+        # before its capacity shrank may still run. The stored roster has it.
+        self.largest_capacity = registration.capacity
         self.contact = Contact.JOINING
         # Whether a write of the worker to the stored roster was scheduled, and
         # whether the roster has it. Only then may runs start on it, so that
@@ -196,6 +199,9 @@
         if registration.is_draining or is_same:
             self.is_leaving = registration.is_draining
         self.registration = registration
+        self.largest_capacity = model.Demand(
+            *map(max, self.largest_capacity, registration.capacity)
+        )
 
     def reset_incarnation(
         self, born_ms: int, now: float, max_lease_s: float
--- a/src/marigoldgap/cell/inherited_usage.py
+++ b/src/marigoldgap/cell/inherited_usage.py
@@ -50,7 +50,7 @@
     """Returns an upper bound on the unknown usage of each workspace.
 
     Args:
-        capacities: Capacities of the workers that have not answered.
+        capacities: Largest capacities of the workers that have not answered.
         possible: Tasks that may run on them.
 
     Returns:
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -107,12 +107,10 @@
         return 1 - answering / len(known)
 
     def pending_capacity(self) -> list[model.Demand]:
-        """Returns the capacities of inherited workers with unknown runs."""
+        """Returns the largest capacities of workers with unknown runs."""
         pending = (self.workers.get(name) for name in self.pending_inherited)
         return [
-            worker.registration.capacity
-            for worker in pending
-            if worker is not None
+            worker.largest_capacity for worker in pending if worker is not None
         ]
 
     def flushed(self) -> asyncio.Future[None]:
@@ -242,8 +240,14 @@
         if registration.is_draining and not worker.registration.is_draining:
             _log.info("worker_draining", worker=worker.worker_id)
         former = worker.registration
+        former_largest = worker.largest_capacity
         worker.update_registration(registration)
-        if former.address != registration.address:
+        has_grown = worker.largest_capacity != former_largest
+        if has_grown:
+            worker.is_rostered = False
+        if former.address != registration.address or (
+            has_grown and worker.has_roster_row
+        ):
             self._store(worker)
         worker.is_registered = True
         worker.has_vanished = False
@@ -410,12 +414,18 @@
     def _store(self, worker: fleet.Worker) -> None:
         """Adds a worker to the roster, after which runs may start on it."""
         worker.has_roster_row = True
+        stored = worker.largest_capacity
         self._leadership.journal.schedule_write(
             records.roster_row_key(worker.worker_id),
-            lambda: records.encode_worker(worker.registration),
+            lambda: records.encode_worker(
+                worker.registration._replace(capacity=worker.largest_capacity)
+            ),
         )
 
         def mark_rostered(_: asyncio.Future[None]) -> None:
+            if worker.largest_capacity != stored:
+                # A later write has the larger capacity.
+                return
             worker.is_rostered = True
             self._leadership.request_plan()
 
--- a/tests/features/cell/workspace_limits.feature
+++ b/tests/features/cell/workspace_limits.feature
@@ -2,7 +2,6 @@
 
   Workers add up what really runs of a workspace, on all workers, at each start.
 
-  @known-red
   Scenario: Runs on a silent worker whose capacity has shrunk count in full
     Guards against a bound on unknown runs that follows a capacity below what
     runs already (QUOTA).
@@ -15,6 +14,13 @@
     Then the other job is completed
     And no start exceeded a limit
 
+  Scenario: Capacity that has grown is stored before it is used
+    Guards against a new leader that bounds unknown runs by the capacity with
+    which their worker joined (QUOTA).
+    Given a cell with 1 workers and 1 instances
+    When the capacity of its worker grows to 32000 millicores
+    Then the stored roster has 32000 millicores before the worker accepts tasks
+
   @known-red
   Scenario: Runs of a step that is not known to have begun count
     Guards against a new leader whose stored progress is older than the starts
--- a/tests/features/steps/cell_workspace_limits_steps.py
+++ b/tests/features/steps/cell_workspace_limits_steps.py
@@ -24,6 +24,30 @@
     silent.change_capacity(cpu=millicores)
 
 
+@when("the capacity of its worker grows to {millicores:d} millicores")
+def grow_capacity(context, millicores):
+    context.world.workers[0].change_capacity(cpu=millicores)
+
+
+@then(
+    "the stored roster has {millicores:d} millicores before the worker accepts"
+    " tasks"
+)
+def roster_has_capacity(context, millicores):
+    (worker,) = context.world.workers
+    (scheduler,) = context.world.schedulers
+    known = scheduler.worker_tracker.workers.get(worker.worker_id)
+    row_key = records.roster_row_key(worker.worker_id)
+
+    def is_used():
+        capacity = known.registration.capacity
+        return capacity.millicores == millicores and known.accepts(1e12)
+
+    loops.run(context, loops.until(is_used))
+    row = records.decode_worker(context.world.store.value(*row_key))
+    assert row.capacity.millicores == millicores, row
+
+
 @when("the leader stores no progress any more")
 def lose_progress(context):
     journal = context.world.leader().scheduler._leadership.journal
