--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,6 +25,13 @@
 # the leader from the registrations for longer.
 _SHRUNK_GRACE_S = _MAX_FAULT_S + 1.0
 _FULL_MILLICORES = 16_000
+# A gang of the callers needs at most one member more than the lowest limit; 0 is
+# no limit.
+_LIMITS_MILLICORES = (0, 20_000, 28_000, 40_000)
+# Range of the delays of commands that are carried out late.
+_LATE_ORDER_S = (2.0, 12.0)
+# Longest time that a stopped run takes to end.
+_MAX_STOP_S = 0.9
 # Longest pause between two signals of a series.
 _MAX_SIGNAL_GAP_S = 0.8
 
@@ -245,6 +252,31 @@
     world.change_configuration()
 
 
+@_fault
+async def change_limit(world: worlds.World) -> None:
+    """Raises or lowers the upper limit of the workspace."""
+    world.change_configuration(world.random_source.choice(_LIMITS_MILLICORES))
+
+
+@_fault
+async def carry_orders_out_late(world: worlds.World) -> None:
+    """Makes workers carry out commands late, without a response."""
+    for worker in world.random_source.sample(world.workers, 2):
+        worker.late_orders += [
+            world.random_source.uniform(*_LATE_ORDER_S)
+            for _ in range(world.random_source.randint(1, 6))
+        ]
+
+
+@_fault
+async def stop_runs_slowly(world: worlds.World) -> None:
+    """Makes stopped runs of a worker end late."""
+    worker = world.random_source.choice(world.workers)
+    worker.stop_s = world.random_source.uniform(0.1, _MAX_STOP_S)
+    await asyncio.sleep(world.random_source.uniform(0.5, _MAX_FAULT_S))
+    worker.stop_s = 0.0
+
+
 @_fault
 async def submit_crashing_job(world: worlds.World) -> None:
     """Submits a job whose task crashes each worker that runs it."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -64,6 +64,7 @@
         self._fleet_runs = fleet_runs.FleetRuns(self.store)
         self._acknowledged_tasks: set[str] = set()
         self._config_version = 1
+        self._limit = 0
         self._event_log = folder / "events.log"
         self._fault_tasks: set[asyncio.Task[None]] = set()
         for number in range(instance_count):
@@ -120,10 +121,22 @@
             worker.stop()
         self.store.stop()
 
-    def change_configuration(self) -> None:
-        """Writes a new version of the configuration."""
+    def change_configuration(self, limit: int | None = None) -> None:
+        """Writes a new version of the configuration.
+
+        Args:
+            limit: Upper limit of the workspace in millicores; 0 for none, None
+                for the same as before.
+        """
         self._config_version += 1
-        content = cell_world.configuration(self._config_version)
+        if limit is not None:
+            self._limit = limit
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
+        content = cell_world.configuration(
+            self._config_version, cap=self._limit
+        )
         self.store.put("op", "", "config", content)
 
     async def replace_worker(self, keeps_id: bool) -> None:
@@ -167,8 +180,7 @@
 
     async def _start(self) -> None:
         await self.store.start()
-        content = cell_world.configuration(self._config_version)
-        self.store.put("op", "", "config", content)
+        self._write_configuration()
         for link in self.store_links.values():
             await link.start()
         for number in range(_WORKERS):
@@ -246,6 +258,8 @@
                 instance.start()
 
     async def _check_results(self) -> None:
+        # The jobs that wait for the limit are completed in time without one.
+        self.change_configuration(limit=0)
         for instance in self.instances:
             instance.send_signal(signal.SIGCONT)
         workers = [*self.workers, *self._ended_workers]
--- a/tests/features/steps/cell_random_steps.py
+++ b/tests/features/steps/cell_random_steps.py
@@ -10,6 +10,7 @@
 from marigoldgap import clock
 from tests.fixtures import random_cell
 from tests.fixtures import random_crashing_cell
+from tests.fixtures import random_limited_cell
 
 
 @when("the random cells with the seeds {first:d} to {last:d} are played")
@@ -25,6 +26,14 @@
     _play(context, random_crashing_cell.RandomCrashingCell, first, last)
 
 
+@when(
+    "the random cells with changing limits and the seeds {first:d} to {last:d}"
+    " are played"
+)
+def play_limited(context, first, last):
+    _play(context, random_limited_cell.RandomLimitedCell, first, last)
+
+
 def _play(context, cell_type, first, last):
     context.cells = {}
     for seed in range(first, last + 1):
@@ -60,3 +69,13 @@
         if waited_s > longest_s
     ]
     assert not found, found
+
+
+@then("no start exceeds the limit of its workspace")
+def no_excess(context):
+    found = {
+        seed: cell.excesses
+        for seed, cell in context.cells.items()
+        if cell.excesses
+    }
+    assert not found, found
