--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -306,8 +306,10 @@
         return await self._carry_out(request.path, body)
 
     async def _carry_out_late(self, delay_s, path, body):
+        # The next process knows nothing of the commands of this one.
+        born_ms = self.born_ms
         await asyncio.sleep(delay_s)
-        if not self.is_down:
+        if not self.is_down and self.born_ms == born_ms:
             await self._carry_out(path, body)
 
     async def _carry_out(self, path, body):
