--- a/tests/features/steps/cell_odd_steps.py
+++ b/tests/features/steps/cell_odd_steps.py
@@ -27,6 +27,13 @@
     context.status, _ = cell_jobs.submit(context, body)
 
 
+@when("a job of {count:d} occurrences that are all due is submitted")
+def submit_many(context, count):
+    due = {"startAtMs": 1, "intervalMs": 1, "repeats": count}
+    body = {**cell_world.job(), **due}
+    context.status, _ = cell_jobs.submit(context, body)
+
+
 @then("the submission is rejected with {status:d}")
 def rejected(context, status):
     assert context.status == status, context.status
