--- a/src/marigoldgap/platform/worker_client.py
+++ b/src/marigoldgap/platform/worker_client.py
@@ -197,10 +197,11 @@
         FormatError: The name has a different format.
     """
     try:
-        job_id, occurrence, step, position = name.split(".")
-        return model.TaskName(job_id, int(occurrence), int(step), int(position))
-    except (AttributeError, ValueError) as error:
+        job_id, *numbers = name.split(".")
+        occurrence, step, position = map(_decode_number, numbers)
+    except (AttributeError, TypeError, ValueError) as error:
         raise decoding.FormatError(f"invalid task name {name!r}") from error
+    return model.TaskName(job_id, occurrence, step, position)
 
 
 def decode_listing(content: bytes) -> model.WorkerListing:
@@ -213,7 +214,7 @@
     try:
         running = tuple(_decode_active_run(row) for row in fields["running"])
         ended = tuple(_decode_ended_run(row) for row in fields["ended"])
-    except (KeyError, IndexError, TypeError, ValueError) as error:
+    except (LookupError, OverflowError, TypeError, ValueError) as error:
         raise decoding.FormatError(
             "answer to a lease renewal: field 'running' or 'ended' is missing"
             f" or malformed: {error!r}"
@@ -227,13 +228,29 @@
 
 
 def _decode_active_run(row: Any) -> model.ActiveRun:
-    name = model.RunName(decode_task(row[0]), int(row[1]))
+    name = model.RunName(decode_task(row[0]), _decode_number(row[1]))
     return model.ActiveRun(name, str(row[2]), float(row[3]))
 
 
 def _decode_ended_run(row: Any) -> model.EndedRun:
-    name = model.RunName(decode_task(row[1]), int(row[2]))
-    return model.EndedRun(int(row[0]), name, _END_REASONS[row[3]], str(row[4]))
+    name = model.RunName(decode_task(row[1]), _decode_number(row[2]))
+    return model.EndedRun(
+        _decode_number(row[0]), name, _END_REASONS[row[3]], str(row[4])
+    )
+
+
+def _decode_number(value: Any) -> int:
+    """Returns an integer from 0 to `model.MAX_INTEGER`.
+
+    Raises:
+        OverflowError: The value is infinite.
+        TypeError: The value is not a number or a text.
+        ValueError: The value is negative, too large or not a number.
+    """
+    number = int(value)
+    if not 0 <= number <= model.MAX_INTEGER:
+        raise ValueError(f"number {number:.3e} is out of range")
+    return number
 
 
 def _decode_start_outcome(answer: messages.Response) -> model.StartOutcome:
--- a/tests/features/cell/odd_messages.feature
+++ b/tests/features/cell/odd_messages.feature
@@ -30,3 +30,18 @@
     Given a stored job whose estimate has 401 digits
     And a cell with 1 workers and 2 instances that restores it
     Then a job completes under the same leader
+
+  Scenario Outline: A listing with an odd number costs only its worker
+    Guards against a listing that ends each leader which reads it (LOST).
+    Given a cell with 2 workers and 2 instances
+    When the listings of the second worker have <odd row>
+    Then a job completes under the same leader
+
+    Examples:
+      | odd row                             |
+      | a progress of 401 digits            |
+      | a run with an infinite number       |
+      | a run with a number of 401 digits   |
+      | a task at a negative position       |
+      | an ended task at a negative position |
+      | an end with an infinite number      |
--- a/tests/features/steps/cell_odd_steps.py
+++ b/tests/features/steps/cell_odd_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from behave import given
 from behave import then
@@ -10,11 +11,40 @@
 
 from marigoldgap import json_object
 from marigoldgap.cell import records
+from marigoldgap.web import messages
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
 from tests.fixtures import loops
 
 _TOO_LARGE = 10**400
+# An odd row of a worker's listing, and the list that it belongs to. The job of
+# `OTHER_JOB` is known to the leader.
+_ODD_ROWS = {
+    "a progress of 401 digits": (
+        "running",
+        [f"{cell_jobs.JOB}.0.0.0", 1, "", _TOO_LARGE],
+    ),
+    "a run with an infinite number": (
+        "running",
+        [f"{cell_jobs.JOB}.0.0.0", math.inf, "", 1],
+    ),
+    "a run with a number of 401 digits": (
+        "running",
+        [f"{cell_jobs.OTHER_JOB}.0.0.0", _TOO_LARGE, "", 1],
+    ),
+    "a task at a negative position": (
+        "running",
+        [f"{cell_jobs.OTHER_JOB}.0.0.-1", 1, "", 1],
+    ),
+    "an ended task at a negative position": (
+        "ended",
+        [1, f"{cell_jobs.OTHER_JOB}.0.0.-1", 1, "done", ""],
+    ),
+    "an end with an infinite number": (
+        "ended",
+        [math.inf, f"{cell_jobs.JOB}.0.0.0", 1, "done", ""],
+    ),
+}
 # Fields of a job; the others belong to its steps.
 _JOB_FIELDS = frozenset({"startAtMs", "intervalMs", "repeats"})
 
@@ -39,6 +69,25 @@
     assert context.status == status, context.status
 
 
+@when("the listings of the second worker have {odd}")
+def list_odd(context, odd):
+    worker = context.world.workers[1]
+    name, row = _ODD_ROWS[odd]
+    answer = worker._handle_hold
+
+    async def answer_oddly(body):
+        await asyncio.sleep(0.05)
+        response = await answer({**body, "waitMs": 0})
+        fields = response.json()
+        fields[name].append(row)
+        return messages.json_response(200, fields)
+
+    worker._handle_hold = answer_oddly
+    # Ends the wait of the current listing.
+    worker._changed.set()
+    worker._changed = asyncio.Event()
+
+
 @given("a stored job whose estimate has 401 digits")
 def stored_too_large(context):
     queue = ["q", "jobs.example", "/q/", "claims", 0, 2, 2.0, 500, False, None]
