--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -315,13 +315,22 @@
 
 
 def _decode_rows(content: Any) -> tuple[store.Row, ...]:
-    return tuple(_decode_row(row) for row in content.get("rows", ()))
+    """Decodes rows; one that names no row is left out."""
+    rows = []
+    for fields in content.get("rows", ()):
+        try:
+            rows.append(_decode_row(fields))
+        except (AttributeError, LookupError, TypeError, ValueError) as error:
+            _log.error("row_malformed", cause=repr(error))
+    return tuple(rows)
 
 
 def _decode_row(content: Any) -> store.Row:
     row_key = store.RowKey(
         content["table"], content.get("part", ""), content["key"]
     )
+    if not all(isinstance(name, str) for name in row_key):
+        raise TypeError(f"a name in {row_key!r} is not a text")
     return store.Row(
         row_key, _decode_value(content), int(content.get("ver", 0))
     )
--- a/tests/features/cell/odd_messages.feature
+++ b/tests/features/cell/odd_messages.feature
@@ -45,3 +45,18 @@
       | a task at a negative position       |
       | an ended task at a negative position |
       | an end with an infinite number      |
+
+  Scenario Outline: A malformed row costs only itself
+    Guards against a leader that reads no page of a table any more, since one of
+    its rows is malformed (RECOVER).
+    Given a cell with 1 workers and 2 instances
+    When every page of the store has a row <odd>
+    And the leader ends and another instance leads
+    Then a job completes
+
+    Examples:
+      | odd                     |
+      | that is a text          |
+      | without a key           |
+      | with a key of a number  |
+      | with a version of a text |
--- a/tests/features/steps/cell_odd_steps.py
+++ b/tests/features/steps/cell_odd_steps.py
@@ -45,6 +45,12 @@
         [math.inf, f"{cell_jobs.JOB}.0.0.0", 1, "done", ""],
     ),
 }
+_ODD_STORE_ROWS = {
+    "that is a text": "odd",
+    "without a key": {"table": "servers", "part": "", "ver": 1},
+    "with a key of a number": {"table": "servers", "key": 5, "ver": 1},
+    "with a version of a text": {"table": "servers", "key": "w", "ver": "x"},
+}
 # Fields of a job; the others belong to its steps.
 _JOB_FIELDS = frozenset({"startAtMs", "intervalMs", "repeats"})
 
@@ -96,7 +102,28 @@
     context.rows = [(records.job_row_key(cell_jobs.JOB), content)]
 
 
+@when("every page of the store has a row {odd}")
+def add_odd_row(context, odd):
+    context.world.store.odd_rows = [_ODD_STORE_ROWS[odd]]
+
+
+@when("every answer of the store is nested too deeply for {seconds:d} s")
+def answer_nested(context, seconds):
+    store = context.world.store
+    store.malformed_body = b"[" * 100_000 + b"]" * 100_000
+    store.is_malformed = True
+    loops.run(context, asyncio.sleep(seconds))
+    store.is_malformed = False
+
+
 @then("a job completes under the same leader")
+def completes_under_same(context):
+    completes(context)
+    (scheduler,) = context.world.schedulers
+    assert scheduler.worker_tracker.epoch == 1, scheduler.worker_tracker.epoch
+
+
+@then("a job completes")
 def completes(context):
     async def complete():
         # Time for a leader to fail at the message, and for an election.
@@ -107,5 +134,3 @@
         await context.world.wait_for_state(cell_jobs.OTHER_JOB, "completed")
 
     loops.run(context, complete())
-    (scheduler,) = context.world.schedulers
-    assert scheduler.worker_tracker.epoch == 1, scheduler.worker_tracker.epoch
--- a/tests/standins/cell/store.py
+++ b/tests/standins/cell/store.py
@@ -37,7 +37,9 @@
         unusable: Response to the next transaction that writes a job, which
             takes effect while all later calls are refused; None for the usual
             response.
-        is_malformed: Whether every response has a body that is not JSON.
+        is_malformed: Whether every response has the malformed body.
+        malformed_body: Body of a malformed response.
+        odd_rows: Rows that every page has besides its own.
         is_silent: Whether every response is withheld.
         delay_s: Delay of each call, in seconds.
         holds_tables: Returns whether reads of partitions of jobs are withheld.
@@ -58,6 +60,8 @@
         self.lost = 0
         self.unusable = None
         self.is_malformed = False
+        self.malformed_body = b"<html>"
+        self.odd_rows = []
         self.is_silent = False
         self.delay_s = 0.0
         self.first_version_kept = 0
@@ -111,7 +115,7 @@
         if self.refusal:
             return messages.Response(self.refusal)
         if self.is_malformed:
-            return messages.Response(200, b"<html>")
+            return messages.Response(200, self.malformed_body)
         fields = dict(parse.parse_qsl(query, keep_blank_values=True))
         if path == "/v1/rows-tx":
             return await self._transact(json.loads(request.body))
@@ -181,7 +185,9 @@
             self._row((fields["table"], fields["part"], key))
             for key in keys[:limit]
         ]
-        return self._answer({"rows": rows, "hasMore": len(keys) > limit})
+        return self._answer(
+            {"rows": [*self.odd_rows, *rows], "hasMore": len(keys) > limit}
+        )
 
     async def _feed(self, fields):
         after = int(fields["after"])
@@ -195,7 +201,7 @@
             rows = []
         if after < self.first_version_kept:
             return messages.Response(410)
-        return self._answer({"rows": rows})
+        return self._answer({"rows": [*self.odd_rows, *rows]})
 
     def _changes(self, table, after):
         found = [
