--- a/src/marigoldgap/web/messages.py
+++ b/src/marigoldgap/web/messages.py
@@ -61,7 +61,7 @@
         """
         try:
             return json.loads(self.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise InvalidAnswerError(f"body is not JSON: {error}") from error
 
 
--- a/tests/features/cell/odd_messages.feature
+++ b/tests/features/cell/odd_messages.feature
@@ -60,3 +60,13 @@
       | without a key           |
       | with a key of a number  |
       | with a version of a text |
+
+  Scenario: Answers of the store that are nested too deeply end nothing
+    Guards against an instance that follows neither the election nor the
+    configuration any more, since a decoder reaches the limit of recursion.
+    Given a cell with 1 workers and 2 instances
+    When every answer of the store is nested too deeply for 2 s
+    And the key is withdrawn
+    Then a submission is answered with 401 soon
+    When the leader ends
+    Then another instance is the leader
