--- a/src/marigoldgap/node/instance_registry.py
+++ b/src/marigoldgap/node/instance_registry.py
@@ -91,5 +91,12 @@
                     cause=str(error),
                 )
                 continue
+            if not client.is_address(address):
+                _log.warning(
+                    "instance_row_invalid",
+                    row=row.row_key.key,
+                    cause=f"invalid address {address!r}",
+                )
+                continue
             found.append(peers.PeerClient(self._pool, address, row.row_key.key))
         return found
--- a/src/marigoldgap/platform/documents.py
+++ b/src/marigoldgap/platform/documents.py
@@ -6,6 +6,7 @@
 
 from marigoldgap.cell import model
 from marigoldgap.platform import decoding
+from marigoldgap.web import client
 
 # Limits of a submitted job, far above the largest job that the platform
 # specifies.
@@ -16,7 +17,6 @@
 _MAX_TASKS_OF_OCCURRENCES = 100_000
 _DRAINING = "draining"
 _STATES = frozenset({"ready", _DRAINING})
-_MAX_PORT = 65_535
 
 
 def decode_configuration(content: bytes) -> model.Configuration:
@@ -125,9 +125,7 @@
 
 def _decode_address(fields: dict[str, Any]) -> str:
     address = decoding.text(fields, "address")
-    host, _, port = address.rpartition(":")
-    is_port = port.isascii() and port.isdecimal() and len(port) <= 5
-    if not host or not is_port or not 0 < int(port) <= _MAX_PORT:
+    if not client.is_address(address):
         raise decoding.FormatError(f"invalid address {address!r}")
     return address
 
--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -18,6 +18,7 @@
 # Unacknowledged data fails the connection after this time, so that a dead link
 # is detected before leases of 6 s expire.
 _UNACKNOWLEDGED_LIMIT_MS = 4_000
+_MAX_PORT = 65_535
 
 
 class Connection(asyncio.Protocol):
@@ -189,6 +190,15 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
 
+def is_address(value: Any) -> bool:
+    """Returns whether a value of another program has the form `ip:port`."""
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(":")
+    is_port = port.isascii() and port.isdecimal() and len(port) <= 5
+    return bool(host) and is_port and 0 < int(port) <= _MAX_PORT
+
+
 async def connect(address: str) -> Connection:
     """Opens a connection to `ip:port`.
 
--- a/tests/features/cell/odd_messages.feature
+++ b/tests/features/cell/odd_messages.feature
@@ -70,3 +70,18 @@
     Then a submission is answered with 401 soon
     When the leader ends
     Then another instance is the leader
+
+  Scenario Outline: An instance with an odd address is left out
+    Guards against calls to other instances that fail with an unexpected error
+    in place of the leader's calls to those that can be reached.
+    Given a stored instance whose address is <address>
+    And a cell with 1 workers and 2 instances that restores it
+    Then the leader knows the other instance only
+
+    Examples:
+      | address             |
+      | 5                   |
+      | null                |
+      | "127.0.0.1"         |
+      | "127.0.0.1:99999"   |
+      | "127.0.0.1:nothing" |
--- a/tests/features/steps/cell_odd_steps.py
+++ b/tests/features/steps/cell_odd_steps.py
@@ -11,6 +11,7 @@
 
 from marigoldgap import json_object
 from marigoldgap.cell import records
+from marigoldgap.cell import store
 from marigoldgap.web import messages
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
@@ -109,11 +110,30 @@
 
 @when("every answer of the store is nested too deeply for {seconds:d} s")
 def answer_nested(context, seconds):
-    store = context.world.store
-    store.malformed_body = b"[" * 100_000 + b"]" * 100_000
-    store.is_malformed = True
+    rows = context.world.store
+    rows.malformed_body = b"[" * 100_000 + b"]" * 100_000
+    rows.is_malformed = True
     loops.run(context, asyncio.sleep(seconds))
-    store.is_malformed = False
+    rows.is_malformed = False
+
+
+@given("a stored instance whose address is {address}")
+def stored_instance(context, address):
+    row_key = store.RowKey(records.INSTANCES, "", "odd")
+    context.rows = [(row_key, b'{"address": %s}' % address.encode())]
+
+
+@then("the leader knows the other instance only")
+def knows_other_only(context):
+    leader = context.world.leader()
+    others = [
+        each.settings.name
+        for each in context.world.instances
+        if each is not leader
+    ]
+    loops.run(context, loops.until(lambda: leader._instances.peers))
+    found = [each.name for each in leader._instances.peers]
+    assert found == others, found
 
 
 @then("a job completes under the same leader")
