--- a/src/marigoldgap/platform/worker_client.py
+++ b/src/marigoldgap/platform/worker_client.py
@@ -69,6 +69,8 @@
         Raises:
             NotConnectedError: Nothing was sent.
             NoAnswerError: The run may start, even seconds later.
+            InvalidAnswerError: The answer is malformed; the run may have
+                started.
         """
         body: dict[str, Any] = {
             "task": encode_task(name.task),
@@ -84,9 +86,13 @@
         answer = await self._send_command(
             worker, "/v1/run-start", body, timeout_s
         )
-        return model.StartAnswer(
-            _decode_start_outcome(answer), _decode_clock_ms(answer)
-        )
+        try:
+            return model.StartAnswer(
+                _decode_start_outcome(answer), _decode_clock_ms(answer)
+            )
+        except decoding.FormatError as error:
+            # The command has reached the worker, so the run may have started.
+            raise messages.InvalidAnswerError(str(error)) from error
 
     async def stop(
         self,
--- a/tests/features/cell/odd_messages.feature
+++ b/tests/features/cell/odd_messages.feature
@@ -85,3 +85,12 @@
       | "127.0.0.1"         |
       | "127.0.0.1:99999"   |
       | "127.0.0.1:nothing" |
+
+  Scenario: A start whose answer is malformed may have begun
+    Guards against a task that is started on another worker beside a run that
+    is taken not to have begun (TWICE).
+    Given a cell with 2 workers and 1 instances
+    And the workers answer starts with a malformed body
+    When a job of 1 tasks with 1000 millicores each is submitted
+    And the worker that runs it drains before its next listing
+    Then no task ran in two places within 2 s
--- a/tests/features/steps/cell_odd_steps.py
+++ b/tests/features/steps/cell_odd_steps.py
@@ -136,6 +136,43 @@
     assert found == others, found
 
 
+@given("the workers answer starts with a malformed body")
+def malformed_starts(context):
+    for worker in context.world.workers:
+        start = worker._start
+
+        async def start_oddly(body, start=start):
+            await start(body)
+            return messages.Response(200, b"[")
+
+        worker._start = start_oddly
+
+
+@when("a job of 1 tasks with {millicores:d} millicores each is submitted")
+def submit_one(context, millicores):
+    body = cell_world.job(1, "ms=4000", cpu=millicores)
+    status, _ = cell_jobs.submit(context, body)
+    assert status == 200, status
+
+
+@when("the worker that runs it drains before its next listing")
+def drain_at_once(context):
+    async def drain():
+        workers = context.world.workers
+        await loops.until(lambda: any(each.running for each in workers))
+        worker = next(each for each in workers if each.running)
+        worker.is_draining = True
+        worker.register()
+
+    loops.run(context, drain())
+
+
+@then("no task ran in two places within {seconds:d} s")
+def not_twice(context, seconds):
+    loops.run(context, asyncio.sleep(seconds))
+    cell_jobs.check_no_violations(context)
+
+
 @then("a job completes under the same leader")
 def completes_under_same(context):
     completes(context)
