--- a/tests/features/cell/odd_messages.feature
+++ b/tests/features/cell/odd_messages.feature
@@ -94,3 +94,20 @@
     When a job of 1 tasks with 1000 millicores each is submitted
     And the worker that runs it drains before its next listing
     Then no task ran in two places within 2 s
+
+  Scenario Outline: A damaged entry of a live worker ends none of its runs
+    Guards against a live worker that is given up, or used no more, after one
+    damaged write of its entry (LOST).
+    Given a cell with 1 workers and 1 instances
+    When a job of 1 tasks with 1000 millicores each is submitted
+    And the entry of its worker is <damaged> for 2 s
+    Then the job is completed by a single run
+    And a job completes under the same leader
+
+    Examples:
+      | damaged               |
+      | nested too deeply     |
+      | no JSON               |
+      | without an address    |
+      | with a port of 99999  |
+      | of 401 digits of cores |
--- a/tests/features/steps/cell_odd_steps.py
+++ b/tests/features/steps/cell_odd_steps.py
@@ -52,6 +52,25 @@
     "with a key of a number": {"table": "servers", "key": 5, "ver": 1},
     "with a version of a text": {"table": "servers", "key": "w", "ver": "x"},
 }
+_ENTRY = {
+    "service": "claims",
+    "address": "127.0.0.1:9",
+    "zone": "a",
+    "state": "ready",
+    "capacity": {"cpu": 16_000},
+    "labels": [],
+}
+_DAMAGED_ENTRIES = {
+    "nested too deeply": b"[" * 100_000 + b"]" * 100_000,
+    "no JSON": b"\xff{",
+    "without an address": json_object.encode({**_ENTRY, "address": 5}),
+    "with a port of 99999": json_object.encode(
+        {**_ENTRY, "address": "127.0.0.1:99999"}
+    ),
+    "of 401 digits of cores": json_object.encode(
+        {**_ENTRY, "capacity": {"cpu": _TOO_LARGE}}
+    ),
+}
 # Fields of a job; the others belong to its steps.
 _JOB_FIELDS = frozenset({"startAtMs", "intervalMs", "repeats"})
 
@@ -167,6 +186,32 @@
     loops.run(context, drain())
 
 
+@when("the entry of its worker is {damaged} for {seconds:d} s")
+def damage_entry(context, damaged, seconds):
+    (worker,) = context.world.workers
+    register = worker.register
+
+    def write_damaged():
+        content = _DAMAGED_ENTRIES[damaged]
+        context.world.store.put("servers", "", worker.worker_id, content)
+
+    async def damage():
+        await loops.until(lambda: worker.running)
+        worker.register = write_damaged
+        worker.register()
+        await asyncio.sleep(seconds)
+        worker.register = register
+
+    loops.run(context, damage())
+
+
+@then("the job is completed by a single run")
+def completed_once(context):
+    loops.run(context, context.world.wait_for_state(cell_jobs.JOB, "completed"))
+    (worker,) = context.world.workers
+    assert len(worker.starts) == 1, worker.starts
+
+
 @then("no task ran in two places within {seconds:d} s")
 def not_twice(context, seconds):
     loops.run(context, asyncio.sleep(seconds))
