--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -21,6 +22,7 @@
 from marigoldgap.cell import leadership as leaderships
 from marigoldgap.cell import model
 from marigoldgap.cell import planner
+from marigoldgap.cell import planning_pass
 from marigoldgap.cell import ports
 from marigoldgap.cell import records
 from marigoldgap.cell import recovery
@@ -250,9 +252,9 @@
         measures.WAITING_TASKS.set(sum(len(step.waiting) for step in steps))
         if not steps:
             return
-        plan = self._planner.plan(
-            steps, self._usage.current(), configuration.workspaces, now
-        )
+        usage = self._usage.current()
+        plan = self._planner.plan(steps, usage, configuration.workspaces, now)
+        _log_usage(plan, usage, configuration)
         gang_run_numbers = {
             id(each.step): each.step.next_run(each.position)
             for each in plan.placements
@@ -364,5 +366,27 @@
             await asyncio.sleep(HEARTBEAT_S)
 
 
+def _log_usage(
+    plan: planning_pass.Plan,
+    usage: dict[str, list[int]],
+    configuration: model.Configuration,
+) -> None:
+    """Logs the use of each workspace with a limit of which tasks start."""
+    started = collections.Counter(
+        each.step.job.record.workspace for each in plan.placements
+    )
+    for name, count in started.items():
+        workspace = configuration.workspaces.get(name)
+        if workspace is not None and any(workspace.limit):
+            _log.info(
+                "limit_checked",
+                workspace=name,
+                starts=count,
+                used_after=usage[name],
+                limit=workspace.limit,
+                version=configuration.version,
+            )
+
+
 def _identity(content: bytes) -> bytes:
     return content
