--- a/src/marigoldgap/cell/configuration_follower.py
+++ b/src/marigoldgap/cell/configuration_follower.py
@@ -18,6 +18,11 @@
 # time of its request, so the age reaches up to twice this time. Keys are
 # refused at an age of 0.7 * 5 s = 3.5 s.
 _LONG_POLL_MS = 1_000
+# The same while this instance decides by the configuration what starts.
+_CLOSE_LONG_POLL_MS = 500
+# Age at which another version may be in force alone: the platform allows 2.5 s
+# after the operator has written it.
+_MAX_UNCONFIRMED_S = 2.4
 # Pause after a failed call.
 _RETRY_S = 0.1
 
@@ -40,6 +45,8 @@
         adopted: Callable[[model.Configuration], None],
     ) -> None:
         self.current: model.Configuration | None = None
+        # Whether changes are followed closely, at the cost of more calls.
+        self.is_close = False
         self._rows = rows
         self._row_key = row_key
         self._decode = decode
@@ -54,6 +61,23 @@
             return float("inf")
         return clock.now_s() - self._confirmed_s
 
+    def is_outdated(self, store_outage_s: float) -> bool:
+        """Returns whether another version may be in force alone.
+
+        While the store answers no call, nobody can have written one; this
+        instance may have missed one if it was paused or only its calls for the
+        configuration failed.
+
+        Args:
+            store_outage_s: Seconds since the store's last answer to any call;
+                0 while it answers.
+        """
+        return self.age_s - store_outage_s > _MAX_UNCONFIRMED_S
+
+    @property
+    def _long_poll_ms(self) -> int:
+        return _CLOSE_LONG_POLL_MS if self.is_close else _LONG_POLL_MS
+
     async def run(self) -> None:
         """Follows changes until cancelled."""
         must_read = True
@@ -69,7 +93,7 @@
                     )
                 else:
                     page = await self._rows.changes(
-                        self._row_key.table, self._after, _LONG_POLL_MS
+                        self._row_key.table, self._after, self._long_poll_ms
                     )
             except store.HistoryLostError as error:
                 _log.info("history_lost", cause=str(error))
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -70,6 +70,8 @@
         port: Sends commands to workers.
         proxies: Returns the proxies for calls to the advice service.
         configuration: Returns the configuration in force.
+        is_outdated: Returns whether another configuration may be in force
+            alone.
         offer: Offers the leadership of an epoch to other instances; returns
             whether one took it over.
         retention_s: Retention period of ended jobs, in seconds.
@@ -88,6 +90,7 @@
         port: ports.WorkerPort,
         proxies: Callable[[], list[advice_dispatcher.AdviceProxy]],
         configuration: Callable[[], model.Configuration | None],
+        is_outdated: Callable[[], bool],
         offer: Callable[[int], Awaitable[bool]],
         retention_s: float,
         is_former_inactive: bool,
@@ -101,6 +104,7 @@
         self._recovered_s = float("inf")
         self._rows = rows
         self._configuration = configuration
+        self._is_outdated = is_outdated
         self._offer = offer
         self._store_refused_s = store_refused_s
         self._versions: dict[store.RowKey, int] = {}
@@ -315,21 +319,22 @@
 
         A worker may list a run before this instance receives the row of its
         job. The job then waits for the worker's next listing, which shows the
-        task that runs. Workspaces with limits wait as well: the run may belong
-        to any of them.
+        task that runs. Workspaces with limits wait as well, since the run may
+        belong to any of them, and while their limits may have been lowered.
         """
         unknown_jobs = self._jobs_with_unknown_runs()
-        held_back = (
-            configuration.limited_workspaces
-            if unknown_jobs and now - self._recovered_s < _MAX_UNCOUNTED_S
-            else frozenset()
-        )
+        held_back: step_progress.WaitReason | None = None
+        if unknown_jobs and now - self._recovered_s < _MAX_UNCOUNTED_S:
+            held_back = step_progress.WaitReason.UNCOUNTED_RUNS
+        elif self._is_outdated():
+            held_back = step_progress.WaitReason.LIMIT_UNCONFIRMED
+        limited = configuration.limited_workspaces
         startable = []
         for step in self.job_tracker.ready_steps(
             not self.worker_tracker.pending_inherited
         ):
-            if step.job.record.workspace in held_back:
-                step.wait_reason = step_progress.WaitReason.UNCOUNTED_RUNS
+            if held_back is not None and step.job.record.workspace in limited:
+                step.wait_reason = held_back
             elif step.job.job_id not in unknown_jobs:
                 startable.append(step)
         return startable
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -58,6 +58,7 @@
     MEMBERS_ACTIVE = "members of an earlier run have not ended"
     UNKNOWN_RUNS = "a worker lists an unknown run of the job"
     UNCOUNTED_RUNS = "a worker lists runs of an unknown workspace"
+    LIMIT_UNCONFIRMED = "the limit of its workspace is not confirmed"
     INHERITED = "workers of the former leader have not answered"
     STARTING = "starts were sent"
 
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -290,6 +290,7 @@
             worker_client.WorkerClient(self._pool),
             self._advice_proxies,
             lambda: self._configuration.current,
+            lambda: self._configuration.is_outdated(self._rows.unreachable_s),
             self._offer_takeover,
             self.settings.job_retention_s,
             won.is_former_inactive,
@@ -298,6 +299,7 @@
         )
         self._scheduler = scheduler
         self._election_win = won
+        self._configuration.is_close = True
         # A feed that ended unnoticed would leave jobs and workers unknown.
         for work in (
             feeds.follow_jobs(self._rows, reader, scheduler),
@@ -319,6 +321,7 @@
         finally:
             self._scheduler = None
             self._election_win = None
+            self._configuration.is_close = False
             scheduler.close()
 
     async def _offer_to_preferred(self, epoch: int) -> bool:
--- a/tests/features/cell/workspace_limits.feature
+++ b/tests/features/cell/workspace_limits.feature
@@ -55,3 +55,27 @@
     And the limit of the workspace is lowered to 3000 millicores
     Then the other job is completed
     And no start exceeded a limit
+
+  Scenario: Nothing starts under a limit that may have been lowered
+    Guards against a leader that goes on with the former limit, since it alone
+    does not get the new configuration (QUOTA).
+    Given a cell with 1 workers and 1 instances
+    And the workspace may use 8000 millicores
+    When the configuration is withheld from the instances
+    And the limit of the workspace is lowered to 2000 millicores
+    And 2700 ms pass
+    And another job of 8 tasks with 1000 millicores each is submitted
+    Then no start exceeded a limit within 1500 ms
+    When the configuration is no longer withheld
+    Then the other job is completed
+    And no start exceeded a limit
+
+  Scenario: Tasks start while the store answers no call
+    Guards against a leader that starts nothing during an outage of the store,
+    in which no limit can change.
+    Given a cell with 1 workers and 1 instances
+    And the workspace may use 1000 millicores
+    When another job of 12 tasks with 1000 millicores each is submitted
+    And the store is silent for 5 s
+    Then tasks of the other job have started more than 3 s after the outage began
+    And no start exceeded a limit
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -279,6 +279,7 @@
 
 @when("the store is silent for {seconds:d} s")
 def silent_for(context, seconds):
+    context.outage_s = time.monotonic()
     context.world.store.is_silent = True
     loops.run(context, asyncio.sleep(seconds))
 
--- a/tests/features/steps/cell_workspace_limits_steps.py
+++ b/tests/features/steps/cell_workspace_limits_steps.py
@@ -133,3 +133,39 @@
 @then("no start exceeded a limit")
 def no_limit_exceeded(context):
     cell_jobs.check_no_violations(context)
+
+
+@when("the configuration is withheld from the instances")
+def withhold_configuration(context):
+    context.world.store.holds_configuration = True
+
+
+@when("the configuration is no longer withheld")
+def deliver_configuration(context):
+    context.world.store.holds_configuration = False
+
+
+@when("{milliseconds:d} ms pass")
+def pass_time(context, milliseconds):
+    loops.run(context, asyncio.sleep(milliseconds / 1000))
+
+
+@then("no start exceeded a limit within {milliseconds:d} ms")
+def no_limit_exceeded_within(context, milliseconds):
+    pass_time(context, milliseconds)
+    cell_jobs.check_no_violations(context)
+
+
+@then(
+    "tasks of the other job have started more than {seconds:d} s after the"
+    " outage began"
+)
+def started_in_outage(context, seconds):
+    late_s = context.outage_s + seconds
+    events = cell_jobs.history(context)
+    found = [
+        event.time_s - context.outage_s
+        for event in events
+        if event.what == "started" and event.time_s > late_s
+    ]
+    assert found, events
--- a/tests/standins/cell/store.py
+++ b/tests/standins/cell/store.py
@@ -43,6 +43,8 @@
         is_silent: Whether every response is withheld.
         delay_s: Delay of each call, in seconds.
         holds_tables: Returns whether reads of partitions of jobs are withheld.
+        holds_configuration: Whether reads and changes of the configuration are
+            withheld.
         holds_registrations: Whether reads of the table of registrations are
             withheld.
         lost_removals: Number of the next transactions with removals whose
@@ -67,6 +69,7 @@
         self.first_version_kept = 0
         self.holds_tables = lambda: False
         self.holds_registrations = False
+        self.holds_configuration = False
         self.lost_removals = 0
         self._changed = asyncio.Event()
         self._server = server.HttpServer(self._handle)
@@ -120,6 +123,7 @@
         if path == "/v1/rows-tx":
             return await self._transact(json.loads(request.body))
         if path == "/v1/rows-get":
+            await self._withhold_configuration(fields)
             while (
                 fields["table"] == "jobs"
                 and not fields.get("target")
@@ -130,7 +134,9 @@
                 await asyncio.sleep(_HOLD_POLL_S)
             return self._read(fields)
         if path == "/v1/rows-feed":
-            return await self._feed(fields)
+            answer = await self._feed(fields)
+            await self._withhold_configuration(fields)
+            return answer
         return messages.Response(404)
 
     async def _transact(self, body):
@@ -165,6 +171,10 @@
             return unusable
         return self._answer({})
 
+    async def _withhold_configuration(self, fields):
+        while fields["table"] == "op" and self.holds_configuration:
+            await asyncio.sleep(_HOLD_POLL_S)
+
     async def _withhold_response(self):
         if self.lost:
             self.lost -= 1
