--- a/src/marigoldgap/cell/inherited_usage.py
+++ b/src/marigoldgap/cell/inherited_usage.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -21,7 +22,7 @@
     """Tasks of one step that may run on workers that have not answered."""
 
     workspace: str
-    demand: model.Demand
+    spec: model.StepSpec
     task_count: int
 
 
@@ -37,12 +38,10 @@
         if job.state in _STOPPED_STATES:
             for spec in job.record.spec.steps:
                 count = spec.task_count * job.occurrence_count
-                yield PossibleRuns(workspace, spec.demand, count)
+                yield PossibleRuns(workspace, spec, count)
         elif not job.is_ended:
             for step in job.open_steps():
-                yield PossibleRuns(
-                    workspace, step.spec.demand, len(step.waiting)
-                )
+                yield PossibleRuns(workspace, step.spec, len(step.waiting))
 
 
 def unknown_usage(
@@ -56,15 +55,22 @@
 
     Returns:
         The amount of each resource that the tasks of a workspace need, at most
-        the capacity of the workers.
+        the capacity of the workers; tasks that use idle cores only may need
+        more cores than that.
     """
     usage: dict[str, list[int]] = {}
     if not capacities:
         return usage
     totals = [sum(amounts) for amounts in zip(*capacities, strict=True)]
+    idle_millicores: collections.Counter[str] = collections.Counter()
     for each in possible:
         used = usage.setdefault(each.workspace, [0, 0, 0])
-        for index, amount in enumerate(each.demand):
-            needed = used[index] + amount * each.task_count
-            used[index] = min(needed, totals[index])
+        needed = [amount * each.task_count for amount in each.spec.demand]
+        if each.spec.uses_idle_only:
+            idle_millicores[each.workspace] += needed[0]
+            needed[0] = 0
+        for index, amount in enumerate(needed):
+            used[index] = min(used[index] + amount, totals[index])
+    for workspace, amount in idle_millicores.items():
+        usage[workspace][0] += amount
     return usage
--- a/tests/features/cell/workspace_limits.feature
+++ b/tests/features/cell/workspace_limits.feature
@@ -21,6 +21,13 @@
     When the capacity of its worker grows to 32000 millicores
     Then the stored roster has 32000 millicores before the worker accepts tasks
 
+  Scenario: Runs that use idle cores only count beyond the capacity
+    Guards against a bound on unknown runs by a capacity that does not bound
+    their cores (QUOTA).
+    Given 30 tasks with 1000 millicores that use idle cores only may run
+    When the worker with 16000 millicores that may have them is silent
+    Then the unknown usage of their workspace is 30000 millicores
+
   Scenario: Runs of a step that is not known to have begun count
     Guards against a new leader whose stored progress is older than the starts
     of the former one, so that it counts nothing for the next step (QUOTA).
--- a/tests/features/steps/cell_workspace_limits_steps.py
+++ b/tests/features/steps/cell_workspace_limits_steps.py
@@ -8,6 +8,8 @@
 from behave import then
 from behave import when
 
+from marigoldgap.cell import inherited_usage
+from marigoldgap.cell import model
 from marigoldgap.cell import records
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
@@ -48,6 +50,27 @@
     assert row.capacity.millicores == millicores, row
 
 
+@given(
+    "{count:d} tasks with {millicores:d} millicores that use idle cores only may"
+    " run"
+)
+def idle_only_tasks(context, count, millicores):
+    spec = model.StepSpec(count, model.Demand(millicores), uses_idle_only=True)
+    context.possible = [inherited_usage.PossibleRuns("team", spec, count)]
+
+
+@when("the worker with {millicores:d} millicores that may have them is silent")
+def bound_unknown(context, millicores):
+    context.usage = inherited_usage.unknown_usage(
+        [model.Demand(millicores)], context.possible
+    )
+
+
+@then("the unknown usage of their workspace is {millicores:d} millicores")
+def unknown_is(context, millicores):
+    assert context.usage["team"][0] == millicores, context.usage
+
+
 @when("the leader stores no progress any more")
 def lose_progress(context):
     journal = context.world.leader().scheduler._leadership.journal
