--- a/src/marigoldgap/cell/job_tracker.py
+++ b/src/marigoldgap/cell/job_tracker.py
@@ -104,6 +104,11 @@
             and not job.runs()
         ]
 
+    def may_have_task(self, task: model.TaskName) -> bool:
+        """Returns whether a job has a task, or is not known here yet."""
+        job = self.jobs.get(task.job_id)
+        return job is None or job.has_task(task)
+
     def is_archived(self, job_id: str) -> bool:
         """Returns whether this leader has archived a job."""
         return job_id in self._archived
--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -133,6 +133,15 @@
         self.next_occurrence = max(self.next_occurrence, occurrence + 1)
         return steps
 
+    def has_task(self, task: model.TaskName) -> bool:
+        """Returns whether the job has a task, also of a later occurrence."""
+        steps = self.record.spec.steps
+        return (
+            task.occurrence < self.occurrence_count
+            and task.step < len(steps)
+            and task.position < steps[task.step].task_count
+        )
+
     def step(self, task: model.TaskName) -> step_progress.StepProgress | None:
         """Returns the step of a task, or None if no open step has the task."""
         steps = self.occurrences.get(task.occurrence)
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -306,10 +306,12 @@
         return step.wait_reason
 
     def _jobs_with_unknown_runs(self) -> set[str]:
+        """Returns the jobs of unknown runs, but not of odd names of runs."""
         return {
             name.task.job_id
             for worker in self.worker_tracker.workers.values()
             for name in worker.unknown_runs
+            if self.job_tracker.may_have_task(name.task)
         }
 
     def _startable_steps(
--- a/tests/features/cell/odd_messages.feature
+++ b/tests/features/cell/odd_messages.feature
@@ -38,7 +38,8 @@
     Then a job completes under the same leader
 
     Examples:
-      | odd row                             |
+      | odd row                              |
+      | a run of a task that the job lacks   |
       | a progress of 401 digits            |
       | a run with an infinite number       |
       | a run with a number of 401 digits   |
--- a/tests/features/steps/cell_odd_steps.py
+++ b/tests/features/steps/cell_odd_steps.py
@@ -37,6 +37,10 @@
         "running",
         [f"{cell_jobs.OTHER_JOB}.0.0.-1", 1, "", 1],
     ),
+    "a run of a task that the job lacks": (
+        "running",
+        [f"{cell_jobs.OTHER_JOB}.0.7.99", 1, "", 1],
+    ),
     "an ended task at a negative position": (
         "ended",
         [1, f"{cell_jobs.OTHER_JOB}.0.0.-1", 1, "done", ""],
