--- a/src/marigoldgap/cell/configuration_follower.py
+++ b/src/marigoldgap/cell/configuration_follower.py
@@ -46,7 +46,7 @@
     ) -> None:
         self.current: model.Configuration | None = None
         # Whether changes are followed closely, at the cost of more calls.
-        self.is_close = False
+        self.follows_closely = False
         self._rows = rows
         self._row_key = row_key
         self._decode = decode
@@ -76,7 +76,7 @@
 
     @property
     def _long_poll_ms(self) -> int:
-        return _CLOSE_LONG_POLL_MS if self.is_close else _LONG_POLL_MS
+        return _CLOSE_LONG_POLL_MS if self.follows_closely else _LONG_POLL_MS
 
     async def run(self) -> None:
         """Follows changes until cancelled."""
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -330,12 +330,12 @@
             held_back = step_progress.WaitReason.UNCOUNTED_RUNS
         elif self._is_outdated():
             held_back = step_progress.WaitReason.LIMIT_UNCONFIRMED
-        limited = configuration.limited_workspaces
+        limited = configuration.limited_workspaces if held_back else frozenset()
         startable = []
         for step in self.job_tracker.ready_steps(
             not self.worker_tracker.pending_inherited
         ):
-            if held_back is not None and step.job.record.workspace in limited:
+            if held_back and step.job.record.workspace in limited:
                 step.wait_reason = held_back
             elif step.job.job_id not in unknown_jobs:
                 startable.append(step)
--- a/src/marigoldgap/cell/workspace_usage.py
+++ b/src/marigoldgap/cell/workspace_usage.py
@@ -64,23 +64,25 @@
         workspace = configuration.workspaces.get(step.job.record.workspace)
         if workspace is None or not any(workspace.limit):
             return False
-        starting = sum(
-            each.state is runs.RunState.STARTING
+        # A gang is allowed as a whole, also if some members have begun.
+        checked = [
+            each
             for each in step.active.values()
-        )
+            if step.spec.is_gang or each.state is runs.RunState.STARTING
+        ]
         used = self._recent().get(workspace.name, [0, 0, 0])
         others = [
-            amount - starting * need
+            amount - len(checked) * need
             for amount, need in zip(used, step.spec.demand, strict=True)
         ]
         allowed = workspace_limits.allowed_tasks(
             workspace.limit,
             others,
             step.spec,
-            starting,
-            has_runs=starting < len(step.active),
+            len(checked),
+            has_runs=len(checked) < len(step.active),
         )
-        return allowed < starting
+        return allowed < len(checked)
 
     def _recent(self) -> dict[str, list[int]]:
         now = clock.now_s()
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -299,7 +299,7 @@
         )
         self._scheduler = scheduler
         self._election_win = won
-        self._configuration.is_close = True
+        self._configuration.follows_closely = True
         # A feed that ended unnoticed would leave jobs and workers unknown.
         for work in (
             feeds.follow_jobs(self._rows, reader, scheduler),
@@ -321,7 +321,7 @@
         finally:
             self._scheduler = None
             self._election_win = None
-            self._configuration.is_close = False
+            self._configuration.follows_closely = False
             scheduler.close()
 
     async def _offer_to_preferred(self, epoch: int) -> bool:
--- a/tests/features/cell/workspace_limits.feature
+++ b/tests/features/cell/workspace_limits.feature
@@ -86,3 +86,13 @@
     And the store is silent for 5 s
     Then tasks of the other job have started more than 3 s after the outage began
     And no start exceeded a limit
+
+  Scenario: A gang that exceeds the limit by one member is not given up
+    Guards against a start that is given up although it is allowed, since other
+    members have begun already.
+    Given a cell with 1 workers and 1 instances
+    And the workspace may use 2500 millicores
+    When the next 1 starts are lost
+    And a gang of 3 tasks with 1000 millicores each is submitted
+    Then the other job is completed
+    And each of its tasks has begun once
--- a/tests/features/steps/cell_workspace_limits_steps.py
+++ b/tests/features/steps/cell_workspace_limits_steps.py
@@ -147,6 +147,22 @@
         worker.lost_starts = count
 
 
+@when(
+    "a gang of {tasks:d} tasks with {millicores:d} millicores each is submitted"
+)
+def submit_gang(context, tasks, millicores):
+    payload = f"ms=1500 cpu={millicores}"
+    body = cell_world.job(tasks, payload, cpu=millicores, gang=True)
+    status, _ = cell_jobs.submit(context, body, cell_jobs.OTHER_JOB)
+    assert status == 200, status
+
+
+@then("each of its tasks has begun once")
+def begun_once(context):
+    names = [name for each in context.world.workers for name, _ in each.starts]
+    assert len(names) == len(set(names)) == 3, names
+
+
 @when("the limit of the workspace is lowered to {millicores:d} millicores")
 def lower_limit(context, millicores):
     content = cell_world.configuration(version=3, cap=millicores)
