--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -15,6 +15,9 @@
 # Upper bound on the computed age of an inherited job, which is a difference
 # between the wall clocks of two instances that may differ.
 _MAX_AGE_S = 60.0
+# Occurrences of a job that are open at the same time. All of a job may be due at
+# once; each open one takes memory and space in the row of its progress.
+_MAX_OPEN_OCCURRENCES = 100
 
 
 class Job:
@@ -110,10 +113,14 @@
         return spec.first_due_ms + occurrence * spec.interval_ms
 
     def open_due(self, wall_ms: int) -> bool:
-        """Opens the due occurrences; returns whether there were any."""
+        """Opens due occurrences; returns whether there were any.
+
+        Those beyond a maximum are opened when earlier ones are completed.
+        """
         opened = False
         while (
-            self.next_occurrence < self.occurrence_count
+            len(self.occurrences) < _MAX_OPEN_OCCURRENCES
+            and self.next_occurrence < self.occurrence_count
             and self.due_ms(self.next_occurrence) <= wall_ms
         ):
             self.open(self.next_occurrence)
--- a/src/marigoldgap/platform/documents.py
+++ b/src/marigoldgap/platform/documents.py
@@ -13,8 +13,6 @@
 _MAX_PAYLOAD_BYTES = 4_000
 _MAX_STEPS = 100
 _MAX_TASKS = 10_000
-# All occurrences of a job may be due at once; each task takes memory then.
-_MAX_TASKS_OF_OCCURRENCES = 100_000
 _DRAINING = "draining"
 _STATES = frozenset({"ready", _DRAINING})
 
@@ -149,15 +147,8 @@
         raise decoding.FormatError(
             f"job has {len(steps)} steps, not 1 to {_MAX_STEPS}"
         )
-    task_count = sum(step.task_count for step in steps)
-    if task_count > _MAX_TASKS:
+    if sum(step.task_count for step in steps) > _MAX_TASKS:
         raise decoding.FormatError(f"job has more than {_MAX_TASKS} tasks")
-    occurrences = decoding.integer(fields, "repeats", 0)
-    if task_count * occurrences > _MAX_TASKS_OF_OCCURRENCES:
-        raise decoding.FormatError(
-            f"job has more than {_MAX_TASKS_OF_OCCURRENCES} tasks in all"
-            " occurrences"
-        )
     for position, step in enumerate(steps):
         if any(required >= position for required in step.after):
             raise decoding.FormatError(
@@ -168,7 +159,7 @@
         steps,
         decoding.integer(fields, "startAtMs", 0),
         decoding.integer(fields, "intervalMs", 0),
-        occurrences,
+        decoding.integer(fields, "repeats", 0),
     )
 
 
