--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -322,21 +322,22 @@
         A worker may list a run before this instance receives the row of its
         job. The job then waits for the worker's next listing, which shows the
         task that runs. Workspaces with limits wait as well, since the run may
-        belong to any of them, and while their limits may have been lowered.
+        belong to any of them. All wait while limits may have been lowered.
         """
         unknown_jobs = self._jobs_with_unknown_runs()
-        held_back: step_progress.WaitReason | None = None
+        limited: frozenset[str] = frozenset()
         if unknown_jobs and now - self._recovered_s < _MAX_UNCOUNTED_S:
-            held_back = step_progress.WaitReason.UNCOUNTED_RUNS
-        elif self._is_outdated():
-            held_back = step_progress.WaitReason.LIMIT_UNCONFIRMED
-        limited = configuration.limited_workspaces if held_back else frozenset()
+            limited = configuration.limited_workspaces
+        # A workspace without a limit may have got one.
+        is_outdated = self._is_outdated()
         startable = []
         for step in self.job_tracker.ready_steps(
             not self.worker_tracker.pending_inherited
         ):
-            if held_back and step.job.record.workspace in limited:
-                step.wait_reason = held_back
+            if is_outdated:
+                step.wait_reason = step_progress.WaitReason.LIMIT_UNCONFIRMED
+            elif step.job.record.workspace in limited:
+                step.wait_reason = step_progress.WaitReason.UNCOUNTED_RUNS
             elif step.job.job_id not in unknown_jobs:
                 startable.append(step)
         return startable
--- a/tests/features/cell/workspace_limits.feature
+++ b/tests/features/cell/workspace_limits.feature
@@ -63,11 +63,11 @@
     Then the other job is completed
     And no start exceeded a limit
 
-  Scenario: Nothing starts under a limit that may have been lowered
-    Guards against a leader that goes on with the former limit, since it alone
-    does not get the new configuration (QUOTA).
+  Scenario Outline: Nothing starts under a limit that may have been lowered
+    Guards against a leader that goes on with the former limit, or with none,
+    since it alone does not get the new configuration (QUOTA).
     Given a cell with 1 workers and 1 instances
-    And the workspace may use 8000 millicores
+    And the workspace may use <former> millicores
     When the configuration is withheld from the instances
     And the limit of the workspace is lowered to 2000 millicores
     And 2700 ms pass
@@ -77,6 +77,11 @@
     Then the other job is completed
     And no start exceeded a limit
 
+    Examples:
+      | former |
+      | 8000   |
+      | 0      |
+
   Scenario: Tasks start while the store answers no call
     Guards against a leader that starts nothing during an outage of the store,
     in which no limit can change.
