--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -7,7 +7,8 @@
     111: "another connection took a port that the soak had chosen",
     412: "two soaks that ran at the same time chose the same port; a reload"
     " signal ended a process before its first import",
-    202: "another part of the soak took a port that was already chosen",
+    202: "another part of the soak took a port that was already chosen; a leader"
+    " started runs without a limit that was new and that it had missed",
     311: "a reload signal ended a process that was still starting",
     323: "a reload signal ended a process that was still starting",
     1005: "a reload signal ended a process that was still starting (open, issue"
@@ -21,5 +22,7 @@
     " its id",
     7008: "a link of the soak could not listen on its port again",
     8013: "the soak reset a connection whose socket was closed",
+    9503: "a command that was carried out late outlived its process",
+    9507: "a command that was carried out late outlived its process",
     214: "the soak did not restart an instance that ended while suspended",
 }
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -28,6 +28,8 @@
 # A gang of the callers needs at most one member more than the lowest limit; 0 is
 # no limit.
 _LIMITS_MILLICORES = (0, 20_000, 28_000, 40_000)
+# Pause before the operator repeats a write that the store has refused.
+_OPERATOR_RETRY_S = 0.1
 # Range of the delays of commands that are carried out late.
 _LATE_ORDER_S = (2.0, 12.0)
 # Longest time that a stopped run takes to end.
@@ -254,7 +256,12 @@
 
 @_fault
 async def change_limit(world: worlds.World) -> None:
-    """Raises or lowers the upper limit of the workspace."""
+    """Raises or lowers the upper limit of the workspace.
+
+    The operator waits as well while the store serves nobody.
+    """
+    while world.store.refusal or world.store.is_silent:
+        await asyncio.sleep(_OPERATOR_RETRY_S)
     world.change_configuration(world.random_source.choice(_LIMITS_MILLICORES))
 
 
