--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""The leader is killed while jobs with occurrences are at work."""
+"""The instances restart in turn while jobs with occurrences are at work."""
 
 import asyncio
 import pathlib
@@ -11,12 +11,12 @@
 import deployment as deployments  # noqa: E402
 import runs  # noqa: E402
 
-_JOBS = 24
+_JOBS = 36
 _INTERVAL_MS = 1_000
-_OCCURRENCES = 25
+_OCCURRENCES = 35
 _STEP = {"count": 2, "cpu": 1400, "memMb": 2900, "estimateMs": 600}
-# The killed process is started again after this time.
-_DOWN_S = 3.5
+# Pause between an instance's start and the SIGTERM of the next one.
+_GAP_S = 2.0
 
 
 async def case(deployment, is_disturbed):
@@ -41,12 +41,10 @@
         raise deployments.CannotRunError("a job was not accepted")
     await asyncio.sleep(9.0)
     if is_disturbed:
-        name = deployment.leader()
-        deployment.kill(name)
-        await asyncio.sleep(_DOWN_S)
-        deployment.start_instance(name)
-        deployment.note(name, "started")
-    await asyncio.sleep(24.0)
+        await _restart_in_turn(deployment)
+    else:
+        await asyncio.sleep(20.0)
+    await asyncio.sleep(16.0)
     for job in jobs:
         await deployment.state(job)
     found = runs.collect(deployment.worker_events(), deployment.events)
@@ -55,5 +53,18 @@
     return runs.twice(found)
 
 
+async def _restart_in_turn(deployment):
+    """Restarts each instance once, the leader first."""
+    waiting = set(deployment.instances)
+    while waiting:
+        leader = deployment.leader()
+        name = leader if leader in waiting else min(waiting)
+        waiting.remove(name)
+        await deployment.terminate(name)
+        deployment.start_instance(name)
+        deployment.note(name, "started")
+        await asyncio.sleep(_GAP_S)
+
+
 if __name__ == "__main__":
     deployments.main(case, FOLDER, instances=4, workers=8)
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -221,6 +221,18 @@
         process.wait()
         self.note(name, "killed")
 
+    async def terminate(self, name):
+        """Stops an instance as the platform does: SIGTERM, later SIGKILL."""
+        process = self.instances[name]
+        self.note(name, "sigterm")
+        process.send_signal(signal.SIGTERM)
+        until_s = time.monotonic() + BOUNDS["graceS"]
+        while process.poll() is None and time.monotonic() < until_s:
+            await asyncio.sleep(0.05)
+        if process.poll() is None:
+            self.kill(name)
+        self.note(name, "stopped")
+
     def cut_from_store(self, name, is_cut):
         """Cuts the link between an instance and the store, or restores it."""
         address = self._store_addresses[int(name[1:])]
