--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -241,6 +241,17 @@
         )
         self.note(name, "cut_from_store" if is_cut else "link_restored")
 
+    async def cut_from_next_leader(self, worker_id, for_s):
+        """Cuts a worker off from the instance that is elected next."""
+        row = json.loads(self.store.value("cell", "cell", "election"))
+        number = int(worker_id.partition("-")[0][1:])
+        await http_peer.call(
+            self._address("worker", number, 0),
+            "POST",
+            "/standin/cut",
+            {"above": row["epoch"], "for_s": for_s},
+        )
+
     async def call(self, name, method, job, body=None, timeout_s=3.0):
         """Sends a client's request to an instance and records the answer."""
         self.note("client", "sent", method=method, job=job, to=name)
--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -43,6 +43,10 @@
         self._end_count = 0
         # Highest run that was stopped or has ended, by task.
         self._closed = {}
+        # Requests with a higher fence get no answer until this time: the path
+        # to the machine that sends them is cut.
+        self._cut_above = float("inf")
+        self._cut_until_s = 0.0
         self._changed = asyncio.Event()
         self._server = http_peer.HttpServer(self._handle, _CONNECTIONS)
 
@@ -120,7 +124,15 @@
         if headers.get("x-expect-instance") not in (None, self._settings["id"]):
             return 421, None
         fields = json.loads(body)
+        if path == "/standin/cut":
+            self._cut_above = fields["above"]
+            self._cut_until_s = time.monotonic() + fields["for_s"]
+            self._write("cut", **fields)
+            return 200, None
         fence = fields.get("fence", 0)
+        if fence > self._cut_above and time.monotonic() < self._cut_until_s:
+            await asyncio.sleep(30)
+            return None
         if fence < self._fence:
             return self._answer(409, reason="fence")
         self._fence = fence
