--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -400,6 +400,10 @@
 
 async def _run(case, folder, options):
     is_disturbed = os.environ.get("TROUBLE", "1") != "0"
+    # The processes are ended also if the case is interrupted.
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     deployment = Deployment(folder, **options)
     try:
         async with asyncio.timeout(110):
