--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap.cell import model
@@ -35,11 +36,13 @@
     await scheduler.recovered.wait()
     after = scheduler.jobs_version
     while True:
+        sent_s = clock.now_s()
         try:
             page = await rows.changes(records.JOBS, after, _LONG_POLL_MS)
         except store.HistoryLostError as error:
             _log.info("jobs_history_lost", cause=str(error))
             after = await _read_jobs(reader, scheduler)
+            scheduler.job_tracker.mark_complete(sent_s)
             continue
         except store.StoreError as error:
             _log.warning("jobs_feed_failed", cause=str(error))
@@ -47,6 +50,7 @@
             continue
         after = page.version
         _apply_jobs(page, scheduler)
+        scheduler.job_tracker.mark_complete(sent_s)
         await asyncio.sleep(_JOBS_PAUSE_S)
 
 
--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -70,10 +70,14 @@
         # Allocated millicores, MiB of memory and accelerators.
         self.used = [0, 0, 0]
         self.born_ms = 0
-        # Highest number of an ended run that was handled, and the highest one
-        # whose effects are stored.
+        # Highest number up to which all ended runs were handled, numbers of
+        # further ones, and the highest number whose effects are stored.
         self.handled_number = 0
+        self._handled_beyond: set[int] = set()
         self.stored_number = 0
+        # Ended runs whose job may be stored but is not known here yet, with the
+        # monotonic times, in seconds, of their first listings.
+        self.pending_ends: dict[model.RunName, float] = {}
         self._clock_ms = 0
         self._clock_read_s = now
         # Latest lease end that the worker may have received, on its clock.
@@ -163,6 +167,21 @@
         for index, amount in enumerate(spec.demand):
             self.used[index] += sign * amount
 
+    def is_end_handled(self, number: int) -> bool:
+        """Returns whether the ended run with a number was handled."""
+        return number <= self.handled_number or number in self._handled_beyond
+
+    def record_handled_end(self, number: int) -> None:
+        """Records that the ended run with a number was handled.
+
+        Numbers are recorded in ascending order for each listing.
+        """
+        if self.pending_ends:
+            self._handled_beyond.add(number)
+            return
+        self.handled_number = max(self.handled_number, number)
+        self._handled_beyond.discard(number)
+
     def observe_clock(self, clock_ms: int, now: float) -> None:
         """Records the worker's clock as read in an answer."""
         self._clock_ms = clock_ms
@@ -223,6 +242,8 @@
         self.born_ms = born_ms
         self.is_leaving = self.registration.is_draining
         self.handled_number = 0
+        self._handled_beyond.clear()
+        self.pending_ends.clear()
         self.stored_number = 0
 
     def record_done(self) -> None:
--- a/src/marigoldgap/cell/job_tracker.py
+++ b/src/marigoldgap/cell/job_tracker.py
@@ -63,6 +63,30 @@
         self._configuration = configuration
         self._versions = versions
         self._rates = fair_rate.FairRates()
+        # Monotonic time in seconds as of which all stored jobs are known.
+        self._complete_as_of_s = float("-inf")
+
+    def mark_complete(self, as_of_s: float) -> None:
+        """Records that all jobs that were stored at a time are known.
+
+        Args:
+            as_of_s: Monotonic time in seconds.
+        """
+        self._complete_as_of_s = max(self._complete_as_of_s, as_of_s)
+
+    def is_absent(self, job_id: str, since_s: float) -> bool:
+        """Returns whether no open job with an id was stored at a time.
+
+        A job is stored before its first run starts, so a run that existed at
+        that time belongs to no open job either.
+
+        Args:
+            job_id: The id.
+            since_s: Monotonic time in seconds.
+        """
+        if job_id in self._archived:
+            return True
+        return job_id not in self.jobs and since_s < self._complete_as_of_s
 
     def add(self, record: model.JobRecord) -> None:
         """Adds an accepted job, or applies its cancellation."""
@@ -191,6 +215,8 @@
                 self._versions[progress.row_key] = progress.version
                 job.occurrences.clear()
                 job.restore(records.decode(progress.value))
+                if not job.is_ended:
+                    job.open_due(clock.wall_ms())
                 job.is_stored = job.is_ended
                 job.ended_s = clock.now_s()
         except (errors.MarigoldgapError, ValueError) as error:
--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -32,6 +32,7 @@
     """
 
     __slots__ = (
+        "_done_early",
         "deadline_s",
         "ended_s",
         "has_begun",
@@ -70,6 +71,9 @@
         self.occurrences: dict[int, list[step_progress.StepProgress]] = {}
         # Lowest occurrence that was not opened yet.
         self.next_occurrence = 0
+        # Completed occurrences above it: an earlier leader opened them, but did
+        # not store that it had opened those before them.
+        self._done_early: set[int] = set()
         # Duration of the latency objective, and the monotonic time at which it
         # ends if it counts from the acceptance of the job; both in seconds.
         self.objective_s = self._objective_s()
@@ -137,9 +141,25 @@
             for number, spec in enumerate(self.record.spec.steps)
         ]
         self.occurrences[occurrence] = steps
-        self.next_occurrence = max(self.next_occurrence, occurrence + 1)
+        self._skip_opened()
         return steps
 
+    def _skip_opened(self) -> None:
+        """Advances the next occurrence past those that were opened early."""
+        while (
+            self.next_occurrence in self.occurrences
+            or self.next_occurrence in self._done_early
+        ):
+            self._done_early.discard(self.next_occurrence)
+            self.next_occurrence += 1
+
+    def _was_opened(self, occurrence: int) -> bool:
+        return (
+            occurrence < self.next_occurrence
+            or occurrence in self.occurrences
+            or occurrence in self._done_early
+        )
+
     def has_task(self, task: model.TaskName) -> bool:
         """Returns whether the job has a task, also of a later occurrence."""
         steps = self.record.spec.steps
@@ -157,6 +177,24 @@
         step = steps[task.step]
         return step if task.position < step.spec.task_count else None
 
+    def started_step(
+        self, task: model.TaskName
+    ) -> step_progress.StepProgress | None:
+        """Returns the step of a task that a worker has started.
+
+        The run proves that an earlier leader had opened the occurrence, which is
+        not stored before a task of it ends.
+
+        Returns:
+            The step, or None if the job lacks the task or the occurrence is
+            completed.
+        """
+        if not self.has_task(task):
+            return None
+        if not self.is_ended and not self._was_opened(task.occurrence):
+            self.open(task.occurrence)
+        return self.step(task)
+
     def ended_step(
         self, task: model.TaskName
     ) -> step_progress.StepProgress | None:
@@ -197,6 +235,8 @@
         for occurrence, steps in list(self.occurrences.items()):
             if all(step.is_done and not step.active for step in steps):
                 del self.occurrences[occurrence]
+                if occurrence > self.next_occurrence:
+                    self._done_early.add(occurrence)
         return (
             not self.occurrences
             and self.next_occurrence >= self.occurrence_count
@@ -208,6 +248,7 @@
             "state": self.state.value,
             "begun": self.has_begun,
             "next": self.next_occurrence,
+            "early": sorted(self._done_early),
             "open": {
                 occurrence: [step.encode() for step in steps]
                 for occurrence, steps in self.occurrences.items()
@@ -220,11 +261,12 @@
         self.state = model.JobState(stored["state"])
         self.has_begun = stored["begun"]
         self.next_occurrence = stored["next"]
+        # Earlier versions do not store it.
+        self._done_early = set(stored.get("early", ()))
         for occurrence, steps in stored["open"].items():
             opened = self.open(int(occurrence))
             for step, stored_step in zip(opened, steps, strict=True):
                 step.restore(stored_step)
-        self.next_occurrence = stored["next"]
 
     def _chains_s(self) -> list[float]:
         """Returns the longest declared chain from each step, in seconds.
--- a/src/marigoldgap/cell/recovery.py
+++ b/src/marigoldgap/cell/recovery.py
@@ -80,6 +80,7 @@
                 for partition in records.JOB_PARTITIONS
             ),
         )
+        self._tracker.mark_complete(self._started_s)
         self._log_stage("tables_read")
         progress = {row.row_key.key: row for row in progress_page.rows}
         job_rows = [row for page in job_pages for row in page.rows]
--- a/src/marigoldgap/cell/run_listings.py
+++ b/src/marigoldgap/cell/run_listings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from marigoldgap import clock
+from marigoldgap import decision_log
 from marigoldgap.cell import fleet
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import leadership as leaderships
@@ -13,6 +14,8 @@
 from marigoldgap.cell import runs
 from marigoldgap.cell import unknown_runs
 
+_log = decision_log.DecisionLogger("runs")
+
 # Time for which no run is started on a worker on which one was stuck.
 _STUCK_PAUSE_S = 3.0
 # Progress of a run that is complete but may not be listed as ended yet.
@@ -57,10 +60,7 @@
         """
         now = clock.now_s()
         listed = {ended.name for ended in listing.ended}
-        for ended in listing.ended:
-            if ended.number > worker.handled_number:
-                worker.handled_number = ended.number
-                self._runs.on_ended(worker, ended)
+        self._apply_ends(worker, listing.ended, now)
         for active in listing.running:
             listed.add(active.name)
             self._on_running(worker, active, now)
@@ -73,6 +73,30 @@
             worker, {active.name for active in listing.running}
         )
 
+    def _apply_ends(
+        self,
+        worker: fleet.Worker,
+        ends: tuple[model.EndedRun, ...],
+        now: float,
+    ) -> None:
+        """Applies the ends that have not been handled yet.
+
+        An end whose job is not known yet stays unacknowledged, and so do those
+        after it, as the worker forgets all ends up to a number.
+        """
+        former, worker.pending_ends = worker.pending_ends, {}
+        for ended in sorted(ends):
+            if not worker.is_end_handled(ended.number):
+                listed_s = former.get(ended.name, now)
+                if not self._runs.on_ended(worker, ended, listed_s):
+                    worker.pending_ends[ended.name] = listed_s
+                    continue
+            worker.record_handled_end(ended.number)
+        for name in worker.pending_ends.keys() - former.keys():
+            _log.info(
+                "end_of_unknown_job", run=str(name), worker=worker.worker_id
+            )
+
     def _on_running(
         self, worker: fleet.Worker, active: model.ActiveRun, now: float
     ) -> None:
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -161,17 +161,32 @@
             )
         self._leadership.request_plan()
 
-    def on_ended(self, worker: fleet.Worker, ended: model.EndedRun) -> None:
-        """Handles an ended run that a worker listed."""
+    def on_ended(
+        self, worker: fleet.Worker, ended: model.EndedRun, listed_s: float
+    ) -> bool:
+        """Handles an ended run that a worker listed.
+
+        Args:
+            worker: The worker.
+            ended: The run.
+            listed_s: Monotonic time, in seconds, at which the worker first
+                listed it as ended.
+
+        Returns:
+            Whether the end may be acknowledged once the state is stored. It may
+            not while its job may be stored but is not known here yet.
+        """
         run = worker.runs.get(ended.name)
         if run is not None:
             self.end(run, ended.how, ended.saved, "listed by its worker")
-            return
+            return True
         task = ended.name.task
         job = self._job_tracker.jobs.get(task.job_id)
-        step = job.step(task) if job is not None else None
-        if job is None or step is None or job.is_ended:
-            return
+        if job is None:
+            return self._job_tracker.is_absent(task.job_id, listed_s)
+        step = job.started_step(task)
+        if step is None or job.is_ended:
+            return True
         _log.info(
             "former_run_ended",
             run=str(ended.name),
@@ -191,6 +206,7 @@
         elif ended.how is model.EndReason.FAILED:
             self._count_failure(step, ended.name)
         self._update_job(step)
+        return True
 
     def restore(
         self,
@@ -221,7 +237,7 @@
         job = self._job_tracker.jobs.get(task.job_id)
         if job is None:
             return None
-        step = job.step(task) or job.ended_step(task)
+        step = job.started_step(task) or job.ended_step(task)
         if step is None:
             return None
         run = runs.Run(active.name, step, worker, now)
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -310,7 +310,7 @@
         return {
             name.task.job_id
             for worker in self.worker_tracker.workers.values()
-            for name in worker.unknown_runs
+            for name in (*worker.unknown_runs, *worker.pending_ends)
             if self.job_tracker.may_have_task(name.task)
         }
 
--- a/src/marigoldgap/cell/unknown_runs.py
+++ b/src/marigoldgap/cell/unknown_runs.py
@@ -41,17 +41,13 @@
     def on_listed(
         self, worker: fleet.Worker, name: model.RunName, now: float
     ) -> None:
-        """Stops a run whose job remains unknown.
+        """Stops a run whose job is known not to be stored.
 
         The row of a job that was accepted during the election may arrive later
         than the listing of its run.
         """
         since = worker.unknown_runs.setdefault(name, now)
-        is_overdue = (
-            now - since >= _UNKNOWN_JOB_GRACE_S
-            or self._job_tracker.is_archived(name.task.job_id)
-        )
-        if not is_overdue or name in self._stopping:
+        if name in self._stopping or not self._is_orphan(name, since, now):
             return
         self._stopping.add(name)
         _log.warning(
@@ -59,6 +55,17 @@
         )
         self._leadership.spawn(self._stop(worker, name))
 
+    def _is_orphan(self, name: model.RunName, since: float, now: float) -> bool:
+        """Returns whether a run that is listed since a time has no open job."""
+        job_id = name.task.job_id
+        if self._job_tracker.is_archived(job_id):
+            return True
+        if now - since < _UNKNOWN_JOB_GRACE_S:
+            return False
+        return job_id in self._job_tracker.jobs or self._job_tracker.is_absent(
+            job_id, since
+        )
+
     def drop_known(
         self, worker: fleet.Worker, running: set[model.RunName]
     ) -> None:
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -25,6 +25,9 @@
 _LONG_POLL_MS = 1_500
 # The same while the worker has runs of a job that is not known here yet.
 _UNKNOWN_RUNS_LONG_POLL_MS = 100
+# Pause between renewals while ended runs cannot be acknowledged: the worker
+# answers at once then.
+_PENDING_ENDS_PAUSE_S = 0.1
 # Interval of renewals during a recovery: several fit into a lease.
 _RECOVERY_RENEWAL_S = 1.5
 # Pause before the next attempt to reach an unreachable worker.
@@ -328,6 +331,8 @@
         wait_ms = _LONG_POLL_MS if worker.stored_number >= handled else 0
         if worker.unknown_runs:
             wait_ms = min(wait_ms, _UNKNOWN_RUNS_LONG_POLL_MS)
+        if worker.pending_ends:
+            await asyncio.sleep(_PENDING_ENDS_PAUSE_S)
         until = worker.grant_lease(clock.now_s(), LEASE_S)
         await self._renew(connection, worker.stored_number, until, wait_ms)
 
