--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -75,8 +75,9 @@
         self.handled_number = 0
         self._handled_beyond: set[int] = set()
         self.stored_number = 0
-        # Ended runs whose job may be stored but is not known here yet, with the
-        # monotonic times, in seconds, of their first listings.
+        # Runs that have ended, or may have, and whose job may be stored but is
+        # not known here yet, with the monotonic times, in seconds, of their
+        # first listings.
         self.pending_ends: dict[model.RunName, float] = {}
         self._clock_ms = 0
         self._clock_read_s = now
@@ -171,12 +172,14 @@
         """Returns whether the ended run with a number was handled."""
         return number <= self.handled_number or number in self._handled_beyond
 
-    def record_handled_end(self, number: int) -> None:
+    def record_handled_end(self, number: int, may_acknowledge: bool) -> None:
         """Records that the ended run with a number was handled.
 
-        Numbers are recorded in ascending order for each listing.
+        Args:
+            number: Number of the end.
+            may_acknowledge: Whether all ends before it were handled as well.
         """
-        if self.pending_ends:
+        if not may_acknowledge:
             self._handled_beyond.add(number)
             return
         self.handled_number = max(self.handled_number, number)
--- a/src/marigoldgap/cell/model.py
+++ b/src/marigoldgap/cell/model.py
@@ -329,13 +329,16 @@
         clock_ms: Clock of the worker, on which leases end.
         born_ms: Wall time at which its process started; 0 if unknown.
         running: Runs that have not ended.
-        ended: Ended runs that are not acknowledged yet.
+        ended: Ended runs that are not acknowledged yet, the earliest first.
+        is_complete: Whether all ended runs are listed. Only then does the
+            absence of a run show that the worker does not know it.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    is_complete: bool = True
 
 
 class StartOutcome(enum.Enum):
--- a/src/marigoldgap/cell/run_listings.py
+++ b/src/marigoldgap/cell/run_listings.py
@@ -41,6 +41,7 @@
         tracked_runs: run_tracker.RunTracker,
         times: run_times.RunTimes,
     ) -> None:
+        self._job_tracker = tracker
         self._runs = tracked_runs
         self._times = times
         self._unknown_runs = unknown_runs.UnknownRuns(leadership, port, tracker)
@@ -60,23 +61,40 @@
         """
         now = clock.now_s()
         listed = {ended.name for ended in listing.ended}
-        self._apply_ends(worker, listing.ended, now)
+        self._apply_ends(worker, listing, now)
         for active in listing.running:
             listed.add(active.name)
             self._on_running(worker, active, now)
-        for run in list(worker.runs.values()):
-            # A run whose start was confirmed before this listing was requested
-            # is in the listing, unless the worker has lost the run.
-            if run.confirmed_s < sent_s and run.name not in listed:
-                self._runs.end(run, model.EndReason.LAPSED, "", "not listed")
+        if listing.is_complete:
+            self._end_unlisted(worker, listed, sent_s)
+        else:
+            _log.info(
+                "listing_cut",
+                worker=worker.worker_id,
+                ended=len(listing.ended),
+                handled_number=worker.handled_number,
+                stored_number=worker.stored_number,
+            )
         self._unknown_runs.drop_known(
             worker, {active.name for active in listing.running}
         )
 
+    def _end_unlisted(
+        self, worker: fleet.Worker, listed: set[model.RunName], sent_s: float
+    ) -> None:
+        """Ends the runs that a complete listing lacks.
+
+        A run whose start was confirmed before the listing was requested is in
+        it, unless the worker has lost the run.
+        """
+        for run in list(worker.runs.values()):
+            if run.confirmed_s < sent_s and run.name not in listed:
+                self._runs.end(run, model.EndReason.LAPSED, "", "not listed")
+
     def _apply_ends(
         self,
         worker: fleet.Worker,
-        ends: tuple[model.EndedRun, ...],
+        listing: model.WorkerListing,
         now: float,
     ) -> None:
         """Applies the ends that have not been handled yet.
@@ -84,18 +102,35 @@
         An end whose job is not known yet stays unacknowledged, and so do those
         after it, as the worker forgets all ends up to a number.
         """
-        former, worker.pending_ends = worker.pending_ends, {}
-        for ended in sorted(ends):
+        pending: dict[model.RunName, float] = {}
+        for ended in sorted(listing.ended, key=lambda ended: ended.number):
             if not worker.is_end_handled(ended.number):
-                listed_s = former.get(ended.name, now)
+                listed_s = worker.pending_ends.get(ended.name, now)
                 if not self._runs.on_ended(worker, ended, listed_s):
-                    worker.pending_ends[ended.name] = listed_s
+                    pending[ended.name] = listed_s
                     continue
-            worker.record_handled_end(ended.number)
-        for name in worker.pending_ends.keys() - former.keys():
+            worker.record_handled_end(ended.number, may_acknowledge=not pending)
+        for name in pending.keys() - worker.pending_ends.keys():
             _log.info(
                 "end_of_unknown_job", run=str(name), worker=worker.worker_id
             )
+        if not listing.is_complete:
+            pending |= self._withheld_ends(worker, listing)
+        worker.pending_ends = pending
+
+    def _withheld_ends(
+        self, worker: fleet.Worker, listing: model.WorkerListing
+    ) -> dict[model.RunName, float]:
+        """Returns the unknown runs that a cut listing may lack as ended."""
+        listed = {active.name for active in listing.running}
+        listed |= {ended.name for ended in listing.ended}
+        unknown = {**worker.unknown_runs, **worker.pending_ends}
+        return {
+            name: since_s
+            for name, since_s in unknown.items()
+            if name not in listed
+            and not self._job_tracker.is_absent(name.task.job_id, since_s)
+        }
 
     def _on_running(
         self, worker: fleet.Worker, active: model.ActiveRun, now: float
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -386,7 +386,8 @@
         sent_s: float,
     ) -> None:
         self._listings.apply(worker, listing, sent_s)
-        self.pending_inherited.discard(worker.worker_id)
+        if listing.is_complete:
+            self.pending_inherited.discard(worker.worker_id)
         self._leadership.request_plan()
 
     def _join(self, registration: model.Registration) -> fleet.Worker:
--- a/src/marigoldgap/platform/worker_client.py
+++ b/src/marigoldgap/platform/worker_client.py
@@ -11,6 +11,9 @@
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
+# Ended runs in one answer of a worker; it withholds further ones until these are
+# acknowledged.
+_MAX_LISTED_ENDS = 500
 # Time that a renewal may take beyond the wait that it requests: two trips
 # between regions and a slow worker.
 _RENEWAL_MARGIN_S = 0.8
@@ -230,6 +233,7 @@
         decoding.integer(fields, "born", 0),
         running,
         ended,
+        is_complete=len(ended) < _MAX_LISTED_ENDS,
     )
 
 
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -18,6 +18,8 @@
 _HEARTBEAT_S = 0.3
 # Longest lease that a worker accepts.
 _MAX_LEASE_MS = 6_000
+# Ended runs that a worker lists at a time.
+_LISTED_ENDS = 500
 # A linger time of 0 s makes close() reset the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -419,7 +421,11 @@
             for name, each in self.running.items()
         ]
         return self._answer(
-            {"running": running, "ended": self.ended, "born": self.born_ms}
+            {
+                "running": running,
+                "ended": self.ended[:_LISTED_ENDS],
+                "born": self.born_ms,
+            }
         )
 
     def _progress_percent(self, run):
