--- a/src/marigoldgap/cell/crash_counter.py
+++ b/src/marigoldgap/cell/crash_counter.py
@@ -64,7 +64,7 @@
         step.withdraw_suspicion(run.name)
         if not step.job.is_ended:
             _log.info("suspicion_withdrawn", run=str(run.name))
-            self._job_tracker.store_progress(step.job)
+            self._job_tracker.store_task(step, run.name.task.position)
 
     def _conclude(self, run: runs.Run) -> None:
         """Fails the job of a task, or stores the count before its next run."""
@@ -91,14 +91,14 @@
             return
         step.unstored_crashes.add(position)
         step.waiting.discard(position)
-        self._job_tracker.store_progress(job)
+        self._job_tracker.store_task(step, position)
 
         def mark_stored(_: asyncio.Future[None]) -> None:
             step.unstored_crashes.discard(position)
             step.make_waiting(position)
             self._leadership.request_plan()
 
-        self._leadership.journal.flushed().add_done_callback(mark_stored)
+        self._job_tracker.stored({job.job_id}).add_done_callback(mark_stored)
 
 
 def _may_have_crashed(run: runs.Run) -> bool:
--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -75,6 +75,8 @@
         self.handled_number = 0
         self._handled_beyond: set[int] = set()
         self.stored_number = 0
+        # Jobs of handled ends whose effects may not be stored yet.
+        self.unstored_jobs: set[str] = set()
         # Runs that have ended, or may have, and whose job may be stored but is
         # not known here yet, with the monotonic times, in seconds, of their
         # first listings.
@@ -247,6 +249,7 @@
         self.handled_number = 0
         self._handled_beyond.clear()
         self.pending_ends.clear()
+        self.unstored_jobs.clear()
         self.stored_number = 0
 
     def record_done(self) -> None:
--- a/src/marigoldgap/cell/job_service.py
+++ b/src/marigoldgap/cell/job_service.py
@@ -62,6 +62,13 @@
     status = 503
 
 
+class JobTooLargeError(errors.InvalidRequestError):
+    """The record of the job does not fit into a row of the store."""
+
+    code = "job-too-large"
+    status = 413
+
+
 class OutcomeUnknownError(errors.MarigoldgapError):
     """The store did not answer, so the job may or may not be stored."""
 
@@ -164,9 +171,17 @@
                 unlike the deadlines of jobs and steps.
 
         Raises:
+            JobTooLargeError: The job is too large to be stored.
             StoreUnreachableError: The job was not accepted and never runs.
             OutcomeUnknownError: The job may have been accepted.
         """
+        # Its cancellation has to fit as well.
+        size = len(records.encode_job(record._replace(is_cancelled=True)))
+        if size > records.MAX_ROW_BYTES:
+            raise JobTooLargeError(
+                f"the record of the job has {size} bytes, more than"
+                f" {records.MAX_ROW_BYTES}"
+            )
         outage_s = self._store_outage_s()
         if outage_s > _OUTAGE_S:
             # Nothing is sent, so the job is certainly not stored. Other calls
--- a/src/marigoldgap/cell/job_tracker.py
+++ b/src/marigoldgap/cell/job_tracker.py
@@ -4,18 +4,19 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 from typing import NamedTuple
 
 from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
-from marigoldgap import json_object
 from marigoldgap import measures
 from marigoldgap.cell import fair_rate
 from marigoldgap.cell import jobs
 from marigoldgap.cell import leadership as leaderships
 from marigoldgap.cell import model
+from marigoldgap.cell import progress_rows
 from marigoldgap.cell import records
 from marigoldgap.cell import runs
 from marigoldgap.cell import step_progress
@@ -63,6 +64,7 @@
         self._configuration = configuration
         self._versions = versions
         self._rates = fair_rate.FairRates()
+        self._progress = progress_rows.ProgressRows(leadership.journal)
         # Monotonic time in seconds as of which all stored jobs are known.
         self._complete_as_of_s = float("-inf")
 
@@ -141,7 +143,7 @@
         """Drops an archived job and schedules the removal of its progress."""
         self.jobs.pop(job.job_id, None)
         self._archived[job.job_id] = _Archived(job.state, job.ended_s)
-        self.remove_progress(job.job_id)
+        self._progress.remove(job.job_id)
 
     def forget_archived(self, before_s: float) -> None:
         """Forgets the archived jobs that ended before a monotonic time."""
@@ -149,11 +151,13 @@
             if archived.ended_s < before_s:
                 del self._archived[job_id]
 
-    def remove_progress(self, job_id: str) -> None:
-        """Schedules the removal of a job's progress row from the store."""
-        self._leadership.journal.schedule_write(
-            records.progress_row_key(job_id), _no_content
-        )
+    def remove_progress(
+        self, job_id: str, stored: progress_rows.StoredProgress
+    ) -> None:
+        """Schedules the removal of the progress of a job without a record."""
+        for row in stored.rows:
+            self._versions[row.row_key] = row.version
+        self._progress.remove_stored(job_id, stored)
 
     def waiting(self, queue: str) -> int:
         """Returns the number of jobs of a queue that have not started."""
@@ -205,16 +209,19 @@
             if job.next_occurrence < job.occurrence_count:
                 job.open_due(wall_ms)
 
-    def restore(self, row: store.Row, progress: store.Row | None) -> None:
+    def restore(
+        self, row: store.Row, progress: progress_rows.StoredProgress | None
+    ) -> None:
         """Restores a stored job and its progress."""
         try:
             record = records.decode_job(row.row_key.key, row.value)
             floor = (self._leadership.epoch - 1) * _RUN_NUMBERS_PER_ELECTION
             job = self._create(record, floor)
             if progress is not None:
-                self._versions[progress.row_key] = progress.version
+                for stored in progress.rows:
+                    self._versions[stored.row_key] = stored.version
                 job.occurrences.clear()
-                job.restore(records.decode(progress.value))
+                self._progress.restore(job, progress)
                 if not job.is_ended:
                     job.open_due(clock.wall_ms())
                 job.is_stored = job.is_ended
@@ -256,14 +263,23 @@
         def mark_stored(_: asyncio.Future[None]) -> None:
             job.is_stored = True
 
-        self._leadership.journal.flushed().add_done_callback(mark_stored)
+        self._leadership.journal.stored(
+            (records.progress_row_key(job.job_id),)
+        ).add_done_callback(mark_stored)
 
     def store_progress(self, job: jobs.Job) -> None:
-        """Schedules a write of a job's progress row."""
-        self._leadership.journal.schedule_write(
-            records.progress_row_key(job.job_id),
-            lambda: json_object.encode(job.encode()),
-        )
+        """Schedules a write of the state of a job."""
+        self._progress.store(job)
+
+    def store_task(
+        self, step: step_progress.StepProgress, position: int
+    ) -> None:
+        """Schedules a write of the progress of a task."""
+        self._progress.store_task(step, position)
+
+    def stored(self, job_ids: Collection[str]) -> asyncio.Future[None]:
+        """Returns a future that is done once the progress of jobs is stored."""
+        return self._progress.stored(job_ids)
 
     def classify_inherited_jobs(self) -> None:
         """Classifies the restored jobs as within or above their fair rate."""
@@ -297,9 +313,5 @@
         return job
 
 
-def _no_content() -> None:
-    return None
-
-
 def _stop_without_tracker(run: runs.Run, cause: str) -> None:
     raise RuntimeError(f"no run tracker to stop run {run.name}: {cause}")
--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -94,6 +94,12 @@
         """Number of occurrences of the job."""
         return max(1, self.record.spec.occurrences)
 
+    @property
+    def max_open_tasks(self) -> int:
+        """Upper bound on the tasks of the occurrences that are due and open."""
+        tasks = sum(step.task_count for step in self.record.spec.steps)
+        return tasks * min(self.occurrence_count, _MAX_OPEN_OCCURRENCES)
+
     @property
     def shown_state(self) -> model.JobState:
         """State that callers see; a final state is shown once it is stored.
@@ -242,15 +248,26 @@
             and self.next_occurrence >= self.occurrence_count
         )
 
-    def encode(self) -> dict[str, Any]:
-        """Returns the stored form of the progress."""
+    def encode(
+        self, with_saved: bool = True, with_steps: bool = True
+    ) -> dict[str, Any]:
+        """Returns the stored form of the progress.
+
+        Args:
+            with_saved: Whether to include the saved progress of the tasks.
+            with_steps: Whether to include the progress of the steps.
+        """
         return {
             "state": self.state.value,
             "begun": self.has_begun,
             "next": self.next_occurrence,
             "early": sorted(self._done_early),
             "open": {
-                occurrence: [step.encode() for step in steps]
+                occurrence: [
+                    step.encode(with_saved=with_saved)
+                    for step in steps
+                    if with_steps
+                ]
                 for occurrence, steps in self.occurrences.items()
                 if not self.is_ended
             },
@@ -265,9 +282,40 @@
         self._done_early = set(stored.get("early", ()))
         for occurrence, steps in stored["open"].items():
             opened = self.open(int(occurrence))
+            if not steps:
+                # The progress of the steps is in rows of its own.
+                continue
             for step, stored_step in zip(opened, steps, strict=True):
                 step.restore(stored_step)
 
+    def restore_part(
+        self, occurrence: int, number: int, first: int, stored: list[Any]
+    ) -> bool:
+        """Restores the progress of some tasks of a step.
+
+        Args:
+            occurrence: Number of the occurrence. One that was not opened yet
+                is opened: the row was stored before that of the job.
+            number: Number of the step.
+            first: Position of the first of the tasks.
+            stored: Stored form of their progress.
+
+        Returns:
+            Whether the progress is of use: the job has not ended and the
+            occurrence is not completed.
+        """
+        if self.is_ended or number >= len(self.record.spec.steps):
+            return False
+        if not self._was_opened(occurrence):
+            self.open(occurrence)
+        steps = self.occurrences.get(occurrence)
+        if steps is None:
+            return False
+        self.has_begun = True
+        self.state = model.JobState.RUNNING
+        steps[number].restore(stored, first)
+        return True
+
     def _chains_s(self) -> list[float]:
         """Returns the longest declared chain from each step, in seconds.
 
--- a/src/marigoldgap/cell/records.py
+++ b/src/marigoldgap/cell/records.py
@@ -10,6 +10,8 @@
 from marigoldgap.cell import model
 from marigoldgap.cell import store
 
+# Longest value of a row: 64 KiB in Base64.
+MAX_ROW_BYTES = 49_152
 JOBS = "jobs"
 # Table of the election and heartbeat rows; also the name of the one
 # partition for all rows that the leader writes, in this and other tables, so
@@ -47,6 +49,20 @@
     ended_ms: int
 
 
+class ProgressPart(NamedTuple):
+    """Identifies a row with the progress of some tasks of one step.
+
+    Attributes:
+        occurrence: Number of the occurrence.
+        step: Number of the step.
+        part: Number of the part, from 0.
+    """
+
+    occurrence: int
+    step: int
+    part: int
+
+
 class RecordError(errors.MarigoldgapError):
     """A stored record cannot be read."""
 
@@ -72,6 +88,27 @@
     return store.RowKey(PROGRESS, CELL, job_id)
 
 
+def progress_part_row_key(job_id: str, part: ProgressPart) -> store.RowKey:
+    """Returns the key of a row with the progress of some tasks of a job."""
+    numbers = ".".join(str(number) for number in part)
+    return store.RowKey(PROGRESS, CELL, f"{job_id}.{numbers}")
+
+
+def parse_progress_key(key: str) -> tuple[str, ProgressPart | None]:
+    """Returns the job of a progress row, and its part unless it is the first.
+
+    Raises:
+        RecordError: The key is invalid.
+    """
+    job_id, *numbers = key.split(".")
+    if not numbers:
+        return job_id, None
+    try:
+        return job_id, ProgressPart(*map(int, numbers))
+    except (TypeError, ValueError) as error:
+        raise RecordError(f"invalid key of a progress row: {key}") from error
+
+
 def decode(content: bytes | None) -> dict[str, Any]:
     """Returns the decoded JSON object.
 
--- a/src/marigoldgap/cell/recovery.py
+++ b/src/marigoldgap/cell/recovery.py
@@ -14,6 +14,7 @@
 from marigoldgap import errors
 from marigoldgap import measures
 from marigoldgap.cell import job_tracker
+from marigoldgap.cell import progress_rows
 from marigoldgap.cell import records
 from marigoldgap.cell import store
 from marigoldgap.cell import table_reader
@@ -82,7 +83,7 @@
         )
         self._tracker.mark_complete(self._started_s)
         self._log_stage("tables_read")
-        progress = {row.row_key.key: row for row in progress_page.rows}
+        progress = progress_rows.group(progress_page.rows)
         job_rows = [row for page in job_pages for row in page.rows]
         for number, row in enumerate(job_rows):
             self._tracker.restore(row, progress.pop(row.row_key.key, None))
@@ -120,11 +121,12 @@
                 "worker_row_unusable", worker=row.row_key.key, cause=str(error)
             )
 
-    def _drop_progress(self, orphans: dict[str, store.Row]) -> None:
+    def _drop_progress(
+        self, orphans: dict[str, progress_rows.StoredProgress]
+    ) -> None:
         """Removes progress of jobs whose record an earlier leader removed."""
-        for row in orphans.values():
-            self._versions[row.row_key] = row.version
-            self._tracker.remove_progress(row.row_key.key)
+        for job_id, stored in orphans.items():
+            self._tracker.remove_progress(job_id, stored)
 
     def _log_stage(self, stage: str) -> None:
         _log.info(
--- a/src/marigoldgap/cell/run_listings.py
+++ b/src/marigoldgap/cell/run_listings.py
@@ -109,6 +109,7 @@
                 if not self._runs.on_ended(worker, ended, listed_s):
                     pending[ended.name] = listed_s
                     continue
+                worker.unstored_jobs.add(ended.name.task.job_id)
             worker.record_handled_end(ended.number, may_acknowledge=not pending)
         for name in pending.keys() - worker.pending_ends.keys():
             _log.info(
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -205,7 +205,7 @@
                 self.stop(other, "another run of the task is done")
         elif ended.how is model.EndReason.FAILED:
             self._count_failure(step, ended.name)
-        self._update_job(step)
+        self._update_job(step, task.position)
         return True
 
     def restore(
@@ -301,7 +301,7 @@
             self._crashes.count(run)
         if how is not model.EndReason.DONE and step.spec.is_gang:
             self.stop_gang(step, f"a run of a member ended as {how.value}")
-        self._update_job(step)
+        self._update_job(step, position)
 
     def on_worker_restarted(self, run: runs.Run) -> None:
         """Handles the crash of the incarnation on which a run was started.
@@ -314,7 +314,7 @@
             return
         self._crashes.count(run)
         self.stop(run, "worker has restarted")
-        self._update_job(run.step)
+        self._update_job(run.step, run.name.task.position)
 
     def stop(self, run: runs.Run, cause: str) -> None:
         """Stops a run; it keeps its resources until it has ended."""
@@ -348,13 +348,12 @@
     def _count_failure(
         self, step: step_progress.StepProgress, name: model.RunName
     ) -> None:
+        if step.spec.is_long_running:
+            # It has no maximum of failures, so their list would grow for ever.
+            return
         failures = step.record_failure(name)
         job = step.job
-        if (
-            failures >= job.queue.attempts
-            and not step.spec.is_long_running
-            and not job.is_ended
-        ):
+        if failures >= job.queue.attempts and not job.is_ended:
             self._job_tracker.end(
                 job,
                 model.JobState.FAILED,
@@ -362,7 +361,9 @@
                 f"{failures} times",
             )
 
-    def _update_job(self, step: step_progress.StepProgress) -> None:
+    def _update_job(
+        self, step: step_progress.StepProgress, position: int
+    ) -> None:
         job = step.job
         if not job.is_ended:
             if step.is_done and job.close_done():
@@ -370,7 +371,7 @@
                     job, model.JobState.COMPLETED, "all tasks done"
                 )
             else:
-                self._job_tracker.store_progress(job)
+                self._job_tracker.store_task(step, position)
         self._leadership.request_plan()
 
     def _release(self, run: runs.Run) -> None:
@@ -383,5 +384,5 @@
             return
         del step.active[position]
         if step.recorded_starts.pop(position, None) is not None:
-            self._job_tracker.store_progress(step.job)
+            self._job_tracker.store_task(step, position)
         step.make_waiting(position)
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -227,7 +227,7 @@
     def record_failure(self, name: model.RunName) -> int:
         """Counts a failed run once; returns the failure count of its task."""
         runs = self.failures.setdefault(
-            self._accounting_position(name.task.position), []
+            self.accounting_position(name.task.position), []
         )
         if name.run not in runs:
             runs.append(name.run)
@@ -296,12 +296,12 @@
 
     def saved_for(self, position: int) -> str:
         """Returns the saved progress from which the task resumes."""
-        return self.saved.get(self._accounting_position(position), "")
+        return self.saved.get(self.accounting_position(position), "")
 
     def keep_saved(self, position: int, saved: str) -> None:
         """Keeps the latest saved progress of a task or a gang."""
         if saved:
-            self.saved[self._accounting_position(position)] = saved
+            self.saved[self.accounting_position(position)] = saved
 
     def task(self, position: int) -> model.TaskName:
         """Returns the name of a task."""
@@ -309,36 +309,67 @@
             self.job.job_id, self.occurrence, self.number, position
         )
 
-    def encode(self) -> list[Any]:
+    def encode(
+        self, positions: range | None = None, with_saved: bool = True
+    ) -> list[Any]:
         """Returns the stored form of the progress.
 
         Earlier versions read only the first three to five values.
+
+        Args:
+            positions: Positions of the tasks; None for all.
+            with_saved: Whether to include the saved progress of the tasks,
+                without which they start anew.
         """
-        return [
-            f"{self.done:x}",
+        if positions is None:
+            positions = range(self.spec.task_count)
+        done = self.done >> positions.start & ((1 << len(positions)) - 1)
+        by_position: list[dict[int, Any]] = [
             self.failures,
-            self.saved,
+            self.saved if with_saved else {},
             self.crashes,
             self.suspicions,
             self.recorded_starts,
         ]
+        return [
+            f"{done:x}",
+            *(
+                {
+                    position: value
+                    for position, value in values.items()
+                    if position in positions
+                }
+                for values in by_position
+            ),
+        ]
 
-    def _accounting_position(self, position: int) -> int:
+    def accounting_position(self, position: int) -> int:
         """Returns the position under which failures and progress are kept."""
         return 0 if self.spec.is_gang else position
 
-    def restore(self, stored: list[Any]) -> None:
-        """Restores the progress from its stored form."""
-        self.done = int(stored[0], 16)
-        self.failures = {int(key): value for key, value in stored[1].items()}
-        self.saved = {int(key): value for key, value in stored[2].items()}
+    def restore(self, stored: list[Any], first: int = 0) -> None:
+        """Restores the progress of tasks from its stored form.
+
+        Args:
+            stored: The stored form.
+            first: Position of the first of the tasks.
+        """
+        self.done |= int(stored[0], 16) << first
+        failures, saved = stored[1:3]
         # Earlier versions store fewer values.
         crashes, suspicions, starts = (*stored[3:6], {}, {}, {})[:3]
-        self.crashes = {int(key): value for key, value in crashes.items()}
-        self.suspicions = {int(key): value for key, value in suspicions.items()}
-        self.recorded_starts = {
+        self.failures |= {int(key): value for key, value in failures.items()}
+        self.saved |= {int(key): value for key, value in saved.items()}
+        self.crashes |= {int(key): value for key, value in crashes.items()}
+        self.suspicions |= {
+            int(key): value for key, value in suspicions.items()
+        }
+        self.recorded_starts |= {
             int(key): RecordedStart(*value) for key, value in starts.items()
         }
+        if self.spec.is_gang and self.done:
+            # Its other parts may not have been stored.
+            self.mark_done(first)
         self.waiting = {
             position
             for position in range(self.spec.task_count)
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 from typing import Protocol
 
 from marigoldgap import clock
@@ -105,8 +106,8 @@
     def on_fenced(self) -> None:
         """Ends the leadership, as a worker accepted a higher fencing token."""
 
-    def flushed(self) -> asyncio.Future[None]:
-        """Returns a future that is done when the current state is stored."""
+    def stored(self, job_ids: Collection[str]) -> asyncio.Future[None]:
+        """Returns a future that is done once the progress of jobs is stored."""
 
 
 class WorkerSession:
@@ -323,8 +324,9 @@
         if handled > worker.stored_number:
             try:
                 async with asyncio.timeout(_STORE_TIMEOUT_S):
-                    await self._listener.flushed()
+                    await self._listener.stored(worker.unstored_jobs)
                 worker.stored_number = handled
+                worker.unstored_jobs.clear()
             except TimeoutError:
                 _log.warning("ended_runs_not_stored", worker=worker.worker_id)
         # The worker answers at once while ended runs are unacknowledged.
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 
 from marigoldgap import clock
 from marigoldgap import decision_log
@@ -117,9 +118,9 @@
             worker.largest_capacity for worker in pending if worker is not None
         ]
 
-    def flushed(self) -> asyncio.Future[None]:
-        """Returns a future that is done when the current state is stored."""
-        return self._leadership.journal.flushed()
+    def stored(self, job_ids: Collection[str]) -> asyncio.Future[None]:
+        """Returns a future that is done once the progress of jobs is stored."""
+        return self._job_tracker.stored(job_ids)
 
     def inherit(self, registration: model.Registration) -> None:
         """Adds a worker that may have runs of earlier elections."""
@@ -175,8 +176,8 @@
         """
         run.is_unstarted = True
         run.step.record_start(run.name, run.worker)
-        self._job_tracker.store_progress(run.step.job)
-        await self.flushed()
+        self._job_tracker.store_task(run.step, run.name.task.position)
+        await self.stored({run.step.job.job_id})
         if run.state is not runs.RunState.STARTING:
             return
         run.is_unstarted = False
@@ -422,8 +423,9 @@
         """Adds a worker to the roster, after which runs may start on it."""
         worker.has_roster_row = True
         stored = worker.largest_capacity
+        row_key = records.roster_row_key(worker.worker_id)
         self._leadership.journal.schedule_write(
-            records.roster_row_key(worker.worker_id),
+            row_key,
             lambda: records.encode_worker(
                 worker.registration._replace(capacity=worker.largest_capacity)
             ),
@@ -436,7 +438,9 @@
             worker.is_rostered = True
             self._leadership.request_plan()
 
-        self._leadership.journal.flushed().add_done_callback(mark_rostered)
+        self._leadership.journal.stored((row_key,)).add_done_callback(
+            mark_rostered
+        )
 
     def _send_stop(self, run: runs.Run) -> None:
         session = self._sessions.get(run.worker.worker_id)
--- a/tests/features/cell/journal.feature
+++ b/tests/features/cell/journal.feature
@@ -59,3 +59,19 @@
     Given a journal on a store in memory
     When a heartbeat is scheduled during each write
     Then a row that is written afterwards is stored
+
+  Scenario: A row that the store rejects does not count as stored
+    Guards against acknowledging an end whose write the store refuses for good
+    (review case 3).
+    Given a journal on a store in memory
+    When a row that the store rejects and the heartbeat are written
+    Then the rejected row does not count as stored
+    And the flush at the end of a leadership does not wait for it
+    When the content of the rejected row shrinks
+    Then the rejected row counts as stored
+
+  Scenario: A wait for one row does not depend on another
+    Guards against ends of all jobs that wait for the row of one.
+    Given a journal on a store in memory
+    When a row that the store rejects and the heartbeat are written
+    Then a wait for a row that is written afterwards ends
--- a/tests/features/steps/cell_journal_steps.py
+++ b/tests/features/steps/cell_journal_steps.py
@@ -15,69 +15,16 @@
 from marigoldgap.cell import records
 from marigoldgap.cell import store
 from tests.fixtures import loops
+from tests.fixtures import memory_store
 
+# Time in which the journal writes a batch.
+_WRITE_S = 0.1
 _ROW_KEY = records.progress_row_key("a" * 16)
-# Longest value that the store accepts, before it is encoded in Base64.
-_ROW_BYTES = 65_536 * 3 // 4
-
-
-class _MemoryStore:
-    """Store in memory that can delay transactions and lose their answers.
-
-    A transaction with the fault "hold" is kept in `held`; the test applies it
-    later.
-    """
-
-    def __init__(self):
-        self.rows = {}
-        self.version = 0
-        self.faults = []
-        self.held = []
-        # Event for which each transaction waits before it is applied.
-        self.gate = None
-        self.is_waiting = False
-        # Keys of the rows of each applied transaction, and its bytes in Base64.
-        self.batches = []
-        self.sizes = []
-
-    async def transact(self, transaction):
-        if self.gate is not None:
-            self.is_waiting = True
-            await self.gate.wait()
-        if any(len(value) > _ROW_BYTES for _, value in transaction.writes):
-            raise store.StoreRejectedError("a value is too long")
-        fault = self.faults.pop(0) if self.faults else None
-        if fault == "hold":
-            self.held.append(transaction)
-            raise store.StoreUnknownError("no answer")
-        version = self.apply(transaction)
-        if fault == "lose":
-            raise store.StoreUnknownError("no answer")
-        return version
-
-    def apply(self, transaction):
-        for check in transaction.checks:
-            row = self.rows.get(check.row_key)
-            if (row.version if row else 0) != check.version:
-                found = [
-                    self.rows[each.row_key]
-                    for each in transaction.checks
-                    if each.row_key in self.rows
-                ]
-                raise store.CheckFailedError(tuple(found))
-        self.version += 1
-        self.batches.append([row_key for row_key, _ in transaction.writes])
-        self.sizes.append(
-            sum(len(value) * 4 // 3 for _, value in transaction.writes)
-        )
-        for row_key, value in transaction.writes:
-            self.rows[row_key] = store.Row(row_key, value, self.version)
-        return self.version
 
 
 @given("a journal on a store in memory")
 def create_journal(context):
-    context.rows = _MemoryStore()
+    context.rows = memory_store.MemoryStore()
     context.rows.apply(store.Transaction((), ((records.ELECTION, b"1"),)))
     context.journal = journal.Journal(
         context.rows, context.rows.rows[records.ELECTION], {}
@@ -194,7 +141,7 @@
 
 @when("a row that the store rejects and the heartbeat are written")
 def write_rejected(context):
-    _write_rows(context, _rows(1, b"x" * (_ROW_BYTES + 1)), b"beat")
+    _write_rows(context, _rows(1, b"x" * (memory_store.ROW_BYTES + 1)), b"beat")
 
 
 @when("a heartbeat is scheduled during each write")
@@ -302,3 +249,50 @@
         assert records.decode_job(record.job_id, content) == record
 
     check()
+
+
+@then("the rejected row does not count as stored")
+def rejected_not_stored(context):
+    async def check():
+        await asyncio.sleep(_WRITE_S)
+        (row_key,) = context.journal.unstored_rows
+        context.rejected = context.journal.stored((row_key,))
+        await asyncio.sleep(_WRITE_S)
+        assert not context.rejected.done()
+
+    loops.run(context, check())
+
+
+@then("the flush at the end of a leadership does not wait for it")
+def flush_ends(context):
+    async def check():
+        assert context.journal.flushed().done()
+
+    loops.run(context, check())
+
+
+@when("the content of the rejected row shrinks")
+def shrink_rejected(context):
+    (row_key,) = context.journal.unstored_rows
+
+    async def shrink():
+        context.journal.schedule_write(row_key, lambda: b"short")
+
+    loops.run(context, shrink())
+
+
+@then("the rejected row counts as stored")
+def rejected_stored(context):
+    async def check():
+        await context.rejected
+
+    loops.run(context, check())
+
+
+@then("a wait for a row that is written afterwards ends")
+def wait_ends(context):
+    async def check():
+        context.journal.schedule_write(_ROW_KEY, lambda: b"content")
+        await context.journal.stored((_ROW_KEY,))
+
+    loops.run(context, check())
--- a/tests/features/steps/cell_recovery_steps.py
+++ b/tests/features/steps/cell_recovery_steps.py
@@ -272,7 +272,7 @@
             joined.append(tracker.workers.get(registration.worker_id))
             # No worker is given up before the roster has been read.
             joined[-1].grant_lease(clock.now_s(), _LONG_LEASE_S)
-        await tracker.flushed()
+        await context.former.scheduler.flushed()
         context.roster = _roster(context)
         for worker in joined:
             worker.lease_until_ms = 0
--- a/tests/features/steps/cell_session_steps.py
+++ b/tests/features/steps/cell_session_steps.py
@@ -28,15 +28,15 @@
     def __init__(self):
         self.ready = asyncio.Event()
         self.ready.set()
-        self.stored = None
+        self.awaited = None
 
     def on_listing(self, worker, listing, sent_s):
         worker.contact = fleet.Contact.ANSWERING
         worker.handled_number = 1
 
-    def flushed(self):
-        self.stored = asyncio.get_running_loop().create_future()
-        return self.stored
+    def stored(self, job_ids):
+        self.awaited = asyncio.get_running_loop().create_future()
+        return self.awaited
 
 
 class _Port:
@@ -77,7 +77,7 @@
             context.listener, worker, context.port
         )
         context.session = asyncio.create_task(session.run())
-        await loops.until(lambda: context.listener.stored is not None)
+        await loops.until(lambda: context.listener.awaited is not None)
 
     loops.run(context, begin())
 
@@ -91,7 +91,7 @@
 def store_and_cancel(context):
     async def finish():
         context.renewals = context.port.renewals
-        context.listener.stored.set_result(None)
+        context.listener.awaited.set_result(None)
         context.session.cancel()
         await asyncio.sleep(_NEXT_RENEWAL_S)
 
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -76,6 +76,7 @@
         fence_delay_s: Delay of a request with a higher fencing token, in
             seconds.
         duration_factor: Factor of the duration of runs.
+        saved: Saved progress that it lists for each run.
         falls_silent: Whether the next start makes the worker withhold all
             further responses.
         violations: Each violation as a text.
@@ -116,6 +117,7 @@
         self.late_orders = []
         self.fence_delay_s = 0.0
         self.duration_factor = 1.0
+        self.saved = ""
         self.falls_silent = False
         self._is_silent = False
         self.is_draining = False
@@ -417,7 +419,7 @@
             except TimeoutError:
                 pass
         running = [
-            [name, each["run"], "", self._progress_percent(each)]
+            [name, each["run"], self.saved, self._progress_percent(each)]
             for name, each in self.running.items()
         ]
         return self._answer(
