--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -19,6 +19,7 @@
 from marigoldgap import errors
 from marigoldgap import json_object
 from marigoldgap import measures
+from marigoldgap.cell import former_leader
 from marigoldgap.cell import records
 from marigoldgap.cell import store
 
@@ -83,15 +84,27 @@
     Attributes:
         election_row: The election row as this instance wrote it.
         epoch: Number of the election.
-        is_former_inactive: Whether no former leader can start anything any
-            more. It is not proved by a former election row that names this
-            instance: that claim may have been applied late, while the leader
-            before it was still working.
+        claimed_s: Monotonic time, in seconds, at which the claim was sent.
+        former: Times at which the leaders before this one have ended.
     """
 
     election_row: store.Row
     epoch: int
-    is_former_inactive: bool
+    claimed_s: float
+    former: former_leader.FormerLimits
+
+
+class _Silence(NamedTuple):
+    """Overdue heartbeat of a leader.
+
+    Attributes:
+        check: Holds while there is no later heartbeat.
+        since_s: Monotonic time, in seconds, at which it was first seen, so that
+            it was sent before.
+    """
+
+    check: store.RowCheck
+    since_s: float
 
 
 class Election:
@@ -137,6 +150,9 @@
         self._pending_win: ElectionWin | None = None
         self._wake = asyncio.Event()
         self._is_serving = False
+        self._is_claiming = False
+        # Monotonic time, in seconds, at which it last vouched for a leader.
+        self._vouched_s = float("-inf")
 
     @property
     def is_in_store_region(self) -> bool:
@@ -257,6 +273,19 @@
         self._wake.set()
         return True
 
+    def vouch(self, epoch: int) -> bool:
+        """Returns whether this instance knows no leader after that of an epoch.
+
+        If it is elected later, it takes the leases of that leader to be granted
+        up to this moment.
+        """
+        if self._is_claiming or self._is_serving or self._pending_win:
+            return False
+        if self.leader is not None and self.leader.epoch > epoch:
+            return False
+        self._vouched_s = clock.now_s()
+        return True
+
     async def _pause(self) -> None:
         try:
             async with asyncio.timeout(self._poll_interval_s):
@@ -311,8 +340,18 @@
         is_overdue = self._is_heartbeat_overdue(row, heartbeat, clock.now_s())
         if not self._is_candidate or not (is_vacant or is_overdue):
             return None
+        silence = None
+        if not is_vacant:
+            silence = _Silence(
+                store.RowCheck(
+                    records.HEARTBEAT, heartbeat.version if heartbeat else 0
+                ),
+                self._observed_since_s,
+            )
         await asyncio.sleep(self.claim_delay_s)
-        return await self._claim(row) if self._is_candidate else None
+        if not self._is_candidate:
+            return None
+        return await self._claim(row, silence)
 
     def _is_heartbeat_overdue(
         self, row: store.Row | None, heartbeat: store.Row | None, now: float
@@ -337,16 +376,37 @@
             >= _HEARTBEAT_TIMEOUT_S + 2 * read_delay_s
         )
 
-    async def _claim(self, row: store.Row | None) -> ElectionWin | None:
+    async def _claim(
+        self, row: store.Row | None, silence: _Silence | None = None
+    ) -> ElectionWin | None:
+        """Claims leadership.
+
+        Args:
+            row: The election row as it was read.
+            silence: Overdue heartbeat of the former leader; None if it is
+                replaced for another reason.
+        """
+        self._is_claiming = True
+        try:
+            return await self._send_claim(row, silence)
+        finally:
+            self._is_claiming = False
+
+    async def _send_claim(
+        self, row: store.Row | None, silence: _Silence | None
+    ) -> ElectionWin | None:
         former = self.leader
+        claimed_s = clock.now_s()
         epoch = former.epoch + 1 if former is not None else 1
         claim = Leader(epoch, self._instance, self._address, False)
         version = row.version if row is not None else 0
-        check = store.RowCheck(records.ELECTION, version)
+        checks = [store.RowCheck(records.ELECTION, version)]
+        if silence is not None:
+            checks.append(silence.check)
         content = _encode(claim)
         try:
             new_version = await self._rows.transact(
-                store.Transaction((check,), ((records.ELECTION, content),))
+                store.Transaction(tuple(checks), ((records.ELECTION, content),))
             )
         except store.CheckFailedError as error:
             _log.info("election_lost", epoch=epoch)
@@ -362,8 +422,27 @@
         self.leader = claim
         measures.ELECTIONS.inc()
         election_row = store.Row(records.ELECTION, content, new_version)
-        is_former_inactive = former is None or former.was_obeyed
-        return ElectionWin(election_row, epoch, is_former_inactive)
+        return ElectionWin(
+            election_row,
+            epoch,
+            claimed_s,
+            self._former_limits(former, silence),
+        )
+
+    def _former_limits(
+        self, former: Leader | None, silence: _Silence | None
+    ) -> former_leader.FormerLimits:
+        """Returns when the leaders before a claim that was applied have ended.
+
+        A row that names this instance proves nothing: that claim may have been
+        applied late, while the leader before it was still working.
+        """
+        now = clock.now_s()
+        if former is None or former.was_obeyed:
+            return former_leader.released(now)
+        if silence is None:
+            return former_leader.unconfirmed(now)
+        return former_leader.unconfirmed(max(silence.since_s, self._vouched_s))
 
     async def _find_claim(self, content: bytes) -> int:
         """Returns the row version of the claim if it was stored, else 0."""
--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -75,7 +75,7 @@
             continue
         try:
             scheduler.job_tracker.add(
-                records.decode_job(row.row_key.key, row.value)
+                records.decode_job(row.row_key.key, row.value), row.version
             )
         except errors.MarigoldgapError as error:
             _log.error(
--- a/src/marigoldgap/cell/job_tracker.py
+++ b/src/marigoldgap/cell/job_tracker.py
@@ -13,6 +13,7 @@
 from marigoldgap import errors
 from marigoldgap import measures
 from marigoldgap.cell import fair_rate
+from marigoldgap.cell import former_leader
 from marigoldgap.cell import jobs
 from marigoldgap.cell import leadership as leaderships
 from marigoldgap.cell import model
@@ -44,6 +45,7 @@
         leadership: The current leadership.
         configuration: Returns the configuration in force.
         versions: Versions of stored rows; filled while jobs are restored.
+        former: What is known of the former leader.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         leadership: leaderships.Leadership,
         configuration: Callable[[], model.Configuration | None],
         versions: dict[store.RowKey, int],
+        former: former_leader.FormerLeader,
     ) -> None:
         self.jobs: dict[str, jobs.Job] = {}
         # Archived jobs by id: they are shown to callers, and a late
@@ -63,6 +66,7 @@
         self._leadership = leadership
         self._configuration = configuration
         self._versions = versions
+        self._former = former
         self._rates = fair_rate.FairRates()
         self._progress = progress_rows.ProgressRows(leadership.journal)
         # Monotonic time in seconds as of which all stored jobs are known.
@@ -90,17 +94,25 @@
             return True
         return job_id not in self.jobs and since_s < self._complete_as_of_s
 
-    def add(self, record: model.JobRecord) -> None:
-        """Adds an accepted job, or applies its cancellation."""
+    def add(self, record: model.JobRecord, version: int) -> None:
+        """Adds an accepted job, or applies its cancellation.
+
+        Args:
+            record: The job.
+            version: Version of its row; 0 if unknown.
+        """
         if record.job_id in self._archived:
             _log.info("archived_job_repeated", job=record.job_id)
             return
         job = self.jobs.get(record.job_id)
         if job is None:
-            job = self._create(record, 0)
+            job = self._create(record, self._run_floor(version))
+            self._classify(job)
             _log.info(
                 "job_queued",
                 job=record.job_id,
+                row_version=version,
+                is_inherited=job.is_inherited,
                 workspace=record.workspace,
                 queue=record.queue.name,
             )
@@ -215,8 +227,7 @@
         """Restores a stored job and its progress."""
         try:
             record = records.decode_job(row.row_key.key, row.value)
-            floor = (self._leadership.epoch - 1) * _RUN_NUMBERS_PER_ELECTION
-            job = self._create(record, floor)
+            job = self._create(record, self._former_run_floor)
             if progress is not None:
                 for stored in progress.rows:
                     self._versions[stored.row_key] = stored.version
@@ -289,6 +300,21 @@
         for job in inherited:
             self._classify(job)
 
+    @property
+    def _former_run_floor(self) -> int:
+        """Highest run number that an earlier leader may have used."""
+        return (self._leadership.epoch - 1) * _RUN_NUMBERS_PER_ELECTION
+
+    def _run_floor(self, version: int) -> int:
+        """Returns the highest run number that was possibly used for a new job.
+
+        Args:
+            version: Version of its row; 0 if unknown.
+        """
+        if self._former.may_have_started(version):
+            return self._former_run_floor
+        return 0
+
     def _classify(self, job: jobs.Job) -> None:
         configuration = self._configuration()
         if configuration is None:
@@ -305,8 +331,6 @@
         if configuration is not None:
             queue = configuration.queue_named(queue.name) or queue
         job = jobs.Job(record, queue, clock.now_s(), run_floor)
-        if not run_floor:
-            self._classify(job)
         job.open_due(clock.wall_ms())
         self.jobs[record.job_id] = job
         self._open_jobs[record.job_id] = job
--- a/src/marigoldgap/cell/journal.py
+++ b/src/marigoldgap/cell/journal.py
@@ -12,7 +12,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from marigoldgap import clock
 from marigoldgap import decision_log
+from marigoldgap.cell import records
 from marigoldgap.cell import store
 
 _log = decision_log.DecisionLogger("journal")
@@ -92,6 +94,8 @@
         rows: The store.
         election_row: The election row as this instance wrote it.
         versions: Versions of the rows as they were read after the election.
+        on_confirmed: Receives the monotonic time, in seconds, at which each
+            accepted heartbeat was sent, and the version of its row.
     """
 
     def __init__(
@@ -99,10 +103,12 @@
         rows: store.Store,
         election_row: store.Row,
         versions: dict[store.RowKey, int],
+        on_confirmed: Callable[[float, int], None] = lambda *_: None,
     ) -> None:
         self._rows = rows
         self._election_row = election_row
         self._versions = versions
+        self._on_confirmed = on_confirmed
         self._encoders: dict[store.RowKey, _Encoder] = {}
         # Written with the next transaction, whatever else is waiting.
         self._urgent: dict[store.RowKey, _Encoder] = {}
@@ -231,7 +237,9 @@
 
     async def _write(self, contents: dict[store.RowKey, _Content]) -> None:
         """Writes rows in one transaction; repeats it until it is applied."""
+        first_sent_s = clock.now_s()
         while contents:
+            sent_s = clock.now_s()
             try:
                 version = await self._rows.transact(self._transaction(contents))
             except store.StoreRejectedError as error:
@@ -240,7 +248,8 @@
             except store.CheckFailedError as error:
                 if not self._adopt_versions(contents, error.rows):
                     continue
-                self._mark_stored(contents)
+                # The first attempt may be the one that was applied.
+                self._mark_stored(contents, first_sent_s)
                 return
             except store.StoreError as error:
                 _log.warning(
@@ -250,11 +259,18 @@
                 continue
             for row_key in contents:
                 self._versions[row_key] = version
-            self._mark_stored(contents)
+            self._mark_stored(contents, sent_s)
             return
 
-    def _mark_stored(self, contents: dict[store.RowKey, _Content]) -> None:
-        """Completes the waits for the rows of a transaction."""
+    def _mark_stored(
+        self, contents: dict[store.RowKey, _Content], sent_s: float
+    ) -> None:
+        """Completes the waits for the rows of a transaction.
+
+        Only heartbeats confirm the leader: other instances see them.
+        """
+        if records.HEARTBEAT in contents:
+            self._on_confirmed(sent_s, self._versions[records.HEARTBEAT])
         for row_key, content in contents.items():
             if row_key in self._rejected:
                 self._rejected.pop(row_key).cancel()
--- a/src/marigoldgap/cell/leadership.py
+++ b/src/marigoldgap/cell/leadership.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from marigoldgap import decision_log
+from marigoldgap.cell import authority as authorities
 from marigoldgap.cell import journal as journals
 
 # "duty" is the name of this component in log lines: the duty of the leader.
@@ -19,11 +20,18 @@
     Args:
         epoch: Number of the election; the fencing token of all commands.
         journal: Writes the rows of this election.
+        authority: What the leader may do at present.
     """
 
-    def __init__(self, epoch: int, journal: journals.Journal) -> None:
+    def __init__(
+        self,
+        epoch: int,
+        journal: journals.Journal,
+        authority: authorities.Authority,
+    ) -> None:
         self.epoch = epoch
         self.journal = journal
+        self.authority = authority
         self.plan_requested = asyncio.Event()
         self._ended = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -31,6 +31,7 @@
 _ADVICE_PATH = "/peer/advice"
 _STORED_PATH = "/peer/stored-jobs"
 _WATCH_PATH = "/peer/watch"
+_VOUCH_PATH = "/peer/vouch"
 _TAKE_OVER_PATH = "/peer/take-over"
 # Time for which the leader holds the answer to a watch call.
 _WATCH_HOLD_S = 10.0
@@ -148,6 +149,13 @@
         if path == _WATCH_PATH:
             await asyncio.sleep(_WATCH_HOLD_S)
             return messages.json_response(200, {})
+        if path == _VOUCH_PATH:
+            fields = json_object.decode(
+                request.body, messages.InvalidAnswerError
+            )
+            return messages.json_response(
+                200, {"vouched": self._election.vouch(int(fields["epoch"]))}
+            )
         if path == _TAKE_OVER_PATH:
             fields = json_object.decode(
                 request.body, messages.InvalidAnswerError
@@ -269,6 +277,20 @@
         )
         return fields.get("taken") is True
 
+    async def vouch(self, epoch: int) -> bool:
+        """Asks whether the instance knows no leader after that of an epoch.
+
+        Raises:
+            MarigoldgapError: The call failed or its answer is invalid.
+        """
+        fields = await self._call(
+            "POST",
+            _VOUCH_PATH,
+            json_object.encode({"epoch": epoch}),
+            _QUERY_TIMEOUT_S,
+        )
+        return fields.get("vouched") is True
+
     async def watch(self) -> None:
         """Waits until the instance answers a long poll or ends.
 
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -17,6 +17,9 @@
 from marigoldgap.cell import advice_dispatcher
 from marigoldgap.cell import advice_targets
 from marigoldgap.cell import archive
+from marigoldgap.cell import authority
+from marigoldgap.cell import election as elections
+from marigoldgap.cell import former_leader
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import journal
 from marigoldgap.cell import leadership as leaderships
@@ -65,8 +68,8 @@
 
     Args:
         rows: The store.
-        election_row: The election row as this instance wrote it.
-        epoch: Number of the election; the fencing token of all commands.
+        won: The election that this instance has won; its epoch is the fencing
+            token of all commands.
         port: Sends commands to workers.
         proxies: Returns the proxies for calls to the advice service.
         configuration: Returns the configuration in force.
@@ -75,8 +78,6 @@
         offer: Offers the leadership of an epoch to other instances; returns
             whether one took it over.
         retention_s: Retention period of ended jobs, in seconds.
-        is_former_inactive: Whether no former leader can start anything any
-            more.
         store_refused_s: Returns for how many seconds the store has refused all
             calls.
         reader: Reads the tables.
@@ -85,15 +86,13 @@
     def __init__(
         self,
         rows: store.Store,
-        election_row: store.Row,
-        epoch: int,
+        won: elections.ElectionWin,
         port: ports.WorkerPort,
         proxies: Callable[[], list[advice_dispatcher.AdviceProxy]],
         configuration: Callable[[], model.Configuration | None],
         is_outdated: Callable[[], bool],
         offer: Callable[[int], Awaitable[bool]],
         retention_s: float,
-        is_former_inactive: bool,
         store_refused_s: Callable[[], float],
         reader: table_reader.TableReader,
     ) -> None:
@@ -108,15 +107,23 @@
         self._offer = offer
         self._store_refused_s = store_refused_s
         self._versions: dict[store.RowKey, int] = {}
+        self._former = former_leader.FormerLeader(
+            won.former, won.claimed_s, won.election_row.version
+        )
+        self.authority = authority.Authority(won.claimed_s)
         self._leadership = leaderships.Leadership(
-            epoch, journal.Journal(rows, election_row, self._versions)
+            won.epoch,
+            journal.Journal(
+                rows, won.election_row, self._versions, self._on_confirmed
+            ),
+            self.authority,
         )
         self.job_tracker = job_tracker.JobTracker(
-            self._leadership, configuration, self._versions
+            self._leadership, configuration, self._versions, self._former
         )
         times = run_times.RunTimes()
         self.worker_tracker = worker_tracker.WorkerTracker(
-            self._leadership, port, self.job_tracker, times, is_former_inactive
+            self._leadership, port, self.job_tracker, times, self._former
         )
         self._usage = workspace_usage.WorkspaceUsage(
             self.worker_tracker, self.job_tracker, configuration
@@ -128,7 +135,11 @@
             rows, reader, self.job_tracker, retention_s
         )
         self._recovery = recovery.Recovery(
-            epoch, reader, self.job_tracker, self.worker_tracker, self._versions
+            won.epoch,
+            reader,
+            self.job_tracker,
+            self.worker_tracker,
+            self._versions,
         )
         self._advice = advice_dispatcher.AdviceDispatcher(
             proxies, self._choose_advised, self._leadership.request_plan
@@ -196,7 +207,7 @@
                 restored_version=self.jobs_version,
             )
             return
-        self.job_tracker.add(record)
+        self.job_tracker.add(record, version)
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Runs a background task during this leadership.
@@ -219,6 +230,11 @@
     def stop_planning(self) -> None:
         """Starts no further runs; current runs continue."""
         self._is_planning = False
+        self.authority.stop_starts()
+
+    def _on_confirmed(self, sent_s: float, version: int) -> None:
+        self.authority.confirm(sent_s)
+        self._former.observe_version(sent_s, version)
 
     def flushed(self) -> asyncio.Future[None]:
         """Returns a future that is done when the current state is stored."""
@@ -248,7 +264,7 @@
         if (
             configuration is None
             or not self._is_planning
-            or self.worker_tracker.is_fencing
+            or not self.authority.may_start()
         ):
             return
         now = clock.now_s()
@@ -299,6 +315,8 @@
     def _wait_reason(
         self, step: step_progress.StepProgress, unknown_jobs: set[str]
     ) -> step_progress.WaitReason:
+        if not self.authority.may_start():
+            return step_progress.WaitReason.UNCONFIRMED
         if step.job.job_id in unknown_jobs:
             return step_progress.WaitReason.UNKNOWN_RUNS
         if step.job.is_inherited and self.worker_tracker.pending_inherited:
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -59,6 +59,7 @@
     UNKNOWN_RUNS = "a worker lists an unknown run of the job"
     UNCOUNTED_RUNS = "a worker lists runs of an unknown workspace"
     LIMIT_UNCONFIRMED = "the limit of its workspace is not confirmed"
+    UNCONFIRMED = "the store has not confirmed the leader lately"
     INHERITED = "workers of the former leader have not answered"
     STARTING = "starts were sent"
 
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -37,6 +37,8 @@
 _COMMAND_TIMEOUT_S = 0.5
 # Pause before a command is repeated.
 _COMMAND_RETRY_S = 0.1
+# Interval at which a start that may not be sent is checked again.
+_AUTHORITY_CHECK_S = 0.05
 # Commands without an answer after which a start is given up, although the
 # worker answers renewals. It may carry out a command seconds late, so that a
 # new start elsewhere would be no earlier.
@@ -66,6 +68,12 @@
     def epoch(self) -> int:
         """Epoch of the leader; the fencing token of all commands."""
 
+    def may_start(self) -> bool:
+        """Returns whether starts of runs may be sent."""
+
+    def limit_lease_s(self, lease_s: float) -> float:
+        """Returns for how many seconds a lease may be granted; 0 for none."""
+
     def exceeds_limit(self, run: runs.Run) -> bool:
         """Returns whether a run would exceed the limit of its workspace."""
 
@@ -179,12 +187,15 @@
         unanswered = 0
         # Repeated commands do not extend the lease. Otherwise the lease of a
         # worker that never answers would not expire.
-        lease_until_ms = worker.grant_lease(clock.now_s(), LEASE_S)
+        lease_until_ms = self._grant_lease()
         born_ms = worker.born_ms
         while run.state is runs.RunState.STARTING and not self._is_closed:
+            if not self._listener.may_start():
+                await asyncio.sleep(_AUTHORITY_CHECK_S)
+                continue
             if worker.born_ms != born_ms:
                 born_ms = worker.born_ms
-                lease_until_ms = worker.grant_lease(clock.now_s(), LEASE_S)
+                lease_until_ms = self._grant_lease()
             try:
                 answer = await self._port.start(
                     worker.registration,
@@ -213,6 +224,13 @@
             if run.state is runs.RunState.STARTING:
                 self._conclude(run, answer, may_have_started)
 
+    def _grant_lease(self) -> int:
+        """Returns the end of a lease on the worker's clock in ms; 0 for none."""
+        lease_s = self._listener.limit_lease_s(LEASE_S)
+        return (
+            self._worker.grant_lease(clock.now_s(), lease_s) if lease_s else 0
+        )
+
     def withdraw(self, run: runs.Run, outcome: model.StartOutcome) -> None:
         """Handles a start that is not sent."""
         self._refuse(run, outcome, False)
@@ -316,8 +334,7 @@
     async def _renew_with_lease(self, connection: client.Connection) -> None:
         worker = self._worker
         if not self._listener.ready.is_set():
-            until = worker.grant_lease(clock.now_s(), LEASE_S)
-            await self._renew(connection, 0, until, 0)
+            await self._renew(connection, 0, self._grant_lease(), 0)
             await self._pause_until_ready()
             return
         handled = worker.handled_number
@@ -335,8 +352,9 @@
             wait_ms = min(wait_ms, _UNKNOWN_RUNS_LONG_POLL_MS)
         if worker.pending_ends:
             await asyncio.sleep(_PENDING_ENDS_PAUSE_S)
-        until = worker.grant_lease(clock.now_s(), LEASE_S)
-        await self._renew(connection, worker.stored_number, until, wait_ms)
+        await self._renew(
+            connection, worker.stored_number, self._grant_lease(), wait_ms
+        )
 
     async def _pause_until_ready(self) -> None:
         """Waits between two renewals; the worker answers at once meanwhile."""
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -9,8 +9,8 @@
 from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap.cell import crash_counter
-from marigoldgap.cell import fencing
 from marigoldgap.cell import fleet
+from marigoldgap.cell import former_leader
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import leadership as leaderships
 from marigoldgap.cell import lost_workers
@@ -27,10 +27,9 @@
 
 _log = decision_log.DecisionLogger("workers")
 
-# Leases that an earlier leader granted, or that a command for an earlier
-# incarnation of a worker granted to the next one, expire within 6 s on the
-# worker's clock, which may be slow by 2%.
-_INHERITED_LEASE_S = 6.3
+# Leases that a command for an earlier incarnation of a worker granted to the next
+# one expire within 6 s on the worker's clock, which may be slow by 2%.
+_INCARNATION_LEASE_S = 6.3
 
 
 class WorkerTracker:
@@ -41,8 +40,7 @@
         port: Sends commands to workers.
         tracker: Tracks the jobs.
         times: Learns run times.
-        is_former_inactive: Whether no former leader can start anything any
-            more, so that the stored state and the listings show all runs.
+        former: What is known of the former leader.
     """
 
     def __init__(
@@ -51,7 +49,7 @@
         port: ports.WorkerPort,
         tracker: job_tracker.JobTracker,
         times: run_times.RunTimes,
-        is_former_inactive: bool,
+        former: former_leader.FormerLeader,
     ) -> None:
         self.workers = fleet.Fleet()
         # Returns whether a run that has not begun would exceed the limit of its
@@ -65,7 +63,7 @@
         self._deferred: dict[str, tuple[model.WorkerListing, float]] = {}
         # Workers of earlier elections whose runs are not known yet.
         self.pending_inherited: set[str] = set()
-        self._fencing = fencing.Fencing(is_former_inactive)
+        self._former = former
         self._leadership = leadership
         self._port = port
         self._job_tracker = tracker
@@ -85,15 +83,6 @@
         """Epoch of the leader; the fencing token of all commands."""
         return self._leadership.epoch
 
-    @property
-    def is_fencing(self) -> bool:
-        """Whether the former leader may still start runs on some worker.
-
-        The former leader may have just been notified of a new job that this
-        leader would start as well.
-        """
-        return self._fencing.is_pending
-
     @property
     def known_ids(self) -> list[str]:
         """Workers that are registered, or were when they were last heard of."""
@@ -118,20 +107,28 @@
             worker.largest_capacity for worker in pending if worker is not None
         ]
 
+    def may_start(self) -> bool:
+        """Returns whether starts of runs may be sent."""
+        return self._leadership.authority.may_start()
+
+    def limit_lease_s(self, lease_s: float) -> float:
+        """Returns for how many seconds a lease may be granted."""
+        return self._leadership.authority.limit_lease_s(lease_s)
+
     def stored(self, job_ids: Collection[str]) -> asyncio.Future[None]:
         """Returns a future that is done once the progress of jobs is stored."""
         return self._job_tracker.stored(job_ids)
 
     def inherit(self, registration: model.Registration) -> None:
         """Adds a worker that may have runs of earlier elections."""
-        worker = fleet.Worker(registration, clock.now_s(), _INHERITED_LEASE_S)
+        now = clock.now_s()
+        worker = fleet.Worker(
+            registration, now, max(0.0, self._former.leases_until_s - now)
+        )
         worker.has_roster_row = True
         worker.is_rostered = True
         worker.is_registered = False
-        if not self.pending_inherited:
-            self._leadership.spawn(self._fencing.run())
         self.pending_inherited.add(worker.worker_id)
-        self._fencing.expect(worker.worker_id)
         self._add(worker)
 
     def replace_former_roster(
@@ -298,7 +295,6 @@
         self.workers.remove(worker)
         self._sessions.pop(worker.worker_id, None)
         self.pending_inherited.discard(worker.worker_id)
-        self._fencing.settle(worker.worker_id)
         self._deferred.pop(worker.worker_id, None)
         if not has_ended:
             self._lost.add(worker)
@@ -331,7 +327,6 @@
     ) -> None:
         """Applies a worker's listing of its runs, or keeps it for later."""
         now = clock.now_s()
-        self._fencing.settle(worker.worker_id)
         if listing.born_ms != worker.born_ms:
             self._on_other_incarnation(worker, listing)
         worker.observe_clock(listing.clock_ms, now)
@@ -358,7 +353,7 @@
             worker.born_ms > 0 and listing.born_ms > 0 and not worker.is_leaving
         )
         worker.reset_incarnation(
-            listing.born_ms, clock.now_s(), _INHERITED_LEASE_S
+            listing.born_ms, clock.now_s(), _INCARNATION_LEASE_S
         )
         if not has_crashed:
             return
--- a/src/marigoldgap/node/instance_registry.py
+++ b/src/marigoldgap/node/instance_registry.py
@@ -52,6 +52,7 @@
 
     Attributes:
         peers: Clients of the other instances, the latest registered first.
+        is_read: Whether they were read since the latest call of `poll`.
     """
 
     def __init__(
@@ -61,15 +62,18 @@
         own_name: str,
     ) -> None:
         self.peers: list[peers.PeerClient] = []
+        self.is_read = False
         self._reader = reader
         self._pool = pool
         self._own_name = own_name
 
     async def poll(self) -> None:
         """Polls the registered instances until cancelled."""
+        self.is_read = False
         while True:
             page = await self._reader.read(records.INSTANCES, "")
             self.peers = self._decode(page)
+            self.is_read = True
             await asyncio.sleep(_POLL_INTERVAL_S)
 
     def _decode(self, page: store.Page) -> list[peers.PeerClient]:
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -20,6 +20,7 @@
 from marigoldgap.cell import peers
 from marigoldgap.cell import scheduler as schedulers
 from marigoldgap.cell import table_reader
+from marigoldgap.cell import vouching
 from marigoldgap.cell import watcher
 from marigoldgap.node import instance_registry
 from marigoldgap.node import loop_monitor
@@ -285,15 +286,13 @@
         reader = table_reader.TableReader(self._rows)
         scheduler = schedulers.Scheduler(
             self._rows,
-            won.election_row,
-            won.epoch,
+            won,
             worker_client.WorkerClient(self._pool),
             self._advice_proxies,
             lambda: self._configuration.current,
             lambda: self._configuration.is_outdated(self._rows.unreachable_s),
             self._offer_takeover,
             self.settings.job_retention_s,
-            won.is_former_inactive,
             lambda: self._rows.refused_s,
             reader,
         )
@@ -314,6 +313,7 @@
             leadership_transfer.run(
                 self._election, scheduler, self._offer_to_preferred
             ),
+            vouching.run(scheduler, self._instances),
         ):
             scheduler.spawn(work)
         try:
--- /dev/null
+++ b/tests/features/cell/authority.feature
@@ -0,0 +1,87 @@
+Feature: A leader that the store does not confirm stops starting tasks
+
+  Scenario: A leader without a confirmation starts nothing
+    Guards against two leaders that start the same job, if the former one is cut
+    off from the store (review case 4).
+    Given a cell with 2 workers and 2 instances
+    And the other instance neither vouches for the leader nor takes over
+    When the leader gets no answers to its writes for 2.5 s
+    And another job is submitted to the former leader at once
+    Then no worker starts that task in 1 s
+    When the leader gets answers to its writes again
+    Then the other job is completed
+    And the other job was started once
+
+  Scenario: The next leader waits for workers that only the former one reaches
+    Guards against a job that the next leader starts as well, since a worker that
+    does not answer it may answer the former leader (review case 4).
+    Given a cell with 2 workers and 2 instances
+    And the first worker does not answer the second fencing token
+    When a claim of the other instance takes effect late
+    And a job of 2 tasks of 4000 ms on both workers is submitted to the former leader
+    And the first worker has begun a task
+    And the first worker answers the second fencing token after 3 s
+    Then the other job is completed
+    And no task ran in two places
+    And each task of the other job was started once
+
+  Scenario: Jobs that are stored after the former leader has stopped do not wait
+    Guards against a cell that stands still for as long as a worker does not answer.
+    Given a cell with 2 workers and 2 instances
+    And the first worker does not answer the second fencing token
+    When a claim of the other instance takes effect late
+    And 3.5 s pass
+    Then a new job of 1 tasks completes on the other instances within 1 s
+
+  Scenario: A leader whose heartbeat comes back is not replaced
+    Guards against a successor that takes the former leader to be unconfirmed for
+    longer than it is.
+    Given a cell with 1 workers and 2 instances
+    When the other instance claims after a heartbeat that it has not seen
+    Then the leader is the same as before
+
+  Scenario: Tasks go on in an outage of the store that all instances see
+    Guards against tasks that are ended by a long outage.
+    Given leases that end 3 s after the latest confirmation
+    And a cell with 1 workers and 2 instances
+    When a job with the payload "ms=4500" is submitted and has begun
+    And the store refuses every call for 5 s
+    And the store answers again
+    Then every instance shows the job as "completed"
+    And each of its tasks was started once
+
+  Scenario: Tasks start in an outage of the store that all instances see
+    Guards against a cell that stands still although nobody can be elected.
+    Given a cell with 1 workers and 2 instances
+    And the workspace may use 1000 millicores
+    When another job of 12 tasks with 1000 millicores each is submitted
+    And the store is silent for 5 s
+    Then tasks of the other job have started more than 3 s after the outage began
+
+  Scenario: Leases end in an outage if an instance does not vouch for the leader
+    Guards against tasks that the next leader takes to have ended, while the former
+    one renews the leases of workers which the next one does not reach.
+    Given leases that end 3 s after the latest confirmation
+    And a cell with 1 workers and 2 instances
+    And the other instance does not vouch for the leader
+    When a job with the payload "ms=60000" is submitted and has begun
+    And the store refuses every call for 4.5 s
+    Then the task has lapsed
+
+  Scenario Outline: The limits of the former leader follow from what is known
+    Guards against a wait that is too short to be safe.
+    Then the starts of a leader that <ended> end <starts> s after 100 s
+    And the leases of a leader that <ended> end <leases> s after 100 s
+
+    Examples:
+      | ended                      | starts | leases |
+      | has released               | -inf   | 6.3    |
+      | was last confirmed at then | 2.55   | 8.26   |
+
+  Scenario: No start is sent after a leadership was released
+    Guards against a start that is repeated although the next leader takes its
+    predecessor to have stopped.
+    Given a leader that was confirmed just now
+    Then it may send starts
+    When it is about to release its leadership
+    Then it may not send starts
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -15,6 +15,7 @@
 from marigoldgap.cell import advice_dispatcher
 from marigoldgap.cell import advice_targets
 from marigoldgap.cell import fleet
+from marigoldgap.cell import former_leader
 from marigoldgap.cell import isolation
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import jobs
@@ -540,7 +541,10 @@
     limits = model.RequestLimits(0, 0, 0, 0)
     configuration = model.Configuration(1, (), {}, {"team": workspace}, limits)
     context.tracker = job_tracker.JobTracker(
-        leadership.Leadership(2, None), lambda: configuration, {}
+        leadership.Leadership(2, None, None),
+        lambda: configuration,
+        {},
+        former_leader.FormerLeader(former_leader.released(0.0), 0.0, 0),
     )
     for record in random.Random(1).sample(context.records, 20):
         row_key = records.job_row_key(record.job_id)
--- a/tests/features/steps/cell_wide_steps.py
+++ b/tests/features/steps/cell_wide_steps.py
@@ -11,6 +11,7 @@
 
 from marigoldgap import clock
 from marigoldgap import json_object
+from marigoldgap.cell import former_leader
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import journal
 from marigoldgap.cell import leadership
@@ -37,7 +38,10 @@
         versions = {}
         self.journal = journal.Journal(rows, election_row, versions)
         self.tracker = job_tracker.JobTracker(
-            leadership.Leadership(1, self.journal), lambda: None, versions
+            leadership.Leadership(1, self.journal, None),
+            lambda: None,
+            versions,
+            former_leader.FormerLeader(former_leader.released(0.0), 0.0, 0),
         )
         self.writing = asyncio.create_task(self.journal.run())
 
@@ -69,7 +73,7 @@
 
     async def begin():
         context.leader = _Leader(rows)
-        context.leader.tracker.add(record)
+        context.leader.tracker.add(record, 1)
 
     loops.run(context, begin())
     context.add_cleanup(_stop_writing, context)
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -77,6 +77,8 @@
             seconds.
         duration_factor: Factor of the duration of runs.
         saved: Saved progress that it lists for each run.
+        ignored_fence: Lowest fencing token of the requests that get no answer
+            and have no effect, as if their sender could not reach the worker.
         falls_silent: Whether the next start makes the worker withhold all
             further responses.
         violations: Each violation as a text.
@@ -118,6 +120,7 @@
         self.fence_delay_s = 0.0
         self.duration_factor = 1.0
         self.saved = ""
+        self.ignored_fence = math.inf
         self.falls_silent = False
         self._is_silent = False
         self.is_draining = False
@@ -299,6 +302,8 @@
         if self._is_silent:
             await asyncio.sleep(60)
         body = json.loads(request.body)
+        if body["fence"] >= self.ignored_fence:
+            await asyncio.sleep(60)
         if self.late_orders and request.path != "/v1/hold":
             delay_s = self.late_orders.pop(0)
             self._tasks.append(
