--- a/src/marigoldgap/cell/job_tracker.py
+++ b/src/marigoldgap/cell/job_tracker.py
@@ -231,7 +231,7 @@
             if progress is not None:
                 for stored in progress.rows:
                     self._versions[stored.row_key] = stored.version
-                job.occurrences.clear()
+                job.close_all()
                 self._progress.restore(job, progress)
                 if not job.is_ended:
                     job.open_due(clock.wall_ms())
--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -248,6 +248,11 @@
             and self.next_occurrence >= self.occurrence_count
         )
 
+    def close_all(self) -> None:
+        """Closes all occurrences, before those that are stored are restored."""
+        self.occurrences.clear()
+        self.next_occurrence = 0
+
     def encode(
         self, with_saved: bool = True, with_steps: bool = True
     ) -> dict[str, Any]:
--- a/src/marigoldgap/cell/progress_rows.py
+++ b/src/marigoldgap/cell/progress_rows.py
@@ -208,12 +208,13 @@
     def _remove_parts(
         self, job_id: str, parts: set[records.ProgressPart]
     ) -> None:
-        for part in parts:
+        existing = self._parts.get(job_id, set())
+        for part in parts & existing:
             self._journal.schedule_write(
                 records.progress_part_row_key(job_id, part), _no_content
             )
         if job_id in self._parts:
-            self._parts[job_id] = self._parts[job_id] - parts
+            self._parts[job_id] = existing - parts
 
 
 def _has_parts(job: jobs.Job) -> bool:
--- a/tests/features/cell/wide_jobs.feature
+++ b/tests/features/cell/wide_jobs.feature
@@ -61,6 +61,15 @@
     Then 7 of its tasks are done
     And its progress is stored in 3 rows
 
+  Scenario: Progress that was stored before the first row of its job counts
+    Guards against a job that never runs, or runs done tasks again, if the leader
+    ends between two transactions.
+    Given a job of 2 occurrences with 300 tasks each
+    When 5 tasks of its last occurrence are done and only their row is stored
+    And another leader restores it from the stored rows
+    Then 5 tasks of its last occurrence are done
+    And all its occurrences are open
+
   Scenario: A gang is done if one of its rows says so
     Guards against a gang that runs again, as a part of its rows was stored.
     Given a gang of 500 members
--- a/tests/features/steps/cell_wide_steps.py
+++ b/tests/features/steps/cell_wide_steps.py
@@ -269,6 +269,29 @@
     assert len(found) == count, found
 
 
+@when(
+    "{count:d} tasks of its last occurrence are done and only their row is stored"
+)
+def last_occurrence_begun(context, count):
+    (step,) = _job(context).occurrences[1]
+    for position in range(count):
+        step.mark_done(position)
+    _store(context, step, range(count))
+    del context.rows.rows[records.progress_row_key(cell_jobs.JOB)]
+
+
+@then("{count:d} tasks of its last occurrence are done")
+def last_done(context, count):
+    (step,) = _job(context).occurrences[1]
+    assert step.done.bit_count() == count, step.done
+
+
+@then("all its occurrences are open")
+def all_open(context):
+    job = _job(context)
+    assert len(job.occurrences) == job.occurrence_count, job.occurrences
+
+
 @when("one member is done and only its row is stored")
 def member_done(context):
     (step,) = _job(context).open_steps()
