--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -117,6 +117,7 @@
         """Returns whether a worker may be used, apart from a quarantine."""
         return (
             self.contact is Contact.ANSWERING
+            and self._is_described
             and self.is_rostered
             and self.is_registered
             and not self.registration.is_draining
@@ -124,6 +125,16 @@
             and now >= self.avoid_until_s
         )
 
+    @property
+    def _is_described(self) -> bool:
+        """Whether its registration is that of the process that answers.
+
+        The next process may have other labels, capacity or service under the
+        same id.
+        """
+        born_ms = self.registration.born_ms
+        return not born_ms or not self.born_ms or born_ms == self.born_ms
+
     def is_withheld(self, now: float) -> bool:
         """Returns whether the quarantine of a worker keeps new runs from it.
 
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -196,3 +196,13 @@
       | 1        | 3       | 12    |
       | 1        | 99      | 192   |
       | 400      | 0       | 16    |
+
+  Scenario: A worker that comes back as another kind gets no task of the former
+    Guards against a task on a worker without its label, as the registration of
+    the former process is still the latest that was read (review case 5).
+    Given a cell with 1 workers and 1 instances
+    When the worker crashes and comes back as kind "b" without access to the store
+    And a job that requires label "a" is submitted
+    Then no worker starts that task in 1 s
+    When the worker crashes and comes back as kind "a" with access to the store
+    Then every instance shows the job as "completed"
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -91,6 +91,8 @@
             response.
         restart_s: Time from a crash to the start of the next process, in
             seconds.
+        kind: First label, which names its kind.
+        restart_kinds: Kinds of the next processes; the last one is kept.
         restart_ids: Ids of the next processes; the last one is kept.
         restart_addresses: Addresses of the next processes; the last one is
             kept.
@@ -139,6 +141,8 @@
         self.lost_starts = 0
         self.restart_s = 1.2
         self.restart_ids = []
+        self.kind = "a"
+        self.restart_kinds = []
         self.restart_addresses = []
         self.resets_on_crash = False
         self.is_cut_from_store = False
@@ -228,9 +232,12 @@
         self._last_end_number = 0
         self._born_s = time.monotonic()
         self.born_ms = int(time.time() * 1000)
+        if self.restart_kinds:
+            self.kind = self.restart_kinds.pop(0)
         await self._server.start(self.address)
         self.is_down = False
-        self.register()
+        if not self.is_cut_from_store:
+            self.register()
 
     def change_capacity(self, grace_s=0.0, **amounts):
         """Changes the capacity; the former one counts for a while longer."""
@@ -258,7 +265,7 @@
             "zone": "a",
             "state": state,
             "capacity": self.capacity,
-            "labels": ["a", "r1-1"],
+            "labels": [self.kind, "r1-1"],
             "born": self.born_ms,
         }
         content = json.dumps(fields).encode()
