--- a/src/marigoldgap/cell/authority.py
+++ b/src/marigoldgap/cell/authority.py
@@ -18,7 +18,7 @@
 # Time after the latest confirmation or vouching for which a leader may send starts.
 START_PERIOD_S = 2.0
 # Time after it at which the last lease that the leader grants ends.
-LEASE_PERIOD_S = 8.0
+LEASE_PERIOD_S = 6.5
 # Share by which the clocks of two machines may differ in speed.
 _CLOCK_DRIFT = 0.02
 # Longest time from the check whether a start may be sent until it is sent.
@@ -42,6 +42,8 @@
         # Time of the latest confirmation or vouching.
         self._valid_from_s = confirmed_s
         self._has_stopped = False
+        # Time since which starts are suspended; infinite if they are not.
+        self._suspended_s = float("inf")
         self._could_start = True
 
     @property
@@ -52,14 +54,15 @@
     def may_start(self) -> bool:
         """Returns whether starts of runs may be sent."""
         age_s = clock.now_s() - self._valid_from_s
-        can_start = not self._has_stopped and age_s < START_PERIOD_S
+        is_stopped = self._has_stopped or self._suspended_s < float("inf")
+        can_start = not is_stopped and age_s < START_PERIOD_S
         if can_start != self._could_start:
             self._could_start = can_start
             _log.warning(
                 "starts_resumed" if can_start else "starts_paused",
                 unconfirmed_s=round(self.unconfirmed_s, 3),
                 age_s=round(age_s, 3),
-                has_stopped=self._has_stopped,
+                is_stopped=is_stopped,
             )
         return can_start
 
@@ -79,6 +82,8 @@
             sent_s: Monotonic time, in seconds, at which it was sent.
         """
         self._confirmed_s = max(self._confirmed_s, sent_s)
+        if sent_s >= self._suspended_s:
+            self.resume_starts()
         self._valid_from_s = max(self._valid_from_s, sent_s)
 
     def vouch(self, asked_s: float) -> None:
@@ -89,6 +94,17 @@
         """
         self._valid_from_s = max(self._valid_from_s, asked_s)
 
+    def suspend_starts(self) -> None:
+        """Sends no starts while the leadership is offered to other instances.
+
+        They are resumed when the store confirms this leader again.
+        """
+        self._suspended_s = min(self._suspended_s, clock.now_s())
+
+    def resume_starts(self) -> None:
+        """Sends starts again, as certainly no instance took the offer."""
+        self._suspended_s = float("inf")
+
     def stop_starts(self) -> None:
         """Sends no further starts, as the leadership is about to be released."""
         self._has_stopped = True
--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -19,12 +19,15 @@
 from marigoldgap import errors
 from marigoldgap import json_object
 from marigoldgap import measures
+from marigoldgap.cell import authority
 from marigoldgap.cell import former_leader
 from marigoldgap.cell import records
 from marigoldgap.cell import store
 
 _log = decision_log.DecisionLogger("election")
 
+# Interval of the leader's heartbeat.
+HEARTBEAT_S = 0.3
 # Poll intervals of the preferred candidates and of all other instances. A large
 # deployment has many of the latter, and each call to the store has a price.
 _PREFERRED_POLL_S = 0.35
@@ -231,7 +234,12 @@
             _log.warning("release_failed", epoch=won.epoch, cause=str(error))
 
     async def take_over(
-        self, epoch: int, cause: str, longest_read_s: float = float("inf")
+        self,
+        epoch: int,
+        cause: str,
+        longest_read_s: float = float("inf"),
+        has_stopped: bool = False,
+        has_ended: bool = False,
     ) -> bool:
         """Takes leadership over from an instance that cannot hold it.
 
@@ -241,16 +249,25 @@
             longest_read_s: Longest time, in seconds, that a read of the store
                 may take; if it takes longer, this instance declines, unless
                 the leadership was already released.
+            has_stopped: Whether the leader of that epoch and those before it
+                have stopped sending starts until this call fails.
+            has_ended: Whether the process of that leader has certainly ended.
 
         Returns:
             Whether this instance is the leader now.
 
         Raises:
-            StoreError: The store does not answer this instance either.
+            StoreError: The claim failed.
         """
         if not self._is_candidate or self._is_serving or self._pending_win:
             return False
-        row, _ = await self._read()
+        try:
+            row, heartbeat = await self._read()
+        except store.StoreError as error:
+            _log.info(
+                "take_over_declined", former_epoch=epoch, cause=str(error)
+            )
+            return False
         if row is None or self.leader is None or self.leader.epoch != epoch:
             return False
         if not self._is_candidate:
@@ -266,7 +283,9 @@
             )
             return False
         _log.info("taking_over", former_epoch=epoch, cause=cause)
-        won = await self._claim(row)
+        if has_ended and self._has_outlasted_former(heartbeat):
+            has_stopped = True
+        won = await self._claim(row, has_stopped=has_stopped)
         if won is None:
             return False
         self._pending_win = won
@@ -351,7 +370,13 @@
         await asyncio.sleep(self.claim_delay_s)
         if not self._is_candidate:
             return None
-        return await self._claim(row, silence)
+        # An earlier process of this instance has ended.
+        has_stopped = (
+            self.leader is not None
+            and self.leader.instance == self._instance
+            and self._has_outlasted_former(heartbeat)
+        )
+        return await self._claim(row, silence, has_stopped)
 
     def _is_heartbeat_overdue(
         self, row: store.Row | None, heartbeat: store.Row | None, now: float
@@ -377,7 +402,10 @@
         )
 
     async def _claim(
-        self, row: store.Row | None, silence: _Silence | None = None
+        self,
+        row: store.Row | None,
+        silence: _Silence | None = None,
+        has_stopped: bool = False,
     ) -> ElectionWin | None:
         """Claims leadership.
 
@@ -385,15 +413,19 @@
             row: The election row as it was read.
             silence: Overdue heartbeat of the former leader; None if it is
                 replaced for another reason.
+            has_stopped: Whether all former leaders have stopped sending starts.
         """
         self._is_claiming = True
         try:
-            return await self._send_claim(row, silence)
+            return await self._send_claim(row, silence, has_stopped)
         finally:
             self._is_claiming = False
 
     async def _send_claim(
-        self, row: store.Row | None, silence: _Silence | None
+        self,
+        row: store.Row | None,
+        silence: _Silence | None,
+        has_stopped: bool,
     ) -> ElectionWin | None:
         former = self.leader
         claimed_s = clock.now_s()
@@ -426,24 +458,46 @@
             election_row,
             epoch,
             claimed_s,
-            self._former_limits(former, silence),
+            self._former_limits(former, silence, has_stopped),
         )
 
     def _former_limits(
-        self, former: Leader | None, silence: _Silence | None
+        self,
+        former: Leader | None,
+        silence: _Silence | None,
+        has_stopped: bool,
     ) -> former_leader.FormerLimits:
-        """Returns when the leaders before a claim that was applied have ended.
-
-        A row that names this instance proves nothing: that claim may have been
-        applied late, while the leader before it was still working.
-        """
+        """Returns when the leaders before a claim that was applied have ended."""
         now = clock.now_s()
         if former is None or former.was_obeyed:
             return former_leader.released(now)
+        if has_stopped:
+            return former_leader.stopped(now)
         if silence is None:
             return former_leader.unconfirmed(now)
         return former_leader.unconfirmed(max(silence.since_s, self._vouched_s))
 
+    def _has_outlasted_former(self, heartbeat: store.Row | None) -> bool:
+        """Returns whether the leaders before the present one cannot send starts.
+
+        The election row does not prove it: its claim may have been applied
+        late, while the leader before it was still working. Enough heartbeats of
+        its epoch do: their leader led until the limits of all before it had
+        passed.
+        """
+        leader = self.leader
+        if leader is None or heartbeat is None:
+            return False
+        try:
+            fields = records.decode(heartbeat.value)
+            led_s = HEARTBEAT_S * (int(fields["beat"]) - 1)
+        except (errors.MarigoldgapError, KeyError, TypeError, ValueError):
+            return False
+        return (
+            fields.get("epoch") == leader.epoch
+            and led_s > authority.FORMER_LEASES_S
+        )
+
     async def _find_claim(self, content: bytes) -> int:
         """Returns the row version of the claim if it was stored, else 0."""
         page = await self._rows.read(
--- a/src/marigoldgap/cell/former_leader.py
+++ b/src/marigoldgap/cell/former_leader.py
@@ -37,6 +37,15 @@
     return FormerLimits(float("-inf"), claimed_s + _RELEASED_LEASES_S)
 
 
+def stopped(claimed_s: float) -> FormerLimits:
+    """Returns the limits of a leader that sends no starts, but may grant leases.
+
+    Args:
+        claimed_s: Monotonic time in seconds of the claim.
+    """
+    return unconfirmed(claimed_s)._replace(starts_until_s=float("-inf"))
+
+
 def unconfirmed(confirmed_s: float) -> FormerLimits:
     """Returns the limits of a leader that may not know of the election.
 
--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -169,7 +169,11 @@
         if self._election.claim_delay_s > fields["most_delay_s"]:
             return False
         return await self._election.take_over(
-            int(fields["epoch"]), "requested by the leader", _MAX_READ_S
+            int(fields["epoch"]),
+            "requested by the leader",
+            _MAX_READ_S,
+            # Earlier versions do not send it.
+            fields.get("has_stopped") is True,
         )
 
     async def _request_tickets(
@@ -254,13 +258,17 @@
             _QUERY_TIMEOUT_S,
         )
 
-    async def take_over(self, epoch: int, most_delay_s: float) -> bool:
+    async def take_over(
+        self, epoch: int, most_delay_s: float, has_stopped: bool
+    ) -> bool:
         """Requests that the instance takes leadership over.
 
         Args:
             epoch: Epoch of the leadership that ends.
             most_delay_s: The instance declines if its claim delay is longer,
                 that is, if it is placed worse than this allows.
+            has_stopped: Whether this leader, and all before it, send no starts
+                until the answer arrives.
 
         Returns:
             Whether the instance is the leader now.
@@ -268,7 +276,11 @@
         Raises:
             MarigoldgapError: The call failed or its answer is invalid.
         """
-        body = {"epoch": epoch, "most_delay_s": most_delay_s}
+        body = {
+            "epoch": epoch,
+            "most_delay_s": most_delay_s,
+            "has_stopped": has_stopped,
+        }
         fields = await self._call(
             "POST",
             _TAKE_OVER_PATH,
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -40,8 +40,6 @@
 
 _log = decision_log.DecisionLogger("scheduler")
 
-# Interval of the leader's heartbeat.
-HEARTBEAT_S = 0.3
 # If the store refuses all calls for this long, leadership is offered to other
 # instances. Calls without an answer do not count. If answers are lost, they are
 # lost for all instances. If the store is silent for this instance only, the
@@ -389,7 +387,7 @@
             self._leadership.journal.schedule_urgent_write(
                 records.HEARTBEAT, functools.partial(_identity, heartbeat)
             )
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(elections.HEARTBEAT_S)
 
 
 def _log_usage(
--- a/src/marigoldgap/cell/watcher.py
+++ b/src/marigoldgap/cell/watcher.py
@@ -40,6 +40,9 @@
         self._election = election
         self._own_name = own_name
         self._pool = pool
+        # The leader that closed the latest connection in order, as the end of
+        # its process does; a network cut resets or silences connections.
+        self._closed_by: elections.Leader | None = None
 
     async def run(self) -> None:
         """Watches until cancelled."""
@@ -56,8 +59,15 @@
             try:
                 await peer.watch()
             except messages.ConnectionRefusedByHostError:
-                await self._take_over(leader)
+                await self._take_over(leader, self._closed_by == leader)
                 await asyncio.sleep(_PAUSE_S)
+            except messages.ClosedByHostError as error:
+                self._closed_by = leader
+                _log.info(
+                    "leader_closed_connection",
+                    leader=leader.instance,
+                    cause=str(error),
+                )
             except messages.NoAnswerError as error:
                 _log.info(
                     "leader_connection_lost",
@@ -72,11 +82,15 @@
                 )
                 await asyncio.sleep(_PAUSE_S)
 
-    async def _take_over(self, leader: elections.Leader) -> None:
+    async def _take_over(
+        self, leader: elections.Leader, has_ended: bool
+    ) -> None:
         await asyncio.sleep(self._election.claim_delay_s)
         try:
             await self._election.take_over(
-                leader.epoch, f"the process of {leader.instance} has ended"
+                leader.epoch,
+                f"the process of {leader.instance} refuses connections",
+                has_ended=has_ended,
             )
         except errors.MarigoldgapError as error:
             _log.warning("take_over_failed", cause=str(error))
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -334,6 +334,10 @@
     ) -> bool:
         """Asks the other instances to take over, the best placed first.
 
+        This leader sends no starts meanwhile, nor after an instance did not
+        answer, which may be the leader: only a confirmation by the store shows
+        that it is not.
+
         Args:
             epoch: Epoch of the leadership that ends.
             max_delays_s: Longest claim delay, in seconds, of the instances that
@@ -342,12 +346,18 @@
         Returns:
             Whether one of them accepted.
         """
+        scheduler = self._scheduler
+        has_stopped = False
+        if scheduler is not None:
+            scheduler.authority.suspend_starts()
+            has_stopped = scheduler.is_obeyed
+        is_certain = True
         candidates = self._instances.peers
         for max_delay_s in max_delays_s:
             for first in range(0, len(candidates), _CONCURRENT_TAKEOVER_OFFERS):
                 answers = await asyncio.gather(
                     *(
-                        peer.take_over(epoch, max_delay_s)
+                        peer.take_over(epoch, max_delay_s, has_stopped)
                         for peer in candidates[
                             first : first + _CONCURRENT_TAKEOVER_OFFERS
                         ]
@@ -356,6 +366,10 @@
                 )
                 if any(answer is True for answer in answers):
                     return True
+                if any(answer is not False for answer in answers):
+                    is_certain = False
+        if scheduler is not None and is_certain:
+            scheduler.authority.resume_starts()
         return False
 
     def _advice_proxies(self) -> list[advice_dispatcher.AdviceProxy]:
--- a/tests/features/steps/cell_authority_steps.py
+++ b/tests/features/steps/cell_authority_steps.py
@@ -10,9 +10,12 @@
 from behave import when
 
 from marigoldgap import clock
+from marigoldgap import json_object
 from marigoldgap.cell import authority
+from marigoldgap.cell import election as elections
 from marigoldgap.cell import former_leader
 from marigoldgap.cell import records
+from marigoldgap.cell import store
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
 from tests.fixtures import loops
@@ -21,6 +24,7 @@
 _AT_S = 100.0
 _LIMITS = {
     "has released": former_leader.released,
+    "has stopped starting": former_leader.stopped,
     "was last confirmed at then": former_leader.unconfirmed,
 }
 
@@ -195,6 +199,109 @@
     context.authority.stop_starts()
 
 
+@when("it suspends its starts for an offer")
+def suspend(context):
+    context.suspended_s = clock.now_s()
+    context.authority.suspend_starts()
+
+
+@when("a heartbeat that was sent before is confirmed")
+def confirm_before(context):
+    context.authority.confirm(context.suspended_s - 0.1)
+
+
+@when("a heartbeat that was sent afterwards is confirmed")
+def confirm_after(context):
+    context.authority.confirm(clock.now_s())
+
+
+@when(
+    "the leader offers its leadership and the other instance answers {answer}"
+)
+def offer(context, answer):
+    context.former = context.world.leader()
+    (other,) = (
+        each for each in context.world.instances if each is not context.former
+    )
+
+    async def decline(*_):
+        return False
+
+    async def fail(*_):
+        raise store.StoreUnknownError("no answer")
+
+    other._election.take_over = (
+        decline if answer == "that it declines" else fail
+    )
+    scheduler = context.former.scheduler
+    # No heartbeat is confirmed after the offer.
+    scheduler._leadership.journal._rows = _GatedStore(None)
+    epoch = scheduler.worker_tracker.epoch
+
+    async def send():
+        await loops.until(lambda: context.former._instances.peers)
+        assert not await context.former._offer_takeover(epoch)
+
+    loops.run(context, send())
+
+
+@then("the leader may send starts")
+def leader_may(context):
+    assert context.former.scheduler.authority.may_start()
+
+
+@then("the leader may not send starts")
+def leader_may_not(context):
+    assert not context.former.scheduler.authority.may_start()
+
+
+@when("the other instance takes the offer of a leader that has stopped")
+def take_offer(context):
+    leader = context.world.leader()
+    (other,) = (each for each in context.world.instances if each is not leader)
+    epoch = leader.scheduler.worker_tracker.epoch
+    found = []
+    serve = other._election._serve
+
+    async def record(won):
+        found.append(won)
+        await serve(won)
+
+    other._election._serve = record
+
+    async def take():
+        election = other._election
+        assert await election.take_over(epoch, "test", has_stopped=True)
+        await loops.until(lambda: found)
+
+    loops.run(context, take())
+    context.won = found[0]
+
+
+@then("the next leader knows that nothing is started any more")
+def nothing_started_any_more(context):
+    assert context.won.former.starts_until_s == float("-inf"), context.won
+
+
+@then("{beats:d} heartbeats of epoch {epoch:d} under its name prove {proof}")
+def prove(context, beats, epoch, proof):
+    leader = context.world.leader()
+    (other,) = (each for each in context.world.instances if each is not leader)
+    found = other._election
+    found.leader = elections.Leader(5, other.settings.name, "", False)
+    content = json_object.encode({"epoch": epoch, "beat": beats})
+    row = store.Row(records.HEARTBEAT, content, 1)
+    is_proved = proof == "that none is left"
+    assert found._has_outlasted_former(row) == is_proved
+
+
+@given("leases of a former leader that end after {seconds:g} s")
+def long_former_leases(context, seconds):
+    patch = mock.patch.object(authority, "FORMER_LEASES_S", seconds)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @then("it may send starts")
 def may_send(context):
     assert context.authority.may_start()
