--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -366,7 +366,7 @@
                 )
                 if any(answer is True for answer in answers):
                     return True
-                if any(answer is not False for answer in answers):
+                if not all(map(_has_declined, answers)):
                     is_certain = False
         if scheduler is not None and is_certain:
             scheduler.authority.resume_starts()
@@ -403,6 +403,13 @@
         return await self._api.ready(request)
 
 
+def _has_declined(answer: bool | BaseException) -> bool:
+    """Returns whether an instance has certainly not taken the leadership over."""
+    if isinstance(answer, errors.MarigoldgapError):
+        return answer.ran is errors.Ran.NO
+    return answer is False
+
+
 async def _handle_metrics(request: messages.Request) -> messages.Response:
     del request
     return messages.Response(200, measures.text())
--- a/tests/features/cell/authority.feature
+++ b/tests/features/cell/authority.feature
@@ -95,13 +95,14 @@
     Guards against starts beside the next leader, and against a cell that stands
     still because nobody takes the offer.
     Given a cell with 1 workers and 2 instances
-    When the leader offers its leadership and the other instance answers <answer>
+    When the leader offers its leadership and the other instance <answer>
     Then the leader <may> send starts
 
     Examples:
-      | answer           | may     |
-      | that it declines | may     |
-      | nothing          | may not |
+      | answer                 | may     |
+      | declines               | may     |
+      | refuses the connection | may     |
+      | does not answer        | may not |
 
   Scenario: An offered leadership is known to have stopped starting
     Guards against new jobs that wait for silent workers after a hand-over.
--- a/tests/features/steps/cell_authority_steps.py
+++ b/tests/features/steps/cell_authority_steps.py
@@ -215,9 +215,7 @@
     context.authority.confirm(clock.now_s())
 
 
-@when(
-    "the leader offers its leadership and the other instance answers {answer}"
-)
+@when("the leader offers its leadership and the other instance {answer}")
 def offer(context, answer):
     context.former = context.world.leader()
     (other,) = (
@@ -230,9 +228,7 @@
     async def fail(*_):
         raise store.StoreUnknownError("no answer")
 
-    other._election.take_over = (
-        decline if answer == "that it declines" else fail
-    )
+    other._election.take_over = decline if answer == "declines" else fail
     scheduler = context.former.scheduler
     # No heartbeat is confirmed after the offer.
     scheduler._leadership.journal._rows = _GatedStore(None)
@@ -240,6 +236,8 @@
 
     async def send():
         await loops.until(lambda: context.former._instances.peers)
+        if answer == "refuses the connection":
+            other.abort()
         assert not await context.former._offer_takeover(epoch)
 
     loops.run(context, send())
