--- a/src/marigoldgap/cell/authority.py
+++ b/src/marigoldgap/cell/authority.py
@@ -54,7 +54,7 @@
     def may_start(self) -> bool:
         """Returns whether starts of runs may be sent."""
         age_s = clock.now_s() - self._valid_from_s
-        is_stopped = self._has_stopped or self._suspended_s < float("inf")
+        is_stopped = self._has_stopped or self.is_suspended
         can_start = not is_stopped and age_s < START_PERIOD_S
         if can_start != self._could_start:
             self._could_start = can_start
@@ -94,15 +94,20 @@
         """
         self._valid_from_s = max(self._valid_from_s, asked_s)
 
+    @property
+    def is_suspended(self) -> bool:
+        """Whether starts are suspended for an offer of the leadership."""
+        return self._suspended_s < float("inf")
+
     def suspend_starts(self) -> None:
         """Sends no starts while the leadership is offered to other instances.
 
         They are resumed when the store confirms this leader again.
         """
-        self._suspended_s = min(self._suspended_s, clock.now_s())
+        self._suspended_s = clock.now_s()
 
     def resume_starts(self) -> None:
-        """Sends starts again, as certainly no instance took the offer."""
+        """Sends starts again, as certainly no instance took an offer."""
         self._suspended_s = float("inf")
 
     def stop_starts(self) -> None:
--- a/src/marigoldgap/cell/watcher.py
+++ b/src/marigoldgap/cell/watcher.py
@@ -41,7 +41,8 @@
         self._own_name = own_name
         self._pool = pool
         # The leader that closed the latest connection in order, as the end of
-        # its process does; a network cut resets or silences connections.
+        # its process does, and has refused connections since; a network cut
+        # resets or silences open ones.
         self._closed_by: elections.Leader | None = None
 
     async def run(self) -> None:
@@ -56,10 +57,12 @@
                 await asyncio.sleep(_PAUSE_S)
                 continue
             peer = peers.PeerClient(self._pool, leader.address, leader.instance)
+            closed_by, self._closed_by = self._closed_by, None
             try:
                 await peer.watch()
             except messages.ConnectionRefusedByHostError:
-                await self._take_over(leader, self._closed_by == leader)
+                self._closed_by = closed_by
+                await self._take_over(leader, closed_by == leader)
                 await asyncio.sleep(_PAUSE_S)
             except messages.ClosedByHostError as error:
                 self._closed_by = leader
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -348,10 +348,12 @@
         """
         scheduler = self._scheduler
         has_stopped = False
+        is_certain = True
         if scheduler is not None:
+            # An instance may have taken an earlier offer without an answer.
+            is_certain = not scheduler.authority.is_suspended
             scheduler.authority.suspend_starts()
             has_stopped = scheduler.is_obeyed
-        is_certain = True
         candidates = self._instances.peers
         for max_delay_s in max_delays_s:
             for first in range(0, len(candidates), _CONCURRENT_TAKEOVER_OFFERS):
--- a/tests/features/cell/authority.feature
+++ b/tests/features/cell/authority.feature
@@ -104,6 +104,14 @@
       | refuses the connection | may     |
       | does not answer        | may not |
 
+  Scenario: An offer that is declined does not undo one without an answer
+    Guards against a former leader that starts jobs again because the next
+    leader declines a second offer.
+    Given a cell with 1 workers and 2 instances
+    When the leader offers its leadership and the other instance does not answer
+    And the leader offers its leadership and the other instance declines
+    Then the leader may not send starts
+
   Scenario: An offered leadership is known to have stopped starting
     Guards against new jobs that wait for silent workers after a hand-over.
     Given a cell with 1 workers and 2 instances
