--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -295,8 +295,8 @@
     def vouch(self, epoch: int) -> bool:
         """Returns whether this instance knows no leader after that of an epoch.
 
-        If it is elected later, it takes the leases of that leader to be granted
-        up to this moment.
+        If this instance is elected later, it assumes that the leader of that
+        epoch went on until this moment.
         """
         if self._is_claiming or self._is_serving or self._pending_win:
             return False
