--- a/src/marigoldgap/cell/ports.py
+++ b/src/marigoldgap/cell/ports.py
@@ -25,6 +25,13 @@
     code = "other-life"
 
 
+class ReplacedProcessError(OtherIncarnationError):
+    """Another process of the worker answers; the command was not sent."""
+
+    code = "replaced-process"
+    ran = errors.Ran.NO
+
+
 class AdviceBusyError(messages.ExchangeError):
     """The advice service rejected a call: too many wait from this machine."""
 
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -208,6 +208,9 @@
                     _COMMAND_TIMEOUT_S,
                 )
             except errors.MarigoldgapError as error:
+                if isinstance(error, ports.ReplacedProcessError):
+                    # The renewal in progress waits on a silenced connection.
+                    self._listener.on_silent(worker, str(error))
                 may_have_started = (
                     may_have_started or error.ran is not errors.Ran.NO
                 )
--- a/src/marigoldgap/platform/worker_client.py
+++ b/src/marigoldgap/platform/worker_client.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import Any
 
+from marigoldgap import errors
 from marigoldgap import json_object
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
@@ -74,6 +77,8 @@
             NoAnswerError: The run may start, even seconds later.
             InvalidAnswerError: The answer is malformed; the run may have
                 started.
+            ReplacedProcessError: Another process of the worker answers;
+                nothing was sent.
         """
         body: dict[str, Any] = {
             "task": encode_task(name.task),
@@ -86,8 +91,12 @@
             body["saved"] = saved
         if ticket:
             body["ticket"] = ticket
+
+        async def check(connection: client.Connection) -> None:
+            await self._check_process(connection, worker, fence)
+
         answer = await self._send_command(
-            worker, "/v1/run-start", body, timeout_s
+            worker, "/v1/run-start", body, timeout_s, check
         )
         try:
             return model.StartAnswer(
@@ -97,6 +106,40 @@
             # The command has reached the worker, so the run may have started.
             raise messages.InvalidAnswerError(str(error)) from error
 
+    async def _check_process(
+        self,
+        connection: client.Connection,
+        worker: model.Registration,
+        fence: int,
+    ) -> None:
+        """Checks that a connection leads to the registered process.
+
+        The connections to a worker may have been silenced, so that its end is
+        not known. The next process has its id, but may have other labels. A
+        connection does not outlive the process, so one check is enough.
+
+        Raises:
+            NotConnectedError: There is no usable answer; nothing was started.
+            ReplacedProcessError: Another process answers.
+        """
+        try:
+            listing = await self.renew(connection, worker, fence, 0, 0, 0)
+        except ports.FencedError:
+            raise
+        except errors.MarigoldgapError as error:
+            raise messages.NotConnectedError(
+                f"process of worker {worker.worker_id} not confirmed: {error}"
+            ) from error
+        if (
+            worker.born_ms
+            and listing.born_ms
+            and listing.born_ms != worker.born_ms
+        ):
+            raise ports.ReplacedProcessError(
+                f"worker {worker.worker_id} runs the process of"
+                f" {listing.born_ms}, not of {worker.born_ms}"
+            )
+
     async def stop(
         self,
         worker: model.Registration,
@@ -183,6 +226,7 @@
         path: str,
         body: dict[str, Any],
         timeout_s: float,
+        check: Callable[[client.Connection], Awaitable[None]] | None = None,
     ) -> messages.Response:
         return await self._pool.exchange(
             "POST",
@@ -191,6 +235,7 @@
             json_object.encode(body),
             timeout_s,
             ((_EXPECTED_WORKER_HEADER, worker.worker_id),),
+            check=check,
         )
 
 
--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import socket
 from typing import Any
 
@@ -238,6 +240,7 @@
         timeout_s: float = 1.0,
         headers: tuple[tuple[str, str], ...] = (),
         is_bulk: bool = False,
+        check: Callable[[Connection], Awaitable[None]] | None = None,
     ) -> messages.Response:
         """Sends a request once and returns the complete response.
 
@@ -251,12 +254,22 @@
             headers: Further headers.
             is_bulk: Whether the limit is for the time until the next part of
                 the response, instead of the complete response.
+            check: Called with a new connection before the request is sent on
+                it; raises an error if the connection must not be used.
 
         Raises:
             NotConnectedError: Nothing was sent.
             NoAnswerError: The request may have been carried out.
         """
-        connection = self._acquire(address) or await connect(address)
+        connection = self._acquire(address)
+        if connection is None:
+            connection = await connect(address)
+            if check is not None:
+                try:
+                    await check(connection)
+                except BaseException:
+                    connection.close()
+                    raise
         head = request_head(method, address, path, len(body), headers)
         response = await connection.exchange(head, body, timeout_s, is_bulk)
         self._release(address, connection)
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -206,3 +206,14 @@
     Then no worker starts that task in 1 s
     When the worker crashes and comes back as kind "a" with access to the store
     Then every instance shows the job as "completed"
+
+  Scenario: A worker that is replaced without a sign gets no task of the former
+    Guards against a task on a worker without its label, as the connections to
+    the former process were silenced and not closed, so that its end shows only
+    after seconds (review case 5).
+    Given a cell with 1 workers and 1 instances
+    When another process of kind "b" takes its place without a sign
+    And a job that requires label "a" is submitted
+    Then no worker starts that task in 1 s
+    When the worker crashes and comes back as kind "a" with access to the store
+    Then every instance shows the job as "completed"
--- a/tests/features/steps/cell_kind_steps.py
+++ b/tests/features/steps/cell_kind_steps.py
@@ -33,6 +33,23 @@
     loops.run(context, restart())
 
 
+@when('another process of kind "{kind}" takes its place without a sign')
+def replace_silently(context, kind):
+    (worker,) = context.world.workers
+    worker.restart_s = _RESTART_S
+    worker.restart_kinds = [kind]
+    worker.is_cut_from_store = True
+    worker.silences_on_crash = True
+    former_ms = worker.born_ms
+
+    async def restart():
+        worker.crash()
+        await loops.until(lambda: worker.born_ms != former_ms)
+        await loops.until(lambda: not worker.is_down)
+
+    loops.run(context, restart())
+
+
 @when('a job that requires label "{label}" is submitted')
 def submit_labelled(context, label):
     status, _ = cell_jobs.submit(context, cell_world.job(requiredLabel=label))
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -98,6 +98,8 @@
             kept.
         resets_on_crash: Whether a crash resets its connections, instead of
             closing them.
+        silences_on_crash: Whether its connections stay open after a crash and
+            carry nothing more.
         is_cut_from_store: Whether it cannot renew its registration.
         is_down: Whether its process has ended and not started again.
         crashes: Runs that were lost in each crash, by name of the task.
@@ -145,6 +147,7 @@
         self.restart_kinds = []
         self.restart_addresses = []
         self.resets_on_crash = False
+        self.silences_on_crash = False
         self.is_cut_from_store = False
         self.crashes = []
         self.history = []
@@ -202,6 +205,8 @@
         self._record_crash()
         if self.resets_on_crash:
             self._reset_connections()
+        if self.silences_on_crash:
+            self._silence_connections()
         self._server.close()
         for name, each in self.running.items():
             self._fleet_runs.end(name, self.worker_id)
@@ -209,6 +214,14 @@
         self.running.clear()
         self._tasks.append(asyncio.create_task(self._restart()))
 
+    def _silence_connections(self):
+        """Keeps connections open that carry nothing more in either way."""
+        for connection in list(self._server._connections):
+            self._server.remove(connection)
+            connection._transport.pause_reading()
+            if connection._task is not None:
+                connection._task.cancel()
+
     def _record_crash(self):
         self.crashes.append(
             {name: each["run"] for name, each in self.running.items()}
