--- a/src/marigoldgap/cell/advice_dispatcher.py
+++ b/src/marigoldgap/cell/advice_dispatcher.py
@@ -17,6 +17,7 @@
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
+from marigoldgap.cell import advice_targets
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
 from marigoldgap.cell import step_progress
@@ -27,9 +28,6 @@
 _SLOW_CALL_S = 0.1
 # Share of the proxies that only quick calls may use.
 _QUICK_SHARE = 0.25
-# Minimum of the concurrent calls that a gang may use; each covers up to 100
-# workers.
-_GANG_CONCURRENT_CALLS = 2
 # A call may be overtaken by a quicker one that is requested later by up to this
 # multiple of the difference between their declared times.
 _OVERTAKING_FACTOR = 4.0
@@ -112,13 +110,8 @@
         """
         if step.is_advice_pending or not workers:
             return
-        max_calls = 1
-        if step.spec.is_gang:
-            max_calls = max(
-                _GANG_CONCURRENT_CALLS, _calls_for(step.spec.task_count)
-            )
-        calls = min(max_calls, _calls_for(len(workers)))
-        asked = workers[: calls * ports.MAX_ADVISED_WORKERS]
+        asked = workers[: advice_targets.max_requested(step)]
+        calls = _calls_for(len(asked))
         now = clock.now_s()
         for first in range(calls):
             step.pending_advice_calls += 1
@@ -139,15 +132,19 @@
             if self._paused_until_s.get(proxy.name, 0.0) <= now
         ]
         quick_proxies = max(1, int(len(proxies) * _QUICK_SHARE))
+        free = [proxy for proxy in proxies if proxy.name not in self._busy]
+        free_for_slow = [
+            proxy
+            for proxy in proxies[quick_proxies:] or proxies
+            if proxy.name not in self._busy
+        ]
         for request in list(self._waiting):
             if request.step.job.is_ended:
                 self._drop(request)
                 continue
             is_slow = request.declared_s > _SLOW_CALL_S
-            usable = proxies[quick_proxies:] if is_slow else proxies
-            usable = usable or proxies
-            free = [proxy for proxy in usable if proxy.name not in self._busy]
-            if not free:
+            usable = free_for_slow if is_slow else free
+            if not usable:
                 continue
             workers = self._choose(request.step, request.workers)
             if not workers:
@@ -156,8 +153,11 @@
             self._waiting.remove(request)
             # A silent instance takes longer to fail than its pause lasts.
             proxy = min(
-                free, key=lambda proxy: self._failures.get(proxy.name, 0)
+                usable, key=lambda proxy: self._failures.get(proxy.name, 0)
             )
+            free.remove(proxy)
+            if proxy in free_for_slow:
+                free_for_slow.remove(proxy)
             self._busy[proxy.name] = now
             task = asyncio.create_task(
                 self._call(proxy, request._replace(workers=workers))
--- a/src/marigoldgap/cell/advice_targets.py
+++ b/src/marigoldgap/cell/advice_targets.py
@@ -6,12 +6,29 @@
 
 from __future__ import annotations
 
+import heapq
+import math
+
 from marigoldgap.cell import fleet
+from marigoldgap.cell import ports
 from marigoldgap.cell import step_progress
 
 # Number of workers up to which a call asks about more than were requested: the
 # time of a call depends little on them.
 _MIN_WORKERS = 30
+# Minimum of the concurrent calls that a gang may use.
+_GANG_CONCURRENT_CALLS = 2
+
+
+def max_requested(step: step_progress.StepProgress) -> int:
+    """Returns the number of workers that calls may ask about at one time."""
+    calls = 1
+    if step.spec.is_gang:
+        calls = max(
+            _GANG_CONCURRENT_CALLS,
+            math.ceil(step.spec.task_count / ports.MAX_ADVISED_WORKERS),
+        )
+    return calls * ports.MAX_ADVISED_WORKERS
 
 
 def choose(
@@ -32,21 +49,68 @@
         workers: All workers of the cell.
         now: Current monotonic time in seconds.
     """
-    usable = {
-        worker.worker_id: worker
-        for worker in workers.values()
-        if worker.is_available(now) and _is_suitable(worker, step)
+    chosen = {
+        name: None for name in requested if _is_usable(workers, name, step, now)
     }
-    chosen = [name for name in requested if name in usable]
-    further = [
-        name
-        for name in usable.keys() - set(chosen)
-        if name not in step.asked_workers
-        or (step.spec.is_gang and name in step.advised_workers)
-    ]
-    further.sort(key=lambda name: (-usable[name].free()[0], name))
     limit = max(len(requested), _MIN_WORKERS)
-    return (chosen + further)[:limit]
+    if step.spec.is_gang:
+        _add(
+            chosen,
+            limit,
+            workers,
+            [
+                name
+                for name in step.advised_workers
+                if name not in chosen and _is_usable(workers, name, step, now)
+            ],
+        )
+    # All workers are examined only for a call that would ask about few.
+    if len(chosen) < min(limit, _MIN_WORKERS):
+        _add(
+            chosen,
+            limit,
+            workers,
+            [
+                worker.worker_id
+                for worker in workers.values()
+                if worker.worker_id not in chosen
+                and worker.worker_id not in step.asked_workers
+                and _is_usable(workers, worker.worker_id, step, now)
+            ],
+        )
+    return list(chosen)
+
+
+def _add(
+    chosen: dict[str, None],
+    limit: int,
+    workers: fleet.Fleet,
+    further: list[str],
+) -> None:
+    """Adds workers up to a limit, those with the most free cores first."""
+
+    def key(name: str) -> tuple[int, str]:
+        worker = workers.get(name)
+        assert worker is not None
+        return -worker.free()[0], name
+
+    chosen.update(
+        dict.fromkeys(heapq.nsmallest(limit - len(chosen), further, key))
+    )
+
+
+def _is_usable(
+    workers: fleet.Fleet,
+    worker_id: str,
+    step: step_progress.StepProgress,
+    now: float,
+) -> bool:
+    worker = workers.get(worker_id)
+    return (
+        worker is not None
+        and worker.is_available(now)
+        and _is_suitable(worker, step)
+    )
 
 
 def _is_suitable(
--- a/src/marigoldgap/cell/isolation.py
+++ b/src/marigoldgap/cell/isolation.py
@@ -65,11 +65,16 @@
 
 def has_isolated_run(worker: fleet.Worker, now: float) -> bool:
     """Returns whether a worker has a run that runs alone now."""
-    return any(
-        is_isolated(run.step, run.name.task.position)
-        and not _has_run_for_long(run, now)
-        for run in worker.runs.values()
-    )
+    for run in worker.runs.values():
+        step = run.step
+        # Hardly any step has losses; all runs are examined in each plan.
+        if not step.crashes and not step.suspicions:
+            continue
+        if is_isolated(step, run.name.task.position) and not _has_run_for_long(
+            run, now
+        ):
+            return True
+    return False
 
 
 def _has_run_for_long(run: runs.Run, now: float) -> bool:
--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from typing import NamedTuple
 
+from marigoldgap.cell import advice_targets
 from marigoldgap.cell import fleet
 from marigoldgap.cell import isolation
 from marigoldgap.cell import model
@@ -88,6 +90,8 @@
         self._by_requirement: dict[
             tuple[str, str], dict[str, worker_capacity.WorkerCapacity]
         ] = {}
+        # Names of the same workers, those with the most free cores first.
+        self._sorted_candidates: dict[tuple[str, str], list[str]] = {}
         # Whether less than half of the cores of a service are in use.
         self._is_idle: dict[str, bool] = {}
 
@@ -201,12 +205,35 @@
         """Requests advice on further workers, most free cores first."""
         if step.is_advice_pending or step.job.queue.advice is None:
             return
-        unknown = [
-            name for name in candidates if name not in step.asked_workers
-        ]
-        if unknown:
-            unknown.sort(key=lambda name: -candidates[name].free[0])
-            self.plan.advice.append((step, unknown))
+        unknown = itertools.islice(
+            (
+                name
+                for name in self._by_free_cores(step, candidates)
+                if name in candidates and name not in step.asked_workers
+            ),
+            advice_targets.max_requested(step),
+        )
+        if workers := list(unknown):
+            self.plan.advice.append((step, workers))
+
+    def _by_free_cores(
+        self,
+        step: step_progress.StepProgress,
+        candidates: dict[str, worker_capacity.WorkerCapacity],
+    ) -> list[str]:
+        """Returns candidates by the cores that were free at the first call.
+
+        They are sorted once in a pass: sorting for each step would take most of
+        its time with thousands of workers.
+        """
+        key = step.job.queue.service, step.spec.required_label
+        found = self._sorted_candidates.get(key)
+        if found is None:
+            found = sorted(
+                candidates, key=lambda name: -candidates[name].free[0]
+            )
+            self._sorted_candidates[key] = found
+        return found
 
     def ticket(
         self,
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -283,6 +283,8 @@
 
     def loss_count(self, position: int) -> int:
         """Returns how many workers have crashed, or probably have."""
+        if not self.crashes and not self.suspicions:
+            return 0
         return len(
             {
                 *self.crashes.get(position, ()),
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -54,6 +54,26 @@
 _UNHEALTHY_PAUSE_S = 1.0
 
 
+# Rate of the renewals of workers without runs, in calls per second. Each renewal
+# of 3,000 workers every 1.5 s would take most of the leader's processor.
+_MAX_IDLE_RENEWALS_PER_S = 400.0
+# Longest pause between two renewals: both fit into a lease.
+_MAX_IDLE_PAUSE_S = 3.5
+
+
+def idle_pause_s(worker_count: int) -> float:
+    """Returns the pause between two renewals for a worker without runs.
+
+    Load: thousands of workers, most of which run nothing. There is no pause for
+    up to 600 workers.
+
+    Args:
+        worker_count: Number of the workers of the cell.
+    """
+    interval_s = worker_count / _MAX_IDLE_RENEWALS_PER_S
+    return min(max(0.0, interval_s - _LONG_POLL_MS / 1000), _MAX_IDLE_PAUSE_S)
+
+
 class SessionListener(Protocol):
     """Receives the events of worker sessions.
 
@@ -117,6 +137,9 @@
     def stored(self, job_ids: Collection[str]) -> asyncio.Future[None]:
         """Returns a future that is done once the progress of jobs is stored."""
 
+    def idle_pause_s(self) -> float:
+        """Returns the pause between two renewals for a worker without runs."""
+
 
 class WorkerSession:
     """Renews the lease of one worker and sends it commands.
@@ -140,6 +163,8 @@
         # Whether the worker closed the latest connection cleanly.
         self._was_closed_by_worker = False
         self._is_closed = False
+        # Set when a run is started and when the connection is closed.
+        self._is_wanted = asyncio.Event()
 
     async def run(self) -> None:
         """Renews the lease until the worker is gone."""
@@ -182,6 +207,7 @@
 
     async def start(self, run: runs.Run, ticket: str) -> None:
         """Starts a run; repeats the command until its outcome is known."""
+        self._is_wanted.set()
         worker = self._worker
         may_have_started = False
         unanswered = 0
@@ -329,8 +355,10 @@
             await self._renew(connection, 0, 0, 0)
             self._refusals = 0
             self._was_closed_by_worker = False
+            connection.on_closed = self._is_wanted.set
             while worker.contact is not fleet.Contact.GONE:
                 await self._renew_with_lease(connection)
+                await self._pause_while_idle()
         finally:
             connection.close()
 
@@ -359,6 +387,25 @@
             connection, worker.stored_number, self._grant_lease(), wait_ms
         )
 
+    async def _pause_while_idle(self) -> None:
+        """Waits between two renewals of a worker without runs."""
+        worker = self._worker
+        is_idle = not (
+            worker.runs
+            or worker.unknown_runs
+            or worker.pending_ends
+            or worker.handled_number > worker.stored_number
+        )
+        pause_s = self._listener.idle_pause_s()
+        if not is_idle or not pause_s or not self._listener.ready.is_set():
+            return
+        self._is_wanted.clear()
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._is_wanted.wait()
+        except TimeoutError:
+            return
+
     async def _pause_until_ready(self) -> None:
         """Waits between two renewals; the worker answers at once meanwhile."""
         try:
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -119,6 +119,10 @@
         """Returns a future that is done once the progress of jobs is stored."""
         return self._job_tracker.stored(job_ids)
 
+    def idle_pause_s(self) -> float:
+        """Returns the pause between two renewals for a worker without runs."""
+        return worker_session.idle_pause_s(len(self.workers))
+
     def inherit(self, registration: model.Registration) -> None:
         """Adds a worker that may have runs of earlier elections."""
         now = clock.now_s()
@@ -335,6 +339,7 @@
             self._lost.on_heard(worker.worker_id, listing.born_ms)
             worker.contact = fleet.Contact.ANSWERING
             self._rejoins.forget(worker.worker_id)
+            self._leadership.request_plan()
         if not worker.has_roster_row:
             self._store(worker)
         if self.ready.is_set():
@@ -381,10 +386,17 @@
         listing: model.WorkerListing,
         sent_s: float,
     ) -> None:
+        was_blocked = (
+            worker.worker_id in self.pending_inherited
+            or worker.unknown_runs
+            or worker.pending_ends
+        )
         self._listings.apply(worker, listing, sent_s)
         if listing.is_complete:
             self.pending_inherited.discard(worker.worker_id)
-        self._leadership.request_plan()
+        # Most listings of a large fleet change nothing that a plan depends on.
+        if listing.ended or was_blocked:
+            self._leadership.request_plan()
 
     def _join(self, registration: model.Registration) -> fleet.Worker:
         worker = fleet.Worker(registration, clock.now_s())
--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -40,6 +40,8 @@
         # Error with which the connection ended; None while it is open.
         self._end: messages.NoAnswerError | None = None
         self.is_open = False
+        # Called when the connection has ended.
+        self.on_closed: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets the time limit for unacknowledged data on the socket."""
@@ -62,6 +64,8 @@
         else:
             self._end = messages.NoAnswerError(f"connection lost: {exc}")
         self._fail(self._end)
+        if self.on_closed is not None:
+            self.on_closed()
 
     def data_received(self, data: bytes) -> None:
         """Parses a part of the response."""
--- a/tests/features/steps/cell_session_steps.py
+++ b/tests/features/steps/cell_session_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
 from behave import given
 from behave import then
@@ -10,6 +11,7 @@
 
 from marigoldgap.cell import fleet
 from marigoldgap.cell import model
+from marigoldgap.cell import runs
 from marigoldgap.cell import worker_session
 from tests.fixtures import cell_world
 from tests.fixtures import loops
@@ -102,3 +104,110 @@
 def ended(context):
     assert context.session.done()
     assert context.port.renewals == context.renewals
+
+
+@then(
+    "a worker without runs among {workers:d} is renewed {pause:g} s after an"
+    " answer"
+)
+def idle_pause(context, workers, pause):
+    assert worker_session.idle_pause_s(workers) == pause
+
+
+class _IdleListener:
+    """A large cell in which the worker has no runs."""
+
+    epoch = 1
+
+    def __init__(self):
+        self.ready = asyncio.Event()
+        self.ready.set()
+
+    def on_listing(self, worker, listing, sent_s):
+        worker.contact = fleet.Contact.ANSWERING
+
+    def on_silent(self, worker, cause):
+        worker.contact = fleet.Contact.SILENT
+
+    def may_start(self):
+        return True
+
+    def limit_lease_s(self, lease_s):
+        return lease_s
+
+    def idle_pause_s(self):
+        return worker_session.idle_pause_s(3_000)
+
+
+@given("a session with a worker without runs in a large cell")
+def idle_session(context):
+    context.port = _Port()
+    context.connections = []
+
+    async def accept(reader, writer):
+        context.connections.append(writer)
+        await reader.read()
+        writer.close()
+
+    async def begin():
+        address = cell_world.free_address()
+        host, _, port = address.rpartition(":")
+        server = await asyncio.start_server(accept, host, int(port))
+        context.add_cleanup(server.close)
+        registration = model.Registration(
+            "w1",
+            "claims",
+            address,
+            "a",
+            False,
+            model.Demand(),
+            frozenset(),
+            "",
+            1,
+        )
+        context.worker = fleet.Worker(registration, 0.0)
+        context.idle_session = worker_session.WorkerSession(
+            _IdleListener(), context.worker, context.port
+        )
+        session = asyncio.create_task(context.idle_session.run())
+        context.add_cleanup(session.cancel)
+        await loops.until(lambda: context.port.renewals >= 2)
+
+    loops.run(context, begin())
+
+
+@then("it renews the lease at most {count:d} times in {seconds:g} s")
+def renews_rarely(context, count, seconds):
+    loops.run(context, asyncio.sleep(seconds))
+    assert context.port.renewals <= count, context.port.renewals
+
+
+@when("a run is started on the worker")
+def start_run(context):
+    context.renewals = context.port.renewals
+
+    async def start():
+        # It is known to have ended, so that no command is sent.
+        run = SimpleNamespace(state=runs.RunState.STOPPING)
+        await context.idle_session.start(run, "")
+
+    loops.run(context, start())
+
+
+@when("the worker closes the connection")
+def close_connection(context):
+    context.renewals = context.port.renewals
+
+    async def close():
+        context.connections[0].close()
+
+    loops.run(context, close())
+
+
+@then("it renews the lease again within {seconds:g} s")
+def renews_soon(context, seconds):
+    async def wait():
+        async with asyncio.timeout(seconds):
+            await loops.until(lambda: context.port.renewals > context.renewals)
+
+    loops.run(context, wait())
