cell: learn expected run times per class in log space

Cause: run_times.py kept one moving average per queue, and half of the declared time always counted. Declarations without information kept half of their error, and good ones were diluted by the average of unrelated steps.

Change: duration_model.py fits the measured on the declared time, both as logarithms, with exponential forgetting, for each class (queue, number of the step) and each queue. Few runs are shrunk towards the queue and the declared time. Residuals are bounded, so that a heavy tail does not move the estimate, and a cumulative sum test moves the level at once after a sudden change. worker_speeds.py learns relative speeds, by which measured times are made nominal; runs outside the rack of their data teach a factor of the queue. Runs that resume, that another leader started, and further members of a gang are not recorded. Lateness uses the expected chain of the job, and the objective of a job comes from the expected chain at the time at which it is received. Backfill uses the quantile 0.85, which is 1.5 times the declared time without runs, the former margin. The expected end of a run counts the speed of its worker.

A shift to 3 times the time leaves at most 0.2 (log ratio) after 20 runs.

--- a/src/marigoldgap/cell/job_tracker.py
+++ b/src/marigoldgap/cell/job_tracker.py
@@ -19,6 +19,7 @@
 from marigoldgap.cell import model
 from marigoldgap.cell import progress_rows
 from marigoldgap.cell import records
+from marigoldgap.cell import run_times
 from marigoldgap.cell import runs
 from marigoldgap.cell import step_progress
 from marigoldgap.cell import store
@@ -46,6 +47,7 @@
         configuration: Returns the configuration in force.
         versions: Versions of stored rows; filled while jobs are restored.
         former: What is known of the former leader.
+        times: Learned run times; None to use the declared ones.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         configuration: Callable[[], model.Configuration | None],
         versions: dict[store.RowKey, int],
         former: former_leader.FormerLeader,
+        times: run_times.RunTimes | None = None,
     ) -> None:
         self.jobs: dict[str, jobs.Job] = {}
         # Archived jobs by id: they are shown to callers, and a late
@@ -67,6 +70,7 @@
         self._configuration = configuration
         self._versions = versions
         self._former = former
+        self._times = times
         self._rates = fair_rate.FairRates()
         self._progress = progress_rows.ProgressRows(leadership.journal)
         # Monotonic time in seconds as of which all stored jobs are known.
@@ -330,7 +334,7 @@
         queue = record.queue
         if configuration is not None:
             queue = configuration.queue_named(queue.name) or queue
-        job = jobs.Job(record, queue, clock.now_s(), run_floor)
+        job = jobs.Job(record, queue, clock.now_s(), run_floor, self._times)
         job.open_due(clock.wall_ms())
         self.jobs[record.job_id] = job
         self._open_jobs[record.job_id] = job
--- a/src/marigoldgap/cell/jobs.py
+++ b/src/marigoldgap/cell/jobs.py
@@ -7,6 +7,7 @@
 
 from marigoldgap import clock
 from marigoldgap.cell import model
+from marigoldgap.cell import run_times
 from marigoldgap.cell import step_progress
 
 if TYPE_CHECKING:
@@ -18,6 +19,8 @@
 # Occurrences of a job that are open at the same time. All of a job may be due at
 # once; each open one takes memory and space in the row of its progress.
 _MAX_OPEN_OCCURRENCES = 100
+# Run times without finished runs.
+_DECLARED = run_times.RunTimes()
 
 
 class Job:
@@ -29,10 +32,14 @@
         now: Monotonic time in seconds at which the leader received it.
         run_floor: Highest run number that an earlier election may have used; 0
             for a job that was accepted during this election.
+        times: Learned run times; None to use the declared ones.
     """
 
     __slots__ = (
+        "_chains_s",
+        "_chains_version",
         "_done_early",
+        "_times",
         "deadline_s",
         "ended_s",
         "has_begun",
@@ -55,7 +62,12 @@
         queue: model.Queue,
         now: float,
         run_floor: int = 0,
+        times: run_times.RunTimes | None = None,
     ) -> None:
+        self._times = _DECLARED if times is None else times
+        # Expected chains from each step, with the version of the learned times.
+        self._chains_s: list[float] = []
+        self._chains_version = -1
         self.record = record
         self.queue = queue
         self.run_floor = run_floor
@@ -75,7 +87,9 @@
         # not store that it had opened those before them.
         self._done_early: set[int] = set()
         # Duration of the latency objective, and the monotonic time at which it
-        # ends if it counts from the acceptance of the job; both in seconds.
+        # ends if it counts from the acceptance of the job; both in seconds. The
+        # true work decides about the objective, so it is derived from the
+        # expected times; later runs do not change it.
         self.objective_s = self._objective_s()
         self.deadline_s = now - self._age_s() + self.objective_s
 
@@ -139,11 +153,8 @@
 
     def open(self, occurrence: int) -> list[step_progress.StepProgress]:
         """Creates the steps of an occurrence, so that they can run."""
-        chains_s = self._chains_s()
         steps = [
-            step_progress.StepProgress(
-                self, occurrence, number, spec, chains_s[number]
-            )
+            step_progress.StepProgress(self, occurrence, number, spec)
             for number, spec in enumerate(self.record.spec.steps)
         ]
         self.occurrences[occurrence] = steps
@@ -321,25 +332,24 @@
         steps[number].restore(stored, first)
         return True
 
-    def _chains_s(self) -> list[float]:
-        """Returns the longest declared chain from each step, in seconds.
+    def chain_s(self, number: int) -> float:
+        """Returns the expected time of the longest chain from a step.
 
-        The steps are visited in reverse order, since prerequisites have lower
-        numbers than the steps that depend on them.
+        Args:
+            number: Number of the step with which the chain starts.
+
+        Returns:
+            The time in seconds.
         """
-        steps = self.record.spec.steps
-        chains_s = [step.estimate_ms / 1000 for step in steps]
-        for number in reversed(range(len(steps))):
-            for before in steps[number].after:
-                declared_s = steps[before].estimate_ms / 1000
-                chains_s[before] = max(
-                    chains_s[before], declared_s + chains_s[number]
-                )
-        return chains_s
+        version = self._times.version(self.queue.name)
+        if self._chains_version != version:
+            self._chains_version = version
+            self._chains_s = self._times.chains_s(self.record.spec, self.queue)
+        return self._chains_s[number]
 
     def _objective_s(self) -> float:
-        """Returns the latency objective, in seconds, by declared run times."""
-        chain_s = max(self._chains_s(), default=0.0)
+        """Returns the latency objective, in seconds, by expected run times."""
+        chain_s = self._times.chain_s(self.record.spec, self.queue)
         return self.queue.stretch * chain_s + self.queue.target_ms / 1000
 
     def _age_s(self) -> float:
--- a/src/marigoldgap/cell/run_listings.py
+++ b/src/marigoldgap/cell/run_listings.py
@@ -156,7 +156,7 @@
     def _stuck_after_s(self, run: runs.Run) -> float:
         avoided = run.step.avoid.get(run.name.task.position, ())
         return runs.stuck_after_s(
-            self._times.expected_s(run.step), len(avoided)
+            self._times.expected_on_s(run, clock.now_s()), len(avoided)
         )
 
     def _on_stuck(self, run: runs.Run, now: float) -> None:
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -77,6 +77,7 @@
         """
         position = name.task.position
         run = runs.Run(name, step, worker, clock.now_s())
+        run.is_timed = not step.saved_for(position)
         step.last_run[position] = name.run
         step.active[position] = run
         step.waiting.discard(position)
@@ -223,6 +224,8 @@
         position = name.task.position
         step.last_run[position] = max(name.run, step.job.run_floor)
         run.confirmed_s = run.started_s
+        # It was started before, by another leader.
+        run.is_timed = False
         return run
 
     def adopt(
@@ -287,7 +290,7 @@
             run.worker.record_done()
             # A long-running task is restarted until its job is cancelled.
             if not step.spec.is_long_running:
-                self._times.record(step, now - run.started_s)
+                self._record_time(run, now)
                 step.mark_done(position)
                 other = step.active.get(position)
                 if other is not None:
@@ -303,6 +306,28 @@
             self.stop_gang(step, f"a run of a member ended as {how.value}")
         self._update_job(step, position)
 
+    def _record_time(self, run: runs.Run, now: float) -> None:
+        """Records how long a completed run took, if that is known.
+
+        Of a gang, the first member that is done counts: the others run on by
+        then. A gang that is slow on several racks counts only on one rack.
+        """
+        step = run.step
+        if not run.is_timed or (step.spec.is_gang and step.is_done):
+            return
+        if step.spec.same_rack and any(
+            other.worker.registration.rack != run.worker.registration.rack
+            for other in step.active.values()
+        ):
+            return
+        self._times.record(
+            step,
+            run_times.FinishedRun(
+                run.worker.worker_id, now - run.started_s, run.is_far
+            ),
+            now,
+        )
+
     def on_worker_restarted(self, run: runs.Run) -> None:
         """Handles the crash of the incarnation on which a run was started.
 
--- a/src/marigoldgap/cell/runs.py
+++ b/src/marigoldgap/cell/runs.py
@@ -41,6 +41,8 @@
     __slots__ = (
         "confirmed_s",
         "has_begun",
+        "is_far",
+        "is_timed",
         "is_unstarted",
         "name",
         "percent",
@@ -75,6 +77,13 @@
         self.progressed_s = now
         self.percent = 0.0
         self.saved = ""
+        # Whether its time shows how long a task takes: this leader has seen its
+        # start, and it does not resume from saved progress.
+        self.is_timed = False
+        # Whether it runs outside the rack of its data.
+        self.is_far = bool(step.spec.data_rack) and (
+            worker.registration.rack != step.spec.data_rack
+        )
 
     def remaining_s(self, now: float, expected_s: float) -> float:
         """Returns the estimated time in seconds until the run ends."""
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -116,10 +116,14 @@
             ),
             self.authority,
         )
+        times = run_times.RunTimes()
         self.job_tracker = job_tracker.JobTracker(
-            self._leadership, configuration, self._versions, self._former
+            self._leadership,
+            configuration,
+            self._versions,
+            self._former,
+            times,
         )
-        times = run_times.RunTimes()
         self.worker_tracker = worker_tracker.WorkerTracker(
             self._leadership, port, self.job_tracker, times, self._former
         )
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -10,6 +10,7 @@
 from marigoldgap.cell import model
 
 if TYPE_CHECKING:
+    from marigoldgap.cell import duration_model
     from marigoldgap.cell import fleet
     from marigoldgap.cell import jobs
     from marigoldgap.cell import runs
@@ -77,10 +78,11 @@
         "advised_workers",
         "asked_workers",
         "avoid",
-        "chain_s",
         "crashes",
         "done",
         "examine_after_s",
+        "expected_fit",
+        "expected_time_s",
         "failures",
         "held_back_since_s",
         "isolated_since_s",
@@ -107,15 +109,15 @@
         occurrence: int,
         number: int,
         spec: model.StepSpec,
-        chain_s: float,
     ) -> None:
         self.job = job
         self.occurrence = occurrence
         self.number = number
         self.spec = spec
-        # Declared run time of the longest chain of steps that starts with this
-        # step, in seconds.
-        self.chain_s = chain_s
+        # Expected run time of a task, in seconds, and the fit from which it was
+        # computed; kept by the learned run times.
+        self.expected_fit: duration_model.Fit | None = None
+        self.expected_time_s = 0.0
         # Positions of the tasks without a run that are not done, and the
         # current run by position.
         self.waiting: set[int] = set(range(spec.task_count))
@@ -181,6 +183,11 @@
         early_ms = max(0, due_ms - job.record.accepted_ms)
         return job.deadline_s + early_ms / 1000
 
+    @property
+    def chain_s(self) -> float:
+        """Expected time, in seconds, of the longest chain from this step."""
+        return self.job.chain_s(self.number)
+
     def lateness(self, now: float) -> Lateness:
         """Returns how late the job would end if the step started now."""
         late_s = now + self.chain_s - self.deadline_s
--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -7,9 +7,9 @@
 from marigoldgap.cell import step_progress
 from marigoldgap.cell import worker_capacity
 
-# Factor on the expected run time of a task that would backfill a reservation,
-# since it may end later than expected.
-_BACKFILL_MARGIN = 1.5
+# Share of the runs that end within the time for which a task is expected to
+# backfill a reservation. Without learned times it is 1.5 times the declared time.
+_BACKFILL_SHARE = 0.85
 # The placement cost of a worker is its free millicores plus extra costs.
 # Extra cost of a worker outside the rack of the data. It is doubled for a
 # worker that the task avoids, and halved for one without a ticket.
@@ -111,7 +111,7 @@
     if not advised:
         return planning_pass.unadvised_reason(step, candidates)
     reason = step_progress.WaitReason.NO_CAPACITY
-    ends_s = planning.now + planning.times.expected_s(step) * _BACKFILL_MARGIN
+    ends_s = planning.now + planning.times.quantile_s(step, _BACKFILL_SHARE)
     if planning.may_use_reserved(step):
         # One run shows progress; the reservations keep the other capacity.
         allowed, ends_s = 1, planning_pass.IGNORES_RESERVATIONS
--- a/src/marigoldgap/cell/worker_capacity.py
+++ b/src/marigoldgap/cell/worker_capacity.py
@@ -91,7 +91,7 @@
         if self._expected_ends is None:
             self._expected_ends = [
                 (
-                    now + run.remaining_s(now, times.expected_s(run.step)),
+                    now + run.remaining_s(now, times.expected_on_s(run, now)),
                     run,
                 )
                 for run in self.worker.runs.values()
--- /dev/null
+++ b/tests/features/cell/run_times.feature
@@ -0,0 +1,123 @@
+Feature: Expected run times are learned from finished runs
+
+  Scenario Outline: The expectation is closer than the declared time
+    Guards against expected times that follow declarations without information,
+    or that ignore good ones. The former moving average is half the declared
+    time plus half the average of the queue.
+    Given runs whose declared times have a log error of <error>
+    And <tail> percent of them take 7 times as long
+    When <count> of them have finished, of <seeds> seeds
+    Then the log error of the expectation is at most <declared> of that of the declared times
+    And at most <average> of that of the former moving average
+    And between <low> and <high> percent end within the quantile 0.85
+
+    Examples:
+      | error | tail | count | seeds | declared | average | low | high |
+      | 0.9   | 0    | 300   | 8     | 0.55     | 0.90    | 80  | 92   |
+      | 0.2   | 0    | 300   | 8     | 1.02     | 0.75    | 80  | 92   |
+      | 0.2   | 3    | 300   | 8     | 1.02     | 0.75    | 84  | 96   |
+      | 0.9   | 3    | 300   | 8     | 0.60     | 0.95    | 80  | 94   |
+
+  Scenario: A class whose declared times are too short by a factor is learned
+    Guards against a declared time that always counts by half.
+    Given runs whose declared times have a log error of 0.2
+    And their declared times are too short by a factor of 4
+    When 60 of them have finished, of 8 seeds
+    Then the log error of the expectation is at most 0.20 of that of the declared times
+    And at most 0.50 of that of the former moving average
+
+  Scenario Outline: A sudden change of a class is learned within 20 runs
+    Guards against an average that follows a change only after many runs.
+    Given runs whose declared times have a log error of <error>
+    And after 100 runs they take 3 times as long
+    When 140 of them have finished, of 8 seeds
+    Then from run 120 on the mean log error of the expectation is within <bias>
+
+    Examples:
+      | error | bias |
+      | 0.2   | 0.20 |
+      | 0.9   | 0.35 |
+
+  Scenario: With few runs the declared time counts
+    Guards against one odd run that replaces a good declaration.
+    Given runs whose declared times have a log error of 0.2
+    When 4 of them have finished, of 20 seeds
+    Then the log error of the expectation is at most 1.25 of that of the declared times
+    And at most 0.90 of that of the former moving average
+
+  Scenario: Without runs the declared time is expected
+    Guards against a start without learned times that differs from before.
+    Given a step with a declared time of 2 s
+    Then its expected time is 2.0 s
+    And its quantile 0.85 is 3.0 s
+
+  Scenario: A step without a declared time gets the time of its class
+    Guards against steps without a declaration that are expected to take no time.
+    Given a step with a declared time of 0 s
+    Then its expected time is 0.0 s
+    When runs of its class take 3 s each on 6 workers
+    Then its expected time is 3.0 s
+
+  Scenario: A class with few runs follows its queue
+    Guards against steps of a new kind that are planned by wrong declarations
+    although all others of their queue are known.
+    Given a step with a declared time of 2 s
+    When runs of another step of its queue take 4 times the declared time
+    Then its expected time is between 6.5 and 8.5 s
+
+  Scenario: Long-running tasks keep their declared time
+    Guards against services that are expected to end.
+    Given a long-running step with a declared time of 2 s
+    When runs of another step of its queue take 4 times the declared time
+    Then its expected time is 2.0 s
+
+  Scenario: Runs outside the rack of their data do not change the expectation
+    Guards against slow runs far from their data that hide the usual time.
+    Given a step with a declared time of 2 s
+    When runs of its class take 2 s each on 6 workers
+    And runs of its class take 10 s each on 6 workers far from their data
+    Then its expected time is 2.0 s
+    And the factor far from the data is between 3.5 and 5.0
+
+  Scenario: The number of classes is bounded
+    Guards against callers with many queues and steps that fill the memory.
+    When runs of 6000 classes have finished
+    Then 4096 classes are kept
+    And the learned times take at most 8 MB
+
+  Scenario: A kept expected time is cheap
+    Guards against plans of many steps that compute each expected time anew.
+    Given a step with a declared time of 2 s
+    When runs of its class take 3 s each on 6 workers
+    Then its expected time is computed once for 1000 queries
+
+  Scenario: A chain of steps is late by its expected times
+    Guards against jobs that are planned as if they could be on time although
+    runs of their steps take far longer than declared.
+    Given a job of 3 steps of 2 s in a chain
+    Then the chain from step 1 is expected to take 4 s
+    And step 1 is on time 5 s after the job was received
+    When runs of step 2 of its queue take 10 s each
+    Then the chain from step 1 is expected to take 12 s
+    And step 1 is late 5 s after the job was received
+
+  Scenario: The objective is derived from the expected times
+    Guards against objectives of declared times, which the true work does not
+    have, and against an objective that moves while the job is open.
+    Given a job of 3 steps of 2 s in a chain
+    When runs of step 2 of its queue take 10 s each
+    Then the objective of the job is 12.5 s
+    And the objective of a job that is received now is 28.5 s
+
+  Scenario: A job tracker derives objectives from the learned times
+    Guards against a tracker of jobs that is not given the learned times.
+    Given a job of 3 steps of 2 s in a chain
+    When runs of step 2 of its queue take 10 s each
+    Then the objective of a job that a tracker receives now is 28.5 s
+
+  Scenario: A reservation counts a run on a slow worker for longer
+    Guards against gangs that reserve capacity of a slow worker too early.
+    Given a job of 3 steps of 2 s in a chain
+    And runs on worker "slow" take 4 times as long as on 5 others
+    Then a run of the job on worker "slow" is expected to take 6 to 9 s
+    And a run of the job on worker "w1" is expected to take 1.9 to 2.3 s
