cell: prefer workers that are not slow

Cause: placement took the fullest worker on which a task fits, also one on which runs take several times as long.

Change: the relative speed of a worker is the median log ratio of its last three runs to their expected times, less that of all recent runs, shrunk by the noise of their classes. The estimate belongs to one process of a worker and halves every 6 s without runs, so that a slow worker is tried again. The cost of a worker gets a term for the expected extra time of the task, bounded below the cost of a worker that the task avoids. Quarantine is unchanged.

--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -69,6 +69,15 @@
         now: float,
     ) -> None:
         self.times = times
+        # Factors on run times by worker, of those that deviate from the others.
+        self.slow_downs = {
+            worker_id: factor
+            for (worker_id, born_ms), factor in times.speeds.deviating(
+                now
+            ).items()
+            if (worker := workers.get(worker_id)) is not None
+            and worker.born_ms == born_ms
+        }
         self.reserved = reserved
         self.now = now
         self.plan = Plan([], [])
--- a/src/marigoldgap/cell/run_times.py
+++ b/src/marigoldgap/cell/run_times.py
@@ -46,11 +46,13 @@
 
     Attributes:
         worker_id: Worker on which it ran.
+        born_ms: Wall time at which the process of the worker started.
         elapsed_s: Measured time in seconds.
         is_far: Whether it ran outside the rack of its data.
     """
 
     worker_id: str
+    born_ms: int
     elapsed_s: float
     is_far: bool
 
@@ -144,7 +146,8 @@
             now: Current monotonic time in seconds.
         """
         expected_s = self.expected_s(run.step)
-        factor = self.speeds.slow_down(run.worker.worker_id, now)
+        worker = run.worker
+        factor = self.speeds.slow_down(worker.worker_id, worker.born_ms, now)
         if run.is_far:
             factor *= self.far_factor(run.step.job.queue.name)
         return expected_s * factor
@@ -220,7 +223,8 @@
         is_known = learned is not None and (
             learned.weight >= _MIN_COMPARED_RUNS
         )
-        speed_log = math.log(self.speeds.slow_down(finished.worker_id, now))
+        worker = finished.worker_id, finished.born_ms
+        speed_log = math.log(self.speeds.slow_down(*worker, now))
         if is_known and finished.is_far:
             # Its class is known: the run shows only what the distance costs.
             assert learned is not None
@@ -233,9 +237,7 @@
         if is_known:
             assert learned is not None
             residual = measured_log - learned.fit.expected_log(declared_log)
-            self.speeds.record(
-                finished.worker_id, residual, learned.fit.deviation, now
-            )
+            self.speeds.record(*worker, residual, learned.fit.deviation, now)
         self._learn(key, declared_log, measured_log - speed_log)
 
     def _learn(
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -323,7 +323,10 @@
         self._times.record(
             step,
             run_times.FinishedRun(
-                run.worker.worker_id, now - run.started_s, run.is_far
+                run.worker.worker_id,
+                run.worker.born_ms,
+                now - run.started_s,
+                run.is_far,
             ),
             now,
         )
--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -14,6 +14,12 @@
 # Extra cost of a worker outside the rack of the data. It is doubled for a
 # worker that the task avoids, and halved for one without a ticket.
 _OTHER_RACK_COST = 100_000
+# Extra cost of each second by which a task is expected to take longer on a worker
+# than on a usual one: as much as 20 free cores, since filling up workers serves
+# only the tasks that come later. Its bound is below the cost of a worker that the
+# task avoids: a slow worker still completes tasks.
+_EXTRA_SECOND_COST = 20_000
+_MAX_EXTRA_COST = 150_000
 # Extra cost of a worker that a gang has reserved: urgent tasks that use its
 # capacity would delay the gang again and again.
 _RESERVED_COST = 25_000
@@ -163,10 +169,12 @@
     """Returns the worker with the lowest cost on which a task fits.
 
     Prefers workers that are in the rack of the data, are not reserved, have
-    a ticket, and on which no run of the task has failed or made no
-    progress; among them the one with the fewest free cores.
+    a ticket, are as fast as others, and on which no run of the task has failed
+    or made no progress; among them the one with the fewest free cores.
     """
     spec = step.spec
+    slow_downs = planning.slow_downs
+    expected_s = planning.times.expected_s(step) if slow_downs else 0.0
     avoid = step.avoid.get(position, set())
     best: worker_capacity.WorkerCapacity | None = None
     best_cost = 0
@@ -190,11 +198,24 @@
             cost += 2 * _OTHER_RACK_COST
         if planning.ticket(step, capacity) is None:
             cost += _OTHER_RACK_COST // 2
+        if slow_downs and worker_id in slow_downs:
+            cost += _speed_cost(expected_s, slow_downs[worker_id])
         if best is None or cost < best_cost:
             best, best_cost = capacity, cost
     return best
 
 
+def _speed_cost(expected_s: float, slow_down: float) -> int:
+    """Returns the cost of the time that a task takes longer on a worker.
+
+    Args:
+        expected_s: Expected run time on a usual worker, in seconds.
+        slow_down: Factor on it; below 1 for a fast worker.
+    """
+    cost = _EXTRA_SECOND_COST * expected_s * (slow_down - 1)
+    return int(min(_MAX_EXTRA_COST, max(-_MAX_EXTRA_COST, cost)))
+
+
 def _tasks_by_worker(step: step_progress.StepProgress) -> dict[str, int]:
     """Returns the number of tasks of the step that each worker runs."""
     counts: dict[str, int] = {}
--- a/src/marigoldgap/cell/worker_speeds.py
+++ b/src/marigoldgap/cell/worker_speeds.py
@@ -15,7 +15,7 @@
 # Standard deviation of the logarithms of the speeds of workers. The estimate is
 # shrunk by the ratio of its variance to that of the runs, so that runs that are
 # hardly predictable do not make their workers seem slow.
-_SPREAD = 0.35
+_SPREAD = 0.25
 # Bound of a log ratio, a factor of 12: slower runs seem to hang instead.
 _MAX_LOG = 2.5
 # The median log ratio of this many runs on all workers is subtracted, so that a
@@ -34,9 +34,10 @@
 class _Speed:
     """Log ratios and variances of the latest runs of one worker."""
 
-    __slots__ = ("at_s", "residuals", "variance")
+    __slots__ = ("at_s", "born_ms", "residuals", "variance")
 
-    def __init__(self) -> None:
+    def __init__(self, born_ms: int) -> None:
+        self.born_ms = born_ms
         self.residuals: tuple[float, ...] = ()
         self.variance = 0.0
         self.at_s = 0.0
@@ -59,12 +60,19 @@
         return len(self._speeds)
 
     def record(
-        self, worker_id: str, residual: float, deviation: float, now: float
+        self,
+        worker_id: str,
+        born_ms: int,
+        residual: float,
+        deviation: float,
+        now: float,
     ) -> None:
         """Records a finished run.
 
         Args:
             worker_id: The worker.
+            born_ms: Wall time at which its process started; the next process
+                may be as fast as others.
             residual: Logarithm of the measured time relative to the expected
                 time on a usual worker.
             deviation: Standard deviation of such logarithms in its class.
@@ -74,10 +82,12 @@
         self._latest.append(residual)
         self._common = sorted(self._latest)[len(self._latest) // 2]
         speed = self._speeds.pop(worker_id, None)
-        if speed is None:
-            speed = _Speed()
+        if speed is None or speed.born_ms != born_ms:
+            speed = _Speed(born_ms)
             if len(self._speeds) >= _MAX_WORKERS:
-                self.forget(next(iter(self._speeds)))
+                oldest = next(iter(self._speeds))
+                del self._speeds[oldest]
+                self._deviating.pop(oldest, None)
         self._speeds[worker_id] = speed
         speed.residuals = (*speed.residuals, residual)[-_RUNS:]
         count = len(speed.residuals)
@@ -88,29 +98,37 @@
         else:
             self._deviating.pop(worker_id, None)
 
-    def forget(self, worker_id: str) -> None:
-        """Forgets a worker, whose next process may be as fast as others."""
-        self._speeds.pop(worker_id, None)
-        self._deviating.pop(worker_id, None)
+    def slow_down(self, worker_id: str, born_ms: int, now: float) -> float:
+        """Returns the factor on run times of a worker; 1 for a usual one.
 
-    def slow_down(self, worker_id: str, now: float) -> float:
-        """Returns the factor on run times of a worker; 1 for a usual one."""
+        Args:
+            worker_id: The worker.
+            born_ms: Wall time at which its process started.
+            now: Current monotonic time in seconds.
+        """
         speed = self._deviating.get(worker_id)
-        if speed is None:
+        if speed is None or speed.born_ms != born_ms:
             return 1.0
-        age_s = max(0.0, now - speed.at_s)
-        estimate = self._relative(speed) * 0.5 ** (age_s / _HALF_LIFE_S)
-        return math.exp(estimate) if abs(estimate) >= _MIN_LOG else 1.0
+        return self._factor(speed, now)
+
+    def deviating(self, now: float) -> dict[tuple[str, int], float]:
+        """Returns the factors of the workers that deviate from the others.
 
-    def deviating(self, now: float) -> dict[str, float]:
-        """Returns the factors of the workers that deviate from the others."""
+        The keys are the workers and the wall times at which their processes
+        started.
+        """
         factors = {}
-        for worker_id in self._deviating:
-            factor = self.slow_down(worker_id, now)
+        for worker_id, speed in self._deviating.items():
+            factor = self._factor(speed, now)
             if factor != 1.0:
-                factors[worker_id] = factor
+                factors[worker_id, speed.born_ms] = factor
         return factors
 
+    def _factor(self, speed: _Speed, now: float) -> float:
+        age_s = max(0.0, now - speed.at_s)
+        estimate = self._relative(speed) * 0.5 ** (age_s / _HALF_LIFE_S)
+        return math.exp(estimate) if abs(estimate) >= _MIN_LOG else 1.0
+
     def _relative(self, speed: _Speed) -> float:
         """Returns the log ratio; missing runs count as those of a usual worker."""
         missing = _RUNS - len(speed.residuals)
