cell: store and explain the learned run times

Cause: a new leader learned all run times anew, and nothing showed which time was expected of a run and why, or how wrong expectations are.

Recovery reads it with the roster, before the jobs, since their objectives depend on it; a malformed row is logged and ignored. `run_starting` and `run_ended` have the expected time, with its source, and `explain` names the run that exceeded it most.

Result: a job of tasks declared as 50 ms that take 0.9 s is expected to take 0.6 to 1.2 s by the next leader; 12 kinds of malformed rows are refused and a cell with one works.

--- a/src/marigoldgap/cell/records.py
+++ b/src/marigoldgap/cell/records.py
@@ -25,6 +25,8 @@
 # range reads both.
 HEARTBEAT = store.RowKey(CELL, CELL, "beat")
 ELECTION_RANGE = ("beat", "election\0")
+# Learned run times. Its key is outside the range above.
+TIMES = store.RowKey(CELL, CELL, "times")
 # Workers that may have runs, a row for each: one row for all of them would
 # exceed the size of a row from about 300 workers on.
 ROSTER = "roster"
--- a/src/marigoldgap/cell/recovery.py
+++ b/src/marigoldgap/cell/recovery.py
@@ -16,6 +16,7 @@
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import progress_rows
 from marigoldgap.cell import records
+from marigoldgap.cell import run_times
 from marigoldgap.cell import store
 from marigoldgap.cell import table_reader
 from marigoldgap.cell import worker_tracker
@@ -43,6 +44,7 @@
         reader: Reads the tables.
         tracker: Receives the jobs.
         workers: Receives the workers of earlier elections.
+        times: Receives the learned run times.
         versions: Receives the versions of the stored rows.
     """
 
@@ -52,12 +54,14 @@
         reader: table_reader.TableReader,
         tracker: job_tracker.JobTracker,
         workers: worker_tracker.WorkerTracker,
+        times: run_times.RunTimes,
         versions: dict[store.RowKey, int],
     ) -> None:
         self._epoch = epoch
         self._reader = reader
         self._tracker = tracker
         self._workers = workers
+        self._times = times
         self._versions = versions
         self._started_s = clock.now_s()
 
@@ -98,11 +102,17 @@
         return min(page.version for page in job_pages)
 
     async def _restore_roster(self) -> None:
-        """Starts the sessions with all workers that may have runs."""
-        page, former = await asyncio.gather(
+        """Starts the sessions with all workers that may have runs.
+
+        Also restores the learned run times.
+        """
+        page, former, times = await asyncio.gather(
             self._reader.read(records.ROSTER, records.CELL),
             self._reader.read_row(records.FORMER_ROSTER),
+            self._reader.read_row(records.TIMES),
         )
+        # The objectives of the jobs, which are restored next, depend on them.
+        self._restore_times(times)
         for row in page.rows:
             self._versions[row.row_key] = row.version
             self._inherit(row)
@@ -113,6 +123,16 @@
             )
         self._log_stage("roster_read")
 
+    def _restore_times(self, row: store.Row | None) -> None:
+        """Restores the learned run times; without them, declared ones count."""
+        if row is None:
+            return
+        self._versions[row.row_key] = row.version
+        try:
+            self._times.restore(row.value)
+        except errors.MarigoldgapError as error:
+            _log.error("times_row_unusable", cause=str(error))
+
     def _inherit(self, row: store.Row) -> None:
         try:
             self._workers.inherit(records.decode_worker(row.value))
--- a/src/marigoldgap/cell/run_times.py
+++ b/src/marigoldgap/cell/run_times.py
@@ -313,14 +313,6 @@
             [queue, round(each.mean, 4), round(each.weight, 3)]
             for queue, each in self._far.items()
         ]
-        # The queues come first, since they serve all of their classes.
-        ordered = sorted(
-            self._models.items(),
-            key=lambda item: (
-                item[0][1] != _WHOLE_QUEUE,
-                -item[1].run_count,
-            ),
-        )
         # A quarter of the row is kept for the factors outside of racks.
         far_bytes = 0
         kept_far = []
@@ -331,14 +323,33 @@
             kept_far.append(each_far)
         size = len(json_object.encode({"classes": [], "far": kept_far}))
         classes = []
-        for key, learned in ordered:
-            encoded = [*key, learned.encode()]
+        for key in self._stored_order():
+            encoded = [*key, self._models[key].encode()]
             size += len(json_object.encode(encoded)) + 1
             if size > _MAX_BYTES:
                 break
             classes.append(encoded)
         return json_object.encode({"classes": classes, "far": kept_far})
 
+    def _stored_order(self) -> list[_ClassKey]:
+        """Returns the classes by their numbers of runs, most runs first.
+
+        A queue comes just before the first of its classes.
+        """
+        keys: dict[_ClassKey, None] = {}
+        for key in sorted(
+            self._models,
+            key=lambda key: self._models[key].run_count,
+            reverse=True,
+        ):
+            queue, number, is_declared = key
+            queue_key = (queue, _WHOLE_QUEUE, is_declared)
+            if number != _WHOLE_QUEUE:
+                if queue_key in self._models:
+                    keys[queue_key] = None
+                keys[key] = None
+        return list(keys)
+
     def restore(self, content: bytes | None) -> None:
         """Restores the learned times from their stored form.
 
@@ -368,7 +379,7 @@
     rows: list[list[Any]],
 ) -> dict[_ClassKey, duration_model.DurationModel]:
     models: dict[_ClassKey, duration_model.DurationModel] = {}
-    # The rows of the queues come first.
+    # The row of a queue comes before those of its classes.
     for queue, number, is_declared, values in rows:
         if type(number) is not int or type(is_declared) is not bool:
             raise ValueError(f"invalid class {queue!r}, {number!r}")
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
 
 from marigoldgap import clock
 from marigoldgap import decision_log
@@ -83,11 +84,15 @@
         step.waiting.discard(position)
         step.isolated_since_s.pop(position, None)
         worker.add(run)
+        expected = self._times.explain(step)
+        run.expected_s = expected.seconds
         _log.info(
             "run_starting",
             run=str(name),
             worker=worker.worker_id,
             free_after=worker.free(),
+            expected_s=expected.seconds,
+            expected_from=expected.source,
         )
         return run
 
@@ -282,6 +287,7 @@
             worker=run.worker.worker_id,
             how=how.value,
             took_s=round(now - run.started_s, 3),
+            expected_s=run.expected_s,
             cause=cause,
         )
         step.keep_saved(position, saved)
@@ -320,12 +326,21 @@
             for other in step.active.values()
         ):
             return
+        elapsed_s = now - run.started_s
+        for source, expected_s in (
+            ("declared", step.spec.estimate_ms / 1000),
+            ("learned", self._times.expected_s(step)),
+        ):
+            if expected_s > 0 and elapsed_s > 0:
+                measures.RUN_TIME_ERROR.labels(source).observe(
+                    math.log(elapsed_s / expected_s)
+                )
         self._times.record(
             step,
             run_times.FinishedRun(
                 run.worker.worker_id,
                 run.worker.born_ms,
-                now - run.started_s,
+                elapsed_s,
                 run.is_far,
             ),
             now,
--- a/src/marigoldgap/cell/runs.py
+++ b/src/marigoldgap/cell/runs.py
@@ -40,6 +40,7 @@
 
     __slots__ = (
         "confirmed_s",
+        "expected_s",
         "has_begun",
         "is_far",
         "is_timed",
@@ -80,6 +81,9 @@
         # Whether its time shows how long a task takes: this leader has seen its
         # start, and it does not resume from saved progress.
         self.is_timed = False
+        # Expected time in seconds when it was started, for the log; 0 for a run
+        # that another leader started.
+        self.expected_s = 0.0
         # Whether it runs outside the rack of its data.
         self.is_far = bool(step.spec.data_rack) and (
             worker.registration.rack != step.spec.data_rack
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -59,6 +59,9 @@
 # Maximum pause between two plans: no event requests a plan at the end of a
 # retry pause or when an occurrence is due.
 _MAX_PLAN_PAUSE_S = 0.1
+# Interval between two writes of the learned run times, at most 32 KB each. A new
+# leader learns what is lost between two of them again.
+_TIMES_WRITE_S = 5.0
 
 
 class Scheduler:
@@ -116,7 +119,7 @@
             ),
             self.authority,
         )
-        times = run_times.RunTimes()
+        self.times = times = run_times.RunTimes()
         self.job_tracker = job_tracker.JobTracker(
             self._leadership,
             configuration,
@@ -141,6 +144,7 @@
             reader,
             self.job_tracker,
             self.worker_tracker,
+            times,
             self._versions,
         )
         self._advice = advice_dispatcher.AdviceDispatcher(
@@ -173,6 +177,7 @@
         await self._wait_until_recovered()
         self._leadership.spawn(self._plan_repeatedly())
         self._leadership.spawn(self._log_waits())
+        self._leadership.spawn(self._store_times())
         self._leadership.spawn(self._archive.run())
         self._leadership.spawn(self._retention.run())
         await self._leadership.wait_until_ended()
@@ -301,6 +306,15 @@
             step, requested, self.worker_tracker.workers, clock.now_s()
         )
 
+    async def _store_times(self) -> None:
+        """Stores the learned run times while they change."""
+        while True:
+            await asyncio.sleep(_TIMES_WRITE_S)
+            if self.times.has_unstored:
+                self._leadership.journal.schedule_write(
+                    records.TIMES, self.times.encode
+                )
+
     async def _log_waits(self) -> None:
         """Logs the steps that have been ready for long without a run."""
         while True:
--- a/src/marigoldgap/job_explanation.py
+++ b/src/marigoldgap/job_explanation.py
@@ -30,6 +30,8 @@
 )
 # A job that waits longer for its first start counts as delayed.
 _MAX_START_WAIT_MS = 1_000
+# A run that takes longer than this multiple of its expected time is named.
+_MAX_TIME_RATIO = 2.0
 
 
 class LogLine(NamedTuple):
@@ -177,6 +179,34 @@
     return cause
 
 
+def _long_runs(events: dict[str, list[LogLine]]) -> list[str]:
+    """Returns the run that exceeded its expected time by the largest factor."""
+    sources = {
+        line.fields.get("run"): line.fields.get("expected_from")
+        for line in events.get("run_starting", [])
+    }
+    longest, longest_ratio = "", _MAX_TIME_RATIO
+    for line in events.get("run_ended", []):
+        took_s, expected_s = (
+            line.fields.get(name) for name in ("took_s", "expected_s")
+        )
+        if (
+            line.fields.get("how") != "done"
+            or not isinstance(took_s, int | float)
+            or not isinstance(expected_s, int | float)
+            or expected_s <= 0
+            or took_s / expected_s <= longest_ratio
+        ):
+            continue
+        longest_ratio = took_s / expected_s
+        run = line.fields.get("run")
+        longest = (
+            f"run {run} took {took_s} s on {line.fields.get('worker')},"
+            f" expected {expected_s} s ({sources.get(run) or 'unknown source'})"
+        )
+    return [longest] if longest else []
+
+
 def _delay_cause(events: dict[str, list[LogLine]]) -> str:
     """Returns the causes of a delay of a job, or an empty string."""
     parts = []
@@ -188,6 +218,7 @@
     if lost:
         workers = sorted({str(line.fields.get("worker")) for line in lost})
         parts.append(f"{len(lost)} runs were lost with {', '.join(workers)}")
+    parts.extend(_long_runs(events))
     if "recovered" in events:
         parts.append("another instance was elected in the meantime")
     if "write_failed" in events:
--- a/src/marigoldgap/measures.py
+++ b/src/marigoldgap/measures.py
@@ -7,6 +7,9 @@
 # Upper bounds of the latency buckets: from a call within the availability zone
 # to the longest time objective of a batch job.
 _BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0)
+# Upper bounds of the buckets of log ratios: factors of 1/4, 1/2, 1/1.25, 1, 1.25,
+# 2, 4 and 8.
+_BUCKETS_LOG = (-1.386, -0.693, -0.223, 0.0, 0.223, 0.693, 1.386, 2.079)
 
 REGISTRY = prometheus_client.CollectorRegistry()
 
@@ -42,6 +45,13 @@
     ["how"],
     registry=REGISTRY,
 )
+RUN_TIME_ERROR = prometheus_client.Histogram(
+    "marigoldgap_run_time_error",
+    "Natural logarithm of measured by expected run time, by source of the latter.",
+    ["source"],
+    buckets=_BUCKETS_LOG,
+    registry=REGISTRY,
+)
 STARTS = prometheus_client.Counter(
     "marigoldgap_starts",
     "Answers of workers to starts.",
--- a/tests/features/cell/run_times.feature
+++ b/tests/features/cell/run_times.feature
@@ -121,3 +121,78 @@
     And runs on worker "slow" take 4 times as long as on 5 others
     Then a run of the job on worker "slow" is expected to take 5 to 9 s
     And a run of the job on worker "w1" is expected to take 1.9 to 2.3 s
+
+  Scenario: Learned times survive their encoding
+    Guards against a new leader that learns everything again. A leader uses a
+    new fit only once it differs by some percent, so that its values differ.
+    Given learned times of 40 classes and of runs far from their data
+    When they are encoded and restored
+    Then every expected time is as before within 15 percent
+    And the factor far from the data is as before
+
+  Scenario: The stored times are bounded and keep the classes with most runs
+    Guards against a row that the store rejects because it is too long.
+    Given learned times of 1500 classes and of runs far from their data
+    When they are encoded and restored
+    Then their row has at most 32768 bytes
+    And the 100 classes with the most runs are kept
+    And the number of runs of the kept classes is as before
+
+  Scenario Outline: Malformed stored times lose only what was learned
+    Guards against a recovery that fails because of a row that is not needed.
+    When the stored times are <content>
+    Then they are refused as "record-invalid" and nothing was learned
+
+    Examples:
+      | content                                                   |
+      | nothing                                                   |
+      | []                                                        |
+      | {}                                                        |
+      | {"classes": 1, "far": []}                                 |
+      | {"classes": [[1, 2]], "far": []}                          |
+      | {"classes": [["q", 0, true, [1, 2, 3]]], "far": []}       |
+      | {"classes": [["q", 0, true, [9, 1, 1, NaN, 1, 1, 1, 1]]], "far": []} |
+      | {"classes": [["q", 0, true, [9, -1, 1, 1, 1, 1, 1, 1]]], "far": []} |
+      | {"classes": [["q", 0, true, [9, 0, 0, 1, 1, 1, 1, 1]]], "far": []} |
+      | {"classes": [["q", "0", true, [9, 1, 1, 1, 1, 1, 1, 1]]], "far": []} |
+      | {"classes": [[null, 0, true, [9, 1, 1, 1, 1, 1, 1, 1]]], "far": []} |
+      | {"classes": [], "far": [["q", 1e999, 1]]}                 |
+
+  Scenario: A new leader knows the learned run times
+    Guards against a row that is not written, or not read before the jobs.
+    Given a cell with 1 workers and 2 instances
+    When a job of 8 tasks that are declared as 50 ms and take 900 ms completes
+    Then the metrics count the errors of 8 declared and 8 learned times
+    When the learned run times are stored
+    And the leader ends
+    Then another instance is the leader
+    And it expects such a task to take 0.6 to 1.2 s
+
+  Scenario: A malformed row of learned times does not disturb a recovery
+    Guards against an election that fails again and again because of one row.
+    Given a malformed row of learned run times
+    And a cell with 1 workers and 1 instances that restores it
+    When a job of 2 tasks is submitted
+    Then every instance shows the job as "completed"
+    And the row is soon replaced by a readable one
+
+  Scenario Outline: Only whole runs teach run times
+    Guards against times of runs that did a part of the work, or whose start
+    this leader has not seen.
+    Given a run of a step with 3 tasks that <kind>
+    When it ends as <how>
+    Then <count> runs have taught run times
+
+    Examples:
+      | kind                             | how     | count |
+      | does all of its work             | done    | 1     |
+      | does all of its work             | failed  | 0     |
+      | does all of its work             | stopped | 0     |
+      | does all of its work             | lapsed  | 0     |
+      | resumes from saved progress      | done    | 0     |
+      | was started by another leader    | done    | 0     |
+      | was adopted from a listing       | done    | 0     |
+      | is long-running                  | done    | 0     |
+      | belongs to a gang on one rack    | done    | 1     |
+      | belongs to a gang on two racks   | done    | 0     |
+      | belongs to a gang that is done   | done    | 0     |
--- a/tests/features/logs/decision_log.feature
+++ b/tests/features/logs/decision_log.feature
@@ -40,3 +40,9 @@
     Given a cell with 1 workers and 1 instances
     When the state of a job is queried while the store sends malformed answers
     Then the caller gets 503 and the log of the refusal says so
+
+  Scenario: A run that took far longer than expected is named
+    Guards against a delay by a wrong expectation that no cause mentions.
+    Given log lines about a run that took 9 s instead of the expected 3 s
+    When the job is explained
+    Then the cause names the run, its expected time and where that comes from
--- a/tests/features/steps/cell_run_times_steps.py
+++ b/tests/features/steps/cell_run_times_steps.py
@@ -13,15 +13,22 @@
 from behave import then
 from behave import when
 
+from marigoldgap import errors
+from marigoldgap import measures
 from marigoldgap.cell import duration_model
 from marigoldgap.cell import fleet
 from marigoldgap.cell import former_leader
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import jobs
 from marigoldgap.cell import model
+from marigoldgap.cell import records
 from marigoldgap.cell import run_times
+from marigoldgap.cell import run_tracker
 from marigoldgap.cell import runs
 from marigoldgap.cell import worker_capacity
+from tests.fixtures import cell_jobs
+from tests.fixtures import cell_world
+from tests.fixtures import loops
 
 _NOW = 100.0
 _MEDIAN_S = 3.0
@@ -362,3 +369,232 @@
     capacity = worker_capacity.WorkerCapacity(worker)
     [(ends_s, _)] = capacity.expected_ends(_NOW, context.times)
     assert low <= ends_s - _NOW <= high, ends_s - _NOW
+
+
+@given("learned times of {count:d} classes and of runs far from their data")
+def learned_classes(context, count):
+    draw = random.Random(3)
+    context.times = run_times.RunTimes()
+    context.classes = [
+        create_step(
+            2, number=number % 3, queue=create_queue(f"queue-{number // 3}")
+        )
+        for number in range(count)
+    ]
+    for number, step in enumerate(context.classes):
+        for _ in range(5 + (number * 7) % 50):
+            declared_s = math.exp(draw.gauss(0, 1))
+            run = create_step(declared_s, step.number, step.job.queue)
+            taken_s = 3 * declared_s * math.exp(draw.gauss(0, 0.4))
+            finish(context.times, run, taken_s, f"w{draw.randint(0, 9)}")
+    for _ in range(9):
+        finish(context.times, context.classes[0], 60, is_far=True)
+
+
+@when("they are encoded and restored")
+def restore_times(context):
+    context.content = context.times.encode()
+    assert not context.times.has_unstored
+    context.restored = run_times.RunTimes()
+    context.restored.restore(context.content)
+
+
+@then("every expected time is as before within {percent:g} percent")
+def same_expected(context, percent):
+    for step in context.classes:
+        for share in (0.5, 0.9):
+            former = context.times.quantile_s(step, share)
+            found = context.restored.quantile_s(step, share)
+            assert abs(found / former - 1) <= percent / 100, (former, found)
+
+
+@then("the factor far from the data is as before")
+def same_far_factor(context):
+    former = context.times.far_factor("queue-0")
+    found = context.restored.far_factor("queue-0")
+    assert former > 2, former
+    assert math.isclose(found, former, rel_tol=0.01), (former, found)
+
+
+@then("their row has at most {limit:d} bytes")
+def bounded_row(context, limit):
+    assert len(context.content) <= limit, len(context.content)
+
+
+def _run_count(times, step):
+    return int(times.explain(step).source.split()[0])
+
+
+@then("the {count:d} classes with the most runs are kept")
+def most_runs_kept(context, count):
+    ordered = sorted(
+        context.classes,
+        key=lambda step: _run_count(context.times, step),
+        reverse=True,
+    )
+    for step in ordered[:count]:
+        assert "step" in context.restored.explain(step).source, step
+
+
+@then("the number of runs of the kept classes is as before")
+def same_counts(context):
+    for step in context.classes:
+        found = context.restored.explain(step)
+        if "step" in found.source:
+            assert found.source == context.times.explain(step).source
+
+
+@when("the stored times are {content}")
+def malformed_times(context, content):
+    context.content = None if content == "nothing" else content.encode()
+
+
+@then('they are refused as "{code}" and nothing was learned')
+def refused(context, code):
+    times = run_times.RunTimes()
+    try:
+        times.restore(context.content)
+    except errors.MarigoldgapError as error:
+        assert error.code == code, error
+    else:
+        raise AssertionError("the stored times were restored")
+    assert not len(times)
+
+
+@when(
+    "a job of {count:d} tasks that are declared as {declared:d} ms and take"
+    " {taken:d} ms completes"
+)
+def run_job(context, count, declared, taken):
+    context.tasks = count
+    context.counted = _counted_errors()
+    body = cell_world.job(count, f"ms={taken}", estimateMs=declared)
+    status, _ = cell_jobs.submit(context, body)
+    assert status == 200, status
+    cell_jobs.wait_everywhere(context, "completed")
+
+
+def _counted_errors():
+    return [
+        measures.REGISTRY.get_sample_value(
+            "marigoldgap_run_time_error_bucket",
+            {"source": source, "le": "+Inf"},
+        )
+        or 0
+        for source in ("declared", "learned")
+    ]
+
+
+@then(
+    "the metrics count the errors of {declared:d} declared and {learned:d}"
+    " learned times"
+)
+def errors_counted(context, declared, learned):
+    found = [
+        after - before
+        for before, after in zip(
+            context.counted, _counted_errors(), strict=True
+        )
+    ]
+    assert found == [declared, learned], found
+
+
+def _stored_times(context):
+    row = records.TIMES
+    return context.world.store.value(row.table, row.partition, row.key)
+
+
+@when("the learned run times are stored")
+def times_stored(context):
+    loops.run(
+        context,
+        loops.until(lambda: b"[8," in (_stored_times(context) or b"")),
+    )
+
+
+@then("it expects such a task to take {low:g} to {high:g} s")
+def leader_expects(context, low, high):
+    scheduler = context.world.leader().scheduler
+    [job] = scheduler.job_tracker.jobs.values()
+    step = jobs.Job(job.record, job.queue, _NOW).open(0)[0]
+    found = scheduler.times.expected_s(step)
+    assert low <= found <= high, found
+
+
+@given("a malformed row of learned run times")
+def malformed_row(context):
+    context.rows = [(records.TIMES, b'{"classes": [1]}')]
+
+
+@then("the row is soon replaced by a readable one")
+def row_replaced(context):
+    def is_readable():
+        try:
+            run_times.RunTimes().restore(_stored_times(context))
+        except errors.MarigoldgapError:
+            return False
+        return True
+
+    loops.run(context, loops.until(is_readable))
+
+
+def _worker(name, rack="r0"):
+    registration = model.Registration(
+        name, "s", "", "a", False, model.Demand(9000, 999), frozenset(), rack, 0
+    )
+    return fleet.Worker(registration, _NOW)
+
+
+@given("a run of a step with 3 tasks that {kind}")
+def run_of_kind(context, kind):
+    context.times = run_times.RunTimes()
+    is_gang = "gang" in kind
+    spec = spec_of(
+        1,
+        is_gang=is_gang,
+        same_rack=is_gang,
+        is_long_running="long-running" in kind,
+    )
+    job = create_job(spec._replace(task_count=3))
+    step = job.occurrences[0][0]
+    jobs_double = mock.MagicMock(jobs={job.job_id: job})
+    context.runs = run_tracker.RunTracker(
+        mock.MagicMock(),
+        jobs_double,
+        context.times,
+        mock.MagicMock(),
+        mock.Mock(),
+    )
+    name = model.RunName(step.task(0), 1)
+    worker = _worker("w0")
+    if "resumes" in kind:
+        step.keep_saved(0, "half")
+    if "another leader" in kind:
+        context.run = context.runs.restore(name, step, worker)
+    elif "adopted" in kind:
+        context.run = context.runs.adopt(
+            worker, model.ActiveRun(name, "", 0.0), _NOW
+        )
+    else:
+        context.run = context.runs.begin(name, step, worker)
+    context.runs.on_started(context.run)
+    if is_gang:
+        rack = "r1" if "two racks" in kind else "r0"
+        member = context.runs.begin(
+            model.RunName(step.task(1), 1), step, _worker("w1", rack)
+        )
+        context.runs.on_started(member)
+    if "that is done" in kind:
+        step.mark_done(1)
+
+
+@when("it ends as {how}")
+def ends_as(context, how):
+    context.runs.end(context.run, model.EndReason(how), "", "test")
+
+
+@then("{count:d} runs have taught run times")
+def taught(context, count):
+    source = context.times.explain(context.run.step).source
+    found = 0 if source == "declared" else int(source.split()[0])
+    assert found == count, source
--- a/tests/features/steps/decision_log_steps.py
+++ b/tests/features/steps/decision_log_steps.py
@@ -222,3 +222,42 @@
         if each.getMessage() == "request_refused"
     ]
     assert record.fields["status"] == status, record.fields
+
+
+@given(
+    "log lines about a run that took {took:d} s instead of the expected"
+    " {expected:d} s"
+)
+def long_run(context, took, expected):
+    run = f"{_JOB}.0.0.0#1"
+    context.texts = [
+        _line(
+            1,
+            "e1",
+            "run_starting",
+            run=run,
+            worker="w7",
+            expected_s=expected,
+            expected_from="40 runs of step 0 of queue q",
+        ),
+        _line(
+            2,
+            "e1",
+            "run_ended",
+            run=run,
+            worker="w7",
+            how="done",
+            took_s=took,
+            expected_s=expected,
+        ),
+        _line(3, "e1", "job_ended", job=_JOB, state="completed"),
+    ]
+
+
+@then("the cause names the run, its expected time and where that comes from")
+def long_run_named(context):
+    expected = (
+        f"delayed: run {_JOB}.0.0.0#1 took 9 s on w7, expected 3 s"
+        " (40 runs of step 0 of queue q)"
+    )
+    assert context.explanation.cause == expected, context.explanation.cause
