--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
 
 from marigoldgap import clock
 from marigoldgap import decision_log
@@ -77,16 +78,21 @@
         """
         position = name.task.position
         run = runs.Run(name, step, worker, clock.now_s())
+        run.is_timed = not step.saved_for(position)
         step.last_run[position] = name.run
         step.active[position] = run
         step.waiting.discard(position)
         step.isolated_since_s.pop(position, None)
         worker.add(run)
+        expected = self._times.explain(step)
+        run.expected_s = expected.seconds
         _log.info(
             "run_starting",
             run=str(name),
             worker=worker.worker_id,
             free_after=worker.free(),
+            expected_s=expected.seconds,
+            expected_from=expected.source,
         )
         return run
 
@@ -223,6 +229,8 @@
         position = name.task.position
         step.last_run[position] = max(name.run, step.job.run_floor)
         run.confirmed_s = run.started_s
+        # It was started before, by another leader.
+        run.is_timed = False
         return run
 
     def adopt(
@@ -279,6 +287,7 @@
             worker=run.worker.worker_id,
             how=how.value,
             took_s=round(now - run.started_s, 3),
+            expected_s=run.expected_s,
             cause=cause,
         )
         step.keep_saved(position, saved)
@@ -287,7 +296,7 @@
             run.worker.record_done()
             # A long-running task is restarted until its job is cancelled.
             if not step.spec.is_long_running:
-                self._times.record(step, now - run.started_s)
+                self._record_time(run, now)
                 step.mark_done(position)
                 other = step.active.get(position)
                 if other is not None:
@@ -303,6 +312,40 @@
             self.stop_gang(step, f"a run of a member ended as {how.value}")
         self._update_job(step, position)
 
+    def _record_time(self, run: runs.Run, now: float) -> None:
+        """Records how long a completed run took, if that is known.
+
+        Of a gang, the first member that is done counts: the others run on by
+        then. A gang that is slow on several racks counts only on one rack.
+        """
+        step = run.step
+        if not run.is_timed or (step.spec.is_gang and step.is_done):
+            return
+        if step.spec.same_rack and any(
+            other.worker.registration.rack != run.worker.registration.rack
+            for other in step.active.values()
+        ):
+            return
+        elapsed_s = now - run.started_s
+        for source, expected_s in (
+            ("declared", step.spec.estimate_ms / 1000),
+            ("learned", self._times.expected_s(step)),
+        ):
+            if expected_s > 0 and elapsed_s > 0:
+                measures.RUN_TIME_ERROR.labels(source).observe(
+                    math.log(elapsed_s / expected_s)
+                )
+        self._times.record(
+            step,
+            run_times.FinishedRun(
+                run.worker.worker_id,
+                run.worker.born_ms,
+                elapsed_s,
+                run.is_far,
+            ),
+            now,
+        )
+
     def on_worker_restarted(self, run: runs.Run) -> None:
         """Handles the crash of the incarnation on which a run was started.
 
