tests: a process under clients that send what no caller sends

Callers saw processes end for lack of memory while other clients sent heads without end, or requests whose responses they never read.

The feature starts one process with lowered limits and a fixed, bounded set of hostile clients, and checks that it lives, its peak memory, its descriptors, and that an ordinary request is answered.

--- a/soak/instances.py
+++ b/soak/instances.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import json
 import os
 import pathlib
+import resource
 import signal
 import subprocess
 import sys
@@ -72,6 +74,8 @@
         store_address: Address at which it reaches the store.
         sends_early_reloads: Whether SIGHUP is also sent while the interpreter
             starts, which ends the process.
+        limits: Further fields of `limits` in its settings file; `maxFds`
+            is also set as the limit of the process.
     """
 
     def __init__(
@@ -81,8 +85,10 @@
         addresses: tuple[str, str, str],
         store_address: str,
         sends_early_reloads: bool = True,
+        limits: Mapping[str, int] | None = None,
     ) -> None:
         self.name = name
+        self._limits = limits or {}
         self._sends_early_reloads = sends_early_reloads
         self.callers_address = addresses[0]
         self.log_path = folder / f"{name}.log"
@@ -92,7 +98,10 @@
         self.is_paused = False
         # Whether SIGKILL or SIGTERM was sent since the last start.
         self.is_ending = False
-        peer_port = int(addresses[2].rpartition(":")[2])
+        peer_host, _, port = addresses[2].rpartition(":")
+        peer_port = int(port)
+        self.readiness_address, self.peers_address = addresses[1:]
+        self.metrics_address = f"{peer_host}:{peer_port + 1}"
         self._settings_path.write_text(
             json.dumps(
                 {
@@ -101,7 +110,7 @@
                     "zone": "a",
                     "listen": {"front": addresses[0], "ready": addresses[1]},
                     "portRange": [peer_port, peer_port + 1],
-                    "limits": {"cpuShare": 1, "cores": 1},
+                    "limits": {"cpuShare": 1, "cores": 1, **self._limits},
                     "bounds": {
                         "graceS": SHUTDOWN_S,
                         "revokeMs": 5000,
@@ -117,6 +126,22 @@
         """Whether the process has not ended."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def peak_memory_kb(self) -> int:
+        """Largest resident memory of the running process, in KiB."""
+        assert self._process is not None
+        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        line = next(
+            each for each in status.splitlines() if each.startswith("VmHWM:")
+        )
+        return int(line.split()[1])
+
+    @property
+    def open_descriptors(self) -> int:
+        """Number of open file descriptors of the running process."""
+        assert self._process is not None
+        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+
     def start(self) -> None:
         """Starts the process; its output is appended to its log."""
         environment = {
@@ -131,6 +156,12 @@
                 stderr=log,
                 env=environment,
             )
+        if max_descriptors := self._limits.get("maxFds"):
+            resource.prlimit(
+                self._process.pid,
+                resource.RLIMIT_NOFILE,
+                (max_descriptors, max_descriptors),
+            )
         self.incarnation = Incarnation(self._process)
         self.is_paused = False
         self.is_ending = False
