web: bound what clients of a process can hold

Callers saw processes end for lack of memory while other clients sent heads without end or left responses unread, and lost their connections when others opened more than the process has descriptors.

Cause: the parser stores an element of a head (also a trailer) until it is complete, and only complete ones were counted; responses were written however much was unsent; connections were not counted; the system stored megabytes for each connection, and an endless response of the store or a worker was read to its end.

--- a/src/marigoldgap/measures.py
+++ b/src/marigoldgap/measures.py
@@ -103,6 +103,29 @@
     "Version of the configuration in force.",
     registry=REGISTRY,
 )
+LIMITED_CLIENTS = prometheus_client.Counter(
+    "marigoldgap_limited_clients",
+    "Requests rejected and connections dropped at a limit.",
+    ["address", "limit"],
+    registry=REGISTRY,
+)
+CLIENT_CONNECTIONS = prometheus_client.Gauge(
+    "marigoldgap_client_connections",
+    "Open connections of clients.",
+    ["address"],
+    registry=REGISTRY,
+)
+HELD_BYTES = prometheus_client.Gauge(
+    "marigoldgap_held_bytes",
+    "Bytes of unfinished requests and unsent responses.",
+    registry=REGISTRY,
+)
+LIMITED_RESPONSES = prometheus_client.Counter(
+    "marigoldgap_limited_responses",
+    "Responses to calls of this process that exceeded a limit.",
+    ["limit"],
+    registry=REGISTRY,
+)
 
 
 def text() -> bytes:
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -33,6 +33,8 @@
 from marigoldgap.platform import store_client
 from marigoldgap.platform import worker_client
 from marigoldgap.web import client
+from marigoldgap.web import connection_registry
+from marigoldgap.web import limits as web_limits
 from marigoldgap.web import messages
 from marigoldgap.web import server
 
@@ -100,12 +102,32 @@
         # The times of the shutdown; None until it is requested.
         self._shutdown: shutdown.ShutdownSchedule | None = None
         self._api = api
-        self._callers = server.HttpServer(api.handle, self._limits)
-        self._readiness = server.HttpServer(self._handle_readiness)
+        limits = web_limits.derive(settings.memory_mb, settings.max_fds)
+        registry = connection_registry.ConnectionRegistry(limits)
+        self._callers = server.HttpServer(
+            api.handle, self._limits, registry, "callers", limits.callers
+        )
+        self._readiness = server.HttpServer(
+            self._handle_readiness,
+            server.HttpLimits,
+            registry,
+            "readiness",
+            limits.readiness,
+        )
         self._peers = server.HttpServer(
-            peers.PeerServer(view, self._advice, self._election).handle
+            peers.PeerServer(view, self._advice, self._election).handle,
+            server.HttpLimits,
+            registry,
+            "peers",
+            limits.peers,
+        )
+        self._metrics = server.HttpServer(
+            _handle_metrics,
+            server.HttpLimits,
+            registry,
+            "metrics",
+            limits.metrics,
         )
-        self._metrics = server.HttpServer(_handle_metrics)
         self._tasks: list[asyncio.Task[Any]] = []
         self._stop = asyncio.Event()
         self._loop_monitor = loop_monitor.LoopMonitor(clock.now_s())
--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -24,6 +24,8 @@
 
 # Time that a call for changes may take beyond the wait that it requests.
 _CHANGES_MARGIN_S = 0.7
+# Largest response: 1 MB of values in Base64 with its framing, and a margin.
+_MAX_ANSWER_BYTES = 8 * 1_024 * 1_024
 _REFUSED_STATUSES = frozenset({429, 503, 507})
 _REJECTED_STATUSES = frozenset({400, 403, 404, 413})
 
@@ -248,6 +250,7 @@
                 body,
                 timeout_s,
                 is_bulk=is_page,
+                max_body_bytes=_MAX_ANSWER_BYTES,
             )
         except messages.NotConnectedError as error:
             self._record_refusal(str(error))
--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -8,6 +8,8 @@
 
 import httptools
 
+from marigoldgap import clock
+from marigoldgap import measures
 from marigoldgap.web import messages
 
 # Covers three round trips between regions (40 ms each) and the first
@@ -19,6 +21,16 @@
 # is detected before leases of 6 s expire.
 _UNACKNOWLEDGED_LIMIT_MS = 4_000
 _MAX_PORT = 65_535
+# Size of the status line and headers of a response.
+_MAX_HEAD_BYTES = 65_536
+# Size of the framing of a response: a page of the store in chunks of 512 bytes.
+_MAX_FRAMING_BYTES = 262_144
+# Size of a response unless the caller expects a larger one: some 500 ended and
+# some thousand running entries of a worker.
+MAX_BODY_BYTES = 4 * 1_024 * 1_024
+# Time for a complete response whose time limit is for each part: the largest one
+# on the thinnest link (5 Mbit/s), beside three others.
+_MAX_BULK_S = 60.0
 
 
 class Connection(asyncio.Protocol):
@@ -28,13 +40,18 @@
         self._transport: asyncio.Transport | None = None
         self._parser: Any = None
         self._response_future: asyncio.Future[messages.Response] | None = None
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        self._max_body_bytes = MAX_BODY_BYTES
+        # Bytes of the response that are not of its body.
+        self._framing_bytes = 0
+        self._is_head_complete = False
         self._headers: list[tuple[str, str]] = []
         self._keep_alive = True
         self._timer: asyncio.TimerHandle | None = None
         # Restarts the timer with each part of the response; 0 if the time limit
         # is for the complete response.
         self._stall_timeout_s = 0.0
+        self._bulk_until_s = 0.0
         # Error with which the connection ended; None while it is open.
         self._end: messages.NoAnswerError | None = None
         self.is_open = False
@@ -67,29 +84,46 @@
             self.close()
             return
         if self._stall_timeout_s:
-            self._start_timer(self._stall_timeout_s)
+            remaining_s = self._bulk_until_s - clock.now_s()
+            self._start_timer(min(self._stall_timeout_s, max(remaining_s, 0)))
+        body_bytes = len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(messages.NoAnswerError(f"invalid response: {error}"))
             self.close()
+            return
+        self._framing_bytes += len(data) - (len(self._body) - body_bytes)
+        if self._framing_bytes > _MAX_FRAMING_BYTES or (
+            not self._is_head_complete and self._framing_bytes > _MAX_HEAD_BYTES
+        ):
+            self._exceed("framing-bytes")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header to the response."""
+        """Adds a header to the response; trailers are left out."""
+        if self._is_head_complete:
+            return
         self._headers.append(
             (name.decode("latin-1").lower(), value.decode("latin-1"))
         )
 
+    def on_headers_complete(self) -> None:
+        """Notes that the body follows."""
+        self._is_head_complete = True
+
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body to the response."""
-        self._body.append(body)
+        if len(self._body) + len(body) > self._max_body_bytes:
+            self._exceed("body-bytes")
+            return
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Completes the exchange in progress."""
         self._keep_alive = self._parser.should_keep_alive()
         response = messages.Response(
             self._parser.get_status_code(),
-            b"".join(self._body),
+            bytes(self._body),
             tuple(self._headers),
         )
         if (
@@ -104,6 +138,7 @@
         body: bytes,
         timeout_s: float,
         is_bulk: bool = False,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> messages.Response:
         """Sends a request and waits for the complete response.
 
@@ -114,19 +149,25 @@
             is_bulk: Whether the limit is for the time until the next part of
                 the response, instead of the complete response. The time that a
                 large response takes depends on the link.
+            max_body_bytes: Largest body of the response, in bytes.
 
         Raises:
-            NoAnswerError: The request may have been carried out.
+            NoAnswerError: The request may have been carried out; the response
+                was late or too large.
         """
         assert self._transport is not None
         if self._end is not None:
             raise self._end
         self._parser = httptools.HttpResponseParser(self)
-        self._body = []
+        self._body = bytearray()
+        self._max_body_bytes = max_body_bytes
+        self._framing_bytes = 0
+        self._is_head_complete = False
         self._headers = []
         loop = asyncio.get_running_loop()
         self._response_future = loop.create_future()
         self._stall_timeout_s = timeout_s if is_bulk else 0.0
+        self._bulk_until_s = clock.now_s() + _MAX_BULK_S
         self._start_timer(timeout_s)
         self._transport.write(head + body)
         try:
@@ -158,6 +199,14 @@
             self._timer.cancel()
             self._timer = None
 
+    def _exceed(self, limit: str) -> None:
+        """Fails the exchange in progress: its response is too large."""
+        if self._response_future is None or self._response_future.done():
+            return
+        measures.LIMITED_RESPONSES.labels(limit).inc()
+        self._fail(messages.NoAnswerError(f"response too large: {limit}"))
+        self.close()
+
     def _fail(self, error: messages.NoAnswerError) -> None:
         if (
             self._response_future is not None
@@ -238,6 +287,7 @@
         timeout_s: float = 1.0,
         headers: tuple[tuple[str, str], ...] = (),
         is_bulk: bool = False,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> messages.Response:
         """Sends a request once and returns the complete response.
 
@@ -251,6 +301,7 @@
             headers: Further headers.
             is_bulk: Whether the limit is for the time until the next part of
                 the response, instead of the complete response.
+            max_body_bytes: Largest body of the response, in bytes.
 
         Raises:
             NotConnectedError: Nothing was sent.
@@ -258,7 +309,9 @@
         """
         connection = self._acquire(address) or await connect(address)
         head = request_head(method, address, path, len(body), headers)
-        response = await connection.exchange(head, body, timeout_s, is_bulk)
+        response = await connection.exchange(
+            head, body, timeout_s, is_bulk, max_body_bytes
+        )
         self._release(address, connection)
         return response
 
--- a/tests/standins/hostile_clients.py
+++ b/tests/standins/hostile_clients.py
@@ -47,11 +47,15 @@
         request: Encoded request that is answered at once.
         slow_request: Encoded request whose response takes some seconds; empty
             if the server has none.
+        clients: Connections of a crowd.
+        crowd_bytes: Bytes that all of them send together.
     """
 
     address: str
     request: bytes = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
     slow_request: bytes = b""
+    clients: int = CLIENTS
+    crowd_bytes: int = CROWD_BYTES
 
 
 class HostileClient:
@@ -148,7 +152,7 @@
 
     async def send(client: HostileClient) -> None:
         if not first or await client.send(first):
-            await client.send_repeatedly(repeated, CROWD_BYTES // count)
+            await client.send_repeatedly(repeated, target.crowd_bytes // count)
 
     await asyncio.gather(*map(send, clients))
     return clients
@@ -175,57 +179,63 @@
 
 @_crowd("heads over the limit")
 async def large_heads(target: Target) -> list[HostileClient]:
-    return await _send_from_all(target, CLIENTS, _HEAD, b"A: vvvvvvvvvv\r\n")
+    return await _send_from_all(
+        target, target.clients, _HEAD, b"A: vvvvvvvvvv\r\n"
+    )
 
 
 @_crowd("heads of many different headers")
 async def many_headers(target: Target) -> list[HostileClient]:
     names = b"".join(b"%x:\r\n" % number for number in range(3_000))
-    return await _send_from_all(target, CLIENTS, _HEAD, names)
+    return await _send_from_all(target, target.clients, _HEAD, names)
 
 
 @_crowd("unending heads behind a request")
 async def unending_behind(target: Target) -> list[HostileClient]:
     first = target.request + _HEAD + b"A: "
-    return await _send_from_all(target, CLIENTS, first, b"v")
+    return await _send_from_all(target, target.clients, first, b"v")
 
 
 @_crowd("unending heads behind a request that is being answered")
 async def unending_behind_slow(target: Target) -> list[HostileClient]:
     first = target.slow_request + _HEAD + b"A: "
-    return await _send_from_all(target, CLIENTS, first, b"v")
+    return await _send_from_all(target, target.clients, first, b"v")
 
 
 @_crowd("endless empty lines")
 async def empty_lines(target: Target) -> list[HostileClient]:
-    return await _send_from_all(target, CLIENTS, b"", b"\r\n")
+    return await _send_from_all(target, target.clients, b"", b"\r\n")
 
 
 @_crowd("endless empty lines behind a request that is being answered")
 async def empty_lines_behind_slow(target: Target) -> list[HostileClient]:
-    return await _send_from_all(target, CLIENTS, target.slow_request, b"\r\n")
+    return await _send_from_all(
+        target, target.clients, target.slow_request, b"\r\n"
+    )
 
 
 @_crowd("bodies of one-byte chunks")
 async def small_chunks(target: Target) -> list[HostileClient]:
-    return await _send_from_all(target, CLIENTS, _CHUNKED, b"1\r\nx\r\n")
+    return await _send_from_all(target, target.clients, _CHUNKED, b"1\r\nx\r\n")
 
 
 @_crowd("endless chunk extensions")
 async def chunk_extensions(target: Target) -> list[HostileClient]:
-    return await _send_from_all(target, CLIENTS, _CHUNKED + b"1;", b"e")
+    return await _send_from_all(target, target.clients, _CHUNKED + b"1;", b"e")
 
 
 @_crowd("endless trailers")
 async def trailers(target: Target) -> list[HostileClient]:
     return await _send_from_all(
-        target, CLIENTS, _CHUNKED + b"0\r\n", b"T: vvvvvvvvvv\r\n"
+        target, target.clients, _CHUNKED + b"0\r\n", b"T: vvvvvvvvvv\r\n"
     )
 
 
 @_crowd("an unending trailer")
 async def unending_trailer(target: Target) -> list[HostileClient]:
-    return await _send_from_all(target, CLIENTS, _CHUNKED + b"0\r\nT: ", b"v")
+    return await _send_from_all(
+        target, target.clients, _CHUNKED + b"0\r\nT: ", b"v"
+    )
 
 
 async def leave_unread(target: Target, rounds: int) -> list[HostileClient]:
@@ -249,7 +259,7 @@
 @_crowd("requests behind a request that is being answered")
 async def pipelined_behind_slow(target: Target) -> list[HostileClient]:
     return await _send_from_all(
-        target, CLIENTS, target.slow_request, target.request
+        target, target.clients, target.slow_request, target.request
     )
 
 
