soak: a hostile client beside the faults

No soak run had a client that is not an ordinary caller, so faults that only show beside one (a shutdown, a hand-over) were not looked for.

A seeded client sends one of the crowds of the tests after another to random instances, each at most 2 MB on 4 connections, or opens 100 connections. Its random source is its own, so that the other faults of a seed stay the same. A run fails if an instance takes more than 128 MB.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -84,6 +84,7 @@
         f"{len(world.callers.refused)} refused, "
         f"{len(world.callers.unknown)} unknown, "
         f"{len(world.injected_faults)} faults, "
+        f"{world.hostile_client.crowds} hostile crowds, "
         f"{len(world.violations)} violations"
     )
     for violation in world.violations:
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,9 +10,11 @@
 import signal
 
 from marigoldgap.cell import records
+from marigoldgap.web import client
 from soak import callers
 from soak import crashes
 from soak import faults
+from soak import hostile
 from soak import instances
 from soak import proxy
 from tests.fixtures import cell_world
@@ -30,6 +32,8 @@
 _STARTUP_TIMEOUT_S = 30.0
 _STARTUP_POLL_S = 0.2
 _COMPLETION_TIMEOUT_S = 30.0
+# A job that no caller submits.
+_NO_JOB = "00000000000000ff"
 
 
 class World:
@@ -74,6 +78,17 @@
             self.instances,
             (cell_world.HOST, cell_world.PREFIX, cell_world.KEY),
         )
+        self.hostile_client = hostile.HostileClient(
+            random.Random(seed + 3),
+            self.instances,
+            client.request_head(
+                "GET",
+                cell_world.HOST,
+                cell_world.PREFIX + _NO_JOB,
+                0,
+                (("Authorization", f"Token {cell_world.KEY}"),),
+            ),
+        )
 
     @property
     def leader(self) -> instances.Instance | None:
@@ -95,6 +110,7 @@
         end = loop.time() + duration_s
         submissions = asyncio.create_task(self._submit_until(end))
         supervisor = asyncio.create_task(self._supervise())
+        hostile_client = asyncio.create_task(self.hostile_client.run())
         try:
             while loop.time() < end:
                 await asyncio.sleep(
@@ -105,10 +121,12 @@
                 )
             await submissions
             await asyncio.gather(*self._fault_tasks)
+            hostile_client.cancel()
             await self._check_results()
         finally:
             # It would restart the instances of a run that failed.
             supervisor.cancel()
+            hostile_client.cancel()
 
     def stop(self) -> None:
         """Stops all processes, proxies and stand-ins of the run."""
@@ -272,6 +290,7 @@
                 f" within {_COMPLETION_TIMEOUT_S:g} s"
             )
         self.violations += self.callers.violations
+        self.violations += hostile.memory_violations(self.instances)
         started = set()
         self.violations += crashes.excess_starts(workers)
         for worker in workers:
