--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -21,6 +21,9 @@
 # Connections that may wait to be accepted: some hundred callers that connect
 # while the process is suspended.
 _BACKLOG = 512
+# The same for an address with few connections; the system stores data of
+# connections that wait as well.
+_MIN_BACKLOG = 64
 # Connections that are accepted before others are dropped for them; until then
 # they take descriptors beyond the limit.
 _ACCEPTED_AT_ONCE = 16
@@ -87,7 +90,11 @@
             listener.close()
             raise
         # The event loop takes one number for both.
-        listener.listen(_BACKLOG)
+        listener.listen(
+            min(_BACKLOG, max(_MIN_BACKLOG, self._max_connections))
+            if self._max_connections
+            else _BACKLOG
+        )
         self._sweeper = asyncio.create_task(self._sweep())
 
     def drain(self) -> None:
@@ -149,7 +156,6 @@
     def remove(self, connection: server_connection.ServerConnection) -> None:
         """Removes a closed connection."""
         self._connections.discard(connection)
-        self.registry.remove(connection)
 
     async def _sweep(self) -> None:
         while True:
--- a/src/marigoldgap/web/server_connection.py
+++ b/src/marigoldgap/web/server_connection.py
@@ -77,6 +77,7 @@
         self._current: request_reader.ReadRequest | None = None
         # Whether the client has ended its data.
         self._has_client_finished = False
+        self._is_lost = False
         self._source = ""
         self._state_since_s = clock.now_s()
         # Set while the unsent responses are below the limit.
@@ -99,9 +100,10 @@
 
     @property
     def is_leaving(self) -> bool:
-        """Whether the connection closes and has nothing more to send."""
+        """Whether it closes, has nothing to send and handles no request."""
         return (
             self._transport.is_closing()
+            and self._current is None
             and not self._transport.get_write_buffer_size()
         )
 
@@ -165,12 +167,20 @@
         self._server.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Removes the connection; a request that is being handled continues."""
+        """Removes the connection; a request that is being handled continues.
+
+        It counts until it has been handled: a client that disconnects after
+        each request would have any number of them otherwise.
+        """
         del exc
+        self._is_lost = True
         self._reader.is_reading = False
         # Ends the wait for a client that is gone.
         self._can_write.set()
+        self._unparsed.clear()
         self._server.remove(self)
+        if self._task is None:
+            self._server.registry.remove(self)
 
     def pause_writing(self) -> None:
         """Handles no further request until responses have been sent."""
@@ -401,12 +411,18 @@
                 await self._answer(self._reader.complete.popleft())
                 self._update()
                 await self._can_write.wait()
+                if self._reader.complete:
+                    # Other connections have their turn between the requests
+                    # that a client sends at once.
+                    await asyncio.sleep(0)
             if self._reader.rejection is not None:
                 self._write(_rejection_response(self._reader.rejection), True)
         finally:
             self._state_since_s = clock.now_s()
             self._task = None
-            if not self._transport.is_closing():
+            if self._is_lost:
+                self._server.registry.remove(self)
+            elif not self._transport.is_closing():
                 self._update()
 
     async def _answer(self, read: request_reader.ReadRequest) -> None:
--- a/tests/features/steps/web_limits_steps.py
+++ b/tests/features/steps/web_limits_steps.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 
+from marigoldgap import clock
+from marigoldgap import measures
 from marigoldgap.web import client
 from marigoldgap.web import connection_budget
+from marigoldgap.web import limit_log
 from marigoldgap.web import limits
 from marigoldgap.web import messages
 from marigoldgap.web import request_reader
@@ -199,6 +203,7 @@
     "endless chunk extensions": (_OK_CHUNKED + b"1;", b"x" * 1_000),
     "endless small chunks": (_OK_CHUNKED, b"1\r\nx\r\n"),
     "endless trailers": (_OK_CHUNKED + b"0\r\n", b"T: xxxxxxxx\r\n"),
+    "a slow endless body": (_OK + b"\r\n", b"x"),
     "a body of 100000 bytes in small chunks": (
         _OK_CHUNKED + (b"1f4\r\n" + b"x" * 500 + b"\r\n") * 200 + b"0\r\n\r\n",
         b"",
@@ -207,6 +212,7 @@
 # More than any limit of the client, which ends the connection before.
 _MAX_SENT_BYTES = 20_000_000
 _WRITE_BYTES = 16_384
+_SLOW_PAUSE_S = 0.02
 
 
 @given("a server that responds with {name}")
@@ -217,11 +223,14 @@
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         writer.write(first)
-        piece = repeated * (_WRITE_BYTES // max(len(repeated), 1) + 1)
+        is_slow = name.startswith("a slow")
+        size = 1 if is_slow else _WRITE_BYTES
+        piece = repeated * (size // max(len(repeated), 1) + 1)
         try:
             while repeated and context.sent_bytes < _MAX_SENT_BYTES:
                 writer.write(piece)
                 await writer.drain()
+                await asyncio.sleep(_SLOW_PAUSE_S if is_slow else 0)
                 context.sent_bytes += len(piece)
         except ConnectionError:
             pass
@@ -247,6 +256,28 @@
     )
 
 
+@when(
+    "a client sends a request whose parts may take {part_s:g} s and all of it"
+    " {all_s:g} s"
+)
+def exchange_in_bulk(context, part_s, all_s):
+    pool = client.HttpPool()
+    with mock.patch.object(client, "_MAX_BULK_S", all_s):
+        context.outcome = loops.outcome(
+            context,
+            pool.exchange(
+                "GET", context.address, "/", timeout_s=part_s, is_bulk=True
+            ),
+        )
+
+
+@then("the exchange fails with an unknown outcome in time")
+def exchange_timed_out(context):
+    error = context.outcome
+    assert isinstance(error, messages.NoAnswerError), type(error)
+    assert "timeout" in str(error), error
+
+
 @then("the exchange fails with an unknown outcome")
 def exchange_failed(context):
     error = context.outcome
@@ -262,3 +293,43 @@
 @then("the response has {size:d} bytes")
 def response_size(context, size):
     assert len(context.outcome.body) == size, type(context.outcome)
+
+
+@given("a log of limits")
+def create_limit_log(context):
+    context.limit_log = limit_log.LimitLog("test")
+    context.lines = []
+    logger = mock.patch.object(
+        limit_log._log,
+        "warning",
+        lambda event, **fields: context.lines.append(fields),
+    )
+    logger.start()
+    context.add_cleanup(logger.stop)
+
+
+@when("each of {sources:d} sources reaches a limit {count:d} times")
+def reach_limit(context, sources, count):
+    before = _counted()
+    for _ in range(count):
+        for number in range(sources):
+            context.limit_log.record("rejected", "size", f"10.0.0.{number}")
+    context.counted = _counted() - before
+
+
+def _counted():
+    return measures.LIMITED_CLIENTS.labels("test", "size")._value.get()
+
+
+@then("{lines:d} lines are logged and {count:d} rejections are counted")
+def logged_and_counted(context, lines, count):
+    assert len(context.lines) == lines, context.lines
+    assert context.counted == count, context.counted
+
+
+@then("a line after {wait_s:d} s says that {count:d} were left out")
+def says_left_out(context, wait_s, count):
+    late_s = clock.now_s() + wait_s
+    with mock.patch.object(clock, "now_s", lambda: late_s):
+        context.limit_log.record("rejected", "size", "10.0.0.0")
+    assert context.lines[-1]["left_out"] == count, context.lines
--- a/tests/features/steps/web_server_limits_steps.py
+++ b/tests/features/steps/web_server_limits_steps.py
@@ -327,3 +327,39 @@
 def all_interrupted(context, count):
     found = context.content.count(b"HTTP/1.1 503 ")
     assert found == context.content.count(b"HTTP/1.1") == count, found
+
+
+@when("{count:d} clients each send a slow request and disconnect")
+def send_and_disconnect(context, count):
+    async def exchange():
+        for _ in range(count):
+            _, writer = await _connect(context)
+            writer.write(_SLOW_REQUEST)
+            await asyncio.sleep(_SETTLE_S)
+            writer.transport.abort()
+
+    loops.run(context, exchange())
+
+
+@when(
+    "a client sends {count:d} requests at once beside a task of the event loop"
+)
+def send_at_once(context, count):
+    async def take_turns():
+        while context.handled < count:
+            if context.handled:
+                context.turns += 1
+            await asyncio.sleep(0)
+
+    async def exchange():
+        context.turns = 0
+        _, writer = await _connect(context)
+        writer.write(_REQUEST * count)
+        await take_turns()
+
+    loops.run(context, exchange())
+
+
+@then("the task had its turn at least {count:d} times before the last one")
+def had_turns(context, count):
+    assert context.turns >= count, context.turns
--- a/tests/features/web/client_limits.feature
+++ b/tests/features/web/client_limits.feature
@@ -23,3 +23,9 @@
     Given a server that responds with a body of 100000 bytes in small chunks
     When a client sends a request with a limit of 100000 bytes
     Then the response has 100000 bytes
+
+  Scenario: A response whose parts never end is given up
+    Guards against a call that lasts as long as its server sends something.
+    Given a server that responds with a slow endless body
+    When a client sends a request whose parts may take 5 s and all of it 0.3 s
+    Then the exchange fails with an unknown outcome in time
--- a/tests/features/web/server_limits.feature
+++ b/tests/features/web/server_limits.feature
@@ -55,3 +55,15 @@
     Given a server with large responses and at most 10 connections
     When the server ends while 30 requests and a large body wait on a connection
     Then the client gets 31 responses with 503 and the connection closes
+
+  Scenario: A request whose client is gone counts until it has been handled
+    Guards against any number of requests of clients that disconnect after each.
+    Given a server with large responses and at most 10 connections
+    When 30 clients each send a slow request and disconnect
+    Then at most 10 of them were handled
+
+  Scenario: Requests that are sent at once leave other connections their turn
+    Guards against a process that stands still while it answers one client.
+    Given a server with large responses and at most 10 connections
+    When a client sends 16 requests at once beside a task of the event loop
+    Then the task had its turn at least 15 times before the last one
