web: a draining server answers what arrived while reading was paused

A caller with a large body behind a request that was being answered lost its connection when the instance shut down, since the connection closed after the requests that were parsed, although the body had arrived. Such data is parsed before the connection closes. Rejections with 429 and 503 name the time after which the caller may retry in the body as well, as those of the job API do.

--- a/src/marigoldgap/web/server_connection.py
+++ b/src/marigoldgap/web/server_connection.py
@@ -158,6 +158,13 @@
         )
         return bool(poll.poll(0))
 
+    @property
+    def _has_arrived_in_pause(self) -> bool:
+        """Whether data that arrived while reading was paused is not parsed."""
+        if self._unparsed:
+            return True
+        return not self._transport.is_reading() and self._has_unread_data
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Adds the connection to the server."""
         self._transport = transport
@@ -434,12 +441,13 @@
             response = messages.json_response(500, {"error": "internal-error"})
         finally:
             self._current = None
-        # Requests that were already read are answered before the connection
-        # closes.
+        # Requests that were already read, or arrived while reading was paused,
+        # are answered before the connection closes.
         is_last = (
             not self._reader.complete
             and self._reader.rejection is None
             and (self._server.is_draining or self._has_client_finished)
+            and not self._has_arrived_in_pause
         )
         self._write(response, not read.keep_alive or is_last)
 
@@ -454,9 +462,11 @@
 def _rejection_response(
     rejection: request_reader.Rejection,
 ) -> messages.Response:
-    headers: tuple[tuple[str, str], ...] = ()
-    if rejection.status in _RETRY_STATUSES:
-        headers = (("Retry-After", str(_RETRY_AFTER_S)),)
+    body = {"error": rejection.reason}
+    if rejection.status not in _RETRY_STATUSES:
+        return messages.json_response(rejection.status, body)
     return messages.json_response(
-        rejection.status, {"error": rejection.reason}, headers
+        rejection.status,
+        {**body, "retryAfterMs": _RETRY_AFTER_S * 1000},
+        (("Retry-After", str(_RETRY_AFTER_S)),),
     )
--- a/tests/features/steps/web_server_limits_steps.py
+++ b/tests/features/steps/web_server_limits_steps.py
@@ -323,9 +323,30 @@
     loops.run(context, exchange())
 
 
-@then("the client gets {count:d} responses with 503 and the connection closes")
-def all_interrupted(context, count):
-    found = context.content.count(b"HTTP/1.1 503 ")
+@when("the server drains while {count:d} requests and a large body wait unread")
+def drain_while_waiting(context, count):
+    async def exchange():
+        [reader] = await _slow_clients(context, 1)
+        for _ in range(count):
+            context.writer.write(_REQUEST)
+            await asyncio.sleep(_SETTLE_S)
+        body = 4 * _LARGE
+        context.writer.write(client.request_head("POST", "y", "/x", len(body)))
+        context.writer.write(body)
+        await asyncio.sleep(_SETTLE_S)
+        assert context.handled == 1, context.handled
+        context.server.drain()
+        context.content = await reader.read()
+
+    loops.run(context, exchange())
+
+
+@then(
+    "the client gets {count:d} responses with {status:d} and the connection"
+    " closes"
+)
+def all_answered(context, count, status):
+    found = context.content.count(b"HTTP/1.1 %d " % status)
     assert found == context.content.count(b"HTTP/1.1") == count, found
 
 
--- a/tests/features/web/server_limits.feature
+++ b/tests/features/web/server_limits.feature
@@ -67,3 +67,10 @@
     Given a server with large responses and at most 10 connections
     When a client sends 16 requests at once beside a task of the event loop
     Then the task had its turn at least 15 times before the last one
+
+  Scenario: A draining server answers what arrived while reading was paused
+    Guards against a connection that is closed after the requests that were
+    read, although others have arrived.
+    Given a server with large responses and at most 10 connections
+    When the server drains while 30 requests and a large body wait unread
+    Then the client gets 32 responses with 200 and the connection closes
