--- a/src/marigoldgap/cell/configuration_follower.py
+++ b/src/marigoldgap/cell/configuration_follower.py
@@ -1,14 +1,20 @@
-"""Follows the configuration in the store and tracks its age."""
+"""Follows the configuration and the evacuated zones, and tracks their age.
+
+Both are rows that the operator writes. They are read in one call, so that they
+are from the same point in time, and are followed by the feed of their table.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
+from marigoldgap.cell import evacuations
 from marigoldgap.cell import model
 from marigoldgap.cell import store
 
@@ -21,42 +27,65 @@
 # The same while this instance decides by the configuration what starts.
 _CLOSE_LONG_POLL_MS = 500
 # Age at which another version may be in force alone: the platform allows 2.5 s
-# after the operator has written it.
+# after the operator has written it, and 5 s for an evacuation.
 _MAX_UNCONFIRMED_S = 2.4
 # Pause after a failed call.
 _RETRY_S = 0.1
 
 
+class OperatorRows(NamedTuple):
+    """Names and formats of the rows that the operator writes.
+
+    Attributes:
+        configuration: Key of the configuration row.
+        end: Exclusive end of the range of keys that starts with it and holds
+            the rows of all evacuations.
+        decode_configuration: Decodes the content of the configuration row.
+        decode_evacuation: Returns the zone that a row evacuates, from its key
+            and content; None if it is another row.
+    """
+
+    configuration: store.RowKey
+    end: str
+    decode_configuration: Callable[[bytes], model.Configuration]
+    decode_evacuation: Callable[[store.RowKey, bytes], str | None]
+
+
 class ConfigurationFollower:
-    """Keeps the latest configuration.
+    """Keeps the latest configuration and the evacuated zones.
 
     Args:
         rows: The store.
-        row_key: Key of the configuration row.
-        decode: Decodes the content of the row.
-        adopted: Called with each new version.
+        operator_rows: The rows to follow.
+        adopted: Called with each new version of the configuration.
     """
 
     def __init__(
         self,
         rows: store.Store,
-        row_key: store.RowKey,
-        decode: Callable[[bytes], model.Configuration],
+        operator_rows: OperatorRows,
         adopted: Callable[[model.Configuration], None],
     ) -> None:
         self.current: model.Configuration | None = None
+        self.evacuations = evacuations.Evacuations()
         # Whether changes are followed closely, at the cost of more calls.
         self.follows_closely = False
         self._rows = rows
-        self._row_key = row_key
-        self._decode = decode
+        self._operator_rows = operator_rows
+        # Evacuated zones by the key of the row that requests it.
+        self._evacuation_rows: dict[store.RowKey, str] = {}
         self._adopted = adopted
         self._after = 0
         self._confirmed_s: float | None = None
 
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Names of the evacuated zones."""
+        return self.evacuations.zones
+
     @property
     def age_s(self) -> float:
-        """Seconds since the store last confirmed the configuration."""
+        """Seconds since the store last confirmed configuration and zones."""
         if self._confirmed_s is None:
             return float("inf")
         return clock.now_s() - self._confirmed_s
@@ -64,8 +93,9 @@
     def is_outdated(self, store_outage_s: float) -> bool:
         """Returns whether another version may be in force alone.
 
-        While the store answers no call, nobody can have written one; this
-        instance may have missed one if it was paused or only its calls for the
+        The same holds for an evacuation that this instance does not know. While
+        the store answers no call, nobody can have written one; this instance
+        may have missed one if it was paused or only its calls for the
         configuration failed.
 
         Args:
@@ -85,15 +115,13 @@
             started_s = clock.now_s()
             try:
                 if must_read or self.current is None:
-                    page = await self._rows.read(
-                        self._row_key.table,
-                        self._row_key.partition,
-                        self._row_key.key,
-                        self._row_key.key + "\0",
-                    )
+                    must_read = True
+                    page = await self._read()
                 else:
                     page = await self._rows.changes(
-                        self._row_key.table, self._after, self._long_poll_ms
+                        self._operator_rows.configuration.table,
+                        self._after,
+                        self._long_poll_ms,
                     )
             except store.HistoryLostError as error:
                 _log.info("history_lost", cause=str(error))
@@ -109,17 +137,72 @@
                 await asyncio.sleep(_RETRY_S)
                 continue
             self._after = page.version
+            # Before the configuration: without one, nothing is planned.
+            self._apply_evacuations(page, must_read)
             self._confirmed_s = started_s
             for row in page.rows:
-                if row.row_key == self._row_key and row.value is not None:
+                if (
+                    row.row_key == self._operator_rows.configuration
+                    and row.value is not None
+                ):
                     self._adopt(row.value)
             if must_read and self.current is None:
                 await asyncio.sleep(_RETRY_S)
             must_read = False
 
+    async def _read(self) -> store.Page:
+        """Reads the operator's rows, usually in one call.
+
+        Returns:
+            All rows, with the version of the first page: the feed delivers what
+            has changed since.
+        """
+        configuration = self._operator_rows.configuration
+        first = configuration.key
+        rows: list[store.Row] = []
+        version = None
+        while True:
+            page = await self._rows.read(
+                configuration.table,
+                configuration.partition,
+                first,
+                self._operator_rows.end,
+            )
+            version = page.version if version is None else version
+            rows.extend(page.rows)
+            if not page.has_more or not page.rows:
+                return store.Page(tuple(rows), False, version)
+            first = page.rows[-1].row_key.key + "\0"
+
+    def _apply_evacuations(self, page: store.Page, is_whole: bool) -> None:
+        """Applies the rows of evacuations.
+
+        Args:
+            page: Rows that were read or have changed.
+            is_whole: Whether these are all rows, so that one that is missing
+                has been removed.
+        """
+        found = {} if is_whole else self._evacuation_rows
+        for row in page.rows:
+            if row.value is None:
+                found.pop(row.row_key, None)
+                continue
+            zone = self._operator_rows.decode_evacuation(row.row_key, row.value)
+            if zone is not None:
+                found[row.row_key] = zone
+        self._evacuation_rows = found
+        change = self.evacuations.replace(
+            found.values(), self._confirmed_s, clock.now_s()
+        )
+        for zone in sorted(change.evacuated):
+            _log.warning("zone_evacuated", zone=zone)
+        for zone in sorted(change.returned):
+            _log.warning("zone_returned", zone=zone)
+        measures.EVACUATED_ZONES.set(len(self.evacuated_zones))
+
     def _adopt(self, content: bytes) -> None:
         try:
-            configuration = self._decode(content)
+            configuration = self._operator_rows.decode_configuration(content)
         except errors.MarigoldgapError as error:
             _log.error("configuration_unusable", cause=str(error))
             return
--- a/src/marigoldgap/cell/runs.py
+++ b/src/marigoldgap/cell/runs.py
@@ -41,6 +41,7 @@
     __slots__ = (
         "confirmed_s",
         "has_begun",
+        "is_sent",
         "is_unstarted",
         "name",
         "percent",
@@ -71,6 +72,8 @@
         self.has_begun = False
         # Whether all commands to start it have certainly failed.
         self.is_unstarted = False
+        # Whether a command to start it was sent that may be carried out.
+        self.is_sent = False
         # Monotonic time of the latest change of `percent`.
         self.progressed_s = now
         self.percent = 0.0
--- a/src/marigoldgap/measures.py
+++ b/src/marigoldgap/measures.py
@@ -103,6 +103,17 @@
     "Version of the configuration in force.",
     registry=REGISTRY,
 )
+EVACUATED_ZONES = prometheus_client.Gauge(
+    "marigoldgap_evacuated_zones",
+    "Availability zones that the operator has evacuated.",
+    registry=REGISTRY,
+)
+EVACUATING_RUNS = prometheus_client.Gauge(
+    "marigoldgap_evacuating_runs",
+    "Runs that remain in an evacuated zone, as the leader knows them.",
+    ["zone"],
+    registry=REGISTRY,
+)
 
 
 def text() -> bytes:
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -71,8 +71,12 @@
         self._election_win: elections.ElectionWin | None = None
         self._configuration = configuration_follower.ConfigurationFollower(
             self._rows,
-            settings_file.CONFIGURATION_KEY,
-            documents.decode_configuration,
+            configuration_follower.OperatorRows(
+                settings_file.CONFIGURATION_KEY,
+                settings_file.EVACUATIONS_END,
+                documents.decode_configuration,
+                documents.decode_evacuation,
+            ),
             self._adopt,
         )
         self._election = elections.Election(
--- a/src/marigoldgap/platform/documents.py
+++ b/src/marigoldgap/platform/documents.py
@@ -4,10 +4,15 @@
 
 from typing import Any
 
+from marigoldgap import decision_log
 from marigoldgap.cell import model
+from marigoldgap.cell import store
 from marigoldgap.platform import decoding
+from marigoldgap.platform import settings_file
 from marigoldgap.web import client
 
+_log = decision_log.DecisionLogger("documents")
+
 # Limits of a submitted job, far above the largest job that the platform
 # specifies.
 _MAX_PAYLOAD_BYTES = 4_000
@@ -54,6 +59,34 @@
     )
 
 
+def decode_evacuation(row_key: store.RowKey, content: bytes) -> str | None:
+    """Returns the zone that a row of the operator evacuates.
+
+    The key alone decides: starting nothing in a zone by mistake costs capacity
+    until the row is removed, while ignoring a request would break it.
+
+    Args:
+        row_key: Key of the row.
+        content: Content of the row; should be an empty object.
+
+    Returns:
+        The name of the zone, or None if the row is no evacuation.
+    """
+    configuration = settings_file.CONFIGURATION_KEY
+    prefix = settings_file.EVACUATION_PREFIX
+    if row_key[:2] != configuration[:2] or not row_key.key.startswith(prefix):
+        return None
+    zone = row_key.key.removeprefix(prefix)
+    if not zone:
+        _log.error("evacuation_unusable", cause="its key names no zone")
+        return None
+    try:
+        decoding.decode_object(content)
+    except decoding.FormatError as error:
+        _log.warning("evacuation_malformed", zone=zone, cause=str(error))
+    return zone
+
+
 def _decode_queue(fields: dict[str, Any]) -> model.Queue:
     advice = fields.get("advice")
     return model.Queue(
--- a/src/marigoldgap/platform/settings_file.py
+++ b/src/marigoldgap/platform/settings_file.py
@@ -19,6 +19,10 @@
 _RETENTION_FACTOR = 1.5
 # The row that the operator writes and the table that the workers write.
 CONFIGURATION_KEY = store.RowKey("op", "", "config")
+# Rows of the operator that evacuate the zone named after the prefix, and the
+# exclusive end of their keys, which is above that of the configuration.
+EVACUATION_PREFIX = "evacuate/"
+EVACUATIONS_END = "evacuate0"
 WORKERS_TABLE = "servers"
 
 
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -92,6 +92,9 @@
         restart_s: Time from a crash to the start of the next process, in
             seconds.
         kind: First label, which names its kind.
+        zone: Availability zone that it registers.
+        cold_ms: Time in milliseconds for which it registers to be slow; None
+            to register none.
         restart_kinds: Kinds of the next processes; the last one is kept.
         restart_ids: Ids of the next processes; the last one is kept.
         restart_addresses: Addresses of the next processes; the last one is
@@ -144,6 +147,8 @@
         self.restart_s = 1.2
         self.restart_ids = []
         self.kind = "a"
+        self.zone = "a"
+        self.cold_ms = None
         self.restart_kinds = []
         self.restart_addresses = []
         self.resets_on_crash = False
@@ -275,12 +280,14 @@
         fields = {
             "service": "claims",
             "address": self.public_address,
-            "zone": "a",
+            "zone": self.zone,
             "state": state,
             "capacity": self.capacity,
             "labels": [self.kind, "r1-1"],
             "born": self.born_ms,
         }
+        if self.cold_ms is not None:
+            fields["coldRemainingMs"] = self.cold_ms
         content = json.dumps(fields).encode()
         # A heartbeat that changes nothing but its number is no change.
         if self._store.value("servers", "", self.worker_id) != content:
