--- a/src/marigoldgap/cell/advice_targets.py
+++ b/src/marigoldgap/cell/advice_targets.py
@@ -19,6 +19,7 @@
     requested: list[str],
     workers: fleet.Fleet,
     now: float,
+    evacuated: frozenset[str] = frozenset(),
 ) -> list[str]:
     """Returns the ids of the workers to ask about, the requested ones first.
 
@@ -31,11 +32,14 @@
         requested: Ids of the workers that were requested.
         workers: All workers of the cell.
         now: Current monotonic time in seconds.
+        evacuated: Names of the evacuated zones, whose workers are left out.
     """
     usable = {
         worker.worker_id: worker
         for worker in workers.values()
-        if worker.is_available(now) and _is_suitable(worker, step)
+        if worker.registration.zone not in evacuated
+        and worker.is_available(now)
+        and _is_suitable(worker, step)
     }
     chosen = [name for name in requested if name in usable]
     further = [
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -17,6 +17,18 @@
 from marigoldgap.cell import step_progress
 from marigoldgap.cell import task_planner
 
+# Reasons that hold for a step whose workers are all in evacuated zones.
+_LACKS_WORKERS = frozenset(
+    {
+        step_progress.WaitReason.NO_CANDIDATE,
+        step_progress.WaitReason.ADVICE_PENDING,
+        step_progress.WaitReason.NOT_ADVISED,
+        step_progress.WaitReason.NO_CAPACITY,
+        step_progress.WaitReason.NO_RESERVATION,
+        step_progress.WaitReason.NO_WORKER_ALONE,
+    }
+)
+
 
 class Planner:
     """Plans in passes; one call of `plan` is a pass over all waiting steps.
@@ -38,6 +50,7 @@
         usage: dict[str, list[int]],
         workspaces: dict[str, model.Workspace],
         now: float,
+        evacuated: frozenset[str] = frozenset(),
     ) -> planning_pass.Plan:
         """Plans the waiting steps.
 
@@ -46,12 +59,19 @@
             usage: Resources that each workspace uses; updated with the plan.
             workspaces: Workspaces with their upper limits, by name.
             now: Current monotonic time in seconds.
+            evacuated: Names of the evacuated zones, whose workers are not used.
         """
         planning = planning_pass.PlanningPass(
-            self._workers, self._times, usage, workspaces, self._reserved, now
+            self._workers,
+            self._times,
+            usage,
+            workspaces,
+            self._reserved,
+            now,
+            evacuated,
         )
         planned = sorted(steps, key=lambda step: _urgency(step, now))
-        _plan_isolated(planning, planned, self._workers.values())
+        _plan_isolated(planning, planned)
         gangs = gang_planner.GangPlanner(planning)
         for step in planned:
             _plan_step(planning, gangs, step)
@@ -62,7 +82,6 @@
 def _plan_isolated(
     planning: planning_pass.PlanningPass,
     steps: list[step_progress.StepProgress],
-    workers: list[fleet.Worker],
 ) -> None:
     """Plans the tasks that run alone, in the order of their steps."""
     isolated = [
@@ -73,7 +92,7 @@
     ]
     if not isolated:
         return
-    budget = isolation.WorkerBudget(workers, planning.now)
+    budget = isolation.WorkerBudget(planning.workers, planning.now)
     for step in isolated:
         task_planner.plan_isolated(planning, step, budget)
 
@@ -91,6 +110,8 @@
         reason = gangs.plan(step)
     else:
         reason = task_planner.plan_tasks(planning, step)
+    if reason in _LACKS_WORKERS and planning.is_evacuated(step):
+        reason = step_progress.WaitReason.EVACUATED
     step.wait_reason = reason
     if reason is step_progress.WaitReason.HELD_BACK:
         step.held_back_since_s = min(step.held_back_since_s, planning.now)
--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -57,6 +57,7 @@
         workspaces: Workspaces with their upper limits, by name.
         reserved: Workers on which gangs held reservations in the previous pass.
         now: Current monotonic time in seconds.
+        evacuated: Names of the evacuated zones, whose workers are not used.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         workspaces: dict[str, model.Workspace],
         reserved: frozenset[str],
         now: float,
+        evacuated: frozenset[str],
     ) -> None:
         self.times = times
         self.reserved = reserved
@@ -74,9 +76,21 @@
         self.plan = Plan([], [])
         self._usage = usage
         self._workspaces = workspaces
+        self._evacuated = evacuated
+        self._all_workers = workers.values()
+        # The workers that are not in an evacuated zone.
+        self.workers = (
+            [
+                worker
+                for worker in self._all_workers
+                if worker.registration.zone not in evacuated
+            ]
+            if evacuated
+            else self._all_workers
+        )
         self._capacities = {
             worker.worker_id: worker_capacity.WorkerCapacity(worker)
-            for worker in workers.values()
+            for worker in self.workers
             if worker.is_available(now)
             and not isolation.has_isolated_run(worker, now)
         }
@@ -88,6 +102,10 @@
         self._by_requirement: dict[
             tuple[str, str], dict[str, worker_capacity.WorkerCapacity]
         ] = {}
+        # Sizes of the workers inside and outside the evacuated zones.
+        self._sizes: dict[
+            tuple[str, str], tuple[set[model.Demand], set[model.Demand]]
+        ] = {}
         # Whether less than half of the cores of a service are in use.
         self._is_idle: dict[str, bool] = {}
 
@@ -145,6 +163,38 @@
             self._by_requirement[key] = found
         return found
 
+    def is_evacuated(self, step: step_progress.StepProgress) -> bool:
+        """Returns whether all workers that a step could use are evacuated.
+
+        A worker could be used if it has the service and the label of the step
+        and is large enough for a task, also if it accepts no tasks now.
+        """
+        if not self._evacuated:
+            return False
+        key = step.job.queue.service, step.spec.required_label
+        sizes = self._sizes.get(key)
+        if sizes is None:
+            sizes = self._sizes[key] = self._find_sizes(*key)
+        evacuated, others = sizes
+        return any(
+            worker_capacity.fits_in(list(size), step.spec) for size in evacuated
+        ) and not any(
+            worker_capacity.fits_in(list(size), step.spec) for size in others
+        )
+
+    def _find_sizes(
+        self, service: str, label: str
+    ) -> tuple[set[model.Demand], set[model.Demand]]:
+        sizes: tuple[set[model.Demand], set[model.Demand]] = set(), set()
+        for worker in self._all_workers:
+            registration = worker.registration
+            if registration.service == service and (
+                not label or label in registration.labels
+            ):
+                is_evacuated = registration.zone in self._evacuated
+                sizes[not is_evacuated].add(registration.capacity)
+        return sizes
+
     def advised_workers(
         self,
         step: step_progress.StepProgress,
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -19,6 +19,7 @@
 from marigoldgap.cell import archive
 from marigoldgap.cell import authority
 from marigoldgap.cell import election as elections
+from marigoldgap.cell import evacuations
 from marigoldgap.cell import former_leader
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import journal
@@ -72,7 +73,8 @@
         proxies: Returns the proxies for calls to the advice service.
         configuration: Returns the configuration in force.
         is_outdated: Returns whether another configuration may be in force
-            alone.
+            alone, or another evacuation.
+        evacuated: The evacuated zones.
         offer: Offers the leadership of an epoch to other instances; returns
             whether one took it over.
         retention_s: Retention period of ended jobs, in seconds.
@@ -89,6 +91,7 @@
         proxies: Callable[[], list[advice_dispatcher.AdviceProxy]],
         configuration: Callable[[], model.Configuration | None],
         is_outdated: Callable[[], bool],
+        evacuated: evacuations.Evacuations,
         offer: Callable[[int], Awaitable[bool]],
         retention_s: float,
         store_refused_s: Callable[[], float],
@@ -102,6 +105,7 @@
         self._rows = rows
         self._configuration = configuration
         self._is_outdated = is_outdated
+        self._evacuations = evacuated
         self._offer = offer
         self._store_refused_s = store_refused_s
         self._versions: dict[store.RowKey, int] = {}
@@ -271,7 +275,9 @@
         if not steps:
             return
         usage = self._usage.current()
-        plan = self._planner.plan(steps, usage, configuration.workspaces, now)
+        plan = self._planner.plan(
+            steps, usage, configuration.workspaces, now, self._evacuations.zones
+        )
         _log_usage(plan, usage, configuration)
         gang_run_numbers = {
             id(each.step): each.step.next_run(each.position)
@@ -294,7 +300,11 @@
         self, step: step_progress.StepProgress, requested: list[str]
     ) -> list[str]:
         return advice_targets.choose(
-            step, requested, self.worker_tracker.workers, clock.now_s()
+            step,
+            requested,
+            self.worker_tracker.workers,
+            clock.now_s(),
+            self._evacuations.zones,
         )
 
     async def _log_waits(self) -> None:
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -48,6 +48,7 @@
     RETRY_PAUSE = "pause after a refused start"
     WORKSPACE_LIMIT = "upper limit of its workspace"
     NO_CANDIDATE = "no worker with its service and label accepts tasks"
+    EVACUATED = "all workers that it could use are in evacuated zones"
     ADVICE_PENDING = "call for advice is pending"
     NOT_ADVISED = "no advised worker accepts tasks"
     NO_CAPACITY = "does not fit on the workers"
--- a/src/marigoldgap/cell/worker_capacity.py
+++ b/src/marigoldgap/cell/worker_capacity.py
@@ -40,15 +40,15 @@
             spec: Step of the task.
             ends_s: Time at which the task is expected to end.
         """
-        if _is_exceeded(self.free) or not _fits(self.free, spec):
+        if _is_exceeded(self.free) or not fits_in(self.free, spec):
             return False
         if self.unreserved is None or ends_s <= self.reserved_from_s:
             return True
-        return _fits(self.unreserved, spec)
+        return fits_in(self.unreserved, spec)
 
     def fits_alone(self, spec: model.StepSpec) -> bool:
         """Returns whether a task fits on the worker without other runs."""
-        return _fits(list(self.worker.registration.capacity), spec)
+        return fits_in(list(self.worker.registration.capacity), spec)
 
     def take(self, spec: model.StepSpec, ends_s: float) -> None:
         """Allocates capacity to a task that is expected to end at `ends_s`."""
@@ -108,7 +108,8 @@
     return min(free) < 0
 
 
-def _fits(free: list[int], spec: model.StepSpec) -> bool:
+def fits_in(free: list[int], spec: model.StepSpec) -> bool:
+    """Returns whether a task fits into free capacity."""
     demand = spec.demand
     if spec.uses_idle_only:
         return demand.memory_mib <= free[1]
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -295,6 +295,7 @@
             self._advice_proxies,
             lambda: self._configuration.current,
             lambda: self._configuration.is_outdated(self._rows.unreachable_s),
+            self._configuration.evacuations,
             self._offer_takeover,
             self.settings.job_retention_s,
             lambda: self._rows.refused_s,
--- a/tests/features/steps/cell_evacuation_steps.py
+++ b/tests/features/steps/cell_evacuation_steps.py
@@ -6,6 +6,11 @@
 from behave import then
 from behave import when
 
+from marigoldgap.cell import advice_targets
+from marigoldgap.cell import model
+from marigoldgap.cell import planner
+from marigoldgap.cell import run_times
+from marigoldgap.cell import step_progress
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
 from tests.fixtures import loops
@@ -116,3 +121,114 @@
 @then('tasks started in zone "{zone}"')
 def started_in(context, zone):
     loops.run(context, loops.until(lambda: _later_starts(context, zone)))
+
+
+_EVACUATED = frozenset({"evacuated"})
+
+
+def _is_evacuated(worker):
+    return worker.registration.zone in _EVACUATED
+
+
+@given("the first {count:d} workers are in the evacuated zone")
+@when("the first {count:d} workers are in the evacuated zone")
+def place_in_zone(context, count):
+    for worker in context.fleet.values()[:count]:
+        worker.registration = worker.registration._replace(zone="evacuated")
+
+
+@given("the capacity of the last worker shrinks to {cores:d} cores")
+def shrink_last(context, cores):
+    worker = context.fleet.values()[-1]
+    capacity = model.Demand(1000 * cores, 65536, 0)
+    worker.registration = worker.registration._replace(capacity=capacity)
+
+
+@given("a waiting {kind} of {cores:d} cores")
+def add_waiting(context, kind, cores):
+    if kind == "gang":
+        context.execute_steps(
+            f"Given a waiting gang of 2 members of {cores} core"
+        )
+    elif kind == "lone task":
+        context.execute_steps(
+            "Given a waiting task of 1 core under which 2 workers have crashed"
+        )
+    else:
+        context.execute_steps("Given a waiting gang of 1 members of 1 core")
+        step = context.steps_waiting[-1]
+        demand = model.Demand(1000 * cores, 100)
+        step.spec = step.spec._replace(is_gang=False, demand=demand)
+
+
+@when("a plan is made during the evacuation")
+def plan_evacuated(context):
+    plans = planner.Planner(context.fleet, run_times.RunTimes())
+    now = 100.0
+    context.plan = plans.plan(
+        context.steps_waiting, {}, {}, now, evacuated=_EVACUATED
+    )
+    context.reserved = plans._reserved
+
+
+@then("{count:d} tasks start, none of them in the evacuated zone")
+def placed_elsewhere(context, count):
+    placed = context.plan.placements
+    assert len(placed) == count, placed
+    assert not any(_is_evacuated(each.worker) for each in placed), placed
+
+
+@then("the plan requests advice on workers, none in the evacuated zone")
+def advice_elsewhere(context):
+    asked = [name for _, names in context.plan.advice for name in names]
+    assert asked
+    assert not any(_is_evacuated(context.fleet.get(name)) for name in asked)
+
+
+@then("the gang holds reservations on {count:d} workers")
+def reserved_on(context, count):
+    reserved = _reserved(context)
+    assert len(reserved) == count, reserved
+
+
+@then("the gang holds no reservation")
+def none_reserved(context):
+    assert not context.reserved, context.reserved
+
+
+@then(
+    "the gang holds reservations on {count:d} workers, none in the evacuated"
+    " zone"
+)
+def reserved_elsewhere(context, count):
+    reserved_on(context, count)
+    for name in context.reserved:
+        assert not _is_evacuated(context.fleet.get(name)), context.reserved
+
+
+def _reserved(context):
+    if not hasattr(context, "reserved"):
+        plans = planner.Planner(context.fleet, run_times.RunTimes())
+        plans.plan(context.steps_waiting, {}, {}, 100.0)
+        return plans._reserved
+    return context.reserved
+
+
+@then(
+    "a call of that plan asks about {count:d} workers, none in the evacuated"
+    " zone"
+)
+def call_elsewhere(context, count):
+    ((step, requested),) = context.plan.advice
+    assert any(_is_evacuated(context.fleet.get(name)) for name in requested)
+    chosen = advice_targets.choose(
+        step, requested, context.fleet, 100.0, _EVACUATED
+    )
+    assert len(chosen) == count, chosen
+    assert not any(_is_evacuated(context.fleet.get(name)) for name in chosen)
+
+
+@then("its wait reason is {name}")
+def waits_as(context, name):
+    (step,) = context.steps_waiting
+    assert step.wait_reason is step_progress.WaitReason[name], step.wait_reason
