--- a/src/marigoldgap/cell/model.py
+++ b/src/marigoldgap/cell/model.py
@@ -358,6 +358,8 @@
         REJECTED: The worker refused the start in any other way.
         OVER_LIMIT: The limit of the workspace was lowered before the worker had
             answered; the task is planned again.
+        EVACUATED: The zone of the worker was evacuated before the worker had
+            answered; the task is planned again.
         UNANSWERED: The worker answers renewals, but none of many commands to
             start the run.
     """
@@ -372,6 +374,7 @@
     UNHEALTHY = "unhealthy"
     REJECTED = "rejected"
     OVER_LIMIT = "over-limit"
+    EVACUATED = "evacuated"
     UNANSWERED = "unanswered"
 
 
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -32,6 +32,7 @@
 from marigoldgap.cell import recovery
 from marigoldgap.cell import retention
 from marigoldgap.cell import run_times
+from marigoldgap.cell import runs
 from marigoldgap.cell import step_progress
 from marigoldgap.cell import store
 from marigoldgap.cell import table_reader
@@ -131,6 +132,8 @@
             self.worker_tracker, self.job_tracker, configuration
         )
         self.worker_tracker.exceeds_limit = self._usage.exceeds_limit
+        self.worker_tracker.is_evacuated = self._is_evacuated
+        self.worker_tracker.is_outdated = is_outdated
         self._planner = planner.Planner(self.worker_tracker.workers, times)
         self._archive = archive.Archive(rows, self.job_tracker)
         self._retention = retention.Retention(
@@ -296,6 +299,9 @@
         for step, workers in plan.advice:
             self._advice.request(step, workers)
 
+    def _is_evacuated(self, run: runs.Run) -> bool:
+        return self._evacuations.withdraws(run, clock.now_s())
+
     def _choose_advised(
         self, step: step_progress.StepProgress, requested: list[str]
     ) -> list[str]:
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -77,6 +77,9 @@
     def exceeds_limit(self, run: runs.Run) -> bool:
         """Returns whether a run would exceed the limit of its workspace."""
 
+    def is_evacuated(self, run: runs.Run) -> bool:
+        """Returns whether the evacuation of its zone withdraws a start."""
+
     def on_listing(
         self,
         worker: fleet.Worker,
@@ -190,12 +193,18 @@
         lease_until_ms = self._grant_lease()
         born_ms = worker.born_ms
         while run.state is runs.RunState.STARTING and not self._is_closed:
+            if self._listener.is_evacuated(run):
+                self._refuse(
+                    run, model.StartOutcome.EVACUATED, may_have_started
+                )
+                return
             if not self._listener.may_start():
                 await asyncio.sleep(_AUTHORITY_CHECK_S)
                 continue
             if worker.born_ms != born_ms:
                 born_ms = worker.born_ms
                 lease_until_ms = self._grant_lease()
+            run.is_sent = True
             try:
                 answer = await self._port.start(
                     worker.registration,
@@ -215,11 +224,12 @@
                     may_have_started or error.ran is not errors.Ran.NO
                 )
                 run.is_unstarted = not may_have_started
+                run.is_sent = may_have_started
                 unanswered += 1
                 _log.warning(
                     "start_unanswered", run=str(run.name), cause=str(error)
                 )
-                await self._wait_for_contact()
+                await self._wait_for_contact(run)
                 outcome = self._reason_to_give_up(run, unanswered)
                 if outcome is not None:
                     self._refuse(run, outcome, may_have_started)
@@ -238,15 +248,18 @@
         """Handles a start that is not sent."""
         self._refuse(run, outcome, False)
 
-    async def _wait_for_contact(self) -> None:
+    async def _wait_for_contact(self, run: runs.Run) -> None:
         """Waits before a start is repeated, until the worker answers again.
 
         Its next listing shows whether it is the same incarnation. In another
-        one, the task might crash the worker again.
+        one, the task might crash the worker again. A start that is not repeated
+        as its zone is evacuated waits no longer.
         """
         await asyncio.sleep(_COMMAND_RETRY_S)
         while (
-            self._worker.contact is fleet.Contact.SILENT and not self._is_closed
+            self._worker.contact is fleet.Contact.SILENT
+            and not self._is_closed
+            and not self._listener.is_evacuated(run)
         ):
             await asyncio.sleep(_COMMAND_RETRY_S)
 
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -55,6 +55,11 @@
         # Returns whether a run that has not begun would exceed the limit of its
         # workspace; set by the scheduler.
         self.exceeds_limit: Callable[[runs.Run], bool] = lambda _: False
+        # Returns whether the evacuation of its zone withdraws the start of a
+        # run, and whether limits and evacuations are not confirmed; set by the
+        # scheduler.
+        self.is_evacuated: Callable[[runs.Run], bool] = lambda _: False
+        self.is_outdated: Callable[[], bool] = lambda: False
         # Registered workers, whether or not there is a session with them.
         self._registrations: dict[str, model.Registration] = {}
         # Set once the stored jobs are known. Before that, listings cannot be
@@ -108,8 +113,12 @@
         ]
 
     def may_start(self) -> bool:
-        """Returns whether starts of runs may be sent."""
-        return self._leadership.authority.may_start()
+        """Returns whether starts of runs may be sent.
+
+        An evacuation that this leader does not know may be in force while it
+        does not get the rows of the operator.
+        """
+        return self._leadership.authority.may_start() and not self.is_outdated()
 
     def limit_lease_s(self, lease_s: float) -> float:
         """Returns for how many seconds a lease may be granted."""
@@ -182,6 +191,8 @@
             session.withdraw(run, model.StartOutcome.NO_ROOM)
         elif self.exceeds_limit(run):
             session.withdraw(run, model.StartOutcome.OVER_LIMIT)
+        elif self.is_evacuated(run):
+            session.withdraw(run, model.StartOutcome.EVACUATED)
         else:
             await session.start(run, ticket)
 
--- a/tests/features/cell/evacuation.feature
+++ b/tests/features/cell/evacuation.feature
@@ -110,3 +110,157 @@
       | 2     | task       | 2     | 1     | STARTING     |
       | 2     | task       | 9     | 0     | NO_CAPACITY  |
       | 3     | task       | 1     | 1     | STARTING     |
+
+  Scenario: Running tasks continue in an evacuated zone of the leader
+    Guards against lost work, and against a leader that gives up since its own
+    zone is evacuated.
+    Given a cell with a worker in each of the zones "a b" and 2 instances
+    And zone "a" is used first
+    When a job with the payload "ms=1500" is submitted and has begun
+    And the operator evacuates zone "a"
+    And another job of 8 tasks is submitted after all instances know it
+    Then the other job is completed
+    And every instance shows the job as "completed"
+    And each of its tasks was started once
+    And nothing has started in zone "a" since the request was known
+    And the first election is the only one
+
+  Scenario: Only zones that are still evacuated get nothing
+    Guards against two evacuations of which one ends the other.
+    Given a cell with a worker in each of the zones "a b c" and 2 instances
+    When the operator evacuates zone "a"
+    And the operator evacuates zone "b"
+    And the operator ends the evacuation of zone "a"
+    Then every instance knows the evacuated zones "b"
+    When the operator evacuates zone "c"
+    Then every instance knows the evacuated zones "b c"
+    When 4 tasks are submitted to the cell
+    Then the job is completed and nothing started in zone "b"
+    And tasks started in zone "a"
+
+  Scenario: Jobs wait while all zones of their service are evacuated
+    Guards against jobs that fail since no worker may be used.
+    Given a cell with a worker in each of the zones "a b" and 2 instances
+    When the operator evacuates zone "a"
+    And the operator evacuates zone "b"
+    Then every instance knows the evacuated zones "a b"
+    When 4 tasks are submitted to the cell
+    Then the job waits as its zones are evacuated
+    When the operator ends the evacuation of zone "b"
+    Then the job is completed and nothing started in zone "a"
+
+  Scenario: A restart right after the request starts nothing in the zone
+    Guards against a request that only the memory of the instances holds.
+    Given a cell with a worker in each of the zones "a b" and 2 instances
+    When the operator evacuates zone "a"
+    And all instances are replaced by 2 new ones
+    And 4 tasks are submitted to the cell
+    Then the job is completed and nothing started in zone "a"
+
+  Scenario: The next leader starts nothing in the zone
+    Guards against a leader that ends between the request and its effect, and
+    whose successor plans by what it knew before.
+    Given a cell with a worker in each of the zones "a b" and 2 instances
+    When a job that fills both zones for long is submitted
+    And the operator evacuates zone "a" at the moment at which the leader ends
+    Then another instance is the leader
+    And the job is completed, with nothing started in zone "a" since the request
+
+  Scenario: A leader that was paused starts nothing in the zone
+    Guards against starts that a leader sends before it knows what has changed
+    during its pause.
+    Given a cell with a worker in each of the zones "a b" and 1 instances
+    When a job that fills both zones for long is submitted
+    And the operator evacuates zone "a" and all is paused for 3 s
+    Then the job is completed, with nothing started in zone "a" since the request
+
+  Scenario: A leader that is cut off from the store starts nothing in the zone
+    Guards against a former leader that goes on starting in a zone whose
+    evacuation it cannot read.
+    Given a cell with a worker in each of the zones "a b" and 2 instances
+    When a job that fills both zones for long is submitted
+    And the operator evacuates zone "a" at the moment at which the leader is cut off from the store
+    Then nothing starts in zone "a" from 5 s after the request on
+    And the other instances show the job as "completed"
+
+  Scenario: A start without an answer is not repeated in an evacuated zone
+    Guards against commands that are repeated for seconds after the request.
+    Given a cell with a worker in each of the zones "a b" and 1 instances
+    And zone "a" is used first
+    And the worker in zone "a" loses all starts
+    When 1 tasks are submitted to the cell
+    And a start was lost
+    And the operator evacuates zone "a"
+    Then no further start is sent to zone "a"
+    And the job is completed and nothing started in zone "a"
+
+  Scenario: A start is not repeated while evacuations are unconfirmed
+    Guards against commands that are repeated in a zone whose evacuation this
+    leader alone does not get to know.
+    Given a cell with a worker in each of the zones "a b" and 1 instances
+    And zone "a" is used first
+    And the worker in zone "a" loses all starts
+    When 1 tasks are submitted to the cell
+    And a start was lost
+    And the configuration is withheld from the instances
+    And the operator evacuates zone "a"
+    And 3 s pass
+    Then no further start is sent to zone "a" within 2 s
+    When the configuration is no longer withheld
+    Then the job is completed and nothing started in zone "a"
+
+  Scenario: A start whose worker does not answer any more is not repeated
+    Guards against a start that is sent as soon as an unreachable zone answers
+    again during its evacuation.
+    Given a cell with a worker in each of the zones "a b" and 1 instances
+    And zone "a" is used first
+    And the worker in zone "a" loses all starts
+    When 1 tasks are submitted to the cell
+    And a start was lost
+    And the worker in zone "a" is cut off
+    And the operator evacuates zone "a"
+    And every instance has learned of it
+    And the worker in zone "a" is connected again and loses no starts
+    Then the job is completed and nothing started in zone "a"
+
+  Scenario: A gang that has started partly is completed in an evacuated zone
+    Guards against members that are lost as the start of the last one, which got
+    no answer, is withdrawn.
+    Given a cell with a worker in each of the zones "a b" and 1 instances
+    And zone "a" is used first
+    When the next 1 starts are lost
+    And a gang of 3 tasks with 1000 millicores each is submitted
+    And 2 of its members have begun
+    And the operator evacuates zone "a"
+    Then the other job is completed
+    And each of its tasks has begun once
+
+  Scenario: A gang that cannot be completed soon starts whole elsewhere
+    Guards against starts of members that are repeated for seconds after the
+    request.
+    Given a cell with a worker in each of the zones "a b" and 1 instances
+    And zone "a" is used first
+    When the next 1 starts are lost
+    And a gang of 3 members that run for 5000 ms is submitted
+    And 2 of its members have begun
+    And the worker in zone "a" loses all starts
+    And the operator evacuates zone "a"
+    Then no further start is sent to zone "a" from 1.8 s on
+    And the other job is completed in zone "b"
+
+  Scenario: A start that waits until it is stored is withdrawn
+    Guards against the start of a task that may crash its worker, which is sent
+    only after the store has it.
+    Given a cell with a worker in each of the zones "a b" and 1 instances
+    When the operator evacuates zone "a"
+    And the operator evacuates zone "b"
+    And every instance has learned of both
+    And 1 tasks are submitted to the cell
+    And a worker has crashed under the task and starts are stored late
+    And the operator ends the evacuation of zone "a"
+    And the task is about to start
+    And the operator evacuates zone "a"
+    And every instance has learned of both
+    And the start is stored
+    And the operator ends the evacuation of zone "b"
+    Then the job is completed and nothing started in zone "a"
--- a/tests/features/steps/cell_evacuation_steps.py
+++ b/tests/features/steps/cell_evacuation_steps.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
+
 from behave import given
 from behave import then
 from behave import when
@@ -232,3 +235,278 @@
 def waits_as(context, name):
     (step,) = context.steps_waiting
     assert step.wait_reason is step_progress.WaitReason[name], step.wait_reason
+
+
+# Number of starts that a worker loses at most.
+_ALL_STARTS = 1_000
+_LARGE_MILLICORES = 32_000
+
+
+def _worker_in(context, zone):
+    return next(each for each in context.world.workers if each.zone == zone)
+
+
+@given('zone "{zone}" is used first')
+def prefer_zone(context, zone):
+    """Enlarges the other workers: the one with the least free cores is used."""
+    for worker in context.world.workers:
+        if worker.zone != zone:
+            worker.change_capacity(cpu=_LARGE_MILLICORES)
+
+    def is_known():
+        (scheduler,) = context.world.schedulers
+        return all(
+            known.registration.zone == zone
+            or (
+                known.registration.capacity.millicores == _LARGE_MILLICORES
+                and known.accepts(1e12)
+            )
+            for known in scheduler.worker_tracker.workers.values()
+        )
+
+    loops.run(context, loops.until(is_known))
+
+
+@when("every instance has learned of it")
+def learned(context):
+    all_know(context, "a")
+
+
+@when("another job of {count:d} tasks is submitted after all instances know it")
+def submit_other(context, count):
+    learned(context)
+    context.begun_before = _starts(context)
+    status, _ = cell_jobs.submit(
+        context, cell_world.job(count), cell_jobs.OTHER_JOB
+    )
+    assert status == 200, status
+
+
+@then('nothing has started in zone "{zone}" since the request was known')
+def nothing_later(context, zone):
+    assert not _later_starts(context, zone), _starts(context)
+
+
+@then("the first election is the only one")
+def one_election(context):
+    (scheduler,) = context.world.schedulers
+    assert scheduler.worker_tracker.epoch == 1, scheduler.worker_tracker.epoch
+
+
+@then("the job waits as its zones are evacuated")
+def waits_evacuated(context):
+    def is_waiting():
+        (scheduler,) = context.world.schedulers
+        job = scheduler.job_tracker.jobs.get(cell_jobs.JOB)
+        return job is not None and [
+            step.wait_reason for step in job.occurrences[0]
+        ] == [step_progress.WaitReason.EVACUATED]
+
+    loops.run(context, loops.until(is_waiting))
+    state = loops.run(context, context.world.state(cell_jobs.JOB))
+    assert state == "queued", state
+    assert not _starts(context)
+
+
+@when("a job that fills both zones for long is submitted")
+def submit_long(context):
+    # Four tasks at a time on each of two workers, for 300 ms.
+    body = cell_world.job(80, "ms=300 cpu=4000", cpu=4000)
+    status, _ = cell_jobs.submit(context, body)
+    assert status == 200, status
+    workers = context.world.workers
+    loops.run(
+        context,
+        loops.until(lambda: all(len(each.running) == 4 for each in workers)),
+    )
+
+
+@when(
+    'the operator evacuates zone "{zone}" at the moment at which the leader'
+    " ends"
+)
+def evacuate_and_end(context, zone):
+    _request(context, zone)
+    context.execute_steps("When the leader ends")
+
+
+@when(
+    'the operator evacuates zone "{zone}" and all is paused for {seconds:d} s'
+)
+def evacuate_and_pause(context, zone, seconds):
+    async def pause():
+        _request(context, zone)
+        time.sleep(seconds)
+
+    loops.run(context, pause())
+
+
+@when(
+    'the operator evacuates zone "{zone}" at the moment at which the leader is'
+    " cut off from the store"
+)
+def evacuate_and_cut(context, zone):
+    context.former = context.world.leader()
+
+    async def cut():
+        address = cell_world.free_address()
+        host, _, port = address.rpartition(":")
+        silent = await asyncio.start_server(_keep_silent, host, int(port))
+        context.add_cleanup(silent.close)
+        context.former._rows._address = address
+        _request(context, zone)
+
+    loops.run(context, cut())
+    context.world.instances.remove(context.former)
+
+    async def abort():
+        context.former.abort()
+
+    context.add_cleanup(lambda: loops.run(context, abort()))
+
+
+async def _keep_silent(reader, writer):
+    while await reader.read(65_536):
+        pass
+    writer.close()
+
+
+def _request(context, zone):
+    evacuate(context, zone)
+    context.requested_s = time.monotonic()
+    context.begun_before = _starts(context)
+
+
+@then(
+    'the job is completed, with nothing started in zone "{zone}" since the'
+    " request"
+)
+def completed_since(context, zone):
+    completed_elsewhere(context, zone)
+
+
+@then('nothing starts in zone "{zone}" from {seconds:d} s after the request on')
+def nothing_after(context, zone, seconds):
+    loops.run(context, asyncio.sleep(seconds + 2))
+    late_s = context.requested_s + seconds
+    worker_id = _worker_in(context, zone).worker_id
+    events = [
+        event
+        for event in cell_jobs.history(context)
+        if event.what == "started" and event.time_s >= late_s
+    ]
+    assert events
+    assert not [each for each in events if each.worker_id == worker_id], events
+
+
+@given('the worker in zone "{zone}" loses all starts')
+@when('the worker in zone "{zone}" loses all starts')
+def lose_all(context, zone):
+    _worker_in(context, zone).lost_starts = _ALL_STARTS
+
+
+@when("a start was lost")
+def start_lost(context):
+    worker = _worker_in(context, "a")
+    loops.run(context, loops.until(lambda: worker.lost_starts < _ALL_STARTS))
+
+
+@then('no further start is sent to zone "{zone}"')
+def no_further(context, zone):
+    learned(context)
+    # A command that was sent before arrives within this time.
+    _check_none_sent(context, zone, 0.2, 2)
+
+
+@then('no further start is sent to zone "{zone}" within {seconds:d} s')
+def no_further_within(context, zone, seconds):
+    _check_none_sent(context, zone, 0.0, seconds)
+
+
+@then('no further start is sent to zone "{zone}" from {seconds:g} s on')
+def no_further_from(context, zone, seconds):
+    _check_none_sent(context, zone, seconds, 2)
+
+
+def _check_none_sent(context, zone, from_s, seconds):
+    worker = _worker_in(context, zone)
+    loops.run(context, asyncio.sleep(from_s))
+    lost = worker.lost_starts
+    assert lost < _ALL_STARTS
+    loops.run(context, asyncio.sleep(seconds))
+    assert worker.lost_starts == lost, (worker.lost_starts, lost)
+
+
+@when('the worker in zone "{zone}" is cut off')
+def cut_off(context, zone):
+    _worker_in(context, zone).cut_off()
+
+
+@when('the worker in zone "{zone}" is connected again and loses no starts')
+def connect(context, zone):
+    worker = _worker_in(context, zone)
+    worker.lost_starts = 0
+    loops.run(context, worker.reconnect())
+
+
+@when(
+    "a gang of {count:d} members that run for {milliseconds:d} ms is submitted"
+)
+def submit_long_gang(context, count, milliseconds):
+    body = cell_world.job(count, f"ms={milliseconds}", gang=True)
+    status, _ = cell_jobs.submit(context, body, cell_jobs.OTHER_JOB)
+    assert status == 200, status
+
+
+@when("{count:d} of its members have begun")
+def members_begun(context, count):
+    world = context.world
+    loops.run(context, loops.until(lambda: len(world.fleet_runs) == count))
+
+
+@then('the other job is completed in zone "{zone}"')
+def other_completed_in(context, zone):
+    context.execute_steps("Then the other job is completed")
+    worker_id = _worker_in(context, zone).worker_id
+    done = [
+        event.worker_id
+        for event in cell_jobs.history(context)
+        if event.what == "done"
+    ]
+    assert set(done) == {worker_id}, done
+    cell_jobs.check_no_violations(context)
+
+
+@when("every instance has learned of both")
+def learned_both(context):
+    all_know(context, "a b")
+
+
+def _only_step(context):
+    (scheduler,) = context.world.schedulers
+    job = scheduler.job_tracker.jobs.get(cell_jobs.JOB)
+    return job.occurrences[0][0] if job is not None else None
+
+
+@when("a worker has crashed under the task and starts are stored late")
+def crashed_before(context):
+    loops.run(context, loops.until(lambda: _only_step(context)))
+    step = _only_step(context)
+    step.record_crash(model.RunName(step.task(0), 1))
+    (scheduler,) = context.world.schedulers
+    tracker = scheduler.worker_tracker
+    context.stored = tracker.stored
+    context.gate = context.event_loop.create_future()
+    tracker.stored = lambda _: context.gate
+
+
+@when("the task is about to start")
+def about_to_start(context):
+    step = _only_step(context)
+    loops.run(context, loops.until(lambda: step.active))
+
+
+@when("the start is stored")
+def start_stored(context):
+    context.world.schedulers[0].worker_tracker.stored = context.stored
+    context.gate.set_result(None)
