--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -88,7 +88,7 @@
     reader: table_reader.TableReader,
     scheduler: schedulers.Scheduler,
     table: str,
-    decode: Callable[[str, bytes], model.Registration],
+    decode: Callable[[str, bytes, float], model.Registration],
 ) -> None:
     """Passes worker registrations to the scheduler until cancelled.
 
@@ -97,7 +97,9 @@
         reader: Reads the whole table.
         scheduler: The scheduler.
         table: Table of the registrations.
-        decode: Decodes the registration of the worker with the given id.
+        decode: Decodes the registration of the worker with the given id, from
+            the content of its row and the monotonic time of the response, in
+            seconds.
     """
     await scheduler.recovered.wait()
     after: int | None = None
@@ -134,13 +136,13 @@
 def _apply_worker(
     row: store.Row,
     scheduler: schedulers.Scheduler,
-    decode: Callable[[str, bytes], model.Registration],
+    decode: Callable[[str, bytes, float], model.Registration],
 ) -> None:
     if row.value is None:
         scheduler.worker_tracker.on_unregistered(row.row_key.key)
         return
     try:
-        registration = decode(row.row_key.key, row.value)
+        registration = decode(row.row_key.key, row.value, clock.now_s())
     except errors.MarigoldgapError as error:
         _log.warning(
             "registration_unusable", worker=row.row_key.key, cause=str(error)
--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -109,6 +109,10 @@
         """Whether its runs exceed its capacity, which has shrunk."""
         return min(self.free()) < 0
 
+    def is_cold(self, now: float) -> bool:
+        """Returns whether runs that start now are slow for a while."""
+        return now < self.registration.cold_until_s
+
     def accepts(self, now: float) -> bool:
         """Returns whether new runs may be started on this worker."""
         return self.is_available(now) and not self.is_withheld(now)
--- a/src/marigoldgap/cell/gang_planner.py
+++ b/src/marigoldgap/cell/gang_planner.py
@@ -174,7 +174,7 @@
                 )
             if copies:
                 found.append((capacity, copies))
-        return worker_capacity.choose_workers(step, found)
+        return worker_capacity.choose_workers(step, found, self._pass.now)
 
     def _renew_tickets(
         self,
--- a/src/marigoldgap/cell/isolation.py
+++ b/src/marigoldgap/cell/isolation.py
@@ -130,7 +130,7 @@
     """Returns the worker that is expected to be without runs first.
 
     Prefers workers on which the task has not failed, then those in the rack of
-    the data. If none is expected to be empty soon, the task shares the one with
+    the data, then those that are not cold. If none is expected to be empty soon, the task shares the one with
     the fewest runs on which it fits.
 
     Args:
@@ -153,6 +153,7 @@
             # A run that takes longer than expected seems to end now.
             bool(capacity.worker.runs),
             _is_far(capacity, spec),
+            capacity.worker.is_cold(now),
             number,
         )
         for number, capacity in enumerate(capacities)
--- a/src/marigoldgap/cell/model.py
+++ b/src/marigoldgap/cell/model.py
@@ -230,6 +230,8 @@
         rack: The label that names its rack, or empty.
         born_ms: Wall time at which its process started, which identifies its
             incarnation; 0 if unknown.
+        cold_until_s: Monotonic time of this instance, in seconds, until which
+            its process is slow after a start or an evacuation; not stored.
     """
 
     worker_id: str
@@ -241,6 +243,7 @@
     labels: frozenset[str]
     rack: str
     born_ms: int
+    cold_until_s: float = 0.0
 
 
 class TaskName(NamedTuple):
--- a/src/marigoldgap/cell/records.py
+++ b/src/marigoldgap/cell/records.py
@@ -222,10 +222,14 @@
 
 
 def encode_worker(worker: model.Registration) -> bytes:
-    """Returns the stored form of a worker that may have runs."""
-    return json_object.encode(
-        {**worker._asdict(), "labels": sorted(worker.labels)}
-    )
+    """Returns the stored form of a worker that may have runs.
+
+    The time until which it is cold is left out: it is on the clock of this
+    instance, and earlier versions do not know it.
+    """
+    fields = {**worker._asdict(), "labels": sorted(worker.labels)}
+    del fields["cold_until_s"]
+    return json_object.encode(fields)
 
 
 def decode_worker(content: bytes | None) -> model.Registration:
--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -164,12 +164,14 @@
 
     Prefers workers that are in the rack of the data, are not reserved, have
     a ticket, and on which no run of the task has failed or made no
-    progress; among them the one with the fewest free cores.
+    progress; among them the one with the fewest free cores. Of workers with
+    equal cost, cold ones come last: steps are planned in the order of urgency,
+    so that those with the longest slack are left with them.
     """
     spec = step.spec
     avoid = step.avoid.get(position, set())
     best: worker_capacity.WorkerCapacity | None = None
-    best_cost = 0
+    best_cost = (0, False)
     for capacity in usable:
         worker_id = capacity.worker.worker_id
         if (
@@ -190,8 +192,9 @@
             cost += 2 * _OTHER_RACK_COST
         if planning.ticket(step, capacity) is None:
             cost += _OTHER_RACK_COST // 2
-        if best is None or cost < best_cost:
-            best, best_cost = capacity, cost
+        key = cost, capacity.worker.is_cold(planning.now)
+        if best is None or key < best_cost:
+            best, best_cost = capacity, key
     return best
 
 
--- a/src/marigoldgap/cell/worker_capacity.py
+++ b/src/marigoldgap/cell/worker_capacity.py
@@ -140,15 +140,19 @@
 
 
 def choose_workers(
-    step: step_progress.StepProgress, found: list[tuple[WorkerCapacity, int]]
+    step: step_progress.StepProgress,
+    found: list[tuple[WorkerCapacity, int]],
+    at: float,
 ) -> list[tuple[WorkerCapacity, int]] | None:
     """Chooses as few workers as possible for all members of a gang.
 
-    A gang that is slow on several racks gets one rack, if it fits on one.
+    A gang that is slow on several racks gets one rack, if it fits on one. Of
+    workers that hold equally many members, cold ones come last.
 
     Args:
         step: The step of the gang.
         found: Workers with the number of members that fit on each.
+        at: Monotonic time of the start, in seconds.
 
     Returns:
         Workers with the number of members to place on each, or None if the
@@ -171,7 +175,10 @@
         )
     needed = spec.task_count
     chosen = []
-    for capacity, count in sorted(found, key=lambda each: -each[1]):
+    found = sorted(
+        found, key=lambda each: (-each[1], each[0].worker.is_cold(at))
+    )
+    for capacity, count in found:
         taken = min(count, needed)
         chosen.append((capacity, taken))
         needed -= taken
@@ -220,7 +227,7 @@
             )
             for capacity in usable
         ]
-        return choose_workers(step, [each for each in found if each[1]])
+        return choose_workers(step, [each for each in found if each[1]], at)
 
     # A gang that fits nowhere is found out at once.
     latest = fit_at(ends[-1]) if ends else None
--- a/src/marigoldgap/platform/documents.py
+++ b/src/marigoldgap/platform/documents.py
@@ -125,9 +125,16 @@
     )
 
 
-def decode_registration(worker_id: str, content: bytes) -> model.Registration:
+def decode_registration(
+    worker_id: str, content: bytes, now: float
+) -> model.Registration:
     """Decodes a worker's registration row.
 
+    Args:
+        worker_id: Identifier of the worker.
+        content: Content of the row.
+        now: Monotonic time of the response with the row, in seconds.
+
     Raises:
         FormatError: The row is not a valid registration; the worker cannot be
             used.
@@ -140,6 +147,7 @@
     if not isinstance(capacity, dict):
         raise decoding.FormatError("field 'capacity' is not an object")
     labels = decoding.texts(fields, "labels")
+    cold_ms = decoding.number(fields, "coldRemainingMs", 0)
     return model.Registration(
         worker_id=worker_id,
         service=decoding.text(fields, "service"),
@@ -151,6 +159,7 @@
         # The first label is the kind of the worker, the second its rack.
         rack=labels[1] if len(labels) > 1 else "",
         born_ms=decoding.integer(fields, "born", 0),
+        cold_until_s=now + cold_ms / 1000 if cold_ms else 0.0,
     )
 
 
--- a/tests/features/cell/evacuation.feature
+++ b/tests/features/cell/evacuation.feature
@@ -264,3 +264,48 @@
     And the start is stored
     And the operator ends the evacuation of zone "b"
     Then the job is completed and nothing started in zone "a"
+
+  Scenario Outline: Cold workers are used after warm ones of equal cost
+    Guards against work that is slow on a cold worker, while a warm one with the
+    same free cores has nothing to do.
+    Given 2 workers with 4 cores each
+    And the first worker is cold for <cold> ms
+    And a waiting <kind> of 1 cores
+    When a plan is made 100 ms later
+    Then only the <used> worker is used
+
+    Examples:
+      | cold | kind      | used   |
+      | 3000 | task      | second |
+      | 3000 | gang      | second |
+      | 3000 | lone task | second |
+      | 50   | task      | first  |
+      | 0    | task      | first  |
+
+  Scenario: The most urgent step gets the warm worker
+    Guards against a step without slack that waits or runs on the cold worker.
+    Given 2 workers with 4 cores each
+    And the first worker is cold for 3000 ms
+    And a waiting task of 4 cores that is due in 60 s
+    And a waiting task of 4 cores that is due in 10 s
+    When a plan is made 0 ms later
+    Then the task that is due in 10 s runs on the second worker
+    And the task that is due in 60 s runs on the first worker
+
+  Scenario Outline: The time for which a worker is cold is read from its row
+    Guards against a worker that cannot be used since the field is missing.
+    When a registration with "<field>" is read at 100 s
+    Then its worker is cold until <until> s
+    And the stored roster does not have that time
+
+    Examples:
+      | field                     | until |
+      |                           | 0     |
+      | "coldRemainingMs": 0,     | 0     |
+      | "coldRemainingMs": 2500,  | 102.5 |
+
+  Scenario: The leader knows for how long a worker is cold
+    Guards against a time that counts from another clock or moment.
+    Given a cell with a worker in each of the zones "a b" and 1 instances
+    When the worker in zone "a" registers that it is cold for 3000 ms
+    Then the leader takes it for cold until 2 to 3 s from now
--- a/tests/features/steps/cell_evacuation_steps.py
+++ b/tests/features/steps/cell_evacuation_steps.py
@@ -9,11 +9,14 @@
 from behave import then
 from behave import when
 
+from marigoldgap import clock
 from marigoldgap.cell import advice_targets
 from marigoldgap.cell import model
 from marigoldgap.cell import planner
+from marigoldgap.cell import records
 from marigoldgap.cell import run_times
 from marigoldgap.cell import step_progress
+from marigoldgap.platform import documents
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
 from tests.fixtures import loops
@@ -510,3 +513,89 @@
 def start_stored(context):
     context.world.schedulers[0].worker_tracker.stored = context.stored
     context.gate.set_result(None)
+
+
+@given("the first worker is cold for {milliseconds:d} ms")
+def cool(context, milliseconds):
+    worker = context.fleet.values()[0]
+    worker.registration = worker.registration._replace(
+        cold_until_s=100.0 + milliseconds / 1000
+    )
+
+
+@given("a waiting task of {cores:d} cores that is due in {seconds:d} s")
+def add_due(context, cores, seconds):
+    add_waiting(context, "task", cores)
+    context.steps_waiting[-1].job.deadline_s = 100.0 + seconds
+
+
+@when("a plan is made {milliseconds:d} ms later")
+def plan_later(context, milliseconds):
+    plans = planner.Planner(context.fleet, run_times.RunTimes())
+    now = 100.0 + milliseconds / 1000
+    context.plan = plans.plan(context.steps_waiting, {}, {}, now)
+
+
+_ORDINALS = ("first", "second")
+
+
+@then("only the {name} worker is used")
+def used_only(context, name):
+    used = {each.worker.worker_id for each in context.plan.placements}
+    assert used == {f"w{_ORDINALS.index(name)}"}, used
+
+
+@then("the task that is due in {seconds:d} s runs on the {name} worker")
+def due_runs_on(context, seconds, name):
+    (placement,) = (
+        each
+        for each in context.plan.placements
+        if each.step.job.deadline_s == 100.0 + seconds
+    )
+    number = _ORDINALS.index(name)
+    assert placement.worker.worker_id == f"w{number}", placement
+
+
+@when('a registration with "{field}" is read at {seconds:d} s')
+@when('a registration with "" is read at {seconds:d} s')
+def read_registration(context, seconds, field=""):
+    content = f"""{{{field} "service": "claims", "address": "127.0.0.1:1",
+        "zone": "a", "state": "ready", "capacity": {{"cpu": 1000}}}}"""
+    context.registration = documents.decode_registration(
+        "w1", content.encode(), float(seconds)
+    )
+
+
+@then("its worker is cold until {seconds:g} s")
+def cold_until(context, seconds):
+    assert context.registration.cold_until_s == seconds, context.registration
+
+
+@then("the stored roster does not have that time")
+def cold_not_stored(context):
+    stored = records.encode_worker(context.registration)
+    assert b"cold" not in stored, stored
+    restored = records.decode_worker(stored)
+    assert restored == context.registration._replace(cold_until_s=0.0)
+
+
+@when(
+    'the worker in zone "{zone}" registers that it is cold for'
+    " {milliseconds:d} ms"
+)
+def register_cold(context, zone, milliseconds):
+    worker = _worker_in(context, zone)
+    worker.cold_ms = milliseconds
+    worker.register()
+    (scheduler,) = context.world.schedulers
+    context.known = scheduler.worker_tracker.workers.get(worker.worker_id)
+    loops.run(
+        context, loops.until(lambda: context.known.registration.cold_until_s)
+    )
+
+
+@then("the leader takes it for cold until {least:d} to {most:d} s from now")
+def cold_from_now(context, least, most):
+    now = clock.now_s()
+    assert context.known.is_cold(now + least)
+    assert not context.known.is_cold(now + most)
