--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -19,6 +19,7 @@
 from marigoldgap.cell import archive
 from marigoldgap.cell import authority
 from marigoldgap.cell import election as elections
+from marigoldgap.cell import evacuation_log
 from marigoldgap.cell import evacuations
 from marigoldgap.cell import former_leader
 from marigoldgap.cell import job_tracker
@@ -152,6 +153,7 @@
         self._heartbeat_count = 0
         self._is_planning = True
         self._wait_log = wait_log.WaitLog()
+        self._evacuation_log = evacuation_log.EvacuationLog()
 
     @property
     def is_recovered(self) -> bool:
@@ -176,6 +178,7 @@
         await self._wait_until_recovered()
         self._leadership.spawn(self._plan_repeatedly())
         self._leadership.spawn(self._log_waits())
+        self._leadership.spawn(self._log_evacuations())
         self._leadership.spawn(self._archive.run())
         self._leadership.spawn(self._retention.run())
         await self._leadership.wait_until_ended()
@@ -229,6 +232,7 @@
         """Cancels all worker sessions, commands and background tasks."""
         self._is_planning = False
         self._advice.close()
+        self._evacuation_log.close()
         self.worker_tracker.close()
         self._leadership.close()
 
@@ -326,6 +330,16 @@
                 clock.now_s(),
             )
 
+    async def _log_evacuations(self) -> None:
+        """Logs what remains in the evacuated zones."""
+        while True:
+            self._evacuation_log.examine(
+                self.worker_tracker.workers.values(),
+                self._evacuations.zones,
+                clock.now_s(),
+            )
+            await asyncio.sleep(evacuation_log.INTERVAL_S)
+
     def _wait_reason(
         self, step: step_progress.StepProgress, unknown_jobs: set[str]
     ) -> step_progress.WaitReason:
--- a/src/marigoldgap/job_explanation.py
+++ b/src/marigoldgap/job_explanation.py
@@ -17,6 +17,7 @@
         "fenced",
         "recovered",
         "write_failed",
+        "zone_evacuating",
     }
 )
 _WORKER_EVENTS = frozenset(
@@ -193,9 +194,17 @@
     if "write_failed" in events:
         count = len(events["write_failed"])
         parts.append(f"{count} writes of progress to the store failed")
+    withdrawn = sum(
+        line.fields.get("outcome") == "evacuated"
+        for line in events.get("start_refused", [])
+    )
+    if withdrawn:
+        parts.append(
+            f"{withdrawn} starts were withdrawn as their zone was evacuated"
+        )
     for name, problem in (
         ("start_unanswered", "start commands got no answer"),
-        ("start_refused", "starts were refused"),
+        ("start_refused", "starts were refused or withdrawn"),
         ("advice_failed", "calls for advice failed"),
     ):
         if name in events:
--- a/tests/features/cell/evacuation.feature
+++ b/tests/features/cell/evacuation.feature
@@ -309,3 +309,35 @@
     Given a cell with a worker in each of the zones "a b" and 1 instances
     When the worker in zone "a" registers that it is cold for 3000 ms
     Then the leader takes it for cold until 2 to 3 s from now
+
+  Scenario: An operator sees what remains in an evacuated zone
+    Guards against an evacuation whose progress shows nowhere.
+    Given a cell with a worker in each of the zones "a b" and 2 instances
+    And zone "a" is used first
+    And the log lines are recorded
+    When a job with the payload "ms=2500" is submitted and has begun
+    And the operator evacuates zone "a"
+    Then every instance knows the evacuated zones "a"
+    And the log says that zone "a" is evacuated and that 1 run remains
+    And the metrics show 1 evacuated zones and 1 runs that remain in zone "a"
+    And later 0 runs that remain in zone "a"
+    When the operator ends the evacuation of zone "a"
+    Then the log says that zone "a" has returned
+    And the metrics show no runs that remain in zone "a"
+
+  Scenario: Progress is logged every 5 s, with the reasons why runs remain
+    Guards against a log that is silent, or that grows with workers or zones.
+    Given 2 workers with 4 cores each
+    And the first 2 workers are in the evacuated zone
+    And 2 long-running runs on the first worker
+    And 1 long-running runs on the second worker
+    And the second worker does not answer
+    When the zone and 30 further zones are logged each second for 12 s
+    Then each zone was logged 3 times, at most 20 in a second
+    And the zone was logged with 2 workers, 1 silent and 3 long-running runs
+
+  Scenario: A job whose start was withdrawn is explained
+    Guards against a delay by an evacuation that the explanation does not name.
+    Given log lines about a job whose start was refused as "evacuated"
+    When the job is explained
+    Then the cause names "1 starts were withdrawn as their zone was evacuated"
--- a/tests/features/steps/cell_evacuation_steps.py
+++ b/tests/features/steps/cell_evacuation_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 
 from behave import given
@@ -10,7 +11,10 @@
 from behave import when
 
 from marigoldgap import clock
+from marigoldgap import measures
 from marigoldgap.cell import advice_targets
+from marigoldgap.cell import evacuation_log
+from marigoldgap.cell import fleet
 from marigoldgap.cell import model
 from marigoldgap.cell import planner
 from marigoldgap.cell import records
@@ -19,6 +23,7 @@
 from marigoldgap.platform import documents
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
+from tests.fixtures import log_lines
 from tests.fixtures import loops
 
 
@@ -599,3 +604,126 @@
     now = clock.now_s()
     assert context.known.is_cold(now + least)
     assert not context.known.is_cold(now + most)
+
+
+@given("the log lines are recorded")
+def record_log(context):
+    context.lines = log_lines.capture(context)
+
+
+def _logged(context, event, zone):
+    return [
+        fields
+        for found, fields in context.lines
+        if found == event and fields["zone"] == zone
+    ]
+
+
+@then(
+    'the log says that zone "{zone}" is evacuated and that {count:d} run'
+    " remains"
+)
+def logged_evacuated(context, zone, count):
+    instances = len(context.world.instances)
+    assert len(_logged(context, "zone_evacuated", zone)) == instances
+    loops.run(
+        context,
+        loops.until(lambda: _logged(context, "zone_evacuating", zone)),
+    )
+    (fields,) = _logged(context, "zone_evacuating", zone)
+    assert fields["runs"] == fields["running"] == count, fields
+
+
+@then('the log says that zone "{zone}" has returned')
+def logged_returned(context, zone):
+    all_know(context)
+    instances = len(context.world.instances)
+    assert len(_logged(context, "zone_returned", zone)) == instances
+
+
+def _remaining_line(zone):
+    return f'marigoldgap_evacuating_runs{{zone="{zone}"}} '
+
+
+@then(
+    "the metrics show {zones:d} evacuated zones and {count:d} runs that remain"
+    ' in zone "{zone}"'
+)
+def measured(context, zones, count, zone):
+    text = measures.text().decode()
+    assert f"marigoldgap_evacuated_zones {zones}.0\n" in text, text
+    assert f"{_remaining_line(zone)}{count}.0\n" in text, text
+
+
+@then('later {count:d} runs that remain in zone "{zone}"')
+def measured_later(context, count, zone):
+    line = f"{_remaining_line(zone)}{count}.0\n"
+    loops.run(context, loops.until(lambda: line in measures.text().decode()))
+
+
+@then('the metrics show no runs that remain in zone "{zone}"')
+def not_measured(context, zone):
+    line = _remaining_line(zone)
+    loops.run(
+        context, loops.until(lambda: line not in measures.text().decode())
+    )
+
+
+@given("the second worker does not answer")
+def second_silent(context):
+    context.fleet.values()[1].contact = fleet.Contact.SILENT
+
+
+@when(
+    "the zone and {count:d} further zones are logged each second for"
+    " {seconds:d} s"
+)
+def log_zones(context, count, seconds):
+    context.lines = log_lines.capture(context)
+    log = evacuation_log.EvacuationLog()
+    context.add_cleanup(log.close)
+    others = {f"other-{number}" for number in range(count)}
+    context.logged_zones = _EVACUATED | others
+    context.passes = []
+    for second in range(seconds + 1):
+        before = len(context.lines)
+        log.examine(
+            context.fleet.values(), context.logged_zones, 100.0 + second
+        )
+        context.passes.append(len(context.lines) - before)
+
+
+@then("each zone was logged {times:d} times, at most {most:d} in a second")
+def logged_times(context, times, most):
+    for zone in context.logged_zones:
+        assert len(_logged(context, "zone_evacuating", zone)) == times, zone
+    assert max(context.passes) <= most, context.passes
+
+
+@then(
+    "the zone was logged with {workers:d} workers, {silent:d} silent and"
+    " {count:d} long-running runs"
+)
+def logged_remainder(context, workers, silent, count):
+    fields = _logged(context, "zone_evacuating", "evacuated")[0]
+    assert fields["workers"] == workers, fields
+    assert fields["silent"] == silent, fields
+    assert fields["long_running"] == fields["runs"] == count, fields
+
+
+@given('log lines about a job whose start was refused as "{outcome}"')
+def refused_lines(context, outcome):
+    lines = [
+        {"event": "start_refused", "run": f"{cell_jobs.JOB}.0.0.0#1"},
+        {"event": "job_ended", "job": cell_jobs.JOB, "state": "completed"},
+    ]
+    lines[0]["outcome"] = outcome
+    context.texts = [
+        json.dumps({"time_ms": number, "instance": "e1", **line})
+        for number, line in enumerate(lines)
+    ]
+
+
+@then('the cause names "{text}"')
+def cause_names(context, text):
+    assert text in context.explanation.cause, context.explanation.cause
