--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -171,7 +171,8 @@
     spec = step.spec
     avoid = step.avoid.get(position, set())
     best: worker_capacity.WorkerCapacity | None = None
-    best_cost = (0, False)
+    best_cost = 0
+    is_best_cold = False
     for capacity in usable:
         worker_id = capacity.worker.worker_id
         if (
@@ -192,9 +193,15 @@
             cost += 2 * _OTHER_RACK_COST
         if planning.ticket(step, capacity) is None:
             cost += _OTHER_RACK_COST // 2
-        key = cost, capacity.worker.is_cold(planning.now)
-        if best is None or key < best_cost:
-            best, best_cost = capacity, key
+        is_better = best is None or cost < best_cost
+        # The times of warm workers with equal cost are not looked up.
+        if is_better or (
+            is_best_cold
+            and cost == best_cost
+            and not capacity.worker.is_cold(planning.now)
+        ):
+            best, best_cost = capacity, cost
+            is_best_cold = capacity.worker.is_cold(planning.now)
     return best
 
 
--- a/tests/features/cell/evacuation.feature
+++ b/tests/features/cell/evacuation.feature
@@ -341,3 +341,19 @@
     Given log lines about a job whose start was refused as "evacuated"
     When the job is explained
     Then the cause names "1 starts were withdrawn as their zone was evacuated"
+
+  Scenario Outline: A gang may complete its starts for a short time only
+    Guards against starts that are sent late, since this instance learned of the
+    evacuation late, or since it was requested again.
+    Given a gang of which one member was sent and one was not
+    And its zone was last known not to be evacuated <absent> s ago
+    And its evacuation was learned <learned> s ago and requested again now
+    Then the start of a member is <result>
+
+    Examples:
+      | absent | learned | result        |
+      | 0.5    | 0.3     | not withdrawn |
+      | 1.2    | 1.1     | withdrawn     |
+      | 3.3    | 0.1     | not withdrawn |
+      | 3.5    | 0.1     | withdrawn     |
+      | inf    | 0.1     | withdrawn     |
--- a/tests/features/steps/cell_evacuation_steps.py
+++ b/tests/features/steps/cell_evacuation_steps.py
@@ -14,11 +14,13 @@
 from marigoldgap import measures
 from marigoldgap.cell import advice_targets
 from marigoldgap.cell import evacuation_log
+from marigoldgap.cell import evacuations
 from marigoldgap.cell import fleet
 from marigoldgap.cell import model
 from marigoldgap.cell import planner
 from marigoldgap.cell import records
 from marigoldgap.cell import run_times
+from marigoldgap.cell import runs
 from marigoldgap.cell import step_progress
 from marigoldgap.platform import documents
 from tests.fixtures import cell_jobs
@@ -727,3 +729,40 @@
 @then('the cause names "{text}"')
 def cause_names(context, text):
     assert text in context.explanation.cause, context.explanation.cause
+
+
+@given("a gang of which one member was sent and one was not")
+def gang_partly_sent(context):
+    context.execute_steps("""
+        Given 1 workers with 4 cores each
+        And the first 1 workers are in the evacuated zone
+        And a waiting gang of 2 members of 1 core
+        """)
+    (step,) = context.steps_waiting
+    (worker,) = context.fleet.values()
+    for position in range(2):
+        name = model.RunName(step.task(position), 1)
+        step.active[position] = runs.Run(name, step, worker, 100.0)
+    step.active[0].is_sent = True
+
+
+@given("its zone was last known not to be evacuated {seconds:g} s ago")
+def last_absent(context, seconds):
+    context.absent_s = None if seconds == float("inf") else 100.0 - seconds
+
+
+@given("its evacuation was learned {seconds:g} s ago and requested again now")
+def learned_ago(context, seconds):
+    context.evacuations = evacuations.Evacuations()
+    context.evacuations.replace(_EVACUATED, context.absent_s, 100.0 - seconds)
+    context.evacuations.replace(_EVACUATED, 100.0, 100.0)
+
+
+@then("the start of a member is {result}")
+def member_result(context, result):
+    (step,) = context.steps_waiting
+    withdrawn = {
+        context.evacuations.withdraws(run, 100.0)
+        for run in step.active.values()
+    }
+    assert withdrawn == {result == "withdrawn"}, withdrawn
