--- a/src/marigoldgap/cell/advice_targets.py
+++ b/src/marigoldgap/cell/advice_targets.py
@@ -36,6 +36,7 @@
     requested: list[str],
     workers: fleet.Fleet,
     now: float,
+    evacuated: frozenset[str] = frozenset(),
 ) -> list[str]:
     """Returns the ids of the workers to ask about, the requested ones first.
 
@@ -48,9 +49,12 @@
         requested: Ids of the workers that were requested.
         workers: All workers of the cell.
         now: Current monotonic time in seconds.
+        evacuated: Names of the evacuated zones, whose workers are left out.
     """
     chosen = {
-        name: None for name in requested if _is_usable(workers, name, step, now)
+        name: None
+        for name in requested
+        if _is_usable(workers, name, step, now, evacuated)
     }
     limit = max(len(requested), _MIN_WORKERS)
     if step.spec.is_gang:
@@ -61,7 +65,8 @@
             [
                 name
                 for name in step.advised_workers
-                if name not in chosen and _is_usable(workers, name, step, now)
+                if name not in chosen
+                and _is_usable(workers, name, step, now, evacuated)
             ],
         )
     # All workers are examined only for a call that would ask about few.
@@ -75,7 +80,7 @@
                 for worker in workers.values()
                 if worker.worker_id not in chosen
                 and worker.worker_id not in step.asked_workers
-                and _is_usable(workers, worker.worker_id, step, now)
+                and _is_usable(workers, worker.worker_id, step, now, evacuated)
             ],
         )
     return list(chosen)
@@ -104,10 +109,12 @@
     worker_id: str,
     step: step_progress.StepProgress,
     now: float,
+    evacuated: frozenset[str],
 ) -> bool:
     worker = workers.get(worker_id)
     return (
         worker is not None
+        and worker.registration.zone not in evacuated
         and worker.is_available(now)
         and _is_suitable(worker, step)
     )
--- a/src/marigoldgap/cell/model.py
+++ b/src/marigoldgap/cell/model.py
@@ -230,6 +230,8 @@
         rack: The label that names its rack, or empty.
         born_ms: Wall time at which its process started, which identifies its
             incarnation; 0 if unknown.
+        cold_until_s: Monotonic time of this instance, in seconds, until which
+            its process is slow after a start or an evacuation; not stored.
     """
 
     worker_id: str
@@ -241,6 +243,7 @@
     labels: frozenset[str]
     rack: str
     born_ms: int
+    cold_until_s: float = 0.0
 
 
 class TaskName(NamedTuple):
@@ -358,6 +361,8 @@
         REJECTED: The worker refused the start in any other way.
         OVER_LIMIT: The limit of the workspace was lowered before the worker had
             answered; the task is planned again.
+        EVACUATED: The zone of the worker was evacuated before the worker had
+            answered; the task is planned again.
         UNANSWERED: The worker answers renewals, but none of many commands to
             start the run.
     """
@@ -372,6 +377,7 @@
     UNHEALTHY = "unhealthy"
     REJECTED = "rejected"
     OVER_LIMIT = "over-limit"
+    EVACUATED = "evacuated"
     UNANSWERED = "unanswered"
 
 
--- a/src/marigoldgap/cell/run_tracker.py
+++ b/src/marigoldgap/cell/run_tracker.py
@@ -78,7 +78,10 @@
         """
         position = name.task.position
         run = runs.Run(name, step, worker, clock.now_s())
-        run.is_timed = not step.saved_for(position)
+        # Only whole runs on workers at their usual speed are learned from.
+        run.is_timed = not step.saved_for(position) and not worker.is_cold(
+            run.started_s
+        )
         step.last_run[position] = name.run
         step.active[position] = run
         step.waiting.discard(position)
--- a/src/marigoldgap/cell/runs.py
+++ b/src/marigoldgap/cell/runs.py
@@ -43,6 +43,7 @@
         "expected_s",
         "has_begun",
         "is_far",
+        "is_sent",
         "is_timed",
         "is_unstarted",
         "name",
@@ -74,6 +75,8 @@
         self.has_begun = False
         # Whether all commands to start it have certainly failed.
         self.is_unstarted = False
+        # Whether a command to start it was sent that may be carried out.
+        self.is_sent = False
         # Monotonic time of the latest change of `percent`.
         self.progressed_s = now
         self.percent = 0.0
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -19,6 +19,8 @@
 from marigoldgap.cell import archive
 from marigoldgap.cell import authority
 from marigoldgap.cell import election as elections
+from marigoldgap.cell import evacuation_log
+from marigoldgap.cell import evacuations
 from marigoldgap.cell import former_leader
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import journal
@@ -31,6 +33,7 @@
 from marigoldgap.cell import recovery
 from marigoldgap.cell import retention
 from marigoldgap.cell import run_times
+from marigoldgap.cell import runs
 from marigoldgap.cell import step_progress
 from marigoldgap.cell import store
 from marigoldgap.cell import table_reader
@@ -75,7 +78,8 @@
         proxies: Returns the proxies for calls to the advice service.
         configuration: Returns the configuration in force.
         is_outdated: Returns whether another configuration may be in force
-            alone.
+            alone, or another evacuation.
+        evacuated: The evacuated zones.
         offer: Offers the leadership of an epoch to other instances; returns
             whether one took it over.
         retention_s: Retention period of ended jobs, in seconds.
@@ -92,6 +96,7 @@
         proxies: Callable[[], list[advice_dispatcher.AdviceProxy]],
         configuration: Callable[[], model.Configuration | None],
         is_outdated: Callable[[], bool],
+        evacuated: evacuations.Evacuations,
         offer: Callable[[int], Awaitable[bool]],
         retention_s: float,
         store_refused_s: Callable[[], float],
@@ -105,6 +110,7 @@
         self._rows = rows
         self._configuration = configuration
         self._is_outdated = is_outdated
+        self._evacuations = evacuated
         self._offer = offer
         self._store_refused_s = store_refused_s
         self._versions: dict[store.RowKey, int] = {}
@@ -134,6 +140,8 @@
             self.worker_tracker, self.job_tracker, configuration
         )
         self.worker_tracker.exceeds_limit = self._usage.exceeds_limit
+        self.worker_tracker.is_evacuated = self._is_evacuated
+        self.worker_tracker.is_outdated = is_outdated
         self._planner = planner.Planner(self.worker_tracker.workers, times)
         self._archive = archive.Archive(rows, self.job_tracker)
         self._retention = retention.Retention(
@@ -153,6 +161,7 @@
         self._heartbeat_count = 0
         self._is_planning = True
         self._wait_log = wait_log.WaitLog()
+        self._evacuation_log = evacuation_log.EvacuationLog()
 
     @property
     def is_recovered(self) -> bool:
@@ -178,6 +187,7 @@
         self._leadership.spawn(self._plan_repeatedly())
         self._leadership.spawn(self._log_waits())
         self._leadership.spawn(self._store_times())
+        self._leadership.spawn(self._log_evacuations())
         self._leadership.spawn(self._archive.run())
         self._leadership.spawn(self._retention.run())
         await self._leadership.wait_until_ended()
@@ -231,6 +241,7 @@
         """Cancels all worker sessions, commands and background tasks."""
         self._is_planning = False
         self._advice.close()
+        self._evacuation_log.close()
         self.worker_tracker.close()
         self._leadership.close()
 
@@ -280,7 +291,9 @@
         if not steps:
             return
         usage = self._usage.current()
-        plan = self._planner.plan(steps, usage, configuration.workspaces, now)
+        plan = self._planner.plan(
+            steps, usage, configuration.workspaces, now, self._evacuations.zones
+        )
         _log_usage(plan, usage, configuration)
         gang_run_numbers = {
             id(each.step): each.step.next_run(each.position)
@@ -299,11 +312,18 @@
         for step, workers in plan.advice:
             self._advice.request(step, workers)
 
+    def _is_evacuated(self, run: runs.Run) -> bool:
+        return self._evacuations.withdraws(run, clock.now_s())
+
     def _choose_advised(
         self, step: step_progress.StepProgress, requested: list[str]
     ) -> list[str]:
         return advice_targets.choose(
-            step, requested, self.worker_tracker.workers, clock.now_s()
+            step,
+            requested,
+            self.worker_tracker.workers,
+            clock.now_s(),
+            self._evacuations.zones,
         )
 
     async def _store_times(self) -> None:
@@ -328,6 +348,16 @@
                 clock.now_s(),
             )
 
+    async def _log_evacuations(self) -> None:
+        """Logs what remains in the evacuated zones."""
+        while True:
+            self._evacuation_log.examine(
+                self.worker_tracker.workers.values(),
+                self._evacuations.zones,
+                clock.now_s(),
+            )
+            await asyncio.sleep(evacuation_log.INTERVAL_S)
+
     def _wait_reason(
         self, step: step_progress.StepProgress, unknown_jobs: set[str]
     ) -> step_progress.WaitReason:
--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -170,7 +170,9 @@
 
     Prefers workers that are in the rack of the data, are not reserved, have
     a ticket, are as fast as others, and on which no run of the task has failed
-    or made no progress; among them the one with the fewest free cores.
+    or made no progress; among them the one with the fewest free cores. Of
+    workers with equal cost, cold ones come last: steps are planned in the order
+    of urgency, so that those with the longest slack are left with them.
     """
     spec = step.spec
     slow_downs = planning.slow_downs
@@ -178,6 +180,7 @@
     avoid = step.avoid.get(position, set())
     best: worker_capacity.WorkerCapacity | None = None
     best_cost = 0
+    is_best_cold = False
     for capacity in usable:
         worker_id = capacity.worker.worker_id
         if (
@@ -200,8 +203,15 @@
             cost += _OTHER_RACK_COST // 2
         if slow_downs and worker_id in slow_downs:
             cost += _speed_cost(expected_s, slow_downs[worker_id])
-        if best is None or cost < best_cost:
+        is_better = best is None or cost < best_cost
+        # The times of warm workers with equal cost are not looked up.
+        if is_better or (
+            is_best_cold
+            and cost == best_cost
+            and not capacity.worker.is_cold(planning.now)
+        ):
             best, best_cost = capacity, cost
+            is_best_cold = capacity.worker.is_cold(planning.now)
     return best
 
 
--- a/src/marigoldgap/cell/worker_capacity.py
+++ b/src/marigoldgap/cell/worker_capacity.py
@@ -40,15 +40,15 @@
             spec: Step of the task.
             ends_s: Time at which the task is expected to end.
         """
-        if _is_exceeded(self.free) or not _fits(self.free, spec):
+        if _is_exceeded(self.free) or not fits_in(self.free, spec):
             return False
         if self.unreserved is None or ends_s <= self.reserved_from_s:
             return True
-        return _fits(self.unreserved, spec)
+        return fits_in(self.unreserved, spec)
 
     def fits_alone(self, spec: model.StepSpec) -> bool:
         """Returns whether a task fits on the worker without other runs."""
-        return _fits(list(self.worker.registration.capacity), spec)
+        return fits_in(list(self.worker.registration.capacity), spec)
 
     def take(self, spec: model.StepSpec, ends_s: float) -> None:
         """Allocates capacity to a task that is expected to end at `ends_s`."""
@@ -108,7 +108,8 @@
     return min(free) < 0
 
 
-def _fits(free: list[int], spec: model.StepSpec) -> bool:
+def fits_in(free: list[int], spec: model.StepSpec) -> bool:
+    """Returns whether a task fits into free capacity."""
     demand = spec.demand
     if spec.uses_idle_only:
         return demand.memory_mib <= free[1]
@@ -139,15 +140,19 @@
 
 
 def choose_workers(
-    step: step_progress.StepProgress, found: list[tuple[WorkerCapacity, int]]
+    step: step_progress.StepProgress,
+    found: list[tuple[WorkerCapacity, int]],
+    at: float,
 ) -> list[tuple[WorkerCapacity, int]] | None:
     """Chooses as few workers as possible for all members of a gang.
 
-    A gang that is slow on several racks gets one rack, if it fits on one.
+    A gang that is slow on several racks gets one rack, if it fits on one. Of
+    workers that hold equally many members, cold ones come last.
 
     Args:
         step: The step of the gang.
         found: Workers with the number of members that fit on each.
+        at: Monotonic time of the start, in seconds.
 
     Returns:
         Workers with the number of members to place on each, or None if the
@@ -170,7 +175,10 @@
         )
     needed = spec.task_count
     chosen = []
-    for capacity, count in sorted(found, key=lambda each: -each[1]):
+    found = sorted(
+        found, key=lambda each: (-each[1], each[0].worker.is_cold(at))
+    )
+    for capacity, count in found:
         taken = min(count, needed)
         chosen.append((capacity, taken))
         needed -= taken
@@ -219,7 +227,7 @@
             )
             for capacity in usable
         ]
-        return choose_workers(step, [each for each in found if each[1]])
+        return choose_workers(step, [each for each in found if each[1]], at)
 
     # A gang that fits nowhere is found out at once.
     latest = fit_at(ends[-1]) if ends else None
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -73,8 +73,12 @@
         self._election_win: elections.ElectionWin | None = None
         self._configuration = configuration_follower.ConfigurationFollower(
             self._rows,
-            settings_file.CONFIGURATION_KEY,
-            documents.decode_configuration,
+            configuration_follower.OperatorRows(
+                settings_file.CONFIGURATION_KEY,
+                settings_file.EVACUATIONS_END,
+                documents.decode_configuration,
+                documents.decode_evacuation,
+            ),
             self._adopt,
         )
         self._election = elections.Election(
@@ -313,6 +317,7 @@
             self._advice_proxies,
             lambda: self._configuration.current,
             lambda: self._configuration.is_outdated(self._rows.unreachable_s),
+            self._configuration.evacuations,
             self._offer_takeover,
             self.settings.job_retention_s,
             lambda: self._rows.refused_s,
--- a/src/marigoldgap/platform/documents.py
+++ b/src/marigoldgap/platform/documents.py
@@ -4,10 +4,15 @@
 
 from typing import Any
 
+from marigoldgap import decision_log
 from marigoldgap.cell import model
+from marigoldgap.cell import store
 from marigoldgap.platform import decoding
+from marigoldgap.platform import settings_file
 from marigoldgap.web import client
 
+_log = decision_log.DecisionLogger("documents")
+
 # Limits of a submitted job, far above the largest job that the platform
 # specifies.
 _MAX_PAYLOAD_BYTES = 4_000
@@ -54,6 +59,34 @@
     )
 
 
+def decode_evacuation(row_key: store.RowKey, content: bytes) -> str | None:
+    """Returns the zone that a row of the operator evacuates.
+
+    The key alone decides: starting nothing in a zone by mistake costs capacity
+    until the row is removed, while ignoring a request would break it.
+
+    Args:
+        row_key: Key of the row.
+        content: Content of the row; should be an empty object.
+
+    Returns:
+        The name of the zone, or None if the row is no evacuation.
+    """
+    configuration = settings_file.CONFIGURATION_KEY
+    prefix = settings_file.EVACUATION_PREFIX
+    if row_key[:2] != configuration[:2] or not row_key.key.startswith(prefix):
+        return None
+    zone = row_key.key.removeprefix(prefix)
+    if not zone:
+        _log.error("evacuation_unusable", cause="its key names no zone")
+        return None
+    try:
+        decoding.decode_object(content)
+    except decoding.FormatError as error:
+        _log.warning("evacuation_malformed", zone=zone, cause=str(error))
+    return zone
+
+
 def _decode_queue(fields: dict[str, Any]) -> model.Queue:
     advice = fields.get("advice")
     return model.Queue(
@@ -92,9 +125,16 @@
     )
 
 
-def decode_registration(worker_id: str, content: bytes) -> model.Registration:
+def decode_registration(
+    worker_id: str, content: bytes, now: float
+) -> model.Registration:
     """Decodes a worker's registration row.
 
+    Args:
+        worker_id: Identifier of the worker.
+        content: Content of the row.
+        now: Monotonic time of the response with the row, in seconds.
+
     Raises:
         FormatError: The row is not a valid registration; the worker cannot be
             used.
@@ -107,6 +147,7 @@
     if not isinstance(capacity, dict):
         raise decoding.FormatError("field 'capacity' is not an object")
     labels = decoding.texts(fields, "labels")
+    cold_ms = decoding.number(fields, "coldRemainingMs", 0)
     return model.Registration(
         worker_id=worker_id,
         service=decoding.text(fields, "service"),
@@ -118,6 +159,7 @@
         # The first label is the kind of the worker, the second its rack.
         rack=labels[1] if len(labels) > 1 else "",
         born_ms=decoding.integer(fields, "born", 0),
+        cold_until_s=now + cold_ms / 1000 if cold_ms else 0.0,
     )
 
 
--- a/tests/features/steps/cell_worker_speeds_steps.py
+++ b/tests/features/steps/cell_worker_speeds_steps.py
@@ -118,7 +118,7 @@
 @then("at most {count:d} workers count as slow")
 def few_slow(context, count):
     found = planning_pass.PlanningPass(
-        context.fleet, context.times, {}, {}, frozenset(), _NOW
+        context.fleet, context.times, {}, {}, frozenset(), _NOW, frozenset()
     ).slow_downs
     slow = [factor for factor in found.values() if factor > 1]
     assert len(slow) <= count, found
