--- a/src/marigoldgap/cell/advice_dispatcher.py
+++ b/src/marigoldgap/cell/advice_dispatcher.py
@@ -68,9 +68,15 @@
         return (advice.decide_ms + advice.each_ms * len(self.workers)) / 1000
 
     @property
-    def urgency_s(self) -> float:
-        """Sort key: quick calls go first, but keep no slow one waiting."""
-        return self.requested_s + _OVERTAKING_FACTOR * self.declared_s
+    def urgency(self) -> tuple[bool, float]:
+        """Sort key: deferred calls go last, whatever the time they have waited.
+
+        Among the others, quick calls go first, but keep no slow one waiting.
+        """
+        return (
+            self.step.is_advice_deferred,
+            self.requested_s + _OVERTAKING_FACTOR * self.declared_s,
+        )
 
 
 class AdviceDispatcher:
@@ -131,7 +137,7 @@
             task.cancel()
 
     def _dispatch(self) -> None:
-        self._waiting.sort(key=lambda request: request.urgency_s)
+        self._waiting.sort(key=lambda request: request.urgency)
         now = clock.now_s()
         proxies = [
             proxy
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -51,11 +51,19 @@
         planning = planning_pass.PlanningPass(
             self._workers, self._times, usage, workspaces, self._reserved, now
         )
-        planned = sorted(steps, key=lambda step: urgency.urgency(step, now))
+        keys = {id(step): urgency.urgency(step, now) for step in steps}
+        planned = sorted(steps, key=lambda step: keys[id(step)])
         _plan_isolated(planning, planned, self._workers.values())
         gangs = gang_planner.GangPlanner(planning)
         for step in planned:
+            has_room = planning.has_room(step)
             _plan_step(planning, gangs, step)
+            step.is_advice_deferred = urgency.is_advice_deferred(
+                step,
+                keys[id(step)].lateness,
+                has_room,
+                planning.is_fleet_idle(step),
+            )
         self._reserved = planning.reserved_workers
         return planning.plan
 
--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -88,6 +88,8 @@
         self._by_requirement: dict[
             tuple[str, str], dict[str, worker_capacity.WorkerCapacity]
         ] = {}
+        # Largest free amount of each resource on the workers of a requirement.
+        self._largest_free: dict[tuple[str, str], list[int]] = {}
         # Whether less than half of the cores of a service are in use.
         self._is_idle: dict[str, bool] = {}
 
@@ -208,6 +210,22 @@
             unknown.sort(key=lambda name: -candidates[name].free[0])
             self.plan.advice.append((step, unknown))
 
+    def has_room(self, step: step_progress.StepProgress) -> bool:
+        """Returns whether a worker may have room for a task of a step.
+
+        Compares with the largest free amount of each resource, taken once in
+        each pass, so that the cost does not grow with steps times workers.
+        """
+        if step.spec.uses_idle_only:
+            return True
+        key = step.job.queue.service, step.spec.required_label
+        largest = self._largest_free.get(key)
+        if largest is None:
+            largest = self._largest_free[key] = [0, 0, 0]
+            for capacity in self.candidates(step).values():
+                largest[:] = map(max, largest, capacity.free)
+        return worker_capacity.copies_in(largest, step.spec.demand, 1) > 0
+
     def ticket(
         self,
         step: step_progress.StepProgress,
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -83,6 +83,7 @@
         "examine_after_s",
         "failures",
         "held_back_since_s",
+        "is_advice_deferred",
         "isolated_since_s",
         "job",
         "last_run",
@@ -159,6 +160,9 @@
         self.asked_workers: set[str] = set()
         self.advised_workers: dict[str, None] = {}
         self.tickets: dict[str, tuple[str, float]] = {}
+        # Whether calls for its tickets come after those of other steps, by the
+        # latest plan.
+        self.is_advice_deferred = False
         # Calls to the advice service that are queued or in flight.
         self.pending_advice_calls = 0
         self.wait_reason = WaitReason.NOT_PLANNED
--- a/src/marigoldgap/cell/urgency.py
+++ b/src/marigoldgap/cell/urgency.py
@@ -54,6 +54,37 @@
     )
 
 
+def is_advice_deferred(
+    step: step_progress.StepProgress,
+    lateness: step_progress.Lateness,
+    has_room: bool,
+    is_fleet_idle: bool,
+) -> bool:
+    """Returns whether calls for the tickets of a step come after others.
+
+    An instance makes one call at a time, of up to 0.9 s, and a ticket is valid
+    for about 1.5 s: a call for a step that cannot start by then only delays
+    those that can. Nothing is deferred while the fleet is idle, since a step
+    that could run must not wait there. A gang needs to be advised before it
+    can reserve capacity, so it is deferred only if others have all
+    reservations.
+
+    Args:
+        step: The step, with its wait reason by the current plan.
+        lateness: Whether its job can be on time.
+        has_room: Whether a task of it fits on a worker that it may ask about.
+        is_fleet_idle: Whether less than half of the cores of its service are
+            in use.
+    """
+    if is_fleet_idle:
+        return False
+    if lateness is not step_progress.Lateness.ON_TIME:
+        return True
+    if step.spec.is_gang:
+        return step.wait_reason is step_progress.WaitReason.NO_RESERVATION
+    return not has_room
+
+
 def _lateness(
     step: step_progress.StepProgress, now: float
 ) -> step_progress.Lateness:
--- a/tests/features/cell/overload.feature
+++ b/tests/features/cell/overload.feature
@@ -56,3 +56,30 @@
       | seed |
       | 1    |
       | 2    |
+
+  Scenario Outline: A call for advice waits for those of steps that can start
+    Guards against the tickets of a step that could start, which wait until the
+    only free instance has asked for steps that cannot.
+    Given <workers> workers with 4 cores each
+    And the first <full> workers are full
+    And 6 waiting tasks with advice that <cause>
+    And afterwards a waiting task with advice that can start
+    When a plan is made and one instance makes its calls
+    Then the call for the task that can start is number <calls>
+
+    Examples:
+      | workers | full | cause                       | calls |
+      | 8       | 6    | fit on no worker            | 2     |
+      | 8       | 6    | are late                    | 2     |
+      | 8       | 2    | are late on an idle fleet   | 7     |
+
+  Scenario: A deferred call for advice is made once there is room
+    Guards against a step that waits beside free workers, since its call for
+    advice was deferred while there was no room (LOST).
+    Given 8 workers with 4 cores each
+    And the first 8 workers are full
+    And 1 waiting tasks with advice that wait for room
+    When a plan is made
+    Then the calls for its tickets are deferred
+    When the runs have ended and a plan is made
+    Then the calls for its tickets are not deferred
--- a/tests/features/steps/cell_overload_steps.py
+++ b/tests/features/steps/cell_overload_steps.py
@@ -6,7 +6,10 @@
 from behave import then
 from behave import when
 
+from marigoldgap.cell import advice_dispatcher
+from marigoldgap.cell import model
 from tests.features.steps import cell_planning_steps
+from tests.fixtures import loops
 from tests.fixtures import overload
 
 # The time of a plan in the steps for planning.
@@ -15,6 +18,7 @@
 # Beyond the end of the objective of the steps for planning, which is 10.5 s.
 _LATE_S = 1.0
 _EXPIRED_S = 30.0
+_ADVICE = model.PlacementAdvice(11, 0, 1_500)
 
 
 def _wait(context, count, priority):
@@ -109,3 +113,72 @@
     for kind in overload.KINDS:
         share = context.played.on_time(kind.name, since_s)
         assert 100 * share >= least, (kind.name, share)
+
+
+@given("{count:d} waiting tasks with advice that {cause}")
+def add_deferred(context, count, cause):
+    # A worker has 4 cores.
+    cores = 5 if cause == "fit on no worker" else 1
+    for _ in range(count):
+        step = cell_planning_steps.wait_with_advice(context, cores, _ADVICE)
+        if cause.startswith("are late"):
+            step.job.deadline_s = _NOW_S - _LATE_S
+    context.latest = step
+
+
+@given("afterwards a waiting task with advice that can start")
+def add_startable(context):
+    context.startable = cell_planning_steps.wait_with_advice(
+        context, 1, _ADVICE
+    )
+
+
+class _RecordingProxy:
+    """Answers each call in its turn and records the steps."""
+
+    name = "only"
+
+    def __init__(self):
+        self.asked = []
+
+    async def ask(self, step, workers, timeout_s):
+        self.asked.append(step)
+        return model.Tickets(dict.fromkeys(workers, "t"), _ADVICE.valid_ms)
+
+
+@when("a plan is made and one instance makes its calls")
+def make_calls(context):
+    cell_planning_steps.make_plan(context)
+    context.proxy = _RecordingProxy()
+    dispatcher = advice_dispatcher.AdviceDispatcher(
+        lambda: [context.proxy], lambda step, workers: workers, lambda: None
+    )
+    steps = context.steps_waiting
+
+    async def call():
+        for step in steps:
+            dispatcher.request(step, ["w7"])
+        await loops.until(
+            lambda: not any(step.is_advice_pending for step in steps)
+        )
+
+    loops.run(context, call())
+
+
+@then("the call for the task that can start is number {count:d}")
+def call_order(context, count):
+    asked = context.proxy.asked
+    assert len(asked) == len(context.steps_waiting), asked
+    position = asked.index(context.startable.advice_name) + 1
+    # The first call is sent before the others are requested.
+    assert position == count, (position, asked)
+
+
+@then("the calls for its tickets are deferred")
+def is_deferred(context):
+    assert context.latest.is_advice_deferred
+
+
+@then("the calls for its tickets are not deferred")
+def is_not_deferred(context):
+    assert not context.latest.is_advice_deferred
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -88,6 +88,13 @@
     return _wait(context, *arguments, **fields)
 
 
+def wait_with_advice(context, cores, advice):
+    """Adds a task that waits for tickets; returns its step."""
+    step = _wait(context, 1, cores)
+    step.job.queue = step.job.queue._replace(advice=advice)
+    return step
+
+
 def run_elsewhere(context, step):
     """Lets the task of a step that does not wait run on another worker."""
     (position,) = set(range(step.spec.task_count)) - step.waiting
