--- a/src/marigoldgap/cell/job_tracker.py
+++ b/src/marigoldgap/cell/job_tracker.py
@@ -115,6 +115,7 @@
                 is_inherited=job.is_inherited,
                 workspace=record.workspace,
                 queue=record.queue.name,
+                is_over_fair_rate=job.is_over_fair_rate,
             )
         if record.is_cancelled and not job.is_ended:
             self.end(job, model.JobState.CANCELLED, "cancelled by caller")
@@ -260,13 +261,22 @@
         measures.COMPLETION_S.labels(job.queue.priority, state.value).observe(
             job.ended_s - job.received_s
         )
+        late_s = _late_s(job)
         _log.info(
             "job_ended",
             job=job.job_id,
             state=state.value,
             took_s=round(job.ended_s - job.received_s, 3),
+            late_s=round(late_s, 3),
             cause=cause,
         )
+        if state is model.JobState.COMPLETED:
+            lateness = step_progress.lateness_of(late_s, job.objective_s)
+            measures.COMPLETED_JOBS.labels(
+                job.queue.name,
+                lateness.name.lower(),
+                "above_rate" if job.is_over_fair_rate else "within_rate",
+            ).inc()
         for run in job.runs():
             self.stop_run(run, cause)
         self.store_progress(job)
@@ -337,5 +347,16 @@
         return job
 
 
+def _late_s(job: jobs.Job) -> float:
+    """Returns by how many seconds an ended job exceeds its objective.
+
+    0 if it does not. The objective of a recurring job is that of its last
+    occurrence.
+    """
+    due_ms = job.due_ms(job.occurrence_count - 1)
+    early_ms = max(0, due_ms - job.record.accepted_ms) if due_ms else 0
+    return max(0.0, job.ended_s - job.deadline_s - early_ms / 1000)
+
+
 def _stop_without_tracker(run: runs.Run, cause: str) -> None:
     raise RuntimeError(f"no run tracker to stop run {run.name}: {cause}")
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -69,6 +69,20 @@
 _EXPIRED_AFTER_OBJECTIVES = 3.0
 
 
+def lateness_of(late_s: float, objective_s: float) -> Lateness:
+    """Returns the lateness of a job.
+
+    Args:
+        late_s: Seconds by which it exceeds its latency objective.
+        objective_s: Duration of the objective in seconds.
+    """
+    if late_s <= 0:
+        return Lateness.ON_TIME
+    if late_s <= (_EXPIRED_AFTER_OBJECTIVES - 1) * objective_s:
+        return Lateness.LATE
+    return Lateness.EXPIRED
+
+
 class StepProgress:
     """One step of one occurrence of a job."""
 
@@ -188,11 +202,7 @@
     def lateness(self, now: float) -> Lateness:
         """Returns how late the job would end if the step started now."""
         late_s = now + self.chain_s - self.deadline_s
-        if late_s <= 0:
-            return Lateness.ON_TIME
-        if late_s <= (_EXPIRED_AFTER_OBJECTIVES - 1) * self.job.objective_s:
-            return Lateness.LATE
-        return Lateness.EXPIRED
+        return lateness_of(late_s, self.job.objective_s)
 
     @property
     def is_advice_pending(self) -> bool:
--- a/src/marigoldgap/job_explanation.py
+++ b/src/marigoldgap/job_explanation.py
@@ -210,8 +210,17 @@
             f" {longest.get('reason')}"
         )
     queued, started = events.get("job_queued"), events.get("job_began")
+    ended = events.get("job_ended")
     if queued and started:
         waited_ms = started[0].time_ms - queued[0].time_ms
         if waited_ms > _MAX_START_WAIT_MS:
             parts.append(f"waited {waited_ms} ms for its first start")
+    late_s = ended[-1].fields.get("late_s", 0) if ended else 0
+    if late_s:
+        parts.append(f"ended {late_s} s after its latency objective")
+    if (parts and queued) and queued[0].fields.get("is_over_fair_rate"):
+        parts.append(
+            "it was above the fair rate of its workspace, so that it came after"
+            " other work of equal lateness"
+        )
     return "delayed: " + "; ".join(parts) if parts else ""
--- a/src/marigoldgap/measures.py
+++ b/src/marigoldgap/measures.py
@@ -36,6 +36,13 @@
     buckets=_BUCKETS_S,
     registry=REGISTRY,
 )
+COMPLETED_JOBS = prometheus_client.Counter(
+    "marigoldgap_completed_jobs",
+    "Completed jobs by lateness (on_time, late, expired) and by whether they"
+    " were above the fair rate of their workspace.",
+    ["queue", "lateness", "workspace_class"],
+    registry=REGISTRY,
+)
 RUNS = prometheus_client.Counter(
     "marigoldgap_runs",
     "Ended runs of tasks.",
--- a/tests/features/cell/overload.feature
+++ b/tests/features/cell/overload.feature
@@ -83,3 +83,17 @@
     Then the calls for its tickets are deferred
     When the runs have ended and a plan is made
     Then the calls for its tickets are not deferred
+
+  Scenario Outline: A late job is counted and its explanation says why
+    Guards against an overload of which an operator sees neither how late jobs
+    are nor whose.
+    Given an accepted job <rate> the fair rate of its workspace
+    When the job completes <late> s after its objective of 10 s
+    Then it is counted as <counted> and <class>
+    And its explanation says "<explained>"
+
+    Examples:
+      | rate   | late | counted | class       | explained                            |
+      | within | -1   | on_time | within_rate | without failure or delay             |
+      | within | 5    | late    | within_rate | s after its latency objective        |
+      | above  | 25   | expired | above_rate  | above the fair rate of its workspace |
--- a/tests/features/steps/cell_overload_steps.py
+++ b/tests/features/steps/cell_overload_steps.py
@@ -2,13 +2,23 @@
 
 from __future__ import annotations
 
+import json
+from unittest import mock
+
 from behave import given
 from behave import then
 from behave import when
 
+from marigoldgap import clock
+from marigoldgap import job_explanation
+from marigoldgap import measures
 from marigoldgap.cell import advice_dispatcher
+from marigoldgap.cell import former_leader
+from marigoldgap.cell import job_tracker
+from marigoldgap.cell import leadership
 from marigoldgap.cell import model
 from tests.features.steps import cell_planning_steps
+from tests.fixtures import log_lines
 from tests.fixtures import loops
 from tests.fixtures import overload
 
@@ -182,3 +192,74 @@
 @then("the calls for its tickets are not deferred")
 def is_not_deferred(context):
     assert not context.latest.is_advice_deferred
+
+
+@given("an accepted job {rate} the fair rate of its workspace")
+def accept_job(context, rate):
+    context.lines = log_lines.capture(context)
+    queue = model.Queue(
+        "late-queue", "h", "/", "claims", 1, 2, 1.0, 0, True, None
+    )
+    step = model.StepSpec(1, model.Demand(1000), estimate_ms=10_000)
+    # A burst of at least one job is within the rate.
+    workspace = model.Workspace("team", 0.1, model.Demand())
+    configuration = model.Configuration(
+        1, (queue,), {}, {"team": workspace}, model.RequestLimits(0, 0, 0, 0)
+    )
+    context.tracker = job_tracker.JobTracker(
+        leadership.Leadership(1, mock.Mock(), None),
+        lambda: configuration,
+        {},
+        former_leader.FormerLeader(former_leader.released(0.0), 0.0, 0),
+    )
+    names = ["a1"] if rate == "within" else ["a0", "a1"]
+    for name in names:
+        record = model.JobRecord(
+            f"00000000000000{name}",
+            queue,
+            "team",
+            clock.wall_ms(),
+            model.JobSpec("", (step,)),
+        )
+        context.tracker.add(record, 1)
+    context.job = context.tracker.jobs["00000000000000a1"]
+
+
+def _completed(lateness, workspace_class):
+    labels = {
+        "queue": "late-queue",
+        "lateness": lateness,
+        "workspace_class": workspace_class,
+    }
+    name = "marigoldgap_completed_jobs_total"
+    return measures.REGISTRY.get_sample_value(name, labels) or 0
+
+
+@when("the job completes {late_s:d} s after its objective of 10 s")
+def complete_late(context, late_s):
+    context.job.deadline_s = clock.now_s() - late_s
+    classes = ("within_rate", "above_rate")
+    before = {
+        (each, name): _completed(each, name)
+        for each in ("on_time", "late", "expired")
+        for name in classes
+    }
+    context.tracker.end(context.job, model.JobState.COMPLETED, "all tasks done")
+    context.counted = [
+        key for key, count in before.items() if _completed(*key) > count
+    ]
+
+
+@then("it is counted as {lateness} and {workspace_class}")
+def is_counted(context, lateness, workspace_class):
+    assert context.counted == [(lateness, workspace_class)], context.counted
+
+
+@then('its explanation says "{text}"')
+def is_explained(context, text):
+    texts = [
+        json.dumps({"time_ms": 1, "instance": "e1", "event": event, **fields})
+        for event, fields in context.lines
+    ]
+    cause = job_explanation.explain(context.job.job_id, texts).cause
+    assert text in cause, cause
