--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from marigoldgap.cell import fair_shares
 from marigoldgap.cell import fleet
 from marigoldgap.cell import gang_planner
 from marigoldgap.cell import isolation
@@ -32,6 +33,7 @@
         self._times = times
         # Workers on which gangs held reservations in the previous plan.
         self._reserved: frozenset[str] = frozenset()
+        self._shares = fair_shares.FairShares()
 
     def plan(
         self,
@@ -51,22 +53,38 @@
         planning = planning_pass.PlanningPass(
             self._workers, self._times, usage, workspaces, self._reserved, now
         )
-        keys = {id(step): urgency.urgency(step, now) for step in steps}
-        planned = sorted(steps, key=lambda step: keys[id(step)])
+        self._shares.update(
+            usage, _total_capacity(self._workers), workspaces, now
+        )
+        planned = sorted(steps, key=lambda step: self._urgency(step, now))
         _plan_isolated(planning, planned, self._workers.values())
         gangs = gang_planner.GangPlanner(planning)
         for step in planned:
             has_room = planning.has_room(step)
             _plan_step(planning, gangs, step)
             step.is_advice_deferred = urgency.is_advice_deferred(
-                step,
-                keys[id(step)].lateness,
-                has_room,
-                planning.is_fleet_idle(step),
+                step, has_room, planning.is_fleet_idle(step)
             )
         self._reserved = planning.reserved_workers
         return planning.plan
 
+    def _urgency(
+        self, step: step_progress.StepProgress, now: float
+    ) -> urgency.Urgency:
+        """Computes and keeps the sort key of a step."""
+        level = self._shares.level(step.job.record.workspace)
+        step.urgency = urgency.urgency(step, level, now)
+        return step.urgency
+
+
+def _total_capacity(workers: fleet.Fleet) -> list[int]:
+    """Returns the resources of all workers."""
+    total = [0, 0, 0]
+    for worker in workers.values():
+        for index, amount in enumerate(worker.registration.capacity):
+            total[index] += amount
+    return total
+
 
 def _plan_isolated(
     planning: planning_pass.PlanningPass,
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -13,6 +13,7 @@
     from marigoldgap.cell import fleet
     from marigoldgap.cell import jobs
     from marigoldgap.cell import runs
+    from marigoldgap.cell import urgency
 
 
 class Lateness(enum.IntEnum):
@@ -112,6 +113,7 @@
         "suspicions",
         "tickets",
         "unstored_crashes",
+        "urgency",
         "wait_reason",
         "waiting",
     )
@@ -180,6 +182,8 @@
         # Calls to the advice service that are queued or in flight.
         self.pending_advice_calls = 0
         self.wait_reason = WaitReason.NOT_PLANNED
+        # Sort key in the latest plan; None before the first one.
+        self.urgency: urgency.Urgency | None = None
 
     @property
     def is_done(self) -> bool:
--- a/src/marigoldgap/cell/urgency.py
+++ b/src/marigoldgap/cell/urgency.py
@@ -29,20 +29,26 @@
             its results earn nothing.
         is_over_fair_rate: Whether the job is above its workspace's fair rate.
         priority: Priority of its queue; 0 is the most urgent.
+        share_level: How far its workspace is above its share of the cell; 0 for
+            gangs, which lose their reservations if they change places.
         deadline_s: Monotonic time at which its objective ends.
     """
 
     lateness: step_progress.Lateness
     is_over_fair_rate: bool
     priority: int
+    share_level: int
     deadline_s: float
 
 
-def urgency(step: step_progress.StepProgress, now: float) -> Urgency:
+def urgency(
+    step: step_progress.StepProgress, share_level: int, now: float
+) -> Urgency:
     """Returns the sort key of a step.
 
     Args:
         step: The step.
+        share_level: How far its workspace is above its share of the cell.
         now: Current monotonic time in seconds.
     """
     job = step.job
@@ -50,13 +56,13 @@
         _lateness(step, now),
         job.is_over_fair_rate,
         job.queue.priority,
+        0 if step.spec.is_gang else share_level,
         step.deadline_s,
     )
 
 
 def is_advice_deferred(
     step: step_progress.StepProgress,
-    lateness: step_progress.Lateness,
     has_room: bool,
     is_fleet_idle: bool,
 ) -> bool:
@@ -70,15 +76,15 @@
     reservations.
 
     Args:
-        step: The step, with its wait reason by the current plan.
-        lateness: Whether its job can be on time.
+        step: The step, with its sort key and wait reason by the current plan.
         has_room: Whether a task of it fits on a worker that it may ask about.
         is_fleet_idle: Whether less than half of the cores of its service are
             in use.
     """
     if is_fleet_idle:
         return False
-    if lateness is not step_progress.Lateness.ON_TIME:
+    key = step.urgency
+    if key and key.lateness is not step_progress.Lateness.ON_TIME:
         return True
     if step.spec.is_gang:
         return step.wait_reason is step_progress.WaitReason.NO_RESERVATION
--- a/src/marigoldgap/cell/wait_log.py
+++ b/src/marigoldgap/cell/wait_log.py
@@ -80,6 +80,11 @@
     reason: step_progress.WaitReason,
     waited_s: float,
 ) -> None:
+    # Without a key, the step was never planned.
+    order = step.urgency._asdict() if step.urgency else {}
+    order.pop("deadline_s", None)
+    if step.urgency:
+        order["lateness"] = step.urgency.lateness.name.lower()
     _log.warning(
         "step_waiting",
         step=step.advice_name,
@@ -91,4 +96,5 @@
         asked=len(step.asked_workers),
         advised=len(step.advised_workers),
         advice_calls=step.pending_advice_calls,
+        **order,
     )
--- a/tests/features/cell/overload.feature
+++ b/tests/features/cell/overload.feature
@@ -97,3 +97,60 @@
       | within | -1   | on_time | within_rate | without failure or delay             |
       | within | 5    | late    | within_rate | s after its latency objective        |
       | above  | 25   | expired | above_rate  | above the fair rate of its workspace |
+
+  Scenario Outline: A workspace far above its share waits for the others
+    Guards against a workspace that takes most of the cell with a few large
+    jobs, which are within its rate of jobs (worst workspace).
+    Given workspaces "a" and "b" with rates of <first> and <second> jobs a second
+    When they have used <used> and 10 of 100 cores for <seconds> s
+    Then the levels of the workspaces are <levels>
+
+    Examples:
+      | first | second | used | seconds | levels |
+      | 10    | 10     | 10   | 10      | 0 0    |
+      | 10    | 10     | 45   | 10      | 0 0    |
+      | 10    | 10     | 60   | 10      | 1 0    |
+      | 10    | 30     | 60   | 10      | 2 0    |
+      | 10    | 90     | 60   | 10      | 3 0    |
+      | 90    | 10     | 60   | 10      | 0 0    |
+      | 0     | 10     | 60   | 10      | 0 0    |
+
+  Scenario: Workspaces that all use more than their share are equal
+    Guards against an order that ignores deadlines while all are overloaded.
+    Given workspaces "a" and "b" with rates of 10 and 10 jobs a second
+    When they have used 55 and 55 of 100 cores for 10 s
+    Then the levels of the workspaces are 0 0
+
+  Scenario: Past use is forgotten
+    Guards against a workspace that waits for others long after its burst.
+    Given workspaces "a" and "b" with rates of 10 and 90 jobs a second
+    When they have used 60 and 10 of 100 cores for 10 s
+    And they have used 1 and 30 of 100 cores for 30 s
+    Then the levels of the workspaces are 0 0
+
+  Scenario: Another resource can be the dominant one
+    Guards against a workspace that takes all accelerators with few cores.
+    Given workspaces "a" and "b" with rates of 10 and 30 jobs a second
+    When the first has used 9 of 10 accelerators and the second 10 of 100 cores
+    Then the levels of the workspaces are 2 0
+
+  Scenario Outline: A workspace with many large jobs hardly affects the others
+    Guards against a workspace that sends 8 times its usual large jobs, which
+    are within its rate of jobs. Random arrivals with fixed seeds.
+    When 60 workers play two workspaces with 8 times the steps, with seed <seed>
+    Then at least 95% of the steps of the other workspaces are on time
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
+  Scenario: A step that waits for long is logged with its place in the order
+    Guards against a wait of which an operator cannot see that other work came
+    first.
+    Given 1 workers with 4 cores each
+    And 5 waiting tasks of priority 0 whose jobs have expired
+    And they are above the fair rate
+    And the first 1 workers are full
+    When a plan is made every second for 10 s
+    Then the logged place in the order is "expired" and above the fair rate
--- a/tests/features/steps/cell_overload_steps.py
+++ b/tests/features/steps/cell_overload_steps.py
@@ -13,6 +13,7 @@
 from marigoldgap import job_explanation
 from marigoldgap import measures
 from marigoldgap.cell import advice_dispatcher
+from marigoldgap.cell import fair_shares
 from marigoldgap.cell import former_leader
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import leadership
@@ -263,3 +264,69 @@
     ]
     cause = job_explanation.explain(context.job.job_id, texts).cause
     assert text in cause, cause
+
+
+@given(
+    'workspaces "a" and "b" with rates of {first:d} and {second:d} jobs a second'
+)
+def create_workspaces(context, first, second):
+    context.shares = fair_shares.FairShares()
+    context.workspaces = {
+        name: model.Workspace(name, rate, model.Demand())
+        for name, rate in (("a", first), ("b", second))
+    }
+    context.now = 0.0
+
+
+def _use(context, first, second, total, seconds):
+    for _ in range(10 * seconds):
+        usage = {"a": first, "b": second}
+        context.shares.update(usage, total, context.workspaces, context.now)
+        context.now += 0.1
+
+
+@when(
+    "they have used {first:d} and {second:d} of {total:d} cores for"
+    " {seconds:d} s"
+)
+def use_cores(context, first, second, total, seconds):
+    _use(context, [first, 0, 0], [second, 0, 0], [total, 100, 0], seconds)
+
+
+@when(
+    "the first has used {used:d} of {total:d} accelerators and the second"
+    " {cores:d} of 100 cores"
+)
+def use_accelerators(context, used, total, cores):
+    _use(context, [1, 0, used], [cores, 0, 0], [100, 100, total], 10)
+
+
+@then("the levels of the workspaces are {first:d} {second:d}")
+def check_levels(context, first, second):
+    levels = [context.shares.level(name) for name in ("a", "b")]
+    assert levels == [first, second], levels
+
+
+@when(
+    "{workers:d} workers play two workspaces with {factor:d} times the steps,"
+    " with seed {seed:d}"
+)
+def play_busy(context, workers, factor, seed):
+    context.played = overload.play(workers, seed, 1, factor, "steps")
+
+
+@then("at least {least:d}% of the steps of the other workspaces are on time")
+def others_on_time(context, least):
+    others = set(overload.WORKSPACES) - set(overload.BUSY_WORKSPACES)
+    share = context.played.on_time("steps", workspaces=others)
+    assert 100 * share >= least, share
+
+
+@then('the logged place in the order is "{lateness}" and above the fair rate')
+def logged_order(context, lateness):
+    lines = [fields for event, fields in context.log if event == "step_waiting"]
+    assert lines
+    for fields in lines:
+        assert fields["lateness"] == lateness, fields
+        assert fields["is_over_fair_rate"], fields
+        assert fields["share_level"] == 0, fields
