--- a/src/marigoldgap/cell/gang_planner.py
+++ b/src/marigoldgap/cell/gang_planner.py
@@ -67,7 +67,7 @@
         ):
             return step.wait_reason
         self._examined_gangs += 1
-        return self._prepare_gang(step, candidates, advised, ends_s)
+        return self._prepare_gang(step, advised, ends_s)
 
     def _without_avoided(
         self,
@@ -91,7 +91,6 @@
     def _prepare_gang(
         self,
         step: step_progress.StepProgress,
-        candidates: dict[str, worker_capacity.WorkerCapacity],
         advised: list[worker_capacity.WorkerCapacity],
         ends_s: float,
     ) -> step_progress.WaitReason:
@@ -99,7 +98,7 @@
         has_reservation = self._reserving_gangs < _MAX_RESERVING_GANGS
         chosen = self._fit_gang_now(step, advised, ends_s)
         if chosen is None:
-            self._pass.request_more_advice(step, candidates)
+            self._pass.request_more_advice(step)
             return self._reserve_later(step, advised, has_reservation)
         if has_reservation:
             self._reserving_gangs += 1
--- a/src/marigoldgap/cell/planner.py
+++ b/src/marigoldgap/cell/planner.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
+from marigoldgap.cell import fair_shares
 from marigoldgap.cell import fleet
+from marigoldgap.cell import fleet_summary
 from marigoldgap.cell import gang_planner
 from marigoldgap.cell import isolation
 from marigoldgap.cell import model
@@ -16,6 +18,7 @@
 from marigoldgap.cell import run_times
 from marigoldgap.cell import step_progress
 from marigoldgap.cell import task_planner
+from marigoldgap.cell import urgency
 
 # Reasons that hold for a step whose workers are all in evacuated zones.
 _LACKS_WORKERS = frozenset(
@@ -43,6 +46,8 @@
         self._times = times
         # Workers on which gangs held reservations in the previous plan.
         self._reserved: frozenset[str] = frozenset()
+        self._shares = fair_shares.FairShares()
+        self._summary: fleet_summary.FleetSummary | None = None
 
     def plan(
         self,
@@ -61,6 +66,12 @@
             now: Current monotonic time in seconds.
             evacuated: Names of the evacuated zones, whose workers are not used.
         """
+        if self._summary is None or not self._summary.is_current(
+            evacuated, now
+        ):
+            self._summary = fleet_summary.FleetSummary(
+                self._workers, self._times, evacuated, now
+            )
         planning = planning_pass.PlanningPass(
             self._workers,
             self._times,
@@ -69,15 +80,29 @@
             self._reserved,
             now,
             evacuated,
+            self._summary,
         )
-        planned = sorted(steps, key=lambda step: _urgency(step, now))
+        self._shares.update(usage, self._summary.capacity, workspaces, now)
+        planned = sorted(steps, key=lambda step: self._urgency(step, now))
         _plan_isolated(planning, planned)
         gangs = gang_planner.GangPlanner(planning)
         for step in planned:
+            has_room = planning.has_room(step)
             _plan_step(planning, gangs, step)
+            step.is_advice_deferred = urgency.is_advice_deferred(
+                step, has_room, planning.is_fleet_idle(step)
+            )
         self._reserved = planning.reserved_workers
         return planning.plan
 
+    def _urgency(
+        self, step: step_progress.StepProgress, now: float
+    ) -> urgency.Urgency:
+        """Computes and keeps the sort key of a step."""
+        level = self._shares.level(step.job.record.workspace)
+        step.urgency = urgency.urgency(step, level, now)
+        return step.urgency
+
 
 def _plan_isolated(
     planning: planning_pass.PlanningPass,
@@ -117,20 +142,3 @@
         step.held_back_since_s = min(step.held_back_since_s, planning.now)
     elif reason is step_progress.WaitReason.STARTING:
         step.held_back_since_s = float("inf")
-
-
-def _urgency(
-    step: step_progress.StepProgress, now: float
-) -> tuple[bool, int, step_progress.Lateness, float]:
-    """Returns the sort key: fair rate, priority, lateness, then deadline.
-
-    Steps that are already late come after those that can still be on time:
-    under overload they would otherwise make all others late.
-    """
-    job = step.job
-    return (
-        job.is_over_fair_rate,
-        job.queue.priority,
-        step.lateness(now),
-        step.deadline_s,
-    )
--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import itertools
 import math
 from typing import NamedTuple
 
 from marigoldgap.cell import advice_targets
 from marigoldgap.cell import fleet
-from marigoldgap.cell import isolation
+from marigoldgap.cell import fleet_summary
 from marigoldgap.cell import model
 from marigoldgap.cell import run_times
 from marigoldgap.cell import step_progress
@@ -49,6 +50,63 @@
     advice: list[tuple[step_progress.StepProgress, list[str]]]
 
 
+class Candidates:
+    """The workers that a step may use, with their capacities in a pass.
+
+    Capacities are created when they are first used: most steps use the few
+    workers that they are advised on.
+
+    Args:
+        capacity: Returns the capacity of a worker, None if it is not usable.
+        service: Service of the workers.
+        label: Label that they have; empty for any.
+        names: Names of all of them; may be out of date.
+    """
+
+    def __init__(
+        self,
+        capacity: Callable[[str], worker_capacity.WorkerCapacity | None],
+        service: str,
+        label: str,
+        names: list[str],
+    ) -> None:
+        self._capacity = capacity
+        self._service = service
+        self._label = label
+        self._names = names
+        self._found: dict[str, worker_capacity.WorkerCapacity | None] = {}
+        self._all: list[worker_capacity.WorkerCapacity] | None = None
+
+    def __bool__(self) -> bool:
+        return any(self.get(name) is not None for name in self._names)
+
+    def get(self, worker_id: str) -> worker_capacity.WorkerCapacity | None:
+        """Returns the capacity of a worker, None if the step cannot use it."""
+        try:
+            return self._found[worker_id]
+        except KeyError:
+            pass
+        capacity = self._capacity(worker_id)
+        if capacity is not None and not fleet_summary.has_requirement(
+            capacity.worker.registration, self._service, self._label
+        ):
+            capacity = None
+        self._found[worker_id] = capacity
+        return capacity
+
+    def values(self) -> list[worker_capacity.WorkerCapacity]:
+        """Returns the capacities of all workers."""
+        if self._all is None:
+            found = map(self.get, self._names)
+            self._all = [each for each in found if each is not None]
+        return self._all
+
+    def remove(self, worker_id: str) -> None:
+        """Handles that a worker is not usable any more."""
+        self._found[worker_id] = None
+        self._all = None
+
+
 class PlanningPass:
     """One pass over all waiting steps.
 
@@ -60,6 +118,7 @@
         reserved: Workers on which gangs held reservations in the previous pass.
         now: Current monotonic time in seconds.
         evacuated: Names of the evacuated zones, whose workers are not used.
+        summary: Scan of the workers; None to scan them now.
     """
 
     def __init__(
@@ -71,17 +130,13 @@
         reserved: frozenset[str],
         now: float,
         evacuated: frozenset[str],
+        summary: fleet_summary.FleetSummary | None = None,
     ) -> None:
         self.times = times
-        # Factors on run times by worker, of those that deviate from the others.
-        self.slow_downs = {
-            worker_id: factor
-            for (worker_id, born_ms), factor in times.speeds.deviating(
-                now
-            ).items()
-            if (worker := workers.get(worker_id)) is not None
-            and worker.born_ms == born_ms
-        }
+        if summary is None:
+            summary = fleet_summary.FleetSummary(workers, times, evacuated, now)
+        self._summary = summary
+        self.slow_downs = summary.slow_downs
         self.reserved = reserved
         self.now = now
         self.plan = Plan([], [])
@@ -99,28 +154,15 @@
             if evacuated
             else self._all_workers
         )
-        self._capacities = {
-            worker.worker_id: worker_capacity.WorkerCapacity(worker)
-            for worker in self.workers
-            if worker.is_available(now)
-            and not isolation.has_isolated_run(worker, now)
-        }
-        self._withheld = {
-            worker_id
-            for worker_id, capacity in self._capacities.items()
-            if capacity.worker.is_withheld(now)
-        }
-        self._by_requirement: dict[
-            tuple[str, str], dict[str, worker_capacity.WorkerCapacity]
-        ] = {}
-        # Names of the same workers, those with the most free cores first.
-        self._sorted_candidates: dict[tuple[str, str], list[str]] = {}
+        self._fleet = workers
+        # Capacities of the workers that were used; None for those that are not
+        # usable.
+        self._capacities: dict[str, worker_capacity.WorkerCapacity | None] = {}
+        self._by_requirement: dict[tuple[str, str], Candidates] = {}
         # Sizes of the workers inside and outside the evacuated zones.
         self._sizes: dict[
             tuple[str, str], tuple[set[model.Demand], set[model.Demand]]
         ] = {}
-        # Whether less than half of the cores of a service are in use.
-        self._is_idle: dict[str, bool] = {}
 
     @property
     def reserved_workers(self) -> frozenset[str]:
@@ -128,7 +170,7 @@
         return frozenset(
             worker_id
             for worker_id, capacity in self._capacities.items()
-            if capacity.unreserved is not None
+            if capacity is not None and capacity.unreserved is not None
         )
 
     def place(
@@ -159,23 +201,34 @@
             has_runs=bool(step.active),
         )
 
-    def candidates(
-        self, step: step_progress.StepProgress
-    ) -> dict[str, worker_capacity.WorkerCapacity]:
+    def candidates(self, step: step_progress.StepProgress) -> Candidates:
         """Returns the workers with the service and label of the step."""
         key = step.job.queue.service, step.spec.required_label
         found = self._by_requirement.get(key)
         if found is None:
-            service, label = key
-            found = {
-                worker_id: capacity
-                for worker_id, capacity in self._capacities.items()
-                if capacity.worker.registration.service == service
-                and (not label or label in capacity.worker.registration.labels)
-            }
-            self._by_requirement[key] = found
+            found = self._by_requirement[key] = Candidates(
+                self._capacity, *key, self._summary.names(*key)
+            )
         return found
 
+    def _capacity(
+        self, worker_id: str
+    ) -> worker_capacity.WorkerCapacity | None:
+        try:
+            return self._capacities[worker_id]
+        except KeyError:
+            pass
+        worker = self._fleet.get(worker_id)
+        capacity = None
+        if (
+            worker is not None
+            and worker.registration.zone not in self._evacuated
+            and fleet_summary.is_usable(worker, self.now)
+        ):
+            capacity = worker_capacity.WorkerCapacity(worker)
+        self._capacities[worker_id] = capacity
+        return capacity
+
     def is_evacuated(self, step: step_progress.StepProgress) -> bool:
         """Returns whether all workers that a step could use are evacuated.
 
@@ -211,20 +264,17 @@
     def advised_workers(
         self,
         step: step_progress.StepProgress,
-        candidates: dict[str, worker_capacity.WorkerCapacity],
+        candidates: Candidates,
     ) -> list[worker_capacity.WorkerCapacity]:
         """Returns the advised workers; requests advice if there are none."""
         if step.job.queue.advice is None:
-            return self._without_withheld(list(candidates.values()))
+            return self._without_withheld(candidates.values())
+        found = map(candidates.get, step.advised_workers)
         advised = self._without_withheld(
-            [
-                candidates[name]
-                for name in step.advised_workers
-                if name in candidates
-            ]
+            [each for each in found if each is not None]
         )
         if not advised:
-            self.request_more_advice(step, candidates)
+            self.request_more_advice(step)
         return advised
 
     def _without_withheld(
@@ -234,13 +284,12 @@
 
         The worker that failed least recently is used first.
         """
-        if not self._withheld:
-            return found
         withheld = [
-            each.worker
-            for each in found
-            if each.worker.worker_id in self._withheld
+            each.worker for each in found if each.worker.is_withheld(self.now)
         ]
+        if not withheld:
+            return found
+        unused = {worker.worker_id for worker in withheld}
         withheld.sort(key=lambda worker: worker.last_failure_s)
         sound = len(found) - len(withheld)
         missing = max(0, math.ceil(_MIN_USED_SHARE * len(found)) - sound)
@@ -253,46 +302,36 @@
             each
             for each in found
             if each.worker.worker_id in released
-            or each.worker.worker_id not in self._withheld
+            or each.worker.worker_id not in unused
         ]
 
-    def request_more_advice(
-        self,
-        step: step_progress.StepProgress,
-        candidates: dict[str, worker_capacity.WorkerCapacity],
-    ) -> None:
+    def request_more_advice(self, step: step_progress.StepProgress) -> None:
         """Requests advice on further workers, most free cores first."""
         if step.is_advice_pending or step.job.queue.advice is None:
             return
+        asked = step.asked_workers
+        most_free = self._summary.by_free_cores(
+            step.job.queue.service, step.spec.required_label
+        )
         unknown = itertools.islice(
-            (
-                name
-                for name in self._by_free_cores(step, candidates)
-                if name in candidates and name not in step.asked_workers
-            ),
+            (name for name in most_free if name not in asked),
             advice_targets.max_requested(step),
         )
         if workers := list(unknown):
             self.plan.advice.append((step, workers))
 
-    def _by_free_cores(
-        self,
-        step: step_progress.StepProgress,
-        candidates: dict[str, worker_capacity.WorkerCapacity],
-    ) -> list[str]:
-        """Returns candidates by the cores that were free at the first call.
+    def has_room(self, step: step_progress.StepProgress) -> bool:
+        """Returns whether a worker may have room for a task of a step.
 
-        They are sorted once in a pass: sorting for each step would take most of
-        its time with thousands of workers.
+        Compares with the largest free amount of each resource, so that the cost
+        does not grow with steps times workers.
         """
-        key = step.job.queue.service, step.spec.required_label
-        found = self._sorted_candidates.get(key)
-        if found is None:
-            found = sorted(
-                candidates, key=lambda name: -candidates[name].free[0]
-            )
-            self._sorted_candidates[key] = found
-        return found
+        if step.spec.uses_idle_only:
+            return True
+        largest = self._summary.largest_free(
+            step.job.queue.service, step.spec.required_label
+        )
+        return worker_capacity.copies_in(largest, step.spec.demand, 1) > 0
 
     def ticket(
         self,
@@ -317,29 +356,19 @@
 
     def is_fleet_idle(self, step: step_progress.StepProgress) -> bool:
         """Returns whether less than half of the service's cores are in use."""
-        service = step.job.queue.service
-        is_idle = self._is_idle.get(service)
-        if is_idle is None:
-            total = free = 0
-            for capacity in self._capacities.values():
-                registration = capacity.worker.registration
-                if registration.service == service:
-                    total += registration.capacity.millicores
-                    free += capacity.free[0]
-            is_idle = self._is_idle[service] = 2 * free > total
-        return is_idle
+        return self._summary.is_idle(step.job.queue.service)
 
     def close(self, capacity: worker_capacity.WorkerCapacity) -> None:
         """Places nothing else on a worker in this pass."""
         worker_id = capacity.worker.worker_id
-        del self._capacities[worker_id]
+        self._capacities[worker_id] = None
         for found in self._by_requirement.values():
-            found.pop(worker_id, None)
+            found.remove(worker_id)
 
 
 def unadvised_reason(
     step: step_progress.StepProgress,
-    candidates: dict[str, worker_capacity.WorkerCapacity],
+    candidates: Candidates,
 ) -> step_progress.WaitReason:
     """Returns why a step has no worker that it may use."""
     if not candidates:
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -14,6 +14,7 @@
     from marigoldgap.cell import fleet
     from marigoldgap.cell import jobs
     from marigoldgap.cell import runs
+    from marigoldgap.cell import urgency
 
 
 class Lateness(enum.IntEnum):
@@ -71,6 +72,20 @@
 _EXPIRED_AFTER_OBJECTIVES = 3.0
 
 
+def lateness_of(late_s: float, objective_s: float) -> Lateness:
+    """Returns the lateness of a job.
+
+    Args:
+        late_s: Seconds by which it exceeds its latency objective.
+        objective_s: Duration of the objective in seconds.
+    """
+    if late_s <= 0:
+        return Lateness.ON_TIME
+    if late_s <= (_EXPIRED_AFTER_OBJECTIVES - 1) * objective_s:
+        return Lateness.LATE
+    return Lateness.EXPIRED
+
+
 class StepProgress:
     """One step of one occurrence of a job."""
 
@@ -86,6 +101,7 @@
         "expected_time_s",
         "failures",
         "held_back_since_s",
+        "is_advice_deferred",
         "isolated_since_s",
         "job",
         "last_run",
@@ -100,6 +116,7 @@
         "suspicions",
         "tickets",
         "unstored_crashes",
+        "urgency",
         "wait_reason",
         "waiting",
     )
@@ -162,9 +179,14 @@
         self.asked_workers: set[str] = set()
         self.advised_workers: dict[str, None] = {}
         self.tickets: dict[str, tuple[str, float]] = {}
+        # Whether calls for its tickets come after those of other steps, by the
+        # latest plan.
+        self.is_advice_deferred = False
         # Calls to the advice service that are queued or in flight.
         self.pending_advice_calls = 0
         self.wait_reason = WaitReason.NOT_PLANNED
+        # Sort key in the latest plan; None before the first one.
+        self.urgency: urgency.Urgency | None = None
 
     @property
     def is_done(self) -> bool:
@@ -192,11 +214,7 @@
     def lateness(self, now: float) -> Lateness:
         """Returns how late the job would end if the step started now."""
         late_s = now + self.chain_s - self.deadline_s
-        if late_s <= 0:
-            return Lateness.ON_TIME
-        if late_s <= (_EXPIRED_AFTER_OBJECTIVES - 1) * self.job.objective_s:
-            return Lateness.LATE
-        return Lateness.EXPIRED
+        return lateness_of(late_s, self.job.objective_s)
 
     @property
     def is_advice_pending(self) -> bool:
--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -74,7 +74,7 @@
     )
     if capacity is None:
         if advised:
-            planning.request_more_advice(step, candidates)
+            planning.request_more_advice(step)
         return False
     can_start = isolation.can_start(
         capacity, step.spec, planning.now, planning.times
@@ -128,7 +128,7 @@
             planning, step, position, advised, counts, ends_s
         )
         if capacity is None:
-            planning.request_more_advice(step, candidates)
+            planning.request_more_advice(step)
             break
         ticket = planning.ticket(step, capacity)
         if ticket is None:
