--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -60,7 +60,8 @@
 
     def __init__(self, settings: node_settings.NodeSettings) -> None:
         self.settings = settings
-        self._pool = client.HttpPool()
+        limits = web_limits.derive(settings.memory_mb, settings.max_fds)
+        self._pool = client.HttpPool(limits.outgoing)
         self._rows = store_client.StoreClient(
             self._pool, settings.store_address
         )
@@ -106,7 +107,6 @@
         # The times of the shutdown; None until it is requested.
         self._shutdown: shutdown.ShutdownSchedule | None = None
         self._api = api
-        limits = web_limits.derive(settings.memory_mb, settings.max_fds)
         registry = connection_registry.ConnectionRegistry(limits)
         self._callers = server.HttpServer(
             api.handle, self._limits, registry, "callers", limits.callers
@@ -124,6 +124,7 @@
             registry,
             "peers",
             limits.peers,
+            peers.is_watch,
         )
         self._metrics = server.HttpServer(
             _handle_metrics,
--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import socket
 from typing import Any
+from typing import ClassVar
 
 import httptools
 
@@ -19,6 +20,12 @@
 CONNECT_TIMEOUT_S = 1.2
 # Idle connections kept for each address; further ones are closed after use.
 MAX_IDLE_PER_ADDRESS = 4
+# Open connections of a process whose descriptors are not known: those of the
+# smallest machine, less what clients may use.
+_MAX_CONNECTIONS = 3_000
+# Longest time from a call with a check until its request is sent. The authority of
+# a leader and evacuations of zones allow half a second for that.
+_MAX_SEND_DELAY_S = 0.5
 # Unacknowledged data fails the connection after this time, so that a dead link
 # is detected before leases of 6 s expire.
 _UNACKNOWLEDGED_LIMIT_MS = 4_000
@@ -36,7 +43,13 @@
 
 
 class Connection(asyncio.Protocol):
-    """Client connection that carries one exchange at a time."""
+    """Client connection that carries one exchange at a time.
+
+    Attributes:
+        open_count: Number of open connections of the process.
+    """
+
+    open_count: ClassVar[int] = 0
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
@@ -57,6 +70,8 @@
         # Error with which the connection ended; None while it is open.
         self._end: messages.NoAnswerError | None = None
         self.is_open = False
+        # Whether the check of a caller has accepted the server.
+        self.is_checked = False
         # Called when the connection has ended.
         self.on_closed: Callable[[], None] | None = None
 
@@ -65,6 +80,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self.is_open = True
+        Connection.open_count += 1
         connected_socket = transport.get_extra_info("socket")
         if connected_socket is not None:
             connected_socket.setsockopt(
@@ -76,6 +92,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the exchange in progress."""
         self.is_open = False
+        Connection.open_count -= 1
         if exc is None:
             self._end = messages.ClosedByHostError("closed by the server")
         else:
@@ -279,10 +296,22 @@
 
 
 class HttpPool:
-    """Pool of client connections, grouped by address."""
+    """Pool of client connections, grouped by address.
 
-    def __init__(self) -> None:
+    A leader may have thousands of workers with several connections to each, more
+    than its descriptors. Unused connections are closed then, those that were
+    used least recently first; sessions with workers keep theirs.
+
+    Args:
+        max_connections: Open connections of the process, those outside the pool
+            included, beyond which unused ones are closed.
+    """
+
+    def __init__(self, max_connections: int = _MAX_CONNECTIONS) -> None:
+        self._max_connections = max_connections
         self._idle: dict[str, list[Connection]] = {}
+        # The same connections with their addresses, in the order of their use.
+        self._by_use: dict[Connection, str] = {}
 
     async def exchange(
         self,
@@ -308,23 +337,29 @@
             headers: Further headers.
             is_bulk: Whether the limit is for the time until the next part of
                 the response, instead of the complete response.
-            check: Called with a new connection before the request is sent on
-                it; raises an error if the connection must not be used.
+            check: Called with a connection before the first request with a
+                check is sent on it; raises an error if it must not be used.
+                Such a request is sent soon after the call or not at all: the
+                caller's permission to send it may end.
             max_body_bytes: Largest body of the response, in bytes.
 
         Raises:
             NotConnectedError: Nothing was sent.
             NoAnswerError: The request may have been carried out.
         """
+        called_s = clock.now_s()
         connection = self._acquire(address)
         if connection is None:
+            self._close_unused(1)
             connection = await connect(address)
-            if check is not None:
-                try:
-                    await check(connection)
-                except BaseException:
-                    connection.close()
-                    raise
+        if check is not None:
+            await self._check(connection, address, check)
+            if clock.now_s() - called_s > _MAX_SEND_DELAY_S:
+                self._release(address, connection)
+                raise messages.NotConnectedError(
+                    f"the connection to {address} took too long; nothing was"
+                    " sent"
+                )
         head = request_head(method, address, path, len(body), headers)
         response = await connection.exchange(
             head, body, timeout_s, is_bulk, max_body_bytes
@@ -332,10 +367,30 @@
         self._release(address, connection)
         return response
 
+    async def _check(
+        self,
+        connection: Connection,
+        address: str,
+        check: Callable[[Connection], Awaitable[None]],
+    ) -> None:
+        if connection.is_checked:
+            return
+        try:
+            await check(connection)
+        except BaseException:
+            connection.close()
+            raise
+        if not connection.is_open:
+            raise messages.NotConnectedError(
+                f"{address} closed the connection after the check"
+            )
+        connection.is_checked = True
+
     def _acquire(self, address: str) -> Connection | None:
         idle = self._idle.get(address)
         while idle:
             connection = idle.pop()
+            self._by_use.pop(connection, None)
             if connection.is_open:
                 return connection
         return None
@@ -348,3 +403,20 @@
             connection.close()
             return
         idle.append(connection)
+        self._by_use[connection] = address
+        self._close_unused(0)
+
+    def _close_unused(self, wanted: int) -> None:
+        """Closes unused connections above the limit.
+
+        Args:
+            wanted: Number of connections that will be opened now.
+        """
+        surplus = Connection.open_count + wanted - self._max_connections
+        while surplus > 0 and self._by_use:
+            connection = next(iter(self._by_use))
+            address = self._by_use.pop(connection)
+            self._idle[address].remove(connection)
+            if connection.is_open:
+                connection.close()
+                surplus -= 1
--- a/src/marigoldgap/web/limits.py
+++ b/src/marigoldgap/web/limits.py
@@ -61,6 +61,8 @@
         readiness: Connections of the address for readiness probes.
         peers: Connections of the address for the other instances.
         metrics: Connections of the metrics address.
+        outgoing: Connections that the process itself opens; beyond this, unused
+            ones are closed.
     """
 
     held_bytes: int
@@ -69,6 +71,7 @@
     readiness: int
     peers: int
     metrics: int
+    outgoing: int
 
 
 def derive(memory_mb: float = 0, max_fds: int = 0) -> ProcessLimits:
@@ -96,4 +99,5 @@
         readiness=min(_READINESS_CONNECTIONS, most),
         peers=most,
         metrics=min(_METRICS_CONNECTIONS, most),
+        outgoing=max(usable - connections, 1),
     )
