--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -97,6 +97,11 @@
         return scheduler
 
 
+def is_watch(request: messages.Request) -> bool:
+    """Returns whether a request only waits for the end of its connection."""
+    return request.path == _WATCH_PATH
+
+
 class PeerServer:
     """Answers the calls of other instances.
 
--- a/src/marigoldgap/web/request_reader.py
+++ b/src/marigoldgap/web/request_reader.py
@@ -222,7 +222,8 @@
         if is_in_body and self.is_in_body and message == self._message_count:
             self._unfinished_bytes = 0
             self._framing_bytes += len(data) - (len(self._body) - body_bytes)
-            if self._framing_bytes > allowed:
+            # Chunks of 64 bytes are usual; each has six bytes of framing or more.
+            if self._framing_bytes > allowed + len(self._body):
                 self.reject(
                     431, "framing-bytes", "the framing of the body is too large"
                 )
--- a/src/marigoldgap/web/server.py
+++ b/src/marigoldgap/web/server.py
@@ -43,6 +43,8 @@
             is the only one and has no limit on them.
         address_kind: Name of the listening address in metrics and log lines.
         max_connections: Most connections at a time; 0 for no limit.
+        is_abandonable: Returns whether a request ends with its connection.
+            Others continue when their client is gone.
     """
 
     def __init__(
@@ -52,8 +54,10 @@
         registry: connection_registry.ConnectionRegistry | None = None,
         address_kind: str = "other",
         max_connections: int = 0,
+        is_abandonable: Callable[[messages.Request], bool] = lambda _: False,
     ) -> None:
         self.handler = handler
+        self._is_abandonable = is_abandonable
         self.limits = limits
         self.is_draining = False
         self.registry = registry or connection_registry.ConnectionRegistry()
@@ -105,6 +109,10 @@
         """Returns the response of the handler to a request."""
         return await self.handler(request)
 
+    def is_abandonable(self, request: messages.Request) -> bool:
+        """Returns whether a request ends with its connection."""
+        return self._is_abandonable(request)
+
     def answer_unfinished(self, answer: InterruptHandler) -> int:
         """Cancels the requests in progress and answers each of them now.
 
--- a/src/marigoldgap/web/server_connection.py
+++ b/src/marigoldgap/web/server_connection.py
@@ -62,6 +62,9 @@
     def remove(self, connection: ServerConnection) -> None:
         """Removes a closed connection."""
 
+    def is_abandonable(self, request: messages.Request) -> bool:
+        """Returns whether a request ends with its connection."""
+
 
 class ServerConnection(asyncio.Protocol):
     """Server connection; answers its requests in order, one at a time.
@@ -190,6 +193,10 @@
         self._server.remove(self)
         if self._task is None:
             self._server.registry.remove(self)
+        elif self._current is not None and self._server.is_abandonable(
+            self._current.request
+        ):
+            self._task.cancel()
 
     def pause_writing(self) -> None:
         """Handles no further request until responses have been sent."""
@@ -259,6 +266,8 @@
         elif not self._has_unread_data:
             self._record("connection_dropped", limit)
             self.close()
+        # What it held is free now; the connection is removed later.
+        self._server.registry.update(self)
 
     def refuse(self, limit: str) -> None:
         """Rejects whatever the client sends, and closes the connection.
