--- a/src/marigoldgap/platform/documents.py
+++ b/src/marigoldgap/platform/documents.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from marigoldgap import decision_log
+from marigoldgap.cell import configuration_check
 from marigoldgap.cell import model
 from marigoldgap.cell import store
 from marigoldgap.platform import decoding
@@ -59,6 +60,52 @@
     )
 
 
+def decode_candidate(content: bytes) -> configuration_check.Candidate:
+    """Decodes a configuration row to be checked, with all of its entries.
+
+    Raises:
+        FormatError: The row is not a valid configuration.
+    """
+    fields = decoding.decode_object(content)
+    _check_objects(fields)
+    return configuration_check.Candidate(
+        decode_configuration(content),
+        tuple(
+            configuration_check.WorkspaceEntry(
+                decoding.text(tenant, "name"), decoding.texts(tenant, "apiKeys")
+            )
+            for tenant in decoding.objects(fields, "tenants")
+        ),
+        _decode_services(fields),
+    )
+
+
+def _decode_services(fields: dict[str, Any]) -> frozenset[str] | None:
+    """Returns the names of the listed services; None without a list."""
+    if "services" not in fields:
+        return None
+    return frozenset(
+        decoding.text(service, "name")
+        for service in decoding.objects(fields, "services")
+    )
+
+
+def _check_objects(fields: dict[str, Any]) -> None:
+    """Checks the types of the nested objects of a configuration.
+
+    Raises:
+        FormatError: A value is neither an object nor empty.
+    """
+    nested = [("limits", fields.get("limits"))]
+    for tenant in decoding.objects(fields, "tenants"):
+        nested.append(("cap", tenant.get("cap")))
+    for route in decoding.objects(fields, "routes"):
+        nested.append(("advice", route.get("advice")))
+    for name, value in nested:
+        if value and not isinstance(value, dict):
+            raise decoding.FormatError(f"field {name!r} is not an object")
+
+
 def decode_evacuation(row_key: store.RowKey, content: bytes) -> str | None:
     """Returns the zone that a row of the operator evacuates.
 
