console: configuration check reports faults and differences of a file

`marigoldgap configuration check FILE [--against FILE]` prints the findings of cell/configuration_check.py, as text or JSON.

--- a/src/marigoldgap/console/groups.py
+++ b/src/marigoldgap/console/groups.py
@@ -5,6 +5,7 @@
 import typer
 
 _HELP = {
+    "configuration": "Check configurations of the platform.",
     "jobs": "Submit, look at and cancel jobs.",
     "keys": "Grant and withdraw the keys of teams.",
     "rules": "Look at and change the rules.",
--- a/tests/features/steps/cell_configuration_check_steps.py
+++ b/tests/features/steps/cell_configuration_check_steps.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import copy
 import json
 
 from behave import given
@@ -12,31 +11,7 @@
 from marigoldgap.cell import configuration_check
 from marigoldgap.platform import decoding
 from marigoldgap.platform import documents
-
-_QUEUE = {
-    "name": "claims",
-    "host": "jobs",
-    "prefix": "/claims",
-    "service": "claims",
-    "priority": 1,
-    "attempts": 3,
-    "stretch": 2.0,
-    "targetDurationMs": 500,
-}
-_DOCUMENT = {
-    "version": 7,
-    "routes": [_QUEUE],
-    "services": [{"name": "claims"}],
-    "tenants": [
-        {"name": "team", "apiKeys": ["secret-1", "secret-2"], "weight": 50}
-    ],
-    "limits": {},
-}
-
-
-def create_document():
-    """Returns the fields of a configuration without faults."""
-    return copy.deepcopy(_DOCUMENT)
+from tests.fixtures import configuration_documents
 
 
 def _decode(fields):
@@ -55,15 +30,19 @@
 
 @given("a configuration without faults")
 def create(context):
-    context.document = create_document()
+    context.document = configuration_documents.create_document()
     context.configuration_in_force = None
 
 
 @step('a queue "{name}" with {field} {value}')
 def add_queue(context, name, field, value):
     # Only one of host and prefix differs from those of the first queue.
-    prefix = _QUEUE["prefix"] if field == "host" else f"/{name}"
-    queue = {**_QUEUE, "name": name, "prefix": prefix}
+    prefix = (
+        configuration_documents.QUEUE["prefix"]
+        if field == "host"
+        else f"/{name}"
+    )
+    queue = {**configuration_documents.QUEUE, "name": name, "prefix": prefix}
     context.document["routes"].append({**queue, field: json.loads(value)})
 
 
