--- a/tests/features/cell/overload.feature
+++ b/tests/features/cell/overload.feature
@@ -145,6 +145,19 @@
       | 1    |
       | 2    |
 
+  @known-red
+  Scenario Outline: A workspace with many large jobs affects no other workspace
+    Guards against one workspace that pays for the load of another, which a
+    share of all other workspaces together hides.
+    When 60 workers play two workspaces with 8 times the steps, with seed <seed>
+    Then each workspace within its rate has at least 95% on time
+    And at least 95% of the steps of each other workspace are on time
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
   Scenario: A step that waits for long is logged with its place in the order
     Guards against a wait of which an operator cannot see that other work came
     first.
--- a/tests/features/steps/cell_overload_steps.py
+++ b/tests/features/steps/cell_overload_steps.py
@@ -322,6 +322,16 @@
     assert 100 * share >= least, share
 
 
+@then("at least {least:d}% of the steps of each other workspace are on time")
+def each_other_on_time(context, least):
+    others = set(overload.WORKSPACES) - set(overload.BUSY_WORKSPACES)
+    shares = {
+        name: context.played.on_time("steps", workspaces=(name,))
+        for name in sorted(others)
+    }
+    assert 100 * min(shares.values()) >= least, shares
+
+
 @then('the logged place in the order is "{lateness}" and above the fair rate')
 def logged_order(context, lateness):
     lines = [fields for event, fields in context.log if event == "step_waiting"]
