--- a/src/marigoldgap/cell/duration_model.py
+++ b/src/marigoldgap/cell/duration_model.py
@@ -49,6 +49,7 @@
 _MIN_SHIFT = 0.5
 # Bounds of logarithms of times in seconds: 0.1 ms to 12 days.
 _MIN_LOG, _MAX_LOG = math.log(1e-4), math.log(1e6)
+_MAX_LOG_SPAN = _MAX_LOG - _MIN_LOG
 # A fit is replaced only if it changes the estimate by more than this (log
 # ratio), so that values computed from it stay valid for some runs.
 _MIN_CHANGE = 0.03
@@ -230,10 +231,14 @@
     def _estimate(self, prior: Fit) -> Fit:
         """Returns the fit, shrunk towards that of a more general class."""
         total = self._weight + self._prior_weight
-        variance = (
-            self._spread
-            + self._prior_weight * prior.deviation * prior.deviation
-        ) / total
+        variance = max(
+            _MIN_DEVIATION**2,
+            (
+                self._spread
+                + self._prior_weight * prior.deviation * prior.deviation
+            )
+            / total,
+        )
         # The level is uncertain as well while there are few runs.
         deviation = max(_MIN_DEVIATION, math.sqrt(variance * (1 + 1 / total)))
         pull = variance / _SLOPE_DEVIATION**2
@@ -310,8 +315,12 @@
         ) = (int(values[0]), *map(float, values[1:]))
         if (
             model.run_count < 1
-            or model._weight <= 0
-            or min(model._prior_weight, model._variance, model._spread) < 0
+            or not 1 <= model._weight <= 1 / (1 - _FORGETTING)
+            or not 0 <= model._prior_weight <= _PRIOR_WEIGHT
+            or not _MIN_LOG <= model._mean_declared <= _MAX_LOG
+            or not _MIN_LOG <= model._mean_measured <= _MAX_LOG
+            or not 0 <= model._variance <= model._weight * _MAX_LOG_SPAN**2
+            or not 0 <= model._spread <= model._weight * _MAX_LOG_SPAN**2
         ):
             raise InvalidStateError("a weight or variance is out of range")
         model.fit = model._estimate(prior)
--- a/src/marigoldgap/cell/run_times.py
+++ b/src/marigoldgap/cell/run_times.py
@@ -365,7 +365,7 @@
                 )
                 for queue, mean, weight in fields["far"]
             }
-        except (KeyError, TypeError, ValueError, OverflowError) as error:
+        except (KeyError, TypeError, ValueError, ArithmeticError) as error:
             raise records.RecordError(
                 f"invalid learned run times: {error!r}"
             ) from error
--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -113,6 +113,11 @@
     if not positions:
         return step_progress.WaitReason.NO_WORKER_ALONE
     candidates = planning.candidates(step)
+    if step.job.queue.advice is None and not planning.has_room(step):
+        # Workers are not examined for each of many steps that fit on none.
+        if not candidates:
+            return step_progress.WaitReason.NO_CANDIDATE
+        return step_progress.WaitReason.NO_CAPACITY
     advised = planning.advised_workers(step, candidates)
     if not advised:
         return planning_pass.unadvised_reason(step, candidates)
--- a/src/marigoldgap/cell/urgency.py
+++ b/src/marigoldgap/cell/urgency.py
@@ -99,6 +99,10 @@
     A step that has runs needs no margin: the work that is done for it would be
     lost if the others of its tasks came last.
     """
+    queue = step.job.queue
+    if not queue.target_ms and queue.stretch <= 1:
+        # The objective leaves no time to wait, so that no job could be on time.
+        return step_progress.Lateness.ON_TIME
     lateness = step.lateness(now)
     if lateness is not step_progress.Lateness.ON_TIME or step.active:
         return lateness
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -292,6 +292,9 @@
         if not self._rejoins.is_unreachable(worker.worker_id):
             _log.warning("worker_lost", worker=worker.worker_id, cause=cause)
         worker.contact = fleet.Contact.SILENT
+        # Their ends are listed late: their times would include the silence.
+        for run in worker.runs.values():
+            run.is_timed = False
 
     def on_gone(
         self, worker: fleet.Worker, has_ended: bool, cause: str
--- a/tests/features/cell/overload.feature
+++ b/tests/features/cell/overload.feature
@@ -8,6 +8,15 @@
     When a plan is made
     Then only tasks of priority 2 start
 
+  Scenario: Work of a queue without an objective does not count as late
+    Guards against urgent work that never starts during an overload, as the
+    default objective of its queue leaves no time to wait.
+    Given 1 workers with 4 cores each
+    And 4 waiting tasks of priority 0 of a queue with the default objective
+    And 4 waiting tasks of priority 2 that can be on time
+    When a plan is made
+    Then only tasks of priority 0 start
+
   Scenario: Late work of a higher priority waits for work that can be on time
     Guards against late work that crowds out work that can be on time.
     Given 1 workers with 4 cores each
@@ -44,7 +53,6 @@
     When a plan is made
     Then only tasks of priority 1 start
 
-  @known-red
   Scenario Outline: An overloaded cell serves what it can, and recovers soon
     Guards against a cell in which little is on time during three times the
     large jobs, and long after them. Random arrivals with fixed seeds.
@@ -56,6 +64,10 @@
     Examples:
       | seed |
       | 1    |
+
+    @known-red
+    Examples:
+      | seed |
       | 2    |
 
   Scenario Outline: A call for advice waits for those of steps that can start
@@ -135,7 +147,6 @@
     When the first has used 9 of 10 accelerators and the second 10 of 100 cores
     Then the levels of the workspaces are 2 0
 
-  @known-red
   Scenario Outline: A workspace with many large jobs hardly affects the others
     Guards against a workspace that sends 8 times its usual large jobs, which
     are within its rate of jobs. Random arrivals with fixed seeds.
@@ -145,6 +156,10 @@
     Examples:
       | seed |
       | 1    |
+
+    @known-red
+    Examples:
+      | seed |
       | 2    |
 
   @known-red
--- a/tests/features/cell/run_times.feature
+++ b/tests/features/cell/run_times.feature
@@ -157,6 +157,9 @@
       | {"classes": [["q", "0", true, [9, 1, 1, 1, 1, 1, 1, 1]]], "far": []} |
       | {"classes": [[null, 0, true, [9, 1, 1, 1, 1, 1, 1, 1]]], "far": []} |
       | {"classes": [], "far": [["q", 1e999, 1]]}                 |
+      | {"classes": [["q", 0, true, [5, 4, 0, 0.5, 0.5, 0, 1e300, 0]]], "far": []} |
+      | {"classes": [["q", 0, true, [5, 1e-9, 0, 0.5, 0.5, 1, 0.1, 1]]], "far": []} |
+      | {"classes": [["q", 0, true, [5, 4, 1, 900, 900, 0, 0.1, 0]]], "far": []} |
 
   Scenario: A new leader knows the learned run times
     Guards against a row that is not written, or not read before the jobs.
--- a/tests/features/steps/cell_overload_steps.py
+++ b/tests/features/steps/cell_overload_steps.py
@@ -56,6 +56,17 @@
     _wait(context, count, priority).deadline_s = _NOW_S - _EXPIRED_S
 
 
+@given(
+    "{count:d} waiting tasks of priority {priority:d} of a queue with the"
+    " default objective"
+)
+def add_without_objective(context, count, priority):
+    job = _wait(context, count, priority)
+    job.queue = job.queue._replace(stretch=1.0, target_ms=0.0)
+    job.objective_s = _TASK_S
+    job.deadline_s = _NOW_S - _EXPIRED_S
+
+
 @given("they are above the fair rate")
 def exceed_rate(context):
     context.latest.job.is_over_fair_rate = True
@@ -122,6 +133,7 @@
 def recovered(context, seconds, least):
     since_s = overload.BURST_UNTIL_S + seconds
     for kind in overload.KINDS:
+        assert context.played.outcomes(kind.name, since_s), kind.name
         share = context.played.on_time(kind.name, since_s)
         assert 100 * share >= least, (kind.name, share)
 
