--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -132,7 +132,11 @@
         for row in page.rows:
             worker_id = row.row_key.key
             found = b"" if row.value is None else signature(row.value)
-            if found and signatures.get(worker_id) == found:
+            if (
+                found
+                and signatures.get(worker_id) == found
+                and scheduler.worker_tracker.is_used(worker_id)
+            ):
                 continue
             signatures.pop(worker_id, None)
             if _apply_worker(row, scheduler, decode):
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -94,6 +94,14 @@
         ids = [worker.worker_id for worker in self.workers.values()]
         return list({*self._registrations, *ids})
 
+    def is_used(self, worker_id: str) -> bool:
+        """Returns whether there is a session with a registered worker.
+
+        One that was given up is used again when it renews its registration.
+        """
+        worker = self.workers.get(worker_id)
+        return worker is not None and worker.is_registered
+
     def unreachable_share(self) -> float:
         """Returns the share of the registered workers that do not answer."""
         if not self._registrations:
--- a/tests/features/cell/worker_feed.feature
+++ b/tests/features/cell/worker_feed.feature
@@ -21,3 +21,10 @@
     When the leader follows it for 2 s
     Then each registration was decoded once
     And a registration that is removed and added again is known
+
+  Scenario: A worker that was given up is used again when it renews
+    Guards against a worker that is idle for up to 8 s after a cut, as its
+    registration is the same as before.
+    Given a feed of 20 pages with 500 registrations each
+    When the leader, which has given up "w1", follows it for 2 s
+    Then each renewal of "w1" was applied
--- a/tests/features/steps/cell_worker_feed_steps.py
+++ b/tests/features/steps/cell_worker_feed_steps.py
@@ -63,10 +63,14 @@
     def __init__(self):
         self.registered = {}
         self.known_ids = []
+        self.given_up = None
 
     def on_registration(self, registration):
         self.registered[registration.worker_id] = registration
 
+    def is_used(self, worker_id):
+        return worker_id in self.registered and worker_id != self.given_up
+
     def on_unregistered(self, worker_id):
         self.registered.pop(worker_id, None)
 
@@ -85,9 +89,13 @@
 
 
 @when("the leader follows it for {seconds:d} s")
-def follow(context, seconds):
+@when(
+    'the leader, which has given up "{given_up}", follows it for {seconds:d} s'
+)
+def follow(context, seconds, given_up=None):
     context.decoded = []
     context.tracker = _Tracker()
+    context.tracker.given_up = given_up
 
     def decode(worker_id, content, read_s):
         context.decoded.append(worker_id)
@@ -135,3 +143,9 @@
 def known_again(context):
     assert context.decoded.count("w0") == 2, context.decoded.count("w0")
     assert "w0" in context.tracker.registered
+
+
+@then('each renewal of "{worker_id}" was applied')
+def each_applied(context, worker_id):
+    found = context.decoded.count(worker_id)
+    assert found == context.page_count, found
