--- a/src/marigoldgap/cell/configuration_follower.py
+++ b/src/marigoldgap/cell/configuration_follower.py
@@ -78,6 +78,11 @@
         self._after = 0
         self._confirmed_s: float | None = None
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration; 0 before the first one."""
+        return 0 if self.current is None else self.current.version
+
     @property
     def evacuated_zones(self) -> frozenset[str]:
         """Names of the evacuated zones."""
@@ -90,6 +95,11 @@
             return float("inf")
         return clock.now_s() - self._confirmed_s
 
+    @property
+    def logged_age_s(self) -> float | None:
+        """The age for log lines; None before the first confirmation."""
+        return None if self._confirmed_s is None else round(self.age_s, 3)
+
     def is_outdated(self, store_outage_s: float) -> bool:
         """Returns whether another version may be in force alone.
 
@@ -113,9 +123,9 @@
         must_read = True
         while True:
             started_s = clock.now_s()
+            must_read = must_read or self.current is None
             try:
-                if must_read or self.current is None:
-                    must_read = True
+                if must_read:
                     page = await self._read()
                 else:
                     page = await self._rows.changes(
@@ -130,7 +140,10 @@
             except store.StoreError as error:
                 _log.warning(
                     "configuration_unconfirmed",
-                    age_s=round(self.age_s, 3),
+                    version=self.version,
+                    age_s=self.logged_age_s,
+                    call="read" if must_read else "changes",
+                    took_s=round(clock.now_s() - started_s, 3),
                     cause=str(error),
                 )
                 must_read = True
@@ -214,6 +227,9 @@
         _log.info(
             "configuration_adopted",
             version=configuration.version,
+            former_version=self.version,
+            age_s=self.logged_age_s,
+            bytes=len(content),
             queues=len(configuration.queues),
             keys=len(configuration.keys),
         )
--- a/src/marigoldgap/cell/job_service.py
+++ b/src/marigoldgap/cell/job_service.py
@@ -128,6 +128,16 @@
             and not self._is_unconfirmed()
         )
 
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration; 0 before the first one."""
+        return self._configuration.version
+
+    @property
+    def configuration_age_s(self) -> float | None:
+        """Seconds since the store last confirmed the configuration."""
+        return self._configuration.logged_age_s
+
     def find_queue(self, host: str, path: str) -> model.Queue:
         """Returns the queue of a request.
 
@@ -136,6 +146,7 @@
             NotFoundError: No queue matches the host and path.
         """
         configuration = self._require_configuration()
+        measures.CONFIGURATION_AGE_S.observe(self._configuration.age_s)
         queue = configuration.queue_for(host, path)
         if queue is None:
             raise errors.NotFoundError(f"no queue matches {host}{path}")
@@ -247,6 +258,8 @@
                     workspace=record.workspace,
                     queue=record.queue.name,
                     took_s=round(took_s, 3),
+                    configuration=self._configuration.version,
+                    configuration_age_s=self._configuration.logged_age_s,
                 )
                 self._notify(record, version)
                 return
--- a/src/marigoldgap/measures.py
+++ b/src/marigoldgap/measures.py
@@ -115,6 +115,12 @@
     "Tasks that could start if there were room, at the last plan.",
     registry=REGISTRY,
 )
+CONFIGURATION_AGE_S = prometheus_client.Histogram(
+    "marigoldgap_configuration_age_seconds",
+    "Age of the configuration by which requests of callers are decided.",
+    buckets=(0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 5.0, 10.0),
+    registry=REGISTRY,
+)
 CONFIGURATION_VERSION = prometheus_client.Gauge(
     "marigoldgap_configuration_version",
     "Version of the configuration in force.",
--- a/src/marigoldgap/platform/job_api.py
+++ b/src/marigoldgap/platform/job_api.py
@@ -84,7 +84,13 @@
             return await self._route(request)
         except errors.MarigoldgapError as error:
             took_s = round(clock.now_s() - started_s, 3)
-            return _refuse(request, error, took_s=took_s)
+            return _refuse(
+                request,
+                error,
+                took_s=took_s,
+                configuration=self._job_service.configuration_version,
+                configuration_age_s=self._job_service.configuration_age_s,
+            )
 
     async def ready(self, request: messages.Request) -> messages.Response:
         """Answers the readiness probe: 200 if this instance takes requests."""
@@ -160,7 +166,7 @@
 def _refuse(
     request: messages.Request,
     error: errors.MarigoldgapError,
-    **fields: float,
+    **fields: float | None,
 ) -> messages.Response:
     response = _error_response(error)
     _log.warning(
--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -214,7 +214,17 @@
     def _start_timer(self, timeout_s: float) -> None:
         self._stop_timer()
         self._timer = asyncio.get_running_loop().call_later(
-            timeout_s, self._fail, messages.NoAnswerError("timeout")
+            timeout_s, self._on_timeout
+        )
+
+    def _on_timeout(self) -> None:
+        received_bytes = self._framing_bytes + len(self._body)
+        self._fail(
+            messages.NoAnswerError(
+                f"timeout, {received_bytes} bytes received"
+                if received_bytes
+                else "timeout"
+            )
         )
 
     def _stop_timer(self) -> None:
