--- a/src/marigoldgap/node/settings.py
+++ b/src/marigoldgap/node/settings.py
@@ -24,6 +24,8 @@
         withdrawal_s: Seconds within which a withdrawn key must stop working; 0
             if keys may be used without confirmation.
         job_retention_s: Seconds for which ended jobs are stored.
+        configuration_apply_s: Seconds within which a change of the configuration
+            must be in force.
         memory_mb: Memory of the process in MB; 0 if unknown.
         max_fds: File descriptors that the process may open; 0 if unknown.
     """
@@ -41,5 +43,6 @@
     shutdown_s: float
     withdrawal_s: float
     job_retention_s: float
+    configuration_apply_s: float = 2.5
     memory_mb: float = 0.0
     max_fds: int = 0
--- a/src/marigoldgap/platform/settings_file.py
+++ b/src/marigoldgap/platform/settings_file.py
@@ -72,6 +72,8 @@
         ),
         job_retention_s=_RETENTION_FACTOR
         * decoding.number(bounds, "status_s", 120),
+        configuration_apply_s=decoding.number(bounds, "configApplyMs", 2_500)
+        / 1000,
         memory_mb=decoding.number(limits, "memoryMb", 0),
         max_fds=int(decoding.number(limits, "maxFds", 0)),
     )
--- /dev/null
+++ b/tests/features/cell/configuration.feature
@@ -0,0 +1,36 @@
+Feature: A change of the configuration is in force in time
+
+  @known-red
+  Scenario: A transfer of the configuration that makes progress is not given up
+    Guards against transfers that end at a time limit and start again.
+    Given 6 instances that follow the configuration over a link of 6 Mbit/s
+    When the operator adds 1400 queues
+    Then the change is in force in each instance within 4000 ms
+    And the link has carried less than 2 copies for each instance
+
+  @known-red
+  Scenario: A change that follows a large one at once is in force in time
+    Guards against the first transfer delaying the second beyond its bound.
+    Given 6 instances that follow the configuration over a link of 10 Mbit/s
+    When the operator adds 1400 queues
+    And 1250 ms later the operator changes one queue of them
+    Then the change is in force in each instance within 4000 ms
+
+  @known-red
+  Scenario Outline: A request is not decided by a configuration that may be old
+    Guards against answers that only a former version allows.
+    Given a cell with 1 workers and 1 instances
+    And an open queue
+    When the configuration is withheld from the instances
+    And the configuration is older than a change may take to be in force
+    Then <request> is refused with 503 and a retry time
+    When the configuration is no longer withheld
+    Then <request> is answered with <status> soon
+    And no task was started
+
+    Examples:
+      | request                        | status |
+      | a count of the open queue      | 200    |
+      | a count of an unknown queue    | 404    |
+      | a count with an unknown key    | 401    |
+      | a query in the open queue      | 410    |
