--- a/src/marigoldgap/cell/configuration_follower.py
+++ b/src/marigoldgap/cell/configuration_follower.py
@@ -20,10 +20,13 @@
 
 _log = decision_log.DecisionLogger("configuration")
 
-# Long-poll time for changes. An answer confirms the configuration as of the
-# time of its request, so the age reaches up to twice this time. Keys are
-# refused at an age of 0.7 * 5 s = 3.5 s.
+# Long-poll time for changes. An answer confirms the configuration as of the time
+# at which the store gave it, or, if that is not known, as of its request: the age
+# reaches up to twice this time then.
 _LONG_POLL_MS = 1_000
+# Age beyond which the store is asked to answer at once. A large transfer may take
+# that long.
+_MAX_HELD_AGE_S = 1.2
 # The same while this instance decides by the configuration what starts.
 _CLOSE_LONG_POLL_MS = 500
 # Age at which another version may be in force alone: the platform allows 2.5 s
@@ -118,6 +121,8 @@
 
     @property
     def _long_poll_ms(self) -> int:
+        if self.age_s > _MAX_HELD_AGE_S:
+            return 0
         return _CLOSE_LONG_POLL_MS if self.follows_closely else _LONG_POLL_MS
 
     async def run(self) -> None:
@@ -156,7 +161,7 @@
             self._after = page.version
             # Before the configuration: without one, nothing is planned.
             self._apply_evacuations(page, must_read)
-            self._confirmed_s = started_s
+            self._confirm(started_s if page.read_s is None else page.read_s)
             for row in page.rows:
                 if (
                     row.row_key == self._operator_rows.configuration
@@ -167,6 +172,10 @@
                 await asyncio.sleep(_RETRY_S)
             must_read = False
 
+    def _confirm(self, read_s: float) -> None:
+        if self._confirmed_s is None or read_s > self._confirmed_s:
+            self._confirmed_s = read_s
+
     async def _read(self) -> store.Page:
         """Reads the operator's rows, usually in one call.
 
@@ -177,7 +186,7 @@
         configuration = self._operator_rows.configuration
         first = configuration.key
         rows: list[store.Row] = []
-        version = None
+        version = read_s = None
         while True:
             page = await self._rows.read(
                 configuration.table,
@@ -186,10 +195,11 @@
                 self._operator_rows.end,
                 max_rows=_PAGE_ROWS,
             )
-            version = page.version if version is None else version
+            if version is None:
+                version, read_s = page.version, page.read_s
             rows.extend(page.rows)
             if not page.has_more or not page.rows:
-                return store.Page(tuple(rows), False, version)
+                return store.Page(tuple(rows), False, version, read_s)
             first = page.rows[-1].row_key.key + "\0"
 
     def _apply_evacuations(self, page: store.Page, is_whole: bool) -> None:
--- a/src/marigoldgap/cell/store.py
+++ b/src/marigoldgap/cell/store.py
@@ -38,11 +38,20 @@
 
 
 class Page(NamedTuple):
-    """Consistent snapshot of rows, with the version of the store."""
+    """Consistent snapshot of rows, with the version of the store.
+
+    Attributes:
+        rows: The rows.
+        has_more: Whether the range has further rows.
+        version: Version of the store.
+        read_s: Monotonic time of this instance, in seconds, at or after which the
+            store read the rows; None if unknown.
+    """
 
     rows: tuple[Row, ...]
     has_more: bool
     version: int
+    read_s: float | None = None
 
 
 class Transaction(NamedTuple):
--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 from collections.abc import Callable
+import math
 from typing import Any
 from typing import TypeVar
 from urllib import parse
@@ -14,6 +15,7 @@
 from marigoldgap import json_object
 from marigoldgap import measures
 from marigoldgap.cell import store
+from marigoldgap.cell import store_clock
 from marigoldgap.web import adaptive_timeout
 from marigoldgap.web import client
 from marigoldgap.web import messages
@@ -25,6 +27,9 @@
 # Time that a call for changes may take beyond the wait that it requests, until
 # the first part of the answer and between its parts.
 _CHANGES_MARGIN_S = 0.7
+# Longest time, beyond the wait that it requests, that a call for changes waits for
+# an answer while the store answers no other call either.
+_MAX_SILENCE_S = 4.0
 # Largest response: 1 MB of values in Base64 with its framing, and a margin.
 _MAX_ANSWER_BYTES = 8 * 1_024 * 1_024
 _REFUSED_STATUSES = frozenset({429, 503, 507})
@@ -49,6 +54,9 @@
         self.last_success_s = -1.0
         self.last_failure_s = -1.0
         self._refused_since_s: float | None = None
+        self._clock = store_clock.StoreClock()
+        # Time at which the latest call that was answered was sent.
+        self._answered_sent_s = -1.0
 
     @property
     def is_reachable(self) -> bool:
@@ -154,12 +162,13 @@
             # "target" is the exclusive end of the range.
             query["target"] = end
         path = f"/v1/rows-get?{parse.urlencode(query)}"
+        sent_s = clock.now_s()
         if not max_rows:
             answer = await self._call("read", "GET", path)
-            return _decode(answer, _decode_page)
+            return self._page(answer, sent_s)
         path += f"&limit={max_rows}"
         answer = await self._call("page", "GET", path, is_page=True)
-        return _decode(answer, _decode_page)
+        return self._page(answer, sent_s)
 
     async def changes(self, table: str, after: int, wait_ms: int) -> store.Page:
         """Waits for rows that changed after a version (long poll).
@@ -177,18 +186,25 @@
         """
         query = {"table": table, "after": after, "waitMs": wait_ms}
         path = f"/v1/rows-feed?{parse.urlencode(query)}"
+        sent_s = clock.now_s()
         answer = await self._call(
             "changes",
             "GET",
             path,
-            held_timeout_s=wait_ms / 1000 + _CHANGES_MARGIN_S,
+            held_s=wait_ms / 1000,
         )
         if answer.status == 410:
             raise store.HistoryLostError(
                 f"the store no longer keeps all changes of {table!r} since"
                 f" version {after}"
             )
-        return _decode(answer, _decode_page)
+        return self._page(answer, sent_s)
+
+    def _page(self, answer: messages.Response, sent_s: float) -> store.Page:
+        page, store_ms = _decode(answer, _decode_page)
+        return page._replace(
+            read_s=self._clock.answered_s(sent_s, clock.now_s(), store_ms)
+        )
 
     async def _call(
         self,
@@ -196,7 +212,7 @@
         method: str,
         path: str,
         body: bytes = b"",
-        held_timeout_s: float | None = None,
+        held_s: float | None = None,
         is_page: bool = False,
     ) -> messages.Response:
         """Makes a call and records its result for the timeout and the metrics.
@@ -206,40 +222,58 @@
             method: HTTP method.
             path: Path and query.
             body: Content, JSON.
-            held_timeout_s: Timeout of a call that the store may hold open;
-                None uses the adaptive timeout.
+            held_s: Time for which the store may hold the call open; None if it
+                does not.
             is_page: Whether the answer is a page of a table. The timeout of
                 pages and of held calls counts from the latest part that was
                 received: the time of a large answer depends on the link.
         """
         started_s = clock.now_s()
         timeout = self._page_timeout if is_page else self._timeout
-        timeout_s = (
-            timeout.timeout_s if held_timeout_s is None else held_timeout_s
-        )
+        timeout_s = timeout.timeout_s
+        may_wait = None
+        if held_s is not None:
+            timeout_s = held_s + _CHANGES_MARGIN_S
+            may_wait = self._silence_check(started_s + held_s)
         try:
             answer = await self._exchange(
                 method,
                 path,
                 body,
                 timeout_s,
-                is_bulk=is_page or held_timeout_s is not None,
+                is_bulk=is_page or held_s is not None,
+                may_wait=may_wait,
             )
         except store.StoreError as error:
             measures.STORE_FAILURES.labels(call, error.code).inc()
-            if held_timeout_s is None and isinstance(
-                error, store.StoreUnknownError
-            ):
+            if held_s is None and isinstance(error, store.StoreUnknownError):
                 timeout.record_timeout(clock.now_s() - started_s)
             raise
+        self._answered_sent_s = max(self._answered_sent_s, started_s)
         duration_s = clock.now_s() - started_s
         measures.STORE_CALLS_S.labels(call).observe(duration_s)
-        if held_timeout_s is None:
+        if held_s is None:
             timeout.record_response(duration_s)
         else:
             timeout.record_held_response()
         return answer
 
+    def _silence_check(self, due_s: float) -> Callable[[], bool]:
+        """Returns whether to wait on for an answer that was due at a time.
+
+        If calls that were sent later are answered, the connection is dead.
+        Otherwise the link is busy, for example with the same large change for
+        other instances, and a new call would only add to it.
+        """
+
+        def may_wait() -> bool:
+            return (
+                self._answered_sent_s < due_s
+                and clock.now_s() < due_s + _MAX_SILENCE_S
+            )
+
+        return may_wait
+
     async def _exchange(
         self,
         method: str,
@@ -247,6 +281,7 @@
         body: bytes,
         timeout_s: float,
         is_bulk: bool,
+        may_wait: Callable[[], bool] | None,
     ) -> messages.Response:
         try:
             answer = await self._pool.exchange(
@@ -257,6 +292,7 @@
                 timeout_s,
                 is_bulk=is_bulk,
                 max_body_bytes=_MAX_ANSWER_BYTES,
+                may_wait=may_wait,
             )
         except messages.NotConnectedError as error:
             self._record_refusal(str(error))
@@ -356,7 +392,15 @@
         return b""
 
 
-def _decode_page(content: Any) -> store.Page:
-    return store.Page(
-        _decode_rows(content), bool(content.get("hasMore")), int(content["ver"])
+def _decode_page(content: Any) -> tuple[store.Page, float | None]:
+    """Returns the page and the store's time in milliseconds, if stated."""
+    store_ms = content.get("nowMs")
+    is_time = isinstance(store_ms, int | float) and math.isfinite(store_ms)
+    return (
+        store.Page(
+            _decode_rows(content),
+            bool(content.get("hasMore")),
+            int(content["ver"]),
+        ),
+        store_ms if is_time else None,
     )
--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -40,6 +40,8 @@
 # Time for a complete response whose time limit is for each part: the largest one
 # on the thinnest link (5 Mbit/s), beside three others.
 _MAX_BULK_S = 60.0
+# Pause after which it is examined again whether a silent server is waited for.
+_RECHECK_S = 0.2
 
 
 class Connection(asyncio.Protocol):
@@ -67,6 +69,8 @@
         # is for the complete response.
         self._stall_timeout_s = 0.0
         self._bulk_until_s = 0.0
+        # Whether a response that is due and has not begun is waited for.
+        self._may_wait: Callable[[], bool] | None = None
         # Error with which the connection ended; None while it is open.
         self._end: messages.NoAnswerError | None = None
         self.is_open = False
@@ -162,6 +166,7 @@
         timeout_s: float,
         is_bulk: bool = False,
         max_body_bytes: int = MAX_BODY_BYTES,
+        may_wait: Callable[[], bool] | None = None,
     ) -> messages.Response:
         """Sends a request and waits for the complete response.
 
@@ -173,6 +178,8 @@
                 the response, instead of the complete response. The time that a
                 large response takes depends on the link.
             max_body_bytes: Largest body of the response, in bytes.
+            may_wait: Returns, at the time limit and from then on, whether a
+                response that has not begun is still waited for; None if not.
 
         Raises:
             NoAnswerError: The request may have been carried out; the response
@@ -191,6 +198,7 @@
         self._response_future = loop.create_future()
         self._stall_timeout_s = timeout_s if is_bulk else 0.0
         self._bulk_until_s = clock.now_s() + _MAX_BULK_S
+        self._may_wait = may_wait
         self._start_timer(timeout_s)
         self._transport.write(head + body)
         try:
@@ -219,6 +227,9 @@
 
     def _on_timeout(self) -> None:
         received_bytes = self._framing_bytes + len(self._body)
+        if not received_bytes and self._may_wait and self._may_wait():
+            self._start_timer(_RECHECK_S)
+            return
         self._fail(
             messages.NoAnswerError(
                 f"timeout, {received_bytes} bytes received"
@@ -334,6 +345,7 @@
         is_bulk: bool = False,
         check: Callable[[Connection], Awaitable[None]] | None = None,
         max_body_bytes: int = MAX_BODY_BYTES,
+        may_wait: Callable[[], bool] | None = None,
     ) -> messages.Response:
         """Sends a request once and returns the complete response.
 
@@ -352,6 +364,8 @@
                 Such a request is sent soon after the call or not at all: the
                 caller's permission to send it may end.
             max_body_bytes: Largest body of the response, in bytes.
+            may_wait: Returns whether a response that is due and has not begun is
+                still waited for; None if not.
 
         Raises:
             NotConnectedError: Nothing was sent.
@@ -372,7 +386,7 @@
                 )
         head = request_head(method, address, path, len(body), headers)
         response = await connection.exchange(
-            head, body, timeout_s, is_bulk, max_body_bytes
+            head, body, timeout_s, is_bulk, max_body_bytes, may_wait
         )
         self._release(address, connection)
         return response
--- a/tests/features/cell/configuration.feature
+++ b/tests/features/cell/configuration.feature
@@ -14,6 +14,18 @@
     And 1250 ms later the operator changes one queue of them
     Then the change is in force in each instance within 4000 ms
 
+  Scenario Outline: A call for changes without an answer is given up in time
+    Guards against waiting on a connection that has gone silent, and against
+    giving up a call whose answer waits behind others on a busy link.
+    Given 1 instances that follow the configuration over a link of 10 Mbit/s
+    When the configuration is withheld while other calls are <others>
+    Then the call for changes is <outcome> within 2500 ms
+
+    Examples:
+      | others     | outcome      |
+      | answered   | repeated     |
+      | unanswered | not repeated |
+
   Scenario Outline: A request is not decided by a configuration that may be old
     Guards against answers that only a former version allows.
     Given a cell with 1 workers and 1 instances
--- a/tests/features/steps/cell_configuration_steps.py
+++ b/tests/features/steps/cell_configuration_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 
 from marigoldgap.cell import configuration_currency
+from marigoldgap.cell import store
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
 from tests.fixtures import configuration_link
@@ -31,8 +32,8 @@
 )
 def start_followers(context, count, rate):
     context.followed = configuration_link.ConfigurationLink(count, rate)
-    context.add_cleanup(context.followed.stop)
     loops.run(context, context.followed.start())
+    context.add_cleanup(context.followed.stop)
 
 
 @when("the operator adds {queues:d} queues")
@@ -89,6 +90,32 @@
     assert carried_bytes < copies * needed_bytes, (carried_bytes, needed_bytes)
 
 
+@when("the configuration is withheld while other calls are {others}")
+def withhold(context, others):
+    followed = context.followed
+    followed.store.holds_configuration = True
+    context.other_table = {"answered": "jobs", "unanswered": "op"}[others]
+    # An answer that was on its way arrives, and the next call begins.
+    loops.run(context, asyncio.sleep(0.1))
+    context.calls_before = followed.store.calls.count("/v1/rows-feed")
+
+
+@then("the call for changes is {outcome} within {milliseconds:d} ms")
+def call_repeated(context, outcome, milliseconds):
+    followed = context.followed
+
+    async def call_others():
+        until_s = asyncio.get_running_loop().time() + milliseconds / 1000
+        while asyncio.get_running_loop().time() < until_s:
+            with contextlib.suppress(store.StoreError):
+                await followed.stores[0].read(context.other_table, "")
+            await asyncio.sleep(0.1)
+
+    loops.run(context, call_others())
+    calls = followed.store.calls.count("/v1/rows-feed") - context.calls_before
+    assert (calls > 0) == (outcome == "repeated"), calls
+
+
 @given("an open queue")
 def add_open_queue(context):
     context.world.store.put(
--- a/tests/standins/cell/store.py
+++ b/tests/standins/cell/store.py
@@ -8,6 +8,7 @@
 import time
 from urllib import parse
 
+from marigoldgap import clock
 from marigoldgap.web import messages
 from marigoldgap.web import server
 
@@ -235,7 +236,7 @@
 
     def _answer(self, body, status=200):
         return messages.json_response(
-            status, {**body, "ver": self.version, "nowMs": 0}
+            status, {**body, "ver": self.version, "nowMs": clock.monotonic_ms()}
         )
 
 
