--- a/src/marigoldgap/cell/configuration_follower.py
+++ b/src/marigoldgap/cell/configuration_follower.py
@@ -14,9 +14,12 @@
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
+from marigoldgap.cell import configuration_relay
 from marigoldgap.cell import evacuations
 from marigoldgap.cell import model
+from marigoldgap.cell import reader_choice
 from marigoldgap.cell import store
+from marigoldgap.cell import zone_reader
 
 _log = decision_log.DecisionLogger("configuration")
 
@@ -34,6 +37,8 @@
 _MAX_UNCONFIRMED_S = 2.4
 # Pause after a failed call.
 _RETRY_S = 0.1
+# Pause after an answer of the reader from which nothing could be adopted.
+_UNUSABLE_PAUSE_S = 1.0
 # Rows of a page: the most that the store returns.
 _PAGE_ROWS = 500
 
@@ -63,6 +68,7 @@
         rows: The store.
         operator_rows: The rows to follow.
         adopted: Called with each new version of the configuration.
+        reader: The reader of the zone; None to follow the store only.
     """
 
     def __init__(
@@ -70,6 +76,7 @@
         rows: store.Store,
         operator_rows: OperatorRows,
         adopted: Callable[[model.Configuration], None],
+        reader: zone_reader.ZoneReader | None = None,
     ) -> None:
         self.current: model.Configuration | None = None
         self.evacuations = evacuations.Evacuations()
@@ -80,8 +87,16 @@
         # Evacuated zones by the key of the row that requests it.
         self._evacuation_rows: dict[store.RowKey, str] = {}
         self._adopted = adopted
+        self._reader = reader
+        self._search: asyncio.Task[None] | None = None
+        self._follows_store = False
+        # Content of the current configuration.
+        self._content = b""
+        # Version of the store up to which the rows are known.
         self._after = 0
         self._confirmed_s: float | None = None
+        # Set and replaced when the store confirms the rows.
+        self._confirmed = asyncio.Event()
 
     @property
     def version(self) -> int:
@@ -128,49 +143,150 @@
     async def run(self) -> None:
         """Follows changes until cancelled."""
         must_read = True
-        while True:
-            started_s = clock.now_s()
-            must_read = must_read or self.current is None
-            try:
-                if must_read:
-                    page = await self._read()
+        if self._reader is not None:
+            # All instances may start at once, and the configuration may be large.
+            await self._reader.search()
+        try:
+            while True:
+                self._search_reader()
+                if self._asks_reader():
+                    if await self._follow_reader():
+                        must_read = False
                 else:
-                    page = await self._rows.changes(
-                        self._operator_rows.configuration.table,
-                        self._after,
-                        self._long_poll_ms,
-                    )
-            except store.HistoryLostError as error:
-                _log.info("history_lost", cause=str(error))
-                must_read = True
-                continue
-            except store.StoreError as error:
-                _log.warning(
-                    "configuration_unconfirmed",
-                    version=self.version,
-                    age_s=self.logged_age_s,
-                    call="read" if must_read else "changes",
-                    took_s=round(clock.now_s() - started_s, 3),
-                    cause=str(error),
+                    must_read = await self._follow_store(must_read)
+        finally:
+            if self._search is not None:
+                self._search.cancel()
+
+    def _search_reader(self) -> None:
+        """Searches the reader beside the calls to the store, if necessary."""
+        if self._reader is None or self._is_searching:
+            return
+        if self._reader.choice.should_search(clock.now_s()):
+            self._search = asyncio.create_task(self._reader.search())
+
+    @property
+    def _is_searching(self) -> bool:
+        return self._search is not None and not self._search.done()
+
+    def _asks_reader(self) -> bool:
+        if self._reader is None:
+            return False
+        source = self._reader.choice.source(self.follows_closely)
+        self._follows_store = source is reader_choice.Source.STORE
+        return not self._follows_store
+
+    async def _follow_reader(self) -> bool:
+        """Requests the rows from the reader; returns whether it answered."""
+        assert self._reader is not None
+        sent_s = clock.now_s()
+        try:
+            rows = await self._reader.fetch(self.version)
+        except errors.MarigoldgapError:
+            return False
+        # A reader that lags behind confirms nothing.
+        if rows.store_version >= self._after:
+            self._apply_relayed(rows, sent_s)
+        self._reader.examine(self.age_s)
+        if self.version < rows.version:
+            # The answer was not held, and the next one would not be, either.
+            await asyncio.sleep(_UNUSABLE_PAUSE_S)
+        return True
+
+    def _apply_relayed(
+        self, rows: configuration_relay.RelayedRows, sent_s: float
+    ) -> None:
+        self._after = rows.store_version
+        configuration = self._operator_rows.configuration
+        self._replace_evacuations(
+            {
+                configuration._replace(key=key): zone
+                for key, zone in rows.evacuations
+            }
+        )
+        self._confirm(min(sent_s + rows.confirmed_after_s, clock.now_s()))
+        if rows.content is not None:
+            self._adopt(rows.content)
+
+    async def relay(self, version: int) -> configuration_relay.RelayedRows:
+        """Returns the rows for another instance of the zone.
+
+        Waits for the next confirmation by the store if the instance has the
+        current version.
+
+        Args:
+            version: Version of the configuration that the instance has.
+
+        Raises:
+            NotReaderError: This instance does not follow the store itself.
+        """
+        arrived_s = clock.now_s()
+        if self._follows_store and version >= self.version:
+            try:
+                async with asyncio.timeout(configuration_relay.HOLD_S):
+                    await self._confirmed.wait()
+            except TimeoutError:
+                # The instance decides by the age of the rows.
+                pass
+        if not self._follows_store or self._confirmed_s is None:
+            raise configuration_relay.NotReaderError(
+                "this instance does not follow the store itself"
+            )
+        return configuration_relay.RelayedRows(
+            self._after,
+            self._confirmed_s - arrived_s,
+            self.version,
+            tuple(
+                (row_key.key, zone)
+                for row_key, zone in self._evacuation_rows.items()
+            ),
+            self._content if self.version > version else None,
+        )
+
+    async def _follow_store(self, must_read: bool) -> bool:
+        """Makes one call to the store; returns whether all must be read next."""
+        started_s = clock.now_s()
+        must_read = must_read or self.current is None
+        try:
+            if must_read:
+                page = await self._read()
+            else:
+                page = await self._rows.changes(
+                    self._operator_rows.configuration.table,
+                    self._after,
+                    self._long_poll_ms,
                 )
-                # A call without an answer is repeated: a change costs its bytes
-                # only once, and nothing is sent if there is none.
-                must_read |= isinstance(error, store.UnusableAnswerError)
-                await asyncio.sleep(_RETRY_S)
-                continue
-            self._after = page.version
-            # Before the configuration: without one, nothing is planned.
-            self._apply_evacuations(page, must_read)
-            self._confirm(started_s if page.read_s is None else page.read_s)
-            for row in page.rows:
-                if (
-                    row.row_key == self._operator_rows.configuration
-                    and row.value is not None
-                ):
-                    self._adopt(row.value)
-            if must_read and self.current is None:
-                await asyncio.sleep(_RETRY_S)
-            must_read = False
+        except store.HistoryLostError as error:
+            _log.info("history_lost", cause=str(error))
+            return True
+        except store.StoreError as error:
+            _log.warning(
+                "configuration_unconfirmed",
+                version=self.version,
+                age_s=self.logged_age_s,
+                call="read" if must_read else "changes",
+                took_s=round(clock.now_s() - started_s, 3),
+                cause=str(error),
+            )
+            await asyncio.sleep(_RETRY_S)
+            # A call without an answer is repeated: a change costs its bytes only
+            # once, and nothing is sent if there is none.
+            return must_read or isinstance(error, store.UnusableAnswerError)
+        self._after = page.version
+        # Before the configuration: without one, nothing is planned.
+        self._apply_evacuations(page, must_read)
+        self._confirm(started_s if page.read_s is None else page.read_s)
+        for row in page.rows:
+            if (
+                row.row_key == self._operator_rows.configuration
+                and row.value is not None
+            ):
+                self._adopt(row.value)
+        if self.current is None:
+            await asyncio.sleep(_RETRY_S)
+        self._confirmed.set()
+        self._confirmed = asyncio.Event()
+        return False
 
     def _confirm(self, read_s: float) -> None:
         if self._confirmed_s is None or read_s > self._confirmed_s:
@@ -218,6 +334,9 @@
             zone = self._operator_rows.decode_evacuation(row.row_key, row.value)
             if zone is not None:
                 found[row.row_key] = zone
+        self._replace_evacuations(found)
+
+    def _replace_evacuations(self, found: dict[store.RowKey, str]) -> None:
         self._evacuation_rows = found
         change = self.evacuations.replace(
             found.values(), self._confirmed_s, clock.now_s()
@@ -249,5 +368,6 @@
             keys=len(configuration.keys),
         )
         self.current = configuration
+        self._content = content
         measures.CONFIGURATION_VERSION.set(configuration.version)
         self._adopted(configuration)
--- a/src/marigoldgap/cell/job_service.py
+++ b/src/marigoldgap/cell/job_service.py
@@ -127,11 +127,16 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether this instance can serve callers."""
+        """Whether this instance can serve callers.
+
+        One that the store does not answer can store no job, although another
+        instance of its zone may still confirm the configuration.
+        """
         return (
             self._configuration.current is not None
             and not self._may_be_superseded()
             and not self._is_unconfirmed()
+            and not self._exceeds_key_age(self._store_outage_s())
         )
 
     @property
@@ -435,6 +440,9 @@
         )
 
     def _is_unconfirmed(self) -> bool:
+        return self._exceeds_key_age(self._configuration.age_s)
+
+    def _exceeds_key_age(self, seconds: float) -> bool:
         if not self._withdrawal_s:
             return False
-        return self._configuration.age_s > _KEY_AGE_SHARE * self._withdrawal_s
+        return seconds > _KEY_AGE_SHARE * self._withdrawal_s
--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 from urllib import parse
@@ -14,6 +15,7 @@
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import json_object
+from marigoldgap.cell import configuration_relay
 from marigoldgap.cell import election as elections
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
@@ -33,6 +35,12 @@
 _WATCH_PATH = "/peer/watch"
 _VOUCH_PATH = "/peer/vouch"
 _TAKE_OVER_PATH = "/peer/take-over"
+_CONFIGURATION_PATH = "/peer/configuration/"
+# Timeout of a call for the configuration, until the first part of the answer and
+# between its parts: the time for which it is held, and a margin.
+_CONFIGURATION_TIMEOUT_S = configuration_relay.HOLD_S + 0.3
+# Most bytes of such an answer.
+_MAX_CONFIGURATION_BYTES = 8 * 1_024 * 1_024
 # Time for which the leader holds the answer to a watch call.
 _WATCH_HOLD_S = 10.0
 # Timeout of a request to take over, which reads and writes the store.
@@ -109,6 +117,7 @@
         view: Jobs of the leader, while this instance is the leader.
         advice: Client of the advice service; None if there is no service.
         election: This instance's part in the election.
+        relay: Returns the configuration for an instance that has a version of it.
     """
 
     def __init__(
@@ -116,10 +125,13 @@
         view: JobView,
         advice: ports.AdvicePort | None,
         election: elections.Election,
+        relay: Callable[[int], Awaitable[configuration_relay.RelayedRows]],
     ) -> None:
         self._view = view
         self._advice = advice
         self._election = election
+        self._relay = relay
+        self._packer = configuration_relay.Packer()
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answers one call."""
@@ -151,6 +163,10 @@
             return await self._request_tickets(
                 json_object.decode(request.body, messages.InvalidAnswerError)
             )
+        if path.startswith(_CONFIGURATION_PATH):
+            return await self._answer_configuration(
+                path.removeprefix(_CONFIGURATION_PATH)
+            )
         if path == _WATCH_PATH:
             await asyncio.sleep(_WATCH_HOLD_S)
             return messages.json_response(200, {})
@@ -170,6 +186,14 @@
             )
         return messages.json_response(404, {"error": "not-found"})
 
+    async def _answer_configuration(self, version: str) -> messages.Response:
+        if not version.isascii() or not version.isdecimal():
+            raise messages.InvalidAnswerError(f"invalid version {version!r}")
+        rows = await self._relay(int(version))
+        return messages.json_response(
+            200, configuration_relay.encode(rows, self._packer)
+        )
+
     async def _take_over(self, fields: dict[str, Any]) -> bool:
         if self._election.claim_delay_s > fields["most_delay_s"]:
             return False
@@ -308,6 +332,31 @@
         )
         return fields.get("vouched") is True
 
+    async def configuration(
+        self, version: int
+    ) -> configuration_relay.RelayedRows:
+        """Requests the configuration from the reader of the zone.
+
+        Args:
+            version: Version that this instance has; 0 if none.
+
+        Raises:
+            MarigoldgapError: The call failed or its answer is invalid.
+        """
+        answer = await self._pool.exchange(
+            "GET",
+            self._address,
+            f"{_CONFIGURATION_PATH}{version}",
+            timeout_s=_CONFIGURATION_TIMEOUT_S,
+            is_bulk=True,
+            max_body_bytes=_MAX_CONFIGURATION_BYTES,
+        )
+        if answer.status != 200:
+            raise messages.InvalidAnswerError(
+                f"{self.name} answered with status {answer.status}"
+            )
+        return configuration_relay.decode(answer.body)
+
     async def watch(self) -> None:
         """Waits until the instance answers a long poll or ends.
 
--- a/src/marigoldgap/cell/records.py
+++ b/src/marigoldgap/cell/records.py
@@ -33,6 +33,8 @@
 # The one row of earlier versions; a new leader replaces it.
 FORMER_ROSTER = store.RowKey(CELL, CELL, "roster")
 INSTANCES = "instances"
+# Instance that reads the configuration for its zone, in a partition for each zone.
+READERS = "readers"
 # A partition applies its transactions one after the other. With a store that
 # is 80 times slower than usual (0.33 s for each), this many partitions accept
 # 190 jobs per second.
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -22,6 +22,7 @@
 from marigoldgap.cell import table_reader
 from marigoldgap.cell import vouching
 from marigoldgap.cell import watcher
+from marigoldgap.cell import zone_reader
 from marigoldgap.node import instance_registry
 from marigoldgap.node import loop_monitor
 from marigoldgap.node import settings as node_settings
@@ -81,6 +82,16 @@
                 documents.decode_evacuation,
             ),
             self._adopt,
+            zone_reader.ZoneReader(
+                self._rows,
+                self._pool,
+                settings.zone,
+                settings.name,
+                settings.peers_address,
+                settings.configuration_apply_s,
+            )
+            if settings.zone
+            else None,
         )
         self._election = elections.Election(
             self._rows,
@@ -120,7 +131,9 @@
             limits.readiness,
         )
         self._peers = server.HttpServer(
-            peers.PeerServer(view, self._advice, self._election).handle,
+            peers.PeerServer(
+                view, self._advice, self._election, self._configuration.relay
+            ).handle,
             server.HttpLimits,
             registry,
             "peers",
--- a/tests/features/steps/cell_configuration_steps.py
+++ b/tests/features/steps/cell_configuration_steps.py
@@ -52,6 +52,12 @@
     _write(context)
 
 
+@when("version {version:d} is written")
+def write_version(context, version):
+    context.version = version
+    _write(context)
+
+
 def _write(context):
     async def write():
         context.written_s = asyncio.get_running_loop().time()
