--- a/src/marigoldgap/cell/configuration_follower.py
+++ b/src/marigoldgap/cell/configuration_follower.py
@@ -37,6 +37,11 @@
 _MAX_UNCONFIRMED_S = 2.4
 # Pause after a failed call.
 _RETRY_S = 0.1
+# Source of a configuration that was not handed on by a reader, in log lines.
+_STORE = "store"
+# Longest time for which the next call waits until a reader is found: two calls to
+# the store across regions, and a margin.
+_SEARCH_WAIT_S = 0.3
 # Pause after an answer of the reader from which nothing could be adopted.
 _UNUSABLE_PAUSE_S = 1.0
 # Rows of a page: the most that the store returns.
@@ -149,6 +154,7 @@
         try:
             while True:
                 self._search_reader()
+                await self._await_search()
                 if self._asks_reader():
                     if await self._follow_reader():
                         must_read = False
@@ -165,6 +171,14 @@
         if self._reader.choice.should_search(clock.now_s()):
             self._search = asyncio.create_task(self._reader.search())
 
+    async def _await_search(self) -> None:
+        """Waits for a search that may save a transfer from the store."""
+        if self._reader is None or self._search is None:
+            return
+        choice = self._reader.choice
+        if not choice.reader and choice.is_helpful(self.age_s):
+            await asyncio.wait({self._search}, timeout=_SEARCH_WAIT_S)
+
     @property
     def _is_searching(self) -> bool:
         return self._search is not None and not self._search.done()
@@ -174,6 +188,7 @@
             return False
         source = self._reader.choice.source(self.follows_closely)
         self._follows_store = source is reader_choice.Source.STORE
+        measures.CONFIGURATION_READER.set(self._reader.choice.is_reader)
         return not self._follows_store
 
     async def _follow_reader(self) -> bool:
@@ -206,7 +221,7 @@
         )
         self._confirm(min(sent_s + rows.confirmed_after_s, clock.now_s()))
         if rows.content is not None:
-            self._adopt(rows.content)
+            self._adopt(rows.content, self._reader_name)
 
     async def relay(self, version: int) -> configuration_relay.RelayedRows:
         """Returns the rows for another instance of the zone.
@@ -281,7 +296,7 @@
                 row.row_key == self._operator_rows.configuration
                 and row.value is not None
             ):
-                self._adopt(row.value)
+                self._adopt(row.value, _STORE)
         if self.current is None:
             await asyncio.sleep(_RETRY_S)
         self._confirmed.set()
@@ -347,7 +362,11 @@
             _log.warning("zone_returned", zone=zone)
         measures.EVACUATED_ZONES.set(len(self.evacuated_zones))
 
-    def _adopt(self, content: bytes) -> None:
+    @property
+    def _reader_name(self) -> str:
+        return "" if self._reader is None else self._reader.choice.reader
+
+    def _adopt(self, content: bytes, source: str) -> None:
         try:
             configuration = self._operator_rows.decode_configuration(content)
         except errors.MarigoldgapError as error:
@@ -362,6 +381,7 @@
             "configuration_adopted",
             version=configuration.version,
             former_version=self.version,
+            source=source,
             age_s=self.logged_age_s,
             bytes=len(content),
             queues=len(configuration.queues),
--- a/src/marigoldgap/measures.py
+++ b/src/marigoldgap/measures.py
@@ -115,6 +115,11 @@
     "Tasks that could start if there were room, at the last plan.",
     registry=REGISTRY,
 )
+CONFIGURATION_READER = prometheus_client.Gauge(
+    "marigoldgap_configuration_reader",
+    "Whether this instance reads the configuration for its zone.",
+    registry=REGISTRY,
+)
 CONFIGURATION_AGE_S = prometheus_client.Histogram(
     "marigoldgap_configuration_age_seconds",
     "Age of the configuration by which requests of callers are decided.",
