--- a/tests/features/cell/workspace_limits.feature
+++ b/tests/features/cell/workspace_limits.feature
@@ -66,7 +66,7 @@
   Scenario Outline: Nothing starts under a limit that may have been lowered
     Guards against a leader that goes on with the former limit, or with none,
     since it alone does not get the new configuration (QUOTA).
-    Given a cell with 1 workers and 1 instances
+    Given a cell with 1 workers and 1 instances in which a change may take 4000 ms
     And the workspace may use <former> millicores
     When the configuration is withheld from the instances
     And the limit of the workspace is lowered to 2000 millicores
--- a/tests/features/steps/cell_workspace_limits_steps.py
+++ b/tests/features/steps/cell_workspace_limits_steps.py
@@ -174,6 +174,20 @@
     cell_jobs.check_no_violations(context)
 
 
+@given(
+    "a cell with {workers:d} workers and {instances:d} instances in which a"
+    " change may take {milliseconds:d} ms"
+)
+def create_patient_cell(context, workers, instances, milliseconds):
+    context.job = cell_jobs.JOB
+    cell_world.start(
+        context,
+        workers,
+        instances,
+        configuration_apply_s=milliseconds / 1000,
+    )
+
+
 @when("the configuration is withheld from the instances")
 def withhold_configuration(context):
     context.world.store.holds_configuration = True
