--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -354,7 +354,10 @@
             ),
             self._instances.poll(),
             leadership_transfer.run(
-                self._election, scheduler, self._offer_to_preferred
+                self._election,
+                scheduler,
+                self._offer_to_preferred,
+                self.settings.link_mbps,
             ),
             vouching.run(scheduler, self._instances),
         ):
--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -49,9 +49,13 @@
 
     Attributes:
         open_count: Number of open connections of the process.
+        received_bytes: Bytes received by the process on such connections.
+        sent_bytes: Bytes sent by the process on such connections.
     """
 
     open_count: ClassVar[int] = 0
+    received_bytes: ClassVar[int] = 0
+    sent_bytes: ClassVar[int] = 0
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
@@ -107,6 +111,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses a part of the response."""
+        Connection.received_bytes += len(data)
         if self._response_future is None or self._response_future.done():
             self.close()
             return
@@ -200,6 +205,7 @@
         self._bulk_until_s = clock.now_s() + _MAX_BULK_S
         self._may_wait = may_wait
         self._start_timer(timeout_s)
+        Connection.sent_bytes += len(head) + len(body)
         self._transport.write(head + body)
         try:
             response = await self._response_future
--- a/tests/features/cell/leadership_transfer.feature
+++ b/tests/features/cell/leadership_transfer.feature
@@ -47,6 +47,45 @@
       | restored     | 88      | 11.9 |                       |
       | restored     | 88      | 12.1 | workers do not answer |
 
+  Scenario Outline: A leader whose link is busy offers its leadership
+    Guards against a leader on a thin link that reaches all workers, but sends
+    commands and reads listings late (sweep of barakat at 300 instances).
+    Given a leader that was elected at 10 s
+    When it has <recovered> the state and 100% of its workers answer
+    And it uses <percent>% of its link
+    Then it offers its leadership for "" at 11.9 s
+    And it offers its leadership for "<cause>" at 12.1 s
+
+    Examples:
+      | recovered | percent | cause            |
+      | restored  | 50      |                  |
+      | restored  | 51      | the link is busy |
+
+  Scenario: A link that is busy for a short time leaves leadership where it is
+    Guards against a hand-over for a burst of listings.
+    Given a leader that was elected at 10 s
+    When it has restored the state and 100% of its workers answer
+    And it uses 90% of its link
+    Then it offers its leadership for "" at 11.5 s
+    When it uses 20% of its link
+    Then it offers its leadership for "" at 11.75 s
+    When it uses 90% of its link
+    Then it offers its leadership for "" at 13.5 s
+
+  Scenario Outline: The use of a link is that of its busier direction
+    Guards against a share that is that of a single moment, or of a link whose
+    rate is not known.
+    Given a link of <rate> Mbit/s
+    When it has received <received> and sent <sent> bytes <elapsed> s later
+    Then <percent>% of it are in use
+
+    Examples:
+      | rate | received | sent    | elapsed | percent |
+      | 10   | 1000000  | 10      | 1.0     | 80      |
+      | 10   | 10       | 1250000 | 2.0     | 50      |
+      | 10   | 1000000  | 10      | 0.5     | 0       |
+      | 0    | 1000000  | 10      | 1.0     | 0       |
+
   Scenario: Workers that answer again leave leadership where it is
     Guards against silences that are added up.
     Given a leader that was elected at 10 s
--- a/tests/features/steps/cell_transfer_steps.py
+++ b/tests/features/steps/cell_transfer_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 
 from marigoldgap.cell import leadership_transfer
+from marigoldgap.cell import link_meter
 from marigoldgap.cell import records
 from tests.fixtures import cell_world
 from tests.fixtures import loops
@@ -89,6 +90,32 @@
 def set_state(context, restored, percent):
     context.is_recovered = restored == "restored"
     context.unreachable_share = 1 - percent / 100
+    context.link_share = 0.0
+
+
+@when("it uses {percent:d}% of its link")
+def use_link(context, percent):
+    context.link_share = percent / 100
+
+
+@given("a link of {rate:d} Mbit/s")
+def create_meter(context, rate):
+    context.meter = link_meter.LinkMeter(rate)
+    context.meter.share(10.0, 5_000, 7_000)
+
+
+@when(
+    "it has received {received:d} and sent {sent:d} bytes {elapsed:g} s later"
+)
+def measure(context, received, sent, elapsed):
+    context.share = context.meter.share(
+        10.0 + elapsed, 5_000 + received, 7_000 + sent
+    )
+
+
+@then("{percent:d}% of it are in use")
+def in_use(context, percent):
+    assert round(context.share * 100) == percent, context.share
 
 
 @when("nobody accepts its offer at {time_s:g} s")
@@ -99,7 +126,10 @@
 @then('it offers its leadership for "{cause}" at {time_s:g} s')
 def offers(context, cause, time_s):
     found = context.policy.find_cause(
-        time_s, context.is_recovered, context.unreachable_share
+        time_s,
+        context.is_recovered,
+        context.unreachable_share,
+        context.link_share,
     )
     assert found == cause, found
 
