--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -351,6 +351,7 @@
         messages.InvalidAnswerError,
         AttributeError,
         LookupError,
+        OverflowError,
         TypeError,
         ValueError,
     ) as error:
@@ -365,7 +366,13 @@
     for fields in content.get("rows", ()):
         try:
             rows.append(_decode_row(fields))
-        except (AttributeError, LookupError, TypeError, ValueError) as error:
+        except (
+            AttributeError,
+            LookupError,
+            OverflowError,
+            TypeError,
+            ValueError,
+        ) as error:
             _log.error("row_malformed", cause=repr(error))
     return tuple(rows)
 
--- a/tests/features/cell/odd_messages.feature
+++ b/tests/features/cell/odd_messages.feature
@@ -73,6 +73,24 @@
     When the leader ends
     Then another instance is the leader
 
+  Scenario Outline: Answers of the store with odd numbers end nothing
+    Guards against an instance that follows neither the election nor the
+    configuration any more, since a number exceeds its type.
+    Given a cell with 1 workers and 2 instances
+    When every answer of the store has <odd> for 2 s
+    And the key is withdrawn
+    Then a submission is answered with 401 soon
+    When the leader ends
+    Then another instance is the leader
+
+    Examples:
+      | odd                       |
+      | an infinite version       |
+      | a version of 5,000 digits |
+      | an infinite time          |
+      | a time of 401 digits      |
+      | a time that is a text     |
+
   Scenario Outline: An instance with an odd address is left out
     Guards against calls to other instances that fail with an unexpected error
     in place of the leader's calls to those that can be reached.
--- a/tests/features/steps/cell_odd_steps.py
+++ b/tests/features/steps/cell_odd_steps.py
@@ -144,6 +144,26 @@
     context.world.store.odd_rows = [_ODD_STORE_ROWS[odd]]
 
 
+_ODD_NUMBERS = {
+    "an infinite version": b'{"rows": [], "ver": 1e999, "nowMs": 1}',
+    "a version of 5,000 digits": b'{"rows": [], "ver": %s, "nowMs": 1}'
+    % (b"9" * 5_000),
+    "an infinite time": b'{"rows": [], "ver": 1, "nowMs": 1e999}',
+    "a time of 401 digits": b'{"rows": [], "ver": 1, "nowMs": %s}'
+    % (b"9" * 401),
+    "a time that is a text": b'{"rows": [], "ver": 1, "nowMs": "soon"}',
+}
+
+
+@when("every answer of the store has {odd} for {seconds:d} s")
+def odd_numbers(context, odd, seconds):
+    rows = context.world.store
+    rows.malformed_body = _ODD_NUMBERS[odd]
+    rows.is_malformed = True
+    loops.run(context, asyncio.sleep(seconds))
+    rows.is_malformed = False
+
+
 @when("every answer of the store is nested too deeply for {seconds:d} s")
 def answer_nested(context, seconds):
     rows = context.world.store
