--- a/review/8/case.py
+++ b/review/8/case.py
@@ -6,7 +6,7 @@
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "bed-2"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "6"))
 import bed as beds
 
 STEP = {"count": 2, "cpu": 1000, "memMb": 64, "estimateMs": 500}
