--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,6 +12,7 @@
 from marigoldgap import json_object
 from marigoldgap.web import client
 from marigoldgap.web import messages
+from marigoldgap.web import request_heads
 from soak import instances
 from soak import planned_stops
 
@@ -200,7 +201,7 @@
         job_id: str,
         body: bytes,
     ) -> messages.Response | None:
-        head = client.request_head(
+        head = request_heads.encode(
             method,
             self._host,
             self._prefix + job_id,
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,7 +10,7 @@
 import signal
 
 from marigoldgap.cell import records
-from marigoldgap.web import client
+from marigoldgap.web import request_heads
 from soak import callers
 from soak import crashes
 from soak import faults
@@ -81,7 +81,7 @@
         self.hostile_client = hostile.HostileClient(
             random.Random(seed + 3),
             self.instances,
-            client.request_head(
+            request_heads.encode(
                 "GET",
                 cell_world.HOST,
                 cell_world.PREFIX + _NO_JOB,
--- a/src/marigoldgap/cell/zone_reader.py
+++ b/src/marigoldgap/cell/zone_reader.py
@@ -17,6 +17,7 @@
 from marigoldgap.cell import records
 from marigoldgap.cell import store
 from marigoldgap.web import client
+from marigoldgap.web import request_heads
 
 _log = decision_log.DecisionLogger("zone_reader")
 
@@ -113,7 +114,7 @@
         if name == self._name and address == self._address:
             self._become_reader("named by the row")
             return True
-        if not client.is_address(address) or not self.choice.may_use(
+        if not request_heads.is_address(address) or not self.choice.may_use(
             name, clock.now_s()
         ):
             return False
--- a/src/marigoldgap/node/instance_registry.py
+++ b/src/marigoldgap/node/instance_registry.py
@@ -12,6 +12,7 @@
 from marigoldgap.cell import store
 from marigoldgap.cell import table_reader
 from marigoldgap.web import client
+from marigoldgap.web import request_heads
 
 _log = decision_log.DecisionLogger("instances")
 
@@ -95,7 +96,7 @@
                     cause=str(error),
                 )
                 continue
-            if not client.is_address(address):
+            if not request_heads.is_address(address):
                 _log.warning(
                     "instance_row_invalid",
                     row=row.row_key.key,
--- a/src/marigoldgap/platform/documents.py
+++ b/src/marigoldgap/platform/documents.py
@@ -11,7 +11,7 @@
 from marigoldgap.cell import store
 from marigoldgap.platform import decoding
 from marigoldgap.platform import settings_file
-from marigoldgap.web import client
+from marigoldgap.web import request_heads
 
 _log = decision_log.DecisionLogger("documents")
 
@@ -196,6 +196,9 @@
         FormatError: The row is not a valid registration; the worker cannot be
             used.
     """
+    # Each call to a worker names it in a header.
+    if not request_heads.is_header_value(worker_id):
+        raise decoding.FormatError("the id of the worker cannot be sent")
     fields = decoding.decode_object(content)
     state = decoding.text(fields, "state")
     if state not in _STATES:
@@ -222,7 +225,7 @@
 
 def _decode_address(fields: dict[str, Any]) -> str:
     address = decoding.text(fields, "address")
-    if not client.is_address(address):
+    if not request_heads.is_address(address):
         raise decoding.FormatError(f"invalid address {address!r}")
     return address
 
--- a/src/marigoldgap/platform/store_client.py
+++ b/src/marigoldgap/platform/store_client.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from collections.abc import Callable
-import math
 from typing import Any
-from typing import TypeVar
 from urllib import parse
 
 from marigoldgap import clock
@@ -16,14 +13,13 @@
 from marigoldgap import measures
 from marigoldgap.cell import store
 from marigoldgap.cell import store_clock
+from marigoldgap.platform import store_answers
 from marigoldgap.web import adaptive_timeout
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
 _log = decision_log.DecisionLogger("store")
 
-_Content = TypeVar("_Content")
-
 # Time that a call for changes may take beyond the wait that it requests, until
 # the first part of the answer and between its parts.
 _CHANGES_MARGIN_S = 0.7
@@ -131,8 +127,10 @@
             json_object.encode(body),
         )
         if answer.status == 412:
-            raise store.CheckFailedError(_decode(answer, _decode_rows))
-        return _decode(answer, lambda content: int(content["ver"]))
+            raise store.CheckFailedError(
+                store_answers.decode(answer, store_answers.decode_rows)
+            )
+        return store_answers.decode(answer, lambda content: int(content["ver"]))
 
     async def read(
         self,
@@ -161,7 +159,9 @@
         if end:
             # "target" is the exclusive end of the range.
             query["target"] = end
-        path = f"/v1/rows-get?{parse.urlencode(query)}"
+        # A key of another writer may hold half of a surrogate pair.
+        names = parse.urlencode(query, errors="surrogatepass")
+        path = f"/v1/rows-get?{names}"
         sent_s = clock.now_s()
         if not max_rows:
             answer = await self._call("read", "GET", path)
@@ -201,7 +201,7 @@
         return self._page(answer, sent_s)
 
     def _page(self, answer: messages.Response, sent_s: float) -> store.Page:
-        page, store_ms = _decode(answer, _decode_page)
+        page, store_ms = store_answers.decode(answer, store_answers.decode_page)
         return page._replace(
             read_s=self._clock.answered_s(sent_s, clock.now_s(), store_ms)
         )
@@ -335,79 +335,3 @@
         "part": row_key.partition,
         "key": row_key.key,
     }
-
-
-def _decode(
-    answer: messages.Response, decode_content: Callable[[Any], _Content]
-) -> _Content:
-    """Decodes the body of an answer.
-
-    Raises:
-        UnusableAnswerError: The body is malformed.
-    """
-    try:
-        return decode_content(answer.json())
-    except (
-        messages.InvalidAnswerError,
-        AttributeError,
-        LookupError,
-        OverflowError,
-        TypeError,
-        ValueError,
-    ) as error:
-        raise store.UnusableAnswerError(
-            f"the store sent an unusable answer: {error!r}"
-        ) from error
-
-
-def _decode_rows(content: Any) -> tuple[store.Row, ...]:
-    """Decodes rows; one that names no row is left out."""
-    rows = []
-    for fields in content.get("rows", ()):
-        try:
-            rows.append(_decode_row(fields))
-        except (
-            AttributeError,
-            LookupError,
-            OverflowError,
-            TypeError,
-            ValueError,
-        ) as error:
-            _log.error("row_malformed", cause=repr(error))
-    return tuple(rows)
-
-
-def _decode_row(content: Any) -> store.Row:
-    row_key = store.RowKey(
-        content["table"], content.get("part", ""), content["key"]
-    )
-    if not all(isinstance(name, str) for name in row_key):
-        raise TypeError(f"a name in {row_key!r} is not a text")
-    return store.Row(
-        row_key, _decode_value(content), int(content.get("ver", 0))
-    )
-
-
-def _decode_value(content: Any) -> bytes | None:
-    if content.get("removed") or "value" not in content:
-        return None
-    try:
-        return base64.b64decode(content["value"])
-    except (binascii.Error, TypeError, ValueError):
-        # Other programs write to these tables too. An empty value, which every
-        # decoder rejects, stands for one that is not valid Base64.
-        return b""
-
-
-def _decode_page(content: Any) -> tuple[store.Page, float | None]:
-    """Returns the page and the store's time in milliseconds, if stated."""
-    store_ms = content.get("nowMs")
-    is_time = isinstance(store_ms, int | float) and math.isfinite(store_ms)
-    return (
-        store.Page(
-            _decode_rows(content),
-            bool(content.get("hasMore")),
-            int(content["ver"]),
-        ),
-        store_ms if is_time else None,
-    )
--- a/src/marigoldgap/platform/worker_client.py
+++ b/src/marigoldgap/platform/worker_client.py
@@ -13,6 +13,7 @@
 from marigoldgap.platform import decoding
 from marigoldgap.web import client
 from marigoldgap.web import messages
+from marigoldgap.web import request_heads
 
 # Ended runs in one answer of a worker; it withholds further ones until these are
 # acknowledged.
@@ -195,7 +196,7 @@
         if wait_ms:
             body["waitMs"] = wait_ms
         content = json_object.encode(body)
-        head = client.request_head(
+        head = request_heads.encode(
             "POST",
             worker.address,
             "/v1/hold",
--- a/src/marigoldgap/web/client.py
+++ b/src/marigoldgap/web/client.py
@@ -14,6 +14,7 @@
 from marigoldgap import clock
 from marigoldgap import measures
 from marigoldgap.web import messages
+from marigoldgap.web import request_heads
 
 # Covers three round trips between regions (40 ms each) and the first
 # retransmission of a lost packet (1 s).
@@ -29,7 +30,6 @@
 # Unacknowledged data fails the connection after this time, so that a dead link
 # is detected before leases of 6 s expire.
 _UNACKNOWLEDGED_LIMIT_MS = 4_000
-_MAX_PORT = 65_535
 # Size of the status line and headers of a response.
 _MAX_HEAD_BYTES = 65_536
 # Size of the framing of a response: a page of the store in chunks of 512 bytes.
@@ -265,39 +265,6 @@
             self._response_future.set_exception(error)
 
 
-def request_head(
-    method: str,
-    address: str,
-    path: str,
-    body_bytes: int,
-    headers: tuple[tuple[str, str], ...] = (),
-) -> bytes:
-    """Returns the encoded request line and headers.
-
-    Args:
-        method: HTTP method.
-        address: Value of the `Host` header.
-        path: Path and query, quoted.
-        body_bytes: Length of the body, which is JSON unless empty.
-        headers: Further headers.
-    """
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}"]
-    lines.extend(f"{name}: {value}" for name, value in headers)
-    if body_bytes:
-        lines.append(f"Content-Type: {messages.JSON_TYPE}")
-    lines.append(f"Content-Length: {body_bytes}")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1")
-
-
-def is_address(value: Any) -> bool:
-    """Returns whether a value of another program has the form `ip:port`."""
-    if not isinstance(value, str):
-        return False
-    host, _, port = value.rpartition(":")
-    is_port = port.isascii() and port.isdecimal() and len(port) <= 5
-    return bool(host) and is_port and 0 < int(port) <= _MAX_PORT
-
-
 async def connect(address: str) -> Connection:
     """Opens a connection to `ip:port`.
 
@@ -390,7 +357,7 @@
                     f"the connection to {address} took too long; nothing was"
                     " sent"
                 )
-        head = request_head(method, address, path, len(body), headers)
+        head = request_heads.encode(method, address, path, len(body), headers)
         response = await connection.exchange(
             head, body, timeout_s, is_bulk, max_body_bytes, may_wait
         )
--- a/tests/features/steps/cell_shutdown_steps.py
+++ b/tests/features/steps/cell_shutdown_steps.py
@@ -17,6 +17,7 @@
 from marigoldgap.cell import store
 from marigoldgap.web import client
 from marigoldgap.web import messages
+from marigoldgap.web import request_heads
 from soak import instances
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
@@ -50,7 +51,7 @@
 
 def _encode(method, job_id):
     body = json.dumps(cell_world.job()).encode() if method == "POST" else b""
-    head = client.request_head(
+    head = request_heads.encode(
         method,
         cell_world.HOST,
         cell_world.PREFIX + job_id,
--- a/tests/features/steps/standins_cell_worker_steps.py
+++ b/tests/features/steps/standins_cell_worker_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 
 from marigoldgap.web import client
+from marigoldgap.web import request_heads
 from tests.fixtures import cell_world
 from tests.fixtures import loops
 
@@ -40,7 +41,7 @@
     async def start():
         content = json.dumps(body).encode()
         connection = await client.connect(worker.address)
-        head = client.request_head(
+        head = request_heads.encode(
             "POST",
             worker.address,
             "/v1/run-start",
--- a/tests/features/steps/untrusted_clients_steps.py
+++ b/tests/features/steps/untrusted_clients_steps.py
@@ -13,6 +13,7 @@
 
 from marigoldgap.web import client
 from marigoldgap.web import messages
+from marigoldgap.web import request_heads
 from soak import instances
 from tests.fixtures import cell_world
 from tests.fixtures import loops
@@ -72,7 +73,7 @@
         assert context.process.is_running, "the process has ended"
         try:
             connection = await client.connect(context.process.callers_address)
-            head = client.request_head(
+            head = request_heads.encode(
                 "GET",
                 cell_world.HOST,
                 cell_world.PREFIX + _NO_JOB,
--- a/tests/features/steps/web_server_limits_steps.py
+++ b/tests/features/steps/web_server_limits_steps.py
@@ -14,6 +14,7 @@
 from marigoldgap.web import connection_registry
 from marigoldgap.web import limits
 from marigoldgap.web import messages
+from marigoldgap.web import request_heads
 from marigoldgap.web import server
 from tests.fixtures import cell_world
 from tests.fixtures import loops
@@ -278,7 +279,7 @@
     " connections"
 )
 def many_callers(context, count, size):
-    head = client.request_head("POST", "y", "/x", size)
+    head = request_heads.encode("POST", "y", "/x", size)
 
     async def call():
         connection = await client.connect(context.address)
@@ -331,7 +332,7 @@
             context.writer.write(_REQUEST)
             await asyncio.sleep(_SETTLE_S)
         body = 4 * _LARGE
-        context.writer.write(client.request_head("POST", "y", "/x", len(body)))
+        context.writer.write(request_heads.encode("POST", "y", "/x", len(body)))
         context.writer.write(body)
         await asyncio.sleep(_SETTLE_S)
         assert context.handled == 1, context.handled
@@ -389,7 +390,7 @@
 @when("a caller sends a body of {size:d} bytes on a connection twice")
 def send_large_bodies(context, size):
     async def exchange():
-        head = client.request_head("POST", "y", "/x", size)
+        head = request_heads.encode("POST", "y", "/x", size)
         connection = await client.connect(context.address)
         context.add_cleanup(connection.close)
         for _ in range(2):
