--- a/src/marigoldgap/cell/advice_dispatcher.py
+++ b/src/marigoldgap/cell/advice_dispatcher.py
@@ -19,7 +19,6 @@
 from marigoldgap import measures
 from marigoldgap.cell import advice_targets
 from marigoldgap.cell import containment
-from marigoldgap.cell import model
 from marigoldgap.cell import ports
 from marigoldgap.cell import step_progress
 
@@ -48,7 +47,7 @@
 
     async def ask(
         self, step: str, workers: list[str], timeout_s: float
-    ) -> model.Tickets:
+    ) -> ports.Tickets:
         """Requests tickets for the workers that may run a step."""
 
 
@@ -210,7 +209,7 @@
         self._answered()
 
     def _record(
-        self, request: _Request, tickets: model.Tickets, started_s: float
+        self, request: _Request, tickets: ports.Tickets, started_s: float
     ) -> None:
         now = clock.now_s()
         step = request.step
--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -137,7 +137,7 @@
             if (
                 found
                 and signatures.get(worker_id) == found
-                and scheduler.worker_tracker.is_used(worker_id)
+                and scheduler.worker_tracker.is_settled(worker_id)
             ):
                 continue
             signatures.pop(worker_id, None)
--- a/src/marigoldgap/cell/leadership.py
+++ b/src/marigoldgap/cell/leadership.py
@@ -44,6 +44,7 @@
     - `planning`: tasks start once their turn has come.
     - `jobs`: accepted and cancelled jobs become known.
     - `workers`: workers that come and leave become known.
+    - `fence`: most workers accept its fencing token.
 
     Every other task serves one worker, run or call, or only supports the leader. It
     fails alone: the error is logged and counted, and the task is repeated after a
@@ -82,6 +83,17 @@
         """Ends this leadership."""
         self._ended.set()
 
+    def fail(self, part: str, cause: str) -> None:
+        """Ends this leadership, as the leader cannot lead any more.
+
+        Args:
+            part: Part of the leader that failed.
+            cause: Why it failed, for the log.
+        """
+        if self._failure is None:
+            self._failure = LeadershipFailedError(part, cause)
+        self.end()
+
     async def wait_until_ended(self) -> None:
         """Waits until this leadership has ended.
 
@@ -107,8 +119,7 @@
                 await work
             except Exception as error:
                 _log.exception("task_failed", task=part, cause=repr(error))
-                self._failure = LeadershipFailedError(part, repr(error))
-                self.end()
+                self.fail(part, repr(error))
 
         self._spawn(run())
 
--- a/src/marigoldgap/cell/model.py
+++ b/src/marigoldgap/cell/model.py
@@ -184,6 +184,7 @@
         keys: Name of the workspace by API key.
         workspaces: Workspaces by name.
         limits: Limits of HTTP requests.
+        services: Names of all services.
     """
 
     version: int
@@ -191,6 +192,7 @@
     keys: dict[str, str]
     workspaces: dict[str, Workspace]
     limits: RequestLimits
+    services: frozenset[str] = frozenset()
 
     @property
     def limited_workspaces(self) -> frozenset[str]:
@@ -386,15 +388,3 @@
 
     outcome: StartOutcome
     clock_ms: int
-
-
-class Tickets(NamedTuple):
-    """Answer of the advice service: workers that may run a step.
-
-    Attributes:
-        by_worker: Ticket by worker id.
-        valid_ms: Time for which the tickets are valid.
-    """
-
-    by_worker: dict[str, str]
-    valid_ms: float
--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -261,7 +261,7 @@
 
     async def ask(
         self, step: str, workers: list[str], timeout_s: float
-    ) -> model.Tickets:
+    ) -> ports.Tickets:
         """Requests tickets from the advice service through the instance.
 
         Raises:
@@ -272,7 +272,7 @@
             "POST", _ADVICE_PATH, json_object.encode(body), timeout_s
         )
         try:
-            return model.Tickets(
+            return ports.Tickets(
                 {
                     str(name): str(each)
                     for name, each in fields["by_worker"].items()
--- a/src/marigoldgap/cell/ports.py
+++ b/src/marigoldgap/cell/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
 from typing import Protocol
 
 from marigoldgap import errors
@@ -39,6 +40,18 @@
     ran = errors.Ran.NO
 
 
+class Tickets(NamedTuple):
+    """Answer of the advice service: workers that may run a step.
+
+    Attributes:
+        by_worker: Ticket by worker id.
+        valid_ms: Time for which the tickets are valid.
+    """
+
+    by_worker: dict[str, str]
+    valid_ms: float
+
+
 class WorkerPort(Protocol):
     """Commands to workers."""
 
@@ -104,5 +117,5 @@
 
     async def ask(
         self, step: str, workers: list[str], timeout_s: float
-    ) -> model.Tickets:
+    ) -> Tickets:
         """Requests tickets for the workers that may run a step."""
--- a/src/marigoldgap/cell/rejoin.py
+++ b/src/marigoldgap/cell/rejoin.py
@@ -5,7 +5,7 @@
 # Pause before the first new session with a worker that was given up; doubles
 # with each further one up to the maximum, until the worker answers.
 _INITIAL_PAUSE_S = 1.0
-_MAX_PAUSE_S = 8.0
+MAX_PAUSE_S = 8.0
 
 
 class RejoinPauses:
@@ -26,7 +26,7 @@
             The pause in seconds before the next session with it.
         """
         pause_s = self._next_s.get(worker_id, _INITIAL_PAUSE_S)
-        self._next_s[worker_id] = min(2 * pause_s, _MAX_PAUSE_S)
+        self._next_s[worker_id] = min(2 * pause_s, MAX_PAUSE_S)
         return pause_s
 
     def forget(self, worker_id: str) -> None:
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -156,6 +156,9 @@
         self._advice = advice_dispatcher.AdviceDispatcher(
             proxies, self._choose_advised, self._leadership.request_plan
         )
+        current = configuration()
+        if current is not None:
+            self.worker_tracker.adopt_services(current.services)
         self._heartbeat_count = 0
         self._is_planning = True
         self._wait_log = wait_log.WaitLog()
@@ -194,6 +197,9 @@
 
     async def _recover(self) -> None:
         self.jobs_version = await self._recovery.run()
+        self.worker_tracker.adopt_services(
+            {job.queue.service for job in self.job_tracker.jobs.values()}
+        )
         self._recovered_s = clock.now_s()
         self.recovered.set()
 
@@ -238,6 +244,11 @@
         """Runs a task that supports this leader; repeats it after an error."""
         self._leadership.spawn_contained(subject, "", work)
 
+    def adopt_configuration(self, configuration: model.Configuration) -> None:
+        """Applies a new configuration to the jobs and workers."""
+        self.job_tracker.adopt_configuration(configuration)
+        self.worker_tracker.adopt_services(configuration.services)
+
     def end_leadership(self) -> None:
         """Ends the leadership of this instance."""
         self._leadership.end()
--- a/src/marigoldgap/cell/session_listener.py
+++ b/src/marigoldgap/cell/session_listener.py
@@ -71,8 +71,8 @@
     def on_refused(self, run: runs.Run, outcome: model.StartOutcome) -> None:
         """Handles a refusal after which the worker never starts the run."""
 
-    def on_fenced(self) -> None:
-        """Ends the leadership, as a worker accepted a higher fencing token."""
+    def on_fenced(self, worker: fleet.Worker, cause: str) -> None:
+        """Handles a worker that refuses the fencing token as too low."""
 
     def stored(self, job_ids: Collection[str]) -> asyncio.Future[None]:
         """Returns a future that is done once the progress of jobs is stored."""
--- a/src/marigoldgap/cell/worker_commands.py
+++ b/src/marigoldgap/cell/worker_commands.py
@@ -92,6 +92,11 @@
                         ticket,
                         _COMMAND_TIMEOUT_S,
                     )
+            except ports.FencedError as error:
+                # The start follows the listing that was refused.
+                self._listener.on_fenced(worker, str(error))
+                self._refuse(run, model.StartOutcome.FENCED, may_have_started)
+                return
             except errors.MarigoldgapError as error:
                 if isinstance(error, ports.ReplacedProcessError):
                     # The renewal in progress waits on a silenced connection.
@@ -163,9 +168,9 @@
         if outcome is model.StartOutcome.STARTED:
             run.confirmed_s = clock.now_s()
             self._listener.on_started(run)
-        elif outcome is model.StartOutcome.FENCED:
-            self._listener.on_fenced()
         else:
+            if outcome is model.StartOutcome.FENCED:
+                self._listener.on_fenced(self._worker, "it refused a start")
             if outcome is model.StartOutcome.UNHEALTHY:
                 self._worker.avoid_until_s = clock.now_s() + _UNHEALTHY_PAUSE_S
             self._refuse(run, outcome, may_have_started)
--- a/src/marigoldgap/cell/worker_session.py
+++ b/src/marigoldgap/cell/worker_session.py
@@ -79,8 +79,8 @@
         self._refusals = 0
         # Whether the worker closed the latest connection cleanly.
         self._was_closed_by_worker = False
-        # Pause after an error that is none of the project's.
-        self._unexpected_pause = containment.GrowingPause()
+        # Pause after a refusal of the token or an unexpected error.
+        self._failure_pause = containment.GrowingPause()
         self._commands = worker_commands.WorkerCommands(listener, worker, port)
         # Set when a run is started and when the connection is closed.
         self._is_wanted = asyncio.Event()
@@ -92,9 +92,8 @@
             try:
                 await self._renew_until_failure()
             except ports.FencedError as error:
-                _log.warning("fenced", cause=str(error))
-                self._listener.on_fenced()
-                return
+                pause_s = self._failure_pause.next_s()
+                self._listener.on_fenced(self._worker, str(error))
             except ports.OtherIncarnationError as error:
                 self._listener.on_gone(self._worker, True, str(error))
                 return
@@ -107,7 +106,7 @@
                 self._listener.on_silent(self._worker, str(error))
             except errors.MarigoldgapError as error:
                 if isinstance(error, containment.UnexpectedError):
-                    pause_s = self._unexpected_pause.next_s()
+                    pause_s = self._failure_pause.next_s()
                 self._was_closed_by_worker = False
                 self._refusals = 0
                 self._listener.on_silent(self._worker, str(error))
@@ -234,4 +233,4 @@
                 wait_ms,
             )
             self._listener.on_listing(worker, listing, sent_s)
-        self._unexpected_pause.reset()
+        self._failure_pause.reset()
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -5,12 +5,14 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
 
 from marigoldgap import clock
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap.cell import containment
 from marigoldgap.cell import crash_counter
+from marigoldgap.cell import fence_refusals
 from marigoldgap.cell import fleet
 from marigoldgap.cell import former_leader
 from marigoldgap.cell import job_tracker
@@ -18,6 +20,8 @@
 from marigoldgap.cell import lost_workers
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
+from marigoldgap.cell import recorded_runs
+from marigoldgap.cell import registrations
 from marigoldgap.cell import rejoin
 from marigoldgap.cell import roster
 from marigoldgap.cell import run_listings
@@ -62,8 +66,8 @@
         # scheduler.
         self.is_evacuated: Callable[[runs.Run], bool] = lambda _: False
         self.is_outdated: Callable[[], bool] = lambda: False
-        # Registered workers, whether or not there is a session with them.
-        self._registrations: dict[str, model.Registration] = {}
+        self._registrations = registrations.Registrations()
+        self._refusals = fence_refusals.FenceRefusals()
         # Set once the stored jobs are known. Before that, listings cannot be
         # applied: the latest one of each worker is kept.
         self.ready = asyncio.Event()
@@ -97,26 +101,21 @@
     def known_ids(self) -> list[str]:
         """Workers that are registered, or were when they were last heard of."""
         ids = [worker.worker_id for worker in self.workers.values()]
-        return list({*self._registrations, *ids})
+        return list({*self._registrations.worker_ids, *ids})
 
-    def is_used(self, worker_id: str) -> bool:
-        """Returns whether there is a session with a registered worker.
+    def is_settled(self, worker_id: str) -> bool:
+        """Returns whether a repeated registration of a worker changes nothing.
 
         One that was given up is used again when it renews its registration.
         """
         worker = self.workers.get(worker_id)
-        return worker is not None and worker.is_registered
+        if worker is None:
+            return self._registrations.is_left_alone(worker_id)
+        return worker.is_registered
 
     def unreachable_share(self) -> float:
         """Returns the share of the registered workers that do not answer."""
-        if not self._registrations:
-            return 0.0
-        known = [self.workers.get(name) for name in self._registrations]
-        answering = sum(
-            worker is not None and worker.contact is fleet.Contact.ANSWERING
-            for worker in known
-        )
-        return 1 - answering / len(known)
+        return self._registrations.unreachable_share(self.workers)
 
     def pending_capacity(self) -> list[model.Demand]:
         """Returns the largest capacities of workers with unknown runs."""
@@ -217,30 +216,9 @@
 
     def restore_recorded_runs(self) -> None:
         """Restores the runs whose starts an earlier leader has recorded."""
-        for step in self._job_tracker.open_steps():
-            for position, start in list(step.recorded_starts.items()):
-                self._restore_recorded(step, position, start)
-
-    def _restore_recorded(
-        self,
-        step: step_progress.StepProgress,
-        position: int,
-        start: step_progress.RecordedStart,
-    ) -> None:
-        name = model.RunName(step.task(position), start.run)
-        worker = self.workers.get(start.worker_id)
-        if worker is None:
-            # This leader has removed it from the stored roster, as it is gone.
-            del step.recorded_starts[position]
-            step.record_suspicion(name)
-            return
-        run = self._runs.restore(name, step, worker)
-        if not worker.born_ms:
-            worker.born_ms = start.born_ms
-        elif worker.born_ms != start.born_ms:
-            self._runs.end(
-                run, model.EndReason.CRASHED, "", "worker has restarted"
-            )
+        recorded_runs.restore(
+            self._job_tracker.open_steps(), self.workers, self._runs
+        )
 
     def close(self) -> None:
         """Stops repeating commands."""
@@ -263,12 +241,19 @@
 
     def on_registration(self, registration: model.Registration) -> None:
         """Adds a worker or updates its registration."""
-        self._registrations[registration.worker_id] = registration
+        self._registrations.put(registration)
         self._lost.on_registered(registration.worker_id, registration.born_ms)
         # It may be in a session that fails, as its process has restarted.
         self._rejoins.forget(registration.worker_id)
         worker = self.workers.get(registration.worker_id)
         if worker is None:
+            if self._registrations.is_left_alone(registration.worker_id):
+                _log.info(
+                    "worker_left_alone",
+                    worker=registration.worker_id,
+                    service=registration.service,
+                )
+                return
             self._roster.add(self._join(registration))
             return
         if registration.is_draining and not worker.registration.is_draining:
@@ -287,9 +272,20 @@
         worker.has_vanished = False
         self._leadership.request_plan()
 
+    def adopt_services(self, names: Iterable[str]) -> None:
+        """Uses the registered workers of further services.
+
+        Args:
+            names: Services that a configuration or an open job names.
+        """
+        for registration in self._registrations.add_services(names):
+            if self.workers.get(registration.worker_id) is None:
+                self._roster.add(self._join(registration))
+
     def on_unregistered(self, worker_id: str) -> None:
         """Stops placing runs on a worker whose registration was removed."""
-        self._registrations.pop(worker_id, None)
+        self._registrations.remove(worker_id)
+        self._refusals.forget(worker_id)
         self._lost.on_vanished(worker_id)
         self._rejoins.forget(worker_id)
         worker = self.workers.get(worker_id)
@@ -349,9 +345,17 @@
         )
         self._leadership.request_plan()
 
-    def on_fenced(self) -> None:
-        """Ends the leadership, as a worker accepted a higher fencing token."""
-        self._leadership.end()
+    def on_fenced(self, worker: fleet.Worker, cause: str) -> None:
+        """Gives up a worker that refuses the fencing token.
+
+        The leadership ends only if most workers refuse it.
+        """
+        now = clock.now_s()
+        if self._refusals.record(worker.worker_id, now):
+            _log.warning("fenced", worker=worker.worker_id, cause=cause)
+        self.on_silent(worker, cause)
+        if self._refusals.is_general(self._registrations.used_ids, now):
+            self._leadership.fail("fence", "most workers refuse its token")
 
     def on_listing(
         self,
@@ -368,6 +372,7 @@
             _log.info("worker_answers", worker=worker.worker_id)
             self._lost.on_heard(worker.worker_id, listing.born_ms)
             worker.contact = fleet.Contact.ANSWERING
+            self._refusals.forget(worker.worker_id)
             self._rejoins.forget(worker.worker_id)
             self._leadership.request_plan()
         if not worker.has_roster_row:
@@ -459,7 +464,7 @@
         Its registration does not change if only its network was cut.
         """
         await asyncio.sleep(pause_s)
-        registration = self._registrations.get(worker_id)
+        registration = self._registrations.get_used(worker_id)
         if registration is not None and self.workers.get(worker_id) is None:
             # It is added to the roster once it answers.
             self._join(registration)
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -19,6 +19,7 @@
 from marigoldgap.cell import leadership_transfer
 from marigoldgap.cell import model
 from marigoldgap.cell import peers
+from marigoldgap.cell import ports
 from marigoldgap.cell import scheduler as schedulers
 from marigoldgap.cell import table_reader
 from marigoldgap.cell import vouching
@@ -382,7 +383,7 @@
 
     def _adopt(self, configuration: model.Configuration) -> None:
         if self._scheduler is not None:
-            self._scheduler.job_tracker.adopt_configuration(configuration)
+            self._scheduler.adopt_configuration(configuration)
 
     def _limits(self) -> server.HttpLimits:
         defaults = server.HttpLimits()
@@ -419,6 +420,6 @@
 
     async def ask(
         self, step: str, workers: list[str], timeout_s: float
-    ) -> model.Tickets:
+    ) -> ports.Tickets:
         """Asks the advice service which of the workers may run a step."""
         return await self._client.ask(step, workers, timeout_s)
--- a/src/marigoldgap/platform/advice_client.py
+++ b/src/marigoldgap/platform/advice_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from marigoldgap import json_object
-from marigoldgap.cell import model
 from marigoldgap.cell import ports
 from marigoldgap.platform import decoding
 from marigoldgap.web import client
@@ -24,7 +23,7 @@
 
     async def ask(
         self, step: str, workers: list[str], timeout_s: float
-    ) -> model.Tickets:
+    ) -> ports.Tickets:
         """Asks which of the workers may run a step.
 
         Args:
@@ -61,4 +60,4 @@
                 "answer of the advice service: field 'good' is missing or"
                 f" malformed: {error!r}"
             ) from error
-        return model.Tickets(by_worker, decoding.number(fields, "validMs"))
+        return ports.Tickets(by_worker, decoding.number(fields, "validMs"))
--- a/src/marigoldgap/platform/documents.py
+++ b/src/marigoldgap/platform/documents.py
@@ -49,11 +49,13 @@
         for key in decoding.texts(tenant, "apiKeys"):
             keys[key] = name
     limits = fields.get("limits") or {}
+    queues = tuple(
+        _decode_queue(route) for route in decoding.objects(fields, "routes")
+    )
+    named = frozenset(queue.service for queue in queues)
     return model.Configuration(
         decoding.integer(fields, "version"),
-        tuple(
-            _decode_queue(route) for route in decoding.objects(fields, "routes")
-        ),
+        queues,
         keys,
         workspaces,
         model.RequestLimits(
@@ -62,6 +64,7 @@
             decoding.number(limits, "headerTimeoutMs", 0),
             decoding.number(limits, "idleTimeoutMs", 0),
         ),
+        named | (_decode_services(fields) or frozenset()),
     )
 
 
--- a/tests/features/steps/cell_overload_steps.py
+++ b/tests/features/steps/cell_overload_steps.py
@@ -18,6 +18,7 @@
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import leadership
 from marigoldgap.cell import model
+from marigoldgap.cell import ports
 from tests.features.steps import cell_planning_steps
 from tests.fixtures import log_lines
 from tests.fixtures import loops
@@ -166,7 +167,7 @@
 
     async def ask(self, step, workers, timeout_s):
         self.asked.append(step)
-        return model.Tickets(dict.fromkeys(workers, "t"), _ADVICE.valid_ms)
+        return ports.Tickets(dict.fromkeys(workers, "t"), _ADVICE.valid_ms)
 
 
 @when("a plan is made and one instance makes its calls")
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -22,6 +22,7 @@
 from marigoldgap.cell import leadership
 from marigoldgap.cell import model
 from marigoldgap.cell import planner
+from marigoldgap.cell import ports
 from marigoldgap.cell import records
 from marigoldgap.cell import run_times
 from marigoldgap.cell import runs
@@ -772,7 +773,7 @@
         advice = self._advice
         milliseconds = advice.decide_ms + advice.each_ms * len(workers)
         await asyncio.sleep(milliseconds / 1000)
-        return model.Tickets(dict.fromkeys(workers, "t"), advice.valid_ms)
+        return ports.Tickets(dict.fromkeys(workers, "t"), advice.valid_ms)
 
 
 @when(
--- a/tests/features/steps/cell_worker_feed_steps.py
+++ b/tests/features/steps/cell_worker_feed_steps.py
@@ -68,7 +68,7 @@
     def on_registration(self, registration):
         self.registered[registration.worker_id] = registration
 
-    def is_used(self, worker_id):
+    def is_settled(self, worker_id):
         return worker_id in self.registered and worker_id != self.given_up
 
     def on_unregistered(self, worker_id):
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -93,6 +93,7 @@
             seconds.
         kind: First label, which names its kind.
         zone: Availability zone that it registers.
+        service: Service that it registers.
         cold_ms: Time in milliseconds for which it registers to be slow; None
             to register none.
         restart_kinds: Kinds of the next processes; the last one is kept.
@@ -148,6 +149,7 @@
         self.restart_ids = []
         self.kind = "a"
         self.zone = "a"
+        self.service = "claims"
         self.cold_ms = None
         self.restart_kinds = []
         self.restart_addresses = []
@@ -278,7 +280,7 @@
     def register(self):
         state = "draining" if self.is_draining else "ready"
         fields = {
-            "service": "claims",
+            "service": self.service,
             "address": self.public_address,
             "zone": self.zone,
             "state": state,
