--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -179,10 +179,7 @@
             self._allocate(run.step.spec, -1)
 
     def _allocate(self, spec: model.StepSpec, sign: int) -> None:
-        if spec.uses_idle_only:
-            self.used[1] += sign * spec.demand.memory_mib
-            return
-        for index, amount in enumerate(spec.demand):
+        for index, amount in enumerate(spec.taken):
             self.used[index] += sign * amount
 
     def is_end_handled(self, number: int) -> bool:
--- a/src/marigoldgap/cell/gang_planner.py
+++ b/src/marigoldgap/cell/gang_planner.py
@@ -104,7 +104,7 @@
             self._reserving_gangs += 1
             for capacity, count in chosen:
                 capacity.reserve(
-                    step.spec.demand, count, self._pass.now, list(capacity.free)
+                    step.spec, count, self._pass.now, list(capacity.free)
                 )
         self._renew_tickets(step, [capacity for capacity, _ in chosen], advised)
         return step_progress.WaitReason.TICKETS_MISSING
@@ -160,16 +160,14 @@
         bound = spec.max_per_worker or spec.task_count
         found: list[tuple[worker_capacity.WorkerCapacity, int]] = []
         for capacity in usable:
-            copies = capacity.copies(spec.demand, bound)
+            copies = capacity.copies(spec, bound)
             if (
                 capacity.unreserved is not None
                 and ends_s > capacity.reserved_from_s
             ):
                 copies = min(
                     copies,
-                    worker_capacity.copies_in(
-                        capacity.unreserved, spec.demand, bound
-                    ),
+                    worker_capacity.copies_in(capacity.unreserved, spec, bound),
                 )
             if copies:
                 found.append((capacity, copies))
@@ -226,7 +224,7 @@
         at, chosen = found
         for capacity, count in chosen:
             capacity.reserve(
-                step.spec.demand,
+                step.spec,
                 count,
                 at,
                 capacity.free_at(at, self._pass.now, self._pass.times),
--- a/src/marigoldgap/cell/inherited_usage.py
+++ b/src/marigoldgap/cell/inherited_usage.py
@@ -65,12 +65,11 @@
     idle_millicores: collections.Counter[str] = collections.Counter()
     for each in possible:
         used = usage.setdefault(each.workspace, [0, 0, 0])
-        needed = [amount * each.task_count for amount in each.spec.demand]
-        if each.spec.uses_idle_only:
-            idle_millicores[each.workspace] += needed[0]
-            needed[0] = 0
-        for index, amount in enumerate(needed):
-            used[index] = min(used[index] + amount, totals[index])
+        for index, amount in enumerate(each.spec.taken):
+            needed = amount * each.task_count
+            used[index] = min(used[index] + needed, totals[index])
+        idle = each.spec.demand.millicores - each.spec.taken.millicores
+        idle_millicores[each.workspace] += idle * each.task_count
     for workspace, amount in idle_millicores.items():
         usage[workspace][0] += amount
     return usage
--- a/src/marigoldgap/cell/model.py
+++ b/src/marigoldgap/cell/model.py
@@ -35,8 +35,8 @@
             no limit.
         may_run_twice: Whether copies of a task may run at the same time.
         is_long_running: Whether tasks run until the job is cancelled.
-        uses_idle_only: Whether tasks use only idle resources, so that only the
-            memory of their demand counts against the capacity.
+        uses_idle_only: Whether tasks use only idle cores, so that the cores of
+            their demand do not count against the capacity.
     """
 
     task_count: int
@@ -53,6 +53,16 @@
     is_long_running: bool = False
     uses_idle_only: bool = False
 
+    @property
+    def taken(self) -> Demand:
+        """What a task takes of the capacity of its worker: idle cores do not count.
+
+        All sums of what a worker has left add and subtract this value.
+        """
+        if not self.uses_idle_only:
+            return self.demand
+        return self.demand._replace(millicores=0)
+
 
 class JobSpec(NamedTuple):
     """A job as its caller submitted it.
--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -326,12 +326,10 @@
         Compares with the largest free amount of each resource, so that the cost
         does not grow with steps times workers.
         """
-        if step.spec.uses_idle_only:
-            return True
         largest = self._summary.largest_free(
             step.job.queue.service, step.spec.required_label
         )
-        return worker_capacity.copies_in(largest, step.spec.demand, 1) > 0
+        return worker_capacity.copies_in(largest, step.spec, 1) > 0
 
     def ticket(
         self,
--- a/src/marigoldgap/cell/worker_capacity.py
+++ b/src/marigoldgap/cell/worker_capacity.py
@@ -29,9 +29,9 @@
         self.unreserved: list[int] | None = None
         self._expected_ends: list[tuple[float, runs.Run]] | None = None
 
-    def copies(self, demand: model.Demand, bound: int) -> int:
+    def copies(self, spec: model.StepSpec, bound: int) -> int:
         """Returns how many tasks fit now, ignoring reservations."""
-        return copies_in(self.free, demand, bound)
+        return copies_in(self.free, spec, bound)
 
     def fits(self, spec: model.StepSpec, ends_s: float) -> bool:
         """Returns whether a task fits without delaying reservations.
@@ -57,12 +57,12 @@
             _allocate(self.unreserved, spec)
 
     def reserve(
-        self, demand: model.Demand, count: int, at: float, free: list[int]
+        self, spec: model.StepSpec, count: int, at: float, free: list[int]
     ) -> None:
         """Reserves capacity for members of a gang.
 
         Args:
-            demand: Resources that each member needs.
+            spec: Step of the gang.
             count: Number of members.
             at: Monotonic time from which the reservation holds.
             free: Capacity that is expected to be free at that time.
@@ -70,7 +70,7 @@
         unreserved = free if self.unreserved is None else self.unreserved
         self.unreserved = [
             amount - count * need
-            for amount, need in zip(unreserved, demand, strict=True)
+            for amount, need in zip(unreserved, spec.taken, strict=True)
         ]
         self.reserved_from_s = min(self.reserved_from_s, at)
 
@@ -110,30 +110,24 @@
 
 def fits_in(free: list[int], spec: model.StepSpec) -> bool:
     """Returns whether a task fits into free capacity."""
-    demand = spec.demand
-    if spec.uses_idle_only:
-        return demand.memory_mib <= free[1]
-    return (
-        demand.millicores <= free[0]
-        and demand.memory_mib <= free[1]
-        and demand.accelerators <= free[2]
+    return all(
+        need <= amount
+        for amount, need in zip(free, spec.taken, strict=True)
+        if need > 0
     )
 
 
 def _allocate(free: list[int], spec: model.StepSpec, sign: int = 1) -> None:
-    if spec.uses_idle_only:
-        free[1] -= sign * spec.demand.memory_mib
-        return
-    for index, amount in enumerate(spec.demand):
+    for index, amount in enumerate(spec.taken):
         free[index] -= sign * amount
 
 
-def copies_in(free: list[int], demand: model.Demand, bound: int) -> int:
+def copies_in(free: list[int], spec: model.StepSpec, bound: int) -> int:
     """Returns how many tasks fit into free capacity, at most `bound`."""
     if _is_exceeded(free):
         return 0
     count = bound
-    for amount, need in zip(free, demand, strict=True):
+    for amount, need in zip(free, spec.taken, strict=True):
         if need > 0:
             count = min(count, amount // need)
     return count
@@ -223,7 +217,7 @@
         found = [
             (
                 capacity,
-                copies_in(capacity.free_at(at, now, times), spec.demand, bound),
+                copies_in(capacity.free_at(at, now, times), spec, bound),
             )
             for capacity in usable
         ]
--- a/tests/features/cell/worker_capacity.feature
+++ b/tests/features/cell/worker_capacity.feature
@@ -124,3 +124,20 @@
     And its next start is stored while the capacity shrinks for 1000 ms
     Then every instance shows the job as "completed"
     And no start exceeded a capacity
+
+  Scenario: Accelerators and memory of tasks that use idle cores count
+    Guards against several such tasks on one worker with one accelerator (LIMIT,
+    review case 10).
+    Given a cell with 2 workers and 1 instances whose workers have 1 accelerator
+    When 4 jobs of a task that uses idle cores and 1 accelerator are submitted
+    Then each of the 4 jobs is completed
+    And no worker ran more than 1 of them at the same time
+
+  Scenario: Runs, plans and reservations take the same of a worker
+    Guards against a start beyond the capacity of a worker, as one of them counts
+    a resource of a step that the other leaves out (LIMIT).
+    Then runs, plans and reservations of random steps agree with the protocol
+
+  Scenario: A plan of random tasks and gangs exceeds no capacity
+    Guards against a plan that brings a worker over its capacity (LIMIT).
+    Then random plans exceed no capacity
