--- a/src/marigoldgap/cell/advice_dispatcher.py
+++ b/src/marigoldgap/cell/advice_dispatcher.py
@@ -17,6 +17,7 @@
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
+from marigoldgap.cell import advice_proxies
 from marigoldgap.cell import advice_targets
 from marigoldgap.cell import containment
 from marigoldgap.cell import ports
@@ -26,13 +27,9 @@
 
 # Calls that are expected to take longer than this may not use every proxy.
 _SLOW_CALL_S = 0.1
-# Share of the proxies that only quick calls may use.
-_QUICK_SHARE = 0.25
 # A call may be overtaken by a quicker one that is requested later by up to this
 # multiple of the difference between their declared times.
 _OVERTAKING_FACTOR = 4.0
-# Time for which a proxy is not used after a failed call.
-_PROXY_PAUSE_S = 1.0
 # Added to the expected time of a call for its timeout: covers the network
 # path to the instance and from there to the service.
 _CALL_OVERHEAD_S = 0.6
@@ -81,7 +78,7 @@
     """Requests tickets for steps, at most one call at a time per proxy.
 
     Args:
-        proxies: Returns the proxies that may be used.
+        proxies: Returns the proxies that may be used, this instance first.
         choose: Returns the workers that a call asks about when it is sent, for
             a step and the workers that were requested.
         answered: Called after each call, whether or not it succeeded.
@@ -99,9 +96,7 @@
         self._waiting: list[_Request] = []
         # Start time of the current call, by name of the proxy.
         self._busy: dict[str, float] = {}
-        self._paused_until_s: dict[str, float] = {}
-        # Consecutive failed calls, by name of the proxy.
-        self._failures: dict[str, int] = {}
+        self._health = advice_proxies.AdviceProxies()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def request(
@@ -132,38 +127,22 @@
     def _dispatch(self) -> None:
         self._waiting.sort(key=lambda request: request.urgency)
         now = clock.now_s()
-        proxies = [
-            proxy
-            for proxy in self._proxies()
-            if self._paused_until_s.get(proxy.name, 0.0) <= now
-        ]
-        quick_proxies = max(1, int(len(proxies) * _QUICK_SHARE))
-        free = [proxy for proxy in proxies if proxy.name not in self._busy]
-        free_for_slow = [
-            proxy
-            for proxy in proxies[quick_proxies:] or proxies
-            if proxy.name not in self._busy
-        ]
+        proxies = {proxy.name: proxy for proxy in self._proxies()}
+        self._health.update(list(proxies))
         for request in list(self._waiting):
             if request.step.job.is_ended:
                 self._drop(request)
                 continue
             is_slow = request.declared_s > _SLOW_CALL_S
-            usable = free_for_slow if is_slow else free
-            if not usable:
+            free = self._health.usable(self._busy.keys(), is_slow, now)
+            if not free:
                 continue
             workers = self._choose(request.step, request.workers)
             if not workers:
                 self._drop(request)
                 continue
             self._waiting.remove(request)
-            # A silent instance takes longer to fail than its pause lasts.
-            proxy = min(
-                usable, key=lambda proxy: self._failures.get(proxy.name, 0)
-            )
-            free.remove(proxy)
-            if proxy in free_for_slow:
-                free_for_slow.remove(proxy)
+            proxy = proxies[free[0]]
             self._busy[proxy.name] = now
             task = asyncio.create_task(
                 self._call(proxy, request._replace(workers=workers))
@@ -186,20 +165,17 @@
                     request.declared_s + _CALL_OVERHEAD_S,
                 )
         except errors.MarigoldgapError as error:
-            now = clock.now_s()
+            pause_s = self._health.record_failure(proxy.name, clock.now_s())
             _log.warning(
                 "advice_failed",
                 step=step.advice_name,
                 proxy=proxy.name,
+                pause_s=pause_s,
                 cause=str(error),
             )
-            self._failures[proxy.name] = self._failures.get(proxy.name, 0) + 1
-            self._paused_until_s[proxy.name] = now + _PROXY_PAUSE_S
-            asyncio.get_running_loop().call_later(
-                _PROXY_PAUSE_S, self._dispatch
-            )
+            asyncio.get_running_loop().call_later(pause_s, self._dispatch)
         else:
-            self._failures.pop(proxy.name, None)
+            self._health.record_success(proxy.name)
             measures.ADVICE_S.observe(clock.now_s() - started_s)
             self._record(request, tickets, started_s)
         finally:
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -100,6 +100,9 @@
         self._instances = instance_registry.InstanceList(
             table_reader.TableReader(self._rows), self._pool, settings.name
         )
+        self._registration = instance_registry.OwnRegistration(
+            self._rows, settings.name, settings.peers_address
+        )
         self._offers = takeover_offers.TakeoverOffers(
             lambda: self._scheduler, self._instances
         )
@@ -183,9 +186,7 @@
                 watcher.Watcher(
                     self._election, self.settings.name, self._pool
                 ).run(),
-                instance_registry.register(
-                    self._rows, self.settings.name, self.settings.peers_address
-                ),
+                self._registration.register(),
             )
         ]
         _log.info(
@@ -260,9 +261,10 @@
         self._callers.drain()
         # Concurrently: a late answer of the store must not delay callers.
         handing_over = asyncio.create_task(self._hand_over_leadership())
-        self._tasks.append(handing_over)
+        leaving = asyncio.create_task(self._leave(handing_over))
+        self._tasks += (handing_over, leaving)
         while not schedule.is_complete(
-            clock.now_s(), handing_over.done() and self._callers.is_idle
+            clock.now_s(), leaving.done() and self._callers.is_idle
         ):
             await asyncio.sleep(_DRAIN_POLL_S)
         interrupted = self._callers.answer_unfinished(self._api.interrupt)
@@ -276,6 +278,17 @@
             interrupted=interrupted,
         )
 
+    async def _leave(self, handing_over: asyncio.Task[bool | None]) -> None:
+        """Removes the row of this instance once it can lead no more.
+
+        Until then a leader that the store does not confirm asks it whether it knows
+        a later one.
+        """
+        await asyncio.wait({handing_over})
+        while self._election.may_lead:
+            await asyncio.sleep(_DRAIN_POLL_S)
+        await self._registration.remove()
+
     async def _hand_over_leadership(self) -> bool | None:
         """Releases leadership and offers it to the other instances.
 
--- /dev/null
+++ b/tests/features/cell/advice_proxies.feature
@@ -0,0 +1,49 @@
+Feature: Instances that left do not keep steps from their advice
+
+  Scenario Outline: The proxies that <calls> calls use while <failing> of 7 fail
+    Guards against slow calls that go only to instances which left for good, as
+    these count among the proxies (LOST, review case 7).
+    Given a leader and 6 other proxies for advice
+    When the calls through the last <failing> proxies fail
+    Then <calls> calls use <count> proxies, the leader <leader>
+
+    Examples:
+      | failing | calls | count | leader   |
+      | 0       | quick | 7     | included |
+      | 0       | slow  | 6     | excluded |
+      | 3       | slow  | 3     | excluded |
+      | 4       | slow  | 3     | included |
+      | 6       | slow  | 1     | included |
+      | 6       | quick | 1     | included |
+
+  Scenario: The pause of a proxy that fails grows up to a bound
+    Guards against a call in each second that fails only at its time limit.
+    Given a leader and 1 other proxies for advice
+    Then the pauses after failures of the other proxy are 1, 2, 4, 8, 8 s
+    And the pauses after failures of the leader are 1, 1, 1, 1, 1 s
+
+  Scenario: Proxies that fail are tried again one at a time
+    Guards against many steps that wait for calls through instances that left.
+    Given a leader and 6 other proxies for advice
+    When the calls through the last 6 proxies fail
+    And 10 s pass
+    Then slow calls use 1 proxies, the leader included
+    When the leader has a call in progress
+    Then slow calls use 6 proxies, the leader excluded
+    When a proxy that has failed is tried again
+    Then slow calls use 0 proxies, the leader excluded
+
+  Scenario: A proxy that is no longer registered is forgotten
+    Guards against an entry for each instance that ever failed.
+    Given a leader and 6 other proxies for advice
+    When the calls through the last 6 proxies fail
+    And the last 6 proxies are no longer registered
+    Then no failures are remembered
+
+  Scenario: Slow calls are answered although six of seven instances left
+    Guards against steps that wait for advice while the leader is idle (LOST,
+    review case 7).
+    Given 4 workers with 4 cores each
+    And 8 waiting tasks of a queue with slow advice
+    When their advice calls go to a leader and 6 silent proxies
+    Then all 8 tasks get their advice within 8 s
