--- a/src/marigoldgap/cell/advice_dispatcher.py
+++ b/src/marigoldgap/cell/advice_dispatcher.py
@@ -129,20 +129,26 @@
         now = clock.now_s()
         proxies = {proxy.name: proxy for proxy in self._proxies()}
         self._health.update(list(proxies))
+        free = {
+            is_slow: self._health.usable(self._busy.keys(), is_slow, now)
+            for is_slow in (False, True)
+        }
         for request in list(self._waiting):
             if request.step.job.is_ended:
                 self._drop(request)
                 continue
             is_slow = request.declared_s > _SLOW_CALL_S
-            free = self._health.usable(self._busy.keys(), is_slow, now)
-            if not free:
+            if not free[is_slow]:
                 continue
             workers = self._choose(request.step, request.workers)
             if not workers:
                 self._drop(request)
                 continue
             self._waiting.remove(request)
-            proxy = proxies[free[0]]
+            proxy = proxies[free[is_slow][0]]
+            for names in free.values():
+                if proxy.name in names:
+                    names.remove(proxy.name)
             self._busy[proxy.name] = now
             task = asyncio.create_task(
                 self._call(proxy, request._replace(workers=workers))
--- a/src/marigoldgap/cell/advice_proxies.py
+++ b/src/marigoldgap/cell/advice_proxies.py
@@ -21,11 +21,11 @@
     """Failed calls through one proxy since the latest that succeeded.
 
     Attributes:
-        failed: Their number.
+        pause_s: Pause after the latest one, in seconds.
         until_s: Monotonic time, in seconds, until which the proxy is not used.
     """
 
-    failed: int
+    pause_s: float
     until_s: float
 
 
@@ -67,11 +67,10 @@
             The pause in seconds until it is used again.
         """
         former = self._failures.get(name)
-        count = former.failed + 1 if former is not None else 1
         pause_s = _INITIAL_PAUSE_S
-        if not self._is_leader(name):
-            pause_s = min(_INITIAL_PAUSE_S * 2 ** (count - 1), _MAX_PAUSE_S)
-        self._failures[name] = _Failures(count, now + pause_s)
+        if former is not None and not self._is_leader(name):
+            pause_s = min(2 * former.pause_s, _MAX_PAUSE_S)
+        self._failures[name] = _Failures(pause_s, now + pause_s)
         return pause_s
 
     def usable(
@@ -92,17 +91,18 @@
         free = [name for name in sound[kept:] if name not in busy]
         if free or any(name in self._failures for name in busy):
             return free
-        return sorted(
-            (
-                name
-                for name, failures in self._failures.items()
-                if failures.until_s <= now
-            ),
+        failing = [
+            name
+            for name, failures in self._failures.items()
+            if failures.until_s <= now
+        ]
+        failing.sort(
             key=lambda name: (
                 not self._is_leader(name),
-                self._failures[name].failed,
-            ),
+                self._failures[name].pause_s,
+            )
         )
+        return failing[:1]
 
     def _is_leader(self, name: str) -> bool:
         return self._names[:1] == [name]
--- a/src/marigoldgap/cell/candidacy.py
+++ b/src/marigoldgap/cell/candidacy.py
@@ -47,6 +47,7 @@
     def __init__(self) -> None:
         self._part = ""
         self._count = 0
+        self._delay_s = 0.0
         self._failed_s = float("-inf")
 
     def record(self, part: str, now: float) -> int:
@@ -63,6 +64,11 @@
             part == self._part and now - self._failed_s < _MAX_FAILURE_AGE_S
         )
         self._count = self._count + 1 if is_repeated else 1
+        self._delay_s = (
+            min(2 * self._delay_s, _MAX_FAILED_DELAY_S)
+            if is_repeated
+            else _FAILED_DELAY_S
+        )
         self._part = part
         self._failed_s = now
         return self._count
@@ -75,8 +81,7 @@
         """
         if now - self._failed_s >= _FAILED_PERIOD_S:
             return 0.0
-        delay_s: float = _FAILED_DELAY_S * 2 ** (self._count - 1)
-        return min(delay_s, _MAX_FAILED_DELAY_S)
+        return self._delay_s
 
 
 class Candidacy:
--- a/src/marigoldgap/cell/election.py
+++ b/src/marigoldgap/cell/election.py
@@ -116,15 +116,6 @@
         """Seconds before a claim, so that better placed instances go first."""
         return self._candidacy.claim_delay_s
 
-    @property
-    def may_lead(self) -> bool:
-        """Whether this instance leads, has won or claims the leadership."""
-        return (
-            self._is_claiming
-            or self._is_serving
-            or self._pending_win is not None
-        )
-
     @property
     def is_preferred(self) -> bool:
         """Whether this instance is a preferred candidate."""
@@ -255,7 +246,7 @@
         If this instance is elected later, it assumes that the leader of that
         epoch went on until this moment.
         """
-        if self.may_lead:
+        if self._is_claiming or self._is_serving or self._pending_win:
             return False
         if self.leader is not None and self.leader.epoch > epoch:
             return False
--- a/src/marigoldgap/cell/feeds.py
+++ b/src/marigoldgap/cell/feeds.py
@@ -80,7 +80,7 @@
             continue
         try:
             with containment.contained("job", row.row_key.key):
-                scheduler.job_tracker.add(
+                scheduler.add_job(
                     records.decode_job(row.row_key.key, row.value), row.version
                 )
         except errors.MarigoldgapError as error:
--- a/src/marigoldgap/cell/fence_refusals.py
+++ b/src/marigoldgap/cell/fence_refusals.py
@@ -45,6 +45,10 @@
         self._refused_s[worker_id] = now
         return is_first
 
+    def is_refusing(self, worker_id: str) -> bool:
+        """Returns whether a worker has not accepted the token since a refusal."""
+        return worker_id in self._refused_s
+
     def forget(self, worker_id: str) -> None:
         """Records that a worker accepts the token or is no longer registered."""
         self._refused_s.pop(worker_id, None)
--- a/src/marigoldgap/cell/roster.py
+++ b/src/marigoldgap/cell/roster.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 from marigoldgap.cell import fleet
-from marigoldgap.cell import journal as journals
+from marigoldgap.cell import leadership as leaderships
 from marigoldgap.cell import records
 
 
@@ -16,22 +15,18 @@
     The next leader thus knows every worker that may have runs.
 
     Args:
-        journal: Writes the rows of this election.
-        request_plan: Called once runs may start on a further worker.
+        leadership: The current leadership.
     """
 
-    def __init__(
-        self, journal: journals.Journal, request_plan: Callable[[], None]
-    ) -> None:
-        self._journal = journal
-        self._request_plan = request_plan
+    def __init__(self, leadership: leaderships.Leadership) -> None:
+        self._leadership = leadership
 
     def add(self, worker: fleet.Worker) -> None:
         """Stores the row of a worker, after which runs may start on it."""
         worker.has_roster_row = True
         stored = worker.largest_capacity
         row_key = records.roster_row_key(worker.worker_id)
-        self._journal.schedule_write(
+        self._leadership.journal.schedule_write(
             row_key,
             lambda: records.encode_worker(
                 worker.registration._replace(capacity=worker.largest_capacity)
@@ -43,20 +38,24 @@
                 # A later write has the larger capacity.
                 return
             worker.is_rostered = True
-            self._request_plan()
+            self._leadership.request_plan()
 
-        self._journal.stored((row_key,)).add_done_callback(mark_rostered)
+        self._leadership.journal.stored((row_key,)).add_done_callback(
+            mark_rostered
+        )
 
     def remove(self, worker: fleet.Worker) -> None:
         """Removes the row of a worker that is gone, if there is one."""
         if worker.has_roster_row:
-            self._journal.schedule_write(
+            self._leadership.journal.schedule_write(
                 records.roster_row_key(worker.worker_id), _no_content
             )
 
     def remove_former(self) -> None:
         """Removes the one row of earlier versions."""
-        self._journal.schedule_write(records.FORMER_ROSTER, _no_content)
+        self._leadership.journal.schedule_write(
+            records.FORMER_ROSTER, _no_content
+        )
 
 
 def _no_content() -> None:
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -5,9 +5,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Coroutine
 import functools
-from typing import Any
 
 from marigoldgap import clock
 from marigoldgap import decision_log
@@ -116,7 +114,7 @@
             won.former, won.claimed_s, won.election_row.version
         )
         self.authority = authority.Authority(won.claimed_s)
-        self._leadership = leaderships.Leadership(
+        self.leadership = leaderships.Leadership(
             won.epoch,
             journal.Journal(
                 rows, won.election_row, self._versions, self._on_confirmed
@@ -125,14 +123,14 @@
         )
         self.times = times = run_times.RunTimes()
         self.job_tracker = job_tracker.JobTracker(
-            self._leadership,
+            self.leadership,
             configuration,
             self._versions,
             self._former,
             times,
         )
         self.worker_tracker = worker_tracker.WorkerTracker(
-            self._leadership, port, self.job_tracker, times, self._former
+            self.leadership, port, self.job_tracker, times, self._former
         )
         self._usage = workspace_usage.WorkspaceUsage(
             self.worker_tracker, self.job_tracker, configuration
@@ -154,7 +152,7 @@
             self._versions,
         )
         self._advice = advice_dispatcher.AdviceDispatcher(
-            proxies, self._choose_advised, self._leadership.request_plan
+            proxies, self._choose_advised, self.leadership.request_plan
         )
         current = configuration()
         if current is not None:
@@ -181,19 +179,19 @@
             LeadershipFailedError: A part without which it cannot lead failed.
             RecoveryStalledError: The state could not be read.
         """
-        leadership = self._leadership
+        leadership = self.leadership
         leadership.spawn_essential("journal", self._run_journal())
         leadership.spawn_essential("heartbeat", self._send_heartbeats())
         leadership.spawn_essential("recovery", self._recover())
-        self.spawn_support("refusals", self._watch_store)
+        leadership.spawn_contained("refusals", "", self._watch_store)
         await self._wait_until_recovered()
         leadership.spawn_essential("planning", self._plan_repeatedly())
-        self.spawn_support("wait_log", self._log_waits)
-        self.spawn_support("run_times", self._store_times)
-        self.spawn_support("evacuation_log", self._log_evacuations)
-        self.spawn_support("archive", self._archive.run)
-        self.spawn_support("retention", self._retention.run)
-        await self._leadership.wait_until_ended()
+        leadership.spawn_contained("wait_log", "", self._log_waits)
+        leadership.spawn_contained("run_times", "", self._store_times)
+        leadership.spawn_contained("evacuation_log", "", self._log_evacuations)
+        leadership.spawn_contained("archive", "", self._archive.run)
+        leadership.spawn_contained("retention", "", self._retention.run)
+        await leadership.wait_until_ended()
 
     async def _recover(self) -> None:
         self.jobs_version = await self._recovery.run()
@@ -204,7 +202,7 @@
         self.recovered.set()
 
     async def _wait_until_recovered(self) -> None:
-        while not (self.is_recovered or self._leadership.is_ended):
+        while not (self.is_recovered or self.leadership.is_ended):
             if self._recovery.is_stalled:
                 raise recovery.RecoveryStalledError(
                     f"nothing was read for {recovery.MAX_IDLE_S:g} s"
@@ -230,19 +228,17 @@
                 restored_version=self.jobs_version,
             )
             return
-        self.job_tracker.add(record, version)
+        self.add_job(record, version)
 
-    def spawn_essential(
-        self, part: str, work: Coroutine[Any, Any, None]
-    ) -> None:
-        """Runs a task without which this leader cannot lead."""
-        self._leadership.spawn_essential(part, work)
+    def add_job(self, record: model.JobRecord, version: int) -> None:
+        """Adds or updates a job, whose queue may be of a removed service.
 
-    def spawn_support(
-        self, subject: str, work: Callable[[], Awaitable[None]]
-    ) -> None:
-        """Runs a task that supports this leader; repeats it after an error."""
-        self._leadership.spawn_contained(subject, "", work)
+        Args:
+            record: The job.
+            version: Version of its row; 0 if unknown.
+        """
+        self.job_tracker.add(record, version)
+        self.worker_tracker.adopt_services((record.queue.service,))
 
     def adopt_configuration(self, configuration: model.Configuration) -> None:
         """Applies a new configuration to the jobs and workers."""
@@ -251,7 +247,7 @@
 
     def end_leadership(self) -> None:
         """Ends the leadership of this instance."""
-        self._leadership.end()
+        self.leadership.end()
 
     def close(self) -> None:
         """Cancels all worker sessions, commands and background tasks."""
@@ -259,7 +255,7 @@
         self._advice.close()
         self._evacuation_log.close()
         self.worker_tracker.close()
-        self._leadership.close()
+        self.leadership.close()
 
     def stop_planning(self) -> None:
         """Starts no further runs; current runs continue."""
@@ -272,17 +268,17 @@
 
     def flushed(self) -> asyncio.Future[None]:
         """Returns a future that is done when the current state is stored."""
-        return self._leadership.journal.flushed()
+        return self.leadership.journal.flushed()
 
     async def _plan_repeatedly(self) -> None:
         opened_s = 0.0
         while self._is_planning:
             try:
                 async with asyncio.timeout(_MAX_PLAN_PAUSE_S):
-                    await self._leadership.plan_requested.wait()
+                    await self.leadership.plan_requested.wait()
             except TimeoutError:
                 pass
-            self._leadership.plan_requested.clear()
+            self.leadership.plan_requested.clear()
             began_s = clock.now_s()
             if began_s - opened_s >= _MAX_PLAN_PAUSE_S:
                 opened_s = began_s
@@ -347,7 +343,7 @@
         while True:
             await asyncio.sleep(_TIMES_WRITE_S)
             if self.times.has_unstored:
-                self._leadership.journal.schedule_write(
+                self.leadership.journal.schedule_write(
                     records.TIMES, self.times.encode
                 )
 
@@ -424,10 +420,10 @@
 
     async def _run_journal(self) -> None:
         try:
-            await self._leadership.journal.run()
+            await self.leadership.journal.run()
         except journal.LeadershipLostError as error:
             _log.warning("leadership_lost", cause=str(error))
-            self._leadership.end()
+            self.leadership.end()
 
     async def _watch_store(self) -> None:
         """Offers leadership to others while the store refuses calls."""
@@ -435,20 +431,20 @@
             await asyncio.sleep(_STORE_CHECK_S)
             refused_s = self._store_refused_s()
             if refused_s > _MAX_REFUSED_S and await self._offer(
-                self._leadership.epoch
+                self.leadership.epoch
             ):
                 _log.warning(
                     "leadership_handed_over", refused_s=round(refused_s, 3)
                 )
-                self._leadership.end()
+                self.leadership.end()
 
     async def _send_heartbeats(self) -> None:
         while True:
             self._heartbeat_count += 1
             heartbeat = json_object.encode(
-                {"epoch": self._leadership.epoch, "beat": self._heartbeat_count}
+                {"epoch": self.leadership.epoch, "beat": self._heartbeat_count}
             )
-            self._leadership.journal.schedule_urgent_write(
+            self.leadership.journal.schedule_urgent_write(
                 records.HEARTBEAT, functools.partial(_identity, heartbeat)
             )
             await asyncio.sleep(elections.HEARTBEAT_S)
--- a/src/marigoldgap/cell/worker_commands.py
+++ b/src/marigoldgap/cell/worker_commands.py
@@ -59,9 +59,12 @@
         self._is_closed = True
 
     async def start(self, run: runs.Run, ticket: str) -> None:
-        """Starts a run; repeats the command until its outcome is known."""
+        """Starts a run; repeats the command until its outcome is known.
+
+        It may be called again after an unexpected error.
+        """
         worker = self._worker
-        may_have_started = False
+        may_have_started = run.is_sent
         unanswered = 0
         # Repeated commands do not extend the lease. Otherwise the lease of a
         # worker that never answers would not expire.
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -77,9 +77,7 @@
         self._former = former
         self._leadership = leadership
         self._port = port
-        self._roster = roster.Roster(
-            leadership.journal, leadership.request_plan
-        )
+        self._roster = roster.Roster(leadership)
         self._job_tracker = tracker
         crashes = crash_counter.CrashCounter(leadership, tracker)
         self._runs = run_tracker.RunTracker(
@@ -196,8 +194,11 @@
         """Starts a run of a task that may crash its worker.
 
         The start is stored first: if this leader ends, the next one counts the
-        crash.
+        crash. It may be called again after an unexpected error.
         """
+        if run.is_sent:
+            await session.start(run, ticket)
+            return
         run.is_unstarted = True
         run.step.record_start(run.name, run.worker)
         self._job_tracker.store_task(run.step, run.name.task.position)
@@ -254,7 +255,10 @@
                     service=registration.service,
                 )
                 return
-            self._roster.add(self._join(registration))
+            joined = self._join(registration)
+            # One that refused the token is added to the roster once it answers.
+            if not self._refusals.is_refusing(joined.worker_id):
+                self._roster.add(joined)
             return
         if registration.is_draining and not worker.registration.is_draining:
             _log.info("worker_draining", worker=worker.worker_id)
--- a/src/marigoldgap/node/instance_registry.py
+++ b/src/marigoldgap/node/instance_registry.py
@@ -18,60 +18,29 @@
 
 # Interval at which the leader reads the registered instances.
 _POLL_INTERVAL_S = 4.0
-# Time within which the store has to remove the row of an instance that ends.
-_REMOVAL_TIMEOUT_S = 1.0
 # Delay before a failed call is repeated.
 _RETRY_DELAY_S = 0.3
 
 
-class OwnRegistration:
-    """The row of this instance in the table of instances.
+async def register(rows: store.Store, name: str, address: str) -> None:
+    """Stores the address of this instance; retries until it succeeds.
 
     Args:
         rows: The store.
         name: Name of this instance.
         address: `ip:port` for calls of the other instances.
     """
-
-    def __init__(self, rows: store.Store, name: str, address: str) -> None:
-        self._rows = rows
-        self._row_key = store.RowKey(records.INSTANCES, "", name)
-        self._content = json_object.encode({"address": address})
-        # Version of the row as this process has written it; 0 before that.
-        self._version = 0
-
-    async def register(self) -> None:
-        """Stores the address of this instance; retries until it succeeds."""
-        transaction = store.Transaction((), ((self._row_key, self._content),))
-        while True:
-            try:
-                self._version = await self._rows.transact(transaction)
-            except store.StoreError as error:
-                _log.warning("registration_failed", cause=str(error))
-                await asyncio.sleep(_RETRY_DELAY_S)
-            else:
-                return
-
-    async def remove(self) -> None:
-        """Removes the row, unless a later process of this instance has written it.
-
-        A row that stays is that of an instance that does not answer.
-        """
-        if not self._version:
-            return
-        check = store.RowCheck(self._row_key, self._version)
-        transaction = store.Transaction((check,), (), (self._row_key,))
+    row_key = store.RowKey(records.INSTANCES, "", name)
+    content = json_object.encode({"address": address})
+    transaction = store.Transaction((), ((row_key, content),))
+    while True:
         try:
-            async with asyncio.timeout(_REMOVAL_TIMEOUT_S):
-                await self._rows.transact(transaction)
-        except (TimeoutError, store.StoreError) as error:
-            _log.warning(
-                "instance_row_kept",
-                row=self._row_key.key,
-                cause=str(error) or "timeout",
-            )
+            await rows.transact(transaction)
+        except store.StoreError as error:
+            _log.warning("registration_failed", cause=str(error))
+            await asyncio.sleep(_RETRY_DELAY_S)
+        else:
             return
-        _log.info("instance_row_removed", row=self._row_key.key)
 
 
 class InstanceList:
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -100,9 +100,6 @@
         self._instances = instance_registry.InstanceList(
             table_reader.TableReader(self._rows), self._pool, settings.name
         )
-        self._registration = instance_registry.OwnRegistration(
-            self._rows, settings.name, settings.peers_address
-        )
         self._offers = takeover_offers.TakeoverOffers(
             lambda: self._scheduler, self._instances
         )
@@ -186,7 +183,9 @@
                 watcher.Watcher(
                     self._election, self.settings.name, self._pool
                 ).run(),
-                self._registration.register(),
+                instance_registry.register(
+                    self._rows, self.settings.name, self.settings.peers_address
+                ),
             )
         ]
         _log.info(
@@ -261,10 +260,9 @@
         self._callers.drain()
         # Concurrently: a late answer of the store must not delay callers.
         handing_over = asyncio.create_task(self._hand_over_leadership())
-        leaving = asyncio.create_task(self._leave(handing_over))
-        self._tasks += (handing_over, leaving)
+        self._tasks.append(handing_over)
         while not schedule.is_complete(
-            clock.now_s(), leaving.done() and self._callers.is_idle
+            clock.now_s(), handing_over.done() and self._callers.is_idle
         ):
             await asyncio.sleep(_DRAIN_POLL_S)
         interrupted = self._callers.answer_unfinished(self._api.interrupt)
@@ -278,17 +276,6 @@
             interrupted=interrupted,
         )
 
-    async def _leave(self, handing_over: asyncio.Task[bool | None]) -> None:
-        """Removes the row of this instance once it can lead no more.
-
-        Until then a leader that the store does not confirm asks it whether it knows
-        a later one.
-        """
-        await asyncio.wait({handing_over})
-        while self._election.may_lead:
-            await asyncio.sleep(_DRAIN_POLL_S)
-        await self._registration.remove()
-
     async def _hand_over_leadership(self) -> bool | None:
         """Releases leadership and offers it to the other instances.
 
@@ -353,10 +340,11 @@
         self._scheduler = scheduler
         self._election_win = won
         self._configuration.follows_closely = True
-        scheduler.spawn_essential(
+        leadership = scheduler.leadership
+        leadership.spawn_essential(
             "jobs", feeds.follow_jobs(self._rows, reader, scheduler)
         )
-        scheduler.spawn_essential(
+        leadership.spawn_essential(
             "workers",
             feeds.follow_workers(
                 self._rows,
@@ -367,9 +355,10 @@
                 documents.registration_signature,
             ),
         )
-        scheduler.spawn_support("instances", self._instances.poll)
-        scheduler.spawn_support(
+        leadership.spawn_contained("instances", "", self._instances.poll)
+        leadership.spawn_contained(
             "transfer",
+            "",
             lambda: leadership_transfer.run(
                 self._election,
                 scheduler,
@@ -377,8 +366,8 @@
                 self.settings.link_mbps,
             ),
         )
-        scheduler.spawn_support(
-            "vouching", lambda: vouching.run(scheduler, self._instances)
+        leadership.spawn_contained(
+            "vouching", "", lambda: vouching.run(scheduler, self._instances)
         )
         try:
             await scheduler.run()
--- a/tests/features/cell/leadership_failures.feature
+++ b/tests/features/cell/leadership_failures.feature
@@ -12,6 +12,7 @@
       | 2     | 2     |
       | 3     | 4     |
       | 9     | 4     |
+      | 5000  | 4     |
 
   Scenario: Failures at other parts or long ago do not add up
     Guards against a claim that is late as the instance failed some time before.
--- a/tests/features/steps/cell_advice_proxies_steps.py
+++ b/tests/features/steps/cell_advice_proxies_steps.py
@@ -70,6 +70,13 @@
     assert found == wanted, found
 
 
+@then("the pause after {count:d} failures of the other proxy is {pause:d} s")
+def pause_after_many(context, count, pause):
+    for _ in range(count):
+        found = context.proxies.record_failure(context.names[-1], 0.0)
+    assert found == pause, found
+
+
 @then("no failures are remembered")
 def forgotten(context):
     assert not context.proxies._failures
