--- a/src/marigoldgap/cell/containment.py
+++ b/src/marigoldgap/cell/containment.py
@@ -119,6 +119,20 @@
         raise UnexpectedError(repr(error)) from error
 
 
+@contextlib.contextmanager
+def suppressed(subject: str, detail: str) -> Iterator[None]:
+    """Goes on after an error, so that it costs only what it concerns.
+
+    Args:
+        subject: Kind of the work; one of a few.
+        detail: Worker, run or row that it concerns.
+    """
+    try:
+        yield
+    except Exception as error:
+        record(subject, error, detail)
+
+
 async def repeat_until_done(
     subject: str, detail: str, work: Callable[[], Awaitable[None]]
 ) -> None:
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -331,15 +331,12 @@
         self._deferred.pop(worker.worker_id, None)
         if not has_ended:
             self._lost.add(worker)
+        how = model.EndReason.LAPSED
+        if has_crashed:
+            how = model.EndReason.CRASHED
         for run in list(worker.runs.values()):
-            self._runs.end(
-                run,
-                model.EndReason.CRASHED
-                if has_crashed
-                else model.EndReason.LAPSED,
-                "",
-                "worker is gone",
-            )
+            with containment.suppressed("run", str(run.name)):
+                self._runs.end(run, how, "", "worker is gone")
         self._roster.remove(worker)
         pause_s = self._rejoins.give_up(worker.worker_id)
         self._leadership.spawn_contained(
--- a/src/marigoldgap/platform/documents.py
+++ b/src/marigoldgap/platform/documents.py
@@ -52,7 +52,12 @@
     queues = tuple(
         _decode_queue(route) for route in decoding.objects(fields, "routes")
     )
-    named = frozenset(queue.service for queue in queues)
+    services = frozenset(queue.service for queue in queues)
+    try:
+        services |= _decode_services(fields) or frozenset()
+    except decoding.FormatError as error:
+        # Without the list, the services of the queues are used.
+        _log.warning("services_malformed", cause=str(error))
     return model.Configuration(
         decoding.integer(fields, "version"),
         queues,
@@ -64,7 +69,7 @@
             decoding.number(limits, "headerTimeoutMs", 0),
             decoding.number(limits, "idleTimeoutMs", 0),
         ),
-        named | (_decode_services(fields) or frozenset()),
+        services,
     )
 
 
--- a/tests/features/cell/foreign_entries.feature
+++ b/tests/features/cell/foreign_entries.feature
@@ -60,6 +60,14 @@
     Then a job completes under the same leader
     And the error was counted for "stop"
 
+  Scenario: An unexpected error at the end of one run costs only that run
+    Guards against tasks of a worker that is gone which never run again, as the
+    end of another one failed.
+    Given a cell with 2 workers and 2 instances
+    When the end of one of 4 runs on the second worker fails and the worker ends
+    Then the other 3 tasks are done under the same leader
+    And the error was counted for "run"
+
   Scenario: A new leader survives a listing that ends with an unexpected error
     Guards against a recovery that fails at the listing of one worker (LOST).
     Given a cell with 2 workers and 2 instances
--- a/tests/features/cell/foreign_workers.feature
+++ b/tests/features/cell/foreign_workers.feature
@@ -53,6 +53,14 @@
     And a configuration adds a queue of the service "later"
     Then a job of that queue completes under the same leader
 
+  Scenario: A list of services that cannot be read leaves those of the queues
+    Guards against a configuration that nobody adopts, as its list of services has
+    another form.
+    Given a cell with 1 workers and 2 instances
+    When a configuration lists its services as a number
+    Then a job completes under the same leader
+    And every instance has adopted version 2
+
   Scenario: A service that is removed keeps its runs until they end
     Guards against runs that lapse, as the configuration no longer names the
     service of their worker.
--- a/tests/features/steps/cell_foreign_entry_steps.py
+++ b/tests/features/steps/cell_foreign_entry_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from behave import then
 from behave import when
 
@@ -158,6 +160,59 @@
     loops.run(context, cancel())
 
 
+@when(
+    "the end of one of {count:d} runs on the second worker fails and the worker"
+    " ends"
+)
+def fail_at_end(context, count):
+    context.errors = _error_counts()
+    first, second = context.world.workers
+    (scheduler,) = context.world.schedulers
+    runs = scheduler.worker_tracker._runs
+    former = runs.end
+    failed = []
+
+    def end(run, *arguments):
+        if not failed and run.worker.worker_id == second.worker_id:
+            failed.append(run)
+            raise ValueError("unexpected")
+        return former(run, *arguments)
+
+    async def run_and_end():
+        first.capacity["cpu"] = 0
+        first.register()
+        await asyncio.sleep(1.0)
+        body = cell_world.job(count, "ms=800", cpu=1_000)
+        status, _ = await context.world.call("POST", cell_jobs.JOB, body)
+        assert status == 200, status
+        await loops.until(lambda: len(second.running) == count)
+        first.capacity["cpu"] = 16_000
+        first.register()
+        runs.end = end
+        second.stop(is_crash=True)
+
+    loops.run(context, run_and_end())
+    context.failing_runs = failed
+
+
+@then("the other {count:d} tasks are done under the same leader")
+def others_done(context, count):
+    (scheduler,) = context.world.schedulers
+    job = scheduler.job_tracker.jobs[cell_jobs.JOB]
+    step = job.occurrences[0][0]
+
+    first = context.world.workers[0]
+
+    def are_done():
+        return len(first.starts) >= count and len(step.active) == 1
+
+    loops.run(context, loops.until(are_done))
+    (left,) = step.active.values()
+    assert [left] == context.failing_runs, (left.name, context.failing_runs)
+    assert len(first.starts) == count, first.starts
+    assert scheduler.worker_tracker.epoch == 1, scheduler.worker_tracker.epoch
+
+
 @when(
     "each listing of the second worker ends with an unexpected error in any"
     " leader"
--- a/tests/features/steps/cell_foreign_worker_steps.py
+++ b/tests/features/steps/cell_foreign_worker_steps.py
@@ -156,6 +156,25 @@
     loops.run(context, asyncio.sleep(2.5))
 
 
+@when("a configuration lists its services as a number")
+def list_oddly(context):
+    fields = json.loads(cell_world.configuration(version=2))
+    content = json.dumps({**fields, "services": 5}).encode()
+    context.world.store.put("op", "", "config", content)
+
+
+@then("every instance has adopted version {version:d}")
+def adopted(context, version):
+    def is_adopted():
+        current = [
+            each._configuration.current.version
+            for each in context.world.instances
+        ]
+        return set(current) == {version}
+
+    loops.run(context, loops.until(is_adopted))
+
+
 @then("a job of that queue completes under the same leader")
 def later_job(context):
     async def complete():
