--- a/src/marigoldgap/cell/advice_proxies.py
+++ b/src/marigoldgap/cell/advice_proxies.py
@@ -79,7 +79,9 @@
         """Returns the free proxies that a call may use, the preferred ones first.
 
         A proxy that fails is not counted among those that are kept for quick calls.
-        Such ones are tried again one at a time, and only if no other one is free.
+        Such ones are tried again only if no other one is free, at most as many at a
+        time as there are sound ones: few steps wait for instances that left, and
+        instances that failed together are soon used again.
 
         Args:
             busy: Proxies with a call in progress.
@@ -89,7 +91,8 @@
         sound = [name for name in self._names if name not in self._failures]
         kept = int(len(sound) * _QUICK_SHARE) if is_slow else 0
         free = [name for name in sound[kept:] if name not in busy]
-        if free or any(name in self._failures for name in busy):
+        tried = sum(name in self._failures for name in busy)
+        if free or tried >= max(1, len(sound)):
             return free
         failing = [
             name
@@ -102,7 +105,7 @@
                 self._failures[name].pause_s,
             )
         )
-        return failing[:1]
+        return failing[: max(1, len(sound)) - tried]
 
     def _is_leader(self, name: str) -> bool:
         return self._names[:1] == [name]
--- a/tests/features/cell/advice_proxies.feature
+++ b/tests/features/cell/advice_proxies.feature
@@ -23,7 +23,15 @@
     And the pauses after failures of the leader are 1, 1, 1, 1, 1 s
     And the pause after 5000 failures of the other proxy is 8 s
 
-  Scenario: Proxies that fail are tried again one at a time
+  Scenario: Instances that failed together are soon used again
+    Guards against calls that go through few instances for long after the link of
+    the leader was cut, as those that failed are tried one after the other.
+    Given a leader and 42 other proxies for advice
+    When the calls through the last 42 proxies fail
+    And 10 s pass
+    Then all proxies are used after 6 rounds of calls that succeed
+
+  Scenario: Proxies that fail are tried again one at a time beside one that does not
     Guards against many steps that wait for calls through instances that left.
     Given a leader and 6 other proxies for advice
     When the calls through the last 6 proxies fail
--- a/tests/features/steps/cell_advice_proxies_steps.py
+++ b/tests/features/steps/cell_advice_proxies_steps.py
@@ -77,6 +77,17 @@
     assert found == pause, found
 
 
+@then("all proxies are used after {count:d} rounds of calls that succeed")
+def used_after_rounds(context, count):
+    for _ in range(count):
+        # The sound ones have calls in progress, and others are waiting.
+        busy = context.proxies.usable(set(), False, context.now)
+        for name in context.proxies.usable(busy, False, context.now):
+            context.proxies.record_success(name)
+    found = context.proxies.usable(set(), False, context.now)
+    assert len(found) == len(context.names), len(found)
+
+
 @then("no failures are remembered")
 def forgotten(context):
     assert not context.proxies._failures
