--- a/src/marigoldgap/cell/job_service.py
+++ b/src/marigoldgap/cell/job_service.py
@@ -13,6 +13,7 @@
 from marigoldgap.cell import configuration_follower
 from marigoldgap.cell import deadlines
 from marigoldgap.cell import election as elections
+from marigoldgap.cell import job_view
 from marigoldgap.cell import model
 from marigoldgap.cell import peers
 from marigoldgap.cell import records
@@ -110,7 +111,7 @@
         store_outage_s: Callable[[], float],
         configuration: configuration_follower.ConfigurationFollower,
         election: elections.Election,
-        view: peers.JobView,
+        view: job_view.JobView,
         pool: client.HttpPool,
         withdrawal_s: float,
         configuration_apply_s: float,
@@ -324,13 +325,13 @@
         """
         try:
             return self._view.waiting(queue.name)
-        except peers.NotLeaderError:
+        except job_view.NotLeaderError:
             return await self._leader_client().waiting(queue.name)
 
     async def _leader_state(self, job_id: str) -> model.JobState | None:
         try:
             return self._view.state(job_id)
-        except peers.NotLeaderError:
+        except job_view.NotLeaderError:
             pass
         try:
             return await self._leader_client().state(job_id)
@@ -386,7 +387,7 @@
         """Notifies the leader of a stored job, in the background."""
         try:
             self._view.add_stored(record, version)
-        except peers.NotLeaderError:
+        except job_view.NotLeaderError:
             task = asyncio.create_task(self._notify_leader(record, version))
             self._tasks.add(task)
             task.add_done_callback(self._on_task_done)
@@ -411,15 +412,13 @@
             _log.info("background_task_failed", cause=str(error))
 
     async def _read_row(self, row_key: store.RowKey) -> store.Row | None:
-        page = await self._rows.read(
-            row_key.table, row_key.partition, row_key.key, row_key.key + "\0"
-        )
+        page = await self._rows.read(*row_key, row_key.key + "\0")
         return page.rows[0] if page.rows else None
 
     def _leader_client(self) -> peers.PeerClient:
         leader = self._election.leader
         if leader is None or not leader.address:
-            raise peers.NotLeaderError("no leader with an address is known")
+            raise job_view.NotLeaderError("no leader with an address is known")
         return peers.PeerClient(self._pool, leader.address, leader.instance)
 
     def _require_configuration(self) -> model.Configuration:
--- a/src/marigoldgap/cell/peers.py
+++ b/src/marigoldgap/cell/peers.py
@@ -9,6 +9,8 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 from typing import Any
 from urllib import parse
 
@@ -17,10 +19,10 @@
 from marigoldgap import json_object
 from marigoldgap.cell import configuration_relay
 from marigoldgap.cell import election as elections
+from marigoldgap.cell import job_view
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
 from marigoldgap.cell import records
-from marigoldgap.cell import scheduler as schedulers
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
@@ -45,66 +47,19 @@
 _WATCH_HOLD_S = 10.0
 # Timeout of a request to take over, which reads and writes the store.
 _TAKE_OVER_TIMEOUT_S = 0.8
+# Errors of reading a field of an answer.
+_FIELD_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 # An instance whose own read of the store takes longer would be no better
 # leader: twice a read across regions plus the store's time for a call.
 _MAX_READ_S = 0.1
 
 
-class NotLeaderError(errors.OverloadedError):
-    """The called instance is not the leader."""
-
-    code = "not-elected"
-
-
-class JobView:
-    """Access to the leader's jobs.
-
-    Args:
-        scheduler: Returns the scheduler while this instance is the leader.
-    """
-
-    def __init__(
-        self, scheduler: Callable[[], schedulers.Scheduler | None]
-    ) -> None:
-        self._scheduler = scheduler
-
-    def state(self, job_id: str) -> model.JobState | None:
-        """Returns the state of a job, or None if the job is unknown.
-
-        Raises:
-            NotLeaderError: This instance is not the leader.
-        """
-        return self._require_scheduler().job_tracker.shown_state(job_id)
-
-    def add_stored(self, record: model.JobRecord, version: int) -> None:
-        """Adds a job whose row was just written.
-
-        Args:
-            record: The job.
-            version: Version of its row; 0 if unknown.
-
-        Raises:
-            NotLeaderError: This instance is not the leader.
-        """
-        self._require_scheduler().add_stored(record, version)
-
-    def waiting(self, queue: str) -> int:
-        """Returns the number of jobs of a queue that have not started.
-
-        Raises:
-            NotLeaderError: This instance is not the leader.
-        """
-        return self._require_scheduler().job_tracker.waiting(queue)
-
-    def _require_scheduler(self) -> schedulers.Scheduler:
-        scheduler = self._scheduler()
-        if scheduler is None or not scheduler.is_recovered:
-            raise NotLeaderError(
-                "this instance is not the leader or has not recovered yet"
-            )
-        return scheduler
-
-
 def is_watch(request: messages.Request) -> bool:
     """Returns whether a request only waits for the end of its connection."""
     return request.path == _WATCH_PATH
@@ -122,7 +77,7 @@
 
     def __init__(
         self,
-        view: JobView,
+        view: job_view.JobView,
         advice: ports.AdvicePort | None,
         election: elections.Election,
         relay: Callable[[int], Awaitable[configuration_relay.RelayedRows]],
@@ -241,10 +196,8 @@
             "GET", _JOBS_PATH + job_id, b"", _QUERY_TIMEOUT_S
         )
         state = fields.get("state")
-        try:
+        with self._checked():
             return None if state is None else model.JobState(state)
-        except ValueError as error:
-            raise self._invalid(error) from error
 
     async def waiting(self, queue: str) -> int:
         """Requests the number of jobs of a queue that have not started.
@@ -254,10 +207,8 @@
         """
         path = _QUEUES_PATH + parse.quote(queue, safe="")
         fields = await self._call("GET", path, b"", _QUERY_TIMEOUT_S)
-        try:
+        with self._checked():
             return int(fields["waiting"])
-        except (LookupError, OverflowError, TypeError, ValueError) as error:
-            raise self._invalid(error) from error
 
     async def ask(
         self, step: str, workers: list[str], timeout_s: float
@@ -271,22 +222,12 @@
         fields = await self._call(
             "POST", _ADVICE_PATH, json_object.encode(body), timeout_s
         )
-        try:
+        with self._checked():
+            tickets = fields["by_worker"].items()
             return ports.Tickets(
-                {
-                    str(name): str(each)
-                    for name, each in fields["by_worker"].items()
-                },
+                {str(name): str(ticket) for name, ticket in tickets},
                 float(fields["valid_ms"]),
             )
-        except (
-            AttributeError,
-            LookupError,
-            OverflowError,
-            TypeError,
-            ValueError,
-        ) as error:
-            raise self._invalid(error) from error
 
     async def add_stored(self, record: model.JobRecord, version: int) -> None:
         """Notifies the instance of a job whose row was just written.
@@ -386,10 +327,15 @@
         """
         await self._call("GET", _WATCH_PATH, b"", 2 * _WATCH_HOLD_S)
 
-    def _invalid(self, error: Exception) -> messages.InvalidAnswerError:
-        return messages.InvalidAnswerError(
-            f"{self.name} answered with an invalid field: {error!r}"
-        )
+    @contextlib.contextmanager
+    def _checked(self) -> Iterator[None]:
+        """Raises InvalidAnswerError for fields that are missing or malformed."""
+        try:
+            yield
+        except _FIELD_ERRORS as error:
+            raise messages.InvalidAnswerError(
+                f"{self.name} answered with an invalid field: {error!r}"
+            ) from error
 
     async def _call(
         self, method: str, path: str, body: bytes, timeout_s: float
--- a/src/marigoldgap/node/process.py
+++ b/src/marigoldgap/node/process.py
@@ -16,6 +16,7 @@
 from marigoldgap.cell import election as elections
 from marigoldgap.cell import feeds
 from marigoldgap.cell import job_service
+from marigoldgap.cell import job_view
 from marigoldgap.cell import leadership_transfer
 from marigoldgap.cell import model
 from marigoldgap.cell import peers
@@ -103,7 +104,7 @@
         self._offers = takeover_offers.TakeoverOffers(
             lambda: self._scheduler, self._instances
         )
-        view = peers.JobView(lambda: self._scheduler)
+        view = job_view.JobView(lambda: self._scheduler)
         self._job_service = job_service.JobService(
             self._rows,
             lambda: self._rows.unreachable_s,
--- a/tests/features/cell/advice_proxies.feature
+++ b/tests/features/cell/advice_proxies.feature
@@ -56,3 +56,15 @@
     And 8 waiting tasks of a queue with slow advice
     When their advice calls go to a leader and 6 silent proxies
     Then all 8 tasks get their advice within 8 s
+
+  Scenario Outline: An instance that answers with <odd> fails as a proxy
+    Guards against calls for advice that always go to an instance whose answers
+    cannot be read, as their errors are not those of a failed call.
+    When an instance answers a call for advice with <odd>
+    Then the call has failed with "answer-invalid"
+
+    Examples:
+      | odd                 |
+      | no fields           |
+      | a list of tickets   |
+      | a validity of a text |
--- a/tests/features/steps/cell_advice_proxies_steps.py
+++ b/tests/features/steps/cell_advice_proxies_steps.py
@@ -11,7 +11,9 @@
 from marigoldgap.cell import advice_dispatcher
 from marigoldgap.cell import advice_proxies
 from marigoldgap.cell import model
+from marigoldgap.cell import peers
 from marigoldgap.cell import ports
+from marigoldgap.web import messages
 from tests.features.steps import cell_planning_steps
 from tests.fixtures import loops
 
@@ -150,3 +152,31 @@
 
     assert len(context.steps_waiting) == count
     loops.run(context, wait())
+
+
+_ODD_ANSWERS = {
+    "no fields": {},
+    "a list of tickets": {"by_worker": [], "valid_ms": 1},
+    "a validity of a text": {"by_worker": {}, "valid_ms": "soon"},
+}
+
+
+class _OddPool:
+    """Answers each request with the same fields."""
+
+    def __init__(self, fields):
+        self._fields = fields
+
+    async def exchange(self, *arguments, **options):
+        return messages.json_response(200, self._fields)
+
+
+@when("an instance answers a call for advice with {odd}")
+def answer_oddly(context, odd):
+    peer = peers.PeerClient(_OddPool(_ODD_ANSWERS[odd]), "127.0.0.1:9", "e1")
+    context.outcome = loops.outcome(context, peer.ask("step", [], 1.0))
+
+
+@then('the call has failed with "{code}"')
+def failed_with(context, code):
+    assert getattr(context.outcome, "code", "") == code, context.outcome
--- a/tests/features/steps/cell_foreign_entry_steps.py
+++ b/tests/features/steps/cell_foreign_entry_steps.py
@@ -135,7 +135,6 @@
     owner = {"port": tracker._port, "listings": tracker._listings}[owner_name]
     worker_id = context.world.workers[1].worker_id
     setattr(owner, method, _fail_for(worker_id, getattr(owner, method)))
-    context.failing = call
 
 
 @when("a job of {count:d} tasks that fill half a worker each is submitted")
--- a/tests/features/steps/cell_steps.py
+++ b/tests/features/steps/cell_steps.py
@@ -373,7 +373,7 @@
     }
     status, _ = cell_jobs.submit(context, body)
     assert status == 200, status
-    leadership = context.world.schedulers[0]._leadership
+    leadership = context.world.schedulers[0].leadership
 
     async def keep_busy():
         for _ in range(300):
