--- a/tests/features/cell/advice_proxies.feature
+++ b/tests/features/cell/advice_proxies.feature
@@ -28,14 +28,14 @@
     the leader was cut, as those that failed are tried one after the other.
     Given a leader and 42 other proxies for advice
     When the calls through the last 42 proxies fail
-    And 10 s pass
+    And no call for advice is made for 10 s
     Then all proxies are used after 6 rounds of calls that succeed
 
   Scenario: Proxies that fail are tried again one at a time beside one that does not
     Guards against many steps that wait for calls through instances that left.
     Given a leader and 6 other proxies for advice
     When the calls through the last 6 proxies fail
-    And 10 s pass
+    And no call for advice is made for 10 s
     Then slow calls use 1 proxies, the leader included
     When the leader has a call in progress
     Then slow calls use 1 proxies, the leader excluded
--- a/tests/features/cell/foreign_workers.feature
+++ b/tests/features/cell/foreign_workers.feature
@@ -103,4 +103,4 @@
     Examples:
       | event                        |
       | the first worker accepts it  |
-      | 12 s have passed             |
+      | no worker refuses its token for 12 s |
--- a/tests/features/steps/cell_advice_proxies_steps.py
+++ b/tests/features/steps/cell_advice_proxies_steps.py
@@ -37,7 +37,7 @@
         context.proxies.record_failure(name, context.now)
 
 
-@when("{seconds:d} s pass")
+@when("no call for advice is made for {seconds:d} s")
 def pass_time(context, seconds):
     context.now += seconds
 
--- a/tests/features/steps/cell_foreign_worker_steps.py
+++ b/tests/features/steps/cell_foreign_worker_steps.py
@@ -107,15 +107,6 @@
     loops.run(context, crash())
 
 
-@then("the leader uses {count:d} workers within {seconds:d} s")
-def uses(context, count, seconds):
-    async def wait():
-        async with asyncio.timeout(seconds):
-            await loops.until(lambda: context.world.scheduler_is_ready(count))
-
-    loops.run(context, wait())
-
-
 @then("{count:d} jobs complete under the same leader")
 def jobs_complete(context, count):
     async def complete():
@@ -242,7 +233,7 @@
     context.refusals.forget("w0")
 
 
-@when("{seconds:d} s have passed")
+@when("no worker refuses its token for {seconds:d} s")
 def pass_time(context, seconds):
     context.now += seconds
 
