--- a/tests/features/steps/cell_session_steps.py
+++ b/tests/features/steps/cell_session_steps.py
@@ -188,7 +188,7 @@
 
     async def start():
         # It is known to have ended, so that no command is sent.
-        run = SimpleNamespace(state=runs.RunState.STOPPING)
+        run = SimpleNamespace(state=runs.RunState.STOPPING, is_sent=False)
         await context.idle_session.start(run, "")
 
     loops.run(context, start())
