platform: starts on new connections share the check of their worker's process

Cause: a connection is checked before its first start by reading the list of all that runs on the worker. Starts that come together each open a connection, so n starts read n lists of up to n runs, which leader and worker encode and decode. Ruled out: a higher load on the machine (it failed alone, at a load of 1 to 2). Fix: at most four checks of a process at a time; further connections share the next one. A check that begins once a connection is open holds for it: the connection stays with the process that accepted it, and the next process gets the address later.

--- a/src/marigoldgap/platform/worker_client.py
+++ b/src/marigoldgap/platform/worker_client.py
@@ -11,6 +11,7 @@
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
 from marigoldgap.platform import decoding
+from marigoldgap.platform import process_checks
 from marigoldgap.web import client
 from marigoldgap.web import messages
 from marigoldgap.web import request_heads
@@ -48,6 +49,7 @@
 
     def __init__(self, pool: client.HttpPool) -> None:
         self._pool = pool
+        self._checks = process_checks.ProcessChecks()
 
     async def start(
         self,
@@ -94,7 +96,10 @@
             body["ticket"] = ticket
 
         async def check(connection: client.Connection) -> None:
-            await self._check_process(connection, worker, fence)
+            await self._checks.run(
+                (worker.address, worker.worker_id, worker.born_ms, fence),
+                lambda: self._check_process(connection, worker, fence),
+            )
 
         answer = await self._send_command(
             worker, "/v1/run-start", body, timeout_s, check
