--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -19,8 +19,7 @@
 # Minimum remaining validity of a ticket that is used: covers one crossing
 # between regions and the wait in the command queue of a worker.
 TICKET_MARGIN_S = 0.12
-# Time for which reservations may hold back a step of which nothing runs, while
-# less than half of the cores of its service are in use.
+# Time for which reservations may hold back a step that has to progress.
 _MAX_HELD_BACK_S = 1.5
 # Minimum share of the workers that a step may use, though more of them are
 # quarantined: tasks that fail by their own fault quarantine sound workers.
@@ -347,11 +346,20 @@
     def may_use_reserved(self, step: step_progress.StepProgress) -> bool:
         """Returns whether reservations have held the step back for too long."""
         return (
-            not step.active
-            and self.now - step.held_back_since_s >= _MAX_HELD_BACK_S
-            and self.is_fleet_idle(step)
+            self.now - step.held_back_since_s >= _MAX_HELD_BACK_S
+            and self.must_progress(step)
         )
 
+    def must_progress(self, step: step_progress.StepProgress) -> bool:
+        """Returns whether reservations may hold a step back for a while only.
+
+        Something of each step has to run while less than half of the cores of its
+        service are in use, and each long-running task however full it is.
+        """
+        if step.spec.is_long_running and not step.spec.is_gang:
+            return True
+        return not step.active and self.is_fleet_idle(step)
+
     def is_fleet_idle(self, step: step_progress.StepProgress) -> bool:
         """Returns whether less than half of the service's cores are in use."""
         return self._summary.is_idle(step.job.queue.service)
--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -124,8 +124,10 @@
     reason = step_progress.WaitReason.NO_CAPACITY
     ends_s = planning.now + planning.times.quantile_s(step, _BACKFILL_SHARE)
     if planning.may_use_reserved(step):
-        # One run shows progress; the reservations keep the other capacity.
-        allowed, ends_s = 1, planning_pass.IGNORES_RESERVATIONS
+        ends_s = planning_pass.IGNORES_RESERVATIONS
+        if not step.spec.is_long_running:
+            # One run shows progress; the reservations keep the other capacity.
+            allowed = 1
     counts = _tasks_by_worker(step)
     stale: list[str] = []
     for position in positions[:allowed]:
@@ -151,13 +153,9 @@
         return reason
     if stale:
         return step_progress.WaitReason.TICKETS_MISSING
-    if (
-        not step.active
-        and planning.is_fleet_idle(step)
-        and any(
-            capacity.fits(step.spec, planning_pass.IGNORES_RESERVATIONS)
-            for capacity in advised
-        )
+    if planning.must_progress(step) and any(
+        capacity.fits(step.spec, planning_pass.IGNORES_RESERVATIONS)
+        for capacity in advised
     ):
         return step_progress.WaitReason.HELD_BACK
     return reason
--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -302,6 +302,18 @@
     When plans are made for 2 s
     Then 8 tasks start
 
+  Scenario: A reservation on a busy fleet does not hold a task that lasts back
+    Guards against a long-running task without a run beside free capacity, while
+    gangs wait for workers that are more than half in use (LOST, review case 13).
+    Given 4 workers with 4 cores each
+    And a run of 3 cores on each worker that ends in 12 s
+    And a waiting gang of 4 members of 4 core
+    And 3 waiting long-running tasks of 1 core that take 30 s
+    When plans are made for 1 s
+    Then nothing starts
+    When plans are made for 2 s
+    Then 3 tasks start
+
   Scenario: Quick calls for advice do not hold a slow one back for long
     Guards against a step that gets no advice for as long as others need quick
     calls.
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -151,6 +151,11 @@
     _wait(context, count, cores, is_gang=True, priority=0)
 
 
+@given("{count:d} waiting long-running tasks of 1 core that take {seconds:d} s")
+def add_lasting(context, count, seconds):
+    _wait(context, count, 1, estimate_s=seconds, is_long_running=True)
+
+
 @given("the capacity of each worker shrinks to {cores:d} cores")
 def shrink(context, cores):
     for worker in context.fleet.values():
