--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -13,9 +13,12 @@
 # to at least this many jobs.
 _QUARANTINE_FAILURES = 3
 _QUARANTINE_JOBS = 2
-# Initial quarantine; doubles with each failed probe run up to the maximum.
+# Initial quarantine; doubles with each failed probe up to the maximum: a task that
+# lasts may have no run for 3 s, once 4 s have passed without trouble.
 _QUARANTINE_S = 2.0
-_MAX_QUARANTINE_S = 16.0
+_MAX_QUARANTINE_S = 4.0
+# Time at work after which a long-running task proves that its worker is sound.
+_PROOF_S = 2.0
 
 
 class Contact(enum.Enum):
@@ -143,14 +146,14 @@
         """Returns whether the quarantine of a worker keeps new runs from it.
 
         After a pause it gets one run at a time, as a probe. Long-running
-        tasks are not counted: they would keep it quarantined for good.
+        tasks are not counted: they would keep others from it for good.
         """
         return self.is_quarantined and (
             now < self._quarantined_until_s or self._is_probed
         )
 
     def may_be_released(self, now: float) -> bool:
-        """Returns whether a quarantined worker may be used if others lack."""
+        """Returns whether a withheld worker may be used if others lack."""
         return now >= self.last_failure_s + _QUARANTINE_S
 
     @property
@@ -270,6 +273,23 @@
         self.is_quarantined = False
         self._quarantine_s = _QUARANTINE_S
 
+    def record_progress(self, run: runs.Run, now: float) -> None:
+        """Records that a run is at work.
+
+        A long-running task may never complete, so it ends a quarantine once it has
+        been at work for a while.
+        """
+        if self.is_probe(run) and now - run.confirmed_s >= _PROOF_S:
+            self.record_done()
+
+    def is_probe(self, run: runs.Run) -> bool:
+        """Returns whether a long-running task may prove the worker sound."""
+        return (
+            self.is_quarantined
+            and run.step.spec.is_long_running
+            and run.started_s > self.last_failure_s
+        )
+
     def record_failure(self, job_id: str, now: float) -> bool:
         """Records a failed run; returns whether the worker is quarantined."""
         self._failed_jobs.append(job_id)
@@ -280,9 +300,12 @@
         )
         if not enough and not self.is_quarantined:
             return False
+        # Runs that were started before the pause, or by the same plan as a failed
+        # probe, prolong the pause but do not double it.
+        if self.is_quarantined and now >= self._quarantined_until_s:
+            self._quarantine_s = min(2 * self._quarantine_s, _MAX_QUARANTINE_S)
         self.is_quarantined = True
         self._quarantined_until_s = now + self._quarantine_s
-        self._quarantine_s = min(2 * self._quarantine_s, _MAX_QUARANTINE_S)
         return True
 
 
--- a/src/marigoldgap/cell/gang_planner.py
+++ b/src/marigoldgap/cell/gang_planner.py
@@ -44,13 +44,17 @@
             return step_progress.WaitReason.MEMBERS_ACTIVE
         candidates = self._pass.candidates(step)
         advised = self._pass.advised_workers(step, candidates)
-        if not advised:
+        if not advised and not self._pass.may_use_reserved(step):
+            if self._is_held_back(step):
+                return step_progress.WaitReason.HELD_BACK
             return planning_pass.unadvised_reason(step, candidates)
         if self._pass.allowed_tasks(step) < spec.task_count:
             return step_progress.WaitReason.WORKSPACE_LIMIT
         ends_s = self._pass.now + self._pass.times.expected_s(step)
         if self._pass.may_use_reserved(step):
             ends_s = planning_pass.IGNORES_RESERVATIONS
+            if self._fit_gang_now(step, advised, ends_s) is None:
+                advised = self._with_released(step, candidates, advised)
         advised = self._without_avoided(step, advised, ends_s)
         ticketed = [
             capacity
@@ -69,6 +73,17 @@
         self._examined_gangs += 1
         return self._prepare_gang(step, advised, ends_s)
 
+    def _with_released(
+        self,
+        step: step_progress.StepProgress,
+        candidates: planning_pass.Candidates,
+        advised: list[worker_capacity.WorkerCapacity],
+    ) -> list[worker_capacity.WorkerCapacity]:
+        """Adds the workers that a gang without room on others may use."""
+        used = set(map(id, advised))
+        released = self._pass.released_workers(step, candidates)
+        return [*advised, *(each for each in released if id(each) not in used)]
+
     def _without_avoided(
         self,
         step: step_progress.StepProgress,
@@ -117,9 +132,7 @@
     ) -> step_progress.WaitReason:
         """Reserves capacity for a gang that does not fit now."""
         reason = step_progress.WaitReason.NO_CAPACITY
-        if self._pass.is_fleet_idle(step) and self._fit_gang_now(
-            step, advised, planning_pass.IGNORES_RESERVATIONS
-        ):
+        if self._is_held_back(step):
             reason = step_progress.WaitReason.HELD_BACK
         elif not has_reservation:
             reason = step_progress.WaitReason.NO_RESERVATION
@@ -135,6 +148,17 @@
             self._renew_tickets(step, kept, advised)
         return reason
 
+    def _is_held_back(self, step: step_progress.StepProgress) -> bool:
+        """Returns whether only reservations or quarantines keep a gang waiting."""
+        allowed = self._pass.allowed_workers(step, self._pass.candidates(step))
+        return (
+            self._pass.must_progress(step)
+            and self._fit_gang_now(
+                step, allowed, planning_pass.IGNORES_RESERVATIONS
+            )
+            is not None
+        )
+
     def _place_gang(
         self,
         step: step_progress.StepProgress,
--- a/src/marigoldgap/cell/planning_pass.py
+++ b/src/marigoldgap/cell/planning_pass.py
@@ -19,8 +19,12 @@
 # Minimum remaining validity of a ticket that is used: covers one crossing
 # between regions and the wait in the command queue of a worker.
 TICKET_MARGIN_S = 0.12
-# Time for which reservations may hold back a step that has to progress.
+# Time for which reservations and quarantines may hold back a step that has to
+# progress.
 _MAX_HELD_BACK_S = 1.5
+# The same for a quarantine whose worker goes on failing: such a step may have no
+# run for 3 s.
+_MAX_WITHHELD_S = 2.5
 # Minimum share of the workers that a step may use, though more of them are
 # quarantined: tasks that fail by their own fault quarantine sound workers.
 _MIN_USED_SHARE = 0.5
@@ -266,16 +270,41 @@
         candidates: Candidates,
     ) -> list[worker_capacity.WorkerCapacity]:
         """Returns the advised workers; requests advice if there are none."""
-        if step.job.queue.advice is None:
-            return self._without_withheld(candidates.values())
-        found = map(candidates.get, step.advised_workers)
-        advised = self._without_withheld(
-            [each for each in found if each is not None]
-        )
+        advised = self._without_withheld(self.allowed_workers(step, candidates))
         if not advised:
             self.request_more_advice(step)
         return advised
 
+    def allowed_workers(
+        self,
+        step: step_progress.StepProgress,
+        candidates: Candidates,
+    ) -> list[worker_capacity.WorkerCapacity]:
+        """Returns the advised workers, also those that quarantines withhold."""
+        if step.job.queue.advice is None:
+            return candidates.values()
+        found = map(candidates.get, step.advised_workers)
+        return [each for each in found if each is not None]
+
+    def released_workers(
+        self,
+        step: step_progress.StepProgress,
+        candidates: Candidates,
+    ) -> list[worker_capacity.WorkerCapacity]:
+        """Returns the workers for a step that was held back for too long.
+
+        It may use a withheld worker if it has no room on others.
+        """
+        if not self.may_use_reserved(step):
+            return []
+        is_overdue = self.now - step.held_back_since_s >= _MAX_WITHHELD_S
+        return [
+            each
+            for each in self.allowed_workers(step, candidates)
+            if each.worker.is_withheld(self.now)
+            and (is_overdue or each.worker.may_be_released(self.now))
+        ]
+
     def _without_withheld(
         self, found: list[worker_capacity.WorkerCapacity]
     ) -> list[worker_capacity.WorkerCapacity]:
@@ -344,14 +373,14 @@
         return ticket if valid_until > self.now + TICKET_MARGIN_S else None
 
     def may_use_reserved(self, step: step_progress.StepProgress) -> bool:
-        """Returns whether reservations have held the step back for too long."""
+        """Returns whether a step has been held back for too long."""
         return (
             self.now - step.held_back_since_s >= _MAX_HELD_BACK_S
             and self.must_progress(step)
         )
 
     def must_progress(self, step: step_progress.StepProgress) -> bool:
-        """Returns whether reservations may hold a step back for a while only.
+        """Returns whether a step may be held back for a while only.
 
         Something of each step has to run while less than half of the cores of its
         service are in use, and each long-running task however full it is.
--- a/src/marigoldgap/cell/run_listings.py
+++ b/src/marigoldgap/cell/run_listings.py
@@ -145,6 +145,7 @@
         if run.state is runs.RunState.STARTING:
             run.confirmed_s = now
         self._runs.on_started(run)
+        worker.record_progress(run, now)
         if active.percent != run.percent:
             run.percent = active.percent
             run.progressed_s = now
--- a/src/marigoldgap/cell/step_progress.py
+++ b/src/marigoldgap/cell/step_progress.py
@@ -55,7 +55,7 @@
     NOT_ADVISED = "no advised worker accepts tasks"
     NO_CAPACITY = "does not fit on the workers"
     NO_WORKER_ALONE = "no worker is free for a task that runs alone"
-    HELD_BACK = "its capacity is reserved for gangs"
+    HELD_BACK = "its capacity is reserved for gangs or quarantined"
     NO_RESERVATION = "other gangs have the reservations"
     TICKETS_MISSING = "tickets are missing or expire too soon"
     MEMBERS_ACTIVE = "members of an earlier run have not ended"
--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -119,21 +119,30 @@
             return step_progress.WaitReason.NO_CANDIDATE
         return step_progress.WaitReason.NO_CAPACITY
     advised = planning.advised_workers(step, candidates)
-    if not advised:
+    sound, doubtful = _divide(planning, step, candidates, advised)
+    if not sound and not doubtful:
+        if _is_held_back(planning, step, candidates):
+            return step_progress.WaitReason.HELD_BACK
         return planning_pass.unadvised_reason(step, candidates)
     reason = step_progress.WaitReason.NO_CAPACITY
     ends_s = planning.now + planning.times.quantile_s(step, _BACKFILL_SHARE)
-    if planning.may_use_reserved(step):
-        ends_s = planning_pass.IGNORES_RESERVATIONS
-        if not step.spec.is_long_running:
-            # One run shows progress; the reservations keep the other capacity.
-            allowed = 1
     counts = _tasks_by_worker(step)
     stale: list[str] = []
+    may_use_last = True
     for position in positions[:allowed]:
-        capacity = _best_worker(
-            planning, step, position, advised, counts, ends_s
-        )
+        capacity = _best_worker(planning, step, position, sound, counts, ends_s)
+        is_last_resort = capacity is None
+        if capacity is None and may_use_last:
+            if planning.may_use_reserved(step):
+                ends_s = planning_pass.IGNORES_RESERVATIONS
+                capacity = _best_worker(
+                    planning, step, position, sound, counts, ends_s
+                )
+            if capacity is None:
+                capacity = _best_worker(
+                    planning, step, position, doubtful, counts, ends_s
+                )
+                doubtful = [] if capacity is None else [capacity]
         if capacity is None:
             planning.request_more_advice(step)
             break
@@ -147,20 +156,68 @@
         capacity.take(step.spec, ends_s)
         worker_id = capacity.worker.worker_id
         counts[worker_id] = counts.get(worker_id, 0) + 1
+        # One run shows progress, unless each task has to.
+        may_use_last = step.spec.is_long_running
+        if is_last_resort and not may_use_last:
+            break
     if stale and not step.is_advice_pending:
         planning.plan.advice.append((step, sorted(set(stale))))
     if reason is not step_progress.WaitReason.NO_CAPACITY:
         return reason
     if stale:
         return step_progress.WaitReason.TICKETS_MISSING
-    if planning.must_progress(step) and any(
-        capacity.fits(step.spec, planning_pass.IGNORES_RESERVATIONS)
-        for capacity in advised
-    ):
+    if _is_held_back(planning, step, candidates):
         return step_progress.WaitReason.HELD_BACK
     return reason
 
 
+def _is_held_back(
+    planning: planning_pass.PlanningPass,
+    step: step_progress.StepProgress,
+    candidates: planning_pass.Candidates,
+) -> bool:
+    """Returns whether only reservations or quarantines keep a step waiting."""
+    return planning.must_progress(step) and any(
+        capacity.fits(step.spec, planning_pass.IGNORES_RESERVATIONS)
+        for capacity in planning.allowed_workers(step, candidates)
+    )
+
+
+def _divide(
+    planning: planning_pass.PlanningPass,
+    step: step_progress.StepProgress,
+    candidates: planning_pass.Candidates,
+    advised: list[worker_capacity.WorkerCapacity],
+) -> tuple[
+    list[worker_capacity.WorkerCapacity], list[worker_capacity.WorkerCapacity]
+]:
+    """Divides workers into those to use first, and others of which one is used.
+
+    The others have failed what they started, and have not proved to be sound
+    since. Tasks that last are on one of them at a time, also after its
+    quarantine, as a sick one would hold many of them for good.
+    """
+    doubtful = planning.released_workers(step, candidates)
+    if not step.spec.is_long_running:
+        return advised, doubtful
+    now = planning.now
+    sound: list[worker_capacity.WorkerCapacity] = []
+    for capacity in advised:
+        worker = capacity.worker
+        is_doubtful = worker.is_quarantined and not worker.is_withheld(now)
+        (doubtful if is_doubtful else sound).append(capacity)
+    probed = {
+        run.worker.worker_id
+        for run in step.active.values()
+        if run.worker.is_probe(run)
+    }
+    if probed:
+        doubtful = [
+            each for each in doubtful if each.worker.worker_id in probed
+        ]
+    return sound, doubtful
+
+
 def _best_worker(
     planning: planning_pass.PlanningPass,
     step: step_progress.StepProgress,
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -36,6 +36,8 @@
 _NOW = 100.0
 _CORE = 1000
 _SERVICE = "claims"
+# Longest pause between two probes of a quarantined worker.
+_MAX_PAUSE_S = 4.0
 # Pause between two plans.
 _PLAN_PAUSE_S = 0.01
 
@@ -96,6 +98,11 @@
     return step
 
 
+def run_on(context, worker, **fields):
+    """Lets a task of 1 core run on a worker for long; returns its step."""
+    return _run_on(context, worker, estimate_s=60, **fields)
+
+
 def run_elsewhere(context, step):
     """Lets the task of a step that does not wait run on another worker."""
     (position,) = set(range(step.spec.task_count)) - step.waiting
@@ -282,7 +289,9 @@
 
 def _record_failures(worker, count):
     for number in range(count):
-        worker.record_failure(f"{number:016x}", _NOW)
+        # Each one fails after the pause of the one before; the last one now.
+        failed_s = _NOW - (count - 1 - number) * _MAX_PAUSE_S
+        worker.record_failure(f"{number:016x}", failed_s)
 
 
 def _crashed_placements(context):
@@ -853,10 +862,10 @@
 
 
 @when("plans are made for {seconds:d} s")
-def plan_for(context, seconds):
+def plan_for(context, seconds, since_s=_NOW):
     plans = planner.Planner(context.fleet, run_times.RunTimes())
     for tenth in range(10 * seconds + 1):
-        now = _NOW + tenth / 10
+        now = context.planned_s = since_s + tenth / 10
         context.plan = plans.plan(context.steps_waiting, {}, {}, now)
         if context.plan.placements:
             break
