--- a/src/marigoldgap/cell/advice_dispatcher.py
+++ b/src/marigoldgap/cell/advice_dispatcher.py
@@ -49,18 +49,19 @@
 
 
 class _Request(NamedTuple):
-    """A queued call for tickets of a step."""
+    """A queued call for tickets of a step.
+
+    Attributes:
+        step: The step.
+        workers: The workers that were requested.
+        requested_s: Monotonic time of the request, in seconds.
+        declared_s: Declared time of the call, in seconds.
+    """
 
     step: step_progress.StepProgress
     workers: list[str]
     requested_s: float
-
-    @property
-    def declared_s(self) -> float:
-        """Declared time of the call, in seconds."""
-        advice = self.step.job.queue.advice
-        assert advice is not None
-        return (advice.decide_ms + advice.each_ms * len(self.workers)) / 1000
+    declared_s: float
 
     @property
     def urgency(self) -> tuple[bool, float]:
@@ -93,7 +94,11 @@
         self._proxies = proxies
         self._choose = choose
         self._answered = answered
+        # Those that cannot be sent yet, and whether they will be examined again in
+        # the next turn of the event loop.
         self._waiting: list[_Request] = []
+        self._is_scheduled = False
+        self._is_closed = False
         # Start time of the current call, by name of the proxy.
         self._busy: dict[str, float] = {}
         self._health = advice_proxies.AdviceProxies()
@@ -114,18 +119,42 @@
         asked = workers[: advice_targets.max_requested(step)]
         calls = _calls_for(len(asked))
         now = clock.now_s()
+        requests = []
         for first in range(calls):
+            workers = asked[first::calls]
             step.pending_advice_calls += 1
-            self._waiting.append(_Request(step, asked[first::calls], now))
-        self._dispatch()
+            requests.append(
+                _Request(step, workers, now, _declared_s(step, workers))
+            )
+        # A plan may request calls for thousands of steps. Those that wait cannot be
+        # sent because of a further request, so they are examined once for all.
+        self._waiting += self._send(requests)
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._dispatch)
 
     def close(self) -> None:
         """Cancels all calls."""
+        self._is_closed = True
         for task in self._tasks:
             task.cancel()
 
     def _dispatch(self) -> None:
+        self._is_scheduled = False
+        if self._is_closed:
+            return
         self._waiting.sort(key=lambda request: request.urgency)
+        self._waiting = self._send(self._waiting)
+
+    def _send(self, requests: list[_Request]) -> list[_Request]:
+        """Sends the requests for which a proxy is free.
+
+        Args:
+            requests: Requests in the order in which they get proxies.
+
+        Returns:
+            Those that have to wait.
+        """
         now = clock.now_s()
         proxies = {proxy.name: proxy for proxy in self._proxies()}
         self._health.update(list(proxies))
@@ -133,32 +162,31 @@
             is_slow: self._health.usable(self._busy.keys(), is_slow, now)
             for is_slow in (False, True)
         }
-        for request in list(self._waiting):
+        waiting = []
+        for request in requests:
             if request.step.job.is_ended:
-                self._drop(request)
+                request.step.pending_advice_calls -= 1
                 continue
             is_slow = request.declared_s > _SLOW_CALL_S
             if not free[is_slow]:
+                waiting.append(request)
                 continue
             workers = self._choose(request.step, request.workers)
             if not workers:
-                self._drop(request)
+                request.step.pending_advice_calls -= 1
                 continue
-            self._waiting.remove(request)
             proxy = proxies[free[is_slow][0]]
             for names in free.values():
                 if proxy.name in names:
                     names.remove(proxy.name)
             self._busy[proxy.name] = now
-            task = asyncio.create_task(
-                self._call(proxy, request._replace(workers=workers))
+            sent = request._replace(
+                workers=workers, declared_s=_declared_s(request.step, workers)
             )
+            task = asyncio.create_task(self._call(proxy, sent))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-
-    def _drop(self, request: _Request) -> None:
-        self._waiting.remove(request)
-        request.step.pending_advice_calls -= 1
+        return waiting
 
     async def _call(self, proxy: AdviceProxy, request: _Request) -> None:
         step = request.step
@@ -213,5 +241,11 @@
         )
 
 
+def _declared_s(step: step_progress.StepProgress, workers: list[str]) -> float:
+    advice = step.job.queue.advice
+    assert advice is not None
+    return (advice.decide_ms + advice.each_ms * len(workers)) / 1000
+
+
 def _calls_for(workers: int) -> int:
     return math.ceil(workers / ports.MAX_ADVISED_WORKERS)
--- a/tests/features/cell/advice_proxies.feature
+++ b/tests/features/cell/advice_proxies.feature
@@ -57,6 +57,14 @@
     When their advice calls go to a leader and 6 silent proxies
     Then all 8 tasks get their advice within 8 s
 
+  Scenario: Waiting calls are examined once for all requests of a plan
+    Guards against a leader that stops answering while it requests advice for each
+    step of a large backlog, so that no leader lasts (LOST, review case 11).
+    Given 4 workers with 4 cores each
+    And 200 waiting tasks of a queue with slow advice
+    When they request advice together while the only instance is busy
+    Then no waiting call has been examined more than 3 times
+
   Scenario Outline: An instance that answers with <odd> fails as a proxy
     Guards against calls for advice that always go to an instance whose answers
     cannot be read, as their errors are not those of a failed call.
--- a/tests/features/steps/cell_advice_proxies_steps.py
+++ b/tests/features/steps/cell_advice_proxies_steps.py
@@ -154,6 +154,46 @@
     loops.run(context, wait())
 
 
+class _CountedJob:
+    """Job that counts how often it is examined whether it has ended."""
+
+    def __init__(self, job):
+        self.queue = job.queue
+        self.job_id = job.job_id
+        self.examined = 0
+
+    @property
+    def is_ended(self):
+        self.examined += 1
+        return False
+
+
+@when("they request advice together while the only instance is busy")
+def request_together(context):
+    names = [worker.worker_id for worker in context.fleet.values()]
+    for step in context.steps_waiting:
+        step.job = _CountedJob(step.job)
+
+    async def request():
+        dispatcher = advice_dispatcher.AdviceDispatcher(
+            lambda: [_Proxy(_LEADER, True)],
+            lambda step, requested: requested,
+            lambda: None,
+        )
+        for step in context.steps_waiting:
+            dispatcher.request(step, names)
+        await asyncio.sleep(0)
+        dispatcher.close()
+
+    loops.run(context, request())
+
+
+@then("no waiting call has been examined more than {count:d} times")
+def few_examinations(context, count):
+    found = [step.job.examined for step in context.steps_waiting]
+    assert 0 < max(found) <= count, max(found)
+
+
 _ODD_ANSWERS = {
     "no fields": {},
     "a list of tickets": {"by_worker": [], "valid_ms": 1},
