--- a/tests/features/cell/planning.feature
+++ b/tests/features/cell/planning.feature
@@ -314,6 +314,15 @@
     When plans are made for 2 s
     Then 3 tasks start
 
+  @known-red
+  Scenario: An unexpected error in planning a step costs only that step
+    Guards against a stored job that ends each leadership, as every plan fails.
+    Given 2 workers with 4 cores each
+    And 2 waiting tasks of 1 core that can be on time
+    And a waiting step whose planning fails
+    When a plan is made
+    Then 2 tasks start
+
   Scenario: Quick calls for advice do not hold a slow one back for long
     Guards against a step that gets no advice for as long as others need quick
     calls.
--- a/tests/features/steps/cell_planning_steps.py
+++ b/tests/features/steps/cell_planning_steps.py
@@ -163,6 +163,11 @@
     _wait(context, count, 1, estimate_s=seconds, is_long_running=True)
 
 
+@given("a waiting step whose planning fails")
+def add_failing(context):
+    _wait(context, 1, 1, priority=0, required_label=["not a text"])
+
+
 @given("the capacity of each worker shrinks to {cores:d} cores")
 def shrink(context, cores):
     for worker in context.fleet.values():
