--- a/src/marigoldgap/cell/task_planner.py
+++ b/src/marigoldgap/cell/task_planner.py
@@ -195,7 +195,7 @@
 
     The others have failed what they started, and have not proved to be sound
     since. Tasks that last are on one of them at a time, also after its
-    quarantine, as a sick one would hold many of them for good.
+    quarantine; several tasks of a step may be there, if it is their only room.
     """
     doubtful = planning.released_workers(step, candidates)
     if not step.spec.is_long_running:
--- a/tests/features/cell/quarantine.feature
+++ b/tests/features/cell/quarantine.feature
@@ -19,8 +19,8 @@
     When 5 probes fail one after the other
     Then it gets no run for 4 s, and one after that
 
-  Scenario: A task starts on a quarantined worker if it has no other room
-    Guards against a job without a run beside free capacity, as the worker that
+  Scenario: A gang starts on a quarantined worker if it has no other room
+    Guards against a gang without a run beside free capacity, as the worker that
     has it is quarantined and a probe runs there (LOST).
     Given 2 workers with 4 cores each
     And runs of 6 jobs have failed on the first worker
