cell: a start is carried out by the process for which it was planned (review case 12)

Callers saw: a task ran in two places for 1.4 s (TWICE). A worker crashed silently while a start for it was pending, came back under its id, and was cut off 0.1 s after the task had begun there.

Cause: the lease of a start ends on the clock of the process that the leader knew when it planned the start. The check of the connection compared the process that answers with the latest registration, which may already be that of the next process. That one took the end of the lease as far ahead and shortened it to 6 s from the arrival, while the leader counted it from the first attempt. The trace of review/12 shows it: two attempts unconfirmed, the third carried out by the next process, 1.8 s after the lease was counted.

Change: a run keeps the birth time of its process, the start command carries it to the check, and a pending start is refused once another process has answered.

Same cause: the labels of the next process were not examined either (review/15), and a worker that restarted after draining got its pending starts again; both are covered.

--- a/src/marigoldgap/cell/ports.py
+++ b/src/marigoldgap/cell/ports.py
@@ -52,30 +52,45 @@
     valid_ms: float
 
 
+class StartCommand(NamedTuple):
+    """Command to start a run in one process of a worker.
+
+    Attributes:
+        name: Identifies the run.
+        payload: Payload of the job, as submitted.
+        born_ms: Wall time at which the process started, in milliseconds: the
+            one whose clock the lease ends on; 0 if unknown.
+        lease_until_ms: End of the lease in milliseconds on the clock of that
+            process.
+        fence: Fencing token: the epoch of the leader.
+        saved: Latest saved progress of the task; empty if there is none.
+        ticket: Ticket of the advice service; empty if not needed.
+    """
+
+    name: model.RunName
+    payload: str
+    born_ms: int
+    lease_until_ms: int
+    fence: int
+    saved: str = ""
+    ticket: str = ""
+
+
 class WorkerPort(Protocol):
     """Commands to workers."""
 
     async def start(
         self,
         worker: model.Registration,
-        name: model.RunName,
-        payload: str,
-        lease_until_ms: int,
-        fence: int,
-        saved: str,
-        ticket: str,
+        command: StartCommand,
         timeout_s: float,
     ) -> model.StartAnswer:
         """Starts a run; idempotent for the same run name.
 
         Args:
-            worker: The worker.
-            name: Name of the run.
-            payload: Payload of the job.
-            lease_until_ms: End of the lease, on the worker's clock.
-            fence: Fencing token: the epoch of the leader.
-            saved: Saved progress from which the run resumes, or empty.
-            ticket: Ticket of the advice service, or empty.
+            worker: Latest registration of the worker, which may be that of its
+                next process.
+            command: The command.
             timeout_s: Timeout of the call in seconds.
         """
 
--- a/src/marigoldgap/cell/runs.py
+++ b/src/marigoldgap/cell/runs.py
@@ -39,6 +39,7 @@
     """One run of a task on a worker; holds its resources until it ends."""
 
     __slots__ = (
+        "born_ms",
         "confirmed_s",
         "expected_s",
         "has_begun",
@@ -66,6 +67,8 @@
         self.name = name
         self.step = step
         self.worker = worker
+        # Process of the worker for which the run was planned.
+        self.born_ms = worker.born_ms
         self.state = RunState.STARTING
         self.started_s = now
         # Time at which the worker first confirmed the run, by a listing or by
--- a/src/marigoldgap/cell/worker_commands.py
+++ b/src/marigoldgap/cell/worker_commands.py
@@ -61,6 +61,9 @@
     async def start(self, run: runs.Run, ticket: str) -> None:
         """Starts a run; repeats the command until its outcome is known.
 
+        A run is started in the process for which it was planned, or not at all:
+        the next one has another clock, and may have other labels.
+
         It may be called again after an unexpected error.
         """
         worker = self._worker
@@ -69,7 +72,6 @@
         # Repeated commands do not extend the lease. Otherwise the lease of a
         # worker that never answers would not expire.
         lease_until_ms = self.grant_lease()
-        born_ms = worker.born_ms
         while run.state is runs.RunState.STARTING and not self._is_closed:
             if self._listener.is_evacuated(run):
                 self._refuse(
@@ -79,20 +81,25 @@
             if not self._listener.may_start():
                 await asyncio.sleep(_AUTHORITY_CHECK_S)
                 continue
-            if worker.born_ms != born_ms:
-                born_ms = worker.born_ms
-                lease_until_ms = self.grant_lease()
+            if worker.born_ms != run.born_ms:
+                self._refuse(
+                    run, model.StartOutcome.OTHER_LIFE, may_have_started
+                )
+                return
             run.is_sent = True
             try:
                 with containment.contained("start", str(run.name)):
                     answer = await self._port.start(
                         worker.registration,
-                        run.name,
-                        run.step.job.record.spec.payload,
-                        lease_until_ms,
-                        self._listener.epoch,
-                        run.step.saved_for(run.name.task.position),
-                        ticket,
+                        ports.StartCommand(
+                            run.name,
+                            run.step.job.record.spec.payload,
+                            run.born_ms,
+                            lease_until_ms,
+                            self._listener.epoch,
+                            run.step.saved_for(run.name.task.position),
+                            ticket,
+                        ),
                         _COMMAND_TIMEOUT_S,
                     )
             except ports.FencedError as error:
@@ -111,7 +118,11 @@
                 run.is_sent = may_have_started
                 unanswered += 1
                 _log.warning(
-                    "start_unanswered", run=str(run.name), cause=str(error)
+                    "start_unanswered",
+                    run=str(run.name),
+                    born_ms=run.born_ms,
+                    lease_until_ms=lease_until_ms,
+                    cause=str(error),
                 )
                 await self._wait_for_contact(run)
                 outcome = self._reason_to_give_up(run, unanswered)
--- a/src/marigoldgap/platform/worker_client.py
+++ b/src/marigoldgap/platform/worker_client.py
@@ -54,25 +54,16 @@
     async def start(
         self,
         worker: model.Registration,
-        name: model.RunName,
-        payload: str,
-        lease_until_ms: int,
-        fence: int,
-        saved: str,
-        ticket: str,
+        command: ports.StartCommand,
         timeout_s: float,
     ) -> model.StartAnswer:
         """Starts a run; the call is idempotent for each run.
 
         Args:
-            worker: The worker.
-            name: Identifies the run.
-            payload: Payload of the job, as submitted.
-            lease_until_ms: End of the lease in milliseconds on the worker's
-                clock, which its answers give as `clockMs`.
-            fence: Fencing token.
-            saved: Latest saved progress of the task; empty if there is none.
-            ticket: Ticket of the advice service; empty if not needed.
+            worker: Latest registration of the worker, which may be that of its
+                next process.
+            command: The command. Its lease ends on the clock that the answers
+                of the process give as `clockMs`.
             timeout_s: Timeout of the call in seconds.
 
         Raises:
@@ -84,21 +75,27 @@
                 nothing was sent.
         """
         body: dict[str, Any] = {
-            "task": encode_task(name.task),
-            "run": name.run,
-            "spec": payload,
-            "untilMs": lease_until_ms,
-            "fence": fence,
+            "task": encode_task(command.name.task),
+            "run": command.name.run,
+            "spec": command.payload,
+            "untilMs": command.lease_until_ms,
+            "fence": command.fence,
         }
-        if saved:
-            body["saved"] = saved
-        if ticket:
-            body["ticket"] = ticket
+        if command.saved:
+            body["saved"] = command.saved
+        if command.ticket:
+            body["ticket"] = command.ticket
+        process = (
+            worker.address,
+            worker.worker_id,
+            command.born_ms,
+            command.fence,
+        )
 
         async def check(connection: client.Connection) -> None:
             await self._checks.run(
-                (worker.address, worker.worker_id, worker.born_ms, fence),
-                lambda: self._check_process(connection, worker, fence),
+                process,
+                lambda: self._check_process(connection, worker, command),
             )
 
         answer = await self._send_command(
@@ -116,20 +113,23 @@
         self,
         connection: client.Connection,
         worker: model.Registration,
-        fence: int,
+        command: ports.StartCommand,
     ) -> None:
-        """Checks that a connection leads to the registered process.
+        """Checks that a connection leads to the process a command is meant for.
 
         The connections to a worker may have been silenced, so that its end is
-        not known. The next process has its id, but may have other labels. A
-        connection does not outlive the process, so one check is enough.
+        not known, although its next process has registered. That one has its id,
+        but another clock and perhaps other labels. A connection does not outlive
+        the process, so one check is enough.
 
         Raises:
             NotConnectedError: There is no usable answer; nothing was started.
             ReplacedProcessError: Another process answers.
         """
         try:
-            listing = await self.renew(connection, worker, fence, 0, 0, 0)
+            listing = await self.renew(
+                connection, worker, command.fence, 0, 0, 0
+            )
         except ports.FencedError:
             raise
         except errors.MarigoldgapError as error:
@@ -137,13 +137,13 @@
                 f"process of worker {worker.worker_id} not confirmed: {error}"
             ) from error
         if (
-            worker.born_ms
+            command.born_ms
             and listing.born_ms
-            and listing.born_ms != worker.born_ms
+            and listing.born_ms != command.born_ms
         ):
             raise ports.ReplacedProcessError(
                 f"worker {worker.worker_id} runs the process of"
-                f" {listing.born_ms}, not of {worker.born_ms}"
+                f" {listing.born_ms}, not of {command.born_ms}"
             )
 
     async def stop(
--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -217,3 +217,20 @@
     Then no worker starts that task in 1 s
     When the worker crashes and comes back as kind "a" with access to the store
     Then every instance shows the job as "completed"
+
+  Scenario: A pending start does not reach the next process of its worker
+    Guards against a start with a lease on the clock of the former process, as the
+    registration of the next one is read before its first list (review case 12).
+    Given a cell with 1 workers and 1 instances
+    When the worker is replaced without a sign while a job of 9000 ms waits for its start
+    Then the next process does not carry out the first start
+
+  Scenario: A task of a replaced worker that is cut off runs in one place
+    Guards against a second run of a task before the first one's lease has ended:
+    the leader counted it from a start that was pending while the worker was
+    replaced (review case 12, TWICE).
+    Given a cell with 1 workers and 1 instances
+    When the worker is replaced without a sign while a job of 9000 ms waits for its start
+    And the worker is cut off once the task runs, and another worker joins
+    Then the task runs on the other worker
+    And no task ran in two places
--- a/tests/features/steps/cell_process_check_steps.py
+++ b/tests/features/steps/cell_process_check_steps.py
@@ -10,6 +10,7 @@
 
 from marigoldgap import errors
 from marigoldgap.cell import model
+from marigoldgap.cell import ports
 from marigoldgap.platform import process_checks
 from marigoldgap.platform import worker_client
 from marigoldgap.web import client
@@ -115,7 +116,11 @@
             context.starts.append(
                 asyncio.create_task(
                     port.start(
-                        registration, name, "ms=60000", 5_000, 1, "", "", 5.0
+                        registration,
+                        ports.StartCommand(
+                            name, "ms=60000", worker.born_ms, 5_000, 1
+                        ),
+                        5.0,
                     )
                 )
             )
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -91,6 +91,8 @@
             response.
         restart_s: Time from a crash to the start of the next process, in
             seconds.
+        listen_delay_s: Time from the registration of the next process until it
+            accepts connections, in seconds.
         kind: First label, which names its kind.
         zone: Availability zone that it registers.
         service: Service that it registers.
@@ -146,6 +148,7 @@
         self.most_running = 0
         self.lost_starts = 0
         self.restart_s = 1.2
+        self.listen_delay_s = 0.0
         self.restart_ids = []
         self.kind = "a"
         self.zone = "a"
@@ -254,6 +257,9 @@
         self.born_ms = int(time.time() * 1000)
         if self.restart_kinds:
             self.kind = self.restart_kinds.pop(0)
+        if self.listen_delay_s:
+            self.register()
+            await asyncio.sleep(self.listen_delay_s)
         await self._server.start(self.address)
         self.is_down = False
         if not self.is_cut_from_store:
