--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -234,3 +234,15 @@
     And the worker is cut off once the task runs, and another worker joins
     Then the task runs on the other worker
     And no task ran in two places
+
+  Scenario Outline: A start is planned again once another process of its worker answers
+    Guards against a start with a new lease in a process for which it was not
+    planned, such as the next one of a worker that had drained.
+    Given a start that was <sent> to a worker without an answer
+    When another process of the worker answers
+    Then no further start is sent, and the run is <handling>
+
+    Examples:
+      | sent     | handling               |
+      | sent     | stopped before it ends |
+      | not sent | planned again          |
--- a/tests/features/steps/cell_replaced_worker_steps.py
+++ b/tests/features/steps/cell_replaced_worker_steps.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
+from behave import given
 from behave import then
 from behave import when
 
+from marigoldgap.cell import fleet
+from marigoldgap.cell import model
+from marigoldgap.cell import runs
+from marigoldgap.cell import worker_commands
+from marigoldgap.web import messages
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
 from tests.fixtures import loops
@@ -65,3 +72,104 @@
 def runs_on_other(context):
     other = context.world.workers[1]
     loops.run(context, loops.until(lambda: other.running))
+
+
+class _Listener:
+    """Allows starts, and records those that are given up."""
+
+    epoch = 1
+
+    def __init__(self):
+        self.given_up = []
+
+    def may_start(self):
+        return True
+
+    def limit_lease_s(self, lease_s):
+        return lease_s
+
+    def is_evacuated(self, run):
+        return False
+
+    def exceeds_limit(self, run):
+        return False
+
+    def on_refused(self, run, outcome):
+        self.given_up.append(("planned again", outcome))
+
+    def on_uncertain_refusal(self, run, outcome):
+        self.given_up.append(("stopped before it ends", outcome))
+
+
+class _SilentPort:
+    """Answers no start; the first one may be carried out, or was not sent."""
+
+    def __init__(self, is_sent):
+        self.starts = 0
+        self._error = (
+            messages.NoAnswerError("timeout")
+            if is_sent
+            else messages.NotConnectedError("refused")
+        )
+
+    async def start(self, worker, command, timeout_s):
+        self.starts += 1
+        raise self._error
+
+
+def _create_run(worker):
+    job = SimpleNamespace(
+        record=SimpleNamespace(spec=SimpleNamespace(payload="ms=50"))
+    )
+    step = SimpleNamespace(
+        job=job,
+        spec=model.StepSpec(1, model.Demand(1000, 100)),
+        saved_for=lambda position: "",
+    )
+    name = model.RunName(model.TaskName(cell_jobs.JOB, 0, 0, 0), 1)
+    return runs.Run(name, step, worker, 0.0)
+
+
+@given("a start that was {sent} to a worker without an answer")
+def pending_start(context, sent):
+    registration = model.Registration(
+        "w1",
+        "claims",
+        "127.0.0.1:1",
+        "a",
+        False,
+        model.Demand(16_000, 65_536, 0),
+        frozenset(),
+        "",
+        1,
+    )
+    context.worker = fleet.Worker(registration, 0.0)
+    context.worker.contact = fleet.Contact.ANSWERING
+    context.worker.born_ms = 1
+    context.listener = _Listener()
+    context.port = _SilentPort(sent == "sent")
+    commands = worker_commands.WorkerCommands(
+        context.listener, context.worker, context.port
+    )
+
+    async def begin():
+        context.start = asyncio.create_task(
+            commands.start(_create_run(context.worker), "")
+        )
+        await loops.until(lambda: context.port.starts)
+
+    loops.run(context, begin())
+
+
+@when("another process of the worker answers")
+def other_process(context):
+    context.starts = context.port.starts
+    context.worker.reset_incarnation(2, 0.0, 6.3)
+    loops.run(context, context.start)
+
+
+@then("no further start is sent, and the run is {handling}")
+def given_up(context, handling):
+    assert context.port.starts == context.starts
+    expected = [(handling, model.StartOutcome.OTHER_LIFE)]
+    assert context.listener.given_up == expected, context.listener.given_up
