--- a/src/marigoldgap/cell/deadlines.py
+++ b/src/marigoldgap/cell/deadlines.py
@@ -4,6 +4,8 @@
 
 # Deadline of a request for which the caller gives none, in seconds.
 DEFAULT_S = 3.0
+# Pause between two attempts of a call to the store.
+RETRY_PAUSE_S = 0.05
 # Share of the caller's deadline after which an unknown outcome is reported;
 # the rest is left for a retry at another instance.
 _WAIT_SHARE = 0.45
--- a/src/marigoldgap/cell/job_service.py
+++ b/src/marigoldgap/cell/job_service.py
@@ -9,6 +9,7 @@
 from marigoldgap import decision_log
 from marigoldgap import errors
 from marigoldgap import measures
+from marigoldgap.cell import cancellation
 from marigoldgap.cell import configuration_currency
 from marigoldgap.cell import configuration_follower
 from marigoldgap.cell import deadlines
@@ -18,6 +19,7 @@
 from marigoldgap.cell import peers
 from marigoldgap.cell import records
 from marigoldgap.cell import store
+from marigoldgap.cell import stored_jobs
 from marigoldgap.web import client
 
 _log = decision_log.DecisionLogger("jobs")
@@ -30,21 +32,10 @@
 _OUTAGE_S = 0.7
 # Time after which a refused caller may retry: about as long as an election.
 _RETRY_AFTER_S = 1.0
-# Pause between attempts.
-_RETRY_PAUSE_S = 0.05
-# Part of the caller's deadline that is reserved for the delivery of the answer.
-_ANSWER_MARGIN_S = 0.15
 # Share of the key withdrawal time after which unconfirmed keys are refused.
 _KEY_AGE_SHARE = 0.7
 
 
-class JobGoneError(errors.NotFoundError):
-    """No such job exists."""
-
-    code = "job-gone"
-    status = 410
-
-
 class StoreUnreachableError(errors.OverloadedError):
     """The store is unreachable; the job was not accepted."""
 
@@ -117,6 +108,10 @@
         configuration_apply_s: float,
     ) -> None:
         self._rows = rows
+        self._stored = stored_jobs.StoredJobs(rows)
+        self._cancellation = cancellation.Cancellation(
+            rows, self._stored, self._notify
+        )
         self._store_outage_s = store_outage_s
         self._configuration = configuration
         self._election = election
@@ -196,6 +191,7 @@
 
         Raises:
             JobTooLargeError: The job is too large to be stored.
+            JobCancelledError: The job was cancelled before it was stored.
             StoreUnreachableError: The job was not accepted and never runs.
             OutcomeUnknownError: The job may have been accepted.
         """
@@ -234,6 +230,7 @@
         the outcome is unknown, and another instance may refuse its retry.
 
         Raises:
+            JobCancelledError: The job was cancelled before it was stored.
             StoreUnreachableError: The store refused; the job never runs.
             OutcomeUnknownError: The job may be stored.
         """
@@ -254,7 +251,8 @@
         while True:
             try:
                 version = await self._rows.transact(transaction)
-            except store.CheckFailedError:
+            except store.CheckFailedError as error:
+                cancellation.check_not_cancelled(record.job_id, error.rows)
                 _log.info("job_repeated", job=record.job_id)
                 return
             except store.StoreUnknownError as error:
@@ -280,7 +278,7 @@
                 raise StoreUnreachableError(cause)
             if may_be_stored and clock.now_s() - started_s >= wait_s:
                 raise OutcomeUnknownError(cause)
-            await asyncio.sleep(_RETRY_PAUSE_S)
+            await asyncio.sleep(deadlines.RETRY_PAUSE_S)
 
     async def state(self, job_id: str) -> model.JobState:
         """Returns the state of a job.
@@ -292,30 +290,11 @@
         state = await self._leader_state(job_id)
         if state is not None:
             return state
-        return await self._stored_state(job_id)
+        return await self._stored.state(job_id)
 
     async def cancel(self, job_id: str, deadline_s: float) -> None:
-        """Cancels a job; idempotent.
-
-        Args:
-            job_id: The job.
-            deadline_s: Time for which the caller waits, in seconds.
-
-        Raises:
-            JobGoneError: No such job exists.
-            StoreError: The store does not answer; the job may be cancelled.
-        """
-        until = clock.now_s() + deadline_s - _ANSWER_MARGIN_S
-        while True:
-            try:
-                await self._store_cancellation(job_id)
-            except store.StoreError:
-                if clock.now_s() >= until:
-                    raise
-                await asyncio.sleep(_RETRY_PAUSE_S)
-            else:
-                _log.info("cancel_stored", job=job_id)
-                return
+        """Cancels a job as `Cancellation.cancel` does, with its errors."""
+        await self._cancellation.cancel(job_id, deadline_s)
 
     async def waiting(self, queue: model.Queue) -> int:
         """Returns the number of accepted jobs of a queue not yet started.
@@ -340,49 +319,6 @@
             self._election.poll_soon()
             return None
 
-    async def _stored_state(self, job_id: str) -> model.JobState:
-        row = await self._read_row(records.job_row_key(job_id))
-        if row is None:
-            return await self._archived_state(job_id)
-        progress = await self._read_row(records.progress_row_key(job_id))
-        if progress is not None:
-            state = model.JobState(records.decode(progress.value)["state"])
-            if state in model.ENDED_STATES:
-                return state
-        if records.decode_job(job_id, row.value).is_cancelled:
-            return model.JobState.CANCELLED
-        if progress is not None:
-            return state
-        # The job has no progress yet, or was archived since the first read.
-        archived = await self._read_row(records.ended_row_key(job_id))
-        if archived is None:
-            return model.JobState.QUEUED
-        return records.decode_ended(archived.value).state
-
-    async def _archived_state(self, job_id: str) -> model.JobState:
-        row = await self._read_row(records.ended_row_key(job_id))
-        if row is None:
-            raise JobGoneError(f"job {job_id} does not exist")
-        return records.decode_ended(row.value).state
-
-    async def _store_cancellation(self, job_id: str) -> None:
-        row = await self._read_row(records.job_row_key(job_id))
-        if row is None:
-            # A job that has ended needs no cancellation.
-            await self._archived_state(job_id)
-            return
-        record = records.decode_job(job_id, row.value)
-        if record.is_cancelled:
-            return
-        content = records.encode_job(record._replace(is_cancelled=True))
-        version = await self._rows.transact(
-            store.Transaction(
-                (store.RowCheck(row.row_key, row.version),),
-                ((row.row_key, content),),
-            )
-        )
-        self._notify(record._replace(is_cancelled=True), version)
-
     def _notify(self, record: model.JobRecord, version: int) -> None:
         """Notifies the leader of a stored job, in the background."""
         try:
@@ -411,10 +347,6 @@
         if not task.cancelled() and (error := task.exception()) is not None:
             _log.info("background_task_failed", cause=str(error))
 
-    async def _read_row(self, row_key: store.RowKey) -> store.Row | None:
-        page = await self._rows.read(*row_key, row_key.key + "\0")
-        return page.rows[0] if page.rows else None
-
     def _leader_client(self) -> peers.PeerClient:
         leader = self._election.leader
         if leader is None or not leader.address:
--- a/src/marigoldgap/cell/records.py
+++ b/src/marigoldgap/cell/records.py
@@ -47,10 +47,13 @@
     Attributes:
         state: Final state of the job.
         ended_ms: Wall time, in ms, at which the job was archived.
+        is_tombstone: Whether the job was cancelled before it was stored: it is
+            not shown to callers, but its submission is refused.
     """
 
     state: model.JobState
     ended_ms: int
+    is_tombstone: bool = False
 
 
 class ProgressPart(NamedTuple):
@@ -180,6 +183,23 @@
     return json_object.encode({"state": state.value, "ended": ended_ms})
 
 
+def encode_tombstone(cancelled_ms: int) -> bytes:
+    """Returns the stored form of a job that was cancelled before it was stored.
+
+    Earlier versions read it as an archived job that was cancelled.
+
+    Args:
+        cancelled_ms: Wall time of the cancellation, in ms.
+    """
+    return json_object.encode(
+        {
+            "state": model.JobState.CANCELLED.value,
+            "ended": cancelled_ms,
+            "tombstone": True,
+        }
+    )
+
+
 def decode_ended(content: bytes | None) -> ArchivedJob:
     """Returns the archived job in the content of a row.
 
@@ -189,7 +209,9 @@
     fields = decode(content)
     try:
         return ArchivedJob(
-            model.JobState(fields["state"]), int(fields["ended"])
+            model.JobState(fields["state"]),
+            int(fields["ended"]),
+            fields.get("tombstone") is True,
         )
     except (KeyError, TypeError, ValueError) as error:
         raise RecordError(f"invalid archived job: {error!r}") from error
--- a/src/marigoldgap/cell/retention.py
+++ b/src/marigoldgap/cell/retention.py
@@ -16,6 +16,21 @@
 
 # Maximum number of jobs that one transaction removes.
 _JOBS_PER_TRANSACTION = 100
+# Time for which a tombstone is kept at least: the store may perform a write
+# without an answer seconds later.
+_MIN_TOMBSTONE_S = 30.0
+
+
+def kept_s(archived: records.ArchivedJob, retention_s: float) -> float:
+    """Returns for how many seconds an archived job or a tombstone is kept.
+
+    Args:
+        archived: The job or tombstone.
+        retention_s: Retention period in seconds.
+    """
+    if archived.is_tombstone:
+        return max(retention_s, _MIN_TOMBSTONE_S)
+    return retention_s
 
 
 class Retention:
@@ -55,10 +70,8 @@
 
     async def _clean(self, partition: str) -> None:
         page = await self._reader.read(records.ENDED, partition)
-        before_ms = clock.wall_ms() - int(
-            self._retention_s * clock.MILLISECONDS_PER_SECOND
-        )
-        expired = [row for row in page.rows if _ended_ms(row) < before_ms]
+        now_ms = clock.wall_ms()
+        expired = [row for row in page.rows if self._is_expired(row, now_ms)]
         for first in range(0, len(expired), _JOBS_PER_TRANSACTION):
             chunk = expired[first : first + _JOBS_PER_TRANSACTION]
             try:
@@ -80,11 +93,17 @@
                 retention_s=self._retention_s,
             )
 
-
-def _ended_ms(row: store.Row) -> int:
-    """Returns the wall time of the end; 0, so that it is removed, if invalid."""
-    try:
-        return records.decode_ended(row.value).ended_ms
-    except errors.MarigoldgapError as error:
-        _log.error("ended_row_unusable", job=row.row_key.key, cause=str(error))
-        return 0
+    def _is_expired(self, row: store.Row, now_ms: int) -> bool:
+        """Returns whether a row is removed, as an invalid one is."""
+        try:
+            archived = records.decode_ended(row.value)
+        except errors.MarigoldgapError as error:
+            _log.error(
+                "ended_row_unusable", job=row.row_key.key, cause=str(error)
+            )
+            return True
+        age_ms = now_ms - archived.ended_ms
+        kept_ms = (
+            kept_s(archived, self._retention_s) * clock.MILLISECONDS_PER_SECOND
+        )
+        return age_ms > kept_ms
--- a/src/marigoldgap/measures.py
+++ b/src/marigoldgap/measures.py
@@ -19,6 +19,13 @@
     ["method", "status"],
     registry=REGISTRY,
 )
+TOMBSTONES = prometheus_client.Counter(
+    "marigoldgap_tombstones",
+    "Cancellations of jobs that are not stored: tombstones that were written,"
+    " and cancellations beyond their limit.",
+    ["outcome"],
+    registry=REGISTRY,
+)
 ACCEPTANCE_S = prometheus_client.Histogram(
     "marigoldgap_acceptance_seconds",
     "Time until a submitted job is stored.",
--- a/tests/standins/cell/store.py
+++ b/tests/standins/cell/store.py
@@ -35,6 +35,9 @@
         refusal: Status with which every call is refused; 0 for none.
         lost: Number of the next transactions whose response is withheld; they
             take effect if their checks hold.
+        late_job_writes: Delays, in seconds, of the next transactions that write
+            a job: each gets no response and is performed that much later, if its
+            checks hold then.
         unusable: Response to the next transaction that writes a job, which
             takes effect while all later calls are refused; None for the usual
             response.
@@ -61,6 +64,7 @@
         self.configurations = []
         self.refusal = 0
         self.lost = 0
+        self.late_job_writes = []
         self.unusable = None
         self.is_malformed = False
         self.malformed_body = b"<html>"
@@ -73,6 +77,7 @@
         self.holds_configuration = False
         self.lost_removals = 0
         self._changed = asyncio.Event()
+        self._late = []
         self._server = server.HttpServer(self._handle)
 
     async def start(self):
@@ -80,6 +85,8 @@
 
     def stop(self):
         self._server.close()
+        for task in self._late:
+            task.cancel()
 
     def put(self, table, part, key, value):
         """Writes a row, as the operator or a worker does."""
@@ -141,6 +148,19 @@
         return messages.Response(404)
 
     async def _transact(self, body):
+        if self.late_job_writes and _writes_job(body):
+            delay_s = self.late_job_writes.pop(0)
+            self._late.append(
+                asyncio.create_task(self._perform_late(delay_s, body))
+            )
+            await asyncio.sleep(60)
+        return await self._perform(body)
+
+    async def _perform_late(self, delay_s, body):
+        await asyncio.sleep(delay_s)
+        await self._perform(body)
+
+    async def _perform(self, body):
         checks = body["expectRev"]
         current = [self._row(_row_id(each)) for each in checks]
         if any(
@@ -164,9 +184,7 @@
             self.lost_removals -= 1
             await asyncio.sleep(60)
         await self._withhold_response()
-        if self.unusable and any(
-            each["table"] == "jobs" for each in body["setKeys"]
-        ):
+        if self.unusable and _writes_job(body):
             unusable, self.unusable = self.unusable, None
             self.refusal = 503
             return unusable
@@ -240,6 +258,10 @@
         )
 
 
+def _writes_job(body):
+    return any(each["table"] == "jobs" for each in body["setKeys"])
+
+
 def _row_id(fields):
     return fields["table"], fields["part"], fields["key"]
 
