--- a/tests/features/cell/worker_faults.feature
+++ b/tests/features/cell/worker_faults.feature
@@ -235,6 +235,47 @@
     Then the task runs on the other worker
     And no task ran in two places
 
+  Scenario Outline: A start <moment> is meant for one process of its worker, kind "<kind>" next
+    Guards against a start that is carried out by the next process of its worker,
+    which has another clock and may be of another kind (review cases 12 and 15).
+    Given a cell with 1 workers and 1 instances
+    And the clock of the worker is 1000 s ahead
+    When the worker is replaced by one of kind "<kind>" <moment> of a task for kind "a"
+    Then the next process carries out no start of the former run
+    And no lease that the next process was asked for exceeds 6 s
+    And a next process of kind "<kind>" starts the task <count> times
+
+    Examples:
+      | moment                     | kind | count |
+      | before the first attempt   | a    | 1     |
+      | before the first attempt   | b    | 0     |
+      | after an attempt was lost  | a    | 1     |
+      | after an attempt was lost  | b    | 0     |
+      | after an answer was lost   | a    | 1     |
+      | after an answer was lost   | b    | 0     |
+
+  Scenario Outline: A stop that is pending <moment> harms no next process, kind "<kind>"
+    Guards against a stop, or its answer, that the leader takes for one of the next
+    process: the task would run on, or the worker would stay unused.
+    Given a cell with 1 workers and 1 instances
+    And the clock of the worker is 1000 s ahead
+    When a job with the payload "ms=20000" is submitted and has begun
+    And the job is cancelled, and the worker is replaced by one of kind "<kind>" <moment>
+    Then the next process runs nothing of the job
+    And every instance shows the job as "cancelled"
+    And no lease that the next process was asked for exceeds 6 s
+    And the next process runs another job
+    And no task ran in two places
+
+    Examples:
+      | moment                   | kind |
+      | before the first stop    | a    |
+      | before the first stop    | b    |
+      | after a stop was refused | a    |
+      | after a stop was refused | b    |
+      | after an answer was lost | a    |
+      | after an answer was lost | b    |
+
   Scenario Outline: A start is planned again once another process of its worker answers
     Guards against a start with a new lease in a process for which it was not
     planned, such as the next one of a worker that had drained.
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -86,6 +86,8 @@
         public_address: Address that is registered; differs from `address`
             behind a proxy.
         capacity: Registered capacity, which may change while the worker runs.
+        longest_lease_ms: Longest time, from its receipt, until the end of a lease
+            that the process was asked for.
         most_running: Highest number of runs at the same time.
         lost_starts: Number of the next starts that have no effect and get no
             response.
@@ -145,6 +147,7 @@
         self.capacity = dict(_CAPACITY)
         # Former capacities, and the monotonic times until which they count.
         self._former_capacities = []
+        self.longest_lease_ms = 0
         self.most_running = 0
         self.lost_starts = 0
         self.restart_s = 1.2
@@ -250,6 +253,7 @@
         self.ended = []
         self.fence = 0
         self.lease_until_ms = 0
+        self.longest_lease_ms = 0
         self.is_draining = False
         self._refused_runs = {}
         self._last_end_number = 0
@@ -364,6 +368,8 @@
         if body["fence"] > self.fence:
             self.fence = body["fence"]
             self.fences.append(self.fence)
+        lease_ms = body.get("untilMs", 0) - self._clock_ms
+        self.longest_lease_ms = max(self.longest_lease_ms, lease_ms)
         until_ms = min(body.get("untilMs", 0), self._clock_ms + _MAX_LEASE_MS)
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
         if path == "/v1/run-start":
