cell: one value names the process of a worker for which a command is meant

The process of a worker was a number (`born_ms`) that each sender and each receiver compared on its own, with rules that differed: a recorded start whose process is not stored was taken for the run of a former process as soon as the worker answered, counted as crashed and started again, although it may have been running (TWICE).

`worker_process.WorkerProcess` travels from the decision to the check of the connection, and `is_other` is the only place that tells two processes apart: both have to be known. Start commands, runs, lost workers, restored runs, registrations and restarts use it.

--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -6,6 +6,7 @@
 
 from marigoldgap.cell import model
 from marigoldgap.cell import runs
+from marigoldgap.cell import worker_process
 
 # A worker's monotonic clock may run slower than ours by up to this share.
 CLOCK_DRIFT = 0.02
@@ -107,6 +108,11 @@
         """Identifier of the worker."""
         return self.registration.worker_id
 
+    @property
+    def process(self) -> worker_process.WorkerProcess:
+        """The process that has answered latest."""
+        return worker_process.WorkerProcess(self.worker_id, self.born_ms)
+
     @property
     def is_over_capacity(self) -> bool:
         """Whether its runs exceed its capacity, which has shrunk."""
@@ -139,8 +145,9 @@
         The next process may have other labels, capacity or service under the
         same id.
         """
-        born_ms = self.registration.born_ms
-        return not born_ms or not self.born_ms or born_ms == self.born_ms
+        return not self.process.is_other(
+            worker_process.of_registration(self.registration)
+        )
 
     def is_withheld(self, now: float) -> bool:
         """Returns whether the quarantine of a worker keeps new runs from it.
--- a/src/marigoldgap/cell/lost_workers.py
+++ b/src/marigoldgap/cell/lost_workers.py
@@ -13,7 +13,9 @@
 
 from marigoldgap import clock
 from marigoldgap.cell import fleet
+from marigoldgap.cell import model
 from marigoldgap.cell import runs
+from marigoldgap.cell import worker_process
 
 # Time for which a lost worker is remembered, in seconds.
 _MEMORY_S = 600.0
@@ -23,13 +25,13 @@
     """A worker whose lease has expired.
 
     Attributes:
-        born_ms: Wall time at which its process started.
+        process: Its process.
         runs: The runs that it had.
         lost_s: Monotonic time at which its lease expired, in seconds.
         is_suspected: Whether it is suspected to have crashed.
     """
 
-    born_ms: int
+    process: worker_process.WorkerProcess
     runs: tuple[runs.Run, ...]
     lost_s: float
     is_suspected: bool
@@ -63,7 +65,9 @@
             return
         self._lost.pop(worker.worker_id, None)
         self._lost[worker.worker_id] = _LostWorker(
-            worker.born_ms or worker.registration.born_ms,
+            worker.process
+            if worker.process.is_known
+            else worker_process.of_registration(worker.registration),
             tuple(worker.runs.values()),
             now,
             False,
@@ -80,23 +84,24 @@
         for run in lost.runs:
             self._suspect(run)
 
-    def on_registered(self, worker_id: str, born_ms: int) -> None:
+    def on_registered(self, registration: model.Registration) -> None:
         """Handles a registration, which may be from before the loss."""
-        lost = self._lost.get(worker_id)
-        if lost is not None and (lost.is_suspected or lost.born_ms != born_ms):
-            self.on_heard(worker_id, born_ms)
+        process = worker_process.of_registration(registration)
+        lost = self._lost.get(process.worker_id)
+        if lost is not None and (lost.is_suspected or lost.process != process):
+            self.on_heard(process)
 
-    def on_heard(self, worker_id: str, born_ms: int) -> None:
+    def on_heard(self, process: worker_process.WorkerProcess) -> None:
         """Handles a sign of life of the process that has the id now."""
-        lost = self._lost.get(worker_id)
+        lost = self._lost.get(process.worker_id)
         if lost is None:
             return
-        if lost.born_ms and born_ms and lost.born_ms != born_ms:
-            self.on_vanished(worker_id)
+        if lost.process.is_other(process):
+            self.on_vanished(process.worker_id)
         elif lost.is_suspected:
             for run in lost.runs:
                 self._withdraw(run)
-        del self._lost[worker_id]
+        del self._lost[process.worker_id]
 
     def _forget_old(self, now: float) -> None:
         while self._lost:
--- a/src/marigoldgap/cell/ports.py
+++ b/src/marigoldgap/cell/ports.py
@@ -7,6 +7,7 @@
 
 from marigoldgap import errors
 from marigoldgap.cell import model
+from marigoldgap.cell import worker_process
 from marigoldgap.web import client
 from marigoldgap.web import messages
 
@@ -58,8 +59,8 @@
     Attributes:
         name: Identifies the run.
         payload: Payload of the job, as submitted.
-        born_ms: Wall time at which the process started, in milliseconds: the
-            one whose clock the lease ends on; 0 if unknown.
+        process: The process, on whose clock the lease ends. Another one does
+            not get the command.
         lease_until_ms: End of the lease in milliseconds on the clock of that
             process.
         fence: Fencing token: the epoch of the leader.
@@ -69,7 +70,7 @@
 
     name: model.RunName
     payload: str
-    born_ms: int
+    process: worker_process.WorkerProcess
     lease_until_ms: int
     fence: int
     saved: str = ""
--- a/src/marigoldgap/cell/recorded_runs.py
+++ b/src/marigoldgap/cell/recorded_runs.py
@@ -8,6 +8,7 @@
 from marigoldgap.cell import model
 from marigoldgap.cell import run_tracker
 from marigoldgap.cell import step_progress
+from marigoldgap.cell import worker_process
 
 
 def restore(
@@ -44,5 +45,7 @@
     run = runs.restore(name, step, worker)
     if not worker.born_ms:
         worker.born_ms = start.born_ms
-    elif worker.born_ms != start.born_ms:
+    elif worker.process.is_other(
+        worker_process.WorkerProcess(start.worker_id, start.born_ms)
+    ):
         runs.end(run, model.EndReason.CRASHED, "", "worker has restarted")
--- a/src/marigoldgap/cell/runs.py
+++ b/src/marigoldgap/cell/runs.py
@@ -39,7 +39,6 @@
     """One run of a task on a worker; holds its resources until it ends."""
 
     __slots__ = (
-        "born_ms",
         "confirmed_s",
         "expected_s",
         "has_begun",
@@ -49,6 +48,7 @@
         "is_unstarted",
         "name",
         "percent",
+        "process",
         "progressed_s",
         "saved",
         "started_s",
@@ -68,7 +68,7 @@
         self.step = step
         self.worker = worker
         # Process of the worker for which the run was planned.
-        self.born_ms = worker.born_ms
+        self.process = worker.process
         self.state = RunState.STARTING
         self.started_s = now
         # Time at which the worker first confirmed the run, by a listing or by
--- a/src/marigoldgap/cell/worker_commands.py
+++ b/src/marigoldgap/cell/worker_commands.py
@@ -81,7 +81,7 @@
             if not self._listener.may_start():
                 await asyncio.sleep(_AUTHORITY_CHECK_S)
                 continue
-            if worker.born_ms != run.born_ms:
+            if worker.process != run.process:
                 self._refuse(
                     run, model.StartOutcome.OTHER_LIFE, may_have_started
                 )
@@ -94,7 +94,7 @@
                         ports.StartCommand(
                             run.name,
                             run.step.job.record.spec.payload,
-                            run.born_ms,
+                            run.process,
                             lease_until_ms,
                             self._listener.epoch,
                             run.step.saved_for(run.name.task.position),
@@ -120,7 +120,7 @@
                 _log.warning(
                     "start_unanswered",
                     run=str(run.name),
-                    born_ms=run.born_ms,
+                    born_ms=run.process.born_ms,
                     lease_until_ms=lease_until_ms,
                     cause=str(error),
                 )
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -243,7 +243,7 @@
     def on_registration(self, registration: model.Registration) -> None:
         """Adds a worker or updates its registration."""
         self._registrations.put(registration)
-        self._lost.on_registered(registration.worker_id, registration.born_ms)
+        self._lost.on_registered(registration)
         # It may be in a session that fails, as its process has restarted.
         self._rejoins.forget(registration.worker_id)
         worker = self.workers.get(registration.worker_id)
@@ -371,7 +371,7 @@
         worker.observe_clock(listing.clock_ms, now)
         if worker.contact is not fleet.Contact.ANSWERING:
             _log.info("worker_answers", worker=worker.worker_id)
-            self._lost.on_heard(worker.worker_id, listing.born_ms)
+            self._lost.on_heard(worker.process)
             worker.contact = fleet.Contact.ANSWERING
             self._refusals.forget(worker.worker_id)
             self._rejoins.forget(worker.worker_id)
@@ -390,13 +390,12 @@
 
         The runs of one that was draining lapse, as the listing lacks them.
         """
-        has_crashed = (
-            worker.born_ms > 0 and listing.born_ms > 0 and not worker.is_leaving
-        )
+        former = worker.process
+        was_leaving = worker.is_leaving
         worker.reset_incarnation(
             listing.born_ms, clock.now_s(), _INCARNATION_LEASE_S
         )
-        if not has_crashed:
+        if was_leaving or not former.is_other(worker.process):
             return
         _log.warning(
             "worker_restarted",
--- a/src/marigoldgap/platform/worker_client.py
+++ b/src/marigoldgap/platform/worker_client.py
@@ -10,6 +10,7 @@
 from marigoldgap import json_object
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
+from marigoldgap.cell import worker_process
 from marigoldgap.platform import decoding
 from marigoldgap.platform import process_checks
 from marigoldgap.web import client
@@ -85,12 +86,7 @@
             body["saved"] = command.saved
         if command.ticket:
             body["ticket"] = command.ticket
-        process = (
-            worker.address,
-            worker.worker_id,
-            command.born_ms,
-            command.fence,
-        )
+        process = worker.address, command.process, command.fence
 
         async def check(connection: client.Connection) -> None:
             await self._checks.run(
@@ -136,14 +132,13 @@
             raise messages.NotConnectedError(
                 f"process of worker {worker.worker_id} not confirmed: {error}"
             ) from error
-        if (
-            command.born_ms
-            and listing.born_ms
-            and listing.born_ms != command.born_ms
-        ):
+        answering = worker_process.WorkerProcess(
+            worker.worker_id, listing.born_ms
+        )
+        if answering.is_other(command.process):
             raise ports.ReplacedProcessError(
                 f"worker {worker.worker_id} runs the process of"
-                f" {listing.born_ms}, not of {command.born_ms}"
+                f" {listing.born_ms}, not of {command.process.born_ms}"
             )
 
     async def stop(
--- a/tests/features/steps/cell_process_check_steps.py
+++ b/tests/features/steps/cell_process_check_steps.py
@@ -11,6 +11,7 @@
 from marigoldgap import errors
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
+from marigoldgap.cell import worker_process
 from marigoldgap.platform import process_checks
 from marigoldgap.platform import worker_client
 from marigoldgap.web import client
@@ -118,7 +119,11 @@
                     port.start(
                         registration,
                         ports.StartCommand(
-                            name, "ms=60000", worker.born_ms, 5_000, 1
+                            name,
+                            "ms=60000",
+                            worker_process.of_registration(registration),
+                            5_000,
+                            1,
                         ),
                         5.0,
                     )
--- a/tests/standins/cell/worker.py
+++ b/tests/standins/cell/worker.py
@@ -81,6 +81,8 @@
             and have no effect, as if their sender could not reach the worker.
         falls_silent: Whether the next start makes the worker withhold all
             further responses.
+        early_acknowledgements: Each acknowledgement of an end that had not
+            happened, as its number and that of the latest end.
         violations: Each violation as a text.
         born_ms: Wall time of its start, in ms.
         public_address: Address that is registered; differs from `address`
@@ -137,6 +139,7 @@
         self._is_silent = False
         self.is_draining = False
         self.violations = []
+        self.early_acknowledgements = []
         self.lease_until_ms = 0
         self._store = store
         self._fleet_runs = fleet_runs
@@ -454,6 +457,10 @@
             self._end(name, "stopped")
 
     async def _handle_hold(self, body):
+        if body["lastSeen"] > self._last_end_number:
+            self.early_acknowledgements.append(
+                (body["lastSeen"], self._last_end_number)
+            )
         for number, name, _, state, _ in self.ended:
             if number <= body["lastSeen"] and state == "done":
                 self.acknowledged_tasks.add(name)
