node: a late registration of a former process does not replace the next one's

What operators could see: an instance that restarted at another address stayed unknown to the leader, so that it was neither asked for advice nor to vouch. Cause: the registration had no condition, and the store may perform a write without an answer seconds later, after that of the next process.

Each write now has a condition on the version of the row. The version comes from the answer of the failed check, so a first start costs no further call and a restart one more. A write that is found stored without an answer is not repeated; a restart at the same address still renews the row, whose version orders the instances.

--- a/src/marigoldgap/node/instance_registry.py
+++ b/src/marigoldgap/node/instance_registry.py
@@ -25,6 +25,9 @@
 async def register(rows: store.Store, name: str, address: str) -> None:
     """Stores the address of this instance; retries until it succeeds.
 
+    Each write has a condition on the row, so that a late one of a former process
+    does not replace the address of this one.
+
     Args:
         rows: The store.
         name: Name of this instance.
@@ -32,11 +35,24 @@
     """
     row_key = store.RowKey(records.INSTANCES, "", name)
     content = json_object.encode({"address": address})
-    transaction = store.Transaction((), ((row_key, content),))
+    version = 0
+    may_be_stored = False
     while True:
+        transaction = store.Transaction(
+            (store.RowCheck(row_key, version),), ((row_key, content),)
+        )
         try:
             await rows.transact(transaction)
+        except store.CheckFailedError as error:
+            found = {row.row_key: row for row in error.rows}.get(row_key)
+            if may_be_stored and found is not None and found.value == content:
+                return
+            former_version = version
+            version = 0 if found is None else found.version
+            if version == former_version:
+                await asyncio.sleep(_RETRY_DELAY_S)
         except store.StoreError as error:
+            may_be_stored |= isinstance(error, store.StoreUnknownError)
             _log.warning("registration_failed", cause=str(error))
             await asyncio.sleep(_RETRY_DELAY_S)
         else:
