metrics: a label that cannot be encoded does not fail the whole page

JSON may contain half of a surrogate pair. With such a name of an availability zone in an evacuation, /metrics failed as a whole (UnicodeEncodeError). The registry escapes what UTF-8 cannot encode; the cost grows with the labels of the page, as writing it does.

metrics/page: failed before with that error, passes (x86_64).

--- a/src/marigoldgap/measures.py
+++ b/src/marigoldgap/measures.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 import prometheus_client
 
 # Upper bounds of the latency buckets: from a call within the availability zone
@@ -11,7 +13,28 @@
 # 2, 4 and 8.
 _BUCKETS_LOG = (-1.386, -0.693, -0.223, 0.0, 0.223, 0.693, 1.386, 2.079)
 
-REGISTRY = prometheus_client.CollectorRegistry()
+
+class _EncodableRegistry(prometheus_client.CollectorRegistry):
+    """Replaces labels that cannot be encoded: one name would fail the whole page.
+
+    JSON may contain half of a surrogate pair, so names of the operator may.
+    """
+
+    def collect(self) -> Iterator[prometheus_client.Metric]:
+        for metric in super().collect():
+            metric.samples = [
+                sample._replace(
+                    labels={
+                        name: value.encode(errors="backslashreplace").decode()
+                        for name, value in sample.labels.items()
+                    }
+                )
+                for sample in metric.samples
+            ]
+            yield metric
+
+
+REGISTRY = _EncodableRegistry()
 
 REQUESTS = prometheus_client.Counter(
     "marigoldgap_requests",
