--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+import functools
 
 from marigoldgap import clock
 from marigoldgap import decision_log
@@ -21,6 +22,7 @@
 from marigoldgap.cell import model
 from marigoldgap.cell import ports
 from marigoldgap.cell import recorded_runs
+from marigoldgap.cell import recorded_starts
 from marigoldgap.cell import registrations
 from marigoldgap.cell import rejoin
 from marigoldgap.cell import roster
@@ -176,44 +178,17 @@
         """Starts a run on a worker, in the background."""
         run = self._runs.begin(name, step, worker)
         session = self._sessions[worker.worker_id]
-        start = (
-            self._start_recorded
-            if step.loss_count(name.task.position)
-            else worker_session.WorkerSession.start
-        )
-        self._leadership.spawn_contained(
-            "start", str(name), lambda: start(session, run, ticket)
-        )
-
-    async def _start_recorded(
-        self,
-        session: worker_session.WorkerSession,
-        run: runs.Run,
-        ticket: str,
-    ) -> None:
-        """Starts a run of a task that may crash its worker.
-
-        The start is stored first: if this leader ends, the next one counts the
-        crash. It may be called again after an unexpected error.
-        """
-        if run.is_sent:
-            await session.start(run, ticket)
-            return
-        run.is_unstarted = True
-        run.step.record_start(run.name, run.worker)
-        self._job_tracker.store_task(run.step, run.name.task.position)
-        await self.stored({run.step.job.job_id})
-        if run.state is not runs.RunState.STARTING:
-            return
-        run.is_unstarted = False
-        if run.worker.is_over_capacity:
-            session.withdraw(run, model.StartOutcome.NO_ROOM)
-        elif self.exceeds_limit(run):
-            session.withdraw(run, model.StartOutcome.OVER_LIMIT)
-        elif self.is_evacuated(run):
-            session.withdraw(run, model.StartOutcome.EVACUATED)
-        else:
-            await session.start(run, ticket)
+        send = functools.partial(session.start, run, ticket)
+        if step.loss_count(name.task.position):
+            send = functools.partial(
+                recorded_starts.start,
+                session,
+                run,
+                ticket,
+                self,
+                self._job_tracker,
+            )
+        self._leadership.spawn_contained("start", str(name), send)
 
     def restore_recorded_runs(self) -> None:
         """Restores the runs whose starts an earlier leader has recorded."""
