cell: refusals of the token end no leadership while a worker accepts it

The leadership now ends only if most workers refuse and no other one accepts the token or has still to answer; a worker that is silent or gone does not count as one that accepts.

A worker that keeps refusing was joined and given up again with each renewal of its registration, a line each. The count is one pass over the registered workers, at most ten times a second, as before.

No scenario was changed.

--- a/src/marigoldgap/cell/fence_refusals.py
+++ b/src/marigoldgap/cell/fence_refusals.py
@@ -2,9 +2,9 @@
 
 That another instance leads is proved by the election row, which each heartbeat of the
 leader checks. A worker that refuses the token may have got a higher one from another
-system, so it costs only itself. If most workers refuse, the leadership ends: either
-the store does not answer this leader any more and another one was elected, or its
-token is too low and only a new election raises it.
+system, so it costs only itself. If no worker accepts the token, and most refuse it,
+the leadership ends: either the store does not answer this leader any more and another
+one was elected, or its token is too low and only a new election raises it.
 """
 
 from __future__ import annotations
@@ -54,22 +54,30 @@
         self._refused_s.pop(worker_id, None)
 
     def is_general(
-        self, used_ids: Callable[[], Collection[str]], now: float
+        self,
+        used_ids: Callable[[], Collection[str]],
+        may_accept: Callable[[str], bool],
+        now: float,
     ) -> bool:
-        """Returns whether most workers refuse the token.
+        """Returns whether most workers refuse the token and no other may accept it.
 
         They are counted once in an interval; between, the answer is no.
 
         Args:
             used_ids: Returns all registered workers that this cell uses.
+            may_accept: Returns whether a worker that has not refused lately
+                accepts the token, or may do so once it answers.
             now: Current monotonic time in seconds.
         """
         if now - self._counted_s < _COUNT_INTERVAL_S:
             return False
         self._counted_s = now
         worker_ids = used_ids()
-        refusing = sum(
-            now - self._refused_s.get(worker_id, float("-inf")) < _MAX_AGE_S
-            for worker_id in worker_ids
-        )
+        refusing = 0
+        for worker_id in worker_ids:
+            refused_s = self._refused_s.get(worker_id, float("-inf"))
+            if now - refused_s < _MAX_AGE_S:
+                refusing += 1
+            elif may_accept(worker_id):
+                return False
         return 2 * refusing > len(worker_ids)
--- a/src/marigoldgap/cell/fleet.py
+++ b/src/marigoldgap/cell/fleet.py
@@ -329,6 +329,14 @@
         """Returns the worker with the given id."""
         return self._workers.get(worker_id)
 
+    def may_accept(self, worker_id: str) -> bool:
+        """Returns whether a worker accepts commands, or has not answered yet."""
+        worker = self.get(worker_id)
+        return worker is not None and worker.contact in (
+            Contact.JOINING,
+            Contact.ANSWERING,
+        )
+
     def add(self, worker: Worker) -> None:
         """Adds a worker."""
         self._workers[worker.worker_id] = worker
--- a/src/marigoldgap/cell/leadership.py
+++ b/src/marigoldgap/cell/leadership.py
@@ -44,7 +44,7 @@
     - `planning`: tasks start once their turn has come.
     - `jobs`: accepted and cancelled jobs become known.
     - `workers`: workers that come and leave become known.
-    - `fence`: most workers accept its fencing token.
+    - `fence`: a worker accepts its fencing token.
 
     Every other task serves one worker, run or call, or only supports the leader. It
     fails alone: the error is logged and counted, and the task is repeated after a
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -110,7 +110,10 @@
         """
         worker = self.workers.get(worker_id)
         if worker is None:
-            return self._registrations.is_left_alone(worker_id)
+            # One that refuses the token is asked again after growing pauses.
+            return self._registrations.is_left_alone(
+                worker_id
+            ) or self._refusals.is_refusing(worker_id)
         return worker.is_registered
 
     def unreachable_share(self) -> float:
@@ -324,14 +327,16 @@
     def on_fenced(self, worker: fleet.Worker, cause: str) -> None:
         """Gives up a worker that refuses the fencing token.
 
-        The leadership ends only if most workers refuse it.
+        The leadership ends only if no worker may accept it.
         """
         now = clock.now_s()
         if self._refusals.record(worker.worker_id, now):
             _log.warning("fenced", worker=worker.worker_id, cause=cause)
         self.on_silent(worker, cause)
-        if self._refusals.is_general(self._registrations.used_ids, now):
-            self._leadership.fail("fence", "most workers refuse its token")
+        if self._refusals.is_general(
+            self._registrations.used_ids, self.workers.may_accept, now
+        ):
+            self._leadership.fail("fence", "no worker accepts its token")
 
     def on_listing(
         self,
--- a/tests/features/cell/foreign_workers.feature
+++ b/tests/features/cell/foreign_workers.feature
@@ -23,6 +23,21 @@
     And the second worker has seen the token 5000
     Then 4 jobs complete under the same leader
 
+  Scenario: Workers that have seen a higher token cost only themselves
+    Guards against a leadership that ends, as two of three workers were used by
+    another system (LOST).
+    Given a cell with 3 workers and 2 instances
+    When all workers but the first have seen the token 5000, one each 2 s
+    Then 4 jobs complete under the same leader
+
+  Scenario: A worker that keeps refusing the token is asked less and less often
+    Guards against a session, and lines in the log, with each renewal of its
+    registration.
+    Given a cell with 1 workers and 2 instances
+    When a further worker registers that has seen the token 5000
+    And it renews its registration each 0.5 s for 10 s
+    Then it has received at most 8 commands
+
   Scenario: A start that is refused for its token is repeated elsewhere
     Guards against a run that is never started again, as its first worker refused
     it for the fencing token.
@@ -92,6 +107,23 @@
       | 3        | 4     | by most      |
       | 1        | 19000 | by some      |
 
+  Scenario Outline: The refusals of <refusing> of 3 workers, while the others <others>
+    Guards against a leadership that ends although a worker accepts its token, or
+    may do so once it answers.
+    Given a leader of 3 workers
+    And its workers <others>
+    When <refusing> workers refuse its token, one each second
+    Then its token is refused <extent>
+
+    Examples:
+      | refusing | others                | extent  |
+      | 2        | answer                | by some |
+      | 2        | have not answered yet | by some |
+      | 2        | are silent            | by most |
+      | 2        | are gone              | by most |
+      | 1        | are silent            | by some |
+      | 3        | answer                | by most |
+
   Scenario Outline: A refusal counts no longer once <event>
     Guards against a leadership that ends with refusals of long ago.
     Given a leader of 4 workers
--- a/tests/features/steps/cell_foreign_worker_steps.py
+++ b/tests/features/steps/cell_foreign_worker_steps.py
@@ -10,6 +10,8 @@
 from behave import when
 
 from marigoldgap.cell import fence_refusals
+from marigoldgap.cell import fleet
+from marigoldgap.cell import model
 from marigoldgap.web import server
 from tests.fixtures import cell_jobs
 from tests.fixtures import cell_world
@@ -17,6 +19,11 @@
 
 _FOREIGN_TASK = "00000000000000f1.0.0.0"
 _LATER_PREFIX = "/later/"
+_CONTACTS = {
+    "answer": fleet.Contact.ANSWERING,
+    "have not answered yet": fleet.Contact.JOINING,
+    "are silent": fleet.Contact.SILENT,
+}
 
 
 def _add_worker(context, name, received=None, **attributes):
@@ -75,7 +82,38 @@
 
 @when("a further worker registers that has seen the token {token:d}")
 def add_fenced(context, token):
-    context.worker = _add_worker(context, "w9", fence=token)
+    context.commands = []
+    context.worker = _add_worker(context, "w9", context.commands, fence=token)
+
+
+@when("it renews its registration each {pause:g} s for {seconds:d} s")
+def renew_registration(context, pause, seconds):
+    async def renew():
+        store = context.world.store
+        row_key = "servers", "", context.worker.worker_id
+        for _ in range(int(seconds / pause)):
+            store.put(*row_key, store.value(*row_key))
+            await asyncio.sleep(pause)
+
+    loops.run(context, renew())
+
+
+@then("it has received at most {count:d} commands")
+def few_commands(context, count):
+    assert 0 < len(context.commands) <= count, context.commands
+
+
+@when(
+    "all workers but the first have seen the token {token:d}, one each"
+    " {pause:g} s"
+)
+def fence_others(context, token, pause):
+    async def fence():
+        for worker in context.world.workers[1:]:
+            worker.fence = token
+            await asyncio.sleep(pause)
+
+    loops.run(context, fence())
 
 
 @when("the second worker has seen the token {token:d}")
@@ -210,6 +248,28 @@
     context.worker_ids = [f"w{number}" for number in range(count)]
     context.refused = 0
     context.now = 0
+    context.fleet = fleet.Fleet()
+
+
+@given("its workers {contact}")
+def set_contact(context, contact):
+    if contact == "are gone":
+        return
+    for number, worker_id in enumerate(context.worker_ids):
+        registration = model.Registration(
+            worker_id,
+            "claims",
+            f"127.0.0.1:{number + 1}",
+            "a",
+            False,
+            model.Demand(16_000, 65_536, 0),
+            frozenset(),
+            "",
+            1_000,
+        )
+        worker = fleet.Worker(registration, 0.0)
+        worker.contact = _CONTACTS[contact]
+        context.fleet.add(worker)
 
 
 @when("a further worker refuses its token")
@@ -218,7 +278,7 @@
     context.refusals.record(f"w{context.refused}", context.now)
     context.refused += 1
     context.is_general = context.refusals.is_general(
-        lambda: context.worker_ids, context.now
+        lambda: context.worker_ids, context.fleet.may_accept, context.now
     )
 
 
