cell: a roster row that cannot be decoded does not make its worker unknown

The next leader ignored such a row. If its worker did not answer, its task was started on another worker while it ran on under its lease (TWICE). The key of the row names the worker, so the leader waits for it: until it registers and lists its runs, or its leases have ended; then the row is removed. A row whose content is another worker's cannot be decoded either, nor may the one row of earlier versions.

--- a/src/marigoldgap/cell/records.py
+++ b/src/marigoldgap/cell/records.py
@@ -288,6 +288,20 @@
     return _decode_worker(decode(content))
 
 
+def decode_roster_row(row: store.Row) -> model.Registration:
+    """Returns the worker of a row of the roster.
+
+    Raises:
+        RecordError: The content is invalid or that of another worker.
+    """
+    registration = decode_worker(row.value)
+    if registration.worker_id != row.row_key.key:
+        raise RecordError(
+            f"row {row.row_key.key} has worker {registration.worker_id}"
+        )
+    return registration
+
+
 def decode_former_roster(content: bytes | None) -> list[model.Registration]:
     """Returns the workers in the row of earlier versions.
 
--- a/src/marigoldgap/cell/recovery.py
+++ b/src/marigoldgap/cell/recovery.py
@@ -148,6 +148,7 @@
             _log.error(
                 "worker_row_unusable", worker=row.row_key.key, cause=str(error)
             )
+            self._workers.inherited.add_unreadable(row.row_key)
 
     def _restore_times(self, row: store.Row | None) -> None:
         """Restores the learned run times; without them, declared ones count."""
@@ -163,11 +164,12 @@
     def _inherit(self, row: store.Row) -> None:
         try:
             with containment.contained("roster", row.row_key.key):
-                self._workers.inherit(records.decode_worker(row.value))
+                self._workers.inherit(records.decode_roster_row(row))
         except errors.MarigoldgapError as error:
             _log.error(
                 "worker_row_unusable", worker=row.row_key.key, cause=str(error)
             )
+            self._workers.inherited.add_unreadable(row.row_key)
 
     def _drop_progress(
         self, orphans: dict[str, progress_rows.StoredProgress]
--- a/src/marigoldgap/cell/roster.py
+++ b/src/marigoldgap/cell/roster.py
@@ -7,6 +7,7 @@
 from marigoldgap.cell import fleet
 from marigoldgap.cell import leadership as leaderships
 from marigoldgap.cell import records
+from marigoldgap.cell import store
 
 
 class Roster:
@@ -51,11 +52,9 @@
                 records.roster_row_key(worker.worker_id), _no_content
             )
 
-    def remove_former(self) -> None:
-        """Removes the one row of earlier versions."""
-        self._leadership.journal.schedule_write(
-            records.FORMER_ROSTER, _no_content
-        )
+    def remove_row(self, row_key: store.RowKey) -> None:
+        """Removes a row that cannot be read, or the one of earlier versions."""
+        self._leadership.journal.schedule_write(row_key, _no_content)
 
 
 def _no_content() -> None:
--- a/src/marigoldgap/cell/scheduler.py
+++ b/src/marigoldgap/cell/scheduler.py
@@ -170,7 +170,7 @@
     @property
     def is_obeyed(self) -> bool:
         """Whether all workers have accepted the fencing token."""
-        return self.is_recovered and not self.worker_tracker.pending_inherited
+        return self.is_recovered and not self.worker_tracker.inherited
 
     async def run(self) -> None:
         """Recovers, then schedules until this leadership ends.
@@ -377,7 +377,7 @@
             return step_progress.WaitReason.UNCONFIRMED
         if step.job.job_id in unknown_jobs:
             return step_progress.WaitReason.UNKNOWN_RUNS
-        if step.job.is_inherited and self.worker_tracker.pending_inherited:
+        if step.job.is_inherited and self.worker_tracker.inherited:
             return step_progress.WaitReason.INHERITED
         return step.wait_reason
 
@@ -408,7 +408,7 @@
         is_outdated = self._is_outdated()
         startable = []
         for step in self.job_tracker.ready_steps(
-            not self.worker_tracker.pending_inherited
+            not self.worker_tracker.inherited
         ):
             if is_outdated:
                 step.wait_reason = step_progress.WaitReason.LIMIT_UNCONFIRMED
--- a/src/marigoldgap/cell/worker_tracker.py
+++ b/src/marigoldgap/cell/worker_tracker.py
@@ -16,6 +16,7 @@
 from marigoldgap.cell import fence_refusals
 from marigoldgap.cell import fleet
 from marigoldgap.cell import former_leader
+from marigoldgap.cell import inherited_workers
 from marigoldgap.cell import job_tracker
 from marigoldgap.cell import leadership as leaderships
 from marigoldgap.cell import lost_workers
@@ -23,6 +24,7 @@
 from marigoldgap.cell import ports
 from marigoldgap.cell import recorded_runs
 from marigoldgap.cell import recorded_starts
+from marigoldgap.cell import records
 from marigoldgap.cell import registrations
 from marigoldgap.cell import rejoin
 from marigoldgap.cell import roster
@@ -74,12 +76,12 @@
         # applied: the latest one of each worker is kept.
         self.ready = asyncio.Event()
         self._deferred: dict[str, tuple[model.WorkerListing, float]] = {}
-        # Workers of earlier elections whose runs are not known yet.
-        self.pending_inherited: set[str] = set()
-        self._former = former
         self._leadership = leadership
         self._port = port
         self._roster = roster.Roster(leadership)
+        self.inherited = inherited_workers.InheritedWorkers(
+            leadership, self.workers, self._roster, former
+        )
         self._job_tracker = tracker
         crashes = crash_counter.CrashCounter(leadership, tracker)
         self._runs = run_tracker.RunTracker(
@@ -120,13 +122,6 @@
         """Returns the share of the registered workers that do not answer."""
         return self._registrations.unreachable_share(self.workers)
 
-    def pending_capacity(self) -> list[model.Demand]:
-        """Returns the largest capacities of workers with unknown runs."""
-        pending = (self.workers.get(name) for name in self.pending_inherited)
-        return [
-            worker.largest_capacity for worker in pending if worker is not None
-        ]
-
     def may_start(self) -> bool:
         """Returns whether starts of runs may be sent.
 
@@ -149,14 +144,11 @@
 
     def inherit(self, registration: model.Registration) -> None:
         """Adds a worker that may have runs of earlier elections."""
-        now = clock.now_s()
-        worker = fleet.Worker(
-            registration, now, max(0.0, self._former.leases_until_s - now)
-        )
+        self.inherited.add(registration.worker_id)
+        worker = self._create(registration)
         worker.has_roster_row = True
         worker.is_rostered = True
         worker.is_registered = False
-        self.pending_inherited.add(worker.worker_id)
         self._add(worker)
 
     def replace_former_roster(
@@ -169,7 +161,7 @@
             worker = self.workers.get(registration.worker_id)
             assert worker is not None
             self._roster.add(worker)
-        self._roster.remove_former()
+        self._roster.remove_row(records.FORMER_ROSTER)
 
     def start(
         self,
@@ -305,7 +297,7 @@
         worker.contact = fleet.Contact.GONE
         self.workers.remove(worker)
         self._sessions.pop(worker.worker_id, None)
-        self.pending_inherited.discard(worker.worker_id)
+        self.inherited.discard(worker.worker_id)
         self._deferred.pop(worker.worker_id, None)
         if not has_ended:
             self._lost.add(worker)
@@ -408,19 +400,26 @@
         sent_s: float,
     ) -> None:
         was_blocked = (
-            worker.worker_id in self.pending_inherited
+            worker.worker_id in self.inherited
             or worker.unknown_runs
             or worker.pending_ends
         )
         self._listings.apply(worker, listing, sent_s)
         if listing.is_complete:
-            self.pending_inherited.discard(worker.worker_id)
+            self.inherited.discard(worker.worker_id)
         # Most listings of a large fleet change nothing that a plan depends on.
         if listing.ended or was_blocked:
             self._leadership.request_plan()
 
+    def _create(self, registration: model.Registration) -> fleet.Worker:
+        return fleet.Worker(
+            registration,
+            clock.now_s(),
+            self.inherited.lease_s(registration.worker_id),
+        )
+
     def _join(self, registration: model.Registration) -> fleet.Worker:
-        worker = fleet.Worker(registration, clock.now_s())
+        worker = self._create(registration)
         if not self._rejoins.is_unreachable(worker.worker_id):
             _log.info(
                 "worker_joined",
--- a/src/marigoldgap/cell/workspace_usage.py
+++ b/src/marigoldgap/cell/workspace_usage.py
@@ -45,7 +45,7 @@
     def current(self) -> dict[str, list[int]]:
         """Returns the resources that each workspace uses or may use."""
         usage = inherited_usage.unknown_usage(
-            self._workers.pending_capacity(),
+            self._workers.inherited.capacities(),
             inherited_usage.possible_runs(self._job_tracker.inherited_jobs()),
         )
         for worker in self._workers.workers.values():
--- a/tests/features/cell/odd_records.feature
+++ b/tests/features/cell/odd_records.feature
@@ -72,3 +72,40 @@
     And nothing of it stays in the plan
     When it waits no more
     Then it is forgotten
+
+  Scenario: The task of a worker whose stored row cannot be read goes on
+    Guards against a second run of the task (TWICE), as the next leader does not
+    know that it has to wait for the worker.
+    Given a cell with 2 workers and 2 instances
+    When a job with the payload "ms=1500" is submitted and has begun
+    And the stored row of its worker cannot be read any more
+    And the leader ends
+    Then another instance is the leader
+    And the other instances show the job as "completed"
+    And each of its tasks was started once
+
+  Scenario: A worker whose stored row cannot be read and that does not answer
+    Guards against a second run of its task (TWICE) before its lease has ended.
+    Given a cell with 2 workers and 2 instances
+    When a job with the payload "ms=60000" is submitted and has begun
+    And the stored row of its worker cannot be read any more
+    And its worker does not answer later leaders
+    And the leader ends
+    Then another instance is the leader
+    And its task is started on the other worker
+    And no task ran in two places
+
+  Scenario Outline: A row of another writer in the roster, <content>, is removed
+    Guards against a row that delays the tasks of each later leader.
+    Given a cell with 1 workers and 2 instances
+    When the roster has a row with <content>
+    And the leader is asked to stop
+    Then another instance is the leader
+    And a new job of 1 tasks completes on the other instances
+    And the row is removed within 8 s
+    And the roster has the worker
+
+    Examples:
+      | content              |
+      | no fields            |
+      | another worker's row |
--- a/tests/features/steps/cell_odd_record_steps.py
+++ b/tests/features/steps/cell_odd_record_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from types import SimpleNamespace
 
@@ -239,3 +240,55 @@
 @then("it is forgotten")
 def forgotten(context):
     assert context.step not in context.failed_steps
+
+
+@when("the stored row of its worker cannot be read any more")
+def spoil_roster_row(context):
+    context.worker = next(each for each in context.world.workers if each.starts)
+    row_key = records.roster_row_key(context.worker.worker_id)
+    store = context.world.store
+    loops.run(context, loops.until(lambda: store.value(*row_key)))
+    store.put(*row_key, b"[]")
+
+
+@when("its worker does not answer later leaders")
+def ignore_later(context):
+    context.worker.ignored_fence = 2
+
+
+@then("its task is started on the other worker")
+def started_on_other(context):
+    (other,) = (
+        each for each in context.world.workers if each is not context.worker
+    )
+    loops.run(context, loops.until(lambda: other.starts))
+
+
+@when("the roster has a row with {content}")
+def add_roster_row(context, content):
+    store = context.world.store
+    worker_key = records.roster_row_key(context.world.workers[0].worker_id)
+    loops.run(context, loops.until(lambda: store.value(*worker_key)))
+    value = b"{}"
+    if content == "another worker's row":
+        value = store.value(*worker_key)
+    context.odd_row = records.roster_row_key("odd")
+    store.put(*context.odd_row, value)
+
+
+@then("the row is removed within {seconds:d} s")
+def row_removed(context, seconds):
+    async def wait():
+        async with asyncio.timeout(seconds):
+            await loops.until(
+                lambda: context.world.store.value(*context.odd_row) is None
+            )
+
+    loops.run(context, wait())
+
+
+@then("the roster has the worker")
+def roster_has_worker(context):
+    (worker,) = context.world.workers
+    row_key = records.roster_row_key(worker.worker_id)
+    assert context.world.store.value(*row_key) is not None
