tests: the model check waits as long as the work takes, and cuts nobody at its end

In the first the work of all jobs took longer than 60 s under the limit of the workspace, as its trace shows; the bound has the time of the work now, four tasks at a time. In the second a worker was cut off after the last healing, as the cut waited for a start; nothing is cut then any more.

--- a/tests/model/player.py
+++ b/tests/model/player.py
@@ -13,9 +13,11 @@
 
 _STORE = "store"
 _CALLER = "caller"
-# Time in which accepted jobs have to complete after the last disturbance: the
-# longest run time, the lease of a dark worker, and the waiting for a turn.
+# Time in which accepted jobs have to complete after the last disturbance, besides
+# that for the work itself: the lease of a dark worker, and the waiting for a turn.
 _COMPLETION_S = 60.0
+# Tasks that run at the same time at least: what fits into one worker.
+_PARALLEL_TASKS = 4
 _POLL_S = 0.5
 # Time from a start to an event that waits for it.
 _AFTER_START_S = 0.05
@@ -35,6 +37,9 @@
         self._checks = checks.Checks(self._world.workers)
         # Events that wait for the next start on a worker.
         self._awaiting_start = {}
+        self._is_over = False
+        # Time that all tasks take one after another, in seconds.
+        self._work_s = 0.0
         self._tasks = set()
         self._loop = asyncio.get_running_loop()
 
@@ -104,6 +109,8 @@
             step |= {"fills": True, "gpu": 1}
         if form in ("fail", "crash"):
             payload += f" {form}"
+        runs = 2 if form in ("chain", "fail") else 1
+        self._work_s += tasks * runs * milliseconds / 1000
         job = world.Job(f"{number + 1:016x}", label, payload, tasks)
         self._checks.jobs[number] = job
         body = cell_world.job(tasks, payload, **step)
@@ -233,13 +240,15 @@
         """Plays what waits for a start, and checks it."""
         for event in self._awaiting_start.pop(worker.worker_id, ()):
             # The answer to the start is sent before.
-            self._loop.call_later(
-                _AFTER_START_S, lambda play=event: self._spawn(_CALLER, play())
-            )
+            self._loop.call_later(_AFTER_START_S, self._play_at_start, event)
         self._checks.on_start(worker, task, payload)
 
+    def _play_at_start(self, event):
+        if not self._is_over:
+            self._spawn(_CALLER, event())
+
     async def _recover(self):
-        self._awaiting_start.clear()
+        self._is_over = True
         await self._heal()
         store = self._world.store
         store.late_writes.clear()
@@ -249,7 +258,9 @@
             worker.unanswered = 0
 
     async def _await_jobs(self):
-        until_s = self._loop.time() + _COMPLETION_S
+        until_s = (
+            self._loop.time() + _COMPLETION_S + self._work_s / _PARALLEL_TASKS
+        )
         open_jobs = list(self._checks.jobs.values())
         while self._loop.time() < until_s:
             for job in open_jobs:
